--- /dev/null
+++ b/src/rosemaryknot/connection/http_client.py
@@ -0,0 +1,205 @@
+"""An httpx client whose connections come from our `Network`."""
+
+import ssl
+from collections.abc import Iterable
+from typing import Any
+
+import httpcore
+import httpx
+import trio
+
+from rosemaryknot.connection.network import Network
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["NetworkTransport", "http_client"]
+
+MAX_CONNECTIONS = 4096
+KEEPALIVE_S = 30.0
+
+ERRORS = {
+    httpcore.ConnectError: httpx.ConnectError,
+    httpcore.ConnectTimeout: httpx.ConnectTimeout,
+    httpcore.PoolTimeout: httpx.PoolTimeout,
+    httpcore.ReadTimeout: httpx.ReadTimeout,
+    httpcore.WriteTimeout: httpx.WriteTimeout,
+    httpcore.ReadError: httpx.ReadError,
+    httpcore.WriteError: httpx.WriteError,
+    httpcore.RemoteProtocolError: httpx.RemoteProtocolError,
+    httpcore.LocalProtocolError: httpx.LocalProtocolError,
+}
+
+
+def mapped_error(error: Exception) -> Exception:
+    """Return the httpx error for an httpcore error."""
+    for known, target in ERRORS.items():
+        if isinstance(error, known):
+            return target(str(error))
+    return httpx.TransportError(str(error))
+
+
+class HttpStream(httpcore.AsyncNetworkStream):
+    """A stream of ours as httpcore wants it."""
+
+    def __init__(self, stream: trio.abc.HalfCloseableStream) -> None:
+        self.stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read what has arrived, at most ``max_bytes``."""
+        try:
+            if timeout is None:
+                return bytes(await self.stream.receive_some(max_bytes))
+            with trio.fail_after(timeout):
+                return bytes(await self.stream.receive_some(max_bytes))
+        except trio.TooSlowError as error:
+            raise httpcore.ReadTimeout from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise httpcore.ReadError from error
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write the whole buffer."""
+        if not buffer:
+            return
+        try:
+            with trio.fail_after(float("inf") if timeout is None else timeout):
+                await self.stream.send_all(buffer)
+        except trio.TooSlowError as error:
+            raise httpcore.WriteTimeout from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise httpcore.WriteError from error
+
+    async def aclose(self) -> None:
+        """Close the stream without waiting for the other end."""
+        await trio.aclose_forcefully(self.stream)
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Refuse: backend servers are reached by plain TCP."""
+        raise httpcore.ConnectError("no TLS on this network")
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return nothing; httpcore asks for liveness only."""
+        return None
+
+
+class HttpNetwork(httpcore.AsyncNetworkBackend):
+    """Our network as httpcore wants it."""
+
+    def __init__(self, network: Network) -> None:
+        self.network = network
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> HttpStream:
+        """Dial an address of the network."""
+        try:
+            with trio.fail_after(float("inf") if timeout is None else timeout):
+                return HttpStream(await self.network.dial(Address(host, port)))
+        except trio.TooSlowError as error:
+            raise httpcore.ConnectTimeout from error
+        except OSError as error:
+            raise httpcore.ConnectError(str(error)) from error
+
+    async def connect_unix_socket(self, path: str, **options: Any) -> HttpStream:
+        """Refuse: there are no local sockets."""
+        raise httpcore.ConnectError("no unix sockets")
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep in the run's own time."""
+        await trio.sleep(seconds)
+
+
+class BodyStream(httpx.AsyncByteStream):
+    """Response body that maps errors to httpx's."""
+
+    def __init__(self, stream: Any) -> None:
+        self.stream = stream
+
+    async def __aiter__(self):
+        """Yield the body's chunks as they arrive."""
+        try:
+            async for chunk in self.stream:
+                yield chunk
+        except Exception as error:
+            raise mapped_error(error) from error
+
+    async def aclose(self) -> None:
+        """Give the connection back, or close it when the body is not whole."""
+        await self.stream.aclose()
+
+
+class NetworkTransport(httpx.AsyncBaseTransport):
+    """httpx transport over our network.
+
+    Parameters
+    ----------
+    network : Network
+        Where connections come from.
+    """
+
+    def __init__(self, network: Network) -> None:
+        self.pool = httpcore.AsyncConnectionPool(
+            network_backend=HttpNetwork(network),
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_S,
+            retries=0,
+        )
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send a request and return the response with its open body."""
+        target = httpcore.URL(
+            scheme=request.url.raw_scheme,
+            host=request.url.raw_host,
+            port=request.url.port,
+            target=request.url.raw_path,
+        )
+        core_request = httpcore.Request(
+            method=request.method,
+            url=target,
+            headers=request.headers.raw,
+            content=request.stream,
+            extensions=request.extensions,
+        )
+        try:
+            response = await self.pool.handle_async_request(core_request)
+        except Exception as error:
+            raise mapped_error(error) from error
+        return httpx.Response(
+            status_code=response.status,
+            headers=response.headers,
+            stream=BodyStream(response.stream),
+            extensions=response.extensions,
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self.pool.aclose()
+
+
+def http_client(network: Network, timeout_s: float | None = 5.0) -> httpx.AsyncClient:
+    """Return a client over the network.
+
+    Parameters
+    ----------
+    network : Network
+        Where connections come from.
+    timeout_s : float or None
+        Bound on connecting and on each read and write, in seconds.
+
+    Returns
+    -------
+    client : httpx.AsyncClient
+        To be used as an async context manager.
+    """
+    return httpx.AsyncClient(
+        transport=NetworkTransport(network), timeout=timeout_s, trust_env=False
+    )
--- /dev/null
+++ b/src/rosemaryknot/connection/http_server.py
@@ -0,0 +1,91 @@
+"""Serve a quart application by hypercorn over our `Network`.
+
+Hypercorn's `TCPServer` is not documented as public; this is the only file that
+uses it.
+"""
+
+import trio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.events import Closed, Event, RawData
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from quart_trio import QuartTrio
+
+from rosemaryknot.connection.network import Network
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["HttpServer"]
+
+WRITE_TIMEOUT_S = 20.0
+READ_TIMEOUT_S = 120.0
+KEEPALIVE_S = 60.0
+
+
+class Connection(TCPServer):
+    """One connection of a caller."""
+
+    async def protocol_send(self, event: Event) -> None:
+        """Write to the caller, who may never read.
+
+        Hypercorn shields its write from cancellation without a bound: a caller
+        who stops reading holds the task and its answer for ever, and a planned
+        stop never ends. Closing the connection after `WRITE_TIMEOUT_S` is enough,
+        since an accepted answer can be picked up again by its id.
+        """
+        if not isinstance(event, RawData):
+            await super().protocol_send(event)
+            return
+        with trio.move_on_after(WRITE_TIMEOUT_S, shield=True) as scope:
+            await super().protocol_send(event)
+        if scope.cancelled_caught:
+            await trio.aclose_forcefully(self.stream)
+            await self.protocol.handle(Closed())
+
+
+class HttpServer:
+    """A quart application on an address of the network.
+
+    Parameters
+    ----------
+    app : QuartTrio
+        The application.
+    network : Network
+        Where to listen.
+    """
+
+    def __init__(self, app: QuartTrio, network: Network) -> None:
+        self.app = app
+        self.network = network
+        self.context = WorkerContext(None)
+        self.config = Config()
+        self.config.keep_alive_timeout = KEEPALIVE_S
+        self.config.read_timeout = READ_TIMEOUT_S
+        self.config.include_server_header = False
+        self.config.errorlog = None
+        self.config.accesslog = None
+
+    async def serve(
+        self,
+        address: Address,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled.
+
+        Parameters
+        ----------
+        address : Address
+            Where to listen; port 0 takes a free one.
+        task_status : trio.TaskStatus
+            Told the bound address.
+        """
+        wrapped = ASGIWrapper(self.app)
+
+        async def handle(stream: trio.abc.HalfCloseableStream) -> None:
+            await Connection(wrapped, self.config, self.context, {}, stream).run()
+
+        await self.network.listen(address, handle, task_status=task_status)
+
+    async def close_idle(self) -> None:
+        """Let idle connections end; those with a request in flight go on."""
+        await self.context.terminated.set()
--- /dev/null
+++ b/src/rosemaryknot/connection/network.py
@@ -0,0 +1,93 @@
+"""The one seam to the network: dial an address, or listen on one.
+
+`SocketNetwork` fills it with TCP. Tests fill it with in-memory streams that can
+be delayed, silenced, cut and killed in virtual time.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["Network", "SocketNetwork", "StreamHandler"]
+
+CONNECT_TIMEOUT_S = 2.0
+
+StreamHandler = Callable[[trio.abc.HalfCloseableStream], Awaitable[None]]
+
+
+class Network(Protocol):
+    """What the rest of the program may ask of the network."""
+
+    async def dial(self, address: Address) -> trio.abc.HalfCloseableStream:
+        """Connect to an address.
+
+        Parameters
+        ----------
+        address : Address
+            Where to connect.
+
+        Returns
+        -------
+        stream : trio.abc.HalfCloseableStream
+            The open connection.
+
+        Raises
+        ------
+        OSError
+            If nobody answers there in time.
+        """
+
+    async def listen(
+        self,
+        address: Address,
+        handler: StreamHandler,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections until cancelled, one task for each.
+
+        Parameters
+        ----------
+        address : Address
+            Where to listen; port 0 takes a free one.
+        handler : callable
+            Called with each new stream, which is closed when it returns.
+        task_status : trio.TaskStatus
+            Told the bound address once connections are accepted.
+
+        Raises
+        ------
+        OSError
+            If the address is taken.
+        """
+
+
+class SocketNetwork:
+    """TCP by IP number."""
+
+    async def dial(self, address: Address) -> trio.abc.HalfCloseableStream:
+        """Connect by TCP; see `Network.dial`."""
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            return await trio.open_tcp_stream(address.host, address.port)
+        raise TimeoutError(f"no answer from {address}")
+
+    async def listen(
+        self,
+        address: Address,
+        handler: StreamHandler,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept TCP connections; see `Network.listen`."""
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        bound = listeners[0].socket.getsockname()
+
+        async def handle(stream: trio.SocketStream) -> None:
+            try:
+                await handler(stream)
+            finally:
+                await trio.aclose_forcefully(stream)
+
+        task_status.started(Address(address.host, bound[1]))
+        await trio.serve_listeners(handle, listeners)
--- /dev/null
+++ b/src/rosemaryknot/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios, traces and experiments in virtual time."""
--- /dev/null
+++ b/src/rosemaryknot/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request."""
--- /dev/null
+++ b/src/rosemaryknot/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the systems that rosemaryknot meets, for demo and tests."""
--- /dev/null
+++ b/src/rosemaryknot/values/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes, identifiers and typed messages; nothing here holds state."""
--- /dev/null
+++ b/src/rosemaryknot/values/messages.py
@@ -0,0 +1,136 @@
+"""Registry and codec of the typed messages between our own processes.
+
+Each message is a slotted dataclass under a short kind name. Other modules of
+`rosemaryknot.values` declare the messages of their subject with `message`.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from typing import Any, ClassVar, TypeVar
+
+import msgpack
+
+__all__ = [
+    "Message",
+    "MessageError",
+    "UnknownKind",
+    "decode_message",
+    "encode_message",
+    "message",
+]
+
+KINDS: dict[str, type["Message"]] = {}
+
+MessageType = TypeVar("MessageType", bound="Message")
+
+
+class Message:
+    """Base of all messages.
+
+    Subclasses are slotted dataclasses whose fields msgpack can carry: numbers,
+    strings, bytes, lists, maps and None. A field that a later release adds needs
+    a default, so that an older peer may leave it out.
+    """
+
+    __slots__ = ()
+
+    kind: ClassVar[str]
+
+
+@dataclass(slots=True)
+class UnknownKind(Message):
+    """A well-formed message of a kind that this release does not know.
+
+    Attributes
+    ----------
+    name : str
+        The kind that the sender gave.
+    """
+
+    kind: ClassVar[str] = ""
+    name: str
+
+
+class MessageError(ValueError):
+    """Bytes that are not a message of ours."""
+
+
+def message(kind: str) -> Callable[[type[MessageType]], type[MessageType]]:
+    """Register a message class under a kind name.
+
+    Parameters
+    ----------
+    kind : str
+        Name on the wire; never reused for another meaning.
+
+    Returns
+    -------
+    decorator : callable
+        Returns the class unchanged.
+    """
+
+    def register(cls: type[MessageType]) -> type[MessageType]:
+        if kind in KINDS:
+            raise ValueError(f"message kind {kind!r} is taken")
+        cls.kind = kind
+        KINDS[kind] = cls
+        return cls
+
+    return register
+
+
+def encode_message(value: Message, call: int = 0, reply_to: int = 0) -> bytes:
+    """Encode a message with its call numbers.
+
+    Parameters
+    ----------
+    value : Message
+        The message.
+    call : int
+        Number under which a reply is awaited; 0 where none is.
+    reply_to : int
+        Number of the call that this message answers; 0 where it answers none.
+
+    Returns
+    -------
+    payload : bytes
+        One msgpack array.
+    """
+    body = {field.name: getattr(value, field.name) for field in fields(value)}
+    return msgpack.packb([value.kind, call, reply_to, body])
+
+
+def decode_message(payload: bytes) -> tuple[Message, int, int]:
+    """Decode what `encode_message` made.
+
+    Unknown fields are ignored and an unknown kind gives an `UnknownKind`, so that
+    a newer peer can speak to this release during a rolling upgrade.
+
+    Parameters
+    ----------
+    payload : bytes
+        One msgpack array.
+
+    Returns
+    -------
+    value : Message
+        The message.
+    call : int
+        Number under which the sender awaits a reply, or 0.
+    reply_to : int
+        Number of the call that it answers, or 0.
+
+    Raises
+    ------
+    MessageError
+        If the bytes are no message, or a field without default is missing.
+    """
+    try:
+        kind, call, reply_to, body = msgpack.unpackb(payload, strict_map_key=False)
+        cls = KINDS.get(kind)
+        if cls is None:
+            return UnknownKind(str(kind)), int(call), int(reply_to)
+        known = {field.name: body[field.name] for field in fields(cls) if field.name in body}
+        return cls(**known), int(call), int(reply_to)
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+        raise MessageError(f"not a message: {type(error).__name__}") from error
