Prove the hello as it was sent, and write links from one task

The proof now covers the bytes on the wire and the side that sent them.

A sender that was cancelled closed the link, since half a frame might be out: a caller who hangs up would have ended the calls of everybody else. Frames are now queued whole and written by one task; a peer that never reads still closes the link.

An unknown kind was answered Busy; it is Unsupported now, with maybe_handled False.

--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -1,16 +1,18 @@
 """Message links: one authenticated stream between two of our processes.
 
 A frame is a length and a msgpack array (see `rosemaryknot.values.messages`). Both
-ends prove in the hello that they hold the cluster key. One task reads a link;
-each call from the other end is handled in a task of its own, so that one slow
-handler does not hold up heartbeats.
+ends prove in the hello that they hold the cluster key. One task reads a link and
+one writes it; each message is handled in a task of its own, so that one slow
+handler does not hold up heartbeats. Messages may therefore be handled in another
+order than they were sent: what must not go back carries a number.
 """
 
 import hashlib
 import hmac
 import secrets
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
 from typing import ClassVar, TypeVar
 
 import trio
@@ -18,7 +20,6 @@
 from rosemaryknot.values.messages import (
     Message,
     MessageError,
-    UnknownKind,
     decode_message,
     encode_message,
     message,
@@ -31,16 +32,22 @@
     "Hello",
     "LinkClosed",
     "MessageLink",
+    "Traffic",
     "accept_link",
     "open_link",
 ]
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+MAX_HELLO_BYTES = 4096
+MAX_QUEUED_BYTES = 1024 * 1024
 HELLO_TIMEOUT_S = 3.0
 MAX_HANDLERS = 2048
 SEND_TIMEOUT_S = 5.0
 PROTOCOL = 1
+NONCE_BYTES = 16
 RECEIVE_BYTES = 65536
+DIALLED = b"dialled"
+ACCEPTED = b"accepted"
 
 MessageType = TypeVar("MessageType", bound=Message)
 
@@ -96,6 +103,17 @@
     kind: ClassVar[str]
 
 
+@message("unsupported")
+@dataclass(slots=True)
+class Unsupported(Message):
+    """Answer to a call that the other end knows no handler for."""
+
+    kind: ClassVar[str]
+
+
+REFUSALS = {Busy: "busy", Unsupported: "unsupported"}
+
+
 @dataclass(slots=True)
 class CallFailed:
     """A call without an answer.
@@ -103,7 +121,7 @@
     Attributes
     ----------
     reason : str
-        ``timeout``, ``closed`` or ``busy``.
+        ``timeout``, ``closed``, ``busy`` or ``unsupported``.
     maybe_handled : bool
         Whether the other end may have handled the call all the same.
     """
@@ -116,6 +134,52 @@
     """The link ended, or its other end broke the protocol."""
 
 
+@dataclass(slots=True)
+class KindTraffic:
+    """Messages and bytes of one kind.
+
+    Attributes
+    ----------
+    messages, bytes : int
+        Counts, frame headers included.
+    """
+
+    messages: int = 0
+    bytes: int = 0
+
+
+class Traffic:
+    """Counts what the links of a process send and receive, by kind of message.
+
+    Attributes
+    ----------
+    sent, received : dict of str to KindTraffic
+        Counts by message kind.
+    unreadable : int
+        Links closed because of a message that could not be read.
+    unsupported : int
+        Messages of a kind without a handler.
+    """
+
+    def __init__(self) -> None:
+        self.sent: dict[str, KindTraffic] = {}
+        self.received: dict[str, KindTraffic] = {}
+        self.unreadable = 0
+        self.unsupported = 0
+
+    def add_sent(self, kind: str, size_bytes: int) -> None:
+        """Count one message sent."""
+        count = self.sent.setdefault(kind, KindTraffic())
+        count.messages += 1
+        count.bytes += size_bytes
+
+    def add_received(self, kind: str, size_bytes: int) -> None:
+        """Count one message received."""
+        count = self.received.setdefault(kind, KindTraffic())
+        count.messages += 1
+        count.bytes += size_bytes
+
+
 class Handlers:
     """Registry of what a process does with each kind of message.
 
@@ -155,10 +219,14 @@
         return register
 
 
-def proof_of(key: bytes, nonce: bytes, hello: Hello) -> Proof:
-    """Return the proof for the other end's nonce and our own hello."""
-    text = encode_message(hello)
-    return Proof(hmac.new(key, nonce + text, hashlib.sha256).digest())
+def proof_of(key: bytes, side: bytes, nonce: bytes, hello: bytes) -> Proof:
+    """Return the proof for the other end's nonce and a hello as it was sent.
+
+    It covers the bytes on the wire: a newer peer's hello holds fields that this
+    release drops, and would not be the same when encoded again. The side keeps an
+    end's own proof from being sent back to it.
+    """
+    return Proof(hmac.new(key, side + nonce + hello, hashlib.sha256).digest())
 
 
 class FrameReader:
@@ -179,10 +247,10 @@
         del self.buffer[:size]
         return data
 
-    async def read_frame(self) -> bytes:
+    async def read_frame(self, limit: int = MAX_FRAME_BYTES) -> bytes:
         """Return the next frame's payload."""
         size = int.from_bytes(await self.read_exactly(4), "big")
-        if size > MAX_FRAME_BYTES:
+        if size > limit:
             raise LinkClosed(f"frame of {size} bytes is too large")
         return await self.read_exactly(size)
 
@@ -200,6 +268,8 @@
         What the other end said of itself.
     handlers : Handlers
         What to do with incoming messages.
+    traffic : Traffic, optional
+        Counts the messages.
 
     Attributes
     ----------
@@ -207,8 +277,10 @@
         What the other end said of itself.
     last_heard_s : float
         When the last frame came, in trio time.
-    bytes_sent, bytes_received, unreadable : int
-        Counters.
+    opened_s : float
+        When the hellos were exchanged, in trio time.
+    is_closed : bool
+        Whether the link has ended.
     """
 
     def __init__(
@@ -217,40 +289,71 @@
         reader: FrameReader,
         hello: Hello,
         handlers: Handlers,
+        traffic: Traffic | None = None,
     ) -> None:
         self.stream = stream
         self.reader = reader
         self.hello = hello
         self.handlers = handlers
-        self.send_lock = trio.Lock()
+        self.traffic = Traffic() if traffic is None else traffic
         self.waiting: dict[int, tuple[trio.Event, list[Message]]] = {}
         self.last_call = 0
         self.is_closed = False
-        self.last_heard_s = trio.current_time()
-        self.bytes_sent = 0
-        self.bytes_received = 0
-        self.unreadable = 0
-
-    async def send_frame(self, payload: bytes) -> None:
-        """Write one frame; a peer that never reads closes the link."""
+        self.end_reason = ""
+        self.opened_s = trio.current_time()
+        self.last_heard_s = self.opened_s
+        self.output = bytearray()
+        self.is_writing = False
+        self.output_changed = trio.lowlevel.ParkingLot()
+
+    async def queue_frame(self, kind: str, payload: bytes) -> None:
+        """Queue one frame; a peer that never reads closes the link.
+
+        A cancelled sender leaves either the whole frame in the queue or nothing of
+        it. Writing the stream from the senders would let a caller who hangs up
+        leave half a frame behind, which costs every other user of the link.
+        """
+        size = len(payload) + 4
+        if size > MAX_FRAME_BYTES:
+            raise ValueError(f"{kind} message of {size} bytes is too large")
+        with trio.move_on_after(SEND_TIMEOUT_S) as scope:
+            while self.output and len(self.output) + size > MAX_QUEUED_BYTES:
+                if self.is_closed:
+                    break
+                await self.output_changed.park()
+        if scope.cancelled_caught:
+            self.close("the other end does not read")
         if self.is_closed:
-            raise LinkClosed("closed")
-        frame = len(payload).to_bytes(4, "big") + payload
-        try:
+            raise LinkClosed(self.end_reason)
+        self.output += len(payload).to_bytes(4, "big") + payload
+        self.output_changed.unpark_all()
+        self.traffic.add_sent(kind, size)
+
+    async def write_output(self) -> None:
+        """Write what is queued, in as few writes as there is time for."""
+        while not self.is_closed:
+            if not self.output:
+                await self.output_changed.park()
+                continue
+            data, self.output = self.output, bytearray()
+            self.is_writing = True
+            self.output_changed.unpark_all()
             with trio.fail_after(SEND_TIMEOUT_S):
-                async with self.send_lock:
-                    await self.stream.send_all(frame)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            self.close()
-            raise LinkClosed("broken") from error
-        except trio.TooSlowError as error:
-            self.close()
-            raise LinkClosed("the other end does not read") from error
-        except trio.Cancelled:
-            # Half a frame may be out: whatever followed would be read as its rest.
-            self.close()
-            raise
-        self.bytes_sent += len(frame)
+                await self.stream.send_all(data)
+            self.is_writing = False
+            self.output_changed.unpark_all()
+
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until everything queued is written, but no longer than the timeout.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Bound on the wait, in seconds.
+        """
+        with trio.move_on_after(timeout_s):
+            while (self.output or self.is_writing) and not self.is_closed:
+                await self.output_changed.park()
 
     async def send(self, value: Message) -> bool:
         """Send a message that needs no answer.
@@ -266,7 +369,7 @@
             False where the link is closed; True is no proof of arrival.
         """
         try:
-            await self.send_frame(encode_message(value))
+            await self.queue_frame(value.kind, encode_message(value))
         except LinkClosed:
             return False
         return True
@@ -294,7 +397,7 @@
         self.waiting[number] = (event, answers)
         try:
             with trio.move_on_after(timeout_s):
-                await self.send_frame(encode_message(value, call=number))
+                await self.queue_frame(value.kind, encode_message(value, call=number))
                 await event.wait()
         except LinkClosed:
             return CallFailed("closed", maybe_handled=True)
@@ -303,12 +406,16 @@
         if not answers:
             reason = "closed" if self.is_closed else "timeout"
             return CallFailed(reason, maybe_handled=True)
-        if isinstance(answers[0], Busy):
-            return CallFailed("busy", maybe_handled=False)
+        refusal = REFUSALS.get(type(answers[0]))
+        if refusal is not None:
+            return CallFailed(refusal, maybe_handled=False)
         return answers[0]
 
     async def run(self) -> str:
-        """Read messages until the link ends.
+        """Read and write messages until the link ends.
+
+        The handlers that still run when the link ends are cancelled: nobody can
+        get their answer any more.
 
         Returns
         -------
@@ -317,51 +424,65 @@
         """
         try:
             async with trio.open_nursery() as nursery:
-                try:
-                    await self.read_messages(nursery)
-                except LinkClosed as error:
-                    reason = str(error)
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
-                    reason = "broken"
-                except MessageError:
-                    self.unreadable += 1
-                    reason = "unreadable message"
-                self.close()
-                nursery.cancel_scope.cancel()
+                nursery.start_soon(self.until_end, self.write_output, nursery)
+                await self.until_end(self.read_messages, nursery, nursery)
         finally:
-            self.close()
+            self.close("cancelled")
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self.stream)
-        return reason
+        return self.end_reason
+
+    async def until_end(
+        self, work: Callable[..., Awaitable[None]], nursery: trio.Nursery, *args: object
+    ) -> None:
+        """Read or write, and close the link when that is over."""
+        try:
+            await work(*args)
+        except LinkClosed as error:
+            self.close(str(error))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.close("broken")
+        except trio.TooSlowError:
+            self.close("the other end does not read")
+        except MessageError:
+            self.traffic.unreadable += 1
+            self.close("unreadable message")
+        nursery.cancel_scope.cancel()
 
     async def read_messages(self, nursery: trio.Nursery) -> None:
         """Hand each message to its handler or to the call that waits for it."""
-        while True:
+        while not self.is_closed:
             payload = await self.reader.read_frame()
-            self.bytes_received += len(payload) + 4
             self.last_heard_s = trio.current_time()
             value, call, reply_to = decode_message(payload)
+            self.traffic.add_received(value.kind, len(payload) + 4)
             if reply_to:
                 self.resolve(reply_to, value)
-            elif len(nursery.child_tasks) >= MAX_HANDLERS:
+            elif len(nursery.child_tasks) <= MAX_HANDLERS:
+                nursery.start_soon(self.handle, value, call)
+            elif call:
                 # Without a bound a flood of calls fills the memory of the node;
                 # the caller of a refused call knows that it was not handled.
-                await self.send_frame(encode_message(Busy(), reply_to=call))
-            else:
-                nursery.start_soon(self.handle, value, call)
+                await self.reply(Busy(), call)
 
     async def handle(self, value: Message, call: int) -> None:
         """Run the handler of one message and send its answer."""
         handler = self.handlers.by_type.get(type(value))
-        if handler is None or isinstance(value, UnknownKind):
-            answer = Busy()
+        if handler is None:
+            self.traffic.unsupported += 1
+            answer = Unsupported()
         else:
             answer = await handler(value, self)
         if call and answer is not None:
-            try:
-                await self.send_frame(encode_message(answer, reply_to=call))
-            except LinkClosed:
-                return
+            await self.reply(answer, call)
+
+    async def reply(self, answer: Message, call: int) -> None:
+        """Answer a call, if the link is still there."""
+        payload = encode_message(answer, reply_to=call)
+        try:
+            await self.queue_frame(answer.kind, payload)
+        except LinkClosed:
+            return
 
     def resolve(self, number: int, value: Message) -> None:
         """Give an answer to its call; one that comes too late is dropped."""
@@ -371,15 +492,29 @@
             answers.append(value)
             event.set()
 
-    def close(self) -> None:
-        """End the link; calls that wait fail at once."""
+    def close(self, reason: str = "closed") -> None:
+        """End the link; calls that wait fail at once.
+
+        Parameters
+        ----------
+        reason : str
+            What `run` returns.
+        """
+        if self.is_closed:
+            return
         self.is_closed = True
+        self.end_reason = reason
         for event, _ in self.waiting.values():
             event.set()
+        self.output_changed.unpark_all()
 
 
 async def open_link(
-    stream: trio.abc.HalfCloseableStream, key: bytes, hello: Hello, handlers: Handlers
+    stream: trio.abc.HalfCloseableStream,
+    key: bytes,
+    hello: Hello,
+    handlers: Handlers,
+    traffic: Traffic | None = None,
 ) -> MessageLink:
     """Make a link of a stream that we dialled.
 
@@ -393,6 +528,8 @@
         What we say of ourselves; its nonce is replaced.
     handlers : Handlers
         What to do with incoming messages.
+    traffic : Traffic, optional
+        Counts the messages.
 
     Returns
     -------
@@ -404,46 +541,42 @@
     LinkClosed
         If the other end does not prove that it holds the key.
     """
-    return await exchange(stream, key, hello, handlers, speaks_first=True)
+    hello_sent = encode_message(replace(hello, nonce=secrets.token_bytes(NONCE_BYTES)))
+    reader = FrameReader(stream)
+    with hello_bounds():
+        await send_raw(stream, hello_sent)
+        theirs, hello_read = await read_hello(reader)
+        await check_proof(reader, key, ACCEPTED, hello_sent, hello_read)
+        proof = proof_of(key, DIALLED, theirs.nonce, hello_sent)
+        await send_raw(stream, encode_message(proof))
+    return MessageLink(stream, reader, theirs, handlers, traffic)
 
 
 async def accept_link(
-    stream: trio.abc.HalfCloseableStream, key: bytes, hello: Hello, handlers: Handlers
-) -> MessageLink:
-    """Make a link of a stream that we accepted; see `open_link`."""
-    return await exchange(stream, key, hello, handlers, speaks_first=False)
-
-
-async def exchange(
     stream: trio.abc.HalfCloseableStream,
     key: bytes,
     hello: Hello,
     handlers: Handlers,
-    speaks_first: bool,
+    traffic: Traffic | None = None,
 ) -> MessageLink:
-    """Exchange hellos and proofs."""
-    ours = Hello(
-        hello.name,
-        hello.zone,
-        hello.incarnation,
-        hello.role,
-        secrets.token_bytes(16),
-        hello.protocol,
-        hello.address,
-    )
+    """Make a link of a stream that we accepted; see `open_link`."""
+    hello_sent = encode_message(replace(hello, nonce=secrets.token_bytes(NONCE_BYTES)))
     reader = FrameReader(stream)
+    with hello_bounds():
+        theirs, hello_read = await read_hello(reader)
+        proof = proof_of(key, ACCEPTED, theirs.nonce, hello_sent)
+        await send_raw(stream, hello_sent)
+        await send_raw(stream, encode_message(proof))
+        await check_proof(reader, key, DIALLED, hello_sent, hello_read)
+    return MessageLink(stream, reader, theirs, handlers, traffic)
+
+
+@contextmanager
+def hello_bounds() -> Iterator[None]:
+    """Bound the exchange of hellos in time, and map its errors."""
     try:
         with trio.fail_after(HELLO_TIMEOUT_S):
-            if speaks_first:
-                await send_raw(stream, ours)
-                theirs = await read_as(reader, Hello)
-                await check_proof(reader, key, ours.nonce, theirs)
-                await send_raw(stream, proof_of(key, theirs.nonce, ours))
-            else:
-                theirs = await read_as(reader, Hello)
-                await send_raw(stream, ours)
-                await send_raw(stream, proof_of(key, theirs.nonce, ours))
-                await check_proof(reader, key, ours.nonce, theirs)
+            yield
     except (
         MessageError,
         trio.BrokenResourceError,
@@ -451,27 +584,41 @@
         trio.TooSlowError,
     ) as error:
         raise LinkClosed(f"no hello: {type(error).__name__}") from error
-    return MessageLink(stream, reader, theirs, handlers)
 
 
-async def send_raw(stream: trio.abc.SendStream, value: Message) -> None:
+async def send_raw(stream: trio.abc.SendStream, payload: bytes) -> None:
     """Write one frame outside of a link."""
-    payload = encode_message(value)
     await stream.send_all(len(payload).to_bytes(4, "big") + payload)
 
 
-async def read_as(reader: FrameReader, wanted: type[MessageType]) -> MessageType:
-    """Read one message, which must be of the wanted kind."""
-    value, _, _ = decode_message(await reader.read_frame())
-    if not isinstance(value, wanted):
-        raise LinkClosed(f"expected {wanted.kind}")
-    return value
+async def read_hello(reader: FrameReader) -> tuple[Hello, bytes]:
+    """Read the other end's hello; return it with its bytes."""
+    payload = await reader.read_frame(MAX_HELLO_BYTES)
+    value, _, _ = decode_message(payload)
+    if not isinstance(value, Hello) or not is_well_formed(value):
+        raise LinkClosed("expected hello")
+    return value, payload
+
+
+def is_well_formed(hello: Hello) -> bool:
+    """Tell whether the fields of a hello have their types."""
+    texts = (hello.name, hello.zone, hello.role, hello.address)
+    return (
+        all(isinstance(text, str) for text in texts)
+        and isinstance(hello.incarnation, int)
+        and isinstance(hello.nonce, bytes)
+        and len(hello.nonce) == NONCE_BYTES
+    )
 
 
 async def check_proof(
-    reader: FrameReader, key: bytes, nonce: bytes, theirs: Hello
+    reader: FrameReader, key: bytes, side: bytes, hello_sent: bytes, hello_read: bytes
 ) -> None:
     """Read the other end's proof and compare it."""
-    proof = await read_as(reader, Proof)
-    if not hmac.compare_digest(proof.mac, proof_of(key, nonce, theirs).mac):
+    ours, _, _ = decode_message(hello_sent)
+    value, _, _ = decode_message(await reader.read_frame(MAX_HELLO_BYTES))
+    if not isinstance(value, Proof) or not isinstance(value.mac, bytes):
+        raise LinkClosed("expected proof")
+    wanted = proof_of(key, side, ours.nonce, hello_read)
+    if not hmac.compare_digest(value.mac, wanted.mac):
         raise LinkClosed("wrong cluster key")
