Send nothing for an empty write on memory streams

Hypercorn writes zero bytes at the end of an answer. The memory stream queued them as a chunk, which the reader took for the end of the stream: the second request on a kept connection failed.

--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -41,9 +41,7 @@
     size: int = 0
     ended: bool = False
     reset: bool = False
-    changed: trio.lowlevel.ParkingLot = field(
-        default_factory=trio.lowlevel.ParkingLot
-    )
+    changed: trio.lowlevel.ParkingLot = field(default_factory=trio.lowlevel.ParkingLot)
 
     def wake(self) -> None:
         """Let both ends look again."""
@@ -75,6 +73,8 @@
             raise trio.ClosedResourceError
         if pipe.reset:
             raise trio.BrokenResourceError("connection reset")
+        if not data:
+            return
         if self.silent or self.network.is_cut(self.near, self.far):
             # A cut TCP link keeps the sender waiting for acknowledgements and
             # delivers nothing; bytes sent in a cut never arrive here, so the
@@ -250,15 +250,16 @@
                 stream.kill()
                 await trio.aclose_forcefully(stream)
 
-        async with trio.open_nursery() as nursery:
-
-            def accept(stream: MemoryStream) -> None:
-                nursery.start_soon(handle, stream)
-
-            self.listeners[address] = accept
-            task_status.started(address)
-            try:
-                await trio.sleep_forever()
-            finally:
-                if self.listeners.get(address) is accept:
-                    del self.listeners[address]
+        # The accepting task itself starts the handlers, so that they run in the
+        # context of the listening host and not in that of the host that dials.
+        backlog_in, backlog_out = trio.open_memory_channel(math.inf)
+        accept = backlog_in.send_nowait
+        self.listeners[address] = accept
+        try:
+            async with trio.open_nursery() as nursery:
+                task_status.started(address)
+                async for stream in backlog_out:
+                    nursery.start_soon(handle, stream)
+        finally:
+            if self.listeners.get(address) is accept:
+                del self.listeners[address]
