--- /dev/null
+++ b/src/rosemaryknot/process/logs.py
@@ -0,0 +1,263 @@
+"""Logs by structlog: short sentences with the part's prefix, then keys and values.
+
+Until a main calls `configure_logs`, only warnings and errors are written. A line
+never blocks, breaks or fills up the caller: see `LineWriter`, `RepeatLimit` and
+`guarded_logger`.
+"""
+
+import json
+import os
+import select
+import time
+from collections import OrderedDict
+from collections.abc import Callable, MutableMapping
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+__all__ = ["LineWriter", "RepeatLimit", "configure_logs", "logger"]
+
+STDERR = 2
+# A pipe that polls as writable takes this many bytes without blocking (PIPE_BUF).
+MAX_LINE_BYTES = 4096
+REPEATS = 10
+WINDOW_S = 10.0
+MAX_TEXTS = 500
+LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+FIRST_KEYS = ("timestamp", "level", "part", "event")
+SECRET_KEYS = frozenset({"authorization", "cluster_key", "key", "password", "secret"})
+
+EventDict = MutableMapping[str, Any]
+
+render_fields = structlog.processors.LogfmtRenderer(bool_as_flag=False)
+
+
+def one_line(text: str) -> str:
+    r"""Return the text without line breaks.
+
+    Examples
+    --------
+    >>> one_line("a\nb")
+    'a\\nb'
+    """
+    return text.replace("\\", "\\\\").replace("\n", "\\n").replace("\r", "\\r")
+
+
+def render_text(logger: Any, method: str, event: EventDict) -> str:
+    """Render a line for people.
+
+    Examples
+    --------
+    >>> line = {"timestamp": "12:00", "level": "info", "part": "route"}
+    >>> render_text(None, "info", line | {"event": "chose waco-a-e1", "request": "r1"})
+    '12:00 info route: chose waco-a-e1 request=r1'
+    """
+    head = "{timestamp} {level} {part}: ".format_map(event)
+    head += one_line(str(event["event"]))
+    rest = {key: value for key, value in event.items() if key not in FIRST_KEYS}
+    fields = render_fields(logger, method, rest)
+    return f"{head} {fields}" if fields else head
+
+
+def render_json(logger: Any, method: str, event: EventDict) -> str:
+    """Render a line for programs: one JSON object."""
+    first = {key: event[key] for key in FIRST_KEYS}
+    return json.dumps(first | dict(event), default=str)
+
+
+def hide_secrets(logger: Any, method: str, event: EventDict) -> EventDict:
+    """Replace values that may be secrets or caller text."""
+    for key, value in event.items():
+        if key in SECRET_KEYS:
+            event[key] = "<hidden>"
+        elif isinstance(value, bytes):
+            event[key] = f"<{len(value)} bytes>"
+    return event
+
+
+def add_lost(writer: Any, method: str, event: EventDict) -> EventDict:
+    """Add how many lines could not be written before this one."""
+    if writer.lost:
+        event["lines_lost"] = writer.lost
+    return event
+
+
+class LineWriter:
+    """Write lines to a file descriptor without ever waiting for it.
+
+    Parameters
+    ----------
+    fd : int
+        File descriptor.
+
+    Attributes
+    ----------
+    lost : int
+        Lines that could not be written since the last one that could.
+    """
+
+    def __init__(self, fd: int = STDERR) -> None:
+        self.fd = fd
+        self.lost = 0
+
+    def msg(self, line: str) -> None:
+        """Write a line, or count it as lost.
+
+        A reader that stops reading fills the pipe, and a blocking write would then
+        freeze every request of the process. So a line is written only when it fits:
+        a pipe that polls as writable has room for `MAX_LINE_BYTES`.
+        """
+        data = line.encode(errors="replace")[: MAX_LINE_BYTES - 1] + b"\n"
+        try:
+            if not self.writable():
+                raise BlockingIOError
+            os.write(self.fd, data)
+        except OSError:
+            self.lost += 1
+        else:
+            self.lost = 0
+
+    debug = info = warning = error = critical = exception = msg
+
+    def writable(self) -> bool:
+        """Tell whether a line can be written without waiting."""
+        poll = select.poll()
+        poll.register(self.fd, select.POLLOUT)
+        return bool(poll.poll(0))
+
+
+@dataclass(slots=True)
+class Repeats:
+    """How often a text was logged in its window."""
+
+    since_s: float
+    count: int = 0
+
+
+class RepeatLimit:
+    """Leave out lines that repeat, and say how many were left out.
+
+    A fault that every request meets would otherwise write a line for each and hide
+    all others. An info line with a request id stays whatever its number: it is that
+    request's decision, which operators look for.
+
+    Parameters
+    ----------
+    render : callable
+        Renders the line that tells the number left out.
+    clock : callable
+        Monotonic time in seconds.
+
+    Attributes
+    ----------
+    texts : collections.OrderedDict
+        Repeats by part and text, oldest window first; at most `MAX_TEXTS`.
+    """
+
+    def __init__(
+        self,
+        render: Callable[[Any, str, EventDict], str],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.render = render
+        self.clock = clock
+        self.texts: OrderedDict[tuple[str, str], Repeats] = OrderedDict()
+
+    def __call__(self, writer: Any, method: str, event: EventDict) -> EventDict:
+        """Pass the line on, or drop it."""
+        now = self.clock()
+        self.close_windows(writer, now, event["timestamp"])
+        if event["level"] == "info" and "request" in event:
+            return event
+        text = (event["part"], str(event["event"]))
+        repeats = self.texts.setdefault(text, Repeats(now))
+        repeats.count += 1
+        if repeats.count > REPEATS:
+            raise structlog.DropEvent
+        return event
+
+    def close_windows(self, writer: Any, now: float, timestamp: str) -> None:
+        """End the windows that are over, and as many more as the bound asks."""
+        while self.texts:
+            (part, text), repeats = next(iter(self.texts.items()))
+            if now - repeats.since_s < WINDOW_S and len(self.texts) < MAX_TEXTS:
+                return
+            del self.texts[part, text]
+            if repeats.count > REPEATS:
+                summary = {
+                    "timestamp": timestamp,
+                    "level": "warning",
+                    "part": part,
+                    "event": f"left out repeats of: {text}",
+                    "left_out": repeats.count - REPEATS,
+                    "window_s": round(now - repeats.since_s, 1),
+                }
+                writer.msg(self.render(writer, "warning", summary))
+
+
+def guarded_logger(level: int) -> type:
+    """Return a logger class for a level whose calls never raise."""
+
+    class GuardedLogger(structlog.make_filtering_bound_logger(level)):
+        """Logger that drops a line it cannot render."""
+
+        def _proxy_to_logger(self, *args: Any, **fields: Any) -> Any:
+            try:
+                return super()._proxy_to_logger(*args, **fields)
+            except Exception:
+                # A value whose text cannot be made must not end the request that
+                # logs it; the counter in the writer tells that one is missing.
+                self._logger.lost += 1
+                return None
+
+    return GuardedLogger
+
+
+def configure_logs(format: str = "text", level: str = "info", fd: int = STDERR) -> None:
+    """Set up the logs of this process.
+
+    Parameters
+    ----------
+    format : str
+        ``text`` for people or ``json`` for programs.
+    level : str
+        Lowest level that is written: debug, info, warning or error.
+    fd : int
+        File descriptor that takes the lines.
+    """
+    render = render_json if format == "json" else render_text
+    writer = LineWriter(fd)
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            RepeatLimit(render),
+            hide_secrets,
+            add_lost,
+            structlog.processors.format_exc_info,
+            render,
+        ],
+        wrapper_class=guarded_logger(LEVELS[level]),
+        logger_factory=lambda *args: writer,
+        cache_logger_on_first_use=False,
+    )
+
+
+def logger(part: str) -> Any:
+    """Return the logger of a part.
+
+    Parameters
+    ----------
+    part : str
+        Fixed prefix of its lines, such as ``route``.
+
+    Returns
+    -------
+    logger : structlog.typing.FilteringBoundLogger
+        Called as ``log.info("chose waco-a-e1", request=request_id)``.
+    """
+    return structlog.get_logger(part=part)
+
+
+configure_logs(level="warning")
