--- /dev/null
+++ b/src/rosemaryknot/process/drain.py
@@ -0,0 +1,79 @@
+"""Planned stop: end what is in flight whole, take nothing new."""
+
+import trio
+
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import gauge
+from rosemaryknot.values.outcomes import NotRun, Reason
+
+__all__ = ["Drain"]
+
+STOPPING_RETRY_S = 1.0
+
+log = logger("drain")
+in_flight_gauge = gauge("requests_in_flight", "Requests that are in flight.")
+stopping_gauge = gauge("stopping", "1 while a planned stop is under way.")
+
+
+class Drain:
+    """Counts what is in flight, and waits for its end at a planned stop.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether new requests are refused.
+    in_flight : int
+        What must end before the process may: answers being written, generations,
+        requests that go on without their caller.
+    """
+
+    def __init__(self) -> None:
+        self.is_stopping = False
+        self.in_flight = 0
+        self.changed = trio.lowlevel.ParkingLot()
+        stopping_gauge.set(0)
+
+    def __enter__(self) -> "Drain":
+        self.in_flight += 1
+        in_flight_gauge.set(self.in_flight)
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.in_flight -= 1
+        in_flight_gauge.set(self.in_flight)
+        if not self.in_flight:
+            self.changed.unpark_all()
+
+    def refusal(self) -> NotRun | None:
+        """Return why a new request is refused, or None while it is not."""
+        if not self.is_stopping:
+            return None
+        return NotRun(Reason.STOPPING, STOPPING_RETRY_S, "this instance is stopping")
+
+    def start(self) -> None:
+        """Refuse new requests from now on."""
+        self.is_stopping = True
+        stopping_gauge.set(1)
+        log.info("not ready: planned stop", in_flight=self.in_flight)
+
+    async def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until nothing is in flight.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Bound on the wait, in seconds.
+
+        Returns
+        -------
+        is_idle : bool
+            False where the bound was reached.
+        """
+        with trio.move_on_after(timeout_s):
+            while self.in_flight:
+                await self.changed.park()
+        if self.in_flight:
+            log.error("bound reached with requests in flight", in_flight=self.in_flight)
+            return False
+        log.info("nothing is in flight")
+        return True
--- /dev/null
+++ b/src/rosemaryknot/request/plain.py
@@ -0,0 +1,260 @@
+"""Pass requests through to plain services."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import trio
+
+from rosemaryknot.connection.plain_client import PlainClient, is_leaving
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter
+from rosemaryknot.process.retry_budget import RetryBudgets
+from rosemaryknot.process.server_health import ServerHealth
+from rosemaryknot.request.plain_route import PlainCandidate, choose_plain_server
+from rosemaryknot.values.nodes import BackendServer, ServerState
+from rosemaryknot.values.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from rosemaryknot.values.requests import NotSent, PlainRequest, SendResult
+
+__all__ = ["PlainRelay", "ServerSource"]
+
+MAX_TRIES = 3
+BACKOFF_FIRST_S = 0.05
+BACKOFF_LONGEST_S = 1.0
+NO_SERVER_RETRY_S = 2.0
+LEAVING_SOURCE = "server"
+
+# What a server says when it, or something before it, could not do the work now.
+RETRIED_STATUS = frozenset((502, 503, 504))
+FAILED_STATUS = 500
+
+log = logger("route")
+tries = counter("plain_tries_total", "Tries of plain requests, by service and result.")
+
+
+class ServerSource(Protocol):
+    """What the relay needs of the table of backend servers."""
+
+    def servers_of(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service."""
+
+    def mark_leaving(self, instance: str, deadline_unix_s: float, source: str) -> None:
+        """Note that an instance is leaving."""
+
+
+@dataclass(slots=True)
+class Tries:
+    """Tries of one request so far.
+
+    Attributes
+    ----------
+    instances : set of str
+        Servers tried.
+    last : SendResult
+        What the caller is told when no further try is made. A try that may have run
+        is never replaced by one that was not sent.
+    """
+
+    instances: set[str] = field(default_factory=set)
+    last: SendResult = field(default_factory=lambda: NotSent(Reason.NO_SERVER))
+
+    def note(self, result: SendResult) -> None:
+        """Take in the result of a try."""
+        if not isinstance(result, NotSent) or isinstance(self.last, NotSent):
+            self.last = result
+
+
+class PlainRelay:
+    """Sends plain requests to the servers of their service.
+
+    Parameters
+    ----------
+    client : PlainClient
+        Sends one request to one server.
+    servers : ServerSource
+        Backend servers.
+    zone : str
+        Availability zone of this process.
+    rng : random.Random
+        For jitter and for the choice of servers.
+
+    Attributes
+    ----------
+    in_flight : Counter of str
+        Requests in flight, by instance.
+    health : ServerHealth
+        Servers that fail.
+    budgets : RetryBudgets
+        Retries left, by service.
+    """
+
+    def __init__(
+        self,
+        client: PlainClient,
+        servers: ServerSource,
+        zone: str,
+        rng: random.Random,
+    ) -> None:
+        self.client = client
+        self.servers = servers
+        self.zone = zone
+        self.rng = rng
+        self.in_flight: Counter[str] = Counter()
+        self.health = ServerHealth()
+        self.budgets = RetryBudgets()
+
+    async def run_idempotent(self, request: PlainRequest) -> Outcome:
+        """Run a request that may be repeated, on another server each time.
+
+        Parameters
+        ----------
+        request : PlainRequest
+            The request.
+
+        Returns
+        -------
+        outcome : Outcome
+            The answer, or why there is none.
+        """
+        done = Tries()
+        budget = self.budgets.of(request.service)
+        while True:
+            result = await self.try_next(request, done, reuse=True)
+            if result is None:
+                break
+            if not is_retried(result):
+                budget.note_success()
+                break
+            if isinstance(result, NotSent):
+                # Nothing ran anywhere, so the retry adds no load to the service.
+                continue
+            if not budget.take() or not await self.back_off(request, done):
+                break
+        return outcome_of(done.last)
+
+    async def send_once(self, request: PlainRequest) -> SendResult:
+        """Send a request that must not be repeated.
+
+        Another server is tried only while no byte of the request has left, or a
+        server that is leaving has refused it.
+
+        Parameters
+        ----------
+        request : PlainRequest
+            The request, whose right to be sent is held.
+
+        Returns
+        -------
+        result : SendResult
+            `NotSent` only where no server can have run it.
+        """
+        done = Tries()
+        while True:
+            result = await self.try_next(request, done, reuse=False)
+            if result is None or not isinstance(result, NotSent):
+                return done.last
+
+    async def try_next(
+        self, request: PlainRequest, done: Tries, reuse: bool
+    ) -> SendResult | None:
+        """Try the next server; None where there is none or no try is left."""
+        if len(done.instances) >= MAX_TRIES:
+            return None
+        server = self.choose(request, done)
+        if server is None:
+            return None
+        done.instances.add(server.instance)
+        self.in_flight[server.instance] += 1
+        try:
+            result = await self.client.send(server, request, reuse)
+        finally:
+            self.in_flight[server.instance] -= 1
+            if not self.in_flight[server.instance]:
+                del self.in_flight[server.instance]
+        result = self.noted(server, request, result)
+        done.note(result)
+        return result
+
+    def choose(self, request: PlainRequest, done: Tries) -> BackendServer | None:
+        """Choose a server that was not tried yet, and log why."""
+        live = [
+            server
+            for server in self.servers.servers_of(request.service)
+            if server.state == ServerState.LIVE
+        ]
+        usable = [
+            s for s in self.health.usable(live) if s.instance not in done.instances
+        ]
+        candidates = [PlainCandidate(s, self.in_flight[s.instance]) for s in usable]
+        choice = choose_plain_server(candidates, self.zone, self.rng)
+        if choice is None:
+            log.info(
+                "no server left",
+                request=request.request_id,
+                service=request.service,
+                live=len(live),
+                tried=len(done.instances),
+            )
+            return None
+        log.info(
+            f"chose {choice.server.instance}",
+            request=request.request_id,
+            service=request.service,
+            scores=choice.scores,
+            reason="retry" if done.instances else "lowest score",
+        )
+        return choice.server
+
+    def noted(
+        self, server: BackendServer, request: PlainRequest, result: SendResult
+    ) -> SendResult:
+        """Count a result for the server, and read a refusal for leaving."""
+        if isinstance(result, Answered) and is_leaving(result):
+            # The server itself says that it took no new work, so nothing ran there.
+            self.servers.mark_leaving(server.instance, 0.0, LEAVING_SOURCE)
+            result = NotSent(Reason.NO_SERVER)
+        elif isinstance(result, Answered) and result.status < FAILED_STATUS:
+            self.health.note_success(server.instance)
+        elif not is_callers_deadline(result):
+            self.health.note_failure(server.instance)
+        tries.add(service=request.service, result=type(result).__name__.lower())
+        if not isinstance(result, Answered):
+            log.info(
+                f"{server.instance} failed",
+                request=request.request_id,
+                result=type(result).__name__,
+                reason=str(result.reason),
+            )
+        return result
+
+    async def back_off(self, request: PlainRequest, done: Tries) -> bool:
+        """Wait with full jitter; False where the deadline would pass."""
+        bound_s = BACKOFF_FIRST_S * 2 ** (len(done.instances) - 1)
+        delay_s = self.rng.uniform(0.0, min(BACKOFF_LONGEST_S, bound_s))
+        if trio.current_time() + delay_s >= request.deadline_s:
+            return False
+        await trio.sleep(delay_s)
+        return True
+
+
+def is_retried(result: SendResult) -> bool:
+    """Tell whether another server may still give the answer."""
+    if isinstance(result, Answered):
+        return result.status in RETRIED_STATUS
+    return not is_callers_deadline(result)
+
+
+def is_callers_deadline(result: SendResult) -> bool:
+    """Tell whether it ended by the caller's deadline, which is no server's fault."""
+    return not isinstance(result, Answered) and result.reason == Reason.TIMED_OUT
+
+
+def outcome_of(result: SendResult) -> Outcome:
+    """Return what the caller of an idempotent request is told."""
+    if isinstance(result, NotSent):
+        detail = "no backend server could be reached"
+        return NotRun(result.reason, NO_SERVER_RETRY_S, detail)
+    if isinstance(result, Unknown):
+        return Unknown(result.reason, result.detail)
+    return result
