--- a/tests/connection/test_memory_network.py
+++ b/tests/connection/test_memory_network.py
@@ -35,7 +35,9 @@
         assert await stream.receive_some() == b"ping"
         assert trio.current_time() - start == 1.0
 
-    async def test_silent_connection_stays_silent_while_new_ones_work(self, network, autojump_clock):
+    async def test_silent_connection_stays_silent_while_new_ones_work(
+        self, network, autojump_clock
+    ):
         caller = network.with_host(CALLER)
         old = await caller.dial(SERVER)
         assert network.silence(SERVER.host, CALLER) == 2
@@ -47,7 +49,9 @@
         await new.send_all(b"ping")
         assert await new.receive_some() == b"ping"
 
-    async def test_cut_refuses_new_connections_until_healed(self, network, autojump_clock):
+    async def test_cut_refuses_new_connections_until_healed(
+        self, network, autojump_clock
+    ):
         caller = network.with_host(CALLER)
         network.cut(SERVER.host, CALLER)
         with pytest.raises(TimeoutError):
