--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -2,9 +2,10 @@
 
 A frame is a length and a msgpack array (see `rosemaryknot.values.messages`). Both
 ends prove in the hello that they hold the cluster key. One task reads a link and
-one writes it; each message is handled in a task of its own, so that one slow
-handler does not hold up heartbeats. Messages may therefore be handled in another
-order than they were sent: what must not go back carries a number.
+one writes it, with a heartbeat when nothing else was sent for a second. Each message
+is handled in a task of its own, so that one slow handler does not hold up
+heartbeats. Messages may therefore be handled in another order than they were sent:
+what must not go back carries a number.
 """
 
 import hashlib
@@ -46,6 +47,7 @@
 PROTOCOL = 1
 NONCE_BYTES = 16
 RECEIVE_BYTES = 65536
+HEARTBEAT_S = 1.0
 DIALLED = b"dialled"
 ACCEPTED = b"accepted"
 
@@ -95,6 +97,14 @@
     mac: bytes
 
 
+@message("beat")
+@dataclass(slots=True)
+class Beat(Message):
+    """Heartbeat: shows that the sender is there and the link carries its bytes."""
+
+    kind: ClassVar[str]
+
+
 @message("busy")
 @dataclass(slots=True)
 class Busy(Message):
@@ -302,6 +312,7 @@
         self.end_reason = ""
         self.opened_s = trio.current_time()
         self.last_heard_s = self.opened_s
+        self.last_sent_s = self.opened_s
         self.output = bytearray()
         self.is_writing = False
         self.output_changed = trio.lowlevel.ParkingLot()
@@ -327,6 +338,7 @@
             raise LinkClosed(self.end_reason)
         self.output += len(payload).to_bytes(4, "big") + payload
         self.output_changed.unpark_all()
+        self.last_sent_s = trio.current_time()
         self.traffic.add_sent(kind, size)
 
     async def write_output(self) -> None:
@@ -343,6 +355,19 @@
             self.is_writing = False
             self.output_changed.unpark_all()
 
+    async def send_heartbeats(self) -> None:
+        """Send a heartbeat whenever nothing else was sent for a while."""
+        while not self.is_closed:
+            due_s = self.last_sent_s + HEARTBEAT_S
+            if due_s > trio.current_time():
+                await trio.sleep_until(due_s)
+            elif not await self.send(Beat()):
+                return
+
+    def silence_s(self) -> float:
+        """Return for how many seconds nothing has come."""
+        return trio.current_time() - self.last_heard_s
+
     async def flush(self, timeout_s: float) -> None:
         """Wait until everything queued is written, but no longer than the timeout.
 
@@ -425,6 +450,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.until_end, self.write_output, nursery)
+                nursery.start_soon(self.send_heartbeats)
                 await self.until_end(self.read_messages, nursery, nursery)
         finally:
             self.close("cancelled")
@@ -456,6 +482,8 @@
             self.last_heard_s = trio.current_time()
             value, call, reply_to = decode_message(payload)
             self.traffic.add_received(value.kind, len(payload) + 4)
+            if isinstance(value, Beat):
+                continue
             if reply_to:
                 self.resolve(reply_to, value)
             elif len(nursery.child_tasks) <= MAX_HANDLERS:
