--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# `make` alone lists the targets.
+
+PYTHON ?= $(firstword $(shell command -v python3.11) python3)
+VENV := .venv
+BIN := $(VENV)/bin
+INSTALLED := $(VENV)/installed
+PYTEST_OPTIONS ?=
+
+.PHONY: help venv test lint format
+
+help:
+	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
+	@echo "make test    run all tests and doctests"
+	@echo "make lint    check format and lint rules"
+	@echo "make format  format the code and mend what the linter can"
+
+venv: $(INSTALLED)
+
+$(INSTALLED): requirements.lock pyproject.toml
+	@echo "venv: making $(VENV) with $$($(PYTHON) --version)"
+	@$(PYTHON) -c 'import sys; sys.exit(sys.version_info[:2] != (3, 11))' \
+	    || { echo "venv: Python 3.11 is needed; set PYTHON=/path/to/python3.11"; exit 1; }
+	@$(PYTHON) -m venv --clear $(VENV)
+	@echo "venv: installing the pinned libraries"
+	@$(BIN)/python -m pip install --quiet --requirement requirements.lock
+	@echo "venv: installing the programs"
+	@$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	@touch $@
+
+test: venv
+	@echo "test: running all tests and doctests in virtual time"
+	@$(BIN)/python -m pytest $(PYTEST_OPTIONS)
+
+lint: venv
+	@echo "lint: checking the format"
+	@$(BIN)/ruff format --check .
+	@echo "lint: checking the rules"
+	@$(BIN)/ruff check .
+
+format: venv
+	@$(BIN)/ruff format .
+	@$(BIN)/ruff check --fix .
