--- a/src/rosemaryknot/process/configuration.py
+++ b/src/rosemaryknot/process/configuration.py
@@ -1,21 +1,30 @@
 """The configuration that is in force in this process."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Protocol
 
-import structlog
 import trio
-from aioprometheus import Counter, Gauge, Registry
 
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter, gauge
 from rosemaryknot.values.configuration import (
     ConfigurationOffer,
     ConfigurationPush,
     document_digest,
 )
 
-__all__ = ["ApplyResult", "ConfigurationHolder", "ConfigurationMetrics", "View"]
+__all__ = ["ApplyResult", "ConfigurationHolder", "View"]
+
+IN_FORCE = gauge("configuration_number", "Number of the configuration in force.")
+IN_CONFLICT = gauge(
+    "configuration_conflict",
+    "1 while two documents are known under one number; changes are not taken.",
+)
+RESULTS = counter("configuration_applied_total", "Versions handed in, by result.")
+
+log = logger("configuration")
 
 
 class View(Protocol):
@@ -58,36 +67,6 @@
     source: str
 
 
-class ConfigurationMetrics:
-    """Metrics of the configuration in force.
-
-    Parameters
-    ----------
-    registry : aioprometheus.Registry, optional
-        Where they are shown.
-    """
-
-    def __init__(self, registry: Registry | None = None) -> None:
-        registry = Registry() if registry is None else registry
-        self.number = Gauge(
-            "rosemaryknot_configuration_number",
-            "Number of the configuration in force",
-            registry=registry,
-        )
-        self.conflict = Gauge(
-            "rosemaryknot_configuration_conflict",
-            "1 while two documents are known under one number",
-            registry=registry,
-        )
-        self.results = Counter(
-            "rosemaryknot_configuration_applied_total",
-            "Versions handed in, by result",
-            registry=registry,
-        )
-        self.conflict.set({}, 0)
-        self.number.set({}, 0)
-
-
 class ConfigurationHolder:
     """Holds the version in force and lets only a higher one replace it.
 
@@ -96,8 +75,6 @@
     derive : callable
         Makes the view of a number and a document;
         `rosemaryknot.version.view.ConfigurationView.from_document`.
-    metrics : ConfigurationMetrics, optional
-        Metrics to keep.
 
     Attributes
     ----------
@@ -107,21 +84,20 @@
     conflict : Conflict or None
         Set when a second document came under the number in force. No change is
         taken until an operator settles it.
+    settled : int
+        Highest number up to which an operator has settled a conflict.
+    lineage : list of [int, str]
+        Earlier numbers and the start of their digests, as they came with the view.
     applied_at_s : float
         When the view came into force, in trio time.
     """
 
-    def __init__(
-        self,
-        derive: Callable[[int, dict], Any],
-        metrics: ConfigurationMetrics | None = None,
-    ) -> None:
+    def __init__(self, derive: Callable[[int, dict], Any]) -> None:
         self.derive = derive
-        self.metrics = ConfigurationMetrics() if metrics is None else metrics
-        self.log = structlog.get_logger()
         self.view: Any | None = None
         self.conflict: Conflict | None = None
         self.settled = 0
+        self.lineage: list[list] = []
         self.applied_at_s = 0.0
         self.changed = trio.Event()
 
@@ -141,7 +117,11 @@
         if self.view is None:
             return ConfigurationPush(0, "", {})
         return ConfigurationPush(
-            self.view.number, self.view.digest, dict(self.view.document), self.settled
+            self.view.number,
+            self.view.digest,
+            dict(self.view.document),
+            self.settled,
+            self.lineage,
         )
 
     def apply(
@@ -151,6 +131,7 @@
         document: dict,
         source: str,
         settles: int = 0,
+        lineage: Sequence[Sequence] = (),
     ) -> ApplyResult:
         """Put a version into force if it is higher, whole or not at all.
 
@@ -166,21 +147,25 @@
             Where it came from, for the log.
         settles : int
             Number up to which an operator settled a conflict by this version.
+        lineage : sequence of (int, str)
+            Earlier numbers with the start of their digests, where known.
 
         Returns
         -------
         result : ApplyResult
             What became of it.
         """
-        result = self.judge(number, digest, document, source, settles)
+        push = ConfigurationPush(number, digest, document, settles, list(lineage))
+        return self.apply_push(push, source)
+
+    def apply_push(self, push: ConfigurationPush, source: str) -> ApplyResult:
+        """Put the version of a message into force; see `apply`."""
+        result = self.judge(push, source)
         if result is ApplyResult.APPLIED:
-            result = self.replace(number, document, source, settles)
-        self.metrics.results.inc({"result": str(result)})
+            result = self.replace(push, source)
+        RESULTS.add(result=str(result))
         if result in (ApplyResult.BAD_DIGEST, ApplyResult.UNUSABLE):
-            self.log.error(
-                f"configuration: refused {number} from {source}: {result}",
-                number=number,
-            )
+            log.error(f"refused {push.number} from {source}: {result}")
         return result
 
     def note_digest(self, number: int, digest: str, source: str) -> ApplyResult:
@@ -208,36 +193,55 @@
             return ApplyResult.CONFLICT
         return ApplyResult.APPLIED
 
-    def judge(
-        self, number: int, digest: str, document: dict, source: str, settles: int
-    ) -> ApplyResult:
-        """Decide on a version without changing what is in force."""
-        if number < 1 or number < self.number:
+    def judge(self, push: ConfigurationPush, source: str) -> ApplyResult:
+        """Decide on a version without putting it into force."""
+        if push.number < 1 or push.number < self.number:
             return ApplyResult.OLDER
-        if document_digest(document) != digest:
+        if document_digest(push.document) != push.digest:
             return ApplyResult.BAD_DIGEST
-        result = self.note_digest(number, digest, source)
-        if result is not ApplyResult.APPLIED:
+        result = self.note_digest(push.number, push.digest, source)
+        if result is not ApplyResult.APPLIED or self.settles_ours(push.settles):
             return result
-        if self.conflict is not None and settles < self.conflict.number:
+        if self.conflict is not None:
             return ApplyResult.STOPPED
+        foreign = self.foreign_digest(push)
+        if foreign:
+            self.stop(Conflict(self.number, self.view.digest, foreign, source))
+            return ApplyResult.CONFLICT
         return ApplyResult.APPLIED
 
-    def replace(
-        self, number: int, document: dict, source: str, settles: int
-    ) -> ApplyResult:
+    def settles_ours(self, settles: int) -> bool:
+        """Tell whether an operator decided against the version in force."""
+        return self.view is not None and settles >= self.number
+
+    def foreign_digest(self, push: ConfigurationPush) -> str:
+        """Return the digest that a push has under our number, if it is not ours.
+
+        A store that was restored from a backup and patched again overtakes our
+        number with versions that lack the changes lost. To take them only because
+        their number is higher would revert an accepted change without a word.
+        """
+        if self.view is None:
+            return ""
+        for number, digest in [*push.lineage, [push.number, push.digest]]:
+            if number == self.number and not self.view.digest.startswith(digest):
+                return digest
+        return ""
+
+    def replace(self, push: ConfigurationPush, source: str) -> ApplyResult:
         """Derive the view of a higher version and put it into force."""
         try:
-            view = self.derive(number, document)
+            view = self.derive(push.number, push.document)
         except (ValueError, KeyError, TypeError, AttributeError):
             return ApplyResult.UNUSABLE
         self.view = view
+        self.lineage = push.lineage
         self.conflict = None
-        self.settled = max(self.settled, settles)
+        self.settled = max(self.settled, push.settles)
         self.applied_at_s = trio.current_time()
-        self.metrics.number.set({}, number)
-        self.metrics.conflict.set({}, 0)
-        self.log.info(f"configuration: {number} in force, from {source}", number=number)
+        IN_FORCE.set(view.number)
+        IN_CONFLICT.set(0)
+        log.info(f"{view.number} in force, from {source}", number=view.number)
         changed, self.changed = self.changed, trio.Event()
         changed.set()
         return ApplyResult.APPLIED
@@ -249,14 +253,14 @@
         and took another one. Each node that followed either of them would revert
         the other, so all stay with what they have and say so.
         """
-        self.metrics.conflict.set({}, 1)
+        IN_CONFLICT.set(1)
         if self.conflict is not None:
             return
         self.conflict = conflict
-        self.log.error(
-            f"configuration: conflict at {conflict.number}, {conflict.source} holds"
-            f" {conflict.theirs[:12]}, we hold {conflict.ours[:12]};"
-            " no more changes taken",
+        log.error(
+            f"conflict at {conflict.number}, no more changes taken:"
+            f" {conflict.source} holds {conflict.theirs[:12]},"
+            f" we hold {conflict.ours[:12]}",
             number=conflict.number,
         )
 
--- a/src/rosemaryknot/values/configuration.py
+++ b/src/rosemaryknot/values/configuration.py
@@ -68,6 +68,8 @@
     settles : int
         Highest number up to which an operator has settled a conflict of digests
         by this version; 0 where none.
+    lineage : list of [int, str]
+        Earlier numbers with the start of their digests, newest last and bounded.
     """
 
     kind: ClassVar[str]
@@ -75,6 +77,7 @@
     digest: str
     document: dict = field(repr=False)
     settles: int = 0
+    lineage: list[list] = field(default_factory=list, repr=False)
 
 
 @message("configuration_offer")
