--- a/src/rosemaryknot/standin/platform.py
+++ b/src/rosemaryknot/standin/platform.py
@@ -1,12 +1,10 @@
 """Stand-in of the platform: object API, instance list and cloud API."""
 
-import json
 import time
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import AsyncIterator, Callable
 from contextvars import ContextVar
 from dataclasses import asdict
-from typing import Any
 
 import trio
 from quart import Response, request
@@ -15,22 +13,18 @@
 from rosemaryknot.connection.http_server import HttpServer
 from rosemaryknot.connection.network import Network, StreamHandler
 from rosemaryknot.standin.platform_cloud import Cloud
+from rosemaryknot.standin.platform_controls import PlatformControls, answer
 from rosemaryknot.standin.platform_faults import OUTAGE_SILENT, PlatformFaults
 from rosemaryknot.standin.platform_objects import ObjectKind
+from rosemaryknot.standin.platform_watches import Watches
 from rosemaryknot.values.nodes import Address, BackendServer
-from rosemaryknot.values.platform import (
-    Conflict,
-    Missing,
-    ObjectChanged,
-    StartRefused,
-    Written,
-)
+from rosemaryknot.values.platform import Conflict, Missing, StartRefused, Written
 from rosemaryknot.values.servers import server_to_dict
 
 __all__ = ["PlatformStandIn"]
 
-HEARTBEAT_S = 1.0
 MAX_VALUE_BYTES = 1024 * 1024
+RATE_WINDOW_S = 1.0
 
 STREAM: ContextVar[trio.abc.HalfCloseableStream] = ContextVar("stream")
 
@@ -56,11 +50,6 @@
         await self.network.listen(address, handle, task_status=task_status)
 
 
-def answer(value: Any, status: int = 200) -> Response:
-    """Return a JSON answer."""
-    return Response(json.dumps(value), status, content_type="application/json")
-
-
 def outcome_answer(outcome: Written | Conflict) -> Response:
     """Return the answer to a write."""
     status = 412 if isinstance(outcome, Conflict) else 200
@@ -74,12 +63,17 @@
     return response
 
 
-def change_line(change: ObjectChanged) -> bytes:
-    """Return the line of a watch for a change."""
-    line = {"name": change.name, "version": change.version, "value": change.value}
-    if change.deleted:
-        line["deleted"] = True
-    return json.dumps(line).encode() + b"\n"
+def expected_version() -> int | None:
+    """Return the version that the write's condition names.
+
+    Returns
+    -------
+    version : int or None
+        0 where there must be no object yet; None without a condition.
+    """
+    if request.headers.get("If-None-Match") == "*":
+        return 0
+    return request.headers.get("If-Match", type=int)
 
 
 class PlatformStandIn:
@@ -100,6 +94,8 @@
         Instances.
     kinds : dict of str to ObjectKind
         Objects.
+    watches : Watches
+        Open watches.
     calls : collections.Counter
         Calls received, by kind of call; a waiting watch counts once.
     """
@@ -108,13 +104,12 @@
         self.faults = PlatformFaults()
         self.cloud = Cloud(self.faults, now_unix_s)
         self.kinds: dict[str, ObjectKind] = defaultdict(ObjectKind)
+        self.watches = Watches(self.faults)
         self.calls: Counter[str] = Counter()
-        self.silenced: set[int] = set()
-        self.open_watches: set[int] = set()
-        self.last_watch = 0
-        self.outage_changed = trio.lowlevel.ParkingLot()
+        self.write_times_s: deque[float] = deque()
         self.nursery: trio.Nursery | None = None
         self.app = self.make_app()
+        PlatformControls(self)
 
     async def serve(
         self,
@@ -152,10 +147,10 @@
 
     def silence_watches(self) -> None:
         """Let the open watches say nothing more, for good; new ones work."""
-        self.silenced |= self.open_watches
+        self.watches.silence()
 
     def make_app(self) -> QuartTrio:
-        """Return the application with all routes."""
+        """Return the application with all routes but the test calls."""
         app = QuartTrio(__name__)
         app.config["MAX_CONTENT_LENGTH"] = MAX_VALUE_BYTES
         add = app.add_url_rule
@@ -168,17 +163,11 @@
         add("/cloud/instances/<name>", "release", self.release, methods=["DELETE"])
         add("/cloud/notices", "notices", self.follow_notices)
         add("/cloud/prices", "prices", self.list_prices)
-        add("/test/faults", "test-faults", self.change_faults, methods=["POST"])
-        add("/test/reclaim", "test-reclaim", self.post_reclaim, methods=["POST"])
-        add("/test/rollback", "test-rollback", self.post_rollback, methods=["POST"])
-        add("/test/silence", "test-silence", self.post_silence, methods=["POST"])
-        add("/test/instances", "test-add", self.post_instance, methods=["POST"])
-        add("/test/calls", "test-calls", self.read_calls)
         app.before_request(self.before)
         return app
 
     async def before(self) -> Response | None:
-        """Count the call and apply the faults that hit every call."""
+        """Count the call and apply the faults that come before any effect."""
         if request.path.startswith("/test/"):
             return None
         kind = request.endpoint or "unknown"
@@ -189,10 +178,23 @@
             await trio.sleep_forever()
         if self.faults.outage:
             return answer({"error": "outage; nothing was done"}, 503)
+        if kind == "write" and self.is_over_rate():
+            return answer({"error": "too many writes; nothing was done"}, 503)
         if self.faults.slow_s and kind != "write":
             await trio.sleep(self.faults.slow_s)
         return None
 
+    def is_over_rate(self) -> bool:
+        """Count a write and tell whether it is beyond the rate."""
+        now_s = trio.current_time()
+        times = self.write_times_s
+        while times and times[0] <= now_s - RATE_WINDOW_S:
+            times.popleft()
+        if 0 < self.faults.max_writes_per_s <= len(times):
+            return True
+        times.append(now_s)
+        return False
+
     async def read(self, kind: str, name: str) -> Response:
         """Answer with one object."""
         stored = self.kinds[kind].read(name)
@@ -203,71 +205,60 @@
     async def list_objects(self, kind: str) -> Response:
         """Answer with all objects of a kind, or follow them."""
         objects = self.kinds[kind]
+        listed = objects.listed()
         if "watch" not in request.args:
-            listed = [asdict(change) for change in objects.listed()]
-            return answer({"version": objects.version, "objects": listed})
+            entries = [asdict(change) for change in listed]
+            return answer({"version": objects.version, "objects": entries})
         since = request.args.get("since", type=int)
-        if since is None:
-            return stream_answer(self.follow(objects, objects.logged, objects.listed()))
-        position = objects.position_since(since)
+        position = objects.logged
+        if since is not None:
+            listed = []
+            position = objects.position_since(since)
         if position is None:
             return answer({"error": "too old; list again"}, 410)
-        return stream_answer(self.follow(objects, position, []))
-
-    async def follow(
-        self, objects: ObjectKind, position: int, first: list[ObjectChanged]
-    ) -> AsyncIterator[bytes]:
-        """Yield the lines of one watch."""
-        self.last_watch += 1
-        number = self.last_watch
-        self.open_watches.add(number)
-        try:
-            yield b"\n"
-            for change in first:
-                yield change_line(change)
-            while not self.faults.outage or self.faults.outage == OUTAGE_SILENT:
-                changes = objects.changes_from(position)
-                position = objects.logged
-                if self.is_silent(number):
-                    await trio.sleep_forever()
-                for change in changes:
-                    yield change_line(change)
-                if not changes:
-                    with trio.move_on_after(HEARTBEAT_S) as scope:
-                        await objects.changed.park()
-                    if scope.cancelled_caught and not self.is_silent(number):
-                        yield b"\n"
-        finally:
-            self.open_watches.discard(number)
-
-    def is_silent(self, watch: int) -> bool:
-        """Tell whether a watch says nothing more."""
-        return (
-            self.faults.watch_silent
-            or watch in self.silenced
-            or self.faults.outage == OUTAGE_SILENT
-        )
+        return stream_answer(self.watches.object_lines(objects, position, listed))
 
     async def write(self, kind: str, name: str) -> Response:
         """Write or delete an object."""
-        expected = 0
-        if "If-None-Match" not in request.headers:
-            expected = request.headers.get("If-Match", type=int)
+        expected = expected_version()
         if expected is None:
             return answer({"error": "a condition is needed"}, 428)
-        value = await request.get_json(force=True) if request.method == "PUT" else None
         objects = self.kinds[kind]
         if request.method == "PUT":
-            outcome = objects.put(name, value, expected)
+            value = await request.get_json(force=True)
+            outcome = await self.applied(lambda: objects.put(name, value, expected))
         else:
-            outcome = objects.delete(name, expected)
-        if isinstance(outcome, Written) and self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
-            await trio.aclose_forcefully(STREAM.get())
+            outcome = await self.applied(lambda: objects.delete(name, expected))
+        if isinstance(outcome, Written):
+            await self.lose_answer()
         if self.faults.slow_s:
             await trio.sleep(self.faults.slow_s)
         return outcome_answer(outcome)
 
+    async def applied(
+        self, change: Callable[[], Written | Conflict]
+    ) -> Written | Conflict:
+        """Apply a change, late and also without its caller where a fault says so."""
+        if not self.faults.late_effect_s:
+            return change()
+        done = trio.Event()
+        outcomes = []
+
+        async def apply_later(delay_s: float) -> None:
+            await trio.sleep(delay_s)
+            outcomes.append(change())
+            done.set()
+
+        self.nursery.start_soon(apply_later, self.faults.late_effect_s)
+        await done.wait()
+        return outcomes[0]
+
+    async def lose_answer(self) -> None:
+        """Close the connection where the next answer is to be lost."""
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            await trio.aclose_forcefully(STREAM.get())
+
     async def list_instances(self) -> Response:
         """Answer with the lagging instance list."""
         servers = [server_to_dict(server) for server in self.cloud.listed()]
@@ -288,6 +279,7 @@
         )
         if isinstance(started, StartRefused):
             return answer({"reason": started.reason}, 409)
+        await self.lose_answer()
         return answer(server_to_dict(started), 201)
 
     async def release(self, name: str) -> Response:
@@ -295,80 +287,13 @@
         server = self.cloud.release(name)
         if isinstance(server, Missing):
             return answer({"error": "no such instance"}, 404)
+        await self.lose_answer()
         return answer(server_to_dict(server))
 
     async def follow_notices(self) -> Response:
         """Follow reclaim notices, from those that are open."""
-        return stream_answer(self.notice_lines())
-
-    async def notice_lines(self) -> AsyncIterator[bytes]:
-        """Yield the lines of one watch of notices."""
-        self.last_watch += 1
-        number = self.last_watch
-        self.open_watches.add(number)
-        position = len(self.cloud.notices)
-        notices = self.cloud.open_notices()
-        try:
-            yield b"\n"
-            while not self.faults.outage or self.faults.outage == OUTAGE_SILENT:
-                if self.is_silent(number):
-                    await trio.sleep_forever()
-                for notice in notices:
-                    yield json.dumps(asdict(notice)).encode() + b"\n"
-                with trio.move_on_after(HEARTBEAT_S) as scope:
-                    if position == len(self.cloud.notices):
-                        await self.cloud.noticed.park()
-                if scope.cancelled_caught and not self.is_silent(number):
-                    yield b"\n"
-                notices = self.cloud.notices[position:]
-                position += len(notices)
-        finally:
-            self.open_watches.discard(number)
+        return stream_answer(self.watches.notice_lines(self.cloud))
 
     async def list_prices(self) -> Response:
         """Answer with the prices."""
         return answer({"prices": [asdict(price) for price in self.cloud.price_list()]})
-
-    async def change_faults(self) -> Response:
-        """Set faults by name."""
-        try:
-            self.faults.change(await request.get_json(force=True))
-        except ValueError as error:
-            return answer({"error": str(error)}, 400)
-        return answer({})
-
-    async def post_reclaim(self) -> Response:
-        """Reclaim an instance or a zone."""
-        body = await request.get_json(force=True)
-        if "zone" in body:
-            return answer(
-                {"instances": self.cloud.reclaim_zone(body["zone"], body["notice_s"])}
-            )
-        if body["instance"] not in self.cloud.servers:
-            return answer({"error": "no such instance"}, 404)
-        self.reclaim(body["instance"], body["notice_s"])
-        return answer({"instances": [body["instance"]]})
-
-    async def post_rollback(self) -> Response:
-        """Roll an object back."""
-        body = await request.get_json(force=True)
-        try:
-            self.rollback(body["kind"], body["name"], body["version"])
-        except KeyError as error:
-            return answer({"error": str(error)}, 404)
-        return answer({})
-
-    async def post_silence(self) -> Response:
-        """Silence the open watches."""
-        self.silence_watches()
-        return answer({})
-
-    async def post_instance(self) -> Response:
-        """Add an instance."""
-        body = await request.get_json(force=True)
-        self.add_instance(BackendServer(**body))
-        return answer({}, 201)
-
-    async def read_calls(self) -> Response:
-        """Answer with the calls received."""
-        return answer(dict(self.calls))
--- a/src/rosemaryknot/standin/platform_faults.py
+++ b/src/rosemaryknot/standin/platform_faults.py
@@ -28,7 +28,7 @@
     watch_silent : bool
         Whether watches, open and new, say nothing more, not even heartbeats.
     watch_gaps : int
-        How many of the next changes no open watch is told of.
+        How many of the next lines of changes are left out of a watch.
     list_lag_s : float
         How far the instance list lags, in seconds.
     start_delay_s : float
