--- a/src/rosemaryknot/standin/main.py
+++ b/src/rosemaryknot/standin/main.py
@@ -145,12 +145,19 @@
         nursery.cancel_scope.cancel()
 
 
+def first_error(error: BaseException) -> str:
+    """Return the text of the first error of nested groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return str(error)
+
+
 def run(standins: list[tuple[str, StandIn, Address]]) -> None:
     """Run stand-ins until a signal, or end with the reason."""
     try:
-        trio.run(serve_all, standins, strict_exception_groups=False)
-    except OSError as error:
-        fail(str(error), EXIT_ADDRESS_TAKEN)
+        trio.run(serve_all, standins)
+    except* OSError as errors:
+        fail(first_error(errors), EXIT_ADDRESS_TAKEN)
 
 
 def show_version(value: bool) -> None:
