Keep marks of leaving servers apart and carry ages between processes

Two processes that count each other's pushes as fresh lists would name a server that is gone to each other for ever. A push says how long ago the platform named each server, and a mark how long ago anybody spoke of its instance.

--- a/src/rosemaryknot/process/servers.py
+++ b/src/rosemaryknot/process/servers.py
@@ -1,45 +1,28 @@
 """Table of backend servers: the newest of list, notices, peers and their own word."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import trio
 
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.process.server_marks import ServerMarks
 from rosemaryknot.values.nodes import BackendServer, ServerState
-from rosemaryknot.values.servers import LeavingMark
+from rosemaryknot.values.servers import (
+    LeavingMark,
+    ServersPush,
+    server_from_dict,
+    server_to_dict,
+)
 
 __all__ = ["ServerTable"]
 
 ABSENT_S = 6.0
-FORGET_S = 600.0
-STATE_ORDER = {ServerState.LIVE: 0, ServerState.LEAVING: 1, ServerState.TERMINATED: 2}
+MAX_AGE_S = 1e9
 
 log = logger("servers")
 
 
-@dataclass(slots=True)
-class Mark:
-    """What is known of an instance for good.
-
-    Attributes
-    ----------
-    state : ServerState
-        Leaving or terminated; only goes on, never back.
-    deadline_unix_s : float
-        When it is taken away; 0 where not known.
-    source : str
-        Who told first.
-    seen_s : float
-        When a list or a message last named the instance, in trio time.
-    """
-
-    state: ServerState
-    deadline_unix_s: float
-    source: str
-    seen_s: float
-
-
 class ServerTable:
     """What this process knows of all backend servers.
 
@@ -50,33 +33,38 @@
     absent_s : float
         How long a server may be missing from the lists before it is dropped, in
         seconds.
-    forget_s : float
-        How long a mark outlives the last mention of its instance, in seconds.
+    marks : ServerMarks, optional
+        What is known for good.
 
     Attributes
     ----------
     servers : dict of str to BackendServer
         By instance.
-    marks : dict of str to Mark
-        Instances that are leaving or terminated, by name.
+    marks : ServerMarks
+        Instances that are leaving or terminated.
     revision : int
         Rises with each change.
+    seen_s : dict of str to float
+        When a list last named each server, in trio time.
+    absent_since_s : dict of str to float
+        When a list first left each absent server out, in trio time.
     listed_s : float
-        When the last list was applied, in trio time; minus infinity before.
+        When the newest list was read, here or elsewhere, in trio time; minus
+        infinity before the first.
     """
 
     def __init__(
         self,
         safeguards: Safeguards | None = None,
         absent_s: float = ABSENT_S,
-        forget_s: float = FORGET_S,
+        marks: ServerMarks | None = None,
     ) -> None:
         self.safeguards = Safeguards() if safeguards is None else safeguards
         self.absent_s = absent_s
-        self.forget_s = forget_s
         self.servers: dict[str, BackendServer] = {}
         self.seen_s: dict[str, float] = {}
-        self.marks: dict[str, Mark] = {}
+        self.absent_since_s: dict[str, float] = {}
+        self.marks = ServerMarks() if marks is None else marks
         self.revision = 0
         self.listed_s = float("-inf")
         self.changed = trio.Event()
@@ -106,22 +94,11 @@
         ]
 
     def leaving_marks(self) -> list[LeavingMark]:
-        """Return the marks that peers should know too.
-
-        Terminated instances are among them, since to a peer whose list lags they
-        may still look live.
-        """
-        return [
-            LeavingMark(instance, mark.deadline_unix_s, mark.source)
-            for instance, mark in self.marks.items()
-        ]
+        """Return all marks, for a peer whose link is new."""
+        return self.marks.messages()
 
     def apply_list(self, servers: list[BackendServer]) -> None:
-        """Take over an instance list, which may lag.
-
-        A server that the list leaves out is dropped only after `absent_s`: a list
-        that lags more than the last one, or came back empty from a platform in
-        trouble, must not take every server away at once.
+        """Take over an instance list that was read just now, and may lag.
 
         Parameters
         ----------
@@ -129,26 +106,74 @@
             All instances of all services.
         """
         now_s = trio.current_time()
+        # A platform in trouble may list nothing at all. That is no proof that
+        # every server is gone, and one that is refuses the connection.
+        listed_s = now_s if servers else self.listed_s
+        self.apply_seen([(server, now_s) for server in servers], listed_s)
+
+    def to_push(self) -> ServersPush:
+        """Return the whole table as a message to peers and entries."""
+        now_s = trio.current_time()
+        names = list(self.servers)
+        return ServersPush(
+            servers=[server_to_dict(self.servers[name]) for name in names],
+            full=True,
+            seen_ages_s=[now_s - self.seen_s[name] for name in names],
+            listed_age_s=min(now_s - self.listed_s, MAX_AGE_S),
+        )
+
+    def apply_push(self, push: ServersPush) -> None:
+        """Take over what another process knows.
+
+        Ages are taken over too. Two processes that each counted a push as a fresh
+        list would name a server that is gone to each other for ever.
+
+        Parameters
+        ----------
+        push : ServersPush
+            Made by `to_push` of the other process.
+        """
+        now_s = trio.current_time()
+        servers = [server_from_dict(server) for server in push.servers]
+        ages_s = push.seen_ages_s or [0.0] * len(servers)
+        seen = [
+            (server, now_s - age_s)
+            for server, age_s in zip(servers, ages_s, strict=False)
+        ]
+        self.apply_seen(seen, max(self.listed_s, now_s - push.listed_age_s))
+
+    def apply_seen(
+        self, seen: list[tuple[BackendServer, float]], listed_s: float
+    ) -> None:
+        """Take over servers with the time at which a list last named each."""
         changed = False
-        for server in servers:
-            changed |= self.apply(server, now_s)
-        changed |= self.drop_absent(now_s)
-        self.forget_marks(now_s)
-        self.listed_s = now_s
+        self.listed_s = listed_s
+        for server, seen_s in seen:
+            changed |= self.apply(server, seen_s)
+        changed |= self.drop_absent()
+        self.marks.forget(self.servers)
         if changed:
             self.tell()
 
-    def apply(self, server: BackendServer, now_s: float) -> bool:
-        """Take over one server of a list; tell whether anything changed."""
-        state = ServerState(server.state)
-        self.seen_s[server.instance] = now_s
+    def apply(self, server: BackendServer, seen_s: float) -> bool:
+        """Take over one server; tell whether anything changed."""
+        name = server.instance
         changed = False
+        state = ServerState(server.state)
         if state != ServerState.LIVE:
-            changed = self.mark(server.instance, state, server.deadline_unix_s, "list")
+            deadline_unix_s = server.deadline_unix_s
+            changed = self.marks.set(name, state, deadline_unix_s, "list", seen_s)
+        known = self.servers.get(name)
+        if known is None and self.listed_s - seen_s >= self.absent_s:
+            # We have dropped it; the sender, who heard of it from us, has not yet.
+            return changed
+        if known is not None and seen_s < self.seen_s[name]:
+            server = known
+        self.seen_s[name] = max(seen_s, self.seen_s.get(name, seen_s))
         merged = self.merged(server)
-        if merged == self.servers.get(server.instance):
+        if merged == known:
             return changed
-        self.servers[server.instance] = merged
+        self.servers[name] = merged
         return True
 
     def merged(self, server: BackendServer) -> BackendServer:
@@ -162,9 +187,8 @@
         mark = self.marks.get(server.instance)
         if mark is None or not self.safeguards.leaving_mark:
             return replace(server)
-        mark.seen_s = trio.current_time()
-        deadline = mark.deadline_unix_s or server.deadline_unix_s
-        return replace(server, state=mark.state, deadline_unix_s=deadline)
+        deadline_unix_s = mark.deadline_unix_s or server.deadline_unix_s
+        return replace(server, state=mark.state, deadline_unix_s=deadline_unix_s)
 
     def mark_leaving(self, instance: str, deadline_unix_s: float, source: str) -> bool:
         """Mark an instance as leaving, for good.
@@ -183,70 +207,66 @@
         is_new : bool
             Whether the mark, or an earlier deadline, is new: peers should be told.
         """
-        return self.mark_and_tell(
-            instance, ServerState.LEAVING, deadline_unix_s, source
-        )
+        return self.mark(instance, ServerState.LEAVING, deadline_unix_s, source)
 
     def mark_terminated(self, instance: str, source: str) -> bool:
         """Mark an instance as terminated, for good; see `mark_leaving`."""
-        return self.mark_and_tell(instance, ServerState.TERMINATED, 0.0, source)
+        return self.mark(instance, ServerState.TERMINATED, 0.0, source)
+
+    def apply_mark(self, mark: LeavingMark) -> bool:
+        """Take over a mark of another process; see `mark_leaving`."""
+        return self.mark(
+            mark.instance,
+            ServerState.LEAVING,
+            mark.deadline_unix_s,
+            mark.source,
+            mark.age_s,
+        )
 
-    def mark_and_tell(
-        self, instance: str, state: ServerState, deadline_unix_s: float, source: str
+    def mark(
+        self,
+        instance: str,
+        state: ServerState,
+        deadline_unix_s: float,
+        source: str,
+        age_s: float = 0.0,
     ) -> bool:
-        """Mark an instance and wake those who wait for changes."""
-        is_new = self.mark(instance, state, deadline_unix_s, source)
+        """Set or advance a mark and wake those who wait for changes."""
+        seen_s = trio.current_time() - age_s
+        is_new = self.marks.set(instance, state, deadline_unix_s, source, seen_s)
+        if not is_new:
+            return False
         server = self.servers.get(instance)
         if server is not None:
             self.servers[instance] = self.merged(server)
-        if is_new:
-            self.tell()
-        return is_new
-
-    def mark(
-        self, instance: str, state: ServerState, deadline_unix_s: float, source: str
-    ) -> bool:
-        """Set or advance a mark; tell whether it says anything new."""
-        now_s = trio.current_time()
-        mark = self.marks.get(instance)
-        if mark is None:
-            self.marks[instance] = Mark(state, deadline_unix_s, source, now_s)
-            log.info(f"{instance} is {state}, from {source}", instance=instance)
-            return True
-        mark.seen_s = now_s
-        is_new = False
-        if STATE_ORDER[state] > STATE_ORDER[mark.state]:
-            mark.state = state
-            is_new = True
-            log.info(f"{instance} is {state}, from {source}", instance=instance)
-        if 0 < deadline_unix_s < (mark.deadline_unix_s or float("inf")):
-            mark.deadline_unix_s = deadline_unix_s
-            is_new = True
-        return is_new
-
-    def drop_absent(self, now_s: float) -> bool:
-        """Drop servers that no list has named for `absent_s`."""
-        absent = [
-            instance
-            for instance in self.servers
-            if now_s - self.seen_s[instance] >= self.absent_s
-        ]
-        for instance in absent:
-            del self.servers[instance]
-            del self.seen_s[instance]
-            log.info(f"{instance} is gone from the list", instance=instance)
-        return bool(absent)
+        self.tell()
+        return True
 
-    def forget_marks(self, now_s: float) -> None:
-        """Forget marks whose instance nobody names any more.
+    def drop_absent(self) -> bool:
+        """Drop servers that have been missing from the lists for `absent_s`.
 
-        Without a bound the table grows with every reclaim for as long as the
-        process lives; `forget_s` is far longer than any list lags.
+        Time without any list does not count: in a platform outage the old servers
+        are better than none. Nor does one list that lags more than the last: the
+        absence is counted from the first list that left the server out.
         """
-        for instance, mark in list(self.marks.items()):
-            unnamed = now_s - mark.seen_s >= self.forget_s
-            if unnamed and instance not in self.servers:
-                del self.marks[instance]
+        dropped = False
+        for name in list(self.servers):
+            if self.seen_s[name] >= self.listed_s:
+                self.absent_since_s.pop(name, None)
+                continue
+            since_s = self.absent_since_s.setdefault(name, self.listed_s)
+            if self.seen_s[name] >= since_s:
+                self.absent_since_s[name] = since_s = self.listed_s
+            if self.listed_s - since_s >= self.absent_s:
+                self.drop(name)
+                dropped = True
+        return dropped
+
+    def drop(self, name: str) -> None:
+        """Drop a server that is gone."""
+        for table in (self.servers, self.seen_s, self.absent_since_s):
+            table.pop(name, None)
+        log.info(f"{name} is gone from the list", instance=name)
 
     def tell(self) -> None:
         """Raise the revision and wake those who wait."""
--- a/src/rosemaryknot/values/servers.py
+++ b/src/rosemaryknot/values/servers.py
@@ -1,6 +1,6 @@
 """Messages that carry what is known of backend servers between our processes."""
 
-from dataclasses import asdict, dataclass, fields
+from dataclasses import asdict, dataclass, field, fields
 from typing import Any, ClassVar
 
 from rosemaryknot.values.messages import Message, message
@@ -8,7 +8,7 @@
 
 __all__ = ["LeavingMark", "ServersPush", "server_from_dict", "server_to_dict"]
 
-SERVER_FIELDS = frozenset(field.name for field in fields(BackendServer))
+SERVER_FIELDS = frozenset(known.name for known in fields(BackendServer))
 
 
 @message("servers_push")
@@ -21,12 +21,19 @@
     servers : list of dict
         Each made by `server_to_dict`.
     full : bool
-        Whether these are all, so that a server that is absent is gone.
+        Whether these are all that the sender knows.
+    seen_ages_s : list of float
+        How long ago the platform's list last named each server, in seconds; where
+        empty, each was named now.
+    listed_age_s : float
+        How long ago the newest list that the sender knows was read, in seconds.
     """
 
     kind: ClassVar[str]
     servers: list[dict]
     full: bool = True
+    seen_ages_s: list[float] = field(default_factory=list)
+    listed_age_s: float = 0.0
 
 
 @message("leaving_mark")
@@ -42,12 +49,15 @@
         When it is taken away, as seconds of the epoch; 0 where not known.
     source : str
         Who found out: ``notice``, ``list``, ``peer`` or ``server``.
+    age_s : float
+        How long ago the platform or the server last spoke of it, in seconds.
     """
 
     kind: ClassVar[str]
     instance: str
     deadline_unix_s: float
     source: str
+    age_s: float = 0.0
 
 
 def server_to_dict(server: BackendServer) -> dict[str, Any]:
