Relay model streams: resume, silence, routes and moves, thin

One task for each accepted generation, apart from the callers that follow it. A silent stream is asked about on a new connection. Streams of leaving servers finish in place, move their KV cache or resume elsewhere by a plan.

--- /dev/null
+++ b/src/rosemaryknot/request/generations.py
@@ -0,0 +1,403 @@
+"""Accepted model requests of this process, with the tokens emitted so far."""
+
+import json
+import math
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import trio
+
+from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Unknown
+from rosemaryknot.values.requests import ModelRequest
+
+__all__ = ["Generation", "GenerationTable", "StoryLine", "outcome_event"]
+
+CONTENT_KEY = b',"choices":[{"index":0,"delta":{"content":"'
+CONTENT_END = b'"}}]}\n\n'
+DONE = b"data: [DONE]\n\n"
+MAX_STORY_LINES = 64
+MAX_FOLLOW_TOKENS = 512
+
+MAX_GENERATIONS = 4096
+MAX_BYTES = 256 * 1024 * 1024
+KEEP_FINISHED_S = 600.0
+TOKEN_BYTES = 56
+"""Memory of one emitted token: a short bytes object and its slot in a list."""
+
+
+@dataclass(slots=True)
+class StoryLine:
+    """One thing that happened to a request.
+
+    Attributes
+    ----------
+    at_s : float
+        When, in trio time.
+    text : str
+        A short sentence without caller text.
+    """
+
+    at_s: float
+    text: str
+
+
+def outcome_event(outcome: Answered | NotRun | Unknown, tokens: int) -> bytes:
+    r"""Return the last event of a stream.
+
+    Parameters
+    ----------
+    outcome : Answered, NotRun or Unknown
+        How the request ended.
+    tokens : int
+        Number of tokens emitted.
+
+    Returns
+    -------
+    event : bytes
+        One server-sent event.
+
+    Examples
+    --------
+    >>> outcome_event(Answered(200, [], b""), 3)
+    b'data: {"outcome":"answered","tokens":3}\n\n'
+    """
+    if isinstance(outcome, Answered):
+        fields = {"outcome": "answered", "tokens": tokens}
+    elif isinstance(outcome, NotRun):
+        fields = {
+            "outcome": "not_run",
+            "reason": outcome.reason,
+            "retry_after": outcome.retry_after_s,
+            "detail": outcome.detail,
+        }
+    else:
+        fields = {
+            "outcome": "unknown",
+            "reason": outcome.reason,
+            "tokens": tokens,
+            "detail": outcome.detail,
+        }
+    return b"data: " + json.dumps(fields, separators=(",", ":")).encode() + b"\n\n"
+
+
+class Generation:
+    """One accepted model request: its prompt, its emitted tokens and its outcome.
+
+    Several followers may read it at once and from any offset, so a caller whose
+    connection broke picks up where it was.
+
+    Parameters
+    ----------
+    request : ModelRequest
+        The request.
+    lineage : str
+        Id of this line of text. Every token belongs to it; text of another lineage
+        is never joined to it.
+    tokens : list of bytes, optional
+        Tokens emitted before, where the generation is taken over.
+
+    Attributes
+    ----------
+    tokens : list of bytes
+        Emitted tokens, each as the inside of a JSON string.
+    outcome : Answered, NotRun, Unknown or None
+        None while it runs. The body of an `Answered` is empty here; see `text`.
+    prompt_tokens, cached_tokens : int
+        As the engine reported them at the end; 0 before.
+    attempts : int
+        Attempts on backend servers so far.
+    recomputed_tokens : int
+        Prompt and answer tokens that an attempt computed again.
+    finished_s : float
+        When it ended, in trio time; infinite while it runs.
+    story : list of StoryLine
+        Where it ran, moved and why; bounded.
+    """
+
+    __slots__ = (
+        "request",
+        "request_id",
+        "customer",
+        "service",
+        "lineage",
+        "head",
+        "tokens",
+        "outcome",
+        "prompt_tokens",
+        "cached_tokens",
+        "attempts",
+        "recomputed_tokens",
+        "finished_s",
+        "story",
+        "changed",
+    )
+
+    def __init__(
+        self,
+        request: ModelRequest,
+        lineage: str,
+        tokens: list[bytes] | None = None,
+    ) -> None:
+        self.request = request
+        self.request_id = request.request_id
+        self.customer = request.customer
+        self.service = request.service
+        self.lineage = lineage
+        self.head = frame_head(request.request_id, lineage)
+        self.tokens: list[bytes] = list(tokens or ())
+        self.outcome: Answered | NotRun | Unknown | None = None
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self.attempts = 0
+        self.recomputed_tokens = 0
+        self.finished_s = math.inf
+        self.story: list[StoryLine] = []
+        self.changed = trio.lowlevel.ParkingLot()
+
+    def emit(self, tokens: list[bytes]) -> None:
+        """Append tokens and wake the followers.
+
+        Parameters
+        ----------
+        tokens : list of bytes
+            Next tokens of this lineage, each as the inside of a JSON string.
+        """
+        self.tokens += tokens
+        if self.changed:
+            self.changed.unpark_all()
+
+    def finish(self, outcome: Answered | NotRun | Unknown) -> None:
+        """End the generation; a second outcome is ignored."""
+        if self.outcome is not None:
+            return
+        self.outcome = outcome
+        self.finished_s = trio.current_time()
+        self.changed.unpark_all()
+
+    def tell(self, text: str) -> None:
+        """Add a line to the story; the newest are kept."""
+        if len(self.story) >= MAX_STORY_LINES:
+            del self.story[1]
+        self.story.append(StoryLine(trio.current_time(), text))
+
+    def frames(self, start: int, stop: int) -> bytes:
+        """Return the events of a range of tokens.
+
+        Parameters
+        ----------
+        start, stop : int
+            Range of offsets.
+
+        Returns
+        -------
+        events : bytes
+            Server-sent events, ready to be written.
+        """
+        head = self.head
+        if stop == start + 1:
+            return b"%b%d%b%b%b" % (
+                head,
+                start,
+                CONTENT_KEY,
+                self.tokens[start],
+                CONTENT_END,
+            )
+        return b"".join(
+            b"%b%d%b%b%b" % (head, offset, CONTENT_KEY, token, CONTENT_END)
+            for offset, token in enumerate(self.tokens[start:stop], start)
+        )
+
+    async def follow(self, offset: int = 0, lineage: str = "") -> AsyncIterator[bytes]:
+        """Yield the events from an offset to the end.
+
+        Parameters
+        ----------
+        offset : int
+            First token that is wanted.
+        lineage : str
+            Lineage that the caller holds the first tokens of; empty where it does
+            not know.
+
+        Yields
+        ------
+        events : bytes
+            One or more server-sent events. Tokens are joined where the caller is
+            behind. The last yield holds the outcome and ``[DONE]``.
+        """
+        # A caller who holds tokens of another lineage would join two texts that
+        # differ, and nobody would see it: it gets this lineage from its start.
+        if lineage and lineage != self.lineage:
+            offset = 0
+        offset = max(0, offset)
+        while True:
+            known = len(self.tokens)
+            if offset < known:
+                stop = min(known, offset + MAX_FOLLOW_TOKENS)
+                yield self.frames(offset, stop)
+                offset = stop
+            elif self.outcome is not None:
+                break
+            else:
+                await self.changed.park()
+        yield outcome_event(self.outcome, len(self.tokens)) + DONE
+
+    async def wait_beyond(self, offset: int) -> int:
+        """Wait until there are more tokens than ``offset``, or an outcome.
+
+        Parameters
+        ----------
+        offset : int
+            Number of tokens that the caller has.
+
+        Returns
+        -------
+        count : int
+            Number of tokens now.
+        """
+        while len(self.tokens) <= offset and self.outcome is None:
+            await self.changed.park()
+        return len(self.tokens)
+
+    async def wait_finished(self) -> Answered | NotRun | Unknown:
+        """Wait for the outcome and return it."""
+        while self.outcome is None:
+            await self.changed.park()
+        return self.outcome
+
+    def token_texts(self) -> list[str]:
+        """Return the emitted tokens as text."""
+        return (
+            json.loads(b'["' + b'","'.join(self.tokens) + b'"]') if self.tokens else []
+        )
+
+    def text(self) -> str:
+        """Return the emitted text as one string."""
+        return json.loads(b'"' + b"".join(self.tokens) + b'"')
+
+    def prompt_bytes(self) -> int:
+        """Return the size of the conversation in bytes."""
+        return sum(len(str(part.get("content", ""))) for part in self.request.messages)
+
+
+def frame_head(request_id: str, lineage: str) -> bytes:
+    """Return what each event of a generation starts with, up to the offset."""
+    return (
+        f'data: {{"id":{json.dumps(request_id)},"lineage":{json.dumps(lineage)}'
+        ',"offset":'
+    ).encode()
+
+
+@dataclass(slots=True)
+class Entry:
+    """A generation in the table and the bytes counted for it."""
+
+    generation: Generation
+    size: int
+
+
+class GenerationTable:
+    """The accepted requests of this process, bounded by count and bytes.
+
+    Finished ones are kept for pick-up for a stated time, and fewer where room is
+    needed; a running one is never dropped.
+
+    Parameters
+    ----------
+    max_count : int
+        Most generations.
+    max_bytes : int
+        Most bytes, by estimate.
+    keep_s : float
+        How long a finished generation can be picked up, in seconds.
+    """
+
+    def __init__(
+        self,
+        max_count: int = MAX_GENERATIONS,
+        max_bytes: int = MAX_BYTES,
+        keep_s: float = KEEP_FINISHED_S,
+    ) -> None:
+        self.max_count = max_count
+        self.max_bytes = max_bytes
+        self.keep_s = keep_s
+        self.entries: dict[tuple[str, str], Entry] = {}
+        self.finished: dict[tuple[str, str], None] = {}
+        self.size = 0
+
+    def add(self, generation: Generation) -> NotRun | None:
+        """Add a generation that starts.
+
+        Parameters
+        ----------
+        generation : Generation
+            The generation; its `ModelRequest.max_tokens` are reserved, so that an
+            accepted answer has room to its end.
+
+        Returns
+        -------
+        refusal : NotRun or None
+            Why there is no room, or None when it was added.
+        """
+        key = (generation.customer, generation.request_id)
+        if key in self.entries:
+            return NotRun(Reason.ALREADY_RUNNING, detail="this id is in use")
+        size = generation.prompt_bytes() + TOKEN_BYTES * generation.request.max_tokens
+        self.purge()
+        while self.finished and not self.has_room(size):
+            self.remove(next(iter(self.finished)))
+        if not self.has_room(size):
+            return NotRun(Reason.OVERLOADED, 1.0, "too many requests are running")
+        self.entries[key] = Entry(generation, size)
+        self.size += size
+        return None
+
+    def note_finished(self, generation: Generation) -> None:
+        """Count only what a finished generation really holds."""
+        key = (generation.customer, generation.request_id)
+        entry = self.entries.get(key)
+        if entry is None or entry.generation is not generation:
+            return
+        size = generation.prompt_bytes() + TOKEN_BYTES * len(generation.tokens)
+        self.size += size - entry.size
+        entry.size = size
+        self.finished[key] = None
+
+    def find(self, customer: str, request_id: str) -> Generation | None:
+        """Return a customer's own generation, or None.
+
+        Parameters
+        ----------
+        customer : str
+            Customer that asks. Another one's id is not found.
+        request_id : str
+            Id of the request.
+        """
+        self.purge()
+        entry = self.entries.get((customer, request_id))
+        return None if entry is None else entry.generation
+
+    def running(self) -> list[Generation]:
+        """Return the generations that have no outcome yet."""
+        return [
+            entry.generation
+            for entry in self.entries.values()
+            if entry.generation.outcome is None
+        ]
+
+    def has_room(self, size: int) -> bool:
+        """Tell whether one more generation of a size fits."""
+        return len(self.entries) < self.max_count and self.size + size <= self.max_bytes
+
+    def purge(self) -> None:
+        """Drop the finished generations whose time is over."""
+        oldest = trio.current_time() - self.keep_s
+        while self.finished:
+            key = next(iter(self.finished))
+            if self.entries[key].generation.finished_s > oldest:
+                return
+            self.remove(key)
+
+    def remove(self, key: tuple[str, str]) -> None:
+        """Drop a finished generation."""
+        del self.finished[key]
+        self.size -= self.entries.pop(key).size
--- /dev/null
+++ b/src/rosemaryknot/request/relay.py
@@ -0,0 +1,464 @@
+"""Runs accepted model requests: attempt after attempt until there is an outcome."""
+
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from rosemaryknot.connection.engine_client import (
+    Broken,
+    Crossed,
+    EngineClient,
+    Finished,
+    Refused,
+)
+from rosemaryknot.connection.http_client import http_client
+from rosemaryknot.connection.network import Network
+from rosemaryknot.process.configuration import ConfigurationHolder
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter, gauge, histogram
+from rosemaryknot.process.prefix_estimate import Guess, prompt_blocks
+from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.process.server_health import ServerHealth
+from rosemaryknot.process.server_load import LoadTable
+from rosemaryknot.process.servers import ServerTable
+from rosemaryknot.request.attempts import Attempt, AttemptEnd, Leave, Moved, Silent
+from rosemaryknot.request.generations import Generation, GenerationTable
+from rosemaryknot.request.moves import Mover
+from rosemaryknot.request.router import Prompt, Router
+from rosemaryknot.values.nodes import BackendServer
+from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Unknown
+from rosemaryknot.values.requests import ModelRequest
+
+__all__ = ["ModelRelay"]
+
+NO_SERVER_RETRY_S = 2.0
+NO_SERVER_WAIT_S = 60.0
+FIRST_EXCLUSION_S = 0.1
+LONGEST_EXCLUSION_S = 5.0
+MAX_RESUMES_HERE = 3
+RECOVERED_PRIORITY = -1
+CALLERS_FAULTS = frozenset({400, 413, 422})
+LINEAGE_BYTES = 6
+
+log = logger("relay")
+running_gauge = gauge("generations_running", "Accepted model requests without outcome.")
+outcomes = counter("generations_total", "Ended model requests, by outcome.")
+emitted = counter("answer_tokens_total", "Tokens emitted to callers.")
+attempt_ends = counter("attempts_total", "Attempts on backend servers, by their end.")
+recomputed = counter("recomputed_tokens_total", "Tokens computed again, by estimate.")
+first_token = histogram("first_token_seconds", "Arrival to first token, in seconds.")
+
+
+@dataclass(slots=True)
+class Course:
+    """Where a generation stands between two attempts.
+
+    Attributes
+    ----------
+    prompt : Prompt
+        Its prompt, as routing sees it.
+    next_server : BackendServer or None
+        Where the next attempt goes without a choice.
+    moved_tokens : int
+        Tokens whose KV cache is at the next server.
+    joins : bool
+        Whether the next server is still at work on it.
+    restart : bool
+        Whether the next attempt computes the answer from its start.
+    was_sent : bool
+        Whether any server may have computed something.
+    resumes_here : int
+        Resumes at the same server since the last token.
+    progress : int
+        Tokens at the last resume.
+    failures : int
+        Failed attempts since the last token.
+    excluded : dict of str to float
+        Instances that failed it, with the trio time until when they are avoided.
+    """
+
+    prompt: Prompt
+    next_server: BackendServer | None = None
+    moved_tokens: int = 0
+    joins: bool = False
+    restart: bool = False
+    was_sent: bool = False
+    resumes_here: int = 0
+    progress: int = 0
+    failures: int = 0
+    excluded: dict[str, float] = field(default_factory=dict)
+
+    def exclude(self, server: BackendServer) -> None:
+        """Avoid a server for a while, each time for longer."""
+        length_s = min(LONGEST_EXCLUSION_S, FIRST_EXCLUSION_S * 2**self.failures)
+        self.failures += 1
+        self.excluded[server.instance] = trio.current_time() + length_s
+
+    def still_excluded(self) -> dict[str, float]:
+        """Return the exclusions that are in force."""
+        now_s = trio.current_time()
+        self.excluded = {k: v for k, v in self.excluded.items() if v > now_s}
+        return self.excluded
+
+
+class ModelRelay:
+    """Accepts model requests and brings each to its outcome.
+
+    Each generation runs in a task of its own, apart from the callers that follow
+    it, so a caller who goes away does not lose accepted work.
+
+    Parameters
+    ----------
+    network : Network
+        Where connections come from.
+    servers : ServerTable
+        Backend servers.
+    holder : ConfigurationHolder
+        Configuration in force.
+    zone, node : str
+        Where we are.
+    health : ServerHealth, optional
+        Which servers fail; shared with the plain services.
+    safeguards : Safeguards, optional
+        All on outside of tests.
+    move_policy : str
+        Name of a registered move policy.
+    unix_time : callable
+        Seconds of the epoch.
+    new_lineage : callable, optional
+        Returns an id that no other generation has.
+
+    Attributes
+    ----------
+    table : GenerationTable
+        Accepted requests, for pick-up.
+    loads : LoadTable
+        Load of the servers.
+    router : Router
+        Chooses servers.
+    mover : Mover
+        Clears leaving servers.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        servers: ServerTable,
+        holder: ConfigurationHolder,
+        zone: str = "",
+        node: str = "",
+        health: ServerHealth | None = None,
+        safeguards: Safeguards | None = None,
+        move_policy: str = "planned_moves",
+        unix_time: Callable[[], float] = time.time,
+        new_lineage: Callable[[], str] | None = None,
+    ) -> None:
+        switches = Safeguards() if safeguards is None else safeguards
+        health = ServerHealth() if health is None else health
+        self.network = network
+        self.servers = servers
+        self.holder = holder
+        self.health = health
+        self.engines = EngineClient(network, switches.id_check, switches.lineage_check)
+        self.loads = LoadTable()
+        self.router = Router(servers, holder, self.loads, health, zone, node)
+        self.mover = Mover(servers, self.engines, self.router, move_policy, unix_time)
+        self.new_lineage = new_lineage or (lambda: secrets.token_hex(LINEAGE_BYTES))
+        self.table = GenerationTable()
+        self.nursery: trio.Nursery | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run generations until cancelled."""
+        async with (
+            http_client(self.network) as client,
+            trio.open_nursery() as self.nursery,
+        ):
+            await self.nursery.start(self.mover.run)
+            self.nursery.start_soon(self.loads.poll, client, self.router.polled)
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def start(self, request: ModelRequest) -> Generation | NotRun:
+        """Accept a request and start to run it.
+
+        Parameters
+        ----------
+        request : ModelRequest
+            An admitted request.
+
+        Returns
+        -------
+        generation : Generation or NotRun
+            The accepted generation, to be followed; or why it was refused.
+        """
+        generation = self.prepare(request)
+        if isinstance(generation, Generation):
+            self.begin(generation)
+        return generation
+
+    def prepare(
+        self,
+        request: ModelRequest,
+        lineage: str = "",
+        tokens: list[bytes] | None = None,
+    ) -> Generation | NotRun:
+        """Make room for a request without running it yet.
+
+        Parameters
+        ----------
+        request : ModelRequest
+            An admitted request, or one taken over.
+        lineage : str
+            Lineage of the tokens that were emitted before; empty for a new one.
+        tokens : list of bytes, optional
+            Those tokens.
+
+        Returns
+        -------
+        generation : Generation or NotRun
+            To be given to `begin` or `give_up`; or why it was refused.
+        """
+        if self.nursery is None:
+            return NotRun(Reason.STOPPING, 1.0, "this instance does not run")
+        # Work that is taken over was accepted before: it waits, and is not refused.
+        if not lineage and not self.servers.servers_of(request.service):
+            return NotRun(
+                Reason.NO_SERVER, NO_SERVER_RETRY_S, "no server of this service is live"
+            )
+        generation = Generation(request, lineage or self.new_lineage(), tokens)
+        return self.table.add(generation) or generation
+
+    def begin(self, generation: Generation) -> None:
+        """Run a prepared generation."""
+        running_gauge.add(1)
+        self.nursery.start_soon(self.run_generation, generation)
+
+    def give_up(self, generation: Generation, outcome: NotRun | Unknown) -> None:
+        """End a prepared generation that will not run."""
+        generation.finish(outcome)
+        self.table.note_finished(generation)
+
+    async def run_generation(self, generation: Generation) -> None:
+        """Bring a generation to its outcome within its deadline."""
+        texts = [str(part.get("content")) for part in generation.request.messages]
+        prompt = Prompt(sum(map(len, texts)), prompt_blocks(texts))
+        course = Course(prompt)
+        try:
+            with trio.CancelScope(deadline=generation.request.deadline_s):
+                while generation.outcome is None:
+                    await self.run_attempt(generation, course)
+            if generation.outcome is None:
+                self.time_out(generation, course)
+        finally:
+            # Followers are told even when the process ends: no stream ends silently.
+            generation.finish(Unknown(Reason.STOPPING, "the instance stopped"))
+            self.note_outcome(generation)
+
+    async def run_attempt(self, generation: Generation, course: Course) -> None:
+        """Make one attempt and draw the conclusions."""
+        server = course.next_server
+        if server is None:
+            server = await self.choose_server(generation, course)
+        if server is None:
+            self.finish_without_server(generation, course)
+            return
+        attempt = self.new_attempt(generation, course, server)
+        guess = self.router.guess(server, course.prompt)
+        course.next_server, course.moved_tokens = None, 0
+        course.joins = course.restart = False
+        end = await self.stream(attempt)
+        self.note_end(attempt, end)
+        self.conclude(attempt, course, guess, end)
+
+    async def stream(self, attempt: Attempt) -> AttemptEnd:
+        """Run an attempt where the mover can find it."""
+        request_id = attempt.generation.request_id
+        self.mover.running[request_id] = attempt
+        self.mover.check()
+        try:
+            return await attempt.run()
+        finally:
+            del self.mover.running[request_id]
+
+    async def choose_server(
+        self, generation: Generation, course: Course
+    ) -> BackendServer | None:
+        """Choose a server, waiting for one within a bound; None where none comes."""
+        seen = self.servers.revision
+        with trio.move_on_after(NO_SERVER_WAIT_S):
+            while True:
+                excluded = course.still_excluded()
+                choice = self.router.choose(generation, course.prompt, excluded)
+                if choice is not None:
+                    return choice.server
+                next_try_s = min(excluded.values(), default=float("inf"))
+                with trio.move_on_at(next_try_s):
+                    seen = await self.servers.wait_changed(seen)
+        return None
+
+    def new_attempt(
+        self, generation: Generation, course: Course, server: BackendServer
+    ) -> Attempt:
+        """Return the next attempt and count what it computes again."""
+        service = self.router.service(generation.service)
+        load = self.loads.of(server)
+        step_time_ms = service.step_time_ms if service else 1.0
+        if load.report is not None:
+            step_time_ms = max(step_time_ms, load.report.step_time_ms)
+        tokens = self.router.sizes.tokens(generation.service, course.prompt.chars)
+        # Accepted work that lost its server goes before new work, which makes room
+        # for it by pausing and not by refusing.
+        priority = generation.request.priority
+        if course.was_sent:
+            priority = min(priority, RECOVERED_PRIORITY)
+            self.count_recomputed(generation, course, tokens)
+        generation.attempts += 1
+        return Attempt(
+            generation,
+            server,
+            load,
+            self.engines,
+            step_time_ms / 1000,
+            tokens,
+            priority,
+            course.restart,
+        )
+
+    def count_recomputed(
+        self, generation: Generation, course: Course, prompt_tokens: float
+    ) -> None:
+        """Count the tokens that the next attempt computes again."""
+        if course.joins:
+            return
+        again = prompt_tokens + len(generation.tokens) - course.moved_tokens
+        generation.recomputed_tokens += max(0, round(again))
+
+    def conclude(
+        self, attempt: Attempt, course: Course, guess: Guess, end: AttemptEnd
+    ) -> None:
+        """Decide what follows from how an attempt ended."""
+        generation, server = attempt.generation, attempt.server
+        if len(generation.tokens) > course.progress:
+            course.progress = len(generation.tokens)
+            course.resumes_here = course.failures = 0
+        course.was_sent |= not isinstance(end, Refused | Broken) or attempt.heard > 0
+        match end:
+            case Finished():
+                self.note_finished(attempt, course, guess, end)
+            case Refused(status=status) if status in CALLERS_FAULTS:
+                self.finish_refused(generation, status)
+            case Refused(leaving=True):
+                self.servers.mark_leaving(server.instance, 0.0, "server")
+                course.exclude(server)
+            case Refused():
+                course.exclude(server)
+            case Silent(resume_here=True) | Crossed():
+                self.resume_here(course, server)
+            case Moved(target=target, tokens=tokens):
+                course.next_server, course.moved_tokens = target, tokens
+                self.cancel_at(server, generation)
+            case Leave(restart=restart):
+                course.restart = restart
+                course.exclude(server)
+                self.cancel_at(server, generation)
+            case _:
+                course.was_sent |= not isinstance(end, Broken) or end.sent
+                self.health.note_failure(server.instance)
+                course.exclude(server)
+                self.cancel_at(server, generation)
+
+    def resume_here(self, course: Course, server: BackendServer) -> None:
+        """Go on at the same server over a new connection, a few times at most."""
+        course.resumes_here += 1
+        if course.resumes_here > MAX_RESUMES_HERE:
+            self.health.note_failure(server.instance)
+            course.exclude(server)
+            return
+        course.next_server = server
+        course.joins = True
+
+    def cancel_at(self, server: BackendServer, generation: Generation) -> None:
+        """Free the slot of an abandoned attempt; nobody waits for the answer."""
+        self.nursery.start_soon(self.engines.cancel, server, generation.request_id)
+
+    def note_end(self, attempt: Attempt, end: AttemptEnd) -> None:
+        """Log and count how an attempt ended."""
+        generation, name = attempt.generation, type(end).__name__.lower()
+        attempt_ends.add(service=generation.service, end=name)
+        if attempt.first_offset == 0 and attempt.has_token:
+            request = generation.request
+            started_s = attempt.started_s + attempt.first_token_s
+            first_token.observe(started_s - request.arrived_s, service=request.service)
+        if isinstance(end, Finished):
+            return
+        detail = getattr(end, "detail", "")
+        log.info(
+            f"attempt at {attempt.server.instance} ended: {name}",
+            request=generation.request_id,
+            attempt=generation.attempts,
+            emitted=len(generation.tokens),
+            detail=detail,
+        )
+        generation.tell(f"relay: {attempt.server.instance}: {name} {detail}".rstrip())
+
+    def note_finished(
+        self, attempt: Attempt, course: Course, guess: Guess, end: Finished
+    ) -> None:
+        """End a generation whose answer is whole, and learn from the report."""
+        generation, server = attempt.generation, attempt.server
+        self.health.note_success(server.instance)
+        generation.prompt_tokens = end.prompt_tokens
+        generation.cached_tokens = end.cached_tokens
+        prompt, prefixes = course.prompt, attempt.load.prefixes
+        self.router.sizes.learn(generation.service, prompt.chars, end.prompt_tokens)
+        if end.prompt_tokens and generation.attempts == 1:
+            share = end.cached_tokens / end.prompt_tokens
+            prefixes.confirm(prompt.blocks, guess, share)
+        prefixes.note_sent(prompt.blocks, trio.current_time())
+        generation.finish(Answered(200, [], b""))
+
+    def finish_refused(self, generation: Generation, status: int) -> None:
+        """End a generation that no server will take."""
+        detail = f"the engine refused the request with status {status}"
+        if generation.tokens:
+            generation.finish(Unknown(Reason.SERVER_FAILED, detail))
+        else:
+            generation.finish(NotRun(Reason.BAD_REQUEST, 0.0, detail))
+
+    def finish_without_server(self, generation: Generation, course: Course) -> None:
+        """End a generation for which no server came."""
+        detail = f"no server of this service was live for {NO_SERVER_WAIT_S:.0f} s"
+        if course.was_sent:
+            generation.finish(Unknown(Reason.NO_SERVER, detail))
+        else:
+            generation.finish(NotRun(Reason.NO_SERVER, NO_SERVER_RETRY_S, detail))
+
+    def time_out(self, generation: Generation, course: Course) -> None:
+        """End a generation whose deadline has passed."""
+        detail = "the deadline of the request has passed"
+        if course.was_sent or generation.tokens or generation.attempts:
+            generation.finish(Unknown(Reason.TIMED_OUT, detail))
+        else:
+            generation.finish(NotRun(Reason.TIMED_OUT, 1.0, detail))
+
+    def note_outcome(self, generation: Generation) -> None:
+        """Log and count an outcome."""
+        self.table.note_finished(generation)
+        name = type(generation.outcome).__name__.lower()
+        running_gauge.add(-1)
+        outcomes.add(service=generation.service, outcome=name)
+        emitted.add(len(generation.tokens), service=generation.service)
+        recomputed.add(generation.recomputed_tokens, service=generation.service)
+        log.info(
+            f"ended: {name}",
+            request=generation.request_id,
+            tokens=len(generation.tokens),
+            attempts=generation.attempts,
+            recomputed=generation.recomputed_tokens,
+        )
+        generation.tell(f"relay: ended: {name}")
