Put the entry process together: callers' HTTP, plain services, models, planned stop

One model stream and one booking run through it over the stand-ins in virtual time (tests/process/test_entry.py). Bad input gets a typed answer; a request whose form is wrong and whose id may have run before is told 'unknown', since 'not run' speaks of the id and not of one HTTP request.

--- /dev/null
+++ b/src/rosemaryknot/process/entry.py
@@ -0,0 +1,269 @@
+"""The entry process: the data plane of a node, put together."""
+
+import random
+import time
+from collections.abc import Callable
+
+import trio
+
+from rosemaryknot.connection.http_server import HttpServer
+from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.plain_client import PlainClient
+from rosemaryknot.process.agent_link import AgentLink
+from rosemaryknot.process.configuration import ConfigurationHolder
+from rosemaryknot.process.detached import Detached
+from rosemaryknot.process.drain import Drain
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.server_health import ServerHealth
+from rosemaryknot.process.servers import ServerTable
+from rosemaryknot.process.settings import Settings
+from rosemaryknot.request.admission import Admission, AdmissionLimits
+from rosemaryknot.request.at_most_once import AtMostOnce, ClaimPolicy
+from rosemaryknot.request.generations import GenerationTable
+from rosemaryknot.request.http_api import CallersApi, create_app
+from rosemaryknot.request.model_api import ModelApi
+from rosemaryknot.request.plain import PlainRelay
+from rosemaryknot.request.plain_api import PlainApi
+from rosemaryknot.request.relay import ModelRelay
+from rosemaryknot.values.configuration import ConfigurationPush
+from rosemaryknot.values.nodes import Address, Node
+from rosemaryknot.values.servers import LeavingMark, ServersPush, server_from_dict
+from rosemaryknot.version.view import ConfigurationView
+
+__all__ = ["Entry", "run_entry"]
+
+CLAIM_MARGIN_S = 5.0
+CLOSE_GRACE_S = 0.2
+LATE_REQUESTS_S = 5.0
+
+log = logger("entry")
+
+
+class Entry:
+    """The parts of one entry process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    network : Network
+        Where connections come from and go to.
+    nursery : trio.Nursery
+        Lives as long as the process.
+    rng : random.Random
+        For ids, jitter and choices.
+    unix_time : callable
+        Seconds of the epoch.
+
+    Attributes
+    ----------
+    holder : ConfigurationHolder
+        Configuration in force.
+    servers : ServerTable
+        Backend servers.
+    handlers : Handlers
+        What to do with messages of the agent.
+    link : AgentLink
+        Link to the agent.
+    relay : ModelRelay
+        Model requests.
+    at_most_once : AtMostOnce
+        Requests that are not idempotent.
+    drain : Drain
+        What is in flight.
+    models : ModelApi
+        Takes model requests; its ``finders`` look elsewhere for a pick-up.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        nursery: trio.Nursery,
+        rng: random.Random,
+        unix_time: Callable[[], float] = time.time,
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.rng = rng
+        limits = settings.limits
+        self.node = Node(settings.node, settings.zone, int(unix_time() * 1000))
+        self.holder = ConfigurationHolder(ConfigurationView.from_document)
+        self.servers = ServerTable()
+        self.health = ServerHealth()
+        self.handlers = self.new_handlers()
+        self.link = AgentLink(
+            settings.agent, network, settings.cluster_key, self.node, self.handlers, rng
+        )
+        self.drain = Drain()
+        self.admission = Admission(AdmissionLimits(limits.max_requests_in_flight))
+        self.at_most_once = AtMostOnce(self.link, self.claim_policy)
+        self.relay = ModelRelay(
+            network,
+            self.servers,
+            self.holder,
+            settings.zone,
+            settings.node,
+            self.health,
+            unix_time=unix_time,
+        )
+        self.relay.table = GenerationTable(
+            limits.max_generations, keep_s=limits.kept_answer_s
+        )
+        self.plain_client = PlainClient(network)
+        self.plain = PlainRelay(
+            self.plain_client, self.servers, settings.zone, rng, self.health
+        )
+        self.models = ModelApi(
+            self.admission,
+            self.drain,
+            nursery,
+            self.relay,
+            self.relay.table,
+            limits.body_timeout_s,
+        )
+        self.server = HttpServer(create_app(self.new_api(nursery, unix_time)), network)
+
+    def new_api(
+        self, nursery: trio.Nursery, unix_time: Callable[[], float]
+    ) -> CallersApi:
+        """Return the parts behind the callers' interface."""
+        limits = self.settings.limits
+        plain = PlainApi(
+            self.admission,
+            self.drain,
+            Detached(nursery, self.drain),
+            self.plain,
+            self.at_most_once,
+            limits.body_timeout_s,
+        )
+        return CallersApi(
+            self.holder,
+            self.drain,
+            plain,
+            self.models,
+            self.rng,
+            limits.max_body_bytes,
+            unix_time,
+        )
+
+    def new_handlers(self) -> Handlers:
+        """Return what to do with messages of the agent."""
+        handlers = Handlers()
+
+        @handlers.on(ConfigurationPush)
+        async def take_configuration(
+            push: ConfigurationPush, link: MessageLink
+        ) -> None:
+            self.holder.apply(
+                push.number, push.digest, push.document, "agent", push.settles
+            )
+
+        @handlers.on(ServersPush)
+        async def take_servers(push: ServersPush, link: MessageLink) -> None:
+            self.apply_servers(push)
+
+        @handlers.on(LeavingMark)
+        async def take_mark(mark: LeavingMark, link: MessageLink) -> None:
+            self.servers.mark_leaving(mark.instance, mark.deadline_unix_s, mark.source)
+
+        return handlers
+
+    def apply_servers(self, push: ServersPush) -> None:
+        """Take over the agent's servers."""
+        if push.full and not push.servers and self.servers.servers:
+            # An agent that has just started, while the platform is down, knows no
+            # server. Taking its word would drop every one that still works.
+            log.warning("kept the known servers: the agent knows none")
+            return
+        try:
+            servers = [server_from_dict(server) for server in push.servers]
+        except (TypeError, AttributeError) as error:
+            log.error("unusable list of servers", error=type(error).__name__)
+            return
+        self.servers.apply_list(servers)
+
+    def claim_policy(self, service: str) -> ClaimPolicy:
+        """Return the bounds of a service's at-most-once requests."""
+        view = self.holder.view
+        known = None if view is None else view.services.get(service)
+        if known is None:
+            return ClaimPolicy()
+        return ClaimPolicy(
+            known.timeout_s + CLAIM_MARGIN_S, known.at_most_once.answer_horizon_s
+        )
+
+    async def report_leaving(self) -> None:
+        """Tell the agent which servers themselves say that they are leaving.
+
+        The entry is the first to hear it; the agent passes it on to its peers.
+        """
+        told: set[str] = set()
+        link = None
+        revision = 0
+        while True:
+            revision = await self.servers.wait_changed(revision)
+            if link is not self.link.link:
+                link = self.link.link
+                told.clear()
+            marks = self.servers.leaving_marks()
+            told &= {mark.instance for mark in marks}
+            for mark in marks:
+                if mark.source == "server" and mark.instance not in told:
+                    if await self.link.send(mark):
+                        told.add(mark.instance)
+
+    async def serve(self, nursery: trio.Nursery, address: Address) -> None:
+        """Start all tasks; return once callers can connect."""
+        await nursery.start(self.relay.run)
+        nursery.start_soon(self.link.run)
+        nursery.start_soon(self.at_most_once.run_reports)
+        nursery.start_soon(self.report_leaving)
+        await nursery.start(self.server.serve, address)
+        log.info(f"serving callers at {address}")
+
+    async def stop(self) -> None:
+        """End what is in flight whole, within the bound of the settings."""
+        self.drain.start()
+        await self.drain.wait_idle(self.settings.limits.drain_timeout_s)
+        # Idle connections end now. A request that was on its way is still refused
+        # with an answer, which a closed connection would not tell from a lost one.
+        await self.server.close_idle()
+        await trio.sleep(CLOSE_GRACE_S)
+        await self.drain.wait_idle(LATE_REQUESTS_S)
+
+
+async def run_entry(
+    settings: Settings,
+    stop: trio.Event,
+    network: Network,
+    rng: random.Random | None = None,
+    unix_time: Callable[[], float] = time.time,
+    task_status: trio.TaskStatus[Entry] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry until a planned stop is over.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings, with an address for callers.
+    stop : trio.Event
+        Asks for a planned stop.
+    network : Network
+        Where connections come from and go to.
+    rng : random.Random, optional
+        A seeded one in tests and replay.
+    unix_time : callable
+        Seconds of the epoch.
+    task_status : trio.TaskStatus
+        Told the entry once it serves callers.
+    """
+    rng = random.SystemRandom() if rng is None else rng
+    async with trio.open_nursery() as nursery:
+        entry = Entry(settings, network, nursery, rng, unix_time)
+        await entry.serve(nursery, settings.listen.callers)
+        task_status.started(entry)
+        await stop.wait()
+        await entry.stop()
+        nursery.cancel_scope.cancel()
--- a/src/rosemaryknot/request/admission.py
+++ b/src/rosemaryknot/request/admission.py
@@ -127,11 +127,7 @@
             The slot, to be released; or the refusal with when to come back.
         """
         if self.present[customer, service] >= concurrent:
-            return NotRun(
-                Reason.LIMIT_REACHED,
-                self.retry_after_s(),
-                f"{concurrent:g} concurrent requests are in flight at {service}",
-            )
+            return self.limit_reached(concurrent)
         if self.may_start(customer) and not self.waiting.get(customer):
             return self.take(customer, service)
         left_s = deadline_s - trio.current_time()
@@ -145,6 +141,30 @@
             return self.overloaded()
         return await self.wait(customer, service, min(left_s, self.limits.max_wait_s))
 
+    def assign(self, slot: "Slot", service: str, concurrent: float) -> NotRun | None:
+        """Count a slot under the service that its request turned out to be for.
+
+        Parameters
+        ----------
+        slot : Slot
+            A slot that was admitted without a service.
+        service : str
+            The service.
+        concurrent : float
+            Requests that the customer may have there at once.
+
+        Returns
+        -------
+        refusal : NotRun or None
+            Why the request may not go on; the slot is not released.
+        """
+        if self.present[slot.customer, service] >= concurrent:
+            return self.limit_reached(concurrent)
+        decrement(self.present, (slot.customer, slot.service))
+        slot.service = service
+        self.present[slot.customer, service] += 1
+        return None
+
     def may_start(self, customer: str) -> bool:
         """Tell whether the customer may take a slot now."""
         free = self.limits.max_in_flight - self.in_flight
@@ -234,6 +254,11 @@
         """Return when to come back, in seconds."""
         return min(MAX_RETRY_S, max(LIMIT_RETRY_S, self.expected_wait_s()))
 
+    def limit_reached(self, concurrent: float) -> NotRun:
+        """Return the refusal of a request beyond the customer's limit."""
+        detail = f"the limit of {concurrent:g} concurrent requests is reached"
+        return NotRun(Reason.LIMIT_REACHED, self.retry_after_s(), detail)
+
     def overloaded(self) -> NotRun:
         """Return the refusal of a request that there is no room for."""
         return NotRun(
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -13,7 +13,7 @@
 from rosemaryknot.process.retry_budget import RetryBudgets
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.request.plain_route import PlainCandidate, choose_plain_server
-from rosemaryknot.values.nodes import BackendServer, ServerState
+from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from rosemaryknot.values.requests import NotSent, PlainRequest, SendResult
 
@@ -37,7 +37,7 @@
     """What the relay needs of the table of backend servers."""
 
     def servers_of(self, service: str) -> list[BackendServer]:
-        """Return the servers of a service."""
+        """Return the live servers of a service."""
 
     def mark_leaving(self, instance: str, deadline_unix_s: float, source: str) -> None:
         """Note that an instance is leaving."""
@@ -78,6 +78,8 @@
         Availability zone of this process.
     rng : random.Random
         For jitter and for the choice of servers.
+    health : ServerHealth, optional
+        Which servers fail; shared with the model services.
 
     Attributes
     ----------
@@ -95,13 +97,14 @@
         servers: ServerSource,
         zone: str,
         rng: random.Random,
+        health: ServerHealth | None = None,
     ) -> None:
         self.client = client
         self.servers = servers
         self.zone = zone
         self.rng = rng
         self.in_flight: Counter[str] = Counter()
-        self.health = ServerHealth()
+        self.health = ServerHealth() if health is None else health
         self.budgets = RetryBudgets()
 
     async def run_idempotent(self, request: PlainRequest) -> Outcome:
@@ -178,11 +181,7 @@
 
     def choose(self, request: PlainRequest, done: Tries) -> BackendServer | None:
         """Choose a server that was not tried yet, and log why."""
-        live = [
-            server
-            for server in self.servers.servers_of(request.service)
-            if server.state == ServerState.LIVE
-        ]
+        live = self.servers.servers_of(request.service)
         usable = [
             s for s in self.health.usable(live) if s.instance not in done.instances
         ]
