Wake who waits for a generation's end only at its end

Each accepted request has a task that holds its admission slot to the end. It waited on the lot of the followers and so woke for every token.

--- a/src/rosemaryknot/request/generations.py
+++ b/src/rosemaryknot/request/generations.py
@@ -130,6 +130,7 @@
         "finished_s",
         "story",
         "changed",
+        "ended",
     )
 
     def __init__(
@@ -153,6 +154,7 @@
         self.finished_s = math.inf
         self.story: list[StoryLine] = []
         self.changed = trio.lowlevel.ParkingLot()
+        self.ended = trio.Event()
 
     def emit(self, tokens: list[bytes]) -> None:
         """Append tokens and wake the followers.
@@ -173,6 +175,7 @@
         self.outcome = outcome
         self.finished_s = trio.current_time()
         self.changed.unpark_all()
+        self.ended.set()
 
     def tell(self, text: str) -> None:
         """Add a line to the story; the newest are kept."""
@@ -260,8 +263,7 @@
 
     async def wait_finished(self) -> Answered | NotRun | Unknown:
         """Wait for the outcome and return it."""
-        while self.outcome is None:
-            await self.changed.park()
+        await self.ended.wait()
         return self.outcome
 
     def token_texts(self) -> list[str]:
