--- a/src/rosemaryknot/process/configuration_spread.py
+++ b/src/rosemaryknot/process/configuration_spread.py
@@ -79,7 +79,7 @@
     """
 
     def rank(node: Node) -> int:
-        return xxhash.xxh64_intdigest(f"{duty}/{node.name}")
+        return xxhash.xxh64_intdigest(f"{duty}/{node.name}".encode())
 
     return sorted(nodes, key=rank, reverse=True)[:count]
 
