--- /dev/null
+++ b/src/rosemaryknot/process/agent.py
@@ -0,0 +1,246 @@
+"""The agent process: the control plane of a node, put together."""
+
+import os
+import random
+import time
+from collections.abc import Callable
+
+import trio
+
+from rosemaryknot.connection.http_server import HttpServer
+from rosemaryknot.connection.links import Handlers
+from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.platform import PlatformClient
+from rosemaryknot.process.claims.forms import ClaimForm
+from rosemaryknot.process.claims.handlers import register_claim_handlers
+from rosemaryknot.process.claims.objects import ObjectClaims
+from rosemaryknot.process.configuration import ConfigurationHolder
+from rosemaryknot.process.configuration_spread import (
+    ConfigurationSpread,
+    keep_entry_current,
+    register_configuration_handlers,
+)
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.peer_metrics import PeerMetrics
+from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.platform_watch import PlatformWatch
+from rosemaryknot.process.servers import ServerTable
+from rosemaryknot.process.servers_spread import ServersSpread
+from rosemaryknot.process.settings import Settings
+from rosemaryknot.process.status import StatusApi
+from rosemaryknot.values.control import DrainAccepted, DrainRequest
+from rosemaryknot.values.nodes import Node
+from rosemaryknot.version.operators_api import operators_app
+from rosemaryknot.version.store import ConfigurationStore
+from rosemaryknot.version.view import ConfigurationView
+from rosemaryknot.version.watch import ConfigurationWatcher
+
+__all__ = ["Agent", "run_agent"]
+
+BOOTSTRAP_ENV = "ROSEMARYKNOT_BOOTSTRAP_KEY"
+ENTRY_GRACE_S = 5.0
+ENTRY_CHECK_S = 0.1
+DRAIN_TIMEOUT_S = 2.0
+HANDOVER_TIMEOUT_S = 20.0
+
+log = logger("agent")
+
+
+class Agent:
+    """The parts of one agent process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    network : Network
+        Where connections come from and go to.
+    stop : trio.Event
+        Asks for a planned stop.
+    rng : random.Random
+        For jitter and choices.
+    unix_time : callable
+        Seconds of the epoch.
+    bootstrap_key : str
+        Key of the operator who makes the first version; empty for none.
+
+    Attributes
+    ----------
+    node : Node
+        This node; its incarnation is the wall time of the start.
+    handlers : Handlers
+        What to do with messages of entries and peers.
+    peers : PeerSet
+        The other nodes.
+    platform : PlatformClient
+        The platform's APIs.
+    servers : ServerTable
+        Backend servers.
+    holder : ConfigurationHolder
+        Configuration in force.
+    forms : dict of str to ClaimForm
+        Forms of at-most-once execution.
+    is_draining : bool
+        Whether the whole node stops, its entries too.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        stop: trio.Event,
+        rng: random.Random,
+        unix_time: Callable[[], float] = time.time,
+        bootstrap_key: str = "",
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.stop = stop
+        self.rng = rng
+        self.unix_time = unix_time
+        self.node = Node(settings.node, settings.zone, int(unix_time() * 1000))
+        self.handlers = Handlers()
+        self.peers = PeerSet(
+            network,
+            self.node,
+            settings.listen.links,
+            settings.cluster_key,
+            settings.peers,
+            self.handlers,
+            rng=rng,
+        )
+        self.peer_metrics = PeerMetrics(self.peers)
+        self.platform = PlatformClient(network, settings.platform)
+        self.is_draining = False
+        self.add_servers()
+        self.add_configuration()
+        self.add_claims()
+        app = operators_app(self.holder, self.store, bootstrap_key)
+        app.register_blueprint(StatusApi(self).blueprint())
+        self.server = HttpServer(app, network)
+
+    def add_servers(self) -> None:
+        """Put the parts about backend servers together."""
+        self.servers = ServerTable()
+        self.servers_spread = ServersSpread(
+            self.servers, self.peers, self.handlers, self.rng
+        )
+        self.platform_watch = PlatformWatch(
+            self.platform, self.servers, self.rng, self.servers_spread.is_watcher
+        )
+
+    def add_configuration(self) -> None:
+        """Put the parts about the configuration together."""
+        self.holder = ConfigurationHolder(ConfigurationView.from_document)
+        self.spread = ConfigurationSpread(
+            self.node, self.holder, self.peers, len(self.settings.peers), self.rng
+        )
+        self.store = ConfigurationStore(self.platform, self.holder, self.unix_time)
+        self.watcher = ConfigurationWatcher(self.store, self.spread, self.rng)
+        register_configuration_handlers(self.handlers, self.holder, self.spread)
+        self.peers.on_entry_link.append(
+            lambda link: keep_entry_current(self.holder, link)
+        )
+
+    def add_claims(self) -> None:
+        """Put the forms of at-most-once execution together."""
+        self.objects = ObjectClaims(self.platform, self.unix_time)
+        self.forms: dict[str, ClaimForm] = {"objects": self.objects}
+        register_claim_handlers(self.handlers, self.forms, self.form_of)
+
+    def form_of(self, service: str) -> str:
+        """Return the form of a service by the configuration in force."""
+        view = self.holder.view
+        known = None if view is None else view.services.get(service)
+        return "" if known is None else known.at_most_once.form
+
+    async def serve(self, nursery: trio.Nursery) -> None:
+        """Start all tasks; return once peers, entries and operators can connect."""
+        await nursery.start(self.peers.run)
+        nursery.start_soon(self.servers_spread.run)
+        nursery.start_soon(self.platform_watch.run)
+        nursery.start_soon(self.spread.run)
+        nursery.start_soon(self.watcher.run)
+        nursery.start_soon(self.objects.run)
+        address = await nursery.start(self.server.serve, self.settings.listen.operators)
+        log.info(f"serving operators at {address}, links at {self.peers.listen}")
+
+    async def drain(self, operator: str) -> int:
+        """Begin the planned stop of the whole node; return how many entries stop."""
+        log.info("planned stop of the node", operator=operator)
+        self.is_draining = True
+        stopping = 0
+        for link in list(self.peers.entries):
+            answer = await link.call(DrainRequest(operator), DRAIN_TIMEOUT_S)
+            stopping += isinstance(answer, DrainAccepted)
+        self.stop.set()
+        return stopping
+
+    async def end(self) -> None:
+        """Hand over what only this node holds, and say goodbye."""
+        with trio.move_on_after(HANDOVER_TIMEOUT_S) as scope:
+            await self.hand_over()
+        if scope.cancelled_caught:
+            log.error("not all was handed over")
+        await self.wait_entries()
+        await self.peers.leave()
+        await self.server.close_idle()
+        await self.platform.aclose()
+        log.info("planned stop is over")
+
+    async def hand_over(self) -> None:
+        """Hand over what the forms of at-most-once execution own."""
+        for form in self.forms.values():
+            hand_over = getattr(form, "hand_over", None)
+            if hand_over is not None:
+                await hand_over()
+
+    async def wait_entries(self) -> None:
+        """Wait for the entries that stop too: they still report their results."""
+        bound_s = ENTRY_GRACE_S
+        if self.is_draining:
+            bound_s = self.settings.limits.drain_timeout_s
+        with trio.move_on_after(bound_s):
+            while self.peers.entries:
+                await trio.sleep(ENTRY_CHECK_S)
+
+
+async def run_agent(
+    settings: Settings,
+    stop: trio.Event,
+    network: Network,
+    rng: random.Random | None = None,
+    unix_time: Callable[[], float] = time.time,
+    bootstrap_key: str | None = None,
+    task_status: trio.TaskStatus[Agent] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an agent until a planned stop is over.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings, with addresses for operators and links.
+    stop : trio.Event
+        Asks for a planned stop.
+    network : Network
+        Where connections come from and go to.
+    rng : random.Random, optional
+        A seeded one in tests and replay.
+    unix_time : callable
+        Seconds of the epoch.
+    bootstrap_key : str, optional
+        Key of the operator who makes the first version; by default the value of
+        ``ROSEMARYKNOT_BOOTSTRAP_KEY`` in the environment.
+    task_status : trio.TaskStatus
+        Told the agent once it can be reached.
+    """
+    rng = random.SystemRandom() if rng is None else rng
+    if bootstrap_key is None:
+        bootstrap_key = os.environ.get(BOOTSTRAP_ENV, "")
+    async with trio.open_nursery() as nursery:
+        agent = Agent(settings, network, stop, rng, unix_time, bootstrap_key)
+        await agent.serve(nursery)
+        task_status.started(agent)
+        await stop.wait()
+        await agent.end()
+        nursery.cancel_scope.cancel()
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -8,7 +8,7 @@
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import asdict
+from operator import attrgetter
 
 import trio
 
@@ -530,6 +530,26 @@
         """Write a log line about a peer."""
         LOG.info(text, peer=name)
 
+    def suspected(self) -> list[str]:
+        """Return the names of nodes that are known and cannot be reached."""
+        return [
+            record.name
+            for record in self.table.records.values()
+            if record.state == PeerState.SUSPECT and not self.is_live(record.name)
+        ]
+
     def status(self) -> list[dict]:
-        """Return the records as the status call shows them."""
-        return [asdict(record) for record in self.table.records.values()]
+        """Return the nodes as the status call shows them."""
+        linked = {node.name for node in self.linked()}
+        return [
+            {
+                "name": record.name,
+                "zone": record.zone,
+                "incarnation": record.incarnation,
+                "address": record.address,
+                "state": PeerState(record.state).name.lower(),
+                "live": self.is_live(record.name),
+                "linked": record.name in linked,
+            }
+            for record in sorted(self.table.records.values(), key=attrgetter("name"))
+        ]
