Run requests at most once by one object an id

Cause: a retry that meets another entry may run a request twice, and a refusal may be followed by the run of an attempt that waited elsewhere.

The entry claims before it sends; the claim is a conditional create, so a paused holder can't send beside a later one. A refusal closes attempts first. Ruled out: leases, which lapse between the check and the send.

Objects of an agent that died are not deleted.

--- /dev/null
+++ b/src/rosemaryknot/request/claim_reports.py
@@ -0,0 +1,108 @@
+"""What an entry tells its agent about claims, and learns from it, in the background."""
+
+from collections import deque
+from typing import Protocol
+
+import trio
+
+from rosemaryknot.connection.links import CallFailed
+from rosemaryknot.process.metrics import gauge
+from rosemaryknot.values.claims import ResultRecord, ResultStored
+from rosemaryknot.values.messages import Message
+
+__all__ = ["AgentCaller", "ArrivalNumbers", "Reports"]
+
+CALL_TIMEOUT_S = 3.0
+REPORT_WAIT_S = 1.0
+REPORT_RETRY_S = 1.0
+MAX_REPORTS = 20_000
+# A new map number counts for requests that arrive this long after it was learned. A
+# process that was paused learns the number and reads old requests from its sockets
+# at the same moment; by then it has read them.
+ADOPTION_DELAY_S = 1.0
+MAX_NUMBERS = 64
+
+REPORTS = gauge("at_most_once_reports", "Results that the agent has not taken yet.")
+
+
+class AgentCaller(Protocol):
+    """The entry's link to its agent."""
+
+    async def call(self, message: Message, timeout_s: float) -> Message | CallFailed:
+        """Send a message to the agent and wait for its answer."""
+
+
+class ArrivalNumbers:
+    """Map numbers by the time from which they count."""
+
+    def __init__(self) -> None:
+        self.numbers: deque[tuple[float, int]] = deque([(0.0, 0)], MAX_NUMBERS)
+
+    @property
+    def newest(self) -> int:
+        """The newest number, whether it counts yet or not."""
+        return self.numbers[-1][1]
+
+    def learn(self, number: int) -> None:
+        """Take in a number that the agent told."""
+        if number > self.newest:
+            self.numbers.append((trio.current_time() + ADOPTION_DELAY_S, number))
+
+    def at(self, arrived_s: float) -> int:
+        """Return the number that counted when a request arrived."""
+        for since_s, number in reversed(self.numbers):
+            if since_s <= arrived_s:
+                return number
+        return 0
+
+
+class Reports:
+    """Results that wait until the agent has taken them.
+
+    Losing one is safe: an open grant keeps the id from running again. It costs the
+    caller's next attempt, which is then told "unknown".
+
+    Parameters
+    ----------
+    agent : AgentCaller
+        The entry's link to its agent.
+    """
+
+    def __init__(self, agent: AgentCaller) -> None:
+        self.agent = agent
+        self.waiting: deque[ResultRecord] = deque(maxlen=MAX_REPORTS)
+        self.added = trio.Event()
+
+    def add(self, result: ResultRecord) -> None:
+        """Let a result be sent in the background."""
+        self.waiting.append(result)
+        REPORTS.set(len(self.waiting))
+        self.added.set()
+
+    async def send(self, result: ResultRecord, timeout_s: float) -> bool:
+        """Send a result; False where the agent did not take it."""
+        reply = await self.agent.call(result, timeout_s)
+        return isinstance(reply, ResultStored) and reply.stored
+
+    async def send_or_add(self, result: ResultRecord) -> None:
+        """Send a result now, or else in the background."""
+        is_sent = False
+        try:
+            is_sent = await self.send(result, REPORT_WAIT_S)
+        finally:
+            if not is_sent:
+                self.add(result)
+
+    async def run(self) -> None:
+        """Send what waits until cancelled."""
+        while True:
+            await self.added.wait()
+            self.added = trio.Event()
+            for _ in range(len(self.waiting)):
+                result = self.waiting.popleft()
+                if not await self.send(result, CALL_TIMEOUT_S):
+                    self.waiting.append(result)
+            REPORTS.set(len(self.waiting))
+            if self.waiting:
+                self.added.set()
+                await trio.sleep(REPORT_RETRY_S)
--- a/src/rosemaryknot/values/claims.py
+++ b/src/rosemaryknot/values/claims.py
@@ -149,6 +149,9 @@
         When to come back; 0 where coming back does not help.
     detail : str
         A sentence for people.
+    maybe_granted : bool
+        Whether the claim may have been granted all the same, by an answer that got
+        lost; the entry then gives it up with a `ResultRecord`.
     """
 
     kind: ClassVar[str]
@@ -156,6 +159,7 @@
     reason: str
     retry_after_s: float = 0.0
     detail: str = ""
+    maybe_granted: bool = False
 
 
 @message("claim_close")
