Prove patch submission: races, lost answers, lost versions

A write may take effect after its timeout, so a read that shows the old version proves nothing: the same conditional write is sent again until the object moves on, and what stays open is unknown, with the patch id.

--- a/src/rosemaryknot/version/document.py
+++ b/src/rosemaryknot/version/document.py
@@ -5,11 +5,12 @@
 """
 
 import json
+import math
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import Any
 
-from jsonschema import Draft202012Validator
+from jsonschema import Draft202012Validator, validators
 from jsonschema.exceptions import ValidationError
 
 __all__ = ["MAX_DOCUMENT_BYTES", "Problem", "document_problems"]
@@ -113,7 +114,16 @@
     keys=table(KEY),
     rules=record(max_capacity_change_share=SHARE),
 )
-VALIDATOR = Draft202012Validator(SCHEMA)
+
+
+def is_finite_number(checker: Any, value: Any) -> bool:
+    """Tell whether a value is a number; JSON as Python reads it also has NaN."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and (isinstance(value, int) or math.isfinite(value))
+
+
+TYPES = Draft202012Validator.TYPE_CHECKER.redefine("number", is_finite_number)
+VALIDATOR = validators.extend(Draft202012Validator, type_checker=TYPES)(SCHEMA)
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/rosemaryknot/version/store.py
+++ b/src/rosemaryknot/version/store.py
@@ -184,18 +184,18 @@
                 answer = await self.write_once(changed)
                 if isinstance(answer, Written):
                     return self.take(changed, accepted, patch.author)
-                if isinstance(answer, Conflict):
-                    result = await self.after_conflict(patch)
-                    if isinstance(result, Accepted):
-                        return self.take(changed, accepted, patch.author)
-                    if not isinstance(result, StoreUnavailable):
-                        return result
-                    reason = result.reason
-                else:
+                if isinstance(answer, PlatformFailed):
                     reason = answer.reason
                     is_maybe_written = is_maybe_written or answer.maybe_done
+                    if not is_maybe_written:
+                        return StoreUnavailable(reason)
+                result = await self.read_back(patch, changed.version)
+                if isinstance(result, Accepted):
+                    return self.take(changed, accepted, patch.author)
+                if isinstance(result, StalePatch):
+                    return result
                 if not is_maybe_written:
-                    return StoreUnavailable(reason)
+                    return StoreUnavailable("the current number cannot be read")
                 await trio.sleep(PAUSE_S)
         return PatchUnknown(patch.patch_id, reason)
 
@@ -209,11 +209,17 @@
             KIND, NAME, changed.to_value(), changed.version
         )
 
-    async def after_conflict(self, patch: Patch) -> SubmitResult:
-        """Tell from the object who won the number."""
+    async def read_back(
+        self, patch: Patch, version: int
+    ) -> Accepted | StalePatch | None:
+        """Tell from the object what came of a write; None where it does not tell.
+
+        An object that still has the version of before proves nothing: the write may
+        be on its way.
+        """
         stored = await self.read()
-        if not isinstance(stored, StoredConfiguration):
-            return stored
+        if not isinstance(stored, StoredConfiguration) or stored.version == version:
+            return None
         if patch.patch_id in stored.patches:
             return Accepted(stored.patches[patch.patch_id], patch.patch_id, [])
         return stale(stored, patch.base)
