Close a caller's connection when its answer ends before its body

Cause: the end of an answer cancels the application's task, which is just closing the connection; hypercorn leaves it open then. Measured in virtual time over the memory network: after a 408 a caller that sends a byte now and then held the connection and its reading task for as long as it liked (30 s watched; now closed at 3.0 s, the body bound of 2 s and one second of linger); after bytes that are no HTTP an idle task stayed for 60 s (now none). HTTP/2 upgrades are refused: a caller who opens no flow-control window stops an answer where no bound on writes holds.

--- a/src/rosemaryknot/connection/http_server.py
+++ b/src/rosemaryknot/connection/http_server.py
@@ -4,6 +4,8 @@
 uses it.
 """
 
+from typing import Any
+
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
@@ -25,6 +27,10 @@
 class Connection(TCPServer):
     """One connection of a caller."""
 
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.read_scope = trio.CancelScope()
+
     async def protocol_send(self, event: Event) -> None:
         """Write to the caller, who may never read.
 
@@ -34,7 +40,7 @@
         since an accepted answer can be picked up again by its id.
         """
         if not isinstance(event, RawData):
-            await super().protocol_send(event)
+            await self.send_event(event)
             return
         with trio.move_on_after(WRITE_TIMEOUT_S, shield=True) as scope:
             await super().protocol_send(event)
@@ -42,6 +48,40 @@
             await trio.aclose_forcefully(self.stream)
             await self.protocol.handle(Closed())
 
+    async def send_event(self, event: Event) -> None:
+        """Handle what is not a write; see that a close is carried out.
+
+        The end of an answer cancels the application's task, which is just closing
+        the connection: hypercorn leaves it open then, and its reading task with it.
+        A caller who sends its body byte by byte would hold both for good.
+        """
+        if not isinstance(event, Closed):
+            await super().protocol_send(event)
+            return
+        with trio.CancelScope(shield=True):
+            await super().protocol_send(event)
+        self.read_scope.cancel()
+
+    async def _read_data(self) -> None:
+        """Read until the connection ends, on either side."""
+        self.refuse_upgrades()
+        with self.read_scope:
+            await super()._read_data()
+        # Hypercorn would wait for the idle bound of a connection that is gone.
+        await self.idle_task.stop()
+
+    def refuse_upgrades(self) -> None:
+        """Stay with HTTP/1.1.
+
+        An HTTP/2 caller who opens no flow-control window stops an answer inside
+        hypercorn, where no bound on writes holds.
+        """
+
+        async def check_protocol(event: object) -> None:
+            return
+
+        self.protocol.protocol._check_protocol = check_protocol
+
 
 class HttpServer:
     """A quart application on an address of the network.
