Let the entry answer its agent's offers of the configuration

The agent pushes a version only after the entry has answered its offer; the entry had no handler for offers, so it never became ready. The handlers that both programs share are registered in place of its own.

--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -12,6 +12,7 @@
 from rosemaryknot.connection.plain_client import PlainClient
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.configuration import ConfigurationHolder
+from rosemaryknot.process.configuration_spread import register_configuration_handlers
 from rosemaryknot.process.detached import Detached
 from rosemaryknot.process.drain import Drain
 from rosemaryknot.process.logs import logger
@@ -26,7 +27,6 @@
 from rosemaryknot.request.plain import PlainRelay
 from rosemaryknot.request.plain_api import PlainApi
 from rosemaryknot.request.relay import ModelRelay
-from rosemaryknot.values.configuration import ConfigurationPush
 from rosemaryknot.values.nodes import Address, Node
 from rosemaryknot.values.servers import LeavingMark, ServersPush, server_from_dict
 from rosemaryknot.version.view import ConfigurationView
@@ -151,14 +151,7 @@
     def new_handlers(self) -> Handlers:
         """Return what to do with messages of the agent."""
         handlers = Handlers()
-
-        @handlers.on(ConfigurationPush)
-        async def take_configuration(
-            push: ConfigurationPush, link: MessageLink
-        ) -> None:
-            self.holder.apply(
-                push.number, push.digest, push.document, "agent", push.settles
-            )
+        register_configuration_handlers(handlers, self.holder)
 
         @handlers.on(ServersPush)
         async def take_servers(push: ServersPush, link: MessageLink) -> None:
