--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -48,8 +48,6 @@
 NONCE_BYTES = 16
 RECEIVE_BYTES = 65536
 HEARTBEAT_S = 1.0
-DIALLED = b"dialled"
-ACCEPTED = b"accepted"
 
 MessageType = TypeVar("MessageType", bound=Message)
 
@@ -229,14 +227,13 @@
         return register
 
 
-def proof_of(key: bytes, side: bytes, nonce: bytes, hello: bytes) -> Proof:
+def proof_of(key: bytes, nonce: bytes, hello: bytes) -> Proof:
     """Return the proof for the other end's nonce and a hello as it was sent.
 
     It covers the bytes on the wire: a newer peer's hello holds fields that this
-    release drops, and would not be the same when encoded again. The side keeps an
-    end's own proof from being sent back to it.
+    release drops, and would not be the same when encoded again.
     """
-    return Proof(hmac.new(key, side + nonce + hello, hashlib.sha256).digest())
+    return Proof(hmac.new(key, nonce + hello, hashlib.sha256).digest())
 
 
 class FrameReader:
@@ -574,8 +571,8 @@
     with hello_bounds():
         await send_raw(stream, hello_sent)
         theirs, hello_read = await read_hello(reader)
-        await check_proof(reader, key, ACCEPTED, hello_sent, hello_read)
-        proof = proof_of(key, DIALLED, theirs.nonce, hello_sent)
+        await check_proof(reader, key, hello_sent, hello_read)
+        proof = proof_of(key, theirs.nonce, hello_sent)
         await send_raw(stream, encode_message(proof))
     return MessageLink(stream, reader, theirs, handlers, traffic)
 
@@ -592,10 +589,10 @@
     reader = FrameReader(stream)
     with hello_bounds():
         theirs, hello_read = await read_hello(reader)
-        proof = proof_of(key, ACCEPTED, theirs.nonce, hello_sent)
+        proof = proof_of(key, theirs.nonce, hello_sent)
         await send_raw(stream, hello_sent)
         await send_raw(stream, encode_message(proof))
-        await check_proof(reader, key, DIALLED, hello_sent, hello_read)
+        await check_proof(reader, key, hello_sent, hello_read)
     return MessageLink(stream, reader, theirs, handlers, traffic)
 
 
@@ -640,13 +637,13 @@
 
 
 async def check_proof(
-    reader: FrameReader, key: bytes, side: bytes, hello_sent: bytes, hello_read: bytes
+    reader: FrameReader, key: bytes, hello_sent: bytes, hello_read: bytes
 ) -> None:
     """Read the other end's proof and compare it."""
     ours, _, _ = decode_message(hello_sent)
     value, _, _ = decode_message(await reader.read_frame(MAX_HELLO_BYTES))
     if not isinstance(value, Proof) or not isinstance(value.mac, bytes):
         raise LinkClosed("expected proof")
-    wanted = proof_of(key, side, ours.nonce, hello_read)
+    wanted = proof_of(key, ours.nonce, hello_read)
     if not hmac.compare_digest(value.mac, wanted.mac):
         raise LinkClosed("wrong cluster key")
