Look whether a kept connection was closed before sending on it

Cause: the client told httpcore nothing of its streams, so a request after the server's keep-alive bound went out on a closed connection and failed with 'server disconnected', which reads like a lost answer.

--- a/src/rosemaryknot/connection/http_client.py
+++ b/src/rosemaryknot/connection/http_client.py
@@ -1,5 +1,6 @@
 """An httpx client whose connections come from our `Network`."""
 
+import select
 import ssl
 from collections.abc import Iterable
 from typing import Any
@@ -81,8 +82,24 @@
         raise httpcore.ConnectError("no TLS on this network")
 
     def get_extra_info(self, info: str) -> Any:
-        """Return nothing; httpcore asks for liveness only."""
-        return None
+        """Tell whether the stream is readable; nothing else is asked."""
+        return is_readable(self.stream) if info == "is_readable" else None
+
+
+def is_readable(stream: trio.abc.HalfCloseableStream) -> bool:
+    """Tell whether a read would return at once.
+
+    A server closes connections that were idle for a while. A request sent over one
+    that is closed already looks as if it had been lost on the way.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return stream.is_readable()
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 class HttpNetwork(httpcore.AsyncNetworkBackend):
