--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,12 @@
 INSTALLED := $(VENV)/installed
 PYTEST_OPTIONS ?=
 
-.PHONY: help venv test lint format
+.PHONY: help venv test lint format demo cluster
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
+	@echo "make demo    run three zones on loopback, reclaim one under load, and report"
+	@echo "make cluster run the demo's zones without load until Ctrl-C, to try things out"
 	@echo "make test    run all tests and doctests"
 	@echo "make lint    check format and lint rules"
 	@echo "make format  format the code and mend what the linter can"
@@ -40,3 +42,9 @@
 format: venv
 	@$(BIN)/ruff format .
 	@$(BIN)/ruff check --fix .
+
+demo: venv
+	@$(BIN)/python scripts/demo.py
+
+cluster: venv
+	@$(BIN)/python scripts/demo.py --stay
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -12,6 +12,7 @@
 import typer
 from demo_fleet import Fleet, Plan, make_plan, say
 from demo_load import READ_TIMEOUT_S, Balancer, Caller, Request, make_requests
+from demo_operator import submit_patches
 from demo_report import Ledgers, Summary, print_table, summarize
 
 from rosemaryknot.connection.http_client import http_client
@@ -22,6 +23,7 @@
 FOLDER = Path(__file__).resolve().parent.parent / ".demo"
 RECLAIMED_ZONE = "waco-a"
 LOAD_S = 16.0
+PATCH_AT_S = 2.5
 RECLAIM_AT_S = 4.0
 NOTICE_S = 3.0
 PROGRESS_S = 2.0
@@ -85,6 +87,7 @@
             watchers.start_soon(self.show_progress)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.reclaim, start_s)
+                nursery.start_soon(self.operate, start_s)
                 for request in self.requests:
                     nursery.start_soon(self.see_through, caller, request, start_s)
             watchers.cancel_scope.cancel()
@@ -102,6 +105,11 @@
             await trio.sleep(PROGRESS_S)
             say(f"{self.finished} of {len(self.requests)} requests are finished")
 
+    async def operate(self, start_s: float) -> None:
+        """Let the operator submit patches under load."""
+        await trio.sleep_until(start_s + PATCH_AT_S)
+        await submit_patches(self.client, self.plan)
+
     async def reclaim(self, start_s: float) -> None:
         """Reclaim a zone: notice, a few seconds, and its servers are gone."""
         await trio.sleep_until(start_s + RECLAIM_AT_S)
@@ -140,36 +148,53 @@
     await trio.sleep_forever()
 
 
-async def run_demo(plan: Plan, stay: bool) -> int:
-    """Run the demo; the processes are ended whatever happens."""
-    code = EXIT_INTERRUPTED
-    client = http_client(SocketNetwork(), READ_TIMEOUT_S)
-    async with client, trio.open_nursery() as nursery:
+async def run_to_end(demo: Demo, stay: bool) -> Summary | None:
+    """Run the demo; the processes are ended whatever happens.
+
+    Returns
+    -------
+    summary : Summary or None
+        None where it was interrupted.
+    """
+    summary = None
+    async with trio.open_nursery() as nursery:
         await nursery.start(cancel_on_signal, nursery.cancel_scope)
-        demo = Demo(plan, client)
         try:
-            code = await (stay_up(demo) if stay else report(demo))
-        except RuntimeError as error:
-            say(f"failed: {error}")
-            code = EXIT_FAILED
+            summary = await (stay_up(demo) if stay else demo.run())
         finally:
             with trio.CancelScope(shield=True):
                 codes = await demo.fleet.stop_all()
-            bad = {name: number for name, number in codes.items() if number}
+            bad = {name: code for name, code in codes.items() if code}
             if bad:
-                say(f"exit codes other than 0: {bad}")
+                say(f"ended with a code other than 0: {bad}")
         nursery.cancel_scope.cancel()
-    return code
+    return summary
 
 
-async def report(demo: Demo) -> int:
+async def run_demo(plan: Plan, stay: bool) -> int:
     """Run the demo and print its figures; returns the exit code."""
-    summary = await demo.run()
-    print_table(demo.requests)
+    async with http_client(SocketNetwork(), READ_TIMEOUT_S) as client:
+        demo = Demo(plan, client)
+        summary, code = None, EXIT_INTERRUPTED
+        try:
+            summary = await run_to_end(demo, stay)
+        except* (RuntimeError, httpx.HTTPError) as errors:
+            say(f"failed: {first_error(errors)}")
+            code = EXIT_FAILED
+    if summary is None:
+        return code
+    print_table(demo.requests, demo.ledgers)
     print(json.dumps(asdict(summary)), flush=True)
     return 0 if summary.is_good else EXIT_FAILED
 
 
+def first_error(error: BaseException) -> BaseException:
+    """Return the first error of nested groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def main(
     stay: Annotated[
         bool, typer.Option(help="Start everything, send nothing, and stay up.")
--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -19,7 +19,17 @@
 from rosemaryknot.version.stored import StoredConfiguration
 from rosemaryknot.version.view import new_key, new_operator_key
 
-__all__ = ["Fleet", "Plan", "Process", "ZONES", "make_plan", "say"]
+__all__ = [
+    "OPERATOR",
+    "ZONES",
+    "Fleet",
+    "NodePlan",
+    "Plan",
+    "Process",
+    "ServerPlan",
+    "make_plan",
+    "say",
+]
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 ZONES = ("waco-a", "waco-b", "temple-c")
@@ -185,8 +195,8 @@
 def write_files(plan: Plan) -> None:
     """Write the settings of all processes."""
     plan.folder.mkdir(parents=True, exist_ok=True)
-    (plan.folder / "cluster-key").write_text(secrets.token_hex(32))
-    (plan.folder / "keys.json").write_text(json.dumps(plan.keys, indent=2))
+    write_secret(plan.folder / "cluster-key", secrets.token_hex(32))
+    write_secret(plan.folder / "keys.json", json.dumps(plan.keys, indent=2))
     for node in plan.nodes:
         write_json(plan.folder / f"settings-{node.name}.json", settings_of(plan, node))
     for zone in ZONES:
@@ -204,6 +214,12 @@
     write_json(plan.folder / "instances.json", listed)
 
 
+def write_secret(file: Path, text: str) -> None:
+    """Write a file that nobody else may read."""
+    file.touch(mode=0o600)
+    file.write_text(text + "\n")
+
+
 def write_json(file: Path, value: Any) -> None:
     """Write a JSON file for people and programs."""
     file.write_text(json.dumps(value, indent=2) + "\n")
--- a/scripts/demo_report.py
+++ b/scripts/demo_report.py
@@ -116,7 +116,14 @@
     )
 
 
-def print_table(requests: list[Request]) -> None:
+def moved_requests(ledgers: Ledgers) -> int:
+    """Count the model calls that more than one engine worked on."""
+    started = [entry for entry in ledgers.generations if entry.started_unix_s >= 0]
+    engines = Counter(entry.id for entry in started)
+    return sum(count > 1 for count in engines.values())
+
+
+def print_table(requests: list[Request], ledgers: Ledgers) -> None:
     """Print the outcomes by kind, and each request that was not answered."""
     heads = ["kind", "sent", *OUTCOMES, "picked up", "median s", "slowest s"]
     rows = [row_of(kind.name, requests) for kind in KINDS]
@@ -129,6 +136,7 @@
         cells[0] = str(row[0]).ljust(widths[0])
         print("  ".join(cells))
     print()
+    print(f"demo: {moved_requests(ledgers)} model calls went on at another engine")
     for request in requests:
         if request.outcome != "answered" or request.crossed:
             crossed = ", crossed" if request.crossed else ""
