--- a/src/rosemaryknot/connection/engine_client.py
+++ b/src/rosemaryknot/connection/engine_client.py
@@ -272,8 +272,8 @@
         such a connection is passed on from that frame; the text so far stays, since
         each of its frames carried our id and lineage.
         """
-        if self.check_id and fields.get("id") != self.call.request_id:
-            self.end = Crossed("id")
+        if fields.get("id") != self.call.request_id:
+            self.end = Crossed("id") if self.check_id else None
         elif self.check_lineage and fields.get("lineage") != self.call.lineage:
             self.end = Crossed("lineage")
         return self.end is None
--- a/src/rosemaryknot/request/moves.py
+++ b/src/rosemaryknot/request/moves.py
@@ -200,18 +200,15 @@
     ) -> None:
         """Move a stream's KV cache while it goes on, then switch over."""
         request_id = attempt.generation.request_id
-        export = await self.engines.export_kv(server, request_id)
-        if attempt.end is not None:
-            return
-        if export is None:
-            self.leave(attempt)
-            return
-        self.bytes_per_token = export.size / max(1, export.tokens)
         tried: set[str] = set()
         while attempt.end is None:
-            left_s = deadline_s - trio.current_time() - CUTOVER_MARGIN_S
+            # Each try takes a new export, which covers what was emitted since.
+            export = await self.engines.export_kv(server, request_id)
+            if attempt.end is not None:
+                return
             targets = self.targets(attempt, tried)
-            if not targets or export.size / self.bytes_per_s > left_s:
+            left_s = deadline_s - trio.current_time() - CUTOVER_MARGIN_S
+            if export is None or not targets or self.transfer_s(export) > left_s:
                 self.leave(attempt)
                 return
             target = choose_target(server, targets).server
@@ -219,6 +216,11 @@
                 attempt.stop(Moved(target, export.tokens))
             tried.add(target.instance)
 
+    def transfer_s(self, export: KvExport) -> float:
+        """Return the time to fetch an export, and learn the size of a token."""
+        self.bytes_per_token = export.size / max(1, export.tokens)
+        return export.size / self.bytes_per_s
+
     async def import_at(
         self, target: BackendServer, attempt: Attempt, export: KvExport, left_s: float
     ) -> bool:
--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -3,7 +3,6 @@
 import secrets
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import trio
 
@@ -17,16 +16,16 @@
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.configuration import ConfigurationHolder
-from rosemaryknot.process.logs import logger
-from rosemaryknot.process.metrics import counter, gauge, histogram
 from rosemaryknot.process.prefix_estimate import Guess, prompt_blocks
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.process.server_load import LoadTable
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.request.attempts import Attempt, AttemptEnd, Leave, Moved, Silent
+from rosemaryknot.request.course import Course
 from rosemaryknot.request.generations import Generation, GenerationTable
 from rosemaryknot.request.moves import Mover
+from rosemaryknot.request.relay_records import note_begun, note_end, note_outcome
 from rosemaryknot.request.router import Prompt, Router
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Unknown
@@ -36,72 +35,16 @@
 
 NO_SERVER_RETRY_S = 2.0
 NO_SERVER_WAIT_S = 60.0
-FIRST_EXCLUSION_S = 0.1
-LONGEST_EXCLUSION_S = 5.0
-MAX_RESUMES_HERE = 3
 RECOVERED_PRIORITY = -1
 CALLERS_FAULTS = frozenset({400, 413, 422})
 LINEAGE_BYTES = 6
 
-log = logger("relay")
-running_gauge = gauge("generations_running", "Accepted model requests without outcome.")
-outcomes = counter("generations_total", "Ended model requests, by outcome.")
-emitted = counter("answer_tokens_total", "Tokens emitted to callers.")
-attempt_ends = counter("attempts_total", "Attempts on backend servers, by their end.")
-recomputed = counter("recomputed_tokens_total", "Tokens computed again, by estimate.")
-first_token = histogram("first_token_seconds", "Arrival to first token, in seconds.")
 
-
-@dataclass(slots=True)
-class Course:
-    """Where a generation stands between two attempts.
-
-    Attributes
-    ----------
-    prompt : Prompt
-        Its prompt, as routing sees it.
-    next_server : BackendServer or None
-        Where the next attempt goes without a choice.
-    moved_tokens : int
-        Tokens whose KV cache is at the next server.
-    joins : bool
-        Whether the next server is still at work on it.
-    restart : bool
-        Whether the next attempt computes the answer from its start.
-    was_sent : bool
-        Whether any server may have computed something.
-    resumes_here : int
-        Resumes at the same server since the last token.
-    progress : int
-        Tokens at the last resume.
-    failures : int
-        Failed attempts since the last token.
-    excluded : dict of str to float
-        Instances that failed it, with the trio time until when they are avoided.
-    """
-
-    prompt: Prompt
-    next_server: BackendServer | None = None
-    moved_tokens: int = 0
-    joins: bool = False
-    restart: bool = False
-    was_sent: bool = False
-    resumes_here: int = 0
-    progress: int = 0
-    failures: int = 0
-    excluded: dict[str, float] = field(default_factory=dict)
-
-    def exclude(self, server: BackendServer) -> None:
-        """Avoid a server for a while, each time for longer."""
-        length_s = min(LONGEST_EXCLUSION_S, FIRST_EXCLUSION_S * 2**self.failures)
-        self.failures += 1
-        self.excluded[server.instance] = trio.current_time() + length_s
-
-    def still_excluded(self) -> dict[str, float]:
-        """Return the exclusions that are in force."""
-        now_s = trio.current_time()
-        self.excluded = {k: v for k, v in self.excluded.items() if v > now_s}
-        return self.excluded
+def may_have_run(end: AttemptEnd) -> bool:
+    """Tell whether a server may have computed something in an attempt."""
+    if isinstance(end, Broken):
+        return end.sent
+    return not isinstance(end, Refused)
 
 
 class ModelRelay:
@@ -235,7 +178,7 @@
 
     def begin(self, generation: Generation) -> None:
         """Run a prepared generation."""
-        running_gauge.add(1)
+        note_begun(generation)
         self.nursery.start_soon(self.run_generation, generation)
 
     def give_up(self, generation: Generation, outcome: NotRun | Unknown) -> None:
@@ -257,7 +200,8 @@
         finally:
             # Followers are told even when the process ends: no stream ends silently.
             generation.finish(Unknown(Reason.STOPPING, "the instance stopped"))
-            self.note_outcome(generation)
+            self.table.note_finished(generation)
+            note_outcome(generation)
 
     async def run_attempt(self, generation: Generation, course: Course) -> None:
         """Make one attempt and draw the conclusions."""
@@ -269,10 +213,9 @@
             return
         attempt = self.new_attempt(generation, course, server)
         guess = self.router.guess(server, course.prompt)
-        course.next_server, course.moved_tokens = None, 0
-        course.joins = course.restart = False
+        course.start_attempt(server)
         end = await self.stream(attempt)
-        self.note_end(attempt, end)
+        note_end(attempt, end)
         self.conclude(attempt, course, guess, end)
 
     async def stream(self, attempt: Attempt) -> AttemptEnd:
@@ -343,10 +286,8 @@
     ) -> None:
         """Decide what follows from how an attempt ended."""
         generation, server = attempt.generation, attempt.server
-        if len(generation.tokens) > course.progress:
-            course.progress = len(generation.tokens)
-            course.resumes_here = course.failures = 0
-        course.was_sent |= not isinstance(end, Refused | Broken) or attempt.heard > 0
+        course.note_progress(len(generation.tokens))
+        course.was_sent |= may_have_run(end)
         match end:
             case Finished():
                 self.note_finished(attempt, course, guess, end)
@@ -358,7 +299,8 @@
             case Refused():
                 course.exclude(server)
             case Silent(resume_here=True) | Crossed():
-                self.resume_here(course, server)
+                if not course.resume_here(server):
+                    self.health.note_failure(server.instance)
             case Moved(target=target, tokens=tokens):
                 course.next_server, course.moved_tokens = target, tokens
                 self.cancel_at(server, generation)
@@ -367,45 +309,14 @@
                 course.exclude(server)
                 self.cancel_at(server, generation)
             case _:
-                course.was_sent |= not isinstance(end, Broken) or end.sent
                 self.health.note_failure(server.instance)
                 course.exclude(server)
                 self.cancel_at(server, generation)
 
-    def resume_here(self, course: Course, server: BackendServer) -> None:
-        """Go on at the same server over a new connection, a few times at most."""
-        course.resumes_here += 1
-        if course.resumes_here > MAX_RESUMES_HERE:
-            self.health.note_failure(server.instance)
-            course.exclude(server)
-            return
-        course.next_server = server
-        course.joins = True
-
     def cancel_at(self, server: BackendServer, generation: Generation) -> None:
         """Free the slot of an abandoned attempt; nobody waits for the answer."""
         self.nursery.start_soon(self.engines.cancel, server, generation.request_id)
 
-    def note_end(self, attempt: Attempt, end: AttemptEnd) -> None:
-        """Log and count how an attempt ended."""
-        generation, name = attempt.generation, type(end).__name__.lower()
-        attempt_ends.add(service=generation.service, end=name)
-        if attempt.first_offset == 0 and attempt.has_token:
-            request = generation.request
-            started_s = attempt.started_s + attempt.first_token_s
-            first_token.observe(started_s - request.arrived_s, service=request.service)
-        if isinstance(end, Finished):
-            return
-        detail = getattr(end, "detail", "")
-        log.info(
-            f"attempt at {attempt.server.instance} ended: {name}",
-            request=generation.request_id,
-            attempt=generation.attempts,
-            emitted=len(generation.tokens),
-            detail=detail,
-        )
-        generation.tell(f"relay: {attempt.server.instance}: {name} {detail}".rstrip())
-
     def note_finished(
         self, attempt: Attempt, course: Course, guess: Guess, end: Finished
     ) -> None:
@@ -441,24 +352,8 @@
     def time_out(self, generation: Generation, course: Course) -> None:
         """End a generation whose deadline has passed."""
         detail = "the deadline of the request has passed"
-        if course.was_sent or generation.tokens or generation.attempts:
+        if course.server is not None:
+            self.cancel_at(course.server, generation)
             generation.finish(Unknown(Reason.TIMED_OUT, detail))
         else:
             generation.finish(NotRun(Reason.TIMED_OUT, 1.0, detail))
-
-    def note_outcome(self, generation: Generation) -> None:
-        """Log and count an outcome."""
-        self.table.note_finished(generation)
-        name = type(generation.outcome).__name__.lower()
-        running_gauge.add(-1)
-        outcomes.add(service=generation.service, outcome=name)
-        emitted.add(len(generation.tokens), service=generation.service)
-        recomputed.add(generation.recomputed_tokens, service=generation.service)
-        log.info(
-            f"ended: {name}",
-            request=generation.request_id,
-            tokens=len(generation.tokens),
-            attempts=generation.attempts,
-            recomputed=generation.recomputed_tokens,
-        )
-        generation.tell(f"relay: ended: {name}")
--- /dev/null
+++ b/src/rosemaryknot/request/relay_records.py
@@ -0,0 +1,68 @@
+"""Log lines, metrics and story of model requests."""
+
+from rosemaryknot.connection.engine_client import Finished
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter, gauge, histogram
+from rosemaryknot.request.attempts import Attempt, AttemptEnd
+from rosemaryknot.request.generations import Generation
+
+__all__ = ["note_begun", "note_end", "note_outcome"]
+
+log = logger("relay")
+running_gauge = gauge("generations_running", "Accepted model requests without outcome.")
+outcomes = counter("generations_total", "Ended model requests, by outcome.")
+emitted = counter("answer_tokens_total", "Tokens emitted to callers.")
+attempt_ends = counter("attempts_total", "Attempts on backend servers, by their end.")
+recomputed = counter("recomputed_tokens_total", "Tokens computed again, by estimate.")
+first_token = histogram("first_token_seconds", "Arrival to first token, in seconds.")
+
+
+def note_begun(generation: Generation) -> None:
+    """Log and count an accepted request."""
+    running_gauge.add(1)
+    log.info(
+        "accepted",
+        request=generation.request_id,
+        service=generation.service,
+        lineage=generation.lineage,
+        emitted=len(generation.tokens),
+    )
+    generation.tell(f"relay: accepted as lineage {generation.lineage}")
+
+
+def note_end(attempt: Attempt, end: AttemptEnd) -> None:
+    """Log and count how an attempt ended."""
+    generation, name = attempt.generation, type(end).__name__.lower()
+    attempt_ends.add(service=generation.service, end=name)
+    if attempt.first_offset == 0 and attempt.has_token:
+        request = generation.request
+        started_s = attempt.started_s + attempt.first_token_s
+        first_token.observe(started_s - request.arrived_s, service=request.service)
+    if isinstance(end, Finished):
+        return
+    detail = getattr(end, "detail", "")
+    log.info(
+        f"attempt at {attempt.server.instance} ended: {name}",
+        request=generation.request_id,
+        attempt=generation.attempts,
+        emitted=len(generation.tokens),
+        detail=detail,
+    )
+    generation.tell(f"relay: {attempt.server.instance}: {name} {detail}".rstrip())
+
+
+def note_outcome(generation: Generation) -> None:
+    """Log and count an outcome."""
+    name = type(generation.outcome).__name__.lower()
+    running_gauge.add(-1)
+    outcomes.add(service=generation.service, outcome=name)
+    emitted.add(len(generation.tokens), service=generation.service)
+    recomputed.add(generation.recomputed_tokens, service=generation.service)
+    log.info(
+        f"ended: {name}",
+        request=generation.request_id,
+        tokens=len(generation.tokens),
+        attempts=generation.attempts,
+        recomputed=generation.recomputed_tokens,
+    )
+    generation.tell(f"relay: ended: {name}")
--- /dev/null
+++ b/tests/request/test_move_plan.py
@@ -0,0 +1,86 @@
+"""Tests of move plans and of the choice of targets."""
+
+from rosemaryknot.request.move_plan import (
+    MoveAction,
+    MoveInput,
+    StreamFacts,
+    TargetFacts,
+    choose_target,
+    plan_moves,
+)
+from rosemaryknot.values.nodes import BackendServer
+
+
+def stream(name, prompt=1000, emitted=500, remaining=5000, **changes) -> StreamFacts:
+    return StreamFacts(name, prompt, emitted, remaining, 0.003, **changes)
+
+
+def plan(streams, time_left_s=3.0, policy="planned_moves", moves_kv=True):
+    given = MoveInput(streams, time_left_s, moves_kv, 131_072, 1e9)
+    return [(s.request_id, str(s.action)) for s in plan_moves(policy, given)]
+
+
+class TestPlannedMoves:
+    def test_what_ends_in_time_is_left_alone(self):
+        streams = [stream("short", remaining=800), stream("long", remaining=1000)]
+        assert plan(streams) == [("short", "finish"), ("long", "move")]
+
+    def test_what_does_not_fit_is_resumed_first(self):
+        """Twelve seconds of transfers and three seconds of notice.
+
+        Resumes cost no transfer and start at once; the moves that fit follow. A
+        stream too large for the room that is left does not keep a smaller one out.
+        """
+        streams = [stream(f"s{n}", prompt=15_000) for n in range(5)]
+        steps = plan([*streams, stream("small", prompt=300, emitted=100)])
+        assert [action for _, action in steps] == ["resume"] * 4 + ["move"] * 2
+        assert steps[-1] == ("small", "move")
+
+    def test_most_tokens_at_risk_for_each_second_go_first(self):
+        """A prompt that another server has cached costs little to resume."""
+        cached = stream("cached", prompt=9_000, cached_elsewhere=8_900)
+        fresh = stream("fresh", prompt=9_000)
+        assert plan([cached, fresh])[-2:] == [("fresh", "move"), ("cached", "move")]
+        assert plan([cached, fresh], 2.0)[-1] == ("fresh", "move")
+
+    def test_nothing_to_export(self):
+        assert plan([stream("a", exportable=False)]) == [("a", "resume")]
+        assert plan([stream("a")], moves_kv=False) == [("a", "resume")]
+        assert plan([stream("a")], time_left_s=0.0) == [("a", "resume")]
+
+    def test_baselines(self):
+        streams = [stream("a"), stream("b", remaining=1)]
+        for policy, action in (
+            ("always_restart", MoveAction.RESTART),
+            ("always_resume", MoveAction.RESUME),
+        ):
+            assert plan(streams, policy=policy) == [("a", action), ("b", action)]
+
+
+def server(name, zone, machine_class="g1", reclaimable=True) -> BackendServer:
+    return BackendServer(name, "s", zone, machine_class, reclaimable, "10.0.0.1:1")
+
+
+class TestChooseTarget:
+    def test_another_zone_and_class_goes_before_less_load(self):
+        source = server("a", "waco-a")
+        same_zone = TargetFacts(server("b", "waco-a", "g2"), requests=0)
+        same_class = TargetFacts(server("c", "waco-b"), requests=0)
+        apart = TargetFacts(server("d", "waco-b", "g2"), requests=20)
+        for targets, best in (
+            ([same_zone, same_class, apart], "d"),
+            ([same_zone, same_class], "c"),
+        ):
+            assert choose_target(source, targets).server.instance == best
+
+    def test_on_demand_server_is_safe_in_any_zone(self):
+        source = server("a", "waco-a")
+        here = TargetFacts(server("b", "waco-a", reclaimable=False), requests=0)
+        there = TargetFacts(server("c", "waco-b"), requests=0)
+        assert choose_target(source, [here, there]).server.instance == "b"
+
+    def test_imports_are_spread(self):
+        source = server("a", "waco-a")
+        busy = TargetFacts(server("b", "waco-b"), importing=2)
+        loaded = TargetFacts(server("c", "waco-b"), requests=9)
+        assert choose_target(source, [busy, loaded]).server.instance == "c"
