--- a/src/rosemaryknot/standin/platform.py
+++ b/src/rosemaryknot/standin/platform.py
@@ -155,12 +155,12 @@
         app.config["MAX_CONTENT_LENGTH"] = MAX_VALUE_BYTES
         add = app.add_url_rule
         add("/objects/<kind>", "list", self.list_objects)
-        add("/objects/<kind>/<name>", "read", self.read)
-        add("/objects/<kind>/<name>", "write", self.write, methods=["PUT", "DELETE"])
+        add("/objects/<kind>/<path:name>", "read", self.read)
+        add("/objects/<kind>/<path:name>", "write", self.write, methods=["PUT", "DELETE"])
         add("/instances", "instances", self.list_instances)
-        add("/instances/<name>", "instance", self.read_instance)
+        add("/instances/<path:name>", "instance", self.read_instance)
         add("/cloud/instances", "start", self.start, methods=["POST"])
-        add("/cloud/instances/<name>", "release", self.release, methods=["DELETE"])
+        add("/cloud/instances/<path:name>", "release", self.release, methods=["DELETE"])
         add("/cloud/notices", "notices", self.follow_notices)
         add("/cloud/prices", "prices", self.list_prices)
         app.before_request(self.before)
