Start the idle bound of a caller's connection also when its answer ends

Cause: as with the close, the end of an answer cancels the application's task while it starts the idle bound; a kept connection then stayed for the read bound of 120 s.

--- a/src/rosemaryknot/connection/http_server.py
+++ b/src/rosemaryknot/connection/http_server.py
@@ -49,18 +49,17 @@
             await self.protocol.handle(Closed())
 
     async def send_event(self, event: Event) -> None:
-        """Handle what is not a write; see that a close is carried out.
+        """Carry out what is not a write, also when the application is cancelled.
 
         The end of an answer cancels the application's task, which is just closing
-        the connection: hypercorn leaves it open then, and its reading task with it.
-        A caller who sends its body byte by byte would hold both for good.
+        the connection or starting its idle bound. Hypercorn leaves the connection
+        open then, without a bound: a caller who sends its body byte by byte would
+        hold it and its reading task for good.
         """
-        if not isinstance(event, Closed):
-            await super().protocol_send(event)
-            return
         with trio.CancelScope(shield=True):
             await super().protocol_send(event)
-        self.read_scope.cancel()
+        if isinstance(event, Closed):
+            self.read_scope.cancel()
 
     async def _read_data(self) -> None:
         """Read until the connection ends, on either side."""
