--- a/src/rosemaryknot/connection/plain_client.py
+++ b/src/rosemaryknot/connection/plain_client.py
@@ -65,6 +65,20 @@
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
+def answer_headers(
+    method: str, headers: list[tuple[str, str]]
+) -> list[tuple[str, str]]:
+    """Return the headers of an answer that are passed on.
+
+    The date is ours to give; a ``HEAD`` answer has no other length than the one that
+    the server told.
+    """
+    passed = [pair for pair in passed_headers(headers) if pair[0].lower() != "date"]
+    if method == "HEAD":
+        passed += [pair for pair in headers if pair[0].lower() == "content-length"]
+    return passed
+
+
 def is_leaving(answer: Answered) -> bool:
     """Tell whether a server refused because it is leaving."""
     return answer.status == UNAVAILABLE and any(
@@ -164,7 +178,7 @@
         finally:
             with trio.CancelScope(shield=True):
                 await response.aclose()
-        headers = passed_headers(response.headers.multi_items())
+        headers = answer_headers(request.method, response.headers.multi_items())
         return Answered(response.status_code, headers, bytes(body))
 
     async def aclose(self) -> None:
--- a/src/rosemaryknot/request/answers.py
+++ b/src/rosemaryknot/request/answers.py
@@ -140,7 +140,8 @@
     """
     if isinstance(outcome, Answered):
         response = Response(outcome.body, outcome.status)
-        del response.headers["content-type"]
+        for name in {name for name, _ in outcome.headers} | {"content-type"}:
+            response.headers.pop(name, None)
         for name, value in outcome.headers:
             response.headers.add(name, value)
         response.headers[REQUEST_HEADER] = request_id
