--- a/tests/process/entry_fleet.py
+++ b/tests/process/entry_fleet.py
@@ -19,7 +19,7 @@
 from rosemaryknot.standin.plain import PlainStandIn
 from rosemaryknot.values.configuration import ConfigurationPush, document_digest
 from rosemaryknot.values.nodes import Address, BackendServer
-from rosemaryknot.values.servers import ServersPush, server_to_dict
+from rosemaryknot.values.servers import LeavingMark, ServersPush, server_to_dict
 from rosemaryknot.version.view import new_key
 
 EPOCH_S = 1_000_000.0
@@ -66,7 +66,9 @@
         self.address = address
         self.handlers = Handlers()
         self.links = []
+        self.marks = []
         self.scope = trio.CancelScope()
+        self.handlers.on(LeavingMark)(self.take_mark)
         claims = ObjectClaims(fleet.store, unix_time)
         register_claim_handlers(
             self.handlers, {"objects": claims}, lambda service: "objects"
@@ -89,6 +91,9 @@
             nursery.start_soon(link.run)
             await self.push(link)
 
+    async def take_mark(self, mark, link):
+        self.marks.append(mark)
+
     async def push(self, link):
         document = self.fleet.document
         await link.send(ConfigurationPush(1, document_digest(document), document))
