Read engine streams through a transport of their own

The pool of httpcore runs several generators, a lock and a context manager for each chunk, and a chunk is one token. A transport on httpx's public extension point, one connection for each request, passes a chunk from the socket through h11 to the reader.

--- a/src/rosemaryknot/connection/engine_client.py
+++ b/src/rosemaryknot/connection/engine_client.py
@@ -8,8 +8,8 @@
 import httpx
 import trio
 
-from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.stream_transport import stream_client
 from rosemaryknot.values.nodes import BackendServer
 
 __all__ = [
@@ -309,7 +309,7 @@
     def __init__(
         self, network: Network, check_id: bool = True, check_lineage: bool = True
     ) -> None:
-        self.client = http_client(network, ASK_TIMEOUT_S)
+        self.client = stream_client(network, CONNECT_TIMEOUT_S)
         self.check_id = check_id
         self.check_lineage = check_lineage
 
@@ -337,16 +337,12 @@
             How the stream ended.
         """
         checker = FrameChecker(call, self.check_id, self.check_lineage)
-        # No read timeout: silence is noticed by who knows the engine's step time,
-        # and a timer for each read costs as much as the token.
-        timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
         try:
             async with self.client.stream(
                 "POST",
                 f"http://{server.address}/v1/chat/completions",
                 content=call.payload(),
                 headers={**HEADERS, "content-type": "application/json"},
-                timeout=timeout,
             ) as response:
                 if response.status_code != httpx.codes.OK:
                     leaving = response.headers.get(LEAVING_HEADER) == "1"
@@ -423,7 +419,6 @@
                     f"http://{server.address}{path}",
                     json=body,
                     headers=HEADERS,
-                    timeout=timeout_s,
                 )
                 answer = response.json() if response.is_success else None
             except (httpx.HTTPError, ValueError):
--- a/tests/request/test_relay.py
+++ b/tests/request/test_relay.py
@@ -372,6 +372,7 @@
         by nobody.
         """
         fleet = await Fleet().start(nursery, "waco-a", "waco-b", slots=2)
+        await trio.sleep(2)  # the first load reports tell the number of slots
         generations = await self.running(nursery, fleet, 4, max_tokens=1000, priority=5)
         lost = fleet.server_of(generations[0])
         fleet.kill(lost)
