--- a/scripts/demo_load.py
+++ b/scripts/demo_load.py
@@ -19,6 +19,7 @@
 READ_TIMEOUT_S = 20.0
 MAX_ATTEMPTS = 4
 MAX_WAIT_S = 2.0
+LONG_SHARE = 0.3
 REPEAT_SHARE = 0.25
 REPEAT_AFTER_S = 0.05
 WORDS = ("post", "beam", "rafter", "brace", "sill", "girt", "plate", "visit", "cat")
@@ -57,11 +58,11 @@
 
 
 KINDS = (
-    Kind("plan set", "kit-assistant", "estimator-1", 8, "accepted", "", 600, 1200),
+    Kind("plan set", "kit-assistant", "estimator-1", 10, "accepted", "", 600, 1600),
     Kind("quick question", "kit-assistant", "estimator-2", 24, "stream", "", 30, 48),
     Kind("booking", "dispatch-app", "dispatcher", 24, "once", "/bookings"),
     Kind("stock check", "dispatch-app", "dispatcher", 24, "get", "/stock"),
-    Kind("care brief", "brief-writer", "sitter-match", 8, "accepted", "", 200, 900),
+    Kind("care brief", "brief-writer", "sitter-match", 10, "accepted", "", 200, 1200),
     Kind("chat draft", "brief-writer", "sitter-app", 24, "stream", "", 20, 40),
     Kind("check-in alert", "visit-notify", "sitter-app", 24, "once", "/alerts"),
     Kind("availability ping", "visit-notify", "sitter-app", 24, "get", "/ping"),
@@ -163,13 +164,13 @@
 
 
 def make_requests(duration_s: float, seed: int) -> list[Request]:
-    """Make the mix of both users' requests, the long ones in its first half."""
+    """Make the mix of both users' requests, the long ones at its start."""
     rng = random.Random(seed)
     kinds = [kind for kind in KINDS for _ in range(kind.count)]
     rng.shuffle(kinds)
     requests = []
     for number, kind in enumerate(kinds, 1):
-        until_s = duration_s / 2 if kind.form == "accepted" else duration_s
+        until_s = duration_s * LONG_SHARE if kind.form == "accepted" else duration_s
         requests.append(Request(kind, number, rng.uniform(0, until_s)))
     return requests
 
