--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,15 @@
 INSTALLED := $(VENV)/installed
 PYTEST_OPTIONS ?=
 
-.PHONY: help venv test lint format demo cluster
+.PHONY: help venv test lint format demo cluster faults
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
 	@echo "make demo    run three zones on loopback, reclaim one under load, and report"
 	@echo "make cluster run the demo's zones without load until Ctrl-C, to try things out"
 	@echo "make test    run all tests and doctests"
+	@echo "make faults SEEDS=200   run the system in virtual time under seeded faults"
+	@echo "make faults SEED=7      run one seed again, with its decision log"
 	@echo "make lint    check format and lint rules"
 	@echo "make format  format the code and mend what the linter can"
 
@@ -48,3 +50,12 @@
 
 cluster: venv
 	@$(BIN)/python scripts/demo.py --stay
+
+SEEDS ?= 20
+
+faults: venv
+ifdef SEED
+	@$(BIN)/rosemaryknot-replay faults --seed $(SEED)
+else
+	@$(BIN)/python scripts/faults.py $(SEEDS) $(FAULT_OPTIONS)
+endif
--- /dev/null
+++ b/src/rosemaryknot/replay/fault_kinds.py
@@ -0,0 +1,245 @@
+"""Faults that a run can meet, in a registry that decorators fill.
+
+Each fault is an async function of the running system and a random generator. It
+begins a fault, holds it for a while and ends it; several run at once.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rosemaryknot.replay.system import NodeProcesses, ServerProcess, System
+from rosemaryknot.standin.plain import PlainFault, PlainStandIn
+from rosemaryknot.standin.platform_faults import OUTAGE_REFUSE, OUTAGE_SILENT
+from rosemaryknot.values.nodes import ServerState
+
+__all__ = ["FAULTS", "Fault", "fault"]
+
+Fault = Callable[[System, random.Random], Awaitable[None]]
+
+FAULTS: dict[str, Fault] = {}
+
+NOTICE_S = (2.0, 4.0)
+RESTART_S = (0.3, 3.0)
+HOLD_S = (0.3, 8.0)
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a fault under a name.
+
+    Parameters
+    ----------
+    name : str
+        As reports name it.
+
+    Returns
+    -------
+    decorator : callable
+        Returns the function unchanged.
+    """
+
+    def register(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+def any_node(system: System, rng: random.Random) -> NodeProcesses:
+    """Return a node."""
+    return system.nodes[rng.choice(sorted(system.nodes))]
+
+
+def live_servers(system: System, plain: bool | None = None) -> list[ServerProcess]:
+    """Return the servers that live, of one kind or of both."""
+    return [
+        server
+        for server in system.servers.values()
+        if system.platform.cloud.servers[server.listed.instance].state
+        == ServerState.LIVE
+        and not server.host.is_dead
+        and plain in (None, isinstance(server.standin, PlainStandIn))
+    ]
+
+
+def any_server(
+    system: System, rng: random.Random, plain: bool | None = None
+) -> ServerProcess | None:
+    """Return a live server, if there is one."""
+    servers = live_servers(system, plain)
+    return rng.choice(servers) if servers else None
+
+
+async def hold(rng: random.Random) -> None:
+    """Let a fault last."""
+    await trio.sleep(rng.uniform(*HOLD_S))
+
+
+@fault("freeze entry")
+async def freeze_entry(system: System, rng: random.Random) -> None:
+    """Freeze an entry, as the host of a small instance may."""
+    host = any_node(system, rng).entry
+    host.freeze()
+    await hold(rng)
+    host.thaw()
+
+
+@fault("freeze agent")
+async def freeze_agent(system: System, rng: random.Random) -> None:
+    """Freeze an agent."""
+    host = any_node(system, rng).agent
+    host.freeze()
+    await hold(rng)
+    host.thaw()
+
+
+@fault("kill entry")
+async def kill_entry(system: System, rng: random.Random) -> None:
+    """Kill an entry without notice; it is started again at the same address."""
+    node = any_node(system, rng)
+    node.entry.kill()
+    system.unannounced.add(str(node.settings.listen.callers))
+    await trio.sleep(rng.uniform(*RESTART_S))
+    system.restart_entry(node.settings.node)
+
+
+@fault("kill agent")
+async def kill_agent(system: System, rng: random.Random) -> None:
+    """Kill an agent without notice; it is started again at the same address."""
+    node = any_node(system, rng)
+    node.agent.kill()
+    await trio.sleep(rng.uniform(*RESTART_S))
+    system.restart_agent(node.settings.node)
+
+
+@fault("reclaim node")
+async def reclaim_node(system: System, rng: random.Random) -> None:
+    """Reclaim the instance of a node with notice, if two others stay."""
+    cloud = system.platform.cloud
+    live = [n for n in system.nodes if cloud.servers[n].state == ServerState.LIVE]
+    if len(live) > 2:
+        system.platform.reclaim(rng.choice(sorted(live)), rng.uniform(*NOTICE_S))
+
+
+@fault("reclaim zone")
+async def reclaim_zone(system: System, rng: random.Random) -> None:
+    """Reclaim the backend servers of a zone; the next notice may follow at once."""
+    zone = rng.choice(system.plan.zones)
+    gone = [s for s in live_servers(system) if s.listed.zone == zone]
+    notice_s = rng.uniform(*NOTICE_S)
+    for server in gone:
+        system.platform.reclaim(server.listed.instance, notice_s)
+    for server in gone:
+        await trio.sleep(rng.uniform(0.2, 2.0))
+        await system.start_server(server.listed.service, zone)
+
+
+@fault("reclaim target")
+async def reclaim_target(system: System, rng: random.Random) -> None:
+    """Reclaim a server, and a moment later another that may take its streams."""
+    for _ in range(2):
+        server = any_server(system, rng, plain=False)
+        if server is not None:
+            system.platform.reclaim(server.listed.instance, rng.uniform(*NOTICE_S))
+            await trio.sleep(rng.uniform(0.1, 1.5))
+            await system.start_server(server.listed.service, server.listed.zone)
+
+
+@fault("kill server")
+async def kill_server(system: System, rng: random.Random) -> None:
+    """Let a backend server die without notice."""
+    server = any_server(system, rng)
+    if server is not None:
+        server.host.kill()
+        await hold(rng)
+        system.platform.cloud.terminate(server.listed.instance)
+        await system.start_server(server.listed.service, server.listed.zone)
+
+
+@fault("freeze server")
+async def freeze_server(system: System, rng: random.Random) -> None:
+    """Freeze a backend server."""
+    server = any_server(system, rng)
+    if server is not None:
+        server.host.freeze()
+        await hold(rng)
+        server.host.thaw()
+
+
+@fault("silent links")
+async def silence_links(system: System, rng: random.Random) -> None:
+    """Silence open connections for good, while new ones work."""
+    pairs = {
+        (stream.near, stream.far)
+        for stream in system.network.streams
+        if stream.near < stream.far
+    }
+    for near, far in rng.sample(sorted(pairs), min(len(pairs), rng.randint(1, 6))):
+        system.network.silence(near, far)
+
+
+@fault("cut zone")
+async def cut_zone(system: System, rng: random.Random) -> None:
+    """Partition a zone from the other zones, and mostly from the platform too."""
+    zone = rng.choice(system.plan.zones)
+    system.cut_zone(zone, platform_too=rng.random() < 0.7)
+    await hold(rng)
+    system.heal_zone(zone)
+
+
+@fault("platform outage")
+async def platform_outage(system: System, rng: random.Random) -> None:
+    """Take the platform away: refusing, or silent."""
+    faults = system.platform.faults
+    faults.outage = rng.choice([OUTAGE_REFUSE, OUTAGE_SILENT])
+    await hold(rng)
+    faults.outage = ""
+
+
+@fault("slow platform")
+async def slow_platform(system: System, rng: random.Random) -> None:
+    """Let writes take effect late and answers take long."""
+    faults = system.platform.faults
+    faults.slow_s = rng.uniform(0.1, 3.0)
+    faults.late_effect_s = rng.choice([0.0, rng.uniform(0.1, 2.0)])
+    await hold(rng)
+    faults.slow_s = faults.late_effect_s = 0.0
+
+
+@fault("lost platform answers")
+async def lose_answers(system: System, rng: random.Random) -> None:
+    """Lose the answers of writes that took effect, and lines of watches."""
+    system.platform.faults.lose_answers += rng.randint(1, 4)
+    system.platform.faults.watch_gaps += rng.randint(0, 2)
+
+
+@fault("plain service")
+async def plain_service(system: System, rng: random.Random) -> None:
+    """Let calls of a plain service go wrong before or after they ran."""
+    server = any_server(system, rng, plain=True)
+    if server is not None:
+        name = rng.choice(
+            ["silent_before", "silent_after", "lose_answer", "late", "refuse"]
+        )
+        planned = PlainFault(name, rng.randint(1, 3), late_s=rng.uniform(0.5, 6.0))
+        server.standin.faults.append(planned)
+
+
+@fault("engine")
+async def engine(system: System, rng: random.Random) -> None:
+    """Let an engine answer late, swap two answers, go silent or die in a stream."""
+    server = any_server(system, rng, plain=False)
+    if server is None:
+        return
+    kind = rng.choice(["swap", "late", "silent", "die"])
+    if kind == "swap":
+        server.standin.faults.swap = True
+    elif kind == "late":
+        server.standin.faults.late_s = rng.uniform(0.5, 5.0)
+        await hold(rng)
+        server.standin.faults.late_s = 0.0
+    elif kind == "silent":
+        server.standin.host.silence()
+    else:
+        server.standin.faults.die_after_tokens = rng.randint(1, 200)
--- /dev/null
+++ b/src/rosemaryknot/replay/fault_run.py
@@ -0,0 +1,242 @@
+"""One seeded run of the whole system under faults, and its audit."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import trio
+from trio.testing import MockClock
+
+from rosemaryknot.connection.http_client import http_client
+from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.replay.audit import Violation, audit_booking, audit_model
+from rosemaryknot.replay.callers import BookingPlan, Caller
+from rosemaryknot.replay.fault_kinds import FAULTS
+from rosemaryknot.replay.hosts import HostInstrument
+from rosemaryknot.replay.notes import BookingNote, ModelNote
+from rosemaryknot.replay.system import System, SystemPlan
+from rosemaryknot.standin.engine import EngineStandIn
+from rosemaryknot.standin.ledger import recomputed_tokens
+from rosemaryknot.standin.plain import PlainStandIn, Run
+from rosemaryknot.version.keys import new_key
+
+__all__ = ["FaultReport", "run_seed"]
+
+ZONES = ["waco-a", "waco-b", "temple-c"]
+MODEL, SHARDS, OBJECTS = "kit-assistant", "dispatch-app", "visit-notify"
+CUSTOMERS = ["estimator-1", "estimator-2"]
+WARM_UP_S, ACTIVE_S, SETTLE_S = 3.0, 15.0, 25.0
+BOOKINGS, MODEL_REQUESTS, FAULT_COUNT = 14, 6, (2, 6)
+PLAIN_TIMEOUT_S = 5.0
+
+
+@dataclass(slots=True)
+class FaultReport:
+    """What one run came to.
+
+    Attributes
+    ----------
+    seed : int
+        Seed of the run.
+    faults : collections.Counter
+        Faults by kind.
+    outcomes : collections.Counter
+        Final outcomes by kind of request.
+    violations : list of Violation
+        Broken promises.
+    lost_unannounced : int
+        Accepted model requests lost by deaths without notice.
+    recomputed_tokens : int
+        By the engines' ledgers.
+    """
+
+    seed: int
+    faults: Counter[str] = field(default_factory=Counter)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    violations: list[Violation] = field(default_factory=list)
+    lost_unannounced: int = 0
+    recomputed_tokens: int = 0
+
+
+def new_document(keys: dict[str, dict[str, str]]) -> dict:
+    """Return the configuration of a run."""
+    services = {
+        MODEL: {
+            "kind": "model",
+            "step_time_ms": 20,
+            "max_tokens": 2048,
+            "timeout_s": 60,
+            "standby_min_tokens": 128,
+            "moves_kv": True,
+        }
+    }
+    for name, form in ((SHARDS, "shards"), (OBJECTS, "objects")):
+        services[name] = {
+            "kind": "plain",
+            "timeout_s": PLAIN_TIMEOUT_S,
+            "idempotent": [{"method": "GET", "path": "/stock"}],
+            "at_most_once": {"form": form, "answer_horizon_s": 600},
+        }
+    customers = {name: {} for name in CUSTOMERS}
+    return {"services": services, "customers": customers, "keys": keys}
+
+
+class FaultRun:
+    """One run while it lasts.
+
+    Parameters
+    ----------
+    seed : int
+        Decides everything that is random.
+    safeguards : Safeguards
+        All on, but to prove what one prevents.
+    """
+
+    def __init__(self, seed: int, safeguards: Safeguards) -> None:
+        self.report = FaultReport(seed)
+        self.rng = random.Random(seed)
+        self.safeguards = safeguards
+        self.bookings: list[BookingNote] = []
+        self.models: list[ModelNote] = []
+        self.api_keys: list[str] = []
+        self.system: System | None = None
+
+    def new_plan(self) -> SystemPlan:
+        """Return what the run starts with."""
+        keys = {}
+        for customer in CUSTOMERS:
+            api_key, entry = new_key(customer)
+            self.api_keys.append(api_key)
+            keys.update(entry)
+        plan = SystemPlan(
+            new_document(keys),
+            ZONES,
+            nodes_per_zone=1 + self.rng.randint(0, 1),
+            servers={MODEL: 1, SHARDS: 1, OBJECTS: 1},
+            kinds={MODEL: "model", SHARDS: "plain", OBJECTS: "plain"},
+            safeguards=self.safeguards,
+            seed=self.report.seed,
+        )
+        plan.engine.step_time_s = 0.02
+        return plan
+
+    async def run(self) -> None:
+        """Run the system, its callers and its faults; then audit."""
+        async with trio.open_nursery() as nursery:
+            self.system = System(self.new_plan(), nursery)
+            await self.system.start()
+            await trio.sleep(WARM_UP_S)
+            async with http_client(self.system.callers, None) as client:
+                with trio.move_on_after(ACTIVE_S + SETTLE_S):
+                    async with trio.open_nursery() as work:
+                        self.start_work(work, client)
+                        self.start_faults(work)
+            self.audit()
+            self.system.dispose()
+            nursery.cancel_scope.cancel()
+
+    def start_work(self, nursery: trio.Nursery, client) -> None:
+        """Start the callers at random times."""
+        entries = [str(n.settings.listen.callers) for n in self.system.nodes.values()]
+        for number in range(BOOKINGS):
+            caller = self.new_caller(client, entries)
+            plan = BookingPlan(
+                declares=self.rng.random() < 0.5,
+                sends=self.rng.randint(2, 5),
+                timeout_s=self.rng.uniform(0.2, 6.0),
+                overlap_s=self.rng.choice([0.0, 0.0, self.rng.uniform(0.01, 1.0)]),
+            )
+            service = self.rng.choice([SHARDS, SHARDS, OBJECTS])
+            note = BookingNote(f"booking-{number}", service, plan.declares)
+            self.bookings.append(note)
+            nursery.start_soon(self.later, caller.book, note, plan)
+        for number in range(MODEL_REQUESTS):
+            caller = self.new_caller(client, entries)
+            note = ModelNote(
+                f"plan set {self.report.seed} {number}", self.rng.randint(16, 400)
+            )
+            self.models.append(note)
+            patience_s = ACTIVE_S + SETTLE_S
+            nursery.start_soon(self.later, caller.ask, note, MODEL, patience_s)
+
+    def new_caller(self, client, entries: list[str]) -> Caller:
+        """Return a caller with random numbers of its own."""
+        rng = random.Random(self.rng.random())
+        return Caller(client, self.rng.choice(self.api_keys), entries, rng)
+
+    async def later(self, function, *args) -> None:
+        """Run a caller after a random wait."""
+        await trio.sleep(random.Random(str(args[0])).uniform(0.0, ACTIVE_S))
+        await function(*args)
+
+    def start_faults(self, nursery: trio.Nursery) -> None:
+        """Start the run's faults at random times."""
+        for _ in range(self.rng.randint(*FAULT_COUNT)):
+            name = self.rng.choice(sorted(FAULTS))
+            self.report.faults[name] += 1
+            rng = random.Random(self.rng.random())
+            nursery.start_soon(self.one_fault, name, rng)
+
+    async def one_fault(self, name: str, rng: random.Random) -> None:
+        """Run a fault after a random wait."""
+        await trio.sleep(rng.uniform(0.0, ACTIVE_S))
+        await FAULTS[name](self.system, rng)
+
+    # After the run
+
+    def runs_of(self, note: BookingNote) -> list[Run]:
+        """Return the runs with a note's key on all servers."""
+        return [
+            run
+            for server in self.system.servers.values()
+            if isinstance(server.standin, PlainStandIn)
+            and server.listed.service == note.service
+            for run in server.standin.runs
+            if run.key == note.key
+        ]
+
+    def is_excused(self, note: ModelNote) -> bool:
+        """Tell whether the entry that accepted a request died without notice."""
+        return note.entry in self.system.unannounced
+
+    def audit(self) -> None:
+        """Compare notes and ledgers."""
+        report = self.report
+        for note in self.bookings:
+            report.violations += audit_booking(note, self.runs_of(note))
+            last = note.replies[-1].outcome if note.replies else "none"
+            report.outcomes[f"booking {last}"] += 1
+        for note in self.models:
+            report.violations += audit_model(note, self.is_excused)
+            report.outcomes[f"model {note.outcome}"] += 1
+            is_lost = bool(note.id) and note.outcome != "answered"
+            report.lost_unannounced += is_lost and self.is_excused(note)
+        report.recomputed_tokens = recomputed_tokens(self.generations())
+
+    def generations(self) -> Iterable:
+        """Return the ledger entries of all engines."""
+        for server in self.system.servers.values():
+            if isinstance(server.standin, EngineStandIn):
+                yield from server.standin.batch.ledger
+
+
+def run_seed(seed: int, safeguards: Safeguards | None = None) -> FaultReport:
+    """Run one seed in virtual time.
+
+    Parameters
+    ----------
+    seed : int
+        Decides everything that is random.
+    safeguards : Safeguards, optional
+        By default all on.
+
+    Returns
+    -------
+    report : FaultReport
+        What happened, with the broken promises.
+    """
+    run = FaultRun(seed, safeguards or Safeguards())
+    clock = MockClock(autojump_threshold=0)
+    trio.run(run.run, clock=clock, instruments=[HostInstrument()])
+    return run.report
--- /dev/null
+++ b/src/rosemaryknot/replay/faults_command.py
@@ -0,0 +1,118 @@
+"""The command ``rosemaryknot-replay faults``: seeded runs under faults."""
+
+import json
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field, fields
+from typing import Annotated
+
+import typer
+
+from rosemaryknot.process.command_line import ExitCode, fail
+from rosemaryknot.process.logs import configure_logs
+from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.replay.fault_run import FaultReport, run_seed
+
+__all__ = ["FaultSummary", "run_faults"]
+
+SHOWN_VIOLATIONS = 5
+
+
+@dataclass(slots=True)
+class FaultSummary:
+    """What many runs came to.
+
+    Attributes
+    ----------
+    runs, violations, lost_unannounced, recomputed_tokens : int
+        Sums over the runs.
+    faults, violations_by_kind, outcomes : collections.Counter
+        Sums by kind.
+    first_bad_seed : int or None
+        Lowest seed with a violation.
+    """
+
+    runs: int = 0
+    faults: Counter[str] = field(default_factory=Counter)
+    violations: int = 0
+    violations_by_kind: Counter[str] = field(default_factory=Counter)
+    first_bad_seed: int | None = None
+    outcomes: Counter[str] = field(default_factory=Counter)
+    lost_unannounced: int = 0
+    recomputed_tokens: int = 0
+
+    def add(self, report: FaultReport) -> None:
+        """Add one run."""
+        self.runs += 1
+        self.faults.update(report.faults)
+        self.outcomes.update(report.outcomes)
+        self.violations += len(report.violations)
+        self.violations_by_kind.update(v.kind for v in report.violations)
+        self.lost_unannounced += report.lost_unannounced
+        self.recomputed_tokens += report.recomputed_tokens
+        if report.violations and self.first_bad_seed is None:
+            self.first_bad_seed = report.seed
+
+    def to_json(self) -> str:
+        """Return the summary as one line of JSON."""
+        values = {f.name: getattr(self, f.name) for f in fields(self)}
+        return json.dumps(values)
+
+
+def safeguards_without(name: str) -> Safeguards:
+    """Return safeguards with one of them off; an empty name leaves all on."""
+    safeguards = Safeguards()
+    if not name:
+        return safeguards
+    names = [f.name for f in fields(Safeguards)]
+    if name not in names:
+        fail(f"no such safeguard; there are {', '.join(names)}", ExitCode.BAD_USAGE)
+    setattr(safeguards, name, False)
+    return safeguards
+
+
+def print_violations(report: FaultReport) -> None:
+    """Print what a run broke."""
+    for violation in report.violations[:SHOWN_VIOLATIONS]:
+        typer.echo(
+            f"seed {report.seed}: {violation.kind} {violation.subject}: "
+            f"{violation.detail}",
+            err=True,
+        )
+
+
+def run_faults(
+    seeds: Annotated[int, typer.Option(min=1, help="How many seeds to run.")] = 20,
+    first: Annotated[int, typer.Option(min=0, help="The first seed.")] = 0,
+    seed: Annotated[
+        int | None, typer.Option(help="Run this seed alone, with its decision log.")
+    ] = None,
+    without: Annotated[
+        str, typer.Option(help="Turn one safeguard off, to see what it prevents.")
+    ] = "",
+    until_bad: Annotated[
+        bool, typer.Option(help="Stop at the first broken promise.")
+    ] = False,
+) -> None:
+    """Run the whole system in virtual time under seeded faults, and audit each run."""
+    safeguards = safeguards_without(without)
+    configure_logs("text", "error" if seed is None else "info")
+    chosen = range(first, first + seeds) if seed is None else [seed]
+    summary = FaultSummary()
+    start_s = time.monotonic()
+    for number in chosen:
+        report = run_seed(number, safeguards)
+        summary.add(report)
+        print_violations(report)
+        took_s = time.monotonic() - start_s
+        typer.echo(
+            f"faults: {summary.runs} of {len(chosen)} runs, "
+            f"{summary.violations} violations, {took_s:.0f} s",
+            err=True,
+        )
+        if until_bad and summary.violations:
+            break
+    typer.echo(summary.to_json())
+    sys.stdout.flush()
+    raise typer.Exit(ExitCode.FAILED if summary.violations else ExitCode.OK)
--- /dev/null
+++ b/src/rosemaryknot/replay/main.py
@@ -0,0 +1,29 @@
+"""The command ``rosemaryknot-replay``: experiments in virtual time."""
+
+from rosemaryknot.process.command_line import VersionOption, new_application
+from rosemaryknot.replay.faults_command import run_faults
+
+__all__ = ["app", "main"]
+
+app = new_application(
+    "Run the whole system in virtual time, over stand-ins, under scripted or seeded "
+    "faults.",
+    no_args_is_help=True,
+)
+
+
+@app.callback()
+def options(version: VersionOption = False) -> None:
+    """Run the whole system in virtual time, over stand-ins."""
+
+
+app.command("faults")(run_faults)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemaryknot/replay/system.py
+++ b/src/rosemaryknot/replay/system.py
@@ -143,6 +143,8 @@
         Our nodes by name.
     servers : dict of str to ServerProcess
         Backend servers by instance, terminated ones included.
+    unannounced : set of str
+        Callers' addresses of entries that died without notice.
     """
 
     def __init__(self, plan: SystemPlan, nursery: trio.Nursery) -> None:
@@ -156,6 +158,7 @@
         self.servers: dict[str, ServerProcess] = {}
         self.hosts: list[Host] = [self.platform_host]
         self.zone_of_host: dict[str, str] = {}
+        self.unannounced: set[str] = set()
         self.starts = 0
 
     async def start(self) -> None:
--- a/src/rosemaryknot/standin/plain.py
+++ b/src/rosemaryknot/standin/plain.py
@@ -18,6 +18,7 @@
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 REQUEST_HEADER = "Rosemaryknot-Request"
 KEY_HEADER = "Idempotency-Key"
+SEND_HEADER = "Test-Send"
 FAULTS = (
     "silent_before",
     "silent_after",
@@ -84,6 +85,8 @@
         Of the call.
     time_unix_s : float
         When it took effect.
+    send : str
+        Which of a test caller's sends it was, from the header ``Test-Send``.
     """
 
     id: str
@@ -91,6 +94,7 @@
     method: str
     path: str
     time_unix_s: float
+    send: str = ""
 
 
 def count_runs(runs: list[Run]) -> dict[str, int]:
@@ -223,7 +227,8 @@
         """Write a call into the ledger: from here on it has run."""
         id = request.headers.get(REQUEST_HEADER, "")
         key = request.headers.get(KEY_HEADER, "")
-        run = Run(id, key, request.method, request.path, self.clock())
+        send = request.headers.get(SEND_HEADER, "")
+        run = Run(id, key, request.method, request.path, self.clock(), send)
         self.runs.append(run)
         return run
 
