Run requests at most once by owned shards

Cause: one object an id costs two store calls a request and stops with the store.

Ids hash to shards; the owner of a shard admits from memory after copying the claim to a peer. Ownership has no expiry: it passes by handover, or by proof that the owner's process ended. What a successor can't know is answered unknown for the horizon.

Ruled out: a lease on the shard (a holder paused between check and send runs twice), and going on after a map write whose answer was lost (the write may still land, two owners).

--- a/src/rosemaryknot/process/claims/records.py
+++ b/src/rosemaryknot/process/claims/records.py
@@ -86,7 +86,7 @@
         Whether nothing can have been forgotten about the id. False for a record
         that a successor found in a copy, which may be an old one.
     holder : str
-        Peer that holds the newest copy; empty where none does.
+        Process that holds the newest copy; empty where none does.
     """
 
     closed: int = 0
--- a/tests/process/claim_fakes.py
+++ b/tests/process/claim_fakes.py
@@ -1,12 +1,19 @@
-"""Store with faults for the tests of claims."""
+"""Store and nodes with faults for the tests of claims."""
 
+import random
 from collections import defaultdict
 
 import trio
 
+from rosemaryknot.connection.links import CallFailed, Handlers
+from rosemaryknot.process.claims.handlers import register_claim_handlers
+from rosemaryknot.process.claims.shard_map import shard_of
+from rosemaryknot.process.claims.shards import ShardClaims
 from rosemaryknot.standin.platform_objects import ObjectKind
 from rosemaryknot.values.claims import ClaimRequest, CloseRequest, ResultRecord
-from rosemaryknot.values.platform import PlatformFailed
+from rosemaryknot.values.messages import decode_message, encode_message
+from rosemaryknot.values.nodes import BackendServer, Node, ServerState
+from rosemaryknot.values.platform import Missing, PlatformFailed
 
 
 class FakeStore:
@@ -85,3 +92,171 @@
         result,
         **fields,
     )
+
+
+class FakePeers:
+    """Peers of one node of a `FakeCluster`."""
+
+    def __init__(self, cluster, node):
+        self.cluster = cluster
+        self.node = node
+
+    def nodes(self):
+        return [
+            member.node
+            for name, member in self.cluster.members.items()
+            if name != self.node.name and self.cluster.reaches(self.node.name, name)
+        ]
+
+    async def broadcast(self, value):
+        for node in self.nodes():
+            if self.node.name not in self.cluster.mute_pushes:
+                self.cluster.nursery.start_soon(self.call, node.name, value, 1.0)
+
+    async def call(self, name, value, timeout_s):
+        reply = None
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(self.cluster.delay_s)
+            reply = await self.deliver(name, value)
+            await trio.sleep(self.cluster.delay_s)
+            if not self.cluster.reaches(self.node.name, name):
+                await trio.sleep_forever()
+            if (self.node.name, name, type(value)) in self.cluster.lost_replies:
+                await trio.sleep_forever()
+            return reply
+        return CallFailed("timeout", maybe_handled=True)
+
+    async def deliver(self, name, value):
+        """Run the handler as a task of the called node; it goes on without us."""
+        if not self.cluster.reaches(self.node.name, name):
+            await trio.sleep_forever()
+        member = self.cluster.members[name]
+        while name in self.cluster.paused:
+            await trio.sleep(0.1)
+        done, replies = trio.Event(), []
+        value, _, _ = decode_message(encode_message(value))
+
+        async def handle():
+            handler = member.handlers.by_type[type(value)]
+            reply = await handler(value, None)
+            if reply is not None:
+                replies.append(decode_message(encode_message(reply))[0])
+            done.set()
+
+        member.nursery.start_soon(handle)
+        await done.wait()
+        return replies[0] if replies else None
+
+
+class FakeInstances:
+    """Instance states as the platform knows them."""
+
+    def __init__(self):
+        self.states = {}
+
+    async def instance(self, name):
+        state = self.states.get(name)
+        if state is None:
+            return Missing()
+        return BackendServer(name, "rosemaryknot", "", "", True, "", state)
+
+
+class Member:
+    """One node of a `FakeCluster`."""
+
+    def __init__(self, cluster, node, safeguards, bounds):
+        self.node = node
+        self.handlers = Handlers()
+        self.claims = ShardClaims(
+            node,
+            FakePeers(cluster, node),
+            cluster.store,
+            cluster.instances,
+            bounds,
+            safeguards,
+            lambda: cluster.expected,
+            count=12,
+            rng=random.Random(1),
+        )
+        self.claims.register(self.handlers)
+        register_claim_handlers(
+            self.handlers,
+            {"shards": self.claims},
+            lambda service: "shards",
+            lambda: self.claims.maps.number,
+        )
+
+    async def run(self, task_status):
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            task_status.started()
+            await self.claims.run()
+
+
+class FakeCluster:
+    """Nodes on fake links that can be cut, paused and killed, in virtual time."""
+
+    def __init__(self, nursery, safeguards=None, bounds=None):
+        self.nursery = nursery
+        self.store = FakeStore()
+        self.store.nursery = nursery
+        self.instances = FakeInstances()
+        self.safeguards = safeguards
+        self.bounds = bounds
+        self.members = {}
+        self.dead = set()
+        self.cuts = set()
+        self.paused = set()
+        self.lost_replies = set()
+        self.mute_pushes = set()
+        self.delay_s = 0.001
+        self.expected = 0
+        self.starts = 0
+
+    def reaches(self, one, other):
+        is_dead = self.dead & {one, other}
+        return not is_dead and frozenset((one, other)) not in self.cuts
+
+    async def start(self, *names):
+        """Start nodes; a name begins with its zone, as in ``a-1``."""
+        for name in names:
+            self.starts += 1
+            node = Node(name, name.split("-")[0], self.starts)
+            member = Member(self, node, self.safeguards, self.bounds)
+            self.members[name] = member
+            self.dead.discard(name)
+            self.instances.states[name] = ServerState.LIVE
+            self.expected = max(self.expected, len(self.members))
+            await self.nursery.start(member.run)
+        await trio.sleep(2)
+
+    def kill(self, name, state=None):
+        """End a node's process; the platform may know of it."""
+        self.dead.add(name)
+        self.members[name].nursery.cancel_scope.cancel()
+        if state:
+            self.instances.states[name] = state
+
+    def cut(self, ones, others):
+        self.cuts |= {frozenset((one, other)) for one in ones for other in others}
+
+    def claims(self, name):
+        return self.members[name].claims
+
+    def key_owned_by(self, name, start=0):
+        """Return a key whose shard a node owns now."""
+        maps = self.claims(name).maps
+        for number in range(start, start + 10_000):
+            key = f"k{number}"
+            shard = shard_of(maps.map, claim_of(key, "").id)
+            if maps.map.shards[shard].owner == name:
+                return key
+        raise AssertionError(f"{name} owns nothing")
+
+    def owners(self):
+        """Return for each shard the live nodes that admit for it now."""
+        live = [m for name, m in self.members.items() if name not in self.dead]
+        return [
+            [m.node.name for m in live if m.claims.ownership.active(index)]
+            for index in range(12)
+        ]
--- /dev/null
+++ b/tests/process/test_claims_shards.py
@@ -0,0 +1,222 @@
+"""Target form of at-most-once execution: admission, copies and partitions."""
+
+import trio
+from tests.process.claim_fakes import FakeCluster, claim_of, close_of, result_of
+
+from rosemaryknot.process.claims.table import TableBounds
+from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.values.claims import ClaimAnswered, ClaimGranted
+from rosemaryknot.values.nodes import ServerState
+from rosemaryknot.values.outcomes import Reason
+
+NODES = ("a-1", "a-2", "b-1", "b-2", "c-1", "c-2")
+
+
+async def cluster_of(nursery, *names, **options):
+    cluster = FakeCluster(nursery, **options)
+    await cluster.start(*(names or NODES))
+    return cluster
+
+
+class TestAdmission:
+    async def test_each_shard_has_one_owner_and_claims_cost_no_store_call(
+        self, autojump_clock, nursery
+    ):
+        cluster = await cluster_of(nursery)
+        assert all(len(owners) == 1 for owners in cluster.owners())
+        assert {owners[0] for owners in cluster.owners()} == set(NODES)
+        calls = cluster.store.calls
+        for number in range(30):
+            request = claim_of(f"k{number}", f"c{number}")
+            assert await cluster.claims("a-1").claim(request) == ClaimGranted(
+                f"c{number}"
+            )
+        assert cluster.store.calls == calls
+
+    async def test_two_entries_with_the_same_id_get_one_grant(
+        self, autojump_clock, nursery
+    ):
+        cluster = await cluster_of(nursery)
+        replies = []
+
+        async def claim(name):
+            request = claim_of("k", f"of {name}")
+            replies.append(await cluster.claims(name).claim(request))
+
+        async with trio.open_nursery() as claimants:
+            for name in NODES:
+                claimants.start_soon(claim, name)
+        assert sum(isinstance(reply, ClaimGranted) for reply in replies) == 1
+
+    async def test_repeat_gets_the_kept_answer(self, autojump_clock, nursery):
+        cluster = await cluster_of(nursery)
+        request = claim_of("k", "c1", timeout_s=10.0)
+        await cluster.claims("a-1").claim(request)
+        running = await cluster.claims("b-1").claim(claim_of("k", "c2"))
+        assert running.outcome == "running"
+        result = result_of(request, "answered", status=201, body=b"slot 4")
+        assert (await cluster.claims("a-1").record(result)).stored
+        reply = await cluster.claims("c-1").claim(claim_of("k", "c3"))
+        assert reply == ClaimAnswered(201, [], b"slot 4")
+        other = await cluster.claims("c-1").claim(claim_of("k", "c4", body=b"x"))
+        assert (other.outcome, other.reason) == ("not_run", Reason.BODY_DIFFERS)
+
+    async def test_silent_entry_leaves_the_id_unknown_after_the_timeout(
+        self, autojump_clock, nursery
+    ):
+        cluster = await cluster_of(nursery)
+        await cluster.claims("a-1").claim(claim_of("k", "c1", timeout_s=10.0))
+        await trio.sleep(60)
+        reply = await cluster.claims("a-1").claim(claim_of("k", "c2"))
+        assert (reply.outcome, reply.reason) == ("unknown", Reason.TIMED_OUT)
+
+    async def test_full_table_refuses_new_ids_and_keeps_old_ones(
+        self, autojump_clock, nursery
+    ):
+        """More ids come than the owner may remember.
+
+        New ids are refused with a reason of their own. What ran is still known, as
+        forgetting it would let it run again; after the horizon there is room again.
+        """
+        cluster = await cluster_of(nursery, "a-1", bounds=TableBounds(max_records=5))
+        claims = cluster.claims("a-1")
+        for number in range(5):
+            request = claim_of(f"k{number}", f"c{number}", attempt=1)
+            await claims.claim(request)
+            await claims.record(result_of(request, "answered", status=200))
+        full = await claims.claim(claim_of("new", "c9", attempt=1))
+        assert (full.outcome, full.reason) == ("not_run", Reason.ID_TABLE_FULL)
+        repeat = await claims.claim(claim_of("k0", "c8", attempt=2))
+        assert isinstance(repeat, ClaimAnswered)
+        await trio.sleep(700)
+        granted = await claims.claim(claim_of("new", "c10", attempt=2))
+        assert granted.outcome == "unknown"
+        first = await claims.claim(claim_of("newer", "c11", attempt=1))
+        assert isinstance(first, ClaimGranted)
+
+
+class TestClosing:
+    async def test_waiting_attempt_finds_itself_closed(self, autojump_clock, nursery):
+        """Trap A: attempt 1 waits at one entry, attempt 2 is refused at another.
+
+        The owner and one peer know of the closing before "not run" is said, so the
+        waiting attempt is refused when its turn comes. Attempt 3 runs.
+        """
+        cluster = await cluster_of(nursery)
+        assert (await cluster.claims("b-1").close(close_of("k", 2))).closed
+        waiting = await cluster.claims("a-1").claim(claim_of("k", "c1", attempt=1))
+        assert waiting.reason == Reason.ATTEMPT_CLOSED
+        later = await cluster.claims("a-1").claim(claim_of("k", "c3", attempt=3))
+        assert later == ClaimGranted("c3")
+
+    async def test_closing_that_no_peer_knows_of_is_not_proven(
+        self, autojump_clock, nursery
+    ):
+        cluster = await cluster_of(nursery)
+        key = cluster.key_owned_by("a-1")
+        cluster.cut(["a-1"], NODES[1:])
+        reply = await cluster.claims("a-1").close(close_of(key, 2))
+        assert (reply.closed, reply.reason) == (False, Reason.NOT_PROVEN)
+
+    async def test_closing_survives_the_owner_for_an_attempt_on_its_way(
+        self, autojump_clock, nursery
+    ):
+        """Attempt 1 is stuck before its entry has read it; attempt 2 is refused.
+
+        The owner closes both attempts and dies; a successor takes over, and only
+        then the entry reads attempt 1, under the new map. The copy at a peer tells
+        that it is closed. Without the copy it would run after "not run" was said.
+        """
+        for is_copied in (False, True):
+            async with trio.open_nursery() as inner:
+                cluster = await cluster_of(
+                    inner, safeguards=Safeguards(claim_copy=is_copied)
+                )
+                key = cluster.key_owned_by("a-1")
+                assert (await cluster.claims("b-1").close(close_of(key, 2))).closed
+                cluster.kill("a-1", ServerState.TERMINATED)
+                await trio.sleep(30)
+                number = cluster.claims("b-1").maps.number
+                late = claim_of(key, "c1", attempt=1, number=number)
+                reply = await cluster.claims("b-1").claim(late)
+                assert isinstance(reply, ClaimGranted) != is_copied
+                inner.cancel_scope.cancel()
+
+
+class TestLostMessages:
+    async def test_lost_grant_is_given_up_and_the_id_runs_again(
+        self, autojump_clock, nursery
+    ):
+        """The owner grants and its reply is lost, so the entry never sends.
+
+        The entry reports the claim as not sent. Its attempt stays closed, since the
+        caller of attempt 1 was told "not run"; attempt 2 runs.
+        """
+        cluster = await cluster_of(nursery)
+        key = cluster.key_owned_by("a-1")
+        claims = cluster.claims("b-1")
+        for member in cluster.members.values():
+            for kind in member.handlers.by_type:
+                cluster.lost_replies.add(("b-1", "a-1", kind))
+        request = claim_of(key, "c1", attempt=1)
+        lost = await claims.claim(request)
+        assert (lost.outcome, lost.maybe_granted) == ("not_run", True)
+        cluster.lost_replies.clear()
+        held = await claims.claim(claim_of(key, "c2", attempt=2))
+        assert held.outcome == "running"
+        assert (await claims.record(result_of(request, "not_sent"))).stored
+        again = await claims.claim(claim_of(key, "c3", attempt=1))
+        assert again.reason == Reason.ATTEMPT_CLOSED
+        later = await claims.claim(claim_of(key, "c4", attempt=2))
+        assert later == ClaimGranted("c4")
+
+    async def test_claim_that_comes_after_it_was_given_up_is_refused(
+        self, autojump_clock, nursery
+    ):
+        """A claim is slower than the report that it was given up.
+
+        The owner hears "not sent" of a claim it does not know, and closes the
+        attempt; the claim that arrives then would be granted to nobody.
+        """
+        cluster = await cluster_of(nursery)
+        request = claim_of("k", "c1", attempt=2)
+        await cluster.claims("a-1").record(result_of(request, "not_sent", close=False))
+        reply = await cluster.claims("a-1").claim(request)
+        assert reply.reason == Reason.ATTEMPT_CLOSED
+        later = await cluster.claims("a-1").claim(claim_of("k", "c2", attempt=3))
+        assert later == ClaimGranted("c2")
+
+
+class TestPartition:
+    async def test_zone_that_is_cut_off_books_with_its_hint(
+        self, autojump_clock, nursery
+    ):
+        """Zone a is cut off from the other zones and from the platform.
+
+        Keys with its hint have their owner inside, so they are booked there, with
+        the copy in the same zone. Other keys are refused without a lie. Outside,
+        keys of zone a are refused, since their owners live on unseen.
+        """
+        cluster = await cluster_of(nursery)
+        cluster.store.is_down = True
+        cluster.cut(NODES[:2], NODES[2:])
+        inside, outside = cluster.claims("a-1"), cluster.claims("b-1")
+        booked = await inside.claim(claim_of("zone:a/k", "c1"))
+        assert booked == ClaimGranted("c1")
+        key = cluster.key_owned_by("b-1")
+        first = await inside.claim(claim_of(key, "c2", attempt=1))
+        second = await inside.claim(claim_of(key, "c3", attempt=2))
+        assert (first.outcome, second.outcome) == ("not_run", "unknown")
+        repeat = await outside.claim(claim_of("zone:a/k", "c4"))
+        assert (repeat.outcome, repeat.reason) == (
+            "unknown",
+            Reason.OWNER_UNREACHABLE,
+        )
+
+    async def test_store_outage_stops_no_claim(self, autojump_clock, nursery):
+        cluster = await cluster_of(nursery)
+        cluster.store.is_down = True
+        await trio.sleep(300)
+        for number in range(30):
+            request = claim_of(f"k{number}", f"c{number}")
+            assert isinstance(await cluster.claims("a-1").claim(request), ClaimGranted)
