--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 INSTALLED := $(VENV)/installed
 PYTEST_OPTIONS ?=
 
-.PHONY: help venv test lint format demo cluster faults
+.PHONY: help venv test lint format demo cluster faults bench-relay
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -15,6 +15,7 @@
 	@echo "make test    run all tests and doctests"
 	@echo "make faults SEEDS=200   run the system in virtual time under seeded faults"
 	@echo "make faults SEED=7      run one seed again, with its decision log"
+	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
 	@echo "make lint    check format and lint rules"
 	@echo "make format  format the code and mend what the linter can"
 
@@ -59,3 +60,6 @@
 else
 	@$(BIN)/python scripts/faults.py $(SEEDS) $(FAULT_OPTIONS)
 endif
+
+bench-relay: venv
+	@$(BIN)/python benchmarks/relay.py
