--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -14,6 +14,7 @@
 from rosemaryknot.process.claims.forms import ClaimForm
 from rosemaryknot.process.claims.handlers import register_claim_handlers
 from rosemaryknot.process.claims.objects import ObjectClaims
+from rosemaryknot.process.claims.shards import ShardClaims
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.configuration_spread import (
     ConfigurationSpread,
@@ -150,8 +151,26 @@
     def add_claims(self) -> None:
         """Put the forms of at-most-once execution together."""
         self.objects = ObjectClaims(self.platform, self.unix_time)
-        self.forms: dict[str, ClaimForm] = {"objects": self.objects}
-        register_claim_handlers(self.handlers, self.forms, self.form_of)
+        self.shards = ShardClaims(
+            self.node,
+            self.peers,
+            self.platform,
+            self.platform,
+            safeguards=self.safeguards,
+            expected_nodes=lambda: len(self.settings.peers) + 1,
+            rng=self.rng,
+        )
+        self.shards.register(self.handlers)
+        self.forms: dict[str, ClaimForm] = {
+            "objects": self.objects,
+            "shards": self.shards,
+        }
+        register_claim_handlers(
+            self.handlers,
+            self.forms,
+            self.form_of,
+            lambda: self.shards.maps.number,
+        )
 
     def form_of(self, service: str) -> str:
         """Return the form of a service by the configuration in force."""
@@ -167,6 +186,7 @@
         nursery.start_soon(self.spread.run)
         nursery.start_soon(self.watcher.run)
         nursery.start_soon(self.objects.run)
+        nursery.start_soon(self.shards.run)
         address = await nursery.start(self.server.serve, self.settings.listen.operators)
         log.info(f"serving operators at {address}, links at {self.peers.listen}")
 
--- a/src/rosemaryknot/process/claims/objects.py
+++ b/src/rosemaryknot/process/claims/objects.py
@@ -165,6 +165,22 @@
         self.cache: OrderedDict[ClaimId, Versioned] = OrderedDict()
         self.deletions = Deletions()
 
+    def status(self) -> dict[str, Any]:
+        """Return what operators see of this form at this node.
+
+        Returns
+        -------
+        status : dict
+            Calls made to the store, objects that wait for their deletion, and
+            objects that stay because there were too many.
+        """
+        return {
+            "store_calls": self.store_calls,
+            "open": len(self.deletions.open),
+            "to_delete": len(self.deletions.heap),
+            "not_planned": self.deletions.not_planned,
+        }
+
     async def claim(self, request: ClaimRequest) -> Message:
         """Grant or refuse the right to send; see `ClaimForm.claim`."""
 
--- a/src/rosemaryknot/process/claims/shards.py
+++ b/src/rosemaryknot/process/claims/shards.py
@@ -4,7 +4,9 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 import trio
 
@@ -193,6 +195,31 @@
             return NotOwner(self.maps.map.to_value())
         return await owned.handle(value)
 
+    def status(self) -> dict[str, Any]:
+        """Return what operators see of the shards at this node.
+
+        Returns
+        -------
+        status : dict
+            The map's number, what this node owns and remembers, and the owners that
+            do not answer with the number of their shards.
+        """
+        shards = [] if self.maps.map is None else self.maps.map.shards
+        absent = self.duties.absent_since_s
+        return {
+            "map_number": self.maps.number,
+            "shards": len(shards),
+            "owned": sorted(self.ownership.owned),
+            "ids": self.ownership.use.records,
+            "bytes": self.ownership.use.bytes,
+            "copies_held": self.holder.use.records,
+            "copies": dict(self.copier.counters),
+            "mute_owners": dict(
+                Counter(shard.owner for shard in shards if shard.owner in absent)
+            ),
+            "store_calls": self.maps.store_calls,
+        }
+
     def register(self, handlers: Handlers) -> None:
         """Answer the other nodes.
 
