Let a server that is gone be forgotten by nodes that compare their tables

Cause: while a server is missing from the lists but not yet dropped, two nodes know the same servers; the answer "the same" counted it as just listed at the asking node, which named it again to the watcher after that had dropped it.

--- a/src/rosemaryknot/process/servers_spread.py
+++ b/src/rosemaryknot/process/servers_spread.py
@@ -123,9 +123,14 @@
             await self.peers.send(name, mark)
 
     async def handle_fetch(self, asked: ServersFetch, link: MessageLink) -> Message:
-        """Answer a peer with what this node knows, where it differs."""
+        """Answer a peer with what this node knows, where it differs.
+
+        While a server is missing from the lists but not yet dropped, "the same"
+        would count it as just listed at the peer, who would name it to us again
+        after we drop it, and so on for ever. A push says when it was last listed.
+        """
         push = self.table.to_push()
-        if asked.digest == self.digest():
+        if asked.digest == self.digest() and not self.table.absent_since_s:
             return ServersSame(push.listed_age_s)
         for mark in self.table.leaving_marks():
             await link.send(mark)
