--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -164,7 +164,7 @@
 
         @handlers.on(LeavingMark)
         async def take_mark(mark: LeavingMark, link: MessageLink) -> None:
-            self.servers.mark_leaving(mark.instance, mark.deadline_unix_s, mark.source)
+            self.servers.apply_mark(mark)
 
         return handlers
 
