--- a/src/rosemaryknot/standin/platform_objects.py
+++ b/src/rosemaryknot/standin/platform_objects.py
@@ -71,6 +71,7 @@
             return conflict
         self.version += 1
         del self.objects[name]
+        del self.history[name]
         self.tell(ObjectChanged(name, self.version, None, deleted=True))
         return Written(self.version)
 
