Split the stand-in engine into settings, generation, streams and load

A step tells how many tokens it made, so that dying after n tokens also counts those of requests admitted in the same step.

--- a/src/rosemaryknot/standin/batch.py
+++ b/src/rosemaryknot/standin/batch.py
@@ -1,13 +1,11 @@
 """Continuous batching of the stand-in engine, one step at a time."""
 
-import json
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
-
-import trio
 
 from rosemaryknot.standin.answers import answer_seed, token_of
+from rosemaryknot.standin.engine_settings import EngineSettings
+from rosemaryknot.standin.generation import Generation
 from rosemaryknot.standin.ledger import GenerationEntry
 from rosemaryknot.standin.prefix_cache import PrefixCache
 
@@ -16,155 +14,6 @@
 FINISHED_KEPT = 10_000
 
 
-@dataclass(slots=True)
-class EngineSettings:
-    """What a stand-in engine is like.
-
-    Attributes
-    ----------
-    step_time_s : float
-        Time of one step, which gives each running generation one token.
-    slots : int
-        Generations that run at once.
-    max_waiting : int
-        Length of the waiting queue; beyond it new work is refused.
-    prefill_tokens_per_step : int
-        Prompt tokens computed in one step, shared by all.
-    kv_tokens : int
-        Memory for running generations, in tokens.
-    cache_blocks : int
-        Memory for cached prompt prefixes, in blocks.
-    load_lag_s, event_lag_s : float
-        How late the load report and the cache events are.
-    event_drop_share : float
-        Share of the cache events that are lost.
-    kv_bytes_per_token : int
-        Size of the KV cache of one token, in bytes.
-    kv_bytes_per_s : float
-        Rate of exports and of imports, each shared by all transfers.
-    load_model_s : float
-        Time that the order ``load_model`` takes.
-    checks_fencing : bool
-        Whether an order with an old fencing number is refused.
-    models : tuple of str
-        Models loaded at start; empty where any model is accepted.
-    detached_keep_s : float
-        How long a generation goes on after its connection ended.
-    seed : int
-        Seed of the gaps in the cache events.
-    """
-
-    step_time_s: float = 0.003
-    slots: int = 32
-    max_waiting: int = 256
-    prefill_tokens_per_step: int = 64
-    kv_tokens: int = 400_000
-    cache_blocks: int = 2_000
-    load_lag_s: float = 0.25
-    event_lag_s: float = 0.5
-    event_drop_share: float = 0.05
-    kv_bytes_per_token: int = 131_072
-    kv_bytes_per_s: float = 1e9
-    load_model_s: float = 2.0
-    checks_fencing: bool = True
-    models: tuple[str, ...] = ()
-    detached_keep_s: float = 5.0
-    seed: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Generation:
-    """One generation in the engine.
-
-    Attributes
-    ----------
-    id, lineage : str
-        Given by whoever asked for it.
-    seed : int
-        From which its tokens follow.
-    blocks : list of str
-        Digests of the prompt's blocks.
-    first : int
-        Length of the prefix that it was resumed from, in tokens.
-    length : int
-        Length of its whole answer in tokens.
-    priority : int
-        Lower numbers run earlier.
-    entry : GenerationEntry
-        Its line in the ledger; its ``outcome`` is the state of the generation.
-    repeated : bool
-        Whether its prefill is known to be done again.
-    imported_tokens : int
-        Prompt and answer tokens whose KV cache was imported.
-    cached_tokens : int
-        Prompt tokens found in the prefix cache when it was admitted.
-    prefill_left : int
-        Tokens still to be prefilled.
-    offset : int
-        Answer tokens so far, with the prefix.
-    readers : int
-        Streams open on it.
-    detached_s : float
-        When the last of them ended.
-    changed : trio.lowlevel.ParkingLot
-        Where its streams wait.
-    """
-
-    id: str
-    lineage: str
-    seed: int
-    blocks: list[str]
-    first: int
-    length: int
-    priority: int
-    entry: GenerationEntry
-    repeated: bool = False
-    imported_tokens: int = 0
-    cached_tokens: int = 0
-    prefill_left: int = -1
-    offset: int = 0
-    readers: int = 0
-    detached_s: float = 0.0
-    changed: trio.lowlevel.ParkingLot = field(default_factory=trio.lowlevel.ParkingLot)
-
-    @property
-    def finished(self) -> bool:
-        """Whether no token will follow."""
-        return self.entry.outcome in ("done", "cancelled")
-
-    @property
-    def kv_need(self) -> int:
-        """Tokens of memory that it may fill."""
-        return self.entry.prompt_tokens + self.length
-
-    def head(self) -> str:
-        """Return the start of each of its events."""
-        return (
-            f'data: {{"id":{json.dumps(self.id)},"lineage":{json.dumps(self.lineage)}'
-        )
-
-    def events(self, start: int, stop: int) -> bytes:
-        """Return the events of some of its tokens."""
-        head = self.head()
-        return "".join(
-            f'{head},"offset":{n},"choices":[{{"index":0,'
-            f'"delta":{{"content":"{token_of(self.seed, n)}"}}}}]}}\n\n'
-            for n in range(start, stop)
-        ).encode()
-
-    def last_events(self) -> bytes:
-        """Return the events after its last token."""
-        head = f'{self.head()},"offset":{self.offset}'
-        if self.entry.outcome == "cancelled":
-            return f'{head},"cancelled":true}}\n\ndata: [DONE]\n\n'.encode()
-        usage = (
-            f'"prompt_tokens":{self.entry.prompt_tokens},'
-            f'"cached_tokens":{self.cached_tokens},"completion_tokens":{self.offset}'
-        )
-        text = f'{head},"done":true,"usage":{{{usage}}}}}\n\ndata: [DONE]\n\n'
-        return text.encode()
-
-
 class Batch:
     """Running and waiting generations.
 
@@ -276,21 +125,33 @@
                 queue.remove(generation)
         generation.changed.unpark_all()
         self.generations.move_to_end(generation.id)
-        excess = len(self.generations) - FINISHED_KEPT
-        for id in list(self.generations)[: max(0, excess)]:
-            if self.generations[id].finished:
-                del self.generations[id]
+        if len(self.generations) > FINISHED_KEPT + len(self.running):
+            self.forget_oldest()
 
-    def step(self, now_s: float) -> None:
-        """Compute one step: prefill what is due, one token for everything else."""
+    def forget_oldest(self) -> None:
+        """Forget the generation that was finished or queued longest ago."""
+        id, generation = next(iter(self.generations.items()))
+        if generation.finished:
+            del self.generations[id]
+
+    def step(self, now_s: float) -> int:
+        """Compute one step: prefill what is due, one token for everything else.
+
+        Returns
+        -------
+        count : int
+            New tokens of answers.
+        """
         self.drop_detached(now_s)
         self.admit()
         budget = self.settings.prefill_tokens_per_step
+        count = 0
         for generation in list(self.running):
             if generation.prefill_left > 0:
                 budget -= self.prefill(generation, budget, now_s)
             else:
-                self.decode(generation)
+                count += self.decode(generation)
+        return count
 
     def drop_detached(self, now_s: float) -> None:
         """Cancel what nobody has read for long, as engines do after a disconnect."""
@@ -348,12 +209,14 @@
             self.cache.store(generation.blocks, now_s)
         return count
 
-    def decode(self, generation: Generation) -> None:
-        """Compute one token and wake the streams that wait for it."""
-        if generation.offset < generation.length:
-            generation.offset += 1
-            generation.entry.offset = generation.offset
-            generation.entry.generated += 1
+    def decode(self, generation: Generation) -> int:
+        """Compute a token, if one is left, and wake the streams that wait for it."""
+        # A resume may bring more tokens than the answer has.
+        count = max(0, min(1, generation.length - generation.offset))
+        generation.offset += count
+        generation.entry.offset = generation.offset
+        generation.entry.generated += count
         if generation.offset >= generation.length:
             self.finish(generation, "done")
         generation.changed.unpark_all()
+        return count
--- a/src/rosemaryknot/standin/engine.py
+++ b/src/rosemaryknot/standin/engine.py
@@ -1,9 +1,8 @@
 """Stand-in of a model engine: the HTTP interface over a `Batch`."""
 
 import time
-from collections import deque
-from collections.abc import AsyncIterator, Callable
-from dataclasses import asdict, dataclass
+from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 import trio
@@ -13,13 +12,15 @@
 from rosemaryknot.standin.answers import answer_length, count_tokens, prompt_text
 from rosemaryknot.standin.batch import Batch, EngineSettings, Generation
 from rosemaryknot.standin.engine_kv import KvTransfers
+from rosemaryknot.standin.engine_load import LaggedLoad
+from rosemaryknot.standin.engine_streams import EngineFaults, EngineStreams
 from rosemaryknot.standin.host import Host, new_app
 from rosemaryknot.standin.ledger import GenerationEntry
 from rosemaryknot.standin.orders import Orders
 from rosemaryknot.standin.prefix_cache import prefix_blocks
 from rosemaryknot.values.nodes import Address
 
-__all__ = ["EngineFaults", "EngineStandIn"]
+__all__ = ["EngineFaults", "EngineSettings", "EngineStandIn"]
 
 DEFAULT_MAX_TOKENS = 256
 RETRY_AFTER_S = 1
@@ -27,67 +28,6 @@
 LEAVING_HEADERS = {"Rosemaryknot-Leaving": "1"}
 
 
-@dataclass(slots=True)
-class EngineFaults:
-    """Faults of an engine; see also `EngineStandIn.host` for those of its process.
-
-    Attributes
-    ----------
-    late_s : float
-        Wait before the first byte of each answer.
-    step_time_factor : float
-        How much slower the steps are.
-    swap : bool
-        Exchange the streams of two requests as soon as two are open, once.
-    die_after_tokens : int
-        Die after so many more tokens; 0 for never.
-    """
-
-    late_s: float = 0.0
-    step_time_factor: float = 1.0
-    swap: bool = False
-    die_after_tokens: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Reader:
-    """One open stream.
-
-    Attributes
-    ----------
-    generation : Generation
-        Whose events it sends.
-    cursor : int
-        Position of the next token to send.
-    """
-
-    generation: Generation
-    cursor: int
-
-
-@dataclass(slots=True)
-class LoadReport:
-    """Load at one time, as ``GET /load`` reports it.
-
-    Attributes
-    ----------
-    running, waiting : int
-        Generations in slots and in the queue.
-    slots : int
-        Generations that can run at once.
-    step_time_ms : float
-        Time of one step.
-    free_kv_tokens : int
-        Memory left for running generations.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    step_time_ms: float
-    free_kv_tokens: int
-
-
 class EngineStandIn:
     """One model engine.
 
@@ -121,10 +61,10 @@
         self.batch = Batch(self.settings, clock)
         self.orders = Orders(self.settings, clock)
         self.kv = KvTransfers(self.settings, self.batch)
+        self.load = LaggedLoad(self.settings, self.batch)
         self.faults = EngineFaults()
+        self.streams = EngineStreams(self.faults)
         self.leaving = False
-        self.readers: list[Reader] = []
-        self.reports: deque[tuple[float, LoadReport]] = deque()
         self.work = trio.Event()
         self.app = new_app("engine")
         self.host = Host(self.app)
@@ -163,6 +103,11 @@
 
     # Steps
 
+    @property
+    def step_time_s(self) -> float:
+        """Time of one step, in seconds."""
+        return self.settings.step_time_s * self.faults.step_time_factor
+
     async def run_steps(self) -> None:
         """Compute steps while there is work; the only task that computes."""
         due_s = trio.current_time()
@@ -170,54 +115,23 @@
             if not self.batch.running and not self.batch.waiting:
                 self.work = trio.Event()
                 await self.work.wait()
-            step_time_s = self.settings.step_time_s * self.faults.step_time_factor
-            due_s = max(due_s + step_time_s, trio.current_time())
+            due_s = max(due_s + self.step_time_s, trio.current_time())
             await trio.sleep_until(due_s)
             await self.host.wait_thawed()
             self.step()
 
     def step(self) -> None:
         """Compute one step and note the load."""
-        before = sum(g.offset for g in self.batch.running)
-        running = list(self.batch.running)
-        self.batch.step(trio.current_time())
-        self.note_load()
+        made = self.batch.step(trio.current_time())
+        self.load.note(self.step_time_s)
         if self.faults.die_after_tokens:
-            made = sum(g.offset for g in running) - before
             self.faults.die_after_tokens -= made
             if self.faults.die_after_tokens <= 0:
                 self.kill()
 
-    def current_load(self) -> LoadReport:
-        """Return the load as it is now."""
-        step_time_s = self.settings.step_time_s * self.faults.step_time_factor
-        return LoadReport(
-            running=len(self.batch.running),
-            waiting=len(self.batch.waiting),
-            slots=self.settings.slots,
-            step_time_ms=1000 * step_time_s,
-            free_kv_tokens=self.settings.kv_tokens - self.batch.kv_used,
-        )
-
-    def note_load(self) -> None:
-        """Keep the load for reports, which show it later."""
-        self.reports.append((trio.current_time(), self.current_load()))
-        self.lagged_load()
-
-    def lagged_load(self) -> LoadReport:
-        """Return the load as it was a while ago, and forget what is older."""
-        limit = trio.current_time() - self.settings.load_lag_s
-        while len(self.reports) > 1 and self.reports[1][0] <= limit:
-            self.reports.popleft()
-        if not self.reports or self.reports[0][0] > limit:
-            idle = self.settings
-            step_time_ms = 1000 * idle.step_time_s
-            return LoadReport(0, 0, idle.slots, step_time_ms, idle.kv_tokens)
-        return self.reports[0][1]
-
     # Streams
 
-    def accept(self, body: dict[str, Any]) -> Reader:
+    def accept(self, body: dict[str, Any]) -> Generation:
         """Queue the generation that a request asks for, or join the running one."""
         ours = body["rosemaryknot"]
         prompt = prompt_text(body["messages"])
@@ -231,9 +145,9 @@
             generation = self.batch.add(entry, prompt, blocks, prefix, length, priority)
             generation.imported_tokens = self.kv.take_import(generation)
             generation.detached_s = trio.current_time()
-            self.note_load()
+            self.load.note(self.step_time_s)
             self.work.set()
-        return Reader(generation, len(prefix))
+        return generation
 
     def can_join(
         self, generation: Generation | None, entry: GenerationEntry, offset: int
@@ -247,37 +161,6 @@
             and generation.offset >= offset
         )
 
-    def swap_readers(self) -> None:
-        """Give two open streams each other's events, as a crossed proxy does."""
-        self.faults.swap = False
-        one, other = self.readers[-2:]
-        one.generation, other.generation = other.generation, one.generation
-        one.cursor, other.cursor = other.cursor, one.cursor
-        one.generation.changed.unpark_all()
-        other.generation.changed.unpark_all()
-
-    async def read_events(self, reader: Reader) -> AsyncIterator[bytes]:
-        """Yield a reader's events, all that are there at once."""
-        reader.generation.readers += 1
-        self.readers.append(reader)
-        if self.faults.swap and len(self.readers) > 1:
-            self.swap_readers()
-        try:
-            while True:
-                generation = reader.generation
-                if reader.cursor < generation.offset:
-                    start, reader.cursor = reader.cursor, generation.offset
-                    yield generation.events(start, reader.cursor)
-                elif generation.finished:
-                    yield generation.last_events()
-                    return
-                else:
-                    await generation.changed.park()
-        finally:
-            self.readers.remove(reader)
-            reader.generation.readers -= 1
-            reader.generation.detached_s = trio.current_time()
-
     # HTTP
 
     def add_routes(self) -> None:
@@ -325,7 +208,9 @@
             return refusal
         if self.faults.late_s:
             await trio.sleep(self.faults.late_s)
-        return self.read_events(self.accept(body)), 200, SSE_HEADERS
+        generation = self.accept(body)
+        events = self.streams.follow(generation, len(ours.get("prefix") or []))
+        return events, 200, SSE_HEADERS
 
     async def get_request(self, id: str) -> dict[str, Any]:
         """Tell the state of a generation."""
@@ -345,7 +230,7 @@
 
     async def get_load(self) -> dict[str, Any]:
         """Report the load, with a lag."""
-        return asdict(self.lagged_load())
+        return asdict(self.load.report())
 
     async def get_cache_events(self) -> dict[str, Any]:
         """Report cache events, late and with gaps in their numbers."""
@@ -387,8 +272,7 @@
         for name in ("late_s", "step_time_factor", "swap", "die_after_tokens"):
             setattr(self.faults, name, body.get(name, getattr(self.faults, name)))
         self.leaving = body.get("leaving", self.leaving)
-        if self.faults.swap and len(self.readers) > 1:
-            self.swap_readers()
+        self.streams.swap_if_due()
         if body.get("freeze_s"):
             self.nursery.start_soon(self.host.freeze_for, body["freeze_s"])
         if body.get("kill"):
