--- a/src/rosemaryknot/standin/platform.py
+++ b/src/rosemaryknot/standin/platform.py
@@ -25,6 +25,7 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 RATE_WINDOW_S = 1.0
+OBJECT_PATH = "/objects/<kind>/<path:name>"
 
 STREAM: ContextVar[trio.abc.HalfCloseableStream] = ContextVar("stream")
 
@@ -155,8 +156,8 @@
         app.config["MAX_CONTENT_LENGTH"] = MAX_VALUE_BYTES
         add = app.add_url_rule
         add("/objects/<kind>", "list", self.list_objects)
-        add("/objects/<kind>/<path:name>", "read", self.read)
-        add("/objects/<kind>/<path:name>", "write", self.write, methods=["PUT", "DELETE"])
+        add(OBJECT_PATH, "read", self.read)
+        add(OBJECT_PATH, "write", self.write, methods=["PUT", "DELETE"])
         add("/instances", "instances", self.list_instances)
         add("/instances/<path:name>", "instance", self.read_instance)
         add("/cloud/instances", "start", self.start, methods=["POST"])
