Let operators ask for a node's status, a request's story and a planned stop

Each log line that names a request is remembered within a bound; the entry answers its agent's questions about them, and begins its planned stop when the agent asks.

--- a/src/rosemaryknot/process/decisions.py
+++ b/src/rosemaryknot/process/decisions.py
@@ -2,17 +2,13 @@
 
 from collections import OrderedDict
 from collections.abc import MutableMapping
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from typing import Any
 
-from rosemaryknot.connection.links import Handlers, MessageLink
-from rosemaryknot.values.control import DecisionsFetch, DecisionsFound
-
 __all__ = [
     "DECISIONS",
     "Decision",
     "DecisionMemory",
-    "register_decision_handlers",
     "remember_line",
 ]
 
@@ -98,23 +94,3 @@
         )
         DECISIONS.add(request_id, decision)
     return event
-
-
-def register_decision_handlers(
-    handlers: Handlers, memory: DecisionMemory = DECISIONS
-) -> None:
-    """Let an agent ask this process what it remembers of a request.
-
-    Parameters
-    ----------
-    handlers : Handlers
-        Handlers of the process's links.
-    memory : DecisionMemory
-        Where the decisions are.
-    """
-
-    @handlers.on(DecisionsFetch)
-    async def find(asked: DecisionsFetch, link: MessageLink) -> DecisionsFound:
-        return DecisionsFound(
-            [asdict(decision) for decision in memory.of(asked.request)]
-        )
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -13,6 +13,7 @@
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.configuration_spread import register_configuration_handlers
+from rosemaryknot.process.control_handlers import register_control_handlers
 from rosemaryknot.process.detached import Detached
 from rosemaryknot.process.drain import Drain
 from rosemaryknot.process.logs import logger
@@ -262,6 +263,7 @@
     rng = random.SystemRandom() if rng is None else rng
     async with trio.open_nursery() as nursery:
         entry = Entry(settings, network, nursery, rng, unix_time, safeguards)
+        register_control_handlers(entry.handlers, stop)
         await entry.serve(nursery, settings.listen.callers)
         task_status.started(entry)
         await stop.wait()
--- a/src/rosemaryknot/process/logs.py
+++ b/src/rosemaryknot/process/logs.py
@@ -16,6 +16,8 @@
 
 import structlog
 
+from rosemaryknot.process.decisions import remember_line
+
 __all__ = ["LineWriter", "RepeatLimit", "configure_logs", "logger"]
 
 STDERR = 2
@@ -232,6 +234,7 @@
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            remember_line,
             RepeatLimit(render),
             hide_secrets,
             add_lost,
