--- a/src/rosemaryknot/standin/engine.py
+++ b/src/rosemaryknot/standin/engine.py
@@ -139,7 +139,8 @@
         length = answer_length(prompt, body.get("max_tokens") or DEFAULT_MAX_TOKENS)
         entry = GenerationEntry(ours["id"], ours["lineage"], count_tokens(prompt))
         generation = self.batch.generations.get(entry.id)
-        if not self.can_join(generation, entry, len(prefix)):
+        # A prefix beyond what was made here came from another engine meanwhile.
+        if not self.is_running(ours) or generation.offset < len(prefix):
             blocks = prefix_blocks(prompt)
             priority = int(ours.get("priority") or 0)
             generation = self.batch.add(entry, prompt, blocks, prefix, length, priority)
@@ -149,16 +150,13 @@
             self.work.set()
         return generation
 
-    def can_join(
-        self, generation: Generation | None, entry: GenerationEntry, offset: int
-    ) -> bool:
-        """Tell whether a request goes on with a generation that is here."""
+    def is_running(self, ours: dict[str, Any]) -> bool:
+        """Tell whether a request asks for a generation that is here."""
+        generation = self.batch.generations.get(ours["id"])
         return (
             generation is not None
-            and generation.lineage == entry.lineage
+            and generation.lineage == ours["lineage"]
             and generation.entry.outcome != "cancelled"
-            and generation.entry.prompt_tokens == entry.prompt_tokens
-            and generation.offset >= offset
         )
 
     # HTTP
@@ -181,8 +179,7 @@
 
     def refusal(self, body: dict[str, Any]) -> tuple | None:
         """Return the answer to work that is refused, or None."""
-        id = body["rosemaryknot"]["id"]
-        if self.leaving and id not in self.batch.generations:
+        if self.leaving and not self.is_running(body["rosemaryknot"]):
             return {"error": "leaving"}, 503, LEAVING_HEADERS
         if len(self.batch.waiting) >= self.settings.max_waiting:
             return {"error": "queue full"}, 503, {"Retry-After": str(RETRY_AFTER_S)}
--- a/src/rosemaryknot/standin/engine_kv.py
+++ b/src/rosemaryknot/standin/engine_kv.py
@@ -16,6 +16,7 @@
 __all__ = ["KvExport", "KvTransfers"]
 
 PART_S = 0.05
+TRANSFERS_KEPT = 1000
 PART_TIMEOUT_S = 10.0
 
 
@@ -45,6 +46,13 @@
     parts: int
 
 
+def keep(table: dict[str, KvExport], name: str, export: KvExport) -> None:
+    """Keep an export, and forget the oldest where there are too many."""
+    table[name] = export
+    if len(table) > TRANSFERS_KEPT:
+        del table[next(iter(table))]
+
+
 class KvTransfers:
     """The exports and imports of one engine.
 
@@ -93,7 +101,7 @@
         lineage = generation.lineage
         export = KvExport(id, lineage, prompt_tokens, tokens, size_bytes, parts)
         handle = f"kv-{next(self.numbers)}"
-        self.exports[handle] = export
+        keep(self.exports, handle, export)
         return handle, export
 
     def take_import(self, generation: Generation) -> int:
@@ -136,7 +144,7 @@
             return {"error": f"import failed: {type(error).__name__}"}, 502
         if export.id != body.get("id"):
             return {"error": "the KV cache is of another request"}, 409
-        self.imports[export.id] = export
+        keep(self.imports, export.id, export)
         return {"tokens": export.tokens, "bytes": export.size_bytes}
 
     async def fetch(self, source: str, handle: str) -> KvExport:
--- a/tests/standin/test_engine.py
+++ b/tests/standin/test_engine.py
@@ -340,9 +340,10 @@
             await trio.sleep(0.05)
             await client.post(f"http://{ENGINE_A}/test/faults", json={"leaving": True})
             url = f"http://{ENGINE_A}/v1/chat/completions"
-            response = await client.post(url, json=body_of("r2"))
-        assert response.status_code == 503
-        assert response.headers["Rosemaryknot-Leaving"] == "1"
+            for new in (body_of("r2"), body_of("r1", lineage="l2")):
+                response = await client.post(url, json=new)
+                assert response.status_code == 503
+                assert response.headers["Rosemaryknot-Leaving"] == "1"
         assert is_whole(answer, body)
 
     async def test_freeze(self, bench, autojump_clock):
