--- a/src/rosemaryknot/standin/main.py
+++ b/src/rosemaryknot/standin/main.py
@@ -2,7 +2,6 @@
 
 import json
 import signal
-import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any, Protocol
@@ -10,24 +9,23 @@
 import trio
 import typer
 
-from rosemaryknot import __version__
 from rosemaryknot.connection.network import Network, SocketNetwork
+from rosemaryknot.process.command_line import (
+    ExitCode,
+    VersionOption,
+    fail,
+    new_application,
+)
 from rosemaryknot.standin.batch import EngineSettings
 from rosemaryknot.standin.engine import EngineStandIn
 from rosemaryknot.standin.plain import PlainSettings, PlainStandIn
 from rosemaryknot.values.nodes import Address, BackendServer
 
-__all__ = ["app", "main"]
-
-EXIT_BAD_INPUT = 2
-EXIT_ADDRESS_TAKEN = 3
+__all__ = ["application", "main"]
 
-app = typer.Typer(
+application = new_application(
+    "Run small stand-ins of the platform and the backend servers, to try things out.",
     no_args_is_help=True,
-    add_completion=False,
-    help="Small stand-ins of the platform and the backend servers, to try things out. "
-    "Exit codes: 0 stopped by a signal or killed by a fault, 2 bad input, "
-    "3 the address is taken.",
 )
 
 Listen = Annotated[
@@ -85,18 +83,15 @@
     return platform
 
 
-def fail(text: str, code: int = EXIT_BAD_INPUT) -> None:
-    """End with one line on standard error."""
-    print(f"rosemaryknot-standin: {text}", file=sys.stderr)
-    raise typer.Exit(code)
-
-
-def read_json(file: Path) -> Any:
-    """Read a JSON file, or end with the reason."""
+def read_list(file: Path) -> list[dict[str, Any]]:
+    """Read a JSON list of objects, or end with the reason."""
     try:
-        return json.loads(file.read_text())
+        value = json.loads(file.read_text())
     except (OSError, ValueError) as error:
-        fail(f"{file}: {error}")
+        fail(f"{file}: {error}", ExitCode.BAD_SETTINGS)
+    if not isinstance(value, list) or not all(isinstance(v, dict) for v in value):
+        fail(f"{file}: must be a list of objects", ExitCode.BAD_SETTINGS)
+    return value
 
 
 def parse_address(text: str) -> Address:
@@ -104,17 +99,18 @@
     try:
         return Address.from_text(text)
     except ValueError as error:
-        fail(str(error))
+        fail(str(error), ExitCode.BAD_USAGE)
 
 
 def build(kind: str, settings: dict[str, Any]) -> StandIn:
     """Build a stand-in, or end with the reason."""
     if kind not in BUILDERS:
-        fail(f"unknown kind {kind!r}; kinds are {', '.join(sorted(BUILDERS))}")
+        kinds = ", ".join(sorted(BUILDERS))
+        fail(f"unknown kind {kind!r}; kinds are {kinds}", ExitCode.BAD_SETTINGS)
     try:
         return BUILDERS[kind](settings)
     except TypeError as error:
-        fail(f"{kind}: {error}")
+        fail(f"{kind}: {error}", ExitCode.BAD_SETTINGS)
 
 
 async def stop_on_signal(
@@ -157,26 +153,15 @@
     try:
         trio.run(serve_all, standins)
     except* OSError as errors:
-        fail(first_error(errors), EXIT_ADDRESS_TAKEN)
+        fail(first_error(errors))
 
 
-def show_version(value: bool) -> None:
-    """Print the version and end."""
-    if value:
-        print(__version__)
-        raise typer.Exit
-
-
-@app.callback()
-def options(
-    version: Annotated[
-        bool, typer.Option("--version", callback=show_version, is_eager=True)
-    ] = False,
-) -> None:
+@application.callback()
+def options(version: VersionOption = False) -> None:
     """Take the options of all commands."""
 
 
-@app.command()
+@application.command()
 def engine(
     listen: Listen = "127.0.0.1:0",
     step_time_ms: Annotated[float, typer.Option(help="Time of a step.")] = 3.0,
@@ -196,7 +181,7 @@
     run([("engine", EngineStandIn(settings), parse_address(listen))])
 
 
-@app.command()
+@application.command()
 def plain(
     listen: Listen = "127.0.0.1:0",
     service_time_ms: Annotated[float, typer.Option(help="Time of a call.")] = 5.0,
@@ -209,7 +194,7 @@
     run([("plain", PlainStandIn(settings), parse_address(listen))])
 
 
-@app.command()
+@application.command()
 def platform(
     listen: Listen = "127.0.0.1:0",
     instances: Annotated[
@@ -218,12 +203,12 @@
     ] = None,
 ) -> None:
     """Run the platform: object API, instance list and cloud API."""
-    listed = [] if instances is None else read_json(instances)
+    listed = [] if instances is None else read_list(instances)
     standin = build("platform", {"instances": listed})
     run([("platform", standin, parse_address(listen))])
 
 
-@app.command("all")
+@application.command("all")
 def run_set(
     file: Annotated[
         Path,
@@ -235,7 +220,7 @@
 ) -> None:
     """Run a set of stand-ins in one process."""
     standins = []
-    for item in read_json(file):
+    for item in read_list(file):
         kind, listen = item.get("kind"), item.get("listen", "127.0.0.1:0")
         standin = build(kind, dict(item.get("settings", {})))
         standins.append((kind, standin, parse_address(listen)))
@@ -244,7 +229,7 @@
 
 def main() -> None:
     """Run the command."""
-    app()
+    application()
 
 
 if __name__ == "__main__":
