--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -10,10 +10,12 @@
 import httpx
 import trio
 import typer
-from demo_fleet import Fleet, Plan, make_plan, say
-from demo_load import READ_TIMEOUT_S, Balancer, Caller, Request, make_requests
+from demo_callers import READ_TIMEOUT_S, Balancer, Caller
+from demo_fleet import Fleet, say
 from demo_operator import submit_patches
+from demo_plan import Plan, make_plan
 from demo_report import Ledgers, Summary, print_table, summarize
+from demo_requests import Request, make_requests
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import SocketNetwork
--- a/scripts/demo_operator.py
+++ b/scripts/demo_operator.py
@@ -4,7 +4,8 @@
 
 import httpx
 import trio
-from demo_fleet import OPERATOR, NodePlan, Plan, say
+from demo_fleet import say
+from demo_plan import OPERATOR, NodePlan, Plan
 
 __all__ = ["submit_patches"]
 
--- a/scripts/demo_report.py
+++ b/scripts/demo_report.py
@@ -7,8 +7,8 @@
 import httpx
 import numpy as np
 import trio
-from demo_fleet import Plan, ServerPlan
-from demo_load import KINDS, Request
+from demo_plan import Plan, ServerPlan
+from demo_requests import KINDS, Request
 
 from rosemaryknot.standin.ledger import GenerationEntry, recomputed_tokens
 from rosemaryknot.standin.plain import Run, count_runs
--- a/tests/scripts/test_demo_checks.py
+++ b/tests/scripts/test_demo_checks.py
@@ -16,8 +16,11 @@
 @pytest.fixture
 def demo(monkeypatch):
     monkeypatch.syspath_prepend(str(SCRIPTS))
-    yield importlib.import_module("demo_load"), importlib.import_module("demo_report")
-    for name in ("demo_load", "demo_report", "demo_fleet"):
+    yield (
+        importlib.import_module("demo_requests"),
+        importlib.import_module("demo_report"),
+    )
+    for name in ("demo_requests", "demo_report", "demo_plan"):
         sys.modules.pop(name, None)
 
 
