--- a/src/rosemaryknot/process/admin.py
+++ b/src/rosemaryknot/process/admin.py
@@ -26,6 +26,7 @@
     "AgentAnswer",
     "AgentOptions",
     "JsonOption",
+    "NoAnswer",
     "application",
     "ask_agent",
     "call_agent",
@@ -76,6 +77,22 @@
     body: dict[str, Any]
 
 
+@dataclass(slots=True)
+class NoAnswer:
+    """Why there is no answer of an agent.
+
+    Attributes
+    ----------
+    code : ExitCode
+        What it means for the command.
+    detail : str
+        A sentence for people.
+    """
+
+    code: ExitCode
+    detail: str
+
+
 def agent_address(text: str | None) -> Address | None:
     """Return the agent's address; a wrong one ends the program."""
     if text is None:
@@ -138,6 +155,28 @@
     return ExitCode.FAILED
 
 
+async def exchange(
+    network: Network,
+    options: AgentOptions,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    content: bytes | None,
+) -> AgentAnswer:
+    """Send one request and return the JSON object that answers it."""
+    sent = dict(headers)
+    if options.key:
+        sent["Authorization"] = f"Bearer {options.key}"
+    async with http_client(network, TIMEOUT_S) as client:
+        response = await client.request(
+            method, f"http://{options.agent}{path}", headers=sent, content=content
+        )
+    body = response.json()
+    if not isinstance(body, dict):
+        raise ValueError("no JSON object")
+    return AgentAnswer(response.status_code, body)
+
+
 async def ask_agent(
     network: Network,
     options: AgentOptions,
@@ -145,7 +184,7 @@
     path: str,
     headers: Mapping[str, str] | None = None,
     content: bytes | None = None,
-) -> AgentAnswer:
+) -> AgentAnswer | NoAnswer:
     """Send one request to an agent.
 
     Parameters
@@ -163,28 +202,28 @@
 
     Returns
     -------
-    answer : AgentAnswer
-        Whatever the agent said.
-
-    Raises
-    ------
-    httpx.TransportError
-        If there is no answer. `httpx.ConnectError` and `httpx.ConnectTimeout` mean
-        that nothing was sent.
-    ValueError
-        If the answer is no JSON object.
+    answer : AgentAnswer or NoAnswer
+        Whatever the agent said, or why nothing came.
     """
-    sent = dict(headers or {})
-    if options.key:
-        sent["Authorization"] = f"Bearer {options.key}"
-    async with http_client(network, TIMEOUT_S) as client:
-        response = await client.request(
-            method, f"http://{options.agent}{path}", headers=sent, content=content
-        )
-    body = response.json()
-    if not isinstance(body, dict):
-        raise ValueError("no JSON object")
-    return AgentAnswer(response.status_code, body)
+    agent = options.agent
+    if agent is None:
+        detail = "give --agent IP:PORT or set ROSEMARYKNOT_AGENT"
+        return NoAnswer(ExitCode.BAD_USAGE, detail)
+    try:
+        return await exchange(network, options, method, path, headers or {}, content)
+    except (httpx.ConnectError, httpx.ConnectTimeout):
+        detail = f"agent {agent} does not answer; nothing was sent"
+        return NoAnswer(ExitCode.UNREACHABLE, detail)
+    except httpx.TransportError:
+        if method == "GET":
+            return NoAnswer(ExitCode.UNREACHABLE, f"agent {agent} gave no answer")
+        # The request may have arrived whole: a person who reads "failed" here would
+        # send the change again, on top of itself.
+        detail = f"agent {agent} gave no answer; the change may be in force"
+        return NoAnswer(ExitCode.UNKNOWN, detail)
+    except ValueError:
+        detail = f"{agent} does not speak the operators' API"
+        return NoAnswer(ExitCode.FAILED, detail)
 
 
 def call_agent(
@@ -215,27 +254,14 @@
     Raises
     ------
     typer.Exit
-        With `ExitCode.UNREACHABLE` where nothing was sent, and for a change whose
-        answer was lost with `ExitCode.UNKNOWN`.
+        With the code of the `NoAnswer` where there is no answer.
     """
-    if options.agent is None:
-        fail("give --agent IP:PORT or set ROSEMARYKNOT_AGENT", ExitCode.BAD_USAGE)
-    try:
-        return trio.run(
-            ask_agent, SocketNetwork(), options, method, path, headers, content
-        )
-    except (httpx.ConnectError, httpx.ConnectTimeout):
-        fail(f"agent {options.agent} does not answer", ExitCode.UNREACHABLE)
-    except httpx.TransportError:
-        if method == "GET":
-            fail(f"agent {options.agent} gave no answer", ExitCode.UNREACHABLE)
-        fail(
-            f"agent {options.agent} took the change but gave no answer;"
-            " it may be in force",
-            ExitCode.UNKNOWN,
-        )
-    except ValueError:
-        fail(f"{options.agent} does not speak the operators' API")
+    answer = trio.run(
+        ask_agent, SocketNetwork(), options, method, path, headers, content
+    )
+    if isinstance(answer, NoAnswer):
+        fail(answer.detail, answer.code)
+    return answer
 
 
 def print_json(value: Any) -> None:
