Tell peers of a leaving server past a link that has gone silent

Cause: a mark was sent without an answer being awaited, and passed on only within the zone. With the link between the two agents of a zone silent, the second one went on sending work until the tables were compared; the new test failed so, at one second. The teller now waits for an answer and goes through another node where there is none.

Tests of the agent added: marks, an instance born in a platform outage, status, a story, the planned stop of another node.

--- a/src/rosemaryknot/process/peer_forwarding.py
+++ b/src/rosemaryknot/process/peer_forwarding.py
@@ -98,9 +98,11 @@
         self.passed_on = 0
         handlers.on(PeerForward)(self.handle)
 
-    def next_hops(self, target: str, path: list[str]) -> list[MessageLink]:
-        """Return the links to try, best first."""
-        direct = self.best_link(target)
+    def next_hops(
+        self, target: str, path: list[str], around: bool = False
+    ) -> list[MessageLink]:
+        """Return the links to try, best first, the direct one only if wanted."""
+        direct = None if around else self.best_link(target)
         hops = [] if direct is None else [direct]
         node = next((n for n in self.everybody() if n.name == target), None)
         if node is None or len(path) >= MAX_HOPS - 1:
@@ -121,12 +123,12 @@
         return await self.send_on(self.envelope(target, value, wants_answer=False))
 
     async def call(
-        self, target: str, value: Message, timeout_s: float
+        self, target: str, value: Message, timeout_s: float, around: bool = False
     ) -> Message | CallFailed:
-        """Call a node; see `MessageLink.call`."""
+        """Call a node, past the link to it if wanted; see `MessageLink.call`."""
         envelope = self.envelope(target, value, wants_answer=True)
         envelope.timeout_s = timeout_s
-        outcome = await self.call_on(envelope)
+        outcome = await self.call_on(envelope, around)
         if isinstance(outcome, CallFailed):
             return outcome
         try:
@@ -143,10 +145,12 @@
                 return True
         return False
 
-    async def call_on(self, envelope: PeerForward) -> bytes | CallFailed:
+    async def call_on(
+        self, envelope: PeerForward, around: bool = False
+    ) -> bytes | CallFailed:
         """Pass a call on towards its target, and return its encoded answer."""
         deadline_s = trio.current_time() + envelope.timeout_s
-        hops = self.next_hops(envelope.target, envelope.path)
+        hops = self.next_hops(envelope.target, envelope.path, around)
         envelope.path = [*envelope.path, self.own.name]
         for link in hops:
             envelope.timeout_s = deadline_s - trio.current_time()
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -180,6 +180,15 @@
             return await self.forwarder.call(name, value, timeout_s)
         return await link.call(value, timeout_s)
 
+    async def call_around(
+        self, name: str, value: Message, timeout_s: float
+    ) -> Message | CallFailed:
+        """Call a node through other nodes, past a link that gives no answer.
+
+        For messages that may be handled twice; parameters as for `call`.
+        """
+        return await self.forwarder.call(name, value, timeout_s, around=True)
+
     async def send(self, name: str, value: Message) -> bool:
         """Send a message that needs no answer.
 
--- a/src/rosemaryknot/process/servers_spread.py
+++ b/src/rosemaryknot/process/servers_spread.py
@@ -10,12 +10,12 @@
 import trio
 import xxhash
 
-from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.connection.links import CallFailed, Handlers, MessageLink
 from rosemaryknot.process.configuration_spread import chosen_nodes
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.servers import ServerTable
-from rosemaryknot.values.control import ServersFetch, ServersSame
+from rosemaryknot.values.control import LeavingMarkTaken, ServersFetch, ServersSame
 from rosemaryknot.values.messages import Message
 from rosemaryknot.values.servers import LeavingMark, ServersPush
 
@@ -25,8 +25,8 @@
 DUTY = "servers"
 COMPARE_S = 2.0
 CALL_TIMEOUT_S = 1.0
+TELL_TIMEOUT_S = 0.3
 FRESH_S = 4.0
-FORWARDS = 2
 SETTLE_S = 7.0
 TOLD_AT_ONCE = frozenset({"notice", "server"})
 
@@ -101,26 +101,33 @@
             for mark in marks:
                 if mark.source in TOLD_AT_ONCE and mark.instance not in self.told:
                     self.told.add(mark.instance)
-                    await self.peers.broadcast(mark)
+                    await self.tell_all(mark)
 
-    async def handle_mark(self, mark: LeavingMark, link: MessageLink) -> None:
-        """Take over a mark of a peer or of an entry of this node."""
-        is_peer = link.hello.role != "entry"
-        if is_peer:
-            self.told.add(mark.instance)
-        if self.table.apply_mark(mark) and is_peer:
-            await self.forward(mark)
+    async def tell_all(self, mark: LeavingMark) -> None:
+        """Tell all peers of one mark at the same time."""
+        async with trio.open_nursery() as nursery:
+            for node in self.peers.nodes():
+                nursery.start_soon(self.tell, node.name, mark)
 
-    async def forward(self, mark: LeavingMark) -> None:
-        """Pass a mark on to a few nodes of the zone.
+    async def tell(self, name: str, mark: LeavingMark) -> None:
+        """Tell a peer, through another node where the link gives no answer.
 
-        The link of the first teller to one of them may have gone silent without
-        anybody having noticed; a few others reach it in its place.
+        A link that went silent a moment ago looks well for seconds more. The peer
+        at its other end would send work to the leaving server until the tables are
+        compared.
         """
-        zone = self.peers.node.zone
-        names = [node.name for node in self.peers.nodes() if node.zone == zone]
-        for name in self.rng.sample(names, min(FORWARDS, len(names))):
-            await self.peers.send(name, mark)
+        answer = await self.peers.call(name, mark, TELL_TIMEOUT_S)
+        if isinstance(answer, CallFailed):
+            await self.peers.call_around(name, mark, TELL_TIMEOUT_S)
+
+    async def handle_mark(
+        self, mark: LeavingMark, link: MessageLink
+    ) -> LeavingMarkTaken:
+        """Take over a mark of a peer or of an entry of this node."""
+        if link.hello.role != "entry":
+            self.told.add(mark.instance)
+        self.table.apply_mark(mark)
+        return LeavingMarkTaken()
 
     async def handle_fetch(self, asked: ServersFetch, link: MessageLink) -> Message:
         """Answer a peer with what this node knows, where it differs.
--- a/src/rosemaryknot/values/control.py
+++ b/src/rosemaryknot/values/control.py
@@ -10,6 +10,7 @@
     "DecisionsFound",
     "DrainAccepted",
     "DrainRequest",
+    "LeavingMarkTaken",
     "ServersFetch",
     "ServersSame",
 ]
@@ -47,6 +48,14 @@
     listed_age_s: float
 
 
+@message("leaving_mark_taken")
+@dataclass(slots=True)
+class LeavingMarkTaken(Message):
+    """Tells that a mark of a leaving server has been taken over."""
+
+    kind: ClassVar[str]
+
+
 @message("decisions_fetch")
 @dataclass(slots=True)
 class DecisionsFetch(Message):
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -5,12 +5,13 @@
 
 import httpx
 import trio
-from tests.version.documents import EDITOR_KEY, count_patch, first_patch
+from tests.version.documents import EDITOR_KEY, VIEWER_KEY, count_patch, first_patch
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.links import Handlers, Hello, MessageLink, open_link
 from rosemaryknot.connection.memory_network import MemoryNetwork
 from rosemaryknot.process.agent import Agent, run_agent
+from rosemaryknot.process.decisions import DECISIONS, Decision
 from rosemaryknot.process.settings import Listen, Settings
 from rosemaryknot.standin.platform import PlatformStandIn
 from rosemaryknot.values.configuration import ConfigurationOffer, ConfigurationPush
@@ -192,3 +193,141 @@
             )
             await region.until(lambda: entry.pushes[-1].number == 2, 2)
             nursery.cancel_scope.cancel()
+
+    async def test_platform_down_for_the_whole_life_of_an_instance(
+        self, autojump_clock
+    ):
+        """A node is replaced while the platform is down, and stays so.
+
+        The new process cannot read the configuration or the instance list. It must
+        learn both from its peers, and its entry with it.
+        """
+        async with trio.open_nursery() as nursery:
+            region = Region(nursery)
+            region.platform.add_instance(server("e1"))
+            await region.start()
+            await region.patch(0, first_patch(), 0, BOOTSTRAP)
+            await trio.sleep(3)
+            region.platform.faults.outage = "refusing"
+            region.stops[4].set()
+            await region.until(lambda: region.ended == [4], 30)
+            region.agents.pop(4), region.stops.pop(4)
+            agent = await region.start_agent(4)
+            assert await region.until(lambda: agent.holder.number == 1, 10) < 4
+            assert await region.until(lambda: agent.servers.get("e1"), 10) < 4
+            entry = FakeEntry()
+            await nursery.start(entry.run, region, 4)
+            await region.until(lambda: entry.pushes and entry.servers, 2)
+            assert entry.servers[-1].servers[0]["instance"] == "e1"
+            nursery.cancel_scope.cancel()
+
+
+class TestLeavingMarks:
+    async def test_mark_from_an_entry_reaches_all_within_a_second(
+        self, autojump_clock, monkeypatch
+    ):
+        """A server answers an entry that it is leaving; no notice came, the list lags.
+
+        Only that entry knows. It tells its agent, and within a second the agents and
+        entries of its zone and of the others must have stopped sending work there.
+        """
+        # Comparison of the tables would hide a mark that was not passed on.
+        monkeypatch.setattr("rosemaryknot.process.servers_spread.COMPARE_S", 1e6)
+        async with trio.open_nursery() as nursery:
+            region = Region(nursery)
+            region.platform.add_instance(server("e1"))
+            await region.start()
+            teller, hearer = FakeEntry(), FakeEntry()
+            link = await nursery.start(teller.run, region, 0)
+            await nursery.start(hearer.run, region, 5)
+            await trio.sleep(5)
+            assert all(a.servers.servers_of("kit-assistant") for a in region.agents)
+            # The link between the two agents of the zone went silent just now.
+            region.network.silence(region.host(0), region.host(1))
+            await link.send(LeavingMark("e1", 0.0, "server"))
+            await region.until(lambda: hearer.marks, 1)
+            tables = [agent.servers for agent in region.agents]
+            await region.until(
+                lambda: all(table.leaving_of("kit-assistant") for table in tables), 1
+            )
+            await trio.sleep(20)
+            assert not any(table.servers_of("kit-assistant") for table in tables)
+            nursery.cancel_scope.cancel()
+
+    async def test_mark_made_up_for_after_a_cut(self, autojump_clock):
+        """A zone is cut off from all else when the mark spreads, then healed."""
+        async with trio.open_nursery() as nursery:
+            region = Region(nursery)
+            region.platform.add_instance(server("e1"))
+            await region.start()
+            await trio.sleep(5)
+            hosts = [region.host(n) for n in range(4)] + [PLATFORM.host]
+            pairs = [(region.host(n), host) for n in (4, 5) for host in hosts]
+            for pair in pairs:
+                region.network.cut(*pair)
+            region.agents[0].servers.mark_leaving("e1", 0.0, "server")
+            await trio.sleep(30)
+            assert not region.agents[4].servers.leaving_of("kit-assistant")
+            for pair in pairs:
+                region.network.heal(*pair)
+            far = region.agents[4:]
+            await region.until(
+                lambda: all(a.servers.leaving_of("kit-assistant") for a in far), 15
+            )
+            nursery.cancel_scope.cancel()
+
+
+class TestOperators:
+    async def test_status_explain_and_who_may_ask(self, autojump_clock):
+        async with trio.open_nursery() as nursery:
+            region = Region(nursery, 3)
+            region.platform.add_instance(server("e1"))
+            await region.start()
+            await region.patch(0, first_patch(), 0, BOOTSTRAP)
+            await trio.sleep(3)
+            body = (await region.ask(1, "GET", "/v1/status", VIEWER_KEY)).json()
+            assert [peer["name"] for peer in body["peers"]] == ["node-0", "node-2"]
+            assert body["configuration"]["number"] == 1
+            assert body["servers"][0]["count"] == 1
+            assert body["alarms"] == ["no entry is connected to this agent"]
+            for direction in ("sent", "received"):
+                for duty in ("membership", "configuration"):
+                    assert body["traffic"][direction][duty]["bytes"] > 0
+            decision = Decision("2026-12-02T12:00:00Z", "route", "chose e1", {})
+            DECISIONS.add("request-of-this-test", decision)
+            path = "/v1/explain/request-of-this-test"
+            story = (await region.ask(1, "GET", path, VIEWER_KEY)).json()
+            assert {d["node"] for d in story["decisions"]} == {
+                "node-0",
+                "node-1",
+                "node-2",
+            }
+            assert story["not_reached"] == []
+            refused = await region.ask(1, "POST", "/v1/drain", VIEWER_KEY, json={})
+            assert refused.status_code == 403
+            metrics = await region.ask(1, "GET", "/metrics")
+            assert "rosemaryknot_peers_linked" in metrics.text
+            nursery.cancel_scope.cancel()
+
+    async def test_drain_of_another_node(self, autojump_clock):
+        """An operator drains node-2 through node-0.
+
+        Its entry is told first and ends on its own; its agent stays until the entry
+        has gone, hands over, says goodbye and ends. Nobody suspects it.
+        """
+        async with trio.open_nursery() as nursery:
+            region = Region(nursery, 3)
+            await region.start()
+            await region.patch(0, first_patch(), 0, BOOTSTRAP)
+            entry = FakeEntry()
+            await nursery.start(entry.run, region, 2)
+            await trio.sleep(3)
+            answer = await region.ask(0, "POST", "/v1/drain", json={"node": "node-2"})
+            assert answer.status_code == 202
+            assert answer.json()["entries"] == 1
+            await region.until(lambda: region.ended == [2], 20)
+            assert entry.drains == 1
+            await trio.sleep(1)
+            assert [n.name for n in region.agents[0].peers.nodes()] == ["node-1"]
+            assert region.agents[0].peers.counters["suspicions"] == 0
+            nursery.cancel_scope.cancel()
