Repair the spread tests' import and tighten the bound on the offer at once

With a bound of 0.1 s the test fails without the offer. A pause by peers alone stays green without the comparison, since offers wait in the frozen node's buffers; the partition, a new node in an outage and the conflict turn red.

--- a/tests/process/test_configuration_spread.py
+++ b/tests/process/test_configuration_spread.py
@@ -1,11 +1,12 @@
 """Spread of the configuration over a region under faults, in virtual time."""
 
+import pytest
 import trio
 from tests.process.configuration_fleet import Region, run_region
 
 IN_FORCE_S = 2.0
 HEALED_S = 5.0
-TOLD_S = 0.5
+TOLD_S = 0.1
 
 
 class TestSpread:
