--- a/src/rosemaryknot/values/messages.py
+++ b/src/rosemaryknot/values/messages.py
@@ -6,7 +6,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, fields
-from typing import Any, ClassVar, TypeVar
+from functools import reduce
+from operator import or_
+from types import NoneType, UnionType
+from typing import Any, ClassVar, TypeVar, get_args, get_origin
 
 import msgpack
 
@@ -20,6 +23,7 @@
 ]
 
 KINDS: dict[str, type["Message"]] = {}
+FIELD_TYPES: dict[type["Message"], dict[str, Any]] = {}
 
 MessageType = TypeVar("MessageType", bound="Message")
 
@@ -55,6 +59,24 @@
     """Bytes that are not a message of ours."""
 
 
+def wire_type(annotation: Any) -> Any:
+    """Return what a field's value must be an instance of, as far as can be told.
+
+    Examples
+    --------
+    >>> wire_type(list[str])
+    <class 'list'>
+    >>> isinstance(1, wire_type(float))
+    True
+    """
+    if isinstance(annotation, UnionType):
+        return reduce(or_, map(wire_type, get_args(annotation)))
+    plain = get_origin(annotation) or annotation
+    if plain is float:
+        return int | float
+    return plain if plain in (bool, bytes, dict, int, list, str, NoneType) else object
+
+
 def message(kind: str) -> Callable[[type[MessageType]], type[MessageType]]:
     """Register a message class under a kind name.
 
@@ -74,6 +96,7 @@
             raise ValueError(f"message kind {kind!r} is taken")
         cls.kind = kind
         KINDS[kind] = cls
+        FIELD_TYPES[cls] = {field.name: wire_type(field.type) for field in fields(cls)}
         return cls
 
     return register
@@ -100,6 +123,18 @@
     return msgpack.packb([value.kind, call, reply_to, body])
 
 
+def check_types(cls: type[Message], known: dict[str, Any]) -> None:
+    """Raise where a field has another type than the message declares.
+
+    A handler trusts the types and would fail on such a message, which ends the
+    process: one wrong peer would take every node with it.
+    """
+    types = FIELD_TYPES[cls]
+    for name, value in known.items():
+        if not isinstance(value, types[name]):
+            raise TypeError(f"{cls.kind}.{name} is {type(value).__name__}")
+
+
 def decode_message(payload: bytes) -> tuple[Message, int, int]:
     """Decode what `encode_message` made.
 
@@ -123,14 +158,18 @@
     Raises
     ------
     MessageError
-        If the bytes are no message, or a field without default is missing.
+        If the bytes are no message, a field without default is missing, or a
+        field has another type than declared.
     """
     try:
         kind, call, reply_to, body = msgpack.unpackb(payload, strict_map_key=False)
         cls = KINDS.get(kind)
         if cls is None:
             return UnknownKind(str(kind)), int(call), int(reply_to)
-        known = {field.name: body[field.name] for field in fields(cls) if field.name in body}
+        known = {
+            field.name: body[field.name] for field in fields(cls) if field.name in body
+        }
+        check_types(cls, known)
         return cls(**known), int(call), int(reply_to)
     except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
         raise MessageError(f"not a message: {type(error).__name__}") from error
