--- a/src/rosemaryknot/process/agent_link.py
+++ b/src/rosemaryknot/process/agent_link.py
@@ -25,6 +25,7 @@
 # Links carry a heartbeat each second: three that are missing are a frozen agent or a
 # connection that went silent, and a new connection tells which.
 SILENCE_S = 3.0
+SHORTEST_SLEEP_S = 0.001
 FIRST_DELAY_S = 0.1
 LONGEST_DELAY_S = 2.0
 
@@ -180,4 +181,6 @@
             link.close("silent")
             scope.cancel()
             return
-        await trio.sleep(left_s)
+        # A rest too small to change the clock's floating-point value would make this
+        # loop spin without time passing.
+        await trio.sleep(max(left_s, SHORTEST_SLEEP_S))
