Count moved tokens exactly, expect waves, and tell a passed deadline apart

A move's count used the estimated prompt, which the first answers have not corrected yet; the tokens emitted since the export are known. A route choice gives servers of a zone that is being reclaimed a short time left. A deadline that passes before anything was sent is "not run".

--- a/src/rosemaryknot/request/attempts.py
+++ b/src/rosemaryknot/request/attempts.py
@@ -43,12 +43,12 @@
     ----------
     target : BackendServer
         Where it is.
-    tokens : int
-        Prompt and answer tokens that it covers.
+    emitted : int
+        Answer tokens that it covers, besides the prompt.
     """
 
     target: BackendServer
-    tokens: int
+    emitted: int
 
 
 @dataclass(slots=True)
--- a/src/rosemaryknot/request/course.py
+++ b/src/rosemaryknot/request/course.py
@@ -27,11 +27,14 @@
     next_server : BackendServer or None
         Where the next attempt goes without a choice.
     moved_tokens : int
-        Tokens whose KV cache is at the next server.
+        Answer tokens whose KV cache is at the next server with the prompt's; -1
+        where nothing was moved.
     joins : bool
         Whether the next server is still at work on it.
     restart : bool
         Whether the next attempt computes the answer from its start.
+    in_flight : bool
+        Whether an attempt is under way.
     was_sent : bool
         Whether any server may have computed something.
     resumes_here : int
@@ -47,9 +50,10 @@
     prompt: Prompt
     server: BackendServer | None = None
     next_server: BackendServer | None = None
-    moved_tokens: int = 0
+    moved_tokens: int = -1
     joins: bool = False
     restart: bool = False
+    in_flight: bool = False
     was_sent: bool = False
     resumes_here: int = 0
     progress: int = 0
@@ -88,7 +92,8 @@
     def start_attempt(self, server: BackendServer) -> None:
         """Use up what was laid down for the next attempt."""
         self.server = server
+        self.in_flight = True
         self.next_server = None
-        self.moved_tokens = 0
+        self.moved_tokens = -1
         self.joins = False
         self.restart = False
--- a/src/rosemaryknot/request/moves.py
+++ b/src/rosemaryknot/request/moves.py
@@ -203,6 +203,7 @@
         tried: set[str] = set()
         while attempt.end is None:
             # Each try takes a new export, which covers what was emitted since.
+            emitted = len(attempt.generation.tokens)
             export = await self.engines.export_kv(server, request_id)
             if attempt.end is not None:
                 return
@@ -213,7 +214,7 @@
                 return
             target = choose_target(server, targets).server
             if await self.import_at(target, attempt, export, left_s):
-                attempt.stop(Moved(target, export.tokens))
+                attempt.stop(Moved(target, emitted))
             tried.add(target.instance)
 
     def transfer_s(self, export: KvExport) -> float:
--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -278,8 +278,12 @@
         """Count the tokens that the next attempt computes again."""
         if course.joins:
             return
-        again = prompt_tokens + len(generation.tokens) - course.moved_tokens
-        generation.recomputed_tokens += max(0, round(again))
+        again = len(generation.tokens)
+        if course.moved_tokens >= 0:
+            again -= course.moved_tokens
+        else:
+            again += round(prompt_tokens)
+        generation.recomputed_tokens += again
 
     def conclude(
         self, attempt: Attempt, course: Course, guess: Guess, end: AttemptEnd
@@ -288,6 +292,7 @@
         generation, server = attempt.generation, attempt.server
         course.note_progress(len(generation.tokens))
         course.was_sent |= may_have_run(end)
+        course.in_flight = False
         match end:
             case Finished():
                 self.note_finished(attempt, course, guess, end)
@@ -301,8 +306,8 @@
             case Silent(resume_here=True) | Crossed():
                 if not course.resume_here(server):
                     self.health.note_failure(server.instance)
-            case Moved(target=target, tokens=tokens):
-                course.next_server, course.moved_tokens = target, tokens
+            case Moved(target=target, emitted=moved):
+                course.next_server, course.moved_tokens = target, moved
                 self.cancel_at(server, generation)
             case Leave(restart=restart):
                 course.restart = restart
@@ -352,8 +357,9 @@
     def time_out(self, generation: Generation, course: Course) -> None:
         """End a generation whose deadline has passed."""
         detail = "the deadline of the request has passed"
-        if course.server is not None:
+        if course.in_flight:
             self.cancel_at(course.server, generation)
+        if course.in_flight or course.was_sent:
             generation.finish(Unknown(Reason.TIMED_OUT, detail))
         else:
             generation.finish(NotRun(Reason.TIMED_OUT, 1.0, detail))
--- a/src/rosemaryknot/request/relay_records.py
+++ b/src/rosemaryknot/request/relay_records.py
@@ -18,16 +18,17 @@
 
 
 def note_begun(generation: Generation) -> None:
-    """Log and count an accepted request."""
+    """Count an accepted request, and log one that was taken over."""
     running_gauge.add(1)
-    log.info(
-        "accepted",
-        request=generation.request_id,
-        service=generation.service,
-        lineage=generation.lineage,
-        emitted=len(generation.tokens),
-    )
-    generation.tell(f"relay: accepted as lineage {generation.lineage}")
+    if generation.tokens:
+        log.info(
+            "took over",
+            request=generation.request_id,
+            lineage=generation.lineage,
+            emitted=len(generation.tokens),
+        )
+    lineage, emitted = generation.lineage, len(generation.tokens)
+    generation.tell(f"relay: began lineage {lineage} at token {emitted}")
 
 
 def note_end(attempt: Attempt, end: AttemptEnd) -> None:
--- a/src/rosemaryknot/request/router.py
+++ b/src/rosemaryknot/request/router.py
@@ -30,6 +30,7 @@
 SAME_ZONE_S = 0.0003
 OTHER_ZONE_S = 0.002
 DEFAULT_SLOTS = 32
+WAVE_TIME_LEFT_S = 5.0
 FIRST_CHARS_PER_TOKEN = 4.0
 LEARNING_SHARE = 0.2
 
@@ -193,14 +194,23 @@
             request.deadline_s - now_s,
             generation.attempts + 1,
         )
-        seed = f"{request.request_id}/{facts.attempt}".encode()
-        return RouteInput(
-            facts,
-            [self.candidate(s, prompt, facts, service, now_s) for s in servers],
-            now_s,
-            xxhash.xxh64_intdigest(seed),
-            self.turn,
-        )
+        candidates = [
+            self.candidate(server, prompt, facts, service, now_s) for server in servers
+        ]
+        self.note_wave(request.service, candidates)
+        seed = xxhash.xxh64_intdigest(f"{request.request_id}/{facts.attempt}".encode())
+        return RouteInput(facts, candidates, now_s, seed, self.turn)
+
+    def note_wave(self, service: str, candidates: list[Candidate]) -> None:
+        """Expect the next notice for servers of a zone that is being reclaimed.
+
+        Notices come in waves: a long answer sent to a neighbour of a leaving server
+        is likely to move again within seconds.
+        """
+        zones = {server.zone for server in self.servers.leaving_of(service)}
+        for candidate in candidates:
+            if candidate.server.reclaimable and candidate.server.zone in zones:
+                candidate.time_left_s = WAVE_TIME_LEFT_S
 
     def candidate(
         self,
