End the watch of a node that is no longer chosen

Every node of a starting zone saw no peers yet, took itself for chosen and kept its watch until the renewal: at 21 nodes 21 open watches where 9 were meant.

--- a/src/rosemaryknot/version/watch.py
+++ b/src/rosemaryknot/version/watch.py
@@ -101,7 +101,8 @@
         list, so it does not matter what the old one missed.
         """
         heard = 0
-        with trio.move_on_after(RENEWAL_S * self.rng.uniform(0.8, 1.2)):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.end_watch, nursery.cancel_scope)
             async with self.store.platform.watch(KIND) as watch:
                 async for change in watch:
                     heard += 1
@@ -109,8 +110,20 @@
                         self.take(change.value, change.version)
                 if watch.ended:
                     log.info(f"the watch ended: {watch.ended}")
+            nursery.cancel_scope.cancel()
         return heard
 
+    async def end_watch(self, scope: trio.CancelScope) -> None:
+        """End the watch when it is due for renewal, or this node not chosen any more.
+
+        Without this every node of a starting zone, which sees no peers yet, would
+        keep its watch, and each counts as a call of the platform's.
+        """
+        renewal = trio.current_time() + RENEWAL_S * self.rng.uniform(0.8, 1.2)
+        while trio.current_time() < renewal and self.rank() < WATCHERS:
+            await trio.sleep(CHOICE_S)
+        scope.cancel()
+
     def take(self, value: Any, version: int) -> None:
         """Put a watched version into force where it is newer."""
         stored = read_stored(value, version)
