--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -28,6 +28,8 @@
 PATCH_AT_S = 2.5
 RECLAIM_AT_S = 4.0
 NOTICE_S = 3.0
+KILL_AT_S = 5.0
+KILLED_NODE = "waco-b-1"
 PROGRESS_S = 2.0
 SEED = 20261202
 EXIT_FAILED = 1
@@ -43,6 +45,8 @@
         What runs where.
     client : httpx.AsyncClient
         For callers, platform and ledgers.
+    kill_entry : bool
+        Whether an entry dies under load too.
 
     Attributes
     ----------
@@ -54,9 +58,12 @@
         All requests of the load.
     """
 
-    def __init__(self, plan: Plan, client: httpx.AsyncClient) -> None:
+    def __init__(
+        self, plan: Plan, client: httpx.AsyncClient, kill_entry: bool = False
+    ) -> None:
         self.plan = plan
         self.client = client
+        self.kill_entry = kill_entry
         self.fleet = Fleet(plan)
         self.ledgers = Ledgers()
         self.requests: list[Request] = make_requests(LOAD_S, SEED)
@@ -90,6 +97,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.reclaim, start_s)
                 nursery.start_soon(self.operate, start_s)
+                if self.kill_entry:
+                    nursery.start_soon(self.lose_entry, start_s)
                 for request in self.requests:
                     nursery.start_soon(self.see_through, caller, request, start_s)
             watchers.cancel_scope.cancel()
@@ -112,6 +121,12 @@
         await trio.sleep_until(start_s + PATCH_AT_S)
         await submit_patches(self.client, self.plan)
 
+    async def lose_entry(self, start_s: float) -> None:
+        """Let an entry die with requests in flight."""
+        await trio.sleep_until(start_s + KILL_AT_S)
+        self.fleet.kill(f"entry-{KILLED_NODE}")
+        say(f"the entry of {KILLED_NODE} was killed")
+
     async def reclaim(self, start_s: float) -> None:
         """Reclaim a zone: notice, a few seconds, and its servers are gone."""
         await trio.sleep_until(start_s + RECLAIM_AT_S)
@@ -173,10 +188,10 @@
     return summary
 
 
-async def run_demo(plan: Plan, stay: bool) -> int:
+async def run_demo(plan: Plan, stay: bool, kill_entry: bool) -> int:
     """Run the demo and print its figures; returns the exit code."""
     async with http_client(SocketNetwork(), READ_TIMEOUT_S) as client:
-        demo = Demo(plan, client)
+        demo = Demo(plan, client, kill_entry)
         summary, code = None, EXIT_INTERRUPTED
         try:
             summary = await run_to_end(demo, stay)
@@ -201,6 +216,9 @@
     stay: Annotated[
         bool, typer.Option(help="Start everything, send nothing, and stay up.")
     ] = False,
+    kill_entry: Annotated[
+        bool, typer.Option(help="Kill an entry under load as well.")
+    ] = False,
     prefix: Annotated[
         str, typer.Option(help="First three numbers of the loopback addresses.")
     ] = "127.0.0",
@@ -211,7 +229,7 @@
     The last line is JSON. Exit codes: 0 all that must hold did, 1 something did not,
     130 interrupted.
     """
-    sys.exit(trio.run(run_demo, make_plan(folder, prefix), stay))
+    sys.exit(trio.run(run_demo, make_plan(folder, prefix), stay, kill_entry))
 
 
 if __name__ == "__main__":
