Move streams whose prefill ends in time

A stream whose server gets a notice during its prefill, as happens to the target of a move just after the switch, was resumed at once and its prompt computed twice. It is moved after its first token where the time allows, after those that are ready. What waits in the engine's queue leaves at once: nothing is lost with it.

--- a/src/rosemaryknot/request/attempts.py
+++ b/src/rosemaryknot/request/attempts.py
@@ -194,6 +194,10 @@
         """Whether a token has come, so that there is KV cache to export."""
         return not self.pending
 
+    def ready_in_s(self) -> float:
+        """Return the time until its prefill is done, in seconds."""
+        return self.pending / PREFILL_TOKENS_PER_STEP * self.step_time_s
+
     def observed_step_s(self) -> float:
         """Return the time between two tokens as it was here so far, in seconds."""
         made = len(self.generation.tokens) - self.first_offset
--- a/src/rosemaryknot/request/move_plan.py
+++ b/src/rosemaryknot/request/move_plan.py
@@ -52,8 +52,9 @@
         Prompt tokens that another server has probably cached.
     priority : int
         Engine priority; lower runs first.
-    exportable : bool
-        Whether its prefill is done, so that there is KV cache to export.
+    ready_in_s : float
+        Time until its prefill is done, in seconds; before, there is no KV cache to
+        export.
     """
 
     request_id: str
@@ -63,7 +64,7 @@
     step_time_s: float
     cached_elsewhere: float = 0.0
     priority: int = 0
-    exportable: bool = True
+    ready_in_s: float = 0.0
 
     @property
     def tokens_at_risk(self) -> float:
@@ -182,8 +183,8 @@
 
     A stream that cannot be moved in time is resumed at the notice and not at the
     deadline, since each token that it emits until then is one more to compute
-    again. Moves go by tokens at risk for each second of transfer; one that does not
-    fit leaves its room to smaller ones after it.
+    again. Moves go by tokens at risk for each second of transfer, those that still
+    prefill last; one that does not fit leaves its room to smaller ones after it.
     """
     time_s = given.time_left_s - DEADLINE_MARGIN_S
     finishing = [s for s in given.streams if s.finishes_in_s <= time_s]
@@ -194,16 +195,14 @@
     ]
     moves: list[MoveStep] = []
     used_s = 0.0
-    for stream in sorted(others, key=lambda s: worth(given, s), reverse=True):
-        transfer_s = given.transfer_s(stream)
+    for stream in sorted(others, key=lambda s: (s.ready_in_s, -worth(given, s))):
+        ends_s = max(used_s, stream.ready_in_s) + given.transfer_s(stream)
         if not given.moves_kv:
             steps.append(resume(stream, "the engine moves no KV cache"))
-        elif not stream.exportable:
-            steps.append(resume(stream, "its prefill is not done"))
-        elif used_s + transfer_s > time_s:
+        elif ends_s > time_s:
             steps.append(resume(stream, "no time left to move it"))
         else:
-            used_s += transfer_s
+            used_s = ends_s
             reason = f"moved by {used_s:.2f} s of {time_s:.2f} s"
             moves.append(MoveStep(stream.request_id, MoveAction.MOVE, reason))
     return steps + moves
--- a/src/rosemaryknot/request/moves.py
+++ b/src/rosemaryknot/request/moves.py
@@ -173,7 +173,7 @@
             max(0, generation.request.max_tokens - emitted),
             attempt.observed_step_s(),
             priority=attempt.priority,
-            exportable=attempt.has_token,
+            ready_in_s=attempt.ready_in_s(),
         )
 
     def targets(self, attempt: Attempt, tried: set[str]) -> list[TargetFacts]:
@@ -201,6 +201,8 @@
         """Move a stream's KV cache while it goes on, then switch over."""
         request_id = attempt.generation.request_id
         tried: set[str] = set()
+        if not await self.wait_ready(attempt, deadline_s):
+            return
         while attempt.end is None:
             # Each try takes a new export, which covers what was emitted since.
             emitted = len(attempt.generation.tokens)
@@ -217,6 +219,24 @@
                 attempt.stop(Moved(target, emitted))
             tried.add(target.instance)
 
+    async def wait_ready(self, attempt: Attempt, deadline_s: float) -> bool:
+        """Wait until there is KV cache to export; tell whether there is.
+
+        What waits in the engine's queue has nothing to lose and leaves at once.
+        """
+        if attempt.has_token:
+            return True
+        generation = attempt.generation
+        status = await self.engines.status(attempt.server, generation.request_id)
+        if attempt.end is None and status is not None and status.status == "running":
+            size = attempt.pending * self.bytes_per_token
+            latest_s = deadline_s - CUTOVER_MARGIN_S - size / self.bytes_per_s
+            with trio.move_on_at(latest_s):
+                await generation.wait_beyond(attempt.first_offset)
+        if attempt.end is None and not attempt.has_token:
+            self.leave(attempt)
+        return attempt.end is None
+
     def transfer_s(self, export: KvExport) -> float:
         """Return the time to fetch an export, and learn the size of a token."""
         self.bytes_per_token = export.size / max(1, export.tokens)
--- a/tests/request/test_relay.py
+++ b/tests/request/test_relay.py
@@ -297,6 +297,23 @@
         await self.finish(generations)
         assert {fleet.server_of(g) for g in generations if g.outcome is None} == set()
 
+    async def test_notice_during_the_prefill(self, nursery, autojump_clock):
+        """The notice comes while a long plan set is still being read.
+
+        Three seconds are enough to end the prefill and move its result; resuming at
+        once would read the plan set twice.
+        """
+        fleet = await Fleet().start(nursery, "waco-a", "waco-b")
+        generation = await fleet.request(words=3000, max_tokens=3000)
+        await trio.sleep(0.1)
+        source = fleet.server_of(generation)
+        assert not generation.tokens
+        fleet.reclaim(source, 3.0)
+        await trio.sleep(3.0)
+        fleet.kill(source)
+        await self.finish([generation])
+        assert fleet.recomputed() < 500
+
     async def test_wave_hits_the_target_of_the_move(self, nursery, autojump_clock):
         """While a stream's KV cache is on its way, the target gets a notice too.
 
