--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	@touch $@
 
 test: venv
-	@echo "test: running all tests and doctests in virtual time"
+	@echo "test: running all tests and doctests, about a minute"
 	@$(BIN)/python -m pytest $(PYTEST_OPTIONS)
 
 lint: venv
