--- a/src/rosemaryknot/process/configuration.py
+++ b/src/rosemaryknot/process/configuration.py
@@ -197,6 +197,8 @@
         """Decide on a version without putting it into force."""
         if push.number < 1 or push.number < self.number:
             return ApplyResult.OLDER
+        if push.number == self.number and push.digest == self.view.digest:
+            return ApplyResult.SAME
         if document_digest(push.document) != push.digest:
             return ApplyResult.BAD_DIGEST
         result = self.note_digest(push.number, push.digest, source)
@@ -223,7 +225,7 @@
         """
         if self.view is None:
             return ""
-        for number, digest in [*push.lineage, [push.number, push.digest]]:
+        for number, digest, *_ in [*push.lineage, [push.number, push.digest]]:
             if number == self.number and not self.view.digest.startswith(digest):
                 return digest
         return ""
