--- a/src/rosemaryknot/request/at_most_once.py
+++ b/src/rosemaryknot/request/at_most_once.py
@@ -245,6 +245,7 @@
             claim.claim,
             claim.attempt,
             ResultKind.NOT_SENT,
+            close=self.safeguards.close_attempts,
             horizon_s=claim.horizon_s,
         )
         if isinstance(sent, Answered):
@@ -260,7 +261,7 @@
     def give_up(self, claim: ClaimRequest, close: bool) -> None:
         """Report that a claim is never used, whether it was granted or not."""
         result = self.result_of(claim, NotSent(Reason.OWNER_UNREACHABLE))
-        result.close = close
+        result.close = close and self.safeguards.close_attempts
         self.reports.add(result)
 
     def outcome_of(
--- a/src/rosemaryknot/request/claim_reports.py
+++ b/src/rosemaryknot/request/claim_reports.py
@@ -16,6 +16,7 @@
 REPORT_WAIT_S = 1.0
 REPORT_RETRY_S = 1.0
 MAX_REPORTS = 20_000
+EMPTY_POLL_S = 0.02
 # A new map number counts for requests that arrive this long after it was learned. A
 # process that was paused learns the number and reads old requests from its sockets
 # at the same moment; by then it has read them.
@@ -72,6 +73,30 @@
         self.agent = agent
         self.waiting: deque[ResultRecord] = deque(maxlen=MAX_REPORTS)
         self.added = trio.Event()
+        self.sending = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the agent has taken every result."""
+        return not self.waiting and not self.sending
+
+    async def wait_empty(self, timeout_s: float) -> bool:
+        """Wait until the agent has taken every result, before a planned stop.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Bound on the wait, in seconds.
+
+        Returns
+        -------
+        is_empty : bool
+            False where results are lost; their ids will answer "unknown".
+        """
+        with trio.move_on_after(timeout_s):
+            while not self.is_empty:
+                await trio.sleep(EMPTY_POLL_S)
+        return self.is_empty
 
     def add(self, result: ResultRecord) -> None:
         """Let a result be sent in the background."""
@@ -81,7 +106,11 @@
 
     async def send(self, result: ResultRecord, timeout_s: float) -> bool:
         """Send a result; False where the agent did not take it."""
-        reply = await self.agent.call(result, timeout_s)
+        self.sending += 1
+        try:
+            reply = await self.agent.call(result, timeout_s)
+        finally:
+            self.sending -= 1
         return isinstance(reply, ResultStored) and reply.stored
 
     async def send_or_add(self, result: ResultRecord) -> None:
--- a/tests/request/test_at_most_once.py
+++ b/tests/request/test_at_most_once.py
@@ -9,7 +9,12 @@
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.request.at_most_once import AtMostOnce
 from rosemaryknot.request.claim_reports import ArrivalNumbers
-from rosemaryknot.values.claims import ClaimGranted, ClaimRequest, ResultRecord
+from rosemaryknot.values.claims import (
+    ClaimGranted,
+    ClaimRequest,
+    ResultRecord,
+    ResultStored,
+)
 from rosemaryknot.values.nodes import ServerState
 from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Running, Unknown
 from rosemaryknot.values.requests import NotSent, PlainRequest
@@ -273,6 +278,26 @@
         assert [report.result for report in entry.reports.waiting] == ["unknown"]
 
 
+class TestReports:
+    async def test_planned_stop_waits_for_the_last_result(
+        self, autojump_clock, nursery
+    ):
+        """An entry stops by plan right after an answer, while its agent is slow.
+
+        The result is taken before the process ends. Lost, the id would answer
+        "unknown" though its caller was told that the slot is booked.
+        """
+        agent = ScriptedAgent([ClaimGranted("any"), None, ResultStored(True)])
+        entry = AtMostOnce(agent)
+        nursery.start_soon(entry.reports.run)
+        ledger = Ledger()
+        request = request_of(attempt=1)
+        await entry.run(request, ledger.sender(request))
+        assert not await entry.reports.wait_empty(1.0)
+        assert await entry.reports.wait_empty(5.0)
+        assert [type(call) for call in agent.calls[1:]] == [ResultRecord] * 2
+
+
 class TestArrivalNumbers:
     async def test_request_read_right_after_a_pause_counts_as_old(self, autojump_clock):
         """An entry wakes from a pause and learns of a takeover.
