--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 INSTALLED := $(VENV)/installed
 PYTEST_OPTIONS ?=
 
-.PHONY: help venv test lint format demo cluster faults bench-relay
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -16,6 +16,7 @@
 	@echo "make faults SEEDS=200   run the system in virtual time under seeded faults"
 	@echo "make faults SEED=7      run one seed again, with its decision log"
 	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
+	@echo "make bench-recovery     what reclaim waves and at-most-once execution cost"
 	@echo "make lint    check format and lint rules"
 	@echo "make format  format the code and mend what the linter can"
 
@@ -63,3 +64,6 @@
 
 bench-relay: venv
 	@$(BIN)/python benchmarks/relay.py
+
+bench-recovery: venv
+	@$(BIN)/python benchmarks/recovery.py
--- a/src/rosemaryknot/replay/system.py
+++ b/src/rosemaryknot/replay/system.py
@@ -65,6 +65,8 @@
         All on, but in a run that proves what one prevents.
     seed : int
         Seed of every random choice of the processes.
+    move_policy : str
+        What the entries do with the streams of a leaving server.
     """
 
     document: dict[str, Any]
@@ -77,6 +79,7 @@
     plain: PlainSettings = field(default_factory=PlainSettings)
     safeguards: Safeguards = field(default_factory=Safeguards)
     seed: int = 0
+    move_policy: str = "planned_moves"
 
 
 @dataclass(slots=True)
@@ -296,14 +299,17 @@
         rng = self.random_for(f"entry {node.settings.node}")
 
         async def run() -> None:
-            await run_entry(
-                node.settings,
-                node.entry_stop,
-                node.entry.network,
-                rng,
-                unix_time,
-                safeguards=self.plan.safeguards,
-            )
+            async with trio.open_nursery() as nursery:
+                process = await nursery.start(
+                    run_entry,
+                    node.settings,
+                    node.entry_stop,
+                    node.entry.network,
+                    rng,
+                    unix_time,
+                    self.plan.safeguards,
+                )
+                process.relay.mover.policy = self.plan.move_policy
             node.entry_ended.set()
 
         self.nursery.start_soon(node.entry.run, run)
