Bound what kept answers take, and report results side by side

Causes: an answer above the frame size would have broken the link to the agent again and again; answers recorded after the table was full, cached objects and waiting reports had no bound in bytes; one owner that doesn't answer held up the reports for all others; a shard that was just handed over could be taken for lost and put in doubt.

--- a/src/rosemaryknot/process/claims/copies.py
+++ b/src/rosemaryknot/process/claims/copies.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import Protocol
 
 import trio
@@ -40,6 +41,7 @@
 GATHER_TIMEOUT_S = 1.0
 PAGE_RECORDS = 500
 PAGE_BYTES = 1024 * 1024
+ANSWER_SHARE = 1.25
 NOT_COPIED = "not copied by request of a test"
 
 Item = tuple[ClaimId, ClaimRecord]
@@ -201,6 +203,9 @@
             if held is None and not self.use.has_room():
                 return False
             if held is None or is_newer(record, held):
+                if len(record.body) > self.use.room_bytes(ANSWER_SHARE):
+                    # That it ran must be kept; what it was answered may go.
+                    record = replace(record, body=b"", is_kept=False)
                 table.put(claim_id, record)
         return True
 
--- a/src/rosemaryknot/process/claims/objects.py
+++ b/src/rosemaryknot/process/claims/objects.py
@@ -281,10 +281,12 @@
 
     def remember(self, claim_id: ClaimId, current: Versioned) -> None:
         """Keep the version for the next write, and the id for its deletion."""
-        self.cache[claim_id] = current
+        is_open = current.record.state == RunState.GRANTED
+        if is_open:
+            # Only the result of an open grant is written from memory.
+            self.cache[claim_id] = current
         if len(self.cache) > MAX_CACHED:
             self.cache.popitem(last=False)
-        is_open = current.record.state == RunState.GRANTED
         self.deletions.plan(
             claim_id, current.record.expires_s, current.version, is_open
         )
--- a/src/rosemaryknot/process/claims/owner.py
+++ b/src/rosemaryknot/process/claims/owner.py
@@ -243,7 +243,8 @@
         record = self.table.get(result.id)
         if record is None:
             record = ClaimRecord(is_known=self.doubt is None)
-        if apply_result(record, result, trio.current_time()):
+        room_bytes = self.table.use.room_bytes(CLOSING_SHARE)
+        if apply_result(record, result, trio.current_time(), room_bytes):
             self.put(result.id, record)
             await self.copier.copy(self.index, [(result.id, record)])
         return ResultStored(True)
--- a/src/rosemaryknot/process/claims/ownership.py
+++ b/src/rosemaryknot/process/claims/ownership.py
@@ -113,6 +113,7 @@
         self.recopy_due = False
         self.last_serial = 0
         self.is_stopping = False
+        self.reconciled = 0
 
     def active(self, index: int) -> OwnedShard | None:
         """Return a shard if this node admits for it now."""
@@ -127,7 +128,8 @@
         An earlier process of this node owned them; it has ended, since this process
         holds the node's listen address. Or a handover came without its table.
         """
-        if self.maps.map is None:
+        if self.maps.map is None or self.reconciled != self.maps.number:
+            # A table that was handed over may wait to be taken in.
             return []
         return [
             index
@@ -139,6 +141,7 @@
         """Make what is owned follow the newest map."""
         if self.maps.map is None:
             return
+        number = self.maps.number
         async with trio.open_nursery() as nursery:
             for index, shard in enumerate(self.maps.map.shards):
                 owned = self.owned.get(index)
@@ -147,6 +150,7 @@
                     self.let_go(index, owned)
                 if is_ours and index not in self.owned:
                     nursery.start_soon(self.receive, index, shard)
+        self.reconciled = number
         OWNED.set(len(self.owned))
 
     def let_go(self, index: int, owned: OwnedShard) -> None:
--- a/src/rosemaryknot/process/claims/records.py
+++ b/src/rosemaryknot/process/claims/records.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from rosemaryknot.values.claims import (
+    MAX_KEPT_BODY_BYTES,
     ClaimAnswered,
     ClaimGranted,
     ClaimRefused,
@@ -42,7 +43,6 @@
 # holder may be paused, and send when it wakes. Forgetting the grant would let a
 # repeat run beside it.
 OPEN_GRANT_S = 24 * 3600.0
-MAX_KEPT_BODY_BYTES = 256 * 1024
 RECORD_BYTES = 1000
 RUNNING_RETRY_S = 1.0
 
@@ -224,7 +224,12 @@
     return CloseReply(False, reply.outcome, reply.reason, reply.retry_after_s)
 
 
-def apply_result(record: ClaimRecord, result: ResultRecord, now_s: float) -> bool:
+def apply_result(
+    record: ClaimRecord,
+    result: ResultRecord,
+    now_s: float,
+    room_bytes: float = MAX_KEPT_BODY_BYTES,
+) -> bool:
     """Take in what came of a claim.
 
     Parameters
@@ -235,6 +240,8 @@
         The entry's report.
     now_s : float
         Time in the record's clock.
+    room_bytes : float
+        Room for the body; a larger one is not kept.
 
     Returns
     -------
@@ -257,7 +264,8 @@
         return True
     record.state = RunState.ANSWERED
     record.status = result.status
-    record.is_kept = len(result.body) <= MAX_KEPT_BODY_BYTES
+    size = len(result.body)
+    record.is_kept = result.is_whole and size <= min(room_bytes, MAX_KEPT_BODY_BYTES)
     if record.is_kept:
         record.headers = [list(pair) for pair in result.headers]
         record.body = result.body
--- a/src/rosemaryknot/process/claims/table.py
+++ b/src/rosemaryknot/process/claims/table.py
@@ -58,6 +58,10 @@
             and self.bytes < self.bounds.max_bytes * share
         )
 
+    def room_bytes(self, share: float = 1.0) -> float:
+        """Return how many bytes are left of a share of the bound."""
+        return max(0.0, self.bounds.max_bytes * share - self.bytes)
+
 
 class RecordTable:
     """Records of one shard.
--- a/src/rosemaryknot/request/claim_reports.py
+++ b/src/rosemaryknot/request/claim_reports.py
@@ -7,7 +7,11 @@
 
 from rosemaryknot.connection.links import CallFailed
 from rosemaryknot.process.metrics import gauge
-from rosemaryknot.values.claims import ResultRecord, ResultStored
+from rosemaryknot.values.claims import (
+    MAX_KEPT_BODY_BYTES,
+    ResultRecord,
+    ResultStored,
+)
 from rosemaryknot.values.messages import Message
 
 __all__ = ["AgentCaller", "ArrivalNumbers", "Reports"]
@@ -16,6 +20,8 @@
 REPORT_WAIT_S = 1.0
 REPORT_RETRY_S = 1.0
 MAX_REPORTS = 20_000
+SENDERS = 32
+MAX_BYTES = 32 * 1024 * 1024
 EMPTY_POLL_S = 0.02
 # A new map number counts for requests that arrive this long after it was learned. A
 # process that was paused learns the number and reads old requests from its sockets
@@ -71,8 +77,9 @@
 
     def __init__(self, agent: AgentCaller) -> None:
         self.agent = agent
-        self.waiting: deque[ResultRecord] = deque(maxlen=MAX_REPORTS)
-        self.added = trio.Event()
+        self.waiting: deque[ResultRecord] = deque()
+        self.waiting_bytes = 0
+        self.idle = trio.lowlevel.ParkingLot()
         self.sending = 0
 
     @property
@@ -100,9 +107,23 @@
 
     def add(self, result: ResultRecord) -> None:
         """Let a result be sent in the background."""
+        size = len(result.body)
+        if size > MAX_KEPT_BODY_BYTES or self.waiting_bytes + size > MAX_BYTES:
+            result.body = b""
+            result.is_whole = False
+        if len(self.waiting) >= MAX_REPORTS:
+            self.take()
         self.waiting.append(result)
+        self.waiting_bytes += len(result.body)
         REPORTS.set(len(self.waiting))
-        self.added.set()
+        self.idle.unpark()
+
+    def take(self) -> ResultRecord:
+        """Take the oldest result out."""
+        result = self.waiting.popleft()
+        self.waiting_bytes -= len(result.body)
+        REPORTS.set(len(self.waiting))
+        return result
 
     async def send(self, result: ResultRecord, timeout_s: float) -> bool:
         """Send a result; False where the agent did not take it."""
@@ -123,15 +144,21 @@
                 self.add(result)
 
     async def run(self) -> None:
-        """Send what waits until cancelled."""
+        """Send what waits until cancelled.
+
+        Several at once: results for an owner that does not answer must not hold up
+        those for the others.
+        """
+        async with trio.open_nursery() as nursery:
+            for _ in range(SENDERS):
+                nursery.start_soon(self.run_sender)
+
+    async def run_sender(self) -> None:
+        """Send one result after the other."""
         while True:
-            await self.added.wait()
-            self.added = trio.Event()
-            for _ in range(len(self.waiting)):
-                result = self.waiting.popleft()
-                if not await self.send(result, CALL_TIMEOUT_S):
-                    self.waiting.append(result)
-            REPORTS.set(len(self.waiting))
-            if self.waiting:
-                self.added.set()
+            while not self.waiting:
+                await self.idle.park()
+            result = self.take()
+            if not await self.send(result, CALL_TIMEOUT_S):
+                self.add(result)
                 await trio.sleep(REPORT_RETRY_S)
--- a/src/rosemaryknot/values/claims.py
+++ b/src/rosemaryknot/values/claims.py
@@ -11,6 +11,7 @@
 from rosemaryknot.values.messages import Message, message
 
 __all__ = [
+    "MAX_KEPT_BODY_BYTES",
     "ClaimAnswered",
     "ClaimGranted",
     "ClaimId",
@@ -25,6 +26,9 @@
     "ResultStored",
 ]
 
+# Answers up to this size are kept for repeats.
+MAX_KEPT_BODY_BYTES = 256 * 1024
+
 
 @dataclass(slots=True, frozen=True)
 class ClaimId:
@@ -238,6 +242,9 @@
         For ``unknown``: a `rosemaryknot.values.outcomes.Reason`.
     status, headers, body
         For ``answered``: see `rosemaryknot.values.outcomes.Answered`.
+    is_whole : bool
+        Whether ``body`` is the whole body. A large one is left out; then a repeat is
+        told that the request ran, without its answer.
     horizon_s : float
         How long the result is kept.
     """
@@ -254,6 +261,7 @@
     status: int = 0
     headers: list[list[str]] = field(default_factory=list)
     body: bytes = b""
+    is_whole: bool = True
     horizon_s: float = 600.0
 
     @property
--- a/tests/process/test_claims_shards.py
+++ b/tests/process/test_claims_shards.py
@@ -94,6 +94,31 @@
         first = await claims.claim(claim_of("newer", "c11", attempt=1))
         assert isinstance(first, ClaimGranted)
 
+    async def test_large_answers_go_before_what_ran_is_forgotten(
+        self, autojump_clock, nursery
+    ):
+        """Answers fill the memory that ids may take.
+
+        A new answer is not kept then; its id is, so a repeat is told that it ran.
+        """
+        bounds = TableBounds(max_bytes=8000)
+        cluster = await cluster_of(nursery, "a-1", "b-1", bounds=bounds)
+        claims = cluster.claims("a-1")
+        requests = [claim_of(f"k{n}", f"c{n}", attempt=1) for n in range(8)]
+        replies = [await claims.claim(request) for request in requests]
+        for request in requests:
+            body = bytes(4000)
+            await claims.record(result_of(request, "answered", status=200, body=body))
+        assert all(isinstance(reply, ClaimGranted) for reply in replies)
+        again = [claim_of(r.key, f"d{r.key}", attempt=2) for r in requests]
+        repeats = [await claims.claim(request) for request in again]
+        kept = [reply for reply in repeats if isinstance(reply, ClaimAnswered)]
+        lost = [reply for reply in repeats if not isinstance(reply, ClaimAnswered)]
+        assert kept and {reply.reason for reply in lost} == {Reason.ANSWER_LOST}
+        for member in cluster.members.values():
+            for use in (member.claims.ownership.use, member.claims.holder.use):
+                assert use.bytes < 1.25 * bounds.max_bytes + 8 * 1000
+
 
 class TestClosing:
     async def test_waiting_attempt_finds_itself_closed(self, autojump_clock, nursery):
--- a/tests/request/test_at_most_once.py
+++ b/tests/request/test_at_most_once.py
@@ -297,6 +297,27 @@
         assert await entry.reports.wait_empty(5.0)
         assert [type(call) for call in agent.calls[1:]] == [ResultRecord] * 2
 
+    async def test_answer_too_large_to_keep_is_reported_without_its_body(
+        self, autojump_clock, nursery
+    ):
+        """A service answers with more than a message may carry.
+
+        Sent whole, the report would break the link to the agent again and again,
+        and with it every other claim.
+        """
+        bench = await bench_of(nursery)
+        request = request_of(attempt=1)
+
+        async def send():
+            return Answered(200, [], bytes(9 * 1024 * 1024))
+
+        answer = await bench.entries["a-1"].run(request, send)
+        assert len(answer.body) == 9 * 1024 * 1024
+        await trio.sleep(1)
+        repeat = await bench.run("b-1", request_of(attempt=2))
+        assert repeat.reason == Reason.ANSWER_LOST
+        assert not bench.ledger.runs
+
 
 class TestArrivalNumbers:
     async def test_request_read_right_after_a_pause_counts_as_old(self, autojump_clock):
