--- a/src/rosemaryknot/request/moves.py
+++ b/src/rosemaryknot/request/moves.py
@@ -166,12 +166,14 @@
         """Return what a plan may know of one stream."""
         generation = attempt.generation
         emitted = len(generation.tokens)
+        cached = self.router.cached_elsewhere(attempt.server, generation.request)
         return StreamFacts(
             generation.request_id,
             attempt.prompt_tokens,
             emitted,
             max(0, generation.request.max_tokens - emitted),
             attempt.observed_step_s(),
+            cached * attempt.prompt_tokens,
             priority=attempt.priority,
             ready_in_s=attempt.ready_in_s(),
         )
--- a/src/rosemaryknot/request/router.py
+++ b/src/rosemaryknot/request/router.py
@@ -9,7 +9,7 @@
 import rosemaryknot.request.route_policies  # noqa: F401  (fills the registry)
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.logs import logger
-from rosemaryknot.process.prefix_estimate import Guess
+from rosemaryknot.process.prefix_estimate import Guess, prompt_blocks
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.process.server_load import LoadTable
 from rosemaryknot.process.servers import ServerTable
@@ -22,9 +22,10 @@
     choose_route,
 )
 from rosemaryknot.values.nodes import BackendServer
+from rosemaryknot.values.requests import ModelRequest
 from rosemaryknot.version.view import Service
 
-__all__ = ["Router", "TokenSizes"]
+__all__ = ["Prompt", "Router", "TokenSizes", "prompt_of"]
 
 SUBSET = 16
 SAME_ZONE_S = 0.0003
@@ -71,6 +72,12 @@
     blocks: list[int]
 
 
+def prompt_of(request: ModelRequest) -> Prompt:
+    """Return what routing needs to know of a request's prompt."""
+    texts = [str(part.get("content")) for part in request.messages]
+    return Prompt(sum(map(len, texts)), prompt_blocks(texts))
+
+
 class Router:
     """Chooses servers for model requests.
 
@@ -236,6 +243,16 @@
             free_kv_tokens=report.free_kv_tokens if report else float("inf"),
         )
 
+    def cached_elsewhere(self, server: BackendServer, request: ModelRequest) -> float:
+        """Return the largest share of a prompt that another server has cached."""
+        prompt = prompt_of(request)
+        others = [
+            other
+            for other in self.servers.servers_of(request.service)
+            if other.instance != server.instance
+        ]
+        return max((self.guess(o, prompt).share for o in others), default=0.0)
+
     def guess(self, server: BackendServer, prompt: Prompt) -> Guess:
         """Return how much of a prompt a server has probably cached."""
         prefixes = self.loads.of(server).prefixes
--- a/tests/request/test_routes.py
+++ b/tests/request/test_routes.py
@@ -160,6 +160,10 @@
         used = fleet.server_of(first)
         await first.wait_finished()
         request = first.request
+        for name, share in ((used, 0), ("elsewhere", 1)):
+            server = BackendServer(name, "s", "", "", True, "")
+            cached = fleet.relay.router.cached_elsewhere(server, request)
+            assert cached == pytest.approx(share, abs=0.1)
         for number in range(2, 6):
             request.request_id = f"r{number}"
             generation = await fleet.relay.start(request)
