--- a/tests/process/configuration_fleet.py
+++ b/tests/process/configuration_fleet.py
@@ -77,8 +77,8 @@
             number = (await self.holder.wait_changed(number)).number
             self.seen.append((trio.current_time(), number))
 
-    async def submit(self, base: int, count: int) -> SubmitResult:
-        name = f"patch-{self.node.name}-{base}"
+    async def submit(self, base: int, count: int, name: str = "") -> SubmitResult:
+        name = name or f"patch-{self.node.name}-{base}"
         operations = count_patch("waco-b", count)
         return await self.store.submit(Patch(name, base, operations, "ana"))
 
