Bound the writes to a caller who never reads

Cause: hypercorn's own shield inside the write kept the bound around it from working. A planned stop in virtual time with a caller who opens a stream of 4000 tokens and never reads ran to the drain's own bound of 500 s; now it ends within 60 s (tests/process/test_drain.py, failing before, passing after).

--- a/src/rosemaryknot/connection/http_server.py
+++ b/src/rosemaryknot/connection/http_server.py
@@ -34,17 +34,24 @@
     async def protocol_send(self, event: Event) -> None:
         """Write to the caller, who may never read.
 
-        Hypercorn shields its write from cancellation without a bound: a caller
-        who stops reading holds the task and its answer for ever, and a planned
-        stop never ends. Closing the connection after `WRITE_TIMEOUT_S` is enough,
-        since an accepted answer can be picked up again by its id.
+        Hypercorn shields its write from every cancellation, so no bound around it
+        works: a caller who stops reading holds the task and its answer for ever, and
+        a planned stop never ends. Hence a write of our own. Closing the connection
+        after `WRITE_TIMEOUT_S` is enough, since an accepted answer can be picked up
+        again by its id.
         """
         if not isinstance(event, RawData):
             await self.send_event(event)
             return
-        with trio.move_on_after(WRITE_TIMEOUT_S, shield=True) as scope:
-            await super().protocol_send(event)
-        if scope.cancelled_caught:
+        is_written = False
+        async with self.send_lock:
+            with trio.move_on_after(WRITE_TIMEOUT_S, shield=True):
+                try:
+                    await self.stream.send_all(event.data)
+                    is_written = True
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+        if not is_written:
             await trio.aclose_forcefully(self.stream)
             await self.protocol.handle(Closed())
 
