--- /dev/null
+++ b/tests/process/test_drain.py
@@ -0,0 +1,174 @@
+"""Tests of the planned stop, in virtual time and by a real signal."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import httpx
+import trio
+from tests.process.entry_fleet import API_KEY, booking, chat, whole_fleet
+from tests.request.relay_fleet import events_of
+
+from rosemaryknot.process.drain import Drain
+from rosemaryknot.standin.plain import PlainFault
+from rosemaryknot.values.nodes import Address
+
+CHAT = "/v1/chat/completions"
+BOOK = "/services/dispatch-app/slots/7"
+
+
+async def read_stream(caller, events, tokens=800):
+    async with caller.stream("POST", CHAT, json=chat(tokens)) as answer:
+        events += events_of(await answer.aread())
+
+
+class TestPlannedStop:
+    async def test_in_flight_end_whole(self, nursery, autojump_clock):
+        """The stop comes while two streams and a booking are in flight.
+
+        The instance is not ready at once and refuses new work with an answer, and
+        the three end whole before the process does.
+        """
+        fleet = await whole_fleet(nursery)
+        for plain in fleet.plains.values():
+            plain.faults.append(PlainFault("late", late_s=1.5))
+        streams, booked = ([], []), []
+
+        async def book(caller):
+            booked.append(await caller.post(BOOK, headers=booking("b1", 1)))
+
+        async with fleet.caller() as caller, trio.open_nursery() as work:
+            for events in streams:
+                work.start_soon(read_stream, caller, events)
+            work.start_soon(book, caller)
+            await trio.sleep(0.5)
+            fleet.stops[0].set()
+            await trio.sleep(0.01)
+            assert (await caller.get("/readyz")).status_code == 503
+            assert (await caller.get("/healthz")).status_code == 200
+            for answer in (
+                await caller.post(CHAT, json=chat()),
+                await caller.post(BOOK, headers=booking("b2", 1)),
+                await caller.post(BOOK, headers=booking("b3")),
+            ):
+                assert answer.status_code == 503
+                assert answer.json()["reason"] == "stopping"
+                assert answer.json()["outcome"] == "not_run"
+                assert int(answer.headers["Retry-After"]) >= 1
+            assert not fleet.ended[0].is_set()
+        for events in streams:
+            tokens = len(events) - 2
+            assert events[-2] == {"outcome": "answered", "tokens": tokens}
+        assert booked[0].status_code == 200
+        await trio.sleep(1.0)
+        assert fleet.ended[0].is_set()
+        assert fleet.runs() == {"b1": 1}
+
+    async def test_accepted_without_a_caller(self, nursery, autojump_clock):
+        """A request was accepted and its caller is gone: it still ends whole."""
+        fleet = await whole_fleet(nursery)
+        async with fleet.caller() as caller:
+            answer = await caller.post(
+                CHAT, json=chat(800), headers={"Prefer": "respond-async"}
+            )
+        request_id = answer.json()["id"]
+        generation = fleet.entries[0].relay.table.find("estimator-1", request_id)
+        fleet.stops[0].set()
+        await fleet.ended[0].wait()
+        events = [e async for part in generation.follow() for e in events_of(part)]
+        assert events[-2]["outcome"] == "answered"
+
+    async def test_caller_who_never_reads(self, nursery, autojump_clock):
+        """A caller opens a long stream and never reads it.
+
+        Its answer fills the buffers and the writer waits. Without a bound the stop
+        waits for it for ever; the connection is closed instead, and the process ends
+        well within the bound of the drain.
+        """
+        fleet = await whole_fleet(nursery, drain_timeout_s=500.0)
+        body = json.dumps(chat(4000)).encode()
+        head = (
+            f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {API_KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        stream = await fleet.network.dial(Address("10.0.3.1", 8100))
+        await stream.send_all(head.encode() + body)
+        await trio.sleep(0.5)
+        fleet.stops[0].set()
+        started_s = trio.current_time()
+        await fleet.ended[0].wait()
+        assert trio.current_time() - started_s < 60.0
+
+    async def test_bound(self, nursery, autojump_clock):
+        """A booking hangs at its server: the stop goes on at its bound."""
+        fleet = await whole_fleet(nursery, drain_timeout_s=2.0)
+        for plain in fleet.plains.values():
+            plain.faults.append(PlainFault("silent_after"))
+
+        async def book():
+            async with fleet.caller() as caller:
+                try:
+                    await caller.post(BOOK, headers=booking("b1", 1))
+                except httpx.TransportError:
+                    return
+
+        nursery.start_soon(book)
+        await trio.sleep(0.5)
+        fleet.stops[0].set()
+        started_s = trio.current_time()
+        await fleet.ended[0].wait()
+        assert 2.0 <= trio.current_time() - started_s < 9.0
+
+
+class TestDrain:
+    async def test_waits_for_what_is_in_flight(self, nursery, autojump_clock):
+        drain = Drain()
+
+        async def work():
+            with drain:
+                await trio.sleep(3.0)
+
+        nursery.start_soon(work)
+        await trio.sleep(0.1)
+        assert not await drain.wait_idle(1.0)
+        assert await drain.wait_idle(10.0)
+        assert trio.current_time() == 3.0
+
+
+class TestSignals:
+    """The real process: SIGTERM ends it with code 0, without a traceback."""
+
+    def test_sigterm(self, tmp_path):
+        (tmp_path / "key").write_text("a cluster key of tests")
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        settings = {
+            "node": "waco-a-1",
+            "zone": "waco-a",
+            "region": "tx-central",
+            "listen": {"callers": f"127.0.0.1:{port}"},
+            "agent": "127.0.0.1:9",
+            "cluster_key_file": "key",
+        }
+        file = tmp_path / "entry.json"
+        file.write_text(json.dumps(settings))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "rosemaryknot.process.entry_main", str(file)],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            for line in process.stderr:
+                if "serving callers" in line:
+                    break
+            ready = httpx.get(f"http://127.0.0.1:{port}/readyz", trust_env=False)
+            assert ready.status_code == 503
+            process.send_signal(signal.SIGTERM)
+            _, errors = process.communicate(timeout=20)
+        finally:
+            process.kill()
+        assert process.returncode == 0
+        assert "Traceback" not in errors
