--- /dev/null
+++ b/benchmarks/agents.py
@@ -0,0 +1,214 @@
+"""Many agents of one region as separate processes, and what control costs each.
+
+Run: ``python benchmarks/agents.py --nodes 7``. Idle but for one accepted change each
+`CHANGE_EVERY_S` seconds. The last line of standard output is JSON.
+"""
+
+import argparse
+import json
+import re
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import httpx
+from fleet import wait_until
+from processes import Processes, cpu_seconds, resident_mb
+
+from rosemaryknot.version.keys import new_key, new_operator_key
+from rosemaryknot.version.stored import StoredConfiguration
+
+ZONES = ("waco-a", "waco-b", "temple-c")
+PLATFORM = "127.0.60.1:17000"
+LINKS_PORT, OPERATORS_PORT = 17300, 17200
+SEEDS_PER_ZONE = 2
+SETTLE_S, CHANGE_EVERY_S = 10.0, 5.0
+IMPORTS_ONLY = (
+    "import rosemaryknot.process.agent, rosemaryknot.process.agent_main, time;"
+    "print('ready', flush=True); time.sleep(600)"
+)
+BYTES_METRIC = re.compile(r"^rosemaryknot_link_bytes_total\{.*\} ([0-9.e+]+)$", re.M)
+
+
+def say(text: str) -> None:
+    """Show progress."""
+    print(f"agents: {text}", file=sys.stderr, flush=True)
+
+
+class Region:
+    """A platform and the agents of one region.
+
+    Parameters
+    ----------
+    processes : Processes
+        Where they are started.
+    folder : Path
+        For settings and logs.
+    nodes : int
+        Number of agents.
+    """
+
+    def __init__(self, processes: Processes, folder: Path, nodes: int) -> None:
+        self.processes = processes
+        self.folder = folder
+        self.nodes = nodes
+        self.pids: list[int] = []
+        self.operator_key, operators = new_operator_key("ana", "editor")
+        _, customers = new_key("estimator-1")
+        self.document = {
+            "services": {"kit-assistant": {"kind": "model"}},
+            "customers": {"estimator-1": {}},
+            "keys": operators | customers,
+        }
+
+    def host(self, index: int) -> str:
+        """Return the IP number of an agent."""
+        return f"127.0.{61 + index % len(ZONES)}.{1 + index // len(ZONES)}"
+
+    def start(self) -> None:
+        """Start everything, and wait until each agent answers operators."""
+        platform = ("platform", "--listen", PLATFORM)
+        self.processes.start("platform", "-m", "rosemaryknot.standin.main", *platform)
+        wait_until(f"http://{PLATFORM}/instances")
+        stored = StoredConfiguration(number=1, document=self.document).to_value()
+        httpx.put(
+            f"http://{PLATFORM}/objects/configuration/main",
+            json=stored,
+            headers={"If-None-Match": "*"},
+        ).raise_for_status()
+        (self.folder / "key").write_text("a key for benchmarks only")
+        for index in range(self.nodes):
+            settings = self.write_settings(index)
+            self.pids.append(
+                self.processes.start(
+                    f"agent-{index}", "-m", "rosemaryknot.process.agent_main", settings
+                )
+            )
+        for index in range(self.nodes):
+            wait_until(f"http://{self.host(index)}:{OPERATORS_PORT}/healthz")
+
+    def write_settings(self, index: int) -> str:
+        """Write one agent's settings; return the file's name."""
+        seeds = [
+            f"{self.host(seed)}:{LINKS_PORT}"
+            for seed in range(min(self.nodes, SEEDS_PER_ZONE * len(ZONES)))
+            if seed != index
+        ]
+        zone = ZONES[index % len(ZONES)]
+        settings = {
+            "node": f"{zone}-{1 + index // len(ZONES)}",
+            "zone": zone,
+            "region": "tx-central",
+            "listen": {
+                "operators": f"{self.host(index)}:{OPERATORS_PORT}",
+                "links": f"{self.host(index)}:{LINKS_PORT}",
+            },
+            "peers": seeds,
+            "platform": PLATFORM,
+            "cluster_key_file": "key",
+            "log": {"level": "warning"},
+        }
+        path = self.folder / f"settings-{index}.json"
+        path.write_text(json.dumps(settings))
+        return str(path)
+
+    def link_bytes(self) -> list[float]:
+        """Return the bytes of message links of each agent so far, both ways."""
+        totals = []
+        for index in range(self.nodes):
+            url = f"http://{self.host(index)}:{OPERATORS_PORT}/metrics"
+            text = httpx.get(url, timeout=5.0).text
+            totals.append(sum(float(value) for value in BYTES_METRIC.findall(text)))
+        return totals
+
+    def platform_calls(self) -> int:
+        """Return the platform's calls so far."""
+        url = f"http://{PLATFORM}/test/calls"
+        return sum(httpx.get(url).json().values())
+
+    def change(self, number: int) -> None:
+        """Submit one change against a number."""
+        agent = f"{self.host(number % self.nodes)}:{OPERATORS_PORT}"
+        httpx.patch(
+            f"http://{agent}/v1/configuration",
+            json=[
+                {
+                    "op": "add",
+                    "path": "/customers/estimator-1",
+                    "value": {
+                        "limits": {"kit-assistant": {"concurrent_requests": number}}
+                    },
+                }
+            ],
+            headers={
+                "Authorization": f"Bearer {self.operator_key}",
+                "If-Match": str(number),
+                "Rosemaryknot-Patch": f"change-{number}",
+            },
+            timeout=10.0,
+        ).raise_for_status()
+
+
+def baseline_mb(processes: Processes) -> float:
+    """Return the resident memory of a process that only imports an agent's code."""
+    pid = processes.start("imports", "-c", IMPORTS_ONLY)
+    while "ready" not in processes.log_text("imports"):
+        time.sleep(0.1)
+    return resident_mb(pid)
+
+
+def measure(nodes: int, seconds: float) -> dict:
+    """Measure one fleet size."""
+    with tempfile.TemporaryDirectory() as name, Processes(Path(name)) as processes:
+        base_mb = baseline_mb(processes)
+        region = Region(processes, Path(name), nodes)
+        say(f"starting {nodes} agents")
+        region.start()
+        time.sleep(SETTLE_S)
+        bytes_before, calls_before = region.link_bytes(), region.platform_calls()
+        cpu_before = [cpu_seconds(pid) for pid in region.pids]
+        start_s = time.monotonic()
+        number = 1
+        while time.monotonic() - start_s < seconds:
+            region.change(number)
+            number += 1
+            time.sleep(CHANGE_EVERY_S)
+        took_s = time.monotonic() - start_s
+        cpu = [
+            (cpu_seconds(pid) - before) / took_s
+            for pid, before in zip(region.pids, cpu_before, strict=True)
+        ]
+        sent = [
+            (after - before) / took_s / 2
+            for after, before in zip(region.link_bytes(), bytes_before, strict=True)
+        ]
+        calls = region.platform_calls() - calls_before
+        added_mb = [resident_mb(pid) - base_mb for pid in region.pids]
+    return {
+        "nodes": nodes,
+        "control_cpu_share": round(statistics.mean(cpu), 4),
+        "control_cpu_share_max": round(max(cpu), 4),
+        "control_mb": round(max(added_mb), 1),
+        "imports_mb": round(base_mb, 1),
+        "control_bytes_per_s_per_node": round(statistics.mean(sent), 1),
+        "control_bytes_per_s_max": round(max(sent), 1),
+        "platform_calls_per_s": round(calls / took_s, 2),
+        "changes": number - 1,
+        "seconds": round(took_s, 1),
+    }
+
+
+def main() -> int:
+    """Run the command line; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--nodes", type=int, default=7)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    print(json.dumps(measure(options.nodes, options.seconds)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,96 @@
+"""What control costs a node, at several sizes, and how the figures grow.
+
+Run: ``python benchmarks/control.py --help`` lists the options. Times to "in force"
+come from tasks in virtual time, cost from real processes. The last line of standard
+output is JSON.
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import numpy as np
+
+HERE = Path(__file__).parent
+ROOT = HERE.parent
+AGENTS = [sys.executable, str(HERE / "agents.py")]
+CONFIGURATION = [sys.executable, "-m", "benchmarks.configuration"]
+LIMITS = [sys.executable, str(HERE / "limits.py")]
+PART_TIMEOUT_S = 400
+COSTS = ("control_bytes_per_s_per_node", "control_cpu_share", "control_mb")
+SPREAD = ("in_force_p99_s", "in_force_partition_healed_s", "platform_calls_per_change")
+
+
+def say(text: str) -> None:
+    """Show progress."""
+    print(f"control: {text}", file=sys.stderr, flush=True)
+
+
+def run_part(command: list[str]) -> dict:
+    """Run one part and return its last line.
+
+    Raises
+    ------
+    RuntimeError
+        If it could not measure.
+    """
+    environment = os.environ | {"PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}"}
+    done = subprocess.run(
+        command,
+        cwd=ROOT,
+        env=environment,
+        stdout=subprocess.PIPE,
+        text=True,
+        timeout=PART_TIMEOUT_S,
+    )
+    lines = done.stdout.strip().splitlines()
+    if done.returncode or not lines:
+        raise RuntimeError(f"{command[-3:]} ended with {done.returncode}")
+    return json.loads(lines[-1])
+
+
+def slope(sizes: list[int], values: list[float]) -> dict[str, float]:
+    """Return the straight line through a figure at several sizes."""
+    if len(sizes) < 2:
+        return {"per_node": 0.0, "at_zero": values[0]}
+    per_node, at_zero = np.polyfit(sizes, values, 1)
+    return {"per_node": float(f"{per_node:.4g}"), "at_zero": float(f"{at_zero:.4g}")}
+
+
+def main() -> int:
+    """Run the command line; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--sizes", type=int, nargs="+", default=[7, 21, 63])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    at_size: dict[int, dict] = {}
+    for nodes in options.sizes:
+        say(f"{nodes} agents in virtual time")
+        figures = run_part([*CONFIGURATION, "--nodes", str(nodes)])
+        say(f"{nodes} agents as processes")
+        figures |= run_part(
+            [*AGENTS, "--nodes", str(nodes), "--seconds", str(options.seconds)]
+        )
+        at_size[nodes] = figures
+    say("limits in virtual time")
+    limits = run_part(LIMITS)
+    largest = at_size[max(options.sizes)]
+    result = {name: largest[name] for name in (*SPREAD, *COSTS)}
+    result["reverts"] = sum(figures["reverts"] for figures in at_size.values())
+    result["over_admission"] = limits["over_admission"]
+    result["flood_p95_ratio"] = limits["flood_p95_ratio"]
+    result["slopes"] = {
+        name: slope(options.sizes, [at_size[n][name] for n in options.sizes])
+        for name in (*SPREAD, *COSTS)
+    }
+    result["at_size"] = at_size
+    result["limits"] = limits
+    print(json.dumps(result))
+    return 1 if result["reverts"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
