Copy accepted model requests to a standby, and go on elsewhere when their entry is lost

Cause: an accepted request lived in its entry alone. A reclaimed or killed entry lost it; a pick-up worked only at the entry that accepted it.

Change: long and asynchronous requests are copied through the agent to a node in another zone before they count as accepted; text follows in batches. A node whose own instance is reclaimed stops by itself and hands over what cannot end in time; its streams end with an explicit "running". A pick-up finds the request at any node.

--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -8,7 +8,7 @@
 import trio
 
 from rosemaryknot.connection.http_server import HttpServer
-from rosemaryknot.connection.links import Handlers
+from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.platform import PlatformClient
 from rosemaryknot.process.claims.forms import ClaimForm
@@ -21,6 +21,8 @@
     keep_entry_current,
     register_configuration_handlers,
 )
+from rosemaryknot.process.limits.owner import LimitOwner
+from rosemaryknot.process.limits.source import LiveLimits
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer_metrics import PeerMetrics
 from rosemaryknot.process.peers import PeerSet
@@ -29,9 +31,10 @@
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.process.servers_spread import ServersSpread
 from rosemaryknot.process.settings import Settings
+from rosemaryknot.process.standby import StandbyKeeper
 from rosemaryknot.process.status import StatusApi
 from rosemaryknot.values.control import DrainAccepted, DrainRequest
-from rosemaryknot.values.nodes import Node
+from rosemaryknot.values.nodes import Node, ServerState
 from rosemaryknot.version.operators_api import operators_app
 from rosemaryknot.version.store import ConfigurationStore
 from rosemaryknot.version.view import ConfigurationView
@@ -86,6 +89,12 @@
         Forms of at-most-once execution.
     is_draining : bool
         Whether the whole node stops, its entries too.
+    deadline_unix_s : float
+        When the node is taken away, as seconds of the epoch; 0 where not known.
+    standby : StandbyKeeper
+        Copies of model requests that other nodes relay.
+    limits : LimitOwner
+        Budgets of the customers' limits.
     """
 
     def __init__(
@@ -118,9 +127,12 @@
         self.peer_metrics = PeerMetrics(self.peers)
         self.platform = PlatformClient(network, settings.platform)
         self.is_draining = False
+        self.deadline_unix_s = 0.0
         self.add_servers()
         self.add_configuration()
         self.add_claims()
+        self.add_standby()
+        self.add_limits()
         app = operators_app(self.holder, self.store, bootstrap_key)
         app.register_blueprint(StatusApi(self).blueprint())
         self.server = HttpServer(app, network)
@@ -172,6 +184,26 @@
             lambda: self.shards.maps.number,
         )
 
+    def add_standby(self) -> None:
+        """Put the parts about standby copies and the node's own reclaim together."""
+        self.standby = StandbyKeeper(
+            self.peers,
+            self.handlers,
+            lambda name: self.servers.marks.get(name) is not None,
+            self.rng,
+        )
+        self.peers.on_entry_link.append(self.drain_entry)
+
+    def add_limits(self) -> None:
+        """Put the parts about the customers' limits together."""
+        source = LiveLimits(self.holder, self.peers, self.is_terminated)
+        self.limits = LimitOwner(self.node, self.peers, source, self.handlers)
+
+    def is_terminated(self, name: str) -> bool:
+        """Tell whether the platform has confirmed the end of an instance."""
+        mark = self.servers.marks.get(name)
+        return mark is not None and mark.state == ServerState.TERMINATED
+
     def form_of(self, service: str) -> str:
         """Return the form of a service by the configuration in force."""
         view = self.holder.view
@@ -187,22 +219,53 @@
         nursery.start_soon(self.watcher.run)
         nursery.start_soon(self.objects.run)
         nursery.start_soon(self.shards.run)
+        nursery.start_soon(self.standby.run)
+        nursery.start_soon(self.limits.run)
+        nursery.start_soon(self.watch_own_reclaim)
         address = await nursery.start(self.server.serve, self.settings.listen.operators)
         log.info(f"serving operators at {address}, links at {self.peers.listen}")
 
-    async def drain(self, operator: str) -> int:
-        """Begin the planned stop of the whole node; return how many entries stop."""
+    async def watch_own_reclaim(self) -> None:
+        """Begin the planned stop when the instance of this node is taken back."""
+        revision = 0
+        while True:
+            mark = self.servers.marks.get(self.node.name)
+            if mark is not None:
+                await self.drain("reclaim notice", mark.deadline_unix_s)
+                return
+            revision = await self.servers.wait_changed(revision)
+
+    async def drain_entry(self, link: MessageLink) -> None:
+        """Ask an entry that connects while the node stops to stop too."""
+        if self.is_draining:
+            asked = DrainRequest("stop of the node", self.deadline_unix_s)
+            await link.call(asked, DRAIN_TIMEOUT_S)
+
+    async def drain(self, operator: str, deadline_unix_s: float = 0.0) -> int:
+        """Begin the planned stop of the whole node; return how many entries stop.
+
+        Parameters
+        ----------
+        operator : str
+            Who asked, for the log.
+        deadline_unix_s : float
+            When the node is taken away, as seconds of the epoch; 0 where it is not.
+        """
         log.info("planned stop of the node", operator=operator)
         self.is_draining = True
+        self.standby.is_stopping = True
+        self.deadline_unix_s = deadline_unix_s
         stopping = 0
         for link in list(self.peers.entries):
-            answer = await link.call(DrainRequest(operator), DRAIN_TIMEOUT_S)
+            asked = DrainRequest(operator, deadline_unix_s)
+            answer = await link.call(asked, DRAIN_TIMEOUT_S)
             stopping += isinstance(answer, DrainAccepted)
         self.stop.set()
         return stopping
 
     async def end(self) -> None:
         """Hand over what only this node holds, and say goodbye."""
+        self.standby.is_stopping = True
         with trio.move_on_after(HANDOVER_TIMEOUT_S) as scope:
             await self.hand_over()
         if scope.cancelled_caught:
--- a/src/rosemaryknot/process/control_handlers.py
+++ b/src/rosemaryknot/process/control_handlers.py
@@ -1,5 +1,6 @@
 """What an entry does with its agent's questions and orders."""
 
+from collections.abc import Callable
 from dataclasses import asdict
 
 import trio
@@ -20,7 +21,10 @@
 
 
 def register_control_handlers(
-    handlers: Handlers, stop: trio.Event, memory: DecisionMemory = DECISIONS
+    handlers: Handlers,
+    stop: trio.Event,
+    memory: DecisionMemory = DECISIONS,
+    note_deadline: Callable[[float], None] = lambda deadline_unix_s: None,
 ) -> None:
     """Let the agent ask for decisions and for a planned stop.
 
@@ -32,6 +36,8 @@
         Set to begin the planned stop.
     memory : DecisionMemory
         Where the decisions are.
+    note_deadline : callable
+        Told when the node is taken away, before the planned stop begins.
     """
 
     @handlers.on(DecisionsFetch)
@@ -42,5 +48,6 @@
     @handlers.on(DrainRequest)
     async def drain(asked: DrainRequest, link: MessageLink) -> DrainAccepted:
         log.info("planned stop asked for", operator=asked.operator)
+        note_deadline(asked.deadline_unix_s)
         stop.set()
         return DrainAccepted()
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -23,12 +23,16 @@
 from rosemaryknot.process.settings import Settings
 from rosemaryknot.request.admission import Admission, AdmissionLimits
 from rosemaryknot.request.at_most_once import AtMostOnce, ClaimPolicy
+from rosemaryknot.request.budget import EntryBudgets
 from rosemaryknot.request.generations import GenerationTable
 from rosemaryknot.request.http_api import CallersApi, create_app
 from rosemaryknot.request.model_api import ModelApi
+from rosemaryknot.request.model_share import ModelShare
+from rosemaryknot.request.pickup import RemoteFinder, register_pickup_handlers
 from rosemaryknot.request.plain import PlainRelay
 from rosemaryknot.request.plain_api import PlainApi
 from rosemaryknot.request.relay import ModelRelay
+from rosemaryknot.request.standby import StandbyCopies
 from rosemaryknot.values.nodes import Address, Node
 from rosemaryknot.values.servers import LeavingMark, ServersPush, server_from_dict
 from rosemaryknot.version.view import ConfigurationView
@@ -38,6 +42,8 @@
 CLAIM_MARGIN_S = 5.0
 CLOSE_GRACE_S = 0.2
 LATE_REQUESTS_S = 5.0
+REPORTS_S = 5.0
+HANDOVER_S = 1.0
 
 log = logger("entry")
 
@@ -74,8 +80,16 @@
         Model requests.
     at_most_once : AtMostOnce
         Requests that are not idempotent.
+    budgets : EntryBudgets
+        What the customers may use over all instances.
+    share : ModelShare
+        What they may use of the engines, and whose turn it is.
+    standby : StandbyCopies
+        Copies of accepted model requests.
     drain : Drain
         What is in flight.
+    stop_deadline_unix_s : float
+        When the node is taken away, as seconds of the epoch; 0 where not known.
     models : ModelApi
         Takes model requests; its ``finders`` look elsewhere for a pick-up.
     """
@@ -92,6 +106,8 @@
         self.settings = settings
         self.network = network
         self.rng = rng
+        self.unix_time = unix_time
+        self.stop_deadline_unix_s = 0.0
         limits = settings.limits
         self.node = Node(settings.node, settings.zone, int(unix_time() * 1000))
         self.holder = ConfigurationHolder(ConfigurationView.from_document)
@@ -104,6 +120,7 @@
         self.drain = Drain()
         self.admission = Admission(AdmissionLimits(limits.max_requests_in_flight))
         self.at_most_once = AtMostOnce(self.link, self.claim_policy, safeguards)
+        self.budgets = EntryBudgets(self.node, self.link)
         self.relay = ModelRelay(
             network,
             self.servers,
@@ -117,6 +134,17 @@
         self.relay.table = GenerationTable(
             limits.max_generations, keep_s=limits.kept_answer_s
         )
+        self.standby = StandbyCopies(
+            self.node,
+            self.relay,
+            self.link,
+            self.holder,
+            self.drain,
+            self.handlers,
+            safeguards is None or safeguards.standby_copy,
+        )
+        self.share = ModelShare(self.budgets, self.relay.router, self.drain)
+        register_pickup_handlers(self.handlers, self.relay.table)
         self.plain_client = PlainClient(network)
         self.plain = PlainRelay(
             self.plain_client, self.servers, settings.zone, rng, self.health
@@ -125,10 +153,12 @@
             self.admission,
             self.drain,
             nursery,
-            self.relay,
+            self.standby,
             self.relay.table,
             limits.body_timeout_s,
+            self.share,
         )
+        self.models.finders.append(RemoteFinder(self.link).find)
         self.server = HttpServer(create_app(self.new_api(nursery, unix_time)), network)
 
     def new_api(
@@ -143,6 +173,7 @@
             self.plain,
             self.at_most_once,
             limits.body_timeout_s,
+            self.budgets,
         )
         return CallersApi(
             self.holder,
@@ -213,23 +244,45 @@
                     if await self.link.send(mark):
                         told.add(mark.instance)
 
+    def note_deadline(self, deadline_unix_s: float) -> None:
+        """Note when the node is taken away, as seconds of the epoch."""
+        self.stop_deadline_unix_s = deadline_unix_s
+
+    def stop_bound_s(self) -> float:
+        """Return how long what is in flight may still run here, in seconds."""
+        bound_s = self.settings.limits.drain_timeout_s
+        if self.stop_deadline_unix_s:
+            left_s = self.stop_deadline_unix_s - self.unix_time() - HANDOVER_S
+            bound_s = min(bound_s, max(0.0, left_s))
+        return bound_s
+
     async def serve(self, nursery: trio.Nursery, address: Address) -> None:
         """Start all tasks; return once callers can connect."""
         await nursery.start(self.relay.run)
         nursery.start_soon(self.link.run)
         nursery.start_soon(self.at_most_once.run_reports)
+        nursery.start_soon(self.standby.run)
+        nursery.start_soon(self.budgets.run)
+        nursery.start_soon(self.share.queue.run)
         nursery.start_soon(self.report_leaving)
         await nursery.start(self.server.serve, address)
         log.info(f"serving callers at {address}")
 
     async def stop(self) -> None:
-        """End what is in flight whole, within the bound of the settings."""
+        """End what is in flight whole, or hand it over where time is too short."""
         self.drain.start()
-        await self.drain.wait_idle(self.settings.limits.drain_timeout_s)
+        bound_s = self.stop_bound_s()
+        if self.stop_deadline_unix_s:
+            await self.standby.hand_over_long(bound_s)
+            bound_s = self.stop_bound_s()
+        if not await self.drain.wait_idle(bound_s):
+            await self.standby.hand_over_all()
         # A request that is just being read is still refused with an answer, which a
         # closed connection would not tell from a lost one.
         await trio.sleep(CLOSE_GRACE_S)
         await self.drain.wait_idle(LATE_REQUESTS_S)
+        if not await self.at_most_once.reports.wait_empty(REPORTS_S):
+            log.error("results of at-most-once requests were not taken")
 
 
 async def run_entry(
@@ -263,7 +316,9 @@
     rng = random.SystemRandom() if rng is None else rng
     async with trio.open_nursery() as nursery:
         entry = Entry(settings, network, nursery, rng, unix_time, safeguards)
-        register_control_handlers(entry.handlers, stop)
+        register_control_handlers(
+            entry.handlers, stop, note_deadline=entry.note_deadline
+        )
         await entry.serve(nursery, settings.listen.callers)
         task_status.started(entry)
         await stop.wait()
--- a/src/rosemaryknot/process/safeguards.py
+++ b/src/rosemaryknot/process/safeguards.py
@@ -25,6 +25,9 @@
         A frame with another request's id reaches nobody.
     leaving_mark : bool
         A server known to be leaving gets no new work.
+    standby_copy : bool
+        An accepted long request is copied to another node, and handed over when
+        its entry leaves.
     """
 
     claim_copy: bool = True
@@ -32,3 +35,4 @@
     lineage_check: bool = True
     id_check: bool = True
     leaving_mark: bool = True
+    standby_copy: bool = True
--- a/src/rosemaryknot/process/status.py
+++ b/src/rosemaryknot/process/status.py
@@ -197,7 +197,8 @@
         @handlers.on(DrainRequest)
         async def drain(asked: DrainRequest, link: MessageLink) -> DrainAccepted:
             log.info("planned stop asked for", operator=asked.operator)
-            return DrainAccepted(await self.agent.drain(asked.operator))
+            entries = await self.agent.drain(asked.operator, asked.deadline_unix_s)
+            return DrainAccepted(entries)
 
     def blueprint(self) -> Blueprint:
         """Return the routes."""
--- a/src/rosemaryknot/replay/callers.py
+++ b/src/rosemaryknot/replay/callers.py
@@ -178,6 +178,9 @@
 
     def take_event(self, note: ModelNote, event: dict) -> None:
         """Note one event of a stream."""
+        if event.get("outcome") == "running":
+            # The entry leaves: another one goes on with it, where we pick it up.
+            return
         if "outcome" in event:
             note.outcome = event["outcome"]
             note.reason = event.get("reason", "")
--- a/src/rosemaryknot/request/generations.py
+++ b/src/rosemaryknot/request/generations.py
@@ -4,13 +4,23 @@
 import math
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import Protocol
 
 import trio
 
-from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Unknown
+from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Running, Unknown
 from rosemaryknot.values.requests import ModelRequest
 
-__all__ = ["Generation", "GenerationTable", "StoryLine", "outcome_event"]
+__all__ = [
+    "DONE",
+    "Followed",
+    "Generation",
+    "GenerationTable",
+    "StoryLine",
+    "frame_head",
+    "outcome_event",
+    "token_frame",
+]
 
 CONTENT_KEY = b',"choices":[{"index":0,"delta":{"content":"'
 CONTENT_END = b'"}}]}\n\n'
@@ -41,13 +51,13 @@
     text: str
 
 
-def outcome_event(outcome: Answered | NotRun | Unknown, tokens: int) -> bytes:
+def outcome_event(outcome: Answered | NotRun | Unknown | Running, tokens: int) -> bytes:
     r"""Return the last event of a stream.
 
     Parameters
     ----------
-    outcome : Answered, NotRun or Unknown
-        How the request ended.
+    outcome : Answered, NotRun, Unknown or Running
+        How the request ended; `Running` where another entry goes on with it.
     tokens : int
         Number of tokens emitted.
 
@@ -70,6 +80,12 @@
             "retry_after": outcome.retry_after_s,
             "detail": outcome.detail,
         }
+    elif isinstance(outcome, Running):
+        fields = {
+            "outcome": "running",
+            "retry_after": outcome.retry_after_s,
+            "tokens": tokens,
+        }
     else:
         fields = {
             "outcome": "unknown",
@@ -80,6 +96,21 @@
     return b"data: " + json.dumps(fields, separators=(",", ":")).encode() + b"\n\n"
 
 
+class Followed(Protocol):
+    """What a pick-up needs of a request, here or at another node.
+
+    Attributes
+    ----------
+    request_id : str
+        Id of the request.
+    """
+
+    request_id: str
+
+    def follow(self, offset: int = 0, lineage: str = "") -> AsyncIterator[bytes]:
+        """Yield the events from an offset to the end; see `Generation.follow`."""
+
+
 class Generation:
     """One accepted model request: its prompt, its emitted tokens and its outcome.
 
@@ -100,8 +131,9 @@
     ----------
     tokens : list of bytes
         Emitted tokens, each as the inside of a JSON string.
-    outcome : Answered, NotRun, Unknown or None
-        None while it runs. The body of an `Answered` is empty here; see `text`.
+    outcome : Answered, NotRun, Unknown, Running or None
+        None while it runs; `Running` where another entry goes on. The body of an
+        `Answered` is empty here; see `text`.
     prompt_tokens, cached_tokens : int
         As the engine reported them at the end; 0 before.
     attempts : int
@@ -146,7 +178,7 @@
         self.lineage = lineage
         self.head = frame_head(request.request_id, lineage)
         self.tokens: list[bytes] = list(tokens or ())
-        self.outcome: Answered | NotRun | Unknown | None = None
+        self.outcome: Answered | NotRun | Unknown | Running | None = None
         self.prompt_tokens = 0
         self.cached_tokens = 0
         self.attempts = 0
@@ -168,7 +200,7 @@
         if self.changed:
             self.changed.unpark_all()
 
-    def finish(self, outcome: Answered | NotRun | Unknown) -> None:
+    def finish(self, outcome: Answered | NotRun | Unknown | Running) -> None:
         """End the generation; a second outcome is ignored."""
         if self.outcome is not None:
             return
@@ -261,7 +293,7 @@
             await self.changed.park()
         return len(self.tokens)
 
-    async def wait_finished(self) -> Answered | NotRun | Unknown:
+    async def wait_finished(self) -> Answered | NotRun | Unknown | Running:
         """Wait for the outcome and return it."""
         await self.ended.wait()
         return self.outcome
@@ -281,6 +313,11 @@
         return sum(len(str(part.get("content", ""))) for part in self.request.messages)
 
 
+def token_frame(head: bytes, offset: int, token: bytes) -> bytes:
+    """Return the event of one token of the generation with a head."""
+    return b"%b%d%b%b%b" % (head, offset, CONTENT_KEY, token, CONTENT_END)
+
+
 def frame_head(request_id: str, lineage: str) -> bytes:
     """Return what each event of a generation starts with, up to the offset."""
     return (
--- a/src/rosemaryknot/request/http_api.py
+++ b/src/rosemaryknot/request/http_api.py
@@ -18,12 +18,19 @@
 from rosemaryknot.request.answers import REQUEST_HEADER, answer_of, json_answer
 from rosemaryknot.request.arrivals import Arrival, new_request_id, note_outcome
 from rosemaryknot.request.authentication import authenticate
-from rosemaryknot.request.generations import Generation
+from rosemaryknot.request.generations import Followed, Generation
 from rosemaryknot.request.http_input import read_offset, wants_async
 from rosemaryknot.request.model_api import ModelApi
 from rosemaryknot.request.model_input import completion_document
 from rosemaryknot.request.plain_api import PlainApi, refused_input
-from rosemaryknot.values.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from rosemaryknot.values.outcomes import (
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Running,
+    Unknown,
+)
 
 __all__ = ["CallersApi", "create_app"]
 
@@ -94,10 +101,7 @@
         if isinstance(generation, NotRun):
             return self.conclude(arrival, "", generation)
         if wants_async(request):
-            document = {"outcome": "running", "id": arrival.request_id}
-            answer = json_answer(document, ACCEPTED, arrival.request_id)
-            answer.headers["Location"] = f"/v1/requests/{arrival.request_id}"
-            return answer
+            return running(arrival.request_id)
         if generation.request.stream:
             return streamed(generation, 0, "")
         return await self.whole(generation)
@@ -105,6 +109,8 @@
     async def whole(self, generation: Generation) -> Response:
         """Return a whole completion once it is there."""
         outcome = await generation.wait_finished()
+        if isinstance(outcome, Running):
+            return running(generation.request_id)
         if not isinstance(outcome, Answered):
             return answer_of(outcome, generation.request_id)
         document = completion_document(generation, self.clock())
@@ -178,7 +184,15 @@
         return answer_of(Unknown(Reason.NOT_PROVEN, "internal error"), request_id)
 
 
-def streamed(generation: Generation, offset: int, lineage: str) -> Response:
+def running(request_id: str) -> Response:
+    """Return the answer that tells where an accepted request is to be picked up."""
+    document = {"outcome": "running", "id": request_id}
+    answer = json_answer(document, ACCEPTED, request_id)
+    answer.headers["Location"] = f"/v1/requests/{request_id}"
+    return answer
+
+
+def streamed(generation: Followed, offset: int, lineage: str) -> Response:
     """Return the stream of a generation's events."""
     response = Response(generation.follow(offset, lineage), content_type=SSE_TYPE)
     response.headers["Cache-Control"] = "no-store"
--- a/src/rosemaryknot/request/model_api.py
+++ b/src/rosemaryknot/request/model_api.py
@@ -10,14 +10,19 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.request.admission import Admission, Slot
 from rosemaryknot.request.arrivals import Arrival, note_outcome
-from rosemaryknot.request.generations import Generation, GenerationTable
-from rosemaryknot.request.http_input import read_body, read_timeout_s
+from rosemaryknot.request.generations import Followed, Generation, GenerationTable
+from rosemaryknot.request.http_input import (
+    read_body,
+    read_timeout_s,
+    wants_async,
+)
 from rosemaryknot.request.model_input import (
     model_request_of,
     model_service,
     parse_model_body,
 )
-from rosemaryknot.values.outcomes import NotRun, Reason, Unknown
+from rosemaryknot.request.model_share import ModelShare, used_tokens
+from rosemaryknot.values.outcomes import NotRun, Reason, Running, Unknown
 from rosemaryknot.values.requests import ModelRequest
 
 __all__ = ["Finder", "ModelApi", "ModelStarter"]
@@ -27,7 +32,7 @@
 
 log = logger("request")
 
-Finder = Callable[[str, str], Awaitable[Generation | None]]
+Finder = Callable[[str, str], Awaitable[Followed | Unknown | None]]
 
 
 class ModelStarter(Protocol):
@@ -54,6 +59,8 @@
         Accepted requests of this process.
     body_timeout_s : float
         Bound on the wait for a body, in seconds.
+    share : ModelShare
+        What the customers may use, and whose turn it is at the engines.
 
     Attributes
     ----------
@@ -70,6 +77,7 @@
         relay: ModelStarter,
         generations: GenerationTable,
         body_timeout_s: float,
+        share: ModelShare,
     ) -> None:
         self.admission = admission
         self.drain = drain
@@ -77,6 +85,7 @@
         self.relay = relay
         self.generations = generations
         self.body_timeout_s = body_timeout_s
+        self.share = share
         self.finders: list[Finder] = []
 
     async def accept(self, request: Request, arrival: Arrival) -> Generation | NotRun:
@@ -144,6 +153,10 @@
         )
         if isinstance(model_request, NotRun):
             return model_request
+        model_request.is_async = wants_async(request)
+        refusal = await self.share.admit(model_request, limit, slot)
+        if refusal is not None:
+            return refusal
         return await self.relay.start(model_request)
 
     async def hold(self, generation: Generation, slot: Slot) -> None:
@@ -162,6 +175,7 @@
         )
         with self.drain:
             outcome = await generation.wait_finished()
+            slot.charge.settle(used_tokens(generation, slot.charge))
             slot.release()
         note_outcome(
             request.request_id,
@@ -171,7 +185,7 @@
             outcome,
         )
 
-    async def find(self, arrival: Arrival, request_id: str) -> Generation | Unknown:
+    async def find(self, arrival: Arrival, request_id: str) -> Followed | Unknown:
         """Find an accepted request of the customer.
 
         Parameters
@@ -183,11 +197,14 @@
 
         Returns
         -------
-        generation : Generation or Unknown
+        generation : Followed or Unknown
             Another customer's request looks as if it did not exist.
         """
         customer = arrival.customer.name
         found = self.generations.find(customer, request_id)
+        if found is not None and isinstance(found.outcome, Running):
+            # Another entry goes on with it.
+            found = None
         for finder in self.finders:
             if found is not None:
                 break
--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -27,8 +27,14 @@
 from rosemaryknot.request.moves import Mover
 from rosemaryknot.request.relay_records import note_begun, note_end, note_outcome
 from rosemaryknot.request.router import Prompt, Router
-from rosemaryknot.values.nodes import BackendServer
-from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Unknown
+from rosemaryknot.values.nodes import BackendServer, ServerState
+from rosemaryknot.values.outcomes import (
+    Answered,
+    NotRun,
+    Reason,
+    Running,
+    Unknown,
+)
 from rosemaryknot.values.requests import ModelRequest
 
 __all__ = ["ModelRelay"]
@@ -176,21 +182,48 @@
         generation = Generation(request, lineage or self.new_lineage(), tokens)
         return self.table.add(generation) or generation
 
-    def begin(self, generation: Generation) -> None:
-        """Run a prepared generation."""
+    def begin(
+        self, generation: Generation, is_resumed: bool = False, server: str = ""
+    ) -> None:
+        """Run a prepared generation.
+
+        Parameters
+        ----------
+        generation : Generation
+            From `prepare`.
+        is_resumed : bool
+            Whether another entry accepted it, so that it may have run before.
+        server : str
+            Instance that may still be at work on it; empty for none.
+        """
         note_begun(generation)
-        self.nursery.start_soon(self.run_generation, generation)
+        self.nursery.start_soon(self.run_generation, generation, is_resumed, server)
+
+    def hand_over(self, generation: Generation, outcome: Running) -> None:
+        """End a generation here that another entry goes on with.
+
+        Its server is not told: the other entry may join it there.
+        """
+        generation.finish(outcome)
+        attempt = self.mover.running.get(generation.request_id)
+        if attempt is not None and attempt.generation is generation:
+            attempt.stop(Silent(True, "handed over"))
 
     def give_up(self, generation: Generation, outcome: NotRun | Unknown) -> None:
         """End a prepared generation that will not run."""
         generation.finish(outcome)
         self.table.note_finished(generation)
 
-    async def run_generation(self, generation: Generation) -> None:
+    async def run_generation(
+        self, generation: Generation, is_resumed: bool = False, server: str = ""
+    ) -> None:
         """Bring a generation to its outcome within its deadline."""
         texts = [str(part.get("content")) for part in generation.request.messages]
         prompt = Prompt(sum(map(len, texts)), prompt_blocks(texts))
-        course = Course(prompt)
+        course = Course(prompt, was_sent=is_resumed)
+        known = self.servers.get(server)
+        if known is not None and known.state == ServerState.LIVE:
+            course.next_server = known
         try:
             with trio.CancelScope(deadline=generation.request.deadline_s):
                 while generation.outcome is None:
@@ -208,6 +241,8 @@
         server = course.next_server
         if server is None:
             server = await self.choose_server(generation, course)
+        if generation.outcome is not None:
+            return
         if server is None:
             self.finish_without_server(generation, course)
             return
--- a/src/rosemaryknot/values/control.py
+++ b/src/rosemaryknot/values/control.py
@@ -95,10 +95,13 @@
     ----------
     operator : str
         Who asked, for the log.
+    deadline_unix_s : float
+        When the node is taken away, as seconds of the epoch; 0 where it is not.
     """
 
     kind: ClassVar[str]
     operator: str = ""
+    deadline_unix_s: float = 0.0
 
 
 @message("drain_accepted")
--- a/src/rosemaryknot/values/requests.py
+++ b/src/rosemaryknot/values/requests.py
@@ -95,6 +95,8 @@
         When the caller gives it up, in trio time.
     body : dict
         The caller's body.
+    is_async : bool
+        Whether the caller only waits until it is accepted.
     """
 
     request_id: str
@@ -107,3 +109,4 @@
     arrived_s: float
     deadline_s: float
     body: dict
+    is_async: bool = False
