--- a/src/rosemaryknot/process/claims/ownership.py
+++ b/src/rosemaryknot/process/claims/ownership.py
@@ -4,8 +4,6 @@
 from the owner itself, or by proof that the owner's process has ended.
 """
 
-from dataclasses import dataclass, field
-
 import trio
 
 from rosemaryknot.process.claims.copies import (
@@ -17,8 +15,9 @@
 )
 from rosemaryknot.process.claims.map_keeper import Change, MapKeeper
 from rosemaryknot.process.claims.owner import Doubt, OwnedShard, OwnerState
+from rosemaryknot.process.claims.pending import Pending, PendingTables
 from rosemaryknot.process.claims.shard_map import Shard, ShardMap
-from rosemaryknot.process.claims.table import TableBounds, TableUse, from_wire, to_wire
+from rosemaryknot.process.claims.table import TableBounds, TableUse, to_wire
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter, gauge
 from rosemaryknot.values.claim_peers import HandoverRecords, HandoverStored
@@ -38,32 +37,6 @@
 RECORD_BYTES = gauge("claim_bytes", "Bytes of these ids and their kept answers.")
 
 
-@dataclass(slots=True)
-class Pending:
-    """A table that the owner has handed over and the map has not confirmed.
-
-    Attributes
-    ----------
-    epoch, since : int
-        What the map will say of the shard if this very handover goes through.
-    doubt : Doubt or None
-        What the owner before did not know either.
-    items : list of (ClaimId, ClaimRecord)
-        The table.
-    serial : int
-        The owner's try.
-    is_whole : bool
-        Whether the last part has come.
-    """
-
-    epoch: int
-    since: int
-    doubt: Doubt | None
-    items: list[Item] = field(default_factory=list)
-    serial: int = 0
-    is_whole: bool = False
-
-
 class ShardOwnership:
     """The shards in this node's hands.
 
@@ -107,7 +80,7 @@
         self.holder = holder
         self.use = TableUse(bounds)
         self.owned: dict[int, OwnedShard] = {}
-        self.pending: dict[int, Pending] = {}
+        self.pending = PendingTables()
         self.taking: set[tuple[int, int, int]] = set()
         self.unasked: dict[int, set[str]] = {}
         self.recopy_due = False
@@ -166,13 +139,10 @@
 
     async def receive(self, index: int, shard: Shard) -> None:
         """Begin to own a shard that the map gives to this process."""
-        pending = self.pending.pop(index, None)
-        if pending is not None and pending.is_whole:
-            # `since` tells a handover from a takeover under the same epoch: a table
-            # whose owner took it back, and then died, is an old one.
-            if (pending.epoch, pending.since) == (shard.epoch, shard.since):
-                self.install(index, shard, pending)
-                return
+        pending = self.pending.take(index, shard)
+        if pending is not None:
+            self.install(index, shard, pending)
+            return
         if (index, shard.epoch, shard.since) in self.taking:
             await self.gather(index, shard)
         elif shard.epoch == 1:
@@ -341,28 +311,9 @@
 
     def take_in(self, part: HandoverRecords) -> HandoverStored:
         """Keep a part of a table that its owner hands over."""
-        if self.is_stopping:
-            return HandoverStored(False)
-        now_s = trio.current_time()
-        pending = self.pending.get(part.shard)
-        is_late = (
-            pending is not None
-            and pending.epoch == part.epoch
-            and pending.serial >= part.serial
-        )
-        if part.is_first and not is_late:
-            doubt = None
-            if part.doubt_age_s >= 0:
-                doubt = Doubt(part.since, now_s - part.doubt_age_s)
-            pending = Pending(part.epoch, part.since, doubt, serial=part.serial)
-            self.pending[part.shard] = pending
-        if pending is None or not self.use.has_room():
-            return HandoverStored(False)
-        if (pending.epoch, pending.serial) != (part.epoch, part.serial):
+        if self.is_stopping or not self.use.has_room():
             return HandoverStored(False)
-        pending.items.extend(from_wire(part.records, now_s))
-        pending.is_whole = part.is_last
-        return HandoverStored(True)
+        return HandoverStored(self.pending.add(part))
 
     async def recopy(self) -> None:
         """Copy the records that no live peer holds a copy of."""
--- a/tests/process/test_claims_ownership.py
+++ b/tests/process/test_claims_ownership.py
@@ -3,7 +3,11 @@
 import trio
 from tests.process.claim_fakes import FakeCluster, claim_of, close_of, result_of
 
-from rosemaryknot.process.claims.shard_map import ShardMap, shard_of
+from rosemaryknot.process.claims.pending import PendingTables
+from rosemaryknot.process.claims.records import ClaimRecord, RunState
+from rosemaryknot.process.claims.shard_map import Shard, ShardMap, shard_of
+from rosemaryknot.process.claims.table import to_wire
+from rosemaryknot.values.claim_peers import HandoverRecords
 from rosemaryknot.values.claims import ClaimAnswered, ClaimGranted
 from rosemaryknot.values.nodes import ServerState
 from rosemaryknot.values.outcomes import Reason
@@ -223,6 +227,22 @@
         reply = await cluster.claims("b-1").claim(claim_of(key, "c2", attempt=2))
         assert reply.outcome == "unknown"
 
+    async def test_part_of_an_earlier_try_that_comes_late_is_refused(
+        self, autojump_clock
+    ):
+        """A handover is tried twice, and the first try's table arrives last.
+
+        The first table is older: the owner went on between the tries. The later one
+        must stay, or ids granted meanwhile would run again.
+        """
+        tables = PendingTables()
+        granted = ClaimRecord(state=RunState.GRANTED, claim="c1")
+        newer = to_wire([(claim_of("k", "c1").id, granted)], trio.current_time())
+        assert tables.add(HandoverRecords(3, 2, newer, serial=2))
+        assert not tables.add(HandoverRecords(3, 2, [], serial=1))
+        pending = tables.take(3, Shard("a", "b-1", 1, epoch=2))
+        assert [record.claim for _, record in pending.items] == ["c1"]
+
     async def test_new_nodes_get_shards_and_nothing_swings(
         self, autojump_clock, nursery
     ):
