--- a/tests/connection/test_links.py
+++ b/tests/connection/test_links.py
@@ -155,14 +155,15 @@
             (b"\xff\xff\xff\xff", "frame of 4294967295 bytes is too large", 0),
             (raw_frame(b"\xc1 no msgpack"), "unreadable message", 1),
             (raw_frame(msgpack.packb(["test_question", 1, 0, {}])), None, 1),
+            (raw_frame(msgpack.packb(["test_question", 1, 0, {"text": 7}])), None, 1),
         ],
     )
     async def test_broken_frame_closes_the_link(
         self, autojump_clock, frame, reason, unreadable
     ):
-        """A peer sends what is no message, or one without a field that it needs.
+        """A peer sends no message, or one with a field missing or of a wrong type.
 
-        What follows in the stream cannot be trusted, so the link ends, is counted,
+        A handler would fail on it and end the process. What follows in the stream cannot be trusted, so the link ends, is counted,
         and a call that waits on it fails at once instead of at its timeout.
         """
         acceptor = Acceptor(answering())
