--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -34,7 +34,7 @@
 from rosemaryknot.request.relay import ModelRelay
 from rosemaryknot.request.standby import StandbyCopies
 from rosemaryknot.values.nodes import Address, Node
-from rosemaryknot.values.servers import LeavingMark, ServersPush, server_from_dict
+from rosemaryknot.values.servers import LeavingMark, ServersPush
 from rosemaryknot.version.view import ConfigurationView
 
 __all__ = ["Entry", "run_entry"]
@@ -202,17 +202,10 @@
 
     def apply_servers(self, push: ServersPush) -> None:
         """Take over the agent's servers."""
-        if push.full and not push.servers and self.servers.servers:
-            # An agent that has just started, while the platform is down, knows no
-            # server. Taking its word would drop every one that still works.
-            log.warning("kept the known servers: the agent knows none")
-            return
         try:
-            servers = [server_from_dict(server) for server in push.servers]
-        except (TypeError, AttributeError) as error:
+            self.servers.apply_push(push)
+        except (TypeError, ValueError, AttributeError) as error:
             log.error("unusable list of servers", error=type(error).__name__)
-            return
-        self.servers.apply_list(servers)
 
     def claim_policy(self, service: str) -> ClaimPolicy:
         """Return the bounds of a service's at-most-once requests."""
--- a/tests/process/test_drain.py
+++ b/tests/process/test_drain.py
@@ -80,6 +80,22 @@
         events = [e async for part in generation.follow() for e in events_of(part)]
         assert events[-2]["outcome"] == "answered"
 
+    async def test_caller_who_reads_late(self, nursery, autojump_clock):
+        """The answer is whole before its caller has read it.
+
+        The part that the connection has no room for is still in the process, which
+        must not end before it is written.
+        """
+        fleet = await whole_fleet(nursery)
+        async with (
+            fleet.caller() as caller,
+            caller.stream("POST", CHAT, json=chat(4000)) as answer,
+        ):
+            fleet.stops[0].set()
+            await trio.sleep(18.0)
+            events = events_of(await answer.aread())
+        assert events[-2] == {"outcome": "answered", "tokens": len(events) - 2}
+
     async def test_caller_who_never_reads(self, nursery, autojump_clock):
         """A caller opens a long stream and never reads it.
 
