--- a/src/rosemaryknot/request/http_input.py
+++ b/src/rosemaryknot/request/http_input.py
@@ -148,7 +148,7 @@
         The body, or why it is refused.
     """
     try:
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(max(0.0, timeout_s)):
             return bytes(await request.get_data(cache=False))
     except RequestEntityTooLarge:
         return NotRun(Reason.BODY_TOO_LARGE, detail="the body is too large")
--- a/tests/process/entry_fleet.py
+++ b/tests/process/entry_fleet.py
@@ -130,6 +130,7 @@
         self.entries: list[Entry] = []
         self.stops: list[trio.Event] = []
         self.ended: list[trio.Event] = []
+        self.scopes: list[trio.CancelScope] = []
 
     def list_server(self, name, service, host):
         self.backends[name] = BackendServer(
@@ -190,17 +191,14 @@
     async def run_entry(
         self, settings, stop, ended, network, task_status=trio.TASK_STATUS_IGNORED
     ):
-        try:
+        scope = trio.CancelScope()
+        self.scopes.append(scope)
+        rng = random.Random(len(self.entries))
+        with scope:
             await run_entry(
-                settings,
-                stop,
-                network,
-                random.Random(len(self.entries)),
-                unix_time,
-                task_status=task_status,
+                settings, stop, network, rng, unix_time, task_status=task_status
             )
-        finally:
-            ended.set()
+        ended.set()
 
     def entry_host(self, index):
         return f"10.0.3.{index + 1}"
--- a/tests/process/test_drain.py
+++ b/tests/process/test_drain.py
@@ -7,6 +7,7 @@
 import sys
 
 import httpx
+import pytest
 import trio
 from tests.process.entry_fleet import API_KEY, booking, chat, whole_fleet
 from tests.request.relay_fleet import events_of
@@ -80,6 +81,24 @@
         events = [e async for part in generation.follow() for e in events_of(part)]
         assert events[-2]["outcome"] == "answered"
 
+    async def test_second_signal(self, nursery, autojump_clock):
+        """A second signal cuts the stop short while a stream is open.
+
+        The process ends at once. The caller's stream breaks off in the middle of its
+        framing, which no client takes for the end of an answer.
+        """
+        fleet = await whole_fleet(nursery)
+        async with (
+            fleet.caller() as caller,
+            caller.stream("POST", CHAT, json=chat(4000)) as answer,
+        ):
+            fleet.stops[0].set()
+            await trio.sleep(1.0)
+            fleet.scopes[0].cancel()
+            with pytest.raises(httpx.TransportError):
+                await answer.aread()
+        assert fleet.ended[0].is_set()
+
     async def test_caller_who_reads_late(self, nursery, autojump_clock):
         """The answer is whole before its caller has read it.
 
