Seed the lineages of an entry, so that equal seeds give equal decision logs

Lineages came from the system's random source; they stand in the lines of a take-over, so two runs of one seed had different logs. They now come from the entry's generator, which is the system's one in a live process.

--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -44,6 +44,7 @@
 LATE_REQUESTS_S = 5.0
 REPORTS_S = 5.0
 HANDOVER_S = 1.0
+LINEAGE_BITS = 48
 
 log = logger("entry")
 
@@ -130,6 +131,7 @@
             self.health,
             safeguards=safeguards,
             unix_time=unix_time,
+            new_lineage=lambda: f"{rng.getrandbits(LINEAGE_BITS):012x}",
         )
         self.relay.table = GenerationTable(
             limits.max_generations, keep_s=limits.kept_answer_s
