Run scenarios of a small language over the whole system in virtual time

Equal seeds give an equal digest over all log lines with their virtual times, also in a process with another hash seed: trio's order of ready tasks is sorted and seeded, keys of callers come from the seed. A backend server enters the table of a run only once it serves and is listed; a fault in between met a server that the platform did not know.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 INSTALLED := $(VENV)/installed
 PYTEST_OPTIONS ?=
 
-.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery scenarios
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -17,6 +17,7 @@
 	@echo "make faults SEED=7      run one seed again, with its decision log"
 	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
 	@echo "make bench-recovery     what reclaim waves and at-most-once execution cost"
+	@echo "make scenarios          run all scenario files in virtual time and check what they state"
 	@echo "make lint    check format and lint rules"
 	@echo "make format  format the code and mend what the linter can"
 
@@ -62,6 +63,9 @@
 	@$(BIN)/python scripts/faults.py $(SEEDS) $(FAULT_OPTIONS)
 endif
 
+scenarios: venv
+	@$(BIN)/rosemaryknot-replay run scenarios/*.scenario
+
 bench-relay: venv
 	@$(BIN)/python benchmarks/relay.py
 
--- a/src/rosemaryknot/replay/callers.py
+++ b/src/rosemaryknot/replay/callers.py
@@ -64,6 +64,8 @@
         Addresses of the entries, as the balancer would hand them out.
     rng : random.Random
         For the choice of entries.
+    near : list of str, optional
+        Addresses that its first send goes to; by default all.
     """
 
     def __init__(
@@ -72,11 +74,18 @@
         api_key: str,
         entries: list[str],
         rng: random.Random,
+        near: list[str] | None = None,
     ) -> None:
         self.client = client
         self.headers = {"Authorization": f"Bearer {api_key}"}
         self.entries = entries
         self.rng = rng
+        self.near = near or []
+
+    def next_entry(self) -> str:
+        """Return the entry for the next send, as the balancer would choose it."""
+        near, self.near = self.near, []
+        return self.rng.choice(near or self.entries)
 
     # Bookings
 
@@ -99,7 +108,7 @@
         self, note: BookingNote, plan: BookingPlan, send: int
     ) -> Reply:
         """Send a booking once and note the reply."""
-        entry = self.rng.choice(self.entries)
+        entry = self.next_entry()
         attempt = send if plan.declares else 0
         headers = self.headers | {"Idempotency-Key": note.key, "Test-Send": str(send)}
         if attempt:
@@ -133,7 +142,7 @@
 
     async def first_stream(self, note: ModelNote, service: str) -> None:
         """Send the request and read its stream as far as it goes."""
-        entry = self.rng.choice(self.entries)
+        entry = self.next_entry()
         body = {
             "model": service,
             "messages": [{"role": "user", "content": note.prompt}],
@@ -153,7 +162,7 @@
     async def pick_up(self, note: ModelNote) -> None:
         """Ask any entry for the rest of an accepted request."""
         note.pickups += 1
-        entry = self.rng.choice(self.entries)
+        entry = self.next_entry()
         url = f"http://{entry}/v1/requests/{note.id}?offset={len(note.tokens)}"
         try:
             async with self.client.stream(
--- a/src/rosemaryknot/replay/faults_command.py
+++ b/src/rosemaryknot/replay/faults_command.py
@@ -14,7 +14,7 @@
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.replay.fault_run import FaultReport, run_seed
 
-__all__ = ["FaultSummary", "run_faults"]
+__all__ = ["FaultSummary", "run_faults", "safeguards_without"]
 
 SHOWN_VIOLATIONS = 5
 
--- a/src/rosemaryknot/replay/main.py
+++ b/src/rosemaryknot/replay/main.py
@@ -2,6 +2,7 @@
 
 from rosemaryknot.process.command_line import VersionOption, new_application
 from rosemaryknot.replay.faults_command import run_faults
+from rosemaryknot.replay.run_command import run_files
 
 __all__ = ["app", "main"]
 
@@ -17,6 +18,7 @@
     """Run the whole system in virtual time, over stand-ins."""
 
 
+app.command("run")(run_files)
 app.command("faults")(run_faults)
 
 
--- /dev/null
+++ b/src/rosemaryknot/replay/scenario_actions.py
@@ -0,0 +1,249 @@
+"""What the steps of a scenario do, in a registry that decorators fill."""
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import httpx
+import trio
+
+from rosemaryknot.replay.fault_kinds import live_servers
+from rosemaryknot.replay.hosts import Host
+from rosemaryknot.replay.scenario import RequestStep
+from rosemaryknot.replay.scenario_language import Target
+from rosemaryknot.replay.system import PLATFORM, ServerProcess, System
+from rosemaryknot.standin.plain import PlainFault
+from rosemaryknot.standin.platform_faults import OUTAGE_REFUSE, OUTAGE_SILENT
+from rosemaryknot.values.nodes import ServerState
+
+if TYPE_CHECKING:
+    from rosemaryknot.replay.scenario_run import ScenarioRun
+
+__all__ = ["ACTIONS", "Action", "action"]
+
+Action = Callable[..., Awaitable[None]]
+
+ACTIONS: dict[str, Action] = {}
+
+PATCH_TIMEOUT_S = 8.0
+LATE_ANSWER_S = 4.0
+PLAIN_FAULTS = {
+    "lose answers of": "lose_answer",
+    "answer late": "late",
+    "refuse": "refuse",
+    "go silent before": "silent_before",
+    "go silent after": "silent_after",
+}
+
+
+def action(name: str) -> Callable[[Action], Action]:
+    """Register an action under the name that the language gives it."""
+
+    def register(function: Action) -> Action:
+        if name in ACTIONS:
+            raise ValueError(f"action {name!r} is taken")
+        ACTIONS[name] = function
+        return function
+
+    return register
+
+
+def server_of(system: System, target: Target) -> ServerProcess:
+    """Return the first live server of a service in a zone.
+
+    Raises
+    ------
+    LookupError
+        If none lives there any more.
+    """
+    for server in live_servers(system):
+        if (server.listed.service, server.listed.zone) == (target.name, target.zone):
+            return server
+    raise LookupError(f"no live {target.name} in {target.zone}")
+
+
+def host_of(system: System, target: Target) -> Host:
+    """Return the host that a fault hits."""
+    if target.kind == "server":
+        return server_of(system, target).host
+    if target.kind == "platform":
+        return system.platform_host
+    node = system.nodes[target.name]
+    return node.entry if target.kind == "entry" else node.agent
+
+
+@action("send")
+async def send(run: "ScenarioRun", request: RequestStep) -> None:
+    """Send a caller's request."""
+    await run.requests.send(request)
+
+
+@action("start_server")
+async def start_server(run: "ScenarioRun", target: Target) -> None:
+    """Start a backend server."""
+    await run.system.start_server(str(target.name), str(target.zone))
+
+
+@action("reclaim")
+async def reclaim(run: "ScenarioRun", target: Target, notice_s: float) -> None:
+    """Send reclaim notices: for one instance, or for a zone's backend servers."""
+    system = run.system
+    if target.kind == "zone":
+        live = live_servers(system)
+        names = [s.listed.instance for s in live if s.listed.zone == target.name]
+    elif target.kind == "server":
+        names = [server_of(system, target).listed.instance]
+    else:
+        names = [str(target.name)]
+    for name in names:
+        run.notices_s[name] = trio.current_time()
+        system.platform.reclaim(name, notice_s)
+
+
+@action("cut")
+async def cut(run: "ScenarioRun", target: Target, far: Target) -> None:
+    """Partition a zone from the platform, another zone, or both."""
+    if far.kind == "everything":
+        run.system.cut_zone(target.name)
+        return
+    hosts = [PLATFORM.host]
+    if far.kind == "zone":
+        hosts = run.system.hosts_of_zone(far.name)
+    for near in run.system.hosts_of_zone(target.name):
+        for other in hosts:
+            run.system.network.cut(near, other)
+
+
+@action("heal")
+async def heal(run: "ScenarioRun", target: Target) -> None:
+    """End all partitions of a zone."""
+    run.system.heal_zone(target.name)
+
+
+@action("kill")
+async def kill(run: "ScenarioRun", target: Target) -> None:
+    """Kill a process without notice; an instance is confirmed as terminated."""
+    system = run.system
+    if target.kind == "server":
+        server = server_of(system, target)
+        server.host.kill()
+        system.platform.cloud.terminate(server.listed.instance)
+        return
+    node = system.nodes[target.name]
+    if target.kind in ("node", "entry"):
+        system.unannounced.add(str(node.settings.listen.callers))
+    if target.kind == "node":
+        system.kill_node(target.name)
+    else:
+        host_of(system, target).kill()
+
+
+@action("restart")
+async def restart(run: "ScenarioRun", target: Target) -> None:
+    """Start an entry or agent again at its address, killing it if it lives."""
+    if target.kind == "entry":
+        node = run.system.nodes[target.name]
+        run.system.unannounced.add(str(node.settings.listen.callers))
+        run.system.restart_entry(target.name)
+    else:
+        run.system.restart_agent(target.name)
+
+
+@action("freeze")
+async def freeze(run: "ScenarioRun", target: Target, lasts_s: float) -> None:
+    """Pause a process as a whole, and let it go on."""
+    host = host_of(run.system, target)
+    host.freeze()
+    await trio.sleep(lasts_s)
+    host.thaw()
+
+
+@action("silence")
+async def silence(run: "ScenarioRun", target: Target) -> None:
+    """Silence the open connections of a process for good; new ones work."""
+    near = host_of(run.system, target).network.host
+    streams = run.system.network.streams
+    for far in sorted({s.far for s in streams if s.near == near}):
+        run.system.network.silence(near, far)
+
+
+@action("swap")
+async def swap(run: "ScenarioRun", target: Target) -> None:
+    """Let an engine give two running answers to each other's streams."""
+    server_of(run.system, target).standin.apply_faults({"swap": True})
+
+
+@action("plain_fault")
+async def plain_fault(
+    run: "ScenarioRun", target: Target, fault: str, count: int
+) -> None:
+    """Let the next calls of a plain service go wrong."""
+    planned = PlainFault(PLAIN_FAULTS[fault], count, late_s=LATE_ANSWER_S)
+    server_of(run.system, target).standin.faults.append(planned)
+
+
+@action("outage")
+async def outage(run: "ScenarioRun", form: str, lasts_s: float) -> None:
+    """Take the platform away for a while."""
+    faults = run.system.platform.faults
+    faults.outage = OUTAGE_REFUSE if form == "refusing" else OUTAGE_SILENT
+    await trio.sleep(lasts_s)
+    faults.outage = ""
+
+
+@action("slow")
+async def slow(run: "ScenarioRun", delay_s: float, lasts_s: float) -> None:
+    """Let the platform answer late for a while; writes take effect at once."""
+    faults = run.system.platform.faults
+    faults.slow_s = delay_s
+    await trio.sleep(lasts_s)
+    faults.slow_s = 0.0
+
+
+@action("lose")
+async def lose(run: "ScenarioRun", count: int) -> None:
+    """Lose the answers of the next writes, which take effect."""
+    run.system.platform.faults.lose_answers += count
+
+
+@action("stale")
+async def stale(run: "ScenarioRun", number: int) -> None:
+    """Let the store hold an older configuration, as a restored backup does."""
+    objects = run.system.platform.kinds["configuration"]
+    for stored in objects.history["main"]:
+        if stored.value["number"] == number:
+            objects.rollback("main", stored.version)
+            return
+    raise LookupError(f"configuration {number} was never stored")
+
+
+@action("patch")
+async def patch(
+    run: "ScenarioRun",
+    operator: str,
+    path: str,
+    value: int | float | str,
+    base: int | None,
+    name: str,
+    node: str | None,
+) -> None:
+    """Submit a patch as an operator does: read the number, then send the change."""
+    live = [
+        n
+        for n in sorted(run.system.nodes)
+        if run.system.platform.cloud.servers[n].state == ServerState.LIVE
+    ]
+    settings = run.system.nodes[node or live[0]].settings
+    url = f"http://{settings.listen.operators}/v1/configuration"
+    headers = {"Authorization": f"Bearer {run.keys.by_operator[operator]}"}
+    operations = [{"op": "add", "path": path, "value": value}]
+    try:
+        with trio.fail_after(PATCH_TIMEOUT_S):
+            if base is None:
+                shown = await run.client.get(url, headers=headers)
+                base = shown.json()["number"]
+            headers["If-Match"] = str(base)
+            headers["Rosemaryknot-Patch"] = f"scenario-{name}"
+            answer = await run.client.patch(url, headers=headers, json=operations)
+        run.patches[name] = answer.json()["outcome"]
+    except (httpx.HTTPError, trio.TooSlowError):
+        run.patches[name] = "unknown"
--- /dev/null
+++ b/src/rosemaryknot/replay/scenario_language.py
@@ -0,0 +1,520 @@
+"""Reads scenarios: text to values, with errors that name the place."""
+
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+from lark import Lark, Token, Transformer, Tree, UnexpectedInput, v_args
+from lark.exceptions import UnexpectedCharacters, UnexpectedToken, VisitError
+
+from rosemaryknot.replay.scenario import (
+    KINDS,
+    SERVICES,
+    Expectation,
+    RequestStep,
+    Scenario,
+    ServerGroup,
+    Step,
+)
+from rosemaryknot.replay.scenario_grammar import DESCRIPTIONS, GRAMMAR
+
+__all__ = ["ScenarioError", "parse_scenario"]
+
+MODEL_TIMEOUT_S = 60.0
+
+
+class ScenarioError(ValueError):
+    """A text that is no scenario.
+
+    Parameters
+    ----------
+    line, column : int
+        Where, from 1.
+    found : str
+        What stands there.
+    expected : str
+        What may stand there.
+    """
+
+    def __init__(self, line: int, column: int, found: str, expected: str) -> None:
+        super().__init__(
+            f"line {line}, column {column}: found {found}, expected {expected}"
+        )
+        self.line = line
+        self.column = column
+        self.found = found
+        self.expected = expected
+
+
+def described(terminals: set[str], parser: Lark) -> str:
+    """Return terminals in words."""
+    words = []
+    for name in terminals:
+        if name in DESCRIPTIONS:
+            words.append(DESCRIPTIONS[name])
+        else:
+            words.append(parser.get_terminal(name).pattern.value)
+    return " or ".join(sorted(words))
+
+
+def wrong_value(token: Token, expected: str) -> ScenarioError:
+    """Return the error of a word that fits the grammar and nothing else."""
+    return ScenarioError(token.line, token.column, f'"{token}"', expected)
+
+
+def seconds(token: Token) -> float:
+    """Return a time in seconds.
+
+    Examples
+    --------
+    >>> seconds("20ms"), seconds("1.5s")
+    (0.02, 1.5)
+    """
+    if token.endswith("ms"):
+        return float(token[:-2]) / 1000
+    return float(token[:-1])
+
+
+def number(token: Token) -> int | float:
+    """Return a number, whole where it is written so."""
+    return float(token) if "." in token else int(token)
+
+
+@dataclass(slots=True)
+class Target:
+    """What a fault hits.
+
+    Attributes
+    ----------
+    kind : str
+        ``zone``, ``node``, ``entry``, ``agent``, ``server``, ``platform`` or
+        ``everything``.
+    name : Token or str
+        Zone, node or service.
+    zone : Token or str
+        Zone of a server.
+    """
+
+    kind: str
+    name: Any = ""
+    zone: Any = ""
+
+
+@v_args(inline=True)
+class Reader(Transformer):
+    """Turns the tree of a scenario into values, from the leaves up."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.scenario = Scenario()
+
+    # The system
+
+    def title(self, text: Token) -> None:
+        """Take the title."""
+        self.scenario.title = text[1:-1]
+
+    def seed(self, value: Token) -> None:
+        """Take the seed."""
+        self.scenario.seed = int(value)
+
+    def zones(self, *words: Token | None) -> None:
+        """Take the zones and their delay."""
+        *names, delay = words
+        self.scenario.zones = [str(name) for name in names]
+        if delay is not None:
+            self.scenario.delay_s = seconds(delay)
+
+    def engines(self, step: Token) -> None:
+        """Take the step time."""
+        self.scenario.step_s = seconds(step)
+
+    def entries(self, count: Token) -> None:
+        """Take the number of nodes."""
+        self.scenario.nodes_per_zone = int(count)
+
+    def servers(self, service: Token, count: Token, form: Token | None) -> None:
+        """Take a group of backend servers."""
+        if service not in SERVICES:
+            raise wrong_value(service, f"a service ({', '.join(SERVICES)})")
+        group = ServerGroup(str(service), int(count), str(form or "shards"))
+        self.scenario.servers.append(group)
+
+    # What happens
+
+    def timed(self, at: Token, step: tuple[str, dict]) -> None:
+        """Take what happens at a time."""
+        action, arguments = step
+        self.scenario.steps.append(Step(seconds(at), action, arguments, at.line))
+
+    def repeated(self, start: Token, end: Token, gap: Token, step: tuple) -> None:
+        """Take a request that is sent again and again under numbered names."""
+        request: RequestStep = step[1]["request"]
+        gap_s = seconds(gap)
+        if not gap_s:
+            raise wrong_value(gap, "a time above zero")
+        count = int((seconds(end) - seconds(start)) / gap_s) + 1
+        for index in range(count):
+            one = replace(request, name=f"{request.name}-{index + 1}")
+            at_s = seconds(start) + index * gap_s
+            self.scenario.steps.append(Step(at_s, "send", {"request": one}, start.line))
+
+    def request(
+        self,
+        customer: Token,
+        kind: Token,
+        size: tuple[int, int] | None,
+        name: Token,
+        *options: tuple[str, Any],
+    ) -> tuple[str, dict]:
+        """Return a caller's request."""
+        known = KINDS[kind]
+        tokens, words = size or (0, 0)
+        request = RequestStep(
+            str(customer),
+            kind,
+            name,
+            tokens or known.tokens,
+            words or known.words,
+        )
+        if known.is_model:
+            request.timeout_s = MODEL_TIMEOUT_S
+        for field, value in options:
+            setattr(request, field, value)
+        return "send", {"request": request}
+
+    def size(self, tokens: Token, words: Token | None) -> tuple[int, int]:
+        """Return the tokens of an answer and the words of its prompt."""
+        return int(tokens), int(words or 0)
+
+    def to_place(self, place: Token) -> tuple[str, Any]:
+        """Return the place that a request goes to."""
+        return "place", place
+
+    def giving_up(self, after: Token) -> tuple[str, Any]:
+        """Return how long a send is waited for."""
+        return "timeout_s", seconds(after)
+
+    def trying(self, sends: Token) -> tuple[str, Any]:
+        """Return how often a request is sent."""
+        return "sends", int(sends)
+
+    def repeating(self, gap: Token) -> tuple[str, Any]:
+        """Return the time between sends that do not wait."""
+        return "repeat_s", seconds(gap)
+
+    def undeclared(self) -> tuple[str, Any]:
+        """Return that no attempt numbers are declared."""
+        return "declares", False
+
+    def patch(
+        self,
+        operator: Token,
+        path: Token,
+        value: Token,
+        base: int | None,
+        name: Token,
+        node: Token | None,
+    ) -> tuple[str, dict]:
+        """Return an operator's patch."""
+        return "patch", {
+            "operator": str(operator),
+            "path": str(path),
+            "value": json.loads(value),
+            "base": base,
+            "name": name,
+            "node": node,
+        }
+
+    def base(self, value: Token | None) -> int | None:
+        """Return the version that a patch starts from."""
+        return None if value is None else int(value)
+
+    def start_server(self, service: Token, zone: Token) -> tuple[str, dict]:
+        """Return the start of a backend server."""
+        return "start_server", {"target": Target("server", service, zone)}
+
+    def reclaim(self, target: Target, notice: Token) -> tuple[str, dict]:
+        """Return a reclaim."""
+        return "reclaim", {"target": target, "notice_s": seconds(notice)}
+
+    def cut(self, zone: Token, other: Target | Token) -> tuple[str, dict]:
+        """Return a partition."""
+        far = other if isinstance(other, Target) else Target("zone", other)
+        return "cut", {"target": Target("zone", zone), "far": far}
+
+    def heal(self, zone: Token) -> tuple[str, dict]:
+        """Return the end of a partition."""
+        return "heal", {"target": Target("zone", zone)}
+
+    def kill(self, target: Target) -> tuple[str, dict]:
+        """Return a death without notice."""
+        return "kill", {"target": target}
+
+    def restart(self, target: Target) -> tuple[str, dict]:
+        """Return a start at the same address."""
+        return "restart", {"target": target}
+
+    def freeze(self, target: Target, lasts: Token) -> tuple[str, dict]:
+        """Return a pause."""
+        return "freeze", {"target": target, "lasts_s": seconds(lasts)}
+
+    def silence(self, target: Target) -> tuple[str, dict]:
+        """Return the silence of open connections."""
+        return "silence", {"target": target}
+
+    def swap(self, target: Target) -> tuple[str, dict]:
+        """Return a crossing of answers."""
+        return "swap", {"target": target}
+
+    def plain_fault(self, target: Target, fault: Token, count: Token) -> tuple:
+        """Return a fault of a plain service."""
+        arguments = {"target": target, "fault": str(fault), "count": int(count)}
+        return "plain_fault", arguments
+
+    def outage(self, form: Token, lasts: Token) -> tuple[str, dict]:
+        """Return an outage of the platform."""
+        return "outage", {"form": str(form), "lasts_s": seconds(lasts)}
+
+    def slow(self, delay: Token, lasts: Token) -> tuple[str, dict]:
+        """Return a slow platform."""
+        return "slow", {"delay_s": seconds(delay), "lasts_s": seconds(lasts)}
+
+    def lose(self, count: Token) -> tuple[str, dict]:
+        """Return lost answers of the platform."""
+        return "lose", {"count": int(count)}
+
+    def stale(self, base: Token) -> tuple[str, dict]:
+        """Return a restored backup of the configuration."""
+        return "stale", {"number": int(base)}
+
+    def server(self, service: Token, zone: Token) -> Target:
+        """Return a backend server."""
+        return Target("server", service, zone)
+
+    # What must come of it
+
+    def by(self, at: Token, expectation: Expectation) -> None:
+        """Take an outcome that must hold at a time."""
+        expectation.at_s = seconds(at)
+        expectation.line = at.line
+        self.scenario.expectations.append(expectation)
+
+    def expect(self, expectation: Expectation) -> None:
+        """Take an outcome that must hold at the end."""
+        self.scenario.expectations.append(expectation)
+
+    def outcome(self, subject: Target, results: list[str]) -> Expectation:
+        """Return the stated outcome of requests."""
+        return stated("outcome", subject=subject, results=results)
+
+    def exactly_one(self, *words: Any) -> Expectation:
+        """Return the stated outcome of one among several."""
+        *names, results = words
+        return stated("exactly_one", names=names, results=results)
+
+    def in_force(self, value: Token) -> Expectation:
+        """Return that a version is in force."""
+        return stated("in_force", number=int(value))
+
+    def results(self, *results: Token) -> list[str]:
+        """Return the results that are allowed."""
+        return [str(result) for result in results]
+
+    def recomputed(self, compare: Token, bound: Token) -> Expectation:
+        """Return a bound on recomputed tokens."""
+        return stated("recomputed", compare=str(compare), bound=number(bound))
+
+    def runs(self, subject: Target, compare: Token, bound: Token) -> Expectation:
+        """Return a bound on the runs of a request."""
+        return stated(
+            "runs", subject=subject, compare=str(compare), bound=number(bound)
+        )
+
+    def crossed(self) -> Expectation:
+        """Return that no answer is another request's."""
+        return stated("crossed")
+
+    def untrue(self, kind: Token) -> Expectation:
+        """Return that a refusal is true."""
+        return stated("untrue", kind=str(kind))
+
+    def lost(self) -> Expectation:
+        """Return that what was accepted is answered."""
+        return stated("lost")
+
+    def first_token(self, subject: Target, compare: Token, bound: Token) -> Expectation:
+        """Return a bound on the time to the first token."""
+        return stated(
+            "first_token", subject=subject, compare=str(compare), bound=seconds(bound)
+        )
+
+    def share(self, subject: Target, compare: Token, bound: Token) -> Expectation:
+        """Return a bound on the share that is answered."""
+        return stated(
+            "share", subject=subject, compare=str(compare), bound=number(bound)
+        )
+
+    def late_work(self, after: Token) -> Expectation:
+        """Return that leaving servers get no new work."""
+        return stated("late_work", after_s=seconds(after))
+
+    def reverted(self) -> Expectation:
+        """Return that no version gives way to an older one."""
+        return stated("reverted")
+
+
+def stated(check: str, **arguments: Any) -> Expectation:
+    """Return an expectation whose place is filled in later."""
+    return Expectation(None, check, arguments, 0)
+
+
+def target_method(kind: str) -> Callable[..., Target]:
+    """Return the method of a rule that names a target."""
+
+    def method(self: Reader, name: Token | str = "") -> Target:
+        return Target(kind, name)
+
+    return method
+
+
+for rule in ("zone", "node", "entry", "agent", "platform", "everything"):
+    setattr(Reader, rule, v_args(inline=True)(target_method(rule)))
+for rule in ("one", "every"):
+    setattr(Reader, rule, v_args(inline=True)(target_method(rule)))
+
+PARSER = Lark(GRAMMAR, parser="lalr", maybe_placeholders=True, propagate_positions=True)
+
+
+def parse_scenario(text: str) -> Scenario:
+    """Read a scenario.
+
+    Parameters
+    ----------
+    text : str
+        Its text.
+
+    Returns
+    -------
+    scenario : Scenario
+        All names in it are known.
+
+    Raises
+    ------
+    ScenarioError
+        If it is none; with line, column and what was expected.
+    """
+    try:
+        tree = PARSER.parse(text + "\n")
+    except UnexpectedInput as error:
+        raise syntax_error(error) from None
+    reader = Reader()
+    try:
+        reader.transform(tree)
+    except VisitError as error:
+        raise error.orig_exc from None
+    add_places(reader.scenario, tree, text)
+    check_whole(reader.scenario)
+    check_names(reader.scenario)
+    check_requests(reader.scenario)
+    return reader.scenario
+
+
+def syntax_error(error: UnexpectedInput) -> ScenarioError:
+    """Return what the parser found in our words."""
+    if isinstance(error, UnexpectedToken):
+        token = error.token
+        found = "the end of the line" if token.type == "_NL" else f'"{token}"'
+        if token.type == "$END":
+            found = "the end of the file"
+        expected = described(set(error.accepts or error.expected), PARSER)
+        return ScenarioError(error.line, error.column, found, expected)
+    found = f'"{error.char}"' if isinstance(error, UnexpectedCharacters) else "this"
+    expected = described(set(getattr(error, "allowed", ()) or ()), PARSER)
+    return ScenarioError(error.line, error.column, found, expected)
+
+
+def add_places(scenario: Scenario, tree: Tree, text: str) -> None:
+    """Fill in where each expectation stands."""
+    lines = text.splitlines()
+    stated_at = [t.meta.line for t in tree.children if t.data in ("by", "expect")]
+    for expectation, line in zip(scenario.expectations, stated_at, strict=True):
+        expectation.line = line
+        expectation.text = " ".join(lines[line - 1].split("#")[0].split())
+
+
+def tokens_of(scenario: Scenario) -> Iterator[tuple[str, Token]]:
+    """Return the names that must be known, each with what it names."""
+    for step in scenario.steps:
+        request = step.arguments.get("request")
+        if request is not None and request.place:
+            yield "place", request.place
+        if step.arguments.get("node"):
+            yield "node", step.arguments["node"]
+        for target in (step.arguments.get("target"), step.arguments.get("far")):
+            if target is not None:
+                yield from tokens_of_target(target)
+    for expectation in scenario.expectations:
+        subject = expectation.arguments.get("subject")
+        if subject is not None and subject.kind == "one":
+            yield "request", subject.name
+        for name in expectation.arguments.get("names", ()):
+            yield "request", name
+
+
+def tokens_of_target(target: Target) -> Iterator[tuple[str, Token]]:
+    """Return the names in a target."""
+    if target.kind == "zone":
+        yield "zone", target.name
+    elif target.kind in ("node", "entry", "agent"):
+        yield "node", target.name
+    elif target.kind == "server":
+        yield "service", target.name
+        yield "zone", target.zone
+
+
+def check_whole(scenario: Scenario) -> None:
+    """Refuse a scenario without what every one needs."""
+    needed = {"scenario": scenario.title, "zones": scenario.zones}
+    for word, value in needed.items():
+        if not value:
+            raise ScenarioError(1, 1, f"no statement {word}", f"one with {word}")
+
+
+def check_requests(scenario: Scenario) -> None:
+    """Refuse two of one name, and requests that no server is there for."""
+    services = {group.service for group in scenario.servers}
+    names = set()
+    for step in scenario.steps:
+        request = step.arguments.get("request")
+        name = step.arguments["name"] if step.action == "patch" else None
+        if request is not None:
+            name = request.name
+            service = KINDS[request.kind].service
+            if service not in services:
+                raise wrong_value(request.kind, f"servers {service} in this scenario")
+        if name in names:
+            raise ScenarioError(step.line, 1, f'"{name}" again', "another name")
+        if name is not None:
+            names.add(name)
+
+
+def check_names(scenario: Scenario) -> None:
+    """Refuse names that nothing bears."""
+    zones = set(scenario.zones)
+    indices = range(1, scenario.nodes_per_zone + 1)
+    nodes = {f"{zone}-{index}" for zone in zones for index in indices}
+    requests = {request.name for request in scenario.requests}
+    patches = {s.arguments["name"] for s in scenario.steps if s.action == "patch"}
+    known = {
+        "zone": zones,
+        "node": nodes,
+        "place": zones | nodes,
+        "service": {group.service for group in scenario.servers},
+        "request": requests | patches,
+    }
+    for kind, token in tokens_of(scenario):
+        if token not in known[kind]:
+            names = ", ".join(sorted(known[kind])) or "none was stated"
+            raise wrong_value(token, f"a {kind} of this scenario ({names})")
--- a/src/rosemaryknot/replay/system.py
+++ b/src/rosemaryknot/replay/system.py
@@ -8,13 +8,14 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import trio
 
 from rosemaryknot.connection.memory_network import MemoryNetwork
-from rosemaryknot.process.agent import run_agent
-from rosemaryknot.process.entry import run_entry
+from rosemaryknot.process.agent import Agent, run_agent
+from rosemaryknot.process.entry import Entry, run_entry
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.settings import Listen, Settings
 from rosemaryknot.replay.hosts import Host
@@ -96,6 +97,10 @@
         Ask for a planned stop.
     entry_ended, agent_ended : trio.Event
         Set when a planned stop is over.
+    entry_process : Entry or None
+        The entry that serves; None while there is none.
+    agent_process : Agent or None
+        The agent that serves; None while there is none.
     """
 
     settings: Settings
@@ -105,6 +110,8 @@
     agent_stop: trio.Event = field(default_factory=trio.Event)
     entry_ended: trio.Event = field(default_factory=trio.Event)
     agent_ended: trio.Event = field(default_factory=trio.Event)
+    entry_process: Entry | None = None
+    agent_process: Agent | None = None
 
 
 @dataclass(slots=True)
@@ -231,8 +238,8 @@
             address=str(address),
         )
         process = ServerProcess(listed, host, standin)
-        self.servers[listed.instance] = process
         await self.start_on(host, standin.serve, host.network, address)
+        self.servers[listed.instance] = process
         self.platform.add_instance(listed)
         return process
 
@@ -282,14 +289,16 @@
         rng = self.random_for(f"agent {node.settings.node}")
 
         async def run() -> None:
-            await run_agent(
-                node.settings,
-                node.agent_stop,
-                node.agent.network,
-                rng,
-                unix_time,
-                safeguards=self.plan.safeguards,
-            )
+            async with trio.open_nursery() as nursery:
+                node.agent_process = await nursery.start(
+                    partial(run_agent, safeguards=self.plan.safeguards),
+                    node.settings,
+                    node.agent_stop,
+                    node.agent.network,
+                    rng,
+                    unix_time,
+                )
+            node.agent_process = None
             node.agent_ended.set()
 
         self.nursery.start_soon(node.agent.run, run)
@@ -310,6 +319,8 @@
                     self.plan.safeguards,
                 )
                 process.relay.mover.policy = self.plan.move_policy
+                node.entry_process = process
+            node.entry_process = None
             node.entry_ended.set()
 
         self.nursery.start_soon(node.entry.run, run)
@@ -319,6 +330,7 @@
         node = self.nodes[name]
         node.agent.kill()
         node.agent = self.replace_host(node.agent)
+        node.agent_process = None
         node.agent_stop, node.agent_ended = trio.Event(), trio.Event()
         self.start_agent(node)
 
@@ -327,6 +339,7 @@
         node = self.nodes[name]
         node.entry.kill()
         node.entry = self.replace_host(node.entry)
+        node.entry_process = None
         node.entry_stop, node.entry_ended = trio.Event(), trio.Event()
         self.start_entry(node)
 
--- /dev/null
+++ b/src/rosemaryknot/replay/virtual_time.py
@@ -0,0 +1,113 @@
+"""Run the system in virtual time so that equal seeds give equal runs."""
+
+import hashlib
+from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from contextlib import contextmanager
+from typing import Any
+
+import structlog
+import trio
+from trio._core import _run as trio_scheduler
+from trio.testing import MockClock
+
+from rosemaryknot.process.decisions import remember_line
+from rosemaryknot.process.logs import LineWriter, hide_secrets, render_text
+from rosemaryknot.replay.hosts import HostInstrument
+
+__all__ = ["DecisionLog", "run_in_virtual_time"]
+
+DIGEST_LETTERS = 16
+INFO = 20
+
+
+class DecisionLog:
+    """Digest over the log lines of a run, each with its virtual time.
+
+    Parameters
+    ----------
+    shown : bool
+        Whether the lines are written to standard error too.
+
+    Attributes
+    ----------
+    lines : int
+        Lines so far.
+    """
+
+    def __init__(self, shown: bool = False) -> None:
+        self.shown = shown
+        self.lines = 0
+        self.hash = hashlib.sha256()
+        self.writer = LineWriter()
+
+    @contextmanager
+    def recording(self) -> Iterator[None]:
+        """Take all log lines of this process meanwhile."""
+        before = structlog.get_config()
+        structlog.configure(
+            processors=[
+                structlog.processors.add_log_level,
+                remember_line,
+                hide_secrets,
+                self.take,
+            ],
+            wrapper_class=structlog.make_filtering_bound_logger(INFO),
+            logger_factory=lambda *args: self.writer,
+            cache_logger_on_first_use=False,
+        )
+        try:
+            yield
+        finally:
+            structlog.configure(**before)
+
+    def take(
+        self, logger: Any, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any] | str:
+        """Add one line; a structlog processor."""
+        event["timestamp"] = f"{trio.current_time():.6f}"
+        line = render_text(logger, method, event)
+        self.lines += 1
+        self.hash.update(line.encode(errors="replace") + b"\n")
+        if not self.shown:
+            raise structlog.DropEvent
+        return line
+
+    @property
+    def digest(self) -> str:
+        """Digest of all lines."""
+        return self.hash.hexdigest()[:DIGEST_LETTERS]
+
+
+def run_in_virtual_time(
+    seed: int, function: Callable[..., Awaitable[Any]], *args: Any
+) -> Any:
+    """Run an async function over freezable hosts in virtual time.
+
+    Trio runs the tasks that are ready in a random order, so that programs do not come
+    to rest on one. Its test switch sorts them and its generator is seeded here: both
+    are what its pytest plugin uses to repeat a run.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the order of tasks.
+    function : callable
+        Async function.
+    *args
+        Its arguments.
+
+    Returns
+    -------
+    value
+        What the function returns.
+    """
+    sorted_before = trio_scheduler._ALLOW_DETERMINISTIC_SCHEDULING
+    state_before = trio_scheduler._r.getstate()
+    trio_scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_scheduler._r.seed(seed)
+    try:
+        clock = MockClock(autojump_threshold=0)
+        return trio.run(function, *args, clock=clock, instruments=[HostInstrument()])
+    finally:
+        trio_scheduler._ALLOW_DETERMINISTIC_SCHEDULING = sorted_before
+        trio_scheduler._r.setstate(state_before)
--- /dev/null
+++ b/tests/replay/test_scenarios.py
@@ -0,0 +1,119 @@
+"""The repository's scenarios, run; equal runs for equal seeds; what is told."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.replay.main import app
+from rosemaryknot.replay.scenario_language import parse_scenario
+from rosemaryknot.replay.scenario_run import run_scenario
+
+FOLDER = Path(__file__).parents[2] / "scenarios"
+FILES = sorted(FOLDER.glob("*.scenario"))
+
+
+def read(name: str):
+    """Return a scenario of the repository."""
+    return parse_scenario((FOLDER / f"{name}.scenario").read_text())
+
+
+def broken(report) -> list[tuple[str, str]]:
+    """Return the stated outcomes that did not hold, and what was seen."""
+    return [(v.expectation.text, v.seen) for v in report.verdicts if v.seen]
+
+
+class TestScenarios:
+    """Each scenario comes out as it states."""
+
+    @pytest.mark.parametrize("path", FILES, ids=[path.stem for path in FILES])
+    def test_comes_out_as_stated(self, path):
+        report = run_scenario(parse_scenario(path.read_text()))
+        assert report.verdicts
+        assert broken(report) == []
+
+
+class TestStatedOutcomes:
+    """A stated outcome can fail: what it watches over is really watched."""
+
+    def test_a_lost_plan_set_is_seen(self):
+        """An entry dies while it relays a plan set, and no node holds a copy.
+
+        The caller is left without the rest of its answer. With the copy the same
+        scenario holds, so the statements are what tells the two runs apart.
+        """
+        safeguards = Safeguards(standby_copy=False)
+        report = run_scenario(read("entry-killed"), safeguards=safeguards)
+        assert "by 16s r1 is answered whole" in dict(broken(report))
+
+    def test_a_false_refusal_is_seen(self):
+        """A booking runs, its answer is late, and its caller asks a leaving entry.
+
+        That entry refuses it as "not run" without closing the first attempt, which
+        stands in the ledger: the caller was told a thing that is not true.
+        """
+        safeguards = Safeguards(close_attempts=False)
+        report = run_scenario(read("leaving-entry"), safeguards=safeguards)
+        assert "expect no refused booking ran" in dict(broken(report))
+
+
+class TestEqualRuns:
+    """Equal seeds give equal decisions, in every process."""
+
+    def test_same_seed_gives_the_same_decisions_in_another_process(self):
+        """Two processes hash text differently, and draw other keys for messages.
+
+        Neither may reach a decision: the digest covers each line of the log with its
+        virtual time, so one task that ran earlier would change it.
+        """
+        report = run_scenario(read("all-at-once"))
+        path = FOLDER / "all-at-once.scenario"
+        command = [sys.executable, "-m", "rosemaryknot.replay.main", "run"]
+        done = subprocess.run(
+            [*command, "--json", str(path)],
+            env={**os.environ, "PYTHONHASHSEED": "7", "PYTHONPATH": "src"},
+            cwd=FOLDER.parent,
+            capture_output=True,
+            check=True,
+            timeout=100,
+        )
+        other = json.loads(done.stdout)
+        assert report.decisions > 100
+        assert (other["digest"], other["decisions"]) == (
+            report.digest,
+            report.decisions,
+        )
+
+    def test_another_seed_gives_other_decisions(self):
+        scenario = read("operator-race")
+        first = run_scenario(scenario).digest
+        scenario.seed += 1
+        assert run_scenario(scenario).digest != first
+
+
+class TestRunCommand:
+    """What a person sees of the command."""
+
+    def test_a_broken_outcome_is_printed_with_its_line(self, tmp_path):
+        path = tmp_path / "wrong.scenario"
+        path.write_text(
+            'scenario "wrong"\nzones waco-a\nservers kit-assistant 1 per zone\n'
+            "at 0s ana sends question as q1\nby 1s q1 is refused\n"
+        )
+        result = CliRunner().invoke(app, ["run", str(path), "--json"])
+        assert result.exit_code == 1
+        assert f"{path}:5: by 1s q1 is refused" in result.stderr
+        assert "seen: q1 is answered" in result.stderr
+        assert json.loads(result.stdout)["held"] is False
+
+    def test_a_mistake_in_a_file_ends_the_command(self, tmp_path):
+        path = tmp_path / "wrong.scenario"
+        path.write_text("zones waco-a\nat soon kill\n")
+        result = CliRunner().invoke(app, ["run", str(path)])
+        assert result.exit_code == 2
+        assert 'line 2, column 4: found "s' in result.stderr
