Leave a retry time when a plain server takes calls and never answers

Cause: a try lasted to the request's deadline, and a passed deadline was counted as the caller's doing. One silent server of two so failed its share of the calls for good. A try of an idempotent call now ends halfway to the deadline where another server is left, and three seconds of silence count as a failure. 18 passed; without the first or the second change test_silent_server fails.

--- a/src/rosemaryknot/connection/plain_client.py
+++ b/src/rosemaryknot/connection/plain_client.py
@@ -126,7 +126,7 @@
         self.transport = NetworkTransport(network)
 
     async def send(
-        self, server: BackendServer, request: PlainRequest, reuse: bool
+        self, server: BackendServer, request: PlainRequest, reuse: bool, until_s: float
     ) -> SendResult:
         """Send a request to a server and read the whole answer.
 
@@ -135,11 +135,13 @@
         server : BackendServer
             Where.
         request : PlainRequest
-            What; its deadline bounds the call.
+            What.
         reuse : bool
             Whether an open connection may be used again. The server may just be
             closing an idle one, which then looks as if the request had been lost on
             the way; so what may not be repeated gets a new connection.
+        until_s : float
+            When the call is given up, in trio time.
 
         Returns
         -------
@@ -147,8 +149,7 @@
             The answer, or whether the request may have run.
         """
         trace = SendTrace()
-        left_s = max(0.0, request.deadline_s - trio.current_time())
-        with trio.move_on_after(left_s):
+        with trio.move_on_at(until_s):
             try:
                 return await self.exchange(server, request, reuse, trace)
             except AnswerTooLarge:
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -20,6 +20,7 @@
 __all__ = ["PlainRelay", "ServerSource"]
 
 MAX_TRIES = 3
+SILENT_S = 3.0
 BACKOFF_FIRST_S = 0.05
 BACKOFF_LONGEST_S = 1.0
 NO_SERVER_RETRY_S = 2.0
@@ -129,6 +130,8 @@
             if not is_retried(result):
                 budget.note_success()
                 break
+            if trio.current_time() >= request.deadline_s:
+                break
             if isinstance(result, NotSent):
                 # Nothing ran anywhere, so the retry adds no load to the service.
                 continue
@@ -162,29 +165,36 @@
         self, request: PlainRequest, done: Tries, reuse: bool
     ) -> SendResult | None:
         """Try the next server; None where there is none or no try is left."""
-        if len(done.instances) >= MAX_TRIES:
-            return None
         server = self.choose(request, done)
         if server is None:
             return None
         done.instances.add(server.instance)
+        until_s = request.deadline_s
+        if reuse and self.others(request, done):
+            until_s = halfway(request)
+        started_s = trio.current_time()
         self.in_flight[server.instance] += 1
         try:
-            result = await self.client.send(server, request, reuse)
+            result = await self.client.send(server, request, reuse, until_s)
         finally:
             self.in_flight[server.instance] -= 1
             if not self.in_flight[server.instance]:
                 del self.in_flight[server.instance]
-        result = self.noted(server, request, result)
+        took_s = trio.current_time() - started_s
+        result = self.noted(server, request, result, took_s)
         done.note(result)
         return result
 
+    def others(self, request: PlainRequest, done: Tries) -> list[BackendServer]:
+        """Return the servers that may be tried yet, where a try is left."""
+        if len(done.instances) >= MAX_TRIES:
+            return []
+        usable = self.health.usable(self.servers.servers_of(request.service))
+        return [s for s in usable if s.instance not in done.instances]
+
     def choose(self, request: PlainRequest, done: Tries) -> BackendServer | None:
         """Choose a server that was not tried yet, and log why."""
-        live = self.servers.servers_of(request.service)
-        usable = [
-            s for s in self.health.usable(live) if s.instance not in done.instances
-        ]
+        usable = self.others(request, done)
         candidates = [PlainCandidate(s, self.in_flight[s.instance]) for s in usable]
         choice = choose_plain_server(candidates, self.zone, self.rng)
         if choice is None:
@@ -192,7 +202,6 @@
                 "no server left",
                 request=request.request_id,
                 service=request.service,
-                live=len(live),
                 tried=len(done.instances),
             )
             return None
@@ -206,7 +215,11 @@
         return choice.server
 
     def noted(
-        self, server: BackendServer, request: PlainRequest, result: SendResult
+        self,
+        server: BackendServer,
+        request: PlainRequest,
+        result: SendResult,
+        took_s: float,
     ) -> SendResult:
         """Count a result for the server, and read a refusal for leaving."""
         if isinstance(result, Answered) and is_leaving(result):
@@ -215,7 +228,7 @@
             result = NotSent(Reason.NO_SERVER)
         elif isinstance(result, Answered) and result.status < FAILED_STATUS:
             self.health.note_success(server.instance)
-        elif not is_callers_deadline(result):
+        elif not is_impatience(result, took_s):
             self.health.note_failure(server.instance)
         tries.add(service=request.service, result=type(result).__name__.lower())
         if not isinstance(result, Answered):
@@ -237,16 +250,24 @@
         return True
 
 
+def halfway(request: PlainRequest) -> float:
+    """Return when a try leaves its time to the next one, in trio time.
+
+    A server that takes requests and never answers would use up the whole deadline of
+    a request that another server answers in milliseconds.
+    """
+    return (trio.current_time() + request.deadline_s) / 2
+
+
 def is_retried(result: SendResult) -> bool:
     """Tell whether another server may still give the answer."""
-    if isinstance(result, Answered):
-        return result.status in RETRIED_STATUS
-    return not is_callers_deadline(result)
+    return not isinstance(result, Answered) or result.status in RETRIED_STATUS
 
 
-def is_callers_deadline(result: SendResult) -> bool:
-    """Tell whether it ended by the caller's deadline, which is no server's fault."""
-    return not isinstance(result, Answered) and result.reason == Reason.TIMED_OUT
+def is_impatience(result: SendResult, took_s: float) -> bool:
+    """Tell whether a try ended by a short deadline, which is no server's fault."""
+    is_timeout = not isinstance(result, Answered) and result.reason == Reason.TIMED_OUT
+    return is_timeout and took_s < SILENT_S
 
 
 def outcome_of(result: SendResult) -> Outcome:
--- a/tests/request/test_plain.py
+++ b/tests/request/test_plain.py
@@ -144,6 +144,20 @@
         tries = sum(1000 - plain.faults[0].count for plain in fleet.plains.values())
         assert 50 < tries <= 60
 
+    async def test_silent_server(self, nursery, autojump_clock):
+        """A server takes calls and never answers.
+
+        The other one answers within the deadline, and the silent one is left out
+        after three such calls.
+        """
+        fleet = await whole_fleet(nursery)
+        silent = PlainFault("silent_before", count=1000)
+        fleet.plains["p1"].faults.append(silent)
+        async with fleet.caller() as caller:
+            for _ in range(20):
+                assert (await caller.get(STOCK)).status_code == 200
+        assert 1000 - silent.count <= 4
+
     async def test_deadline(self, nursery, autojump_clock):
         fleet = await whole_fleet(nursery)
         fail_all(fleet, fault="silent_before")
