Hold customers' limits over all instances by leases of budget

A limit held for each entry by itself, so a customer had it once for each instance. What it sends to the engines is bounded by their slots and queued fairly by customer.

--- /dev/null
+++ b/src/rosemaryknot/process/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of customers that hold over all instances."""
--- a/src/rosemaryknot/request/admission.py
+++ b/src/rosemaryknot/request/admission.py
@@ -54,9 +54,24 @@
         Where it came from.
     customer, service : str
         Whose request it is, and for which service.
+
+    Attributes
+    ----------
+    charge : Charge or None
+        What the request was charged, settled with the release.
+    place : Place or None
+        Its place at the engines, left with the release.
     """
 
-    __slots__ = ("admission", "customer", "service", "started_s", "is_held")
+    __slots__ = (
+        "admission",
+        "customer",
+        "service",
+        "started_s",
+        "is_held",
+        "charge",
+        "place",
+    )
 
     def __init__(self, admission: "Admission", customer: str, service: str) -> None:
         self.admission = admission
@@ -64,11 +79,20 @@
         self.service = service
         self.started_s = trio.current_time()
         self.is_held = True
+        self.charge = None
+        self.place = None
 
     def release(self) -> None:
-        """Give the slot back; a second call does nothing."""
+        """Give the slot back with all that it holds; a second call does nothing.
+
+        A charge that was not settled before is of a request that did not run.
+        """
         if self.is_held:
             self.is_held = False
+            if self.charge is not None:
+                self.charge.settle(0.0)
+            if self.place is not None:
+                self.place.leave()
             self.admission.give_back(self)
 
 
--- /dev/null
+++ b/src/rosemaryknot/request/model_share.py
@@ -0,0 +1,116 @@
+"""A model request's way from the caller to its turn at the engines."""
+
+from rosemaryknot.process.drain import Drain
+from rosemaryknot.request.admission import Slot
+from rosemaryknot.request.budget import Charge, EntryBudgets
+from rosemaryknot.request.engine_queue import (
+    EngineQueue,
+    engine_capacity,
+    fair_priority,
+)
+from rosemaryknot.request.generations import Generation
+from rosemaryknot.request.router import Router
+from rosemaryknot.values.outcomes import NotRun
+from rosemaryknot.values.requests import ModelRequest
+from rosemaryknot.version.tables import Limit
+
+__all__ = ["ModelShare", "used_tokens"]
+
+PRIORITY_SHORT = 0
+
+
+def used_tokens(generation: Generation, charge: Charge) -> float:
+    """Return the tokens that an ended generation used.
+
+    Parameters
+    ----------
+    generation : Generation
+        An ended one.
+    charge : Charge
+        What it was charged for the prompt and the longest answer.
+
+    Returns
+    -------
+    tokens : float
+        Tokens; the estimate of the prompt where no engine has counted it.
+    """
+    prompt = float(generation.prompt_tokens)
+    if not prompt:
+        is_refused = isinstance(generation.outcome, NotRun)
+        prompt = 0.0 if is_refused else charge.tokens - generation.request.max_tokens
+    return max(0.0, prompt) + len(generation.tokens)
+
+
+class ModelShare:
+    """Lets model requests pass by their customers' limits and in fair turns.
+
+    Parameters
+    ----------
+    budgets : EntryBudgets
+        What the customers may use.
+    router : Router
+        Knows the engines and their load.
+    drain : Drain
+        Whether the process is stopping.
+
+    Attributes
+    ----------
+    queue : EngineQueue
+        Whose turn it is.
+    """
+
+    def __init__(self, budgets: EntryBudgets, router: Router, drain: Drain) -> None:
+        self.budgets = budgets
+        self.router = router
+        self.drain = drain
+        self.queue = EngineQueue(self.capacity)
+
+    def capacity(self, service: str) -> float:
+        """Return how many requests of a service may be at the engines."""
+        router = self.router
+        servers = router.subset(router.servers.servers_of(service))
+        return engine_capacity(router.loads.of(server) for server in servers)
+
+    async def admit(
+        self, request: ModelRequest, limit: Limit, slot: Slot
+    ) -> NotRun | None:
+        """Charge a request and wait for its turn; the slot keeps what it gets.
+
+        Parameters
+        ----------
+        request : ModelRequest
+            The request; its engine priority is set.
+        limit : Limit
+            The customer's limit.
+        slot : Slot
+            Its slot.
+
+        Returns
+        -------
+        refusal : NotRun or None
+            Why it may not go on.
+        """
+        cost = self.expected_tokens(request)
+        charge = await self.budgets.take(request.customer, request.service, limit, cost)
+        if isinstance(charge, NotRun):
+            return charge
+        slot.charge = charge
+        place = await self.queue.enter(
+            request.customer,
+            request.service,
+            cost,
+            request.priority == PRIORITY_SHORT,
+            request.deadline_s,
+        )
+        if isinstance(place, NotRun):
+            return place
+        slot.place = place
+        request.priority = fair_priority(request.priority, place.rank)
+        # The process may have begun to stop while the request waited.
+        return self.drain.refusal()
+
+    def expected_tokens(self, request: ModelRequest) -> float:
+        """Return the tokens that a request may use, by estimate."""
+        chars = sum(len(str(part.get("content"))) for part in request.messages)
+        prompt = self.router.sizes.tokens(request.service, chars)
+        return prompt + request.max_tokens
--- a/src/rosemaryknot/request/plain_api.py
+++ b/src/rosemaryknot/request/plain_api.py
@@ -11,6 +11,7 @@
 from rosemaryknot.request.admission import Admission, Slot
 from rosemaryknot.request.arrivals import Arrival
 from rosemaryknot.request.at_most_once import AtMostOnce
+from rosemaryknot.request.budget import Charge, EntryBudgets
 from rosemaryknot.request.http_input import (
     read_attempt,
     read_body,
@@ -80,6 +81,8 @@
         Keeps what is not idempotent from running twice.
     body_timeout_s : float
         Bound on the wait for a body, in seconds.
+    budgets : EntryBudgets
+        What the customers may use over all instances.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         relay: PlainRelay,
         at_most_once: AtMostOnce,
         body_timeout_s: float,
+        budgets: EntryBudgets,
     ) -> None:
         self.admission = admission
         self.drain = drain
@@ -97,6 +101,7 @@
         self.relay = relay
         self.at_most_once = at_most_once
         self.body_timeout_s = body_timeout_s
+        self.budgets = budgets
 
     async def handle(self, request: Request, arrival: Arrival, name: str) -> Outcome:
         """Handle one request.
@@ -125,14 +130,30 @@
         stopping = self.drain.refusal()
         if stopping is not None:
             return await self.refuse(plain, stopping)
-        limit = arrival.customer.limit_for(name)
-        slot = await self.admission.admit(
-            plain.customer, name, limit.concurrent_requests, plain.deadline_s
-        )
+        slot = await self.admit(plain, arrival)
         if isinstance(slot, NotRun):
             return await self.refuse(plain, slot)
         return await self.run_admitted(request, plain, slot)
 
+    async def admit(self, plain: PlainRequest, arrival: Arrival) -> Slot | NotRun:
+        """Return the request's slot with its charge, or why it is refused."""
+        limit = arrival.customer.limit_for(plain.service)
+        slot = await self.admission.admit(
+            plain.customer, plain.service, limit.concurrent_requests, plain.deadline_s
+        )
+        if isinstance(slot, NotRun):
+            return slot
+        charge = None
+        try:
+            charge = await self.budgets.take(plain.customer, plain.service, limit, 0.0)
+        finally:
+            if not isinstance(charge, Charge):
+                slot.release()
+        if isinstance(charge, Charge):
+            slot.charge = charge
+            return slot
+        return charge
+
     async def run_admitted(
         self, request: Request, plain: PlainRequest, slot: Slot
     ) -> Outcome:
