Close the links of a grown fleet that nobody wants

Cause: 63 nodes kept the links of the mesh they had been while they started. Trial over 30 s of virtual time, 63 nodes: 18.5 links and 770 bytes/s a node on average, 62 links and 3208 bytes/s at most before; 9.2 links and 644 bytes/s, 26 links and 2314 bytes/s after.

--- a/src/rosemaryknot/process/peer.py
+++ b/src/rosemaryknot/process/peer.py
@@ -12,6 +12,7 @@
 SILENT_S = 3.0
 CROSSING_S = 2.0
 RETIRE_S = 10.0
+UNWANTED_S = 20.0
 MAX_LINKS = 4
 BACKOFF_BASE_S = 0.2
 BACKOFF_MAX_S = 5.0
@@ -124,6 +125,21 @@
                 end.link.close("duplicate")
         return silent
 
+    def close_unwanted(self) -> None:
+        """Close the links that this node dialled and has no more use for.
+
+        A fleet that has grown past a full mesh would keep all its links otherwise.
+        An end that still wants the link dials it anew; the accepting end, which
+        cannot tell who wants a link, closes none.
+        """
+        for end in self.links:
+            if (
+                end.is_dialled
+                and end.link.age_s() > UNWANTED_S
+                and not end.link.waiting
+            ):
+                end.link.close("not needed")
+
     def close_all(self, reason: str, before_incarnation: int | None = None) -> None:
         """Close the links, or those of earlier incarnations only."""
         for end in self.links:
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -364,6 +364,8 @@
                 if best.link.age_s() > STABLE_S:
                     failures = 0
                 self.counters["links_replaced"] += peer.tidy()
+                if not self.wants_link(peer):
+                    peer.close_unwanted()
                 await peer.wait(TEND_S)
             elif self.wants_link(peer):
                 await self.reconnect(peer, failures)
