--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -143,6 +143,7 @@
             self.holder,
             self.drain,
             self.handlers,
+            str(settings.listen.callers),
             safeguards is None or safeguards.standby_copy,
         )
         self.share = ModelShare(self.budgets, self.relay.router, self.drain)
--- a/src/rosemaryknot/process/standby.py
+++ b/src/rosemaryknot/process/standby.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from enum import Enum
 
 import trio
 
@@ -17,6 +18,7 @@
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.standby_table import HeldCopy, StandbyTable
 from rosemaryknot.values.messages import Message, encode_message
+from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.standby import (
     AdoptGeneration,
     GenerationAdopted,
@@ -48,9 +50,11 @@
 PROBE_TIMEOUT_S = 0.8
 # Entries speak at least each second: two that are missing are worth a question.
 SILENT_S = 2.0
+# How long a relay may be silent without any proof that it is gone.
+UNPROVEN_S = 8.0
 ENTRY_SILENT_S = 3.0
+DIAL_TIMEOUT_S = 1.0
 WATCH_S = 0.25
-RETRY_S = 1.0
 MAX_READ_TOKENS = 512
 
 log = logger("standby")
@@ -59,6 +63,14 @@
 takeovers = counter("standby_takeovers_total", "Requests taken over, by result.")
 
 
+class RelayState(Enum):
+    """What is known of an entry that has been silent."""
+
+    ALIVE = "alive"
+    GONE = "gone"
+    SILENT = "silent"
+
+
 class StandbyKeeper:
     """The agent's part in standby copies.
 
@@ -93,6 +105,7 @@
         self.rng = rng
         self.table = StandbyTable()
         self.is_stopping = False
+        self.started_s = trio.current_time()
         self.taking: set[tuple[str, int]] = set()
         handlers.on(StandbyCopy)(self.handle_copy)
         handlers.on(StandbyBatch)(self.handle_batch)
@@ -198,40 +211,63 @@
     async def check_relay(self, relay: tuple[str, int], copies: list[HeldCopy]) -> None:
         """Ask after a silent entry; take its requests over unless it lives."""
         try:
-            if await self.is_alive(relay):
+            state = await self.relay_state(relay, copies[0].copy.address)
+            if state is RelayState.ALIVE:
                 self.table.note_heard(relay)
                 return
-            log.warning("relay is gone: taking over", relay=relay[0], n=len(copies))
             for held in copies:
-                await self.take_over(held)
-            await trio.sleep(RETRY_S)
+                if state is RelayState.GONE or is_due(held):
+                    await self.take_over(held)
+            await trio.sleep(WATCH_S)
         finally:
             self.taking.discard(relay)
 
-    async def is_alive(self, relay: tuple[str, int]) -> bool:
-        """Tell whether an entry lives, by its agent's word over any way to it.
+    async def relay_state(self, relay: tuple[str, int], address: str) -> RelayState:
+        """Find out about a silent entry, over new connections too.
 
-        An open link can go silent for good while new ones work. Only when no other
-        way answers either does the entry count as gone.
+        An open link can go silent for good while new ones work. Only the word of
+        its agent, a mark of its instance, or a refused connection proves that the
+        entry is gone. Going on without a proof would do the work of a whole zone
+        twice whenever that zone is cut off.
         """
         node, incarnation = relay
         probe = StandbyProbe(incarnation)
         answer = await self.peers.call(node, probe, PROBE_TIMEOUT_S)
         if isinstance(answer, CallFailed):
             answer = await self.peers.call_around(node, probe, PROBE_TIMEOUT_S)
-        return isinstance(answer, StandbyProbed) and answer.is_alive
+        if isinstance(answer, StandbyProbed):
+            return RelayState.ALIVE if answer.is_alive else RelayState.GONE
+        if self.is_leaving(node) or await self.is_refused(address):
+            return RelayState.GONE
+        return RelayState.SILENT
+
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether nobody listens any more where an entry did."""
+        try:
+            with trio.move_on_after(DIAL_TIMEOUT_S):
+                stream = await self.peers.network.dial(Address.from_text(address))
+                await trio.aclose_forcefully(stream)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            return False
+        return False
 
     async def handle_probe(
         self, probe: StandbyProbe, link: MessageLink
     ) -> StandbyProbed:
-        """Tell whether one of our entries is there."""
-        return StandbyProbed(
-            any(
-                entry.hello.incarnation == probe.incarnation
-                and entry.silence_s() < ENTRY_SILENT_S
-                for entry in self.peers.entries
-            )
+        """Tell whether one of our entries is there.
+
+        An agent that has just started cannot know yet: its entries need a moment
+        to connect again.
+        """
+        is_new = trio.current_time() - self.started_s < ENTRY_SILENT_S
+        is_there = any(
+            entry.hello.incarnation == probe.incarnation
+            and entry.silence_s() < ENTRY_SILENT_S
+            for entry in self.peers.entries
         )
+        return StandbyProbed(is_there or is_new)
 
     async def take_over(self, held: HeldCopy) -> None:
         """Let our entry go on with a request, or that of another node."""
@@ -285,6 +321,7 @@
         held = self.table.get(asked.customer, asked.request)
         if held is None:
             return StandbyFound()
+        held.is_wanted = True
         return StandbyFound(name, not held.outcome, held.copy.service)
 
     async def find_elsewhere(
@@ -330,6 +367,14 @@
         return text_of(held, asked.offset)
 
 
+def is_due(held: HeldCopy) -> bool:
+    """Tell whether a copy of a silent relay is to be taken over without a proof.
+
+    A pick-up shows that its caller has lost the relay too.
+    """
+    return held.is_wanted or trio.current_time() - held.heard_s > UNPROVEN_S
+
+
 def text_of(held: HeldCopy, offset: int) -> StandbyText:
     """Return the text of an ended copy from an offset, bounded."""
     tokens = held.copy.tokens
--- a/src/rosemaryknot/process/standby_table.py
+++ b/src/rosemaryknot/process/standby_table.py
@@ -1,6 +1,6 @@
 """Copies of accepted model requests that other nodes relay, bounded."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
@@ -36,6 +36,8 @@
         How it ended; empty while it runs.
     ended_s : float
         When it ended, in trio time.
+    is_wanted : bool
+        Whether a pick-up asked for it.
     """
 
     copy: StandbyCopy
@@ -45,7 +47,8 @@
     outcome: str = ""
     reason: str = ""
     detail: str = ""
-    ended_s: float = field(default=0.0)
+    ended_s: float = 0.0
+    is_wanted: bool = False
 
     @property
     def key(self) -> CopyKey:
--- a/src/rosemaryknot/request/standby.py
+++ b/src/rosemaryknot/request/standby.py
@@ -110,6 +110,8 @@
         Counts what is taken over as in flight.
     handlers : Handlers
         Handlers of the agent's link.
+    address : str
+        Where this entry accepts callers.
     is_on : bool
         Off only in tests.
 
@@ -127,6 +129,7 @@
         holder: ConfigurationHolder,
         drain: Drain,
         handlers: Handlers,
+        address: str = "",
         is_on: bool = True,
     ) -> None:
         self.node = node
@@ -134,6 +137,7 @@
         self.link = link
         self.holder = holder
         self.drain = drain
+        self.address = address
         self.is_on = is_on
         self.copies: dict[CopyKey, Copied] = {}
         self.standbys: dict[str, StandbyState] = {}
@@ -219,6 +223,7 @@
             self.server_of(generation),
             self.node.name,
             self.node.incarnation,
+            self.address,
             preferred=preferred,
             avoided=avoided,
         )
--- a/src/rosemaryknot/values/standby.py
+++ b/src/rosemaryknot/values/standby.py
@@ -60,6 +60,8 @@
         Node that relays it.
     incarnation : int
         Incarnation of the entry that relays it.
+    address : str
+        Where that entry accepts callers; empty where not known.
     take_over : bool
         Whether the standby is to go on with it at once.
     preferred : str
@@ -81,6 +83,7 @@
     server: str = ""
     relay: str = ""
     incarnation: int = 0
+    address: str = ""
     take_over: bool = False
     preferred: str = ""
     avoided: str = ""
