--- a/tests/process/test_peers.py
+++ b/tests/process/test_peers.py
@@ -339,3 +339,23 @@
                     answer = await fleet.sets["n1"].call(last, Ping(), 2)
                     await trio.sleep(0.2)
             nursery.cancel_scope.cancel()
+
+    async def test_paused_leaf(self, autojump_clock):
+        """A node that most others have no link to is paused for half a minute.
+
+        Its relays suspect it, and all nodes hear so. When it goes on, only its own
+        word can make those who have no link to it believe that it lives.
+        """
+        async with trio.open_nursery() as nursery:
+            trio.lowlevel.add_instrument(HostInstrument())
+            fleet = await whole_fleet(nursery, 12, self.PLAN)
+            await trio.sleep(30)
+            zone = [name for name in fleet.sets if int(name[1:]) % 3 == 0]
+            leaf = next(name for name in zone if name not in relays_of(zone, 2))
+            fleet.hosts[leaf].freeze()
+            await trio.sleep(30)
+            others = [fleet.sets[name] for name in fleet.sets if name != leaf]
+            assert not any(peers.is_live(leaf) for peers in others)
+            fleet.hosts[leaf].thaw()
+            assert await fleet.until_whole(60) < 10
+            nursery.cancel_scope.cancel()
