Let first attempts wait where copies died with the owner

Cause: when the owner and the peer with the copy end together, as in a restart of all agents, a first attempt that was held up on its way could be granted after a later attempt had run.

The successor tells by the peers' answers whether copies may be lost: a mute peer, another owner that doesn't live, a process younger than a minute. Then first attempts are refused "not run" for 30 s, which is true of them. The death of one owner alone costs nothing.

--- a/src/rosemaryknot/process/claims/copies.py
+++ b/src/rosemaryknot/process/claims/copies.py
@@ -157,8 +157,22 @@
         self.counters["uncopied"] += 1
         return ""
 
-    async def gather(self, name: str, index: int) -> list[Item] | None:
-        """Fetch the copies that a peer holds of a shard; None where it is mute."""
+    async def gather(self, name: str, index: int) -> tuple[list[Item], float] | None:
+        """Fetch the copies that a peer holds of a shard.
+
+        Parameters
+        ----------
+        name : str
+            The peer.
+        index : int
+            The shard.
+
+        Returns
+        -------
+        found : tuple of (list, float) or None
+            Records, and for how many seconds the peer has held copies; None where
+            it is mute.
+        """
         found: list[WireRecord] = []
         after = 0
         while True:
@@ -169,7 +183,7 @@
             found.extend(reply.records)
             after = reply.after
             if not after:
-                return from_wire(found, trio.current_time())
+                return from_wire(found, trio.current_time()), reply.age_s
 
 
 class CopyHolder:
@@ -188,9 +202,15 @@
 
     def __init__(self, bounds: TableBounds) -> None:
         self.use = TableUse(bounds)
+        self.started_s = trio.current_time()
         self.tables: dict[int, RecordTable] = {}
         self.snapshots: dict[tuple[str, int], list[list[Item]]] = {}
 
+    @property
+    def age_s(self) -> float:
+        """For how long this process has held copies."""
+        return trio.current_time() - self.started_s
+
     def table(self, index: int) -> RecordTable:
         """Return the copies of a shard."""
         return self.tables.setdefault(index, RecordTable(self.use))
@@ -224,7 +244,8 @@
         if is_last:
             self.snapshots.pop(key, None)
         records = to_wire(page, trio.current_time())
-        return CopiesGathered(records, 0 if is_last else request.after + 1)
+        after = 0 if is_last else request.after + 1
+        return CopiesGathered(records, after, self.age_s)
 
     def expire(self, now_s: float) -> None:
         """Forget the copies whose time has passed."""
--- a/src/rosemaryknot/process/claims/owner.py
+++ b/src/rosemaryknot/process/claims/owner.py
@@ -41,6 +41,9 @@
 __all__ = ["Doubt", "OwnedShard", "OwnerState"]
 
 CLOSING_SHARE = 1.25
+# How long a request may lie between its caller and an entry, as far as is provided
+# for. Only where copies may be lost; otherwise they tell.
+SETTLE_S = 30.0
 FULL_RETRY_S = 10.0
 
 
@@ -62,10 +65,14 @@
         Number of the map by which the shard was taken.
     taken_s : float
         When it was taken.
+    settled_s : float
+        Until when first attempts are refused, because copies may be lost with the
+        owner: one that was on its way to an entry for long may have been closed.
     """
 
     since: int
     taken_s: float
+    settled_s: float = 0.0
 
 
 class OwnedShard:
@@ -134,6 +141,8 @@
             return reply
         if self.is_doubtful(record, request):
             return refuse_unproven_id(request)
+        if record is None and self.is_settling():
+            return refuse_unproven(request, Reason.OWNER_CHANGED, False)
         if record is not None and record.closes(request.attempt):
             return await self.refuse_closed(request, record)
         if record is None and not self.table.use.has_room():
@@ -172,6 +181,10 @@
             return not record.is_known
         return request.attempt != 1 or request.arrival_number < self.doubt.since
 
+    def is_settling(self) -> bool:
+        """Tell whether first attempts are refused after an owner's end."""
+        return self.doubt is not None and trio.current_time() < self.doubt.settled_s
+
     async def refuse_closed(
         self, request: ClaimRequest, record: ClaimRecord
     ) -> ClaimRefused:
--- a/src/rosemaryknot/process/claims/ownership.py
+++ b/src/rosemaryknot/process/claims/ownership.py
@@ -14,7 +14,12 @@
     pages_of,
 )
 from rosemaryknot.process.claims.map_keeper import Change, MapKeeper
-from rosemaryknot.process.claims.owner import Doubt, OwnedShard, OwnerState
+from rosemaryknot.process.claims.owner import (
+    SETTLE_S,
+    Doubt,
+    OwnedShard,
+    OwnerState,
+)
 from rosemaryknot.process.claims.pending import Pending, PendingTables
 from rosemaryknot.process.claims.shard_map import Shard, ShardMap
 from rosemaryknot.process.claims.table import TableBounds, TableUse, to_wire
@@ -29,6 +34,9 @@
 IDLE_TIMEOUT_S = 3.0
 UNSURE_PAUSE_S = 0.5
 POLL_S = 0.01
+# Within this time after the end of a process that held copies, the owners have copied
+# their records to another one.
+YOUNG_S = 60.0
 
 log = logger("shards")
 OWNED = gauge("shards_owned", "Shards that this node owns.")
@@ -82,6 +90,7 @@
         self.owned: dict[int, OwnedShard] = {}
         self.pending = PendingTables()
         self.taking: set[tuple[int, int, int]] = set()
+        self.ended: dict[int, tuple[str, int]] = {}
         self.unasked: dict[int, set[str]] = {}
         self.recopy_due = False
         self.last_serial = 0
@@ -166,7 +175,9 @@
         self.owned[index] = owned
         self.merge(owned, self.holder.items(index))
         self.unasked[index] = {node.name for node in self.peers.nodes()}
-        await self.ask_unasked(index)
+        is_whole = await self.ask_unasked(index) and self.are_others_live(index)
+        if not is_whole:
+            doubt.settled_s = trio.current_time() + SETTLE_S
         owned.state = OwnerState.ACTIVE
         self.recopy_due = True
         PASSED.add(way="taken")
@@ -175,22 +186,46 @@
             shard=index,
             records=len(owned.table),
             mute_peers=len(self.unasked.get(index, ())),
+            is_whole=is_whole,
+        )
+
+    def is_own_restart(self, index: int) -> bool:
+        """Tell whether a shard was taken from an earlier process of this node."""
+        return self.ended.get(index, ("", 0))[0] == self.node.name
+
+    def are_others_live(self, index: int) -> bool:
+        """Tell whether all owners live but the one that ended: they held copies."""
+        live = {(node.name, node.incarnation) for node in self.peers.nodes()}
+        live.add((self.node.name, self.node.incarnation))
+        live.add(self.ended.get(index, ("", 0)))
+        return all(
+            (shard.owner, shard.incarnation) in live for shard in self.maps.map.shards
         )
 
-    async def ask_unasked(self, index: int) -> None:
-        """Ask the live peers that have not told their copies of a shard."""
+    async def ask_unasked(self, index: int) -> bool:
+        """Ask the live peers that have not told their copies of a shard.
+
+        Returns
+        -------
+        is_whole : bool
+            Whether all have told, and none has started so lately that copies may
+            have been lost with an earlier process.
+        """
         owned, names = self.owned[index], self.unasked[index]
+        ages_s = [] if self.is_own_restart(index) else [self.holder.age_s]
 
         async def ask(name: str) -> None:
-            items = await self.copier.gather(name, index)
-            if items is not None:
+            found = await self.copier.gather(name, index)
+            if found is not None:
                 names.discard(name)
-                self.merge(owned, items)
+                ages_s.append(found[1])
+                self.merge(owned, found[0])
 
         async with trio.open_nursery() as nursery:
             for node in self.peers.nodes():
                 if node.name in names:
                     nursery.start_soon(ask, node.name)
+        return not names and min(ages_s, default=0.0) >= YOUNG_S
 
     def merge(self, owned: OwnedShard, items: list[Item]) -> None:
         """Take in copies; any of them may be older than what the owner last knew."""
@@ -231,6 +266,7 @@
             for index in indexes:
                 shard = taken.shards[index]
                 self.taking.add((index, shard.epoch, shard.since))
+                self.ended[index] = ended[index]
             return taken
 
         return await self.maps.change(decide)
--- a/src/rosemaryknot/process/claims/pending.py
+++ b/src/rosemaryknot/process/claims/pending.py
@@ -5,7 +5,7 @@
 import trio
 
 from rosemaryknot.process.claims.copies import Item
-from rosemaryknot.process.claims.owner import Doubt
+from rosemaryknot.process.claims.owner import SETTLE_S, Doubt
 from rosemaryknot.process.claims.shard_map import Shard
 from rosemaryknot.process.claims.table import from_wire
 from rosemaryknot.values.claim_peers import HandoverRecords
@@ -92,5 +92,6 @@
     """Return the table that a first part begins."""
     doubt = None
     if part.doubt_age_s >= 0:
-        doubt = Doubt(part.since, trio.current_time() - part.doubt_age_s)
+        taken_s = trio.current_time() - part.doubt_age_s
+        doubt = Doubt(part.since, taken_s, taken_s + SETTLE_S)
     return Pending(part.epoch, part.since, doubt, serial=part.serial)
--- a/src/rosemaryknot/values/claim_peers.py
+++ b/src/rosemaryknot/values/claim_peers.py
@@ -148,11 +148,15 @@
         `WireRecord` values.
     after : int
         Cursor for the next page; 0 where this is the last one.
+    age_s : float
+        For how long the sender's process has held copies. An earlier process of the
+        node may have held more.
     """
 
     kind: ClassVar[str]
     records: list[WireRecord]
     after: int = 0
+    age_s: float = 0.0
 
 
 @message("claim_handover")
