--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -8,26 +8,34 @@
 what must not go back carries a number.
 """
 
-import hashlib
-import hmac
-import secrets
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass, replace
-from typing import ClassVar, TypeVar
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import trio
 
+from rosemaryknot.connection.link_hello import (
+    MAX_FRAME_BYTES,
+    FrameReader,
+    exchange_hellos,
+)
+from rosemaryknot.connection.link_messages import (
+    Beat,
+    Busy,
+    CallFailed,
+    Hello,
+    LinkClosed,
+    Unsupported,
+)
+from rosemaryknot.connection.link_traffic import Traffic
 from rosemaryknot.values.messages import (
     Message,
     MessageError,
     decode_message,
     encode_message,
-    message,
 )
-from rosemaryknot.values.nodes import Node
 
 __all__ = [
+    "MAX_FRAME_BYTES",
     "CallFailed",
     "Handlers",
     "Hello",
@@ -38,156 +46,16 @@
     "open_link",
 ]
 
-MAX_FRAME_BYTES = 8 * 1024 * 1024
-MAX_HELLO_BYTES = 4096
 MAX_QUEUED_BYTES = 1024 * 1024
-HELLO_TIMEOUT_S = 3.0
 MAX_HANDLERS = 2048
 SEND_TIMEOUT_S = 5.0
-PROTOCOL = 1
-NONCE_BYTES = 16
-RECEIVE_BYTES = 65536
 HEARTBEAT_S = 1.0
 
 MessageType = TypeVar("MessageType", bound=Message)
 
-
-@message("hello")
-@dataclass(slots=True)
-class Hello(Message):
-    """First message of each end.
-
-    Attributes
-    ----------
-    name, zone, incarnation
-        See `rosemaryknot.values.nodes.Node`.
-    role : str
-        ``agent`` or ``entry``.
-    nonce : bytes
-        Random bytes that the other end's proof must cover.
-    protocol : int
-        Version of the link protocol.
-    address : str
-        Where the sender accepts links, or empty.
-    """
-
-    kind: ClassVar[str]
-    name: str
-    zone: str
-    incarnation: int
-    role: str
-    nonce: bytes
-    protocol: int = PROTOCOL
-    address: str = ""
-
-    @property
-    def node(self) -> Node:
-        """The node that sent it."""
-        return Node(self.name, self.zone, self.incarnation)
-
-
-@message("proof")
-@dataclass(slots=True)
-class Proof(Message):
-    """Shows that the sender holds the cluster key."""
-
-    kind: ClassVar[str]
-    mac: bytes
-
-
-@message("beat")
-@dataclass(slots=True)
-class Beat(Message):
-    """Heartbeat: shows that the sender is there and the link carries its bytes."""
-
-    kind: ClassVar[str]
-
-
-@message("busy")
-@dataclass(slots=True)
-class Busy(Message):
-    """Answer to a call that the other end has no room to handle."""
-
-    kind: ClassVar[str]
-
-
-@message("unsupported")
-@dataclass(slots=True)
-class Unsupported(Message):
-    """Answer to a call that the other end knows no handler for."""
-
-    kind: ClassVar[str]
-
-
 REFUSALS = {Busy: "busy", Unsupported: "unsupported"}
 
 
-@dataclass(slots=True)
-class CallFailed:
-    """A call without an answer.
-
-    Attributes
-    ----------
-    reason : str
-        ``timeout``, ``closed``, ``busy`` or ``unsupported``.
-    maybe_handled : bool
-        Whether the other end may have handled the call all the same.
-    """
-
-    reason: str
-    maybe_handled: bool
-
-
-class LinkClosed(Exception):
-    """The link ended, or its other end broke the protocol."""
-
-
-@dataclass(slots=True)
-class KindTraffic:
-    """Messages and bytes of one kind.
-
-    Attributes
-    ----------
-    messages, bytes : int
-        Counts, frame headers included.
-    """
-
-    messages: int = 0
-    bytes: int = 0
-
-
-class Traffic:
-    """Counts what the links of a process send and receive, by kind of message.
-
-    Attributes
-    ----------
-    sent, received : dict of str to KindTraffic
-        Counts by message kind.
-    unreadable : int
-        Links closed because of a message that could not be read.
-    unsupported : int
-        Messages of a kind without a handler.
-    """
-
-    def __init__(self) -> None:
-        self.sent: dict[str, KindTraffic] = {}
-        self.received: dict[str, KindTraffic] = {}
-        self.unreadable = 0
-        self.unsupported = 0
-
-    def add_sent(self, kind: str, size_bytes: int) -> None:
-        """Count one message sent."""
-        count = self.sent.setdefault(kind, KindTraffic())
-        count.messages += 1
-        count.bytes += size_bytes
-
-    def add_received(self, kind: str, size_bytes: int) -> None:
-        """Count one message received."""
-        count = self.received.setdefault(kind, KindTraffic())
-        count.messages += 1
-        count.bytes += size_bytes
-
-
 class Handlers:
     """Registry of what a process does with each kind of message.
 
@@ -227,41 +95,6 @@
         return register
 
 
-def proof_of(key: bytes, nonce: bytes, hello: bytes) -> Proof:
-    """Return the proof for the other end's nonce and a hello as it was sent.
-
-    It covers the bytes on the wire: a newer peer's hello holds fields that this
-    release drops, and would not be the same when encoded again.
-    """
-    return Proof(hmac.new(key, nonce + hello, hashlib.sha256).digest())
-
-
-class FrameReader:
-    """Cuts a stream into frames."""
-
-    def __init__(self, stream: trio.abc.ReceiveStream) -> None:
-        self.stream = stream
-        self.buffer = bytearray()
-
-    async def read_exactly(self, size: int) -> bytes:
-        """Return the next ``size`` bytes."""
-        while len(self.buffer) < size:
-            data = await self.stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                raise LinkClosed("end of stream")
-            self.buffer += data
-        data = bytes(self.buffer[:size])
-        del self.buffer[:size]
-        return data
-
-    async def read_frame(self, limit: int = MAX_FRAME_BYTES) -> bytes:
-        """Return the next frame's payload."""
-        size = int.from_bytes(await self.read_exactly(4), "big")
-        if size > limit:
-            raise LinkClosed(f"frame of {size} bytes is too large")
-        return await self.read_exactly(size)
-
-
 class MessageLink:
     """One link, after both hellos.
 
@@ -570,14 +403,8 @@
     LinkClosed
         If the other end does not prove that it holds the key.
     """
-    hello_sent = encode_message(replace(hello, nonce=secrets.token_bytes(NONCE_BYTES)))
     reader = FrameReader(stream)
-    with hello_bounds():
-        await send_raw(stream, hello_sent)
-        theirs, hello_read = await read_hello(reader)
-        await check_proof(reader, key, hello_sent, hello_read)
-        proof = proof_of(key, theirs.nonce, hello_sent)
-        await send_raw(stream, encode_message(proof))
+    theirs = await exchange_hellos(stream, reader, key, hello, is_dialled=True)
     return MessageLink(stream, reader, theirs, handlers, traffic)
 
 
@@ -589,65 +416,6 @@
     traffic: Traffic | None = None,
 ) -> MessageLink:
     """Make a link of a stream that we accepted; see `open_link`."""
-    hello_sent = encode_message(replace(hello, nonce=secrets.token_bytes(NONCE_BYTES)))
     reader = FrameReader(stream)
-    with hello_bounds():
-        theirs, hello_read = await read_hello(reader)
-        proof = proof_of(key, theirs.nonce, hello_sent)
-        await send_raw(stream, hello_sent)
-        await send_raw(stream, encode_message(proof))
-        await check_proof(reader, key, hello_sent, hello_read)
+    theirs = await exchange_hellos(stream, reader, key, hello, is_dialled=False)
     return MessageLink(stream, reader, theirs, handlers, traffic)
-
-
-@contextmanager
-def hello_bounds() -> Iterator[None]:
-    """Bound the exchange of hellos in time, and map its errors."""
-    try:
-        with trio.fail_after(HELLO_TIMEOUT_S):
-            yield
-    except (
-        MessageError,
-        trio.BrokenResourceError,
-        trio.ClosedResourceError,
-        trio.TooSlowError,
-    ) as error:
-        raise LinkClosed(f"no hello: {type(error).__name__}") from error
-
-
-async def send_raw(stream: trio.abc.SendStream, payload: bytes) -> None:
-    """Write one frame outside of a link."""
-    await stream.send_all(len(payload).to_bytes(4, "big") + payload)
-
-
-async def read_hello(reader: FrameReader) -> tuple[Hello, bytes]:
-    """Read the other end's hello; return it with its bytes."""
-    payload = await reader.read_frame(MAX_HELLO_BYTES)
-    value, _, _ = decode_message(payload)
-    if not isinstance(value, Hello) or not is_well_formed(value):
-        raise LinkClosed("expected hello")
-    return value, payload
-
-
-def is_well_formed(hello: Hello) -> bool:
-    """Tell whether the fields of a hello have their types."""
-    texts = (hello.name, hello.zone, hello.role, hello.address)
-    return (
-        all(isinstance(text, str) for text in texts)
-        and isinstance(hello.incarnation, int)
-        and isinstance(hello.nonce, bytes)
-        and len(hello.nonce) == NONCE_BYTES
-    )
-
-
-async def check_proof(
-    reader: FrameReader, key: bytes, hello_sent: bytes, hello_read: bytes
-) -> None:
-    """Read the other end's proof and compare it."""
-    ours, _, _ = decode_message(hello_sent)
-    value, _, _ = decode_message(await reader.read_frame(MAX_HELLO_BYTES))
-    if not isinstance(value, Proof) or not isinstance(value.mac, bytes):
-        raise LinkClosed("expected proof")
-    wanted = proof_of(key, ours.nonce, hello_read)
-    if not hmac.compare_digest(value.mac, wanted.mac):
-        raise LinkClosed("wrong cluster key")
--- a/src/rosemaryknot/process/peer_metrics.py
+++ b/src/rosemaryknot/process/peer_metrics.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from rosemaryknot.connection.links import KindTraffic, Traffic
+from rosemaryknot.connection.link_traffic import KindTraffic, Traffic
 from rosemaryknot.process.metrics import counter, gauge
 
 if TYPE_CHECKING:
