Keep the configured instances under a placement lease

One object of the object API per service names the holder and a fencing number that rises with each change. The holder counts its time from before its write was sent. It starts what is missing and drains, then releases what is too much; a decision to release stands in the lease object first, so that an order sent late by a paused holder is right at any time. Services without a placement cost no call.

--- a/src/rosemaryknot/process/admin_status.py
+++ b/src/rosemaryknot/process/admin_status.py
@@ -65,10 +65,30 @@
     for name, form in body["at_most_once"].items():
         fields = ", ".join(f"{key} {short(value)}" for key, value in form.items())
         typer.echo(f"at most once by {name}: {fields or 'nothing to tell'}")
+    for placed in body.get("placement", []):
+        typer.echo(placement_line(placed))
     for text in body["alarms"]:
         typer.echo(f"ALARM: {text}")
 
 
+def placement_line(placed: dict[str, Any]) -> str:
+    """Return what is known of one service's placement for people."""
+    line = f"placement of {placed['service']}: "
+    if placed["held_here"]:
+        line += f"held here, number {placed['fencing']}"
+        line += f", {placed['cost_per_hour']} an hour"
+        line += "" if placed["settled"] else ", still reading back"
+    elif placed["holder"]:
+        line += f"held by {placed['holder']}, number {placed['fencing']}"
+    else:
+        line += f"ask {', '.join(placed['candidates'])}"
+    for order in placed["pending"]:
+        line += f"\n  pending for {order['age_s']} s: {order['order']}"
+    if placed["leaving"]:
+        line += f"\n  leaving: {', '.join(placed['leaving'])}"
+    return line
+
+
 def yes(value: bool) -> str:
     """Return a truth value for people."""
     return "yes" if value else "no"
--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -10,6 +10,7 @@
 from rosemaryknot.connection.http_server import HttpServer
 from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.order_client import HttpOrderClient
 from rosemaryknot.connection.platform import PlatformClient
 from rosemaryknot.process.claims.forms import ClaimForm
 from rosemaryknot.process.claims.handlers import register_claim_handlers
@@ -26,6 +27,7 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer_metrics import PeerMetrics
 from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.placement.keeper import PlacementKeeper
 from rosemaryknot.process.platform_watch import PlatformWatch
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.servers import ServerTable
@@ -36,6 +38,7 @@
 from rosemaryknot.values.control import DrainAccepted, DrainRequest
 from rosemaryknot.values.nodes import Node, ServerState
 from rosemaryknot.version.operators_api import operators_app
+from rosemaryknot.version.placement_targets import placement_targets
 from rosemaryknot.version.store import ConfigurationStore
 from rosemaryknot.version.view import ConfigurationView
 from rosemaryknot.version.watch import ConfigurationWatcher
@@ -95,6 +98,8 @@
         Copies of model requests that other nodes relay.
     limits : LimitOwner
         Budgets of the customers' limits.
+    placement : PlacementKeeper
+        Placement leases, and the duty of those that this node holds.
     """
 
     def __init__(
@@ -133,6 +138,7 @@
         self.add_claims()
         self.add_standby()
         self.add_limits()
+        self.add_placement()
         app = operators_app(self.holder, self.store, bootstrap_key)
         app.register_blueprint(StatusApi(self).blueprint())
         self.server = HttpServer(app, network)
@@ -199,6 +205,21 @@
         source = LiveLimits(self.holder, self.peers, self.is_terminated)
         self.limits = LimitOwner(self.node, self.peers, source, self.handlers)
 
+    def add_placement(self) -> None:
+        """Put the parts about placement together."""
+        self.placement = PlacementKeeper(
+            self.node,
+            self.peers.nodes,
+            lambda: placement_targets(self.holder.view),
+            self.platform,
+            self.platform,
+            HttpOrderClient(self.network),
+            self.servers,
+            lambda: self.is_draining or self.stop.is_set(),
+            self.rng,
+            self.safeguards,
+        )
+
     def is_terminated(self, name: str) -> bool:
         """Tell whether the platform has confirmed the end of an instance."""
         mark = self.servers.marks.get(name)
@@ -221,6 +242,7 @@
         nursery.start_soon(self.shards.run)
         nursery.start_soon(self.standby.run)
         nursery.start_soon(self.limits.run)
+        nursery.start_soon(self.placement.run)
         nursery.start_soon(self.watch_own_reclaim)
         address = await nursery.start(self.server.serve, self.settings.listen.operators)
         log.info(f"serving operators at {address}, links at {self.peers.listen}")
@@ -277,7 +299,8 @@
         log.info("planned stop is over")
 
     async def hand_over(self) -> None:
-        """Hand over what the forms of at-most-once execution own."""
+        """Hand over the placement leases and what the forms of claims own."""
+        await self.placement.end()
         for form in self.forms.values():
             hand_over = getattr(form, "hand_over", None)
             if hand_over is not None:
--- a/src/rosemaryknot/process/safeguards.py
+++ b/src/rosemaryknot/process/safeguards.py
@@ -28,6 +28,12 @@
     standby_copy : bool
         An accepted long request is copied to another node, and handed over when
         its entry leaves.
+    lease_margin : bool
+        The holder of a lease counts its time from before the write was sent, less
+        a margin.
+    additive_first : bool
+        A new holder takes nothing away before what it reads back is stable, and
+        never without the store's record of it.
     """
 
     claim_copy: bool = True
@@ -36,3 +42,5 @@
     id_check: bool = True
     leaving_mark: bool = True
     standby_copy: bool = True
+    lease_margin: bool = True
+    additive_first: bool = True
--- a/src/rosemaryknot/process/servers_spread.py
+++ b/src/rosemaryknot/process/servers_spread.py
@@ -28,7 +28,7 @@
 TELL_TIMEOUT_S = 0.3
 FRESH_S = 4.0
 SETTLE_S = 7.0
-TOLD_AT_ONCE = frozenset({"notice", "server"})
+TOLD_AT_ONCE = frozenset({"notice", "server", "placement"})
 
 log = logger("servers")
 
--- a/src/rosemaryknot/process/status.py
+++ b/src/rosemaryknot/process/status.py
@@ -112,6 +112,12 @@
     return status() if callable(status) else {}
 
 
+@status_part("placement")
+def placement_status(agent: "Agent") -> list[dict[str, Any]]:
+    """Return the holder and the pending orders of each service's placement."""
+    return agent.placement.status()
+
+
 @status_part("traffic")
 def traffic_status(agent: "Agent") -> dict[str, Any]:
     """Return messages and bytes of the links by duty."""
--- a/src/rosemaryknot/replay/system.py
+++ b/src/rosemaryknot/replay/system.py
@@ -170,10 +170,12 @@
         self.zone_of_host: dict[str, str] = {}
         self.unannounced: set[str] = set()
         self.starts = 0
+        self.launches = 0
 
     async def start(self) -> None:
         """Start the platform, the backend servers and the nodes."""
         self.platform.cloud.on_terminated.append(self.note_terminated)
+        self.platform.cloud.launcher = self.launch
         stored = StoredConfiguration(number=1, document=self.plan.document)
         self.platform.kinds["configuration"].put("main", stored.to_value(), 0)
         await self.start_on(
@@ -222,26 +224,36 @@
     ) -> ServerProcess:
         """Start one backend server and let the platform list it."""
         self.starts += 1
-        number = self.plan.zones.index(zone) + 1
-        host = self.new_host(number, 100 + self.starts // 250, self.starts % 250, zone)
-        address = Address(host.network.host, SERVER_PORT)
-        if self.plan.kinds[service] == "model":
-            standin = EngineStandIn(self.plan.engine, unix_time)
-        else:
-            standin = PlainStandIn(self.plan.plain, unix_time)
         listed = BackendServer(
             instance=f"{service}-{zone}-{self.starts}",
             service=service,
             zone=zone,
             machine_class=machine_class,
             reclaimable=True,
-            address=str(address),
+            address="",
         )
+        listed.address = await self.launch(listed)
+        self.platform.add_instance(listed)
+        return self.servers[listed.instance]
+
+    async def launch(self, listed: BackendServer) -> str:
+        """Start the process of a new instance and return its address.
+
+        The cloud calls this too, when our placement starts an instance.
+        """
+        self.launches += 1
+        index = self.launches
+        number = self.plan.zones.index(listed.zone) + 1
+        host = self.new_host(number, 100 + index // 250, index % 250, listed.zone)
+        address = Address(host.network.host, SERVER_PORT)
+        if self.plan.kinds[listed.service] == "model":
+            standin = EngineStandIn(self.plan.engine, unix_time)
+        else:
+            standin = PlainStandIn(self.plan.plain, unix_time)
         process = ServerProcess(listed, host, standin)
         await self.start_on(host, standin.serve, host.network, address)
         self.servers[listed.instance] = process
-        self.platform.add_instance(listed)
-        return process
+        return str(address)
 
     def plan_node(self, zone: str, number: int, index: int) -> None:
         """Lay out one node; the first two of each zone are everybody's seeds."""
--- /dev/null
+++ b/src/rosemaryknot/values/leases.py
@@ -0,0 +1,59 @@
+"""What the object of a lease holds."""
+
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+__all__ = ["LeaseRecord"]
+
+
+@dataclass(slots=True, frozen=True)
+class LeaseRecord:
+    """A lease as the object API holds it.
+
+    Attributes
+    ----------
+    holder : str
+        Who holds it; empty where the last holder gave it back.
+    fencing : int
+        Rises at each change of holder.
+    write_id : str
+        Of the write that made this record, by which its writer knows it again.
+    duration_s : float
+        How long the lease lasts after the write was sent, in seconds.
+    leaving : tuple of str
+        Instances that a holder has decided to release. A decision is never taken
+        back, so that an order to release one of them is right at any later time.
+    """
+
+    holder: str
+    fencing: int
+    write_id: str
+    duration_s: float
+    leaving: tuple[str, ...] = field(default=())
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the JSON value."""
+        return asdict(self) | {"leaving": list(self.leaving)}
+
+    @classmethod
+    def from_value(cls, value: Any) -> "LeaseRecord | None":
+        """Return the record of a JSON value, or None where it is none.
+
+        Examples
+        --------
+        >>> record = LeaseRecord("waco-a-1/7", 3, "w1", 10.0, ("e1",))
+        >>> LeaseRecord.from_value(record.to_value()) == record
+        True
+        >>> LeaseRecord.from_value([]) is None
+        True
+        """
+        try:
+            return cls(
+                holder=str(value["holder"]),
+                fencing=int(value["fencing"]),
+                write_id=str(value["write_id"]),
+                duration_s=float(value["duration_s"]),
+                leaving=tuple(str(name) for name in value["leaving"]),
+            )
+        except (KeyError, TypeError, ValueError):
+            return None
