Let a deadline that comes during a planned stop hand streams over

Cause: the bound of a stop was worked out when it began, so a notice during an operator's drain left the streams to the kill. A standby that is itself marked as leaving is also replaced at once. Seen failing with the standby copy off: test_notice_during_a_planned_stop and test_standby_is_reclaimed_first.

--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -109,6 +109,7 @@
         self.rng = rng
         self.unix_time = unix_time
         self.stop_deadline_unix_s = 0.0
+        self.has_deadline = trio.Event()
         limits = settings.limits
         self.node = Node(settings.node, settings.zone, int(unix_time() * 1000))
         self.holder = ConfigurationHolder(ConfigurationView.from_document)
@@ -241,16 +242,19 @@
                         told.add(mark.instance)
 
     def note_deadline(self, deadline_unix_s: float) -> None:
-        """Note when the node is taken away, as seconds of the epoch."""
-        self.stop_deadline_unix_s = deadline_unix_s
+        """Note when the node is taken away, as seconds of the epoch; 0 for never."""
+        if deadline_unix_s:
+            self.stop_deadline_unix_s = deadline_unix_s
+            self.has_deadline.set()
 
-    def stop_bound_s(self) -> float:
-        """Return how long what is in flight may still run here, in seconds."""
-        bound_s = self.settings.limits.drain_timeout_s
-        if self.stop_deadline_unix_s:
-            left_s = self.stop_deadline_unix_s - self.unix_time() - HANDOVER_S
-            bound_s = min(bound_s, max(0.0, left_s))
-        return bound_s
+    async def hand_over_in_time(self) -> None:
+        """Hand streams over once there is a deadline, which may come during a stop."""
+        await self.has_deadline.wait()
+        left_s = self.stop_deadline_unix_s - self.unix_time() - HANDOVER_S
+        await self.standby.hand_over_long(left_s)
+        left_s = self.stop_deadline_unix_s - self.unix_time() - HANDOVER_S
+        await trio.sleep(max(0.0, left_s))
+        await self.standby.hand_over_all()
 
     async def serve(self, nursery: trio.Nursery, address: Address) -> None:
         """Start all tasks; return once callers can connect."""
@@ -267,12 +271,11 @@
     async def stop(self) -> None:
         """End what is in flight whole, or hand it over where time is too short."""
         self.drain.start()
-        bound_s = self.stop_bound_s()
-        if self.stop_deadline_unix_s:
-            await self.standby.hand_over_long(bound_s)
-            bound_s = self.stop_bound_s()
-        if not await self.drain.wait_idle(bound_s):
-            await self.standby.hand_over_all()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.hand_over_in_time)
+            await self.drain.wait_idle(self.settings.limits.drain_timeout_s)
+            nursery.cancel_scope.cancel()
+        await self.standby.hand_over_all()
         # A request that is just being read is still refused with an answer, which a
         # closed connection would not tell from a lost one.
         await trio.sleep(CLOSE_GRACE_S)
--- a/src/rosemaryknot/request/standby.py
+++ b/src/rosemaryknot/request/standby.py
@@ -243,6 +243,8 @@
         by_standby: dict[str, list[Copied]] = {}
         async with trio.open_nursery() as nursery:
             for key, copied in list(self.copies.items()):
+                if self.relay.servers.marks.get(copied.standby) is not None:
+                    copied.standby, copied.tried_s = "", 0.0
                 if copied.standby:
                     by_standby.setdefault(copied.standby, []).append(copied)
                 elif copied.generation.outcome is not None:
--- a/tests/process/test_standby.py
+++ b/tests/process/test_standby.py
@@ -178,6 +178,47 @@
 
         run_story(story)
 
+    def test_notice_during_a_planned_stop(self):
+        """An operator drains the node; the notice comes while a stream still runs.
+
+        The stop waits for the stream, and no longer than to the new deadline.
+        """
+
+        async def story(fleet):
+            note = ModelNote("plan set of a tower", LONG)
+            node = fleet.system.nodes[RELAY]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.ask, note, fleet.caller([RELAY]))
+                await fleet.wait_tokens(note, 20)
+                await node.agent_process.drain("ana")
+                await fleet.wait_tokens(note, 40)
+                assert not node.entry_ended.is_set()
+                fleet.system.platform.reclaim(RELAY, 2.0)
+                await node.entry_ended.wait()
+                assert not node.entry.is_dead
+            assert_whole(note)
+
+        run_story(story)
+
+    def test_standby_is_reclaimed_first(self):
+        """The standby gets a notice, and the relay dies right after its end.
+
+        The relay hears of the notice and has copied the request anew by then.
+        """
+
+        async def story(fleet):
+            note = ModelNote("plan set of a villa", LONG)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.ask, note, fleet.caller([RELAY]))
+                await fleet.wait_tokens(note, 20)
+                standby = fleet.standby_of(note)
+                fleet.system.platform.reclaim(standby, 2.0)
+                await trio.sleep(2.1)
+                fleet.system.kill_node(RELAY)
+            assert_whole(note)
+
+        run_story(story)
+
     def test_short_streams_end_in_place(self):
         """What ends before the deadline is not moved."""
 
