--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from operator import attrgetter
 
@@ -16,26 +15,22 @@
     CallFailed,
     Handlers,
     Hello,
-    LinkClosed,
     MessageLink,
-    Traffic,
-    accept_link,
-    open_link,
 )
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer import LinkEnd, Peer, full_jitter
+from rosemaryknot.process.peer_dialler import PeerDialler
 from rosemaryknot.process.peer_forwarding import Forwarder
 from rosemaryknot.process.peer_links import LinkPlan, link_targets
+from rosemaryknot.process.peer_spread import PeerSpread
 from rosemaryknot.process.peer_table import PeerTable
 from rosemaryknot.values.messages import Message
 from rosemaryknot.values.nodes import Address, Node
 from rosemaryknot.values.peers import (
     PeerAlive,
-    PeerDigest,
     PeerProbe,
     PeerRecord,
-    PeerRecords,
     PeerState,
 )
 
@@ -46,10 +41,10 @@
 TEND_S = 1.0
 STABLE_S = 1.0
 SPREAD_S = 0.05
-GOSSIP_S = 5.0
 PROBE_TIMEOUT_S = 1.0
 SEED_PAUSE_S = 5.0
 GOODBYE_S = 1.0
+ENTRY_ROLE = "entry"
 
 EntryLinkHandler = Callable[[MessageLink], Awaitable[None]]
 
@@ -104,9 +99,7 @@
         self.network = network
         self.node = node
         self.listen = listen
-        self.key = key
         self.seeds = list(seeds)
-        self.handlers = handlers
         self.plan = LinkPlan() if plan is None else plan
         self.rng = random.Random() if rng is None else rng
         self.table = PeerTable(
@@ -116,19 +109,20 @@
         self.targets: set[str] = set()
         self.entries: list[MessageLink] = []
         self.on_entry_link: list[EntryLinkHandler] = []
-        self.traffic = Traffic()
-        self.counters: Counter[str] = Counter()
+        self.dialler = PeerDialler(network, key, self.table, handlers)
+        self.traffic = self.dialler.traffic
+        self.counters = self.dialler.counters
         self.changes = 0
         self.live: list[Node] = []
         self.changed = trio.Event()
         self.touched = trio.Event()
-        self.is_leaving = False
         self.nursery: trio.Nursery | None = None
         self.forwarder = Forwarder(
             node, handlers, self.best_link, self.linked, self.nodes, self.plan
         )
-        handlers.on(PeerRecords)(self.handle_records)
-        handlers.on(PeerDigest)(self.handle_digest)
+        self.spread = PeerSpread(
+            self.table, handlers, self.linked, self.send, self.note_record, self.rng
+        )
         handlers.on(PeerProbe)(self.handle_probe)
 
     # What others ask of it.
@@ -259,24 +253,16 @@
             self.table.own.address = str(self.listen)
             for seed in self.seeds:
                 self.nursery.start_soon(self.run_seed, seed)
-            self.nursery.start_soon(self.run_gossip)
+            self.nursery.start_soon(self.spread.run)
             self.nursery.start_soon(self.run_table)
             task_status.started(self.listen)
 
     async def leave(self) -> None:
         """Say goodbye, so that nobody has to find out."""
-        self.is_leaving = True
-        own = self.table.own
-        own.sequence += 1
-        own.state = PeerState.LEFT
-        own.suspect_since_s = trio.current_time()
-        farewell = PeerRecords([own.to_fields(trio.current_time())])
+        await self.spread.farewell()
         async with trio.open_nursery() as nursery:
-            for peer in self.peers.values():
-                end = peer.best()
-                if end is not None:
-                    await end.link.send(farewell)
-                    nursery.start_soon(end.link.flush, GOODBYE_S)
+            for node in self.linked():
+                nursery.start_soon(self.best_link(node.name).flush, GOODBYE_S)
 
     async def run_seed(self, address: Address) -> None:
         """Look for a node at an address until one is known there."""
@@ -301,7 +287,7 @@
                 await self.touched.wait()
             self.touched = trio.Event()
             self.refresh()
-            await self.spread()
+            await self.spread.spread()
             await trio.sleep(SPREAD_S)
 
     def refresh(self) -> None:
@@ -335,26 +321,6 @@
             self.changed.set()
             self.changed = trio.Event()
 
-    async def spread(self) -> None:
-        """Send the records that changed over every link."""
-        records = self.table.take_unspread()
-        if not records:
-            return
-        now_s = trio.current_time()
-        value = PeerRecords([record.to_fields(now_s) for record in records])
-        async with trio.open_nursery() as nursery:
-            for node in self.linked():
-                nursery.start_soon(self.send, node.name, value)
-
-    async def run_gossip(self) -> None:
-        """Compare the table with a peer's now and then: spreading may lose records."""
-        while True:
-            await trio.sleep(self.rng.uniform(0.5, 1.5) * GOSSIP_S)
-            linked = self.linked()
-            if linked and not self.is_leaving:
-                node = self.rng.choice(linked)
-                await self.send(node.name, PeerDigest(self.table.digest()))
-
     async def run_peer(self, peer: Peer) -> None:
         """Keep a link to one peer while it is known."""
         failures = 0
@@ -378,7 +344,7 @@
     def wants_link(self, peer: Peer) -> bool:
         """Tell whether this node keeps a link to a peer."""
         record = self.table.records.get(peer.name)
-        if record is None or record.state == PeerState.LEFT or self.is_leaving:
+        if record is None or record.state == PeerState.LEFT or self.spread.is_stopped:
             return False
         return peer.name in self.targets
 
@@ -420,67 +386,24 @@
 
     # Links.
 
-    def hello(self) -> Hello:
-        """Return what this node says of itself."""
-        node = self.node
-        address = self.table.own.address
-        return Hello(
-            node.name, node.zone, node.incarnation, "agent", b"", address=address
-        )
-
     async def dial(self, address: Address) -> Hello | None:
         """Open a link; return the other end's hello, or None."""
-        self.counters["dials"] += 1
-        try:
-            stream = await self.network.dial(address)
-        except OSError:
-            self.counters["dials_failed"] += 1
-            return None
-        try:
-            link = await open_link(
-                stream, self.key, self.hello(), self.handlers, self.traffic
-            )
-        except LinkClosed as error:
-            self.refuse(str(error))
-            await trio.aclose_forcefully(stream)
-            return None
-        if not self.admit(link):
-            await trio.aclose_forcefully(stream)
+        link = await self.dialler.dial(address)
+        if link is None:
             return None
         self.nursery.start_soon(self.run_link, self.adopt(link, is_dialled=True))
         return link.hello
 
     async def accept(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve a link that another process dialled."""
-        try:
-            link = await accept_link(
-                stream, self.key, self.hello(), self.handlers, self.traffic
-            )
-        except LinkClosed as error:
-            self.refuse(str(error))
+        link = await self.dialler.accept(stream)
+        if link is None:
             return
-        if link.hello.role == "entry":
+        if link.hello.role == ENTRY_ROLE:
             await self.run_entry_link(link)
-        elif self.admit(link):
+        else:
             await self.run_link(self.adopt(link, is_dialled=False))
 
-    def refuse(self, reason: str) -> None:
-        """Count a link that did not come about."""
-        self.counters["hellos_refused"] += 1
-        LOG.warning("refused a link", reason=reason)
-
-    def admit(self, link: MessageLink) -> bool:
-        """Tell whether a link may stay: not to oneself, not of a dead process."""
-        node = link.hello.node
-        if node.name == self.node.name:
-            if node.incarnation > self.node.incarnation:
-                self.table.newer_self += 1
-            return False
-        if self.table.is_older(node):
-            self.refuse(f"older incarnation of {node.name}")
-            return False
-        return True
-
     def adopt(self, link: MessageLink, is_dialled: bool) -> LinkEnd:
         """Take a new link in."""
         hello = link.hello
@@ -501,7 +424,7 @@
         """Exchange messages with a peer until the link ends."""
         peer = self.peers[end.link.hello.name]
         try:
-            await end.link.send(PeerDigest(self.table.digest()))
+            await self.spread.greet(end.link)
             await end.link.run()
         finally:
             peer.remove(end)
@@ -519,18 +442,6 @@
         finally:
             self.entries.remove(link)
 
-    # Messages.
-
-    async def handle_records(self, value: PeerRecords, link: MessageLink) -> None:
-        """Take in what another node says of the nodes."""
-        now_s = trio.current_time()
-        if not isinstance(value.records, list):
-            return
-        for fields in value.records:
-            record = PeerRecord.from_fields(fields, now_s)
-            if record is not None and self.table.merge(record, now_s):
-                self.note_record(record)
-
     def note_record(self, record: PeerRecord) -> None:
         """Act on a record that changed."""
         peer = self.peers.get(record.name)
@@ -538,14 +449,6 @@
             peer.close_all("left")
         self.touch()
 
-    async def handle_digest(self, value: PeerDigest, link: MessageLink) -> None:
-        """Send all records to a peer whose table differs."""
-        if value.digest == self.table.digest() or self.is_leaving:
-            return
-        now_s = trio.current_time()
-        records = [r.to_fields(now_s) for r in self.table.all_records()]
-        await link.send(PeerRecords(records))
-
     async def handle_probe(self, value: PeerProbe, link: MessageLink) -> PeerAlive:
         """Show that this node is there."""
         return PeerAlive()
