--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -202,6 +202,20 @@
         """Return for how many seconds the link has been open."""
         return trio.current_time() - self.opened_s
 
+    async def close_when_silent(self, bound_s: float) -> None:
+        """Close the link once nothing has come for a time; runs beside `run`.
+
+        Parameters
+        ----------
+        bound_s : float
+            Longest silence, in seconds; more than `HEARTBEAT_S`.
+        """
+        while not self.is_closed:
+            left_s = bound_s - self.silence_s()
+            if left_s <= 0:
+                self.close("silent")
+            await trio.sleep(max(left_s, 0))
+
     async def flush(self, timeout_s: float) -> None:
         """Wait until everything queued is written, but no longer than the timeout.
 
--- a/src/rosemaryknot/process/peer_dialler.py
+++ b/src/rosemaryknot/process/peer_dialler.py
@@ -21,6 +21,7 @@
 __all__ = ["PeerDialler"]
 
 ROLE = "agent"
+ENTRY_ROLE = "entry"
 
 log = logger("peers")
 
@@ -81,9 +82,12 @@
     async def accept(self, stream: trio.abc.HalfCloseableStream) -> MessageLink | None:
         """Make a link of a connection of an agent or an entry, or return None."""
         link = await self.link_of(stream, is_dialled=False)
-        if link is None or link.hello.role != ROLE or self.admits(link):
+        if link is None or link.hello.role == ENTRY_ROLE:
             return link
-        return None
+        if link.hello.role != ROLE:
+            self.refuse("unknown role")
+            return None
+        return link if self.admits(link) else None
 
     async def link_of(
         self, stream: trio.abc.HalfCloseableStream, is_dialled: bool
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -20,7 +20,7 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer import LinkEnd, Peer, full_jitter
-from rosemaryknot.process.peer_dialler import PeerDialler
+from rosemaryknot.process.peer_dialler import ENTRY_ROLE, PeerDialler
 from rosemaryknot.process.peer_forwarding import Forwarder
 from rosemaryknot.process.peer_links import LinkPlan, link_targets
 from rosemaryknot.process.peer_spread import PeerSpread
@@ -44,7 +44,7 @@
 PROBE_TIMEOUT_S = 1.0
 SEED_PAUSE_S = 5.0
 GOODBYE_S = 1.0
-ENTRY_ROLE = "entry"
+ENTRY_SILENT_S = 5.0
 
 EntryLinkHandler = Callable[[MessageLink], Awaitable[None]]
 
@@ -435,6 +435,7 @@
         self.entries.append(link)
         try:
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.close_when_silent, ENTRY_SILENT_S)
                 for handler in self.on_entry_link:
                     nursery.start_soon(handler, link)
                 await link.run()
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -277,6 +277,26 @@
             nursery.cancel_scope.cancel()
 
 
+class TestEntries:
+    async def test_silent_entry_link_is_dropped(self, autojump_clock):
+        """An entry's connection goes silent for good; the entry opens a new one.
+
+        The agent hears no end of the old one. It must not keep it, or each planned
+        stop would wait for an entry that is not there.
+        """
+        async with trio.open_nursery() as nursery:
+            region = Region(nursery, 1)
+            await region.start()
+            old, new = FakeEntry(), FakeEntry()
+            await nursery.start(old.run, region, 0)
+            region.network.silence(region.host(0), region.host(0))
+            link = await nursery.start(new.run, region, 0)
+            await trio.sleep(7)
+            assert len(region.agents[0].peers.entries) == 1
+            assert not link.is_closed
+            nursery.cancel_scope.cancel()
+
+
 class TestOperators:
     async def test_status_explain_and_who_may_ask(self, autojump_clock):
         async with trio.open_nursery() as nursery:
