--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -24,7 +24,7 @@
 from rosemaryknot.request.admission import Admission, AdmissionLimits
 from rosemaryknot.request.at_most_once import AtMostOnce, ClaimPolicy
 from rosemaryknot.request.budget import EntryBudgets
-from rosemaryknot.request.generations import GenerationTable
+from rosemaryknot.request.generation_table import GenerationTable
 from rosemaryknot.request.http_api import CallersApi, create_app
 from rosemaryknot.request.model_api import ModelApi
 from rosemaryknot.request.model_share import ModelShare
--- a/src/rosemaryknot/request/attempts.py
+++ b/src/rosemaryknot/request/attempts.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from rosemaryknot.connection.engine_client import EngineCall, EngineClient, StreamEnd
+from rosemaryknot.connection.engine_client import EngineClient
+from rosemaryknot.connection.engine_frames import EngineCall, StreamEnd
 from rosemaryknot.process.server_load import ServerLoad
 from rosemaryknot.request.generations import Generation
 from rosemaryknot.values.nodes import BackendServer
--- a/src/rosemaryknot/request/model_api.py
+++ b/src/rosemaryknot/request/model_api.py
@@ -10,7 +10,8 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.request.admission import Admission, Slot
 from rosemaryknot.request.arrivals import Arrival, note_outcome
-from rosemaryknot.request.generations import Followed, Generation, GenerationTable
+from rosemaryknot.request.generation_table import GenerationTable
+from rosemaryknot.request.generations import Followed, Generation
 from rosemaryknot.request.http_input import (
     read_body,
     read_timeout_s,
--- a/src/rosemaryknot/request/pickup.py
+++ b/src/rosemaryknot/request/pickup.py
@@ -7,10 +7,10 @@
 from rosemaryknot.connection.links import CallFailed, Handlers, MessageLink
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.logs import logger
+from rosemaryknot.request.generation_table import GenerationTable
 from rosemaryknot.request.generations import (
     DONE,
     Generation,
-    GenerationTable,
     frame_head,
     outcome_event,
     token_frame,
--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -6,13 +6,8 @@
 
 import trio
 
-from rosemaryknot.connection.engine_client import (
-    Broken,
-    Crossed,
-    EngineClient,
-    Finished,
-    Refused,
-)
+from rosemaryknot.connection.engine_client import EngineClient
+from rosemaryknot.connection.engine_frames import Broken, Crossed, Finished, Refused
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.configuration import ConfigurationHolder
@@ -23,7 +18,8 @@
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.request.attempts import Attempt, AttemptEnd, Leave, Moved, Silent
 from rosemaryknot.request.course import Course
-from rosemaryknot.request.generations import Generation, GenerationTable
+from rosemaryknot.request.generation_table import GenerationTable
+from rosemaryknot.request.generations import Generation
 from rosemaryknot.request.moves import Mover
 from rosemaryknot.request.relay_records import note_begun, note_end, note_outcome
 from rosemaryknot.request.router import Prompt, Router
--- a/src/rosemaryknot/request/relay_records.py
+++ b/src/rosemaryknot/request/relay_records.py
@@ -1,6 +1,6 @@
 """Log lines, metrics and story of model requests."""
 
-from rosemaryknot.connection.engine_client import Finished
+from rosemaryknot.connection.engine_frames import Finished
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter, gauge, histogram
 from rosemaryknot.request.attempts import Attempt, AttemptEnd
--- a/tests/request/test_generations.py
+++ b/tests/request/test_generations.py
@@ -6,14 +6,15 @@
 import trio
 from tests.request.relay_fleet import events_of
 
-from rosemaryknot.connection.engine_client import (
+from rosemaryknot.connection.engine_frames import (
     Broken,
     Crossed,
     EngineCall,
     Finished,
     FrameChecker,
 )
-from rosemaryknot.request.generations import Generation, GenerationTable
+from rosemaryknot.request.generation_table import GenerationTable
+from rosemaryknot.request.generations import Generation
 from rosemaryknot.values.outcomes import Answered, NotRun, Reason
 from rosemaryknot.values.requests import ModelRequest
 
