--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -22,6 +22,7 @@
     keep_entry_current,
     register_configuration_handlers,
 )
+from rosemaryknot.process.limits.ended_nodes import EndedNodes
 from rosemaryknot.process.limits.owner import LimitOwner
 from rosemaryknot.process.limits.source import LiveLimits
 from rosemaryknot.process.logs import logger
@@ -36,7 +37,7 @@
 from rosemaryknot.process.standby import StandbyKeeper
 from rosemaryknot.process.status import StatusApi
 from rosemaryknot.values.control import DrainAccepted, DrainRequest
-from rosemaryknot.values.nodes import Node, ServerState
+from rosemaryknot.values.nodes import Node
 from rosemaryknot.version.operators_api import operators_app
 from rosemaryknot.version.placement_targets import placement_targets
 from rosemaryknot.version.store import ConfigurationStore
@@ -202,7 +203,8 @@
 
     def add_limits(self) -> None:
         """Put the parts about the customers' limits together."""
-        source = LiveLimits(self.holder, self.peers, self.is_terminated)
+        self.ended_nodes = EndedNodes(self.peers, self.platform)
+        source = LiveLimits(self.holder, self.peers, self.ended_nodes.has_ended)
         self.limits = LimitOwner(self.node, self.peers, source, self.handlers)
 
     def add_placement(self) -> None:
@@ -220,11 +222,6 @@
             self.safeguards,
         )
 
-    def is_terminated(self, name: str) -> bool:
-        """Tell whether the platform has confirmed the end of an instance."""
-        mark = self.servers.marks.get(name)
-        return mark is not None and mark.state == ServerState.TERMINATED
-
     def form_of(self, service: str) -> str:
         """Return the form of a service by the configuration in force."""
         view = self.holder.view
@@ -242,6 +239,7 @@
         nursery.start_soon(self.shards.run)
         nursery.start_soon(self.standby.run)
         nursery.start_soon(self.limits.run)
+        nursery.start_soon(self.ended_nodes.run)
         nursery.start_soon(self.placement.run)
         nursery.start_soon(self.watch_own_reclaim)
         address = await nursery.start(self.server.serve, self.settings.listen.operators)
--- a/src/rosemaryknot/process/limits/source.py
+++ b/src/rosemaryknot/process/limits/source.py
@@ -7,7 +7,7 @@
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.limits.shares import LimitKey, ZoneMembers
 from rosemaryknot.process.peers import PeerSet
-from rosemaryknot.values.peers import PeerState
+from rosemaryknot.values.peers import PeerRecord, PeerState
 from rosemaryknot.version.tables import UNLIMITED, Limit
 
 __all__ = ["LiveLimits"]
@@ -24,19 +24,19 @@
         Configuration in force.
     peers : PeerSet
         The other nodes.
-    is_terminated : callable
-        Tells of a node's name whether the platform has confirmed its end.
+    has_ended : callable
+        Tells of a node's record whether the platform has confirmed its end.
     """
 
     def __init__(
         self,
         holder: ConfigurationHolder,
         peers: PeerSet,
-        is_terminated: Callable[[str], bool],
+        has_ended: Callable[[PeerRecord], bool],
     ) -> None:
         self.holder = holder
         self.peers = peers
-        self.is_terminated = is_terminated
+        self.has_ended = has_ended
         self.kept: dict[str, ZoneMembers] = {}
         self.kept_as_of = (-1, 0.0)
 
@@ -86,11 +86,11 @@
         known = {
             record.name
             for record in self.peers.table.records.values()
-            if record.zone == zone and self.may_live(record.name, record.state)
+            if record.zone == zone and self.may_live(record)
         }
         ordered = tuple(live[name] for name in sorted(live))
         return ZoneMembers(ordered, len(known | set(live)))
 
-    def may_live(self, name: str, state: int) -> bool:
+    def may_live(self, record: PeerRecord) -> bool:
         """Tell whether a node that is not seen may still grant."""
-        return state != PeerState.LEFT and not self.is_terminated(name)
+        return record.state != PeerState.LEFT and not self.has_ended(record)
