--- a/src/rosemaryknot/process/detached.py
+++ b/src/rosemaryknot/process/detached.py
@@ -1,6 +1,8 @@
 """Work that goes on when the caller who asked for it has gone."""
 
+import traceback
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import trio
 
@@ -8,11 +10,21 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.outcomes import Outcome, Reason, Unknown
 
-__all__ = ["Detached"]
+__all__ = ["Detached", "fault_fields"]
 
 log = logger("request")
 
 
+def fault_fields(error: Exception) -> dict[str, str]:
+    """Return what a log line tells of a fault: its kind and where it was raised.
+
+    The error's own text may hold what a caller wrote, and is left out.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
+    return {"error": type(error).__name__, "place": place}
+
+
 class Detached:
     """Runs work in the process's own nursery.
 
@@ -59,8 +71,7 @@
                 except Exception as error:
                     # One request's fault must not end the process, and with it all
                     # others. Whether it ran cannot be told.
-                    name = type(error).__name__
-                    log.error("broken off", request=request_id, error=name)
+                    log.error("broken off", request=request_id, **fault_fields(error))
                     outcomes.append(Unknown(Reason.NOT_PROVEN, "internal error"))
                 finally:
                     done.set()
--- a/src/rosemaryknot/request/http_api.py
+++ b/src/rosemaryknot/request/http_api.py
@@ -12,6 +12,7 @@
 
 from rosemaryknot.connection.caller_connection import CallerConnections
 from rosemaryknot.process.configuration import ConfigurationHolder
+from rosemaryknot.process.detached import fault_fields
 from rosemaryknot.process.drain import Drain
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import render_metrics
@@ -178,9 +179,7 @@
     async def answer_fault(self, error: Exception) -> Response:
         """Answer a request that met a fault of ours; whether it ran is unknown."""
         request_id = new_request_id(self.rng)
-        log.error(
-            "fault", request=request_id, error=type(error).__name__, exc_info=error
-        )
+        log.error("fault", request=request_id, **fault_fields(error))
         return answer_of(Unknown(Reason.NOT_PROVEN, "internal error"), request_id)
 
 
--- a/tests/request/test_http_api.py
+++ b/tests/request/test_http_api.py
@@ -147,6 +147,34 @@
         assert fleet.entries[0].admission.in_flight == 0
 
 
+class TestFaults:
+    async def test_a_fault_of_ours(self, nursery, autojump_clock):
+        """A part raises what nobody expects, with the caller's text in it.
+
+        The caller gets "unknown", for it may have run; others are served on, and the
+        slot is free again.
+        """
+        fleet = await whole_fleet(nursery)
+        entry = fleet.entries[0]
+        send_once = entry.plain.send_once
+
+        async def fail(request):
+            await send_once(request)
+            raise ValueError(request.body)
+
+        entry.plain.send_once = fail
+        async with fleet.caller() as caller:
+            answer = await caller.post(BOOK, headers=booking("b1", 1), content=b"x")
+            assert answer.status_code == 504
+            assert answer.json()["outcome"] == "unknown"
+            entry.plain.send_once = send_once
+            repeat = await caller.post(BOOK, headers=booking("b1", 2), content=b"x")
+            assert repeat.json()["outcome"] == "unknown"
+            assert (await caller.post(BOOK, headers=booking("b2", 1))).is_success
+        assert fleet.runs() == {"b1": 1, "b2": 1}
+        assert entry.admission.in_flight == 0
+
+
 class TestModelRequests:
     async def test_whole_completion(self, nursery, autojump_clock):
         fleet = await whole_fleet(nursery)
