--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -7,25 +7,27 @@
 import trio
 
 from rosemaryknot.connection.engine_client import EngineClient
-from rosemaryknot.connection.engine_frames import Broken, Crossed, Finished, Refused
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.configuration import ConfigurationHolder
-from rosemaryknot.process.prefix_estimate import Guess, prompt_blocks
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.process.server_load import LoadTable
 from rosemaryknot.process.servers import ServerTable
-from rosemaryknot.request.attempts import Attempt, AttemptEnd, Leave, Moved, Silent
+from rosemaryknot.request.attempts import Silent
 from rosemaryknot.request.course import Course
+from rosemaryknot.request.generation_run import (
+    NO_SERVER_RETRY_S,
+    GenerationRun,
+    RelayParts,
+)
 from rosemaryknot.request.generation_table import GenerationTable
 from rosemaryknot.request.generations import Generation
 from rosemaryknot.request.moves import Mover
-from rosemaryknot.request.relay_records import note_begun, note_end, note_outcome
-from rosemaryknot.request.router import Prompt, Router
-from rosemaryknot.values.nodes import BackendServer, ServerState
+from rosemaryknot.request.relay_records import note_begun, note_outcome
+from rosemaryknot.request.router import Router, prompt_of
+from rosemaryknot.values.nodes import ServerState
 from rosemaryknot.values.outcomes import (
-    Answered,
     NotRun,
     Reason,
     Running,
@@ -35,20 +37,9 @@
 
 __all__ = ["ModelRelay"]
 
-NO_SERVER_RETRY_S = 2.0
-NO_SERVER_WAIT_S = 60.0
-RECOVERED_PRIORITY = -1
-CALLERS_FAULTS = frozenset({400, 413, 422})
 LINEAGE_BYTES = 6
 
 
-def may_have_run(end: AttemptEnd) -> bool:
-    """Tell whether a server may have computed something in an attempt."""
-    if isinstance(end, Broken):
-        return end.sent
-    return not isinstance(end, Refused)
-
-
 class ModelRelay:
     """Accepts model requests and brings each to its outcome.
 
@@ -213,184 +204,27 @@
     async def run_generation(
         self, generation: Generation, is_resumed: bool = False, server: str = ""
     ) -> None:
-        """Bring a generation to its outcome within its deadline."""
-        texts = [str(part.get("content")) for part in generation.request.messages]
-        prompt = Prompt(sum(map(len, texts)), prompt_blocks(texts))
-        course = Course(prompt, was_sent=is_resumed)
+        """Bring a generation to its outcome, whatever happens."""
+        course = Course(prompt_of(generation.request), was_sent=is_resumed)
         known = self.servers.get(server)
         if known is not None and known.state == ServerState.LIVE:
             course.next_server = known
         try:
-            with trio.CancelScope(deadline=generation.request.deadline_s):
-                while generation.outcome is None:
-                    await self.run_attempt(generation, course)
-            if generation.outcome is None:
-                self.time_out(generation, course)
+            await GenerationRun(generation, course, self.parts()).run()
         finally:
             # Followers are told even when the process ends: no stream ends silently.
             generation.finish(Unknown(Reason.STOPPING, "the instance stopped"))
             self.table.note_finished(generation)
             note_outcome(generation)
 
-    async def run_attempt(self, generation: Generation, course: Course) -> None:
-        """Make one attempt and draw the conclusions."""
-        server = course.next_server
-        if server is None:
-            server = await self.choose_server(generation, course)
-        if generation.outcome is not None:
-            return
-        if server is None:
-            self.finish_without_server(generation, course)
-            return
-        attempt = self.new_attempt(generation, course, server)
-        guess = self.router.guess(server, course.prompt)
-        course.start_attempt(server)
-        end = await self.stream(attempt)
-        note_end(attempt, end)
-        self.conclude(attempt, course, guess, end)
-
-    async def stream(self, attempt: Attempt) -> AttemptEnd:
-        """Run an attempt where the mover can find it."""
-        request_id = attempt.generation.request_id
-        self.mover.running[request_id] = attempt
-        self.mover.check()
-        try:
-            return await attempt.run()
-        finally:
-            del self.mover.running[request_id]
-
-    async def choose_server(
-        self, generation: Generation, course: Course
-    ) -> BackendServer | None:
-        """Choose a server, waiting for one within a bound; None where none comes."""
-        seen = self.servers.revision
-        with trio.move_on_after(NO_SERVER_WAIT_S):
-            while True:
-                excluded = course.still_excluded()
-                choice = self.router.choose(generation, course.prompt, excluded)
-                if choice is not None:
-                    return choice.server
-                next_try_s = min(excluded.values(), default=float("inf"))
-                with trio.move_on_at(next_try_s):
-                    seen = await self.servers.wait_changed(seen)
-        return None
-
-    def new_attempt(
-        self, generation: Generation, course: Course, server: BackendServer
-    ) -> Attempt:
-        """Return the next attempt and count what it computes again."""
-        service = self.router.service(generation.service)
-        load = self.loads.of(server)
-        step_time_ms = service.step_time_ms if service else 1.0
-        if load.report is not None:
-            step_time_ms = max(step_time_ms, load.report.step_time_ms)
-        tokens = self.router.sizes.tokens(generation.service, course.prompt.chars)
-        # Accepted work that lost its server goes before new work, which makes room
-        # for it by pausing and not by refusing.
-        priority = generation.request.priority
-        if course.was_sent:
-            priority = min(priority, RECOVERED_PRIORITY)
-            self.count_recomputed(generation, course, tokens)
-        generation.attempts += 1
-        return Attempt(
-            generation,
-            server,
-            load,
+    def parts(self) -> RelayParts:
+        """Return what the runs share."""
+        return RelayParts(
+            self.servers,
+            self.health,
+            self.loads,
             self.engines,
-            step_time_ms / 1000,
-            tokens,
-            priority,
-            course.restart,
+            self.router,
+            self.mover,
+            self.nursery,
         )
-
-    def count_recomputed(
-        self, generation: Generation, course: Course, prompt_tokens: float
-    ) -> None:
-        """Count the tokens that the next attempt computes again."""
-        if course.joins:
-            return
-        again = len(generation.tokens)
-        if course.moved_tokens >= 0:
-            again -= course.moved_tokens
-        else:
-            again += round(prompt_tokens)
-        generation.recomputed_tokens += again
-
-    def conclude(
-        self, attempt: Attempt, course: Course, guess: Guess, end: AttemptEnd
-    ) -> None:
-        """Decide what follows from how an attempt ended."""
-        generation, server = attempt.generation, attempt.server
-        course.note_progress(len(generation.tokens))
-        course.was_sent |= may_have_run(end)
-        course.in_flight = False
-        match end:
-            case Finished():
-                self.note_finished(attempt, course, guess, end)
-            case Refused(status=status) if status in CALLERS_FAULTS:
-                self.finish_refused(generation, status)
-            case Refused(leaving=True):
-                self.servers.mark_leaving(server.instance, 0.0, "server")
-                course.exclude(server)
-            case Refused():
-                course.exclude(server)
-            case Silent(resume_here=True) | Crossed():
-                if not course.resume_here(server):
-                    self.health.note_failure(server.instance)
-            case Moved(target=target, emitted=moved):
-                course.next_server, course.moved_tokens = target, moved
-                self.cancel_at(server, generation)
-            case Leave(restart=restart):
-                course.restart = restart
-                course.exclude(server)
-                self.cancel_at(server, generation)
-            case _:
-                self.health.note_failure(server.instance)
-                course.exclude(server)
-                self.cancel_at(server, generation)
-
-    def cancel_at(self, server: BackendServer, generation: Generation) -> None:
-        """Free the slot of an abandoned attempt; nobody waits for the answer."""
-        self.nursery.start_soon(self.engines.cancel, server, generation.request_id)
-
-    def note_finished(
-        self, attempt: Attempt, course: Course, guess: Guess, end: Finished
-    ) -> None:
-        """End a generation whose answer is whole, and learn from the report."""
-        generation, server = attempt.generation, attempt.server
-        self.health.note_success(server.instance)
-        generation.prompt_tokens = end.prompt_tokens
-        generation.cached_tokens = end.cached_tokens
-        prompt, prefixes = course.prompt, attempt.load.prefixes
-        self.router.sizes.learn(generation.service, prompt.chars, end.prompt_tokens)
-        if end.prompt_tokens and generation.attempts == 1:
-            share = end.cached_tokens / end.prompt_tokens
-            prefixes.confirm(prompt.blocks, guess, share)
-        prefixes.note_sent(prompt.blocks, trio.current_time())
-        generation.finish(Answered(200, [], b""))
-
-    def finish_refused(self, generation: Generation, status: int) -> None:
-        """End a generation that no server will take."""
-        detail = f"the engine refused the request with status {status}"
-        if generation.tokens:
-            generation.finish(Unknown(Reason.SERVER_FAILED, detail))
-        else:
-            generation.finish(NotRun(Reason.BAD_REQUEST, 0.0, detail))
-
-    def finish_without_server(self, generation: Generation, course: Course) -> None:
-        """End a generation for which no server came."""
-        detail = f"no server of this service was live for {NO_SERVER_WAIT_S:.0f} s"
-        if course.was_sent:
-            generation.finish(Unknown(Reason.NO_SERVER, detail))
-        else:
-            generation.finish(NotRun(Reason.NO_SERVER, NO_SERVER_RETRY_S, detail))
-
-    def time_out(self, generation: Generation, course: Course) -> None:
-        """End a generation whose deadline has passed."""
-        detail = "the deadline of the request has passed"
-        if course.in_flight:
-            self.cancel_at(course.server, generation)
-        if course.in_flight or course.was_sent:
-            generation.finish(Unknown(Reason.TIMED_OUT, detail))
-        else:
-            generation.finish(NotRun(Reason.TIMED_OUT, 1.0, detail))
