Test leases under pauses, lost answers, outages and restored backups

A lease given up for a higher fencing number came back when the holder read its own record again (test_store_restored_from_a_backup: number 3 instead of 8); its earlier writes no longer count. Near its end a holder renewed in ever shorter steps without end in an outage; the pause has a floor now.

With lease_margin off, test_renewal_that_is_read_back_late sees two holders at once.

--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -32,6 +32,7 @@
 MARGIN_S = 1.5
 RENEW_S = 3.0
 POLL_S = 3.0
+RETRY_S = 0.5
 CANDIDATES = 3
 RELEASE_TRIES = 2
 
@@ -174,6 +175,8 @@
         self.highest = max(self.highest, fencing)
         if fencing > self.fencing and self.is_held():
             self.until_s = float("-inf")
+            # No write under the old number may count any more.
+            self.sent_s.clear()
             log.warning(f"{self.name} given up: number {fencing} was seen")
 
     # Its task.
@@ -188,10 +191,11 @@
     def pause_s(self) -> float:
         """Return how long to wait before the next step, in seconds."""
         if self.is_held():
-            return min(RENEW_S, self.left_s() / 3) * self.rng.uniform(0.8, 1.0)
+            pause_s = min(RENEW_S, self.left_s() / 3) * self.rng.uniform(0.8, 1.0)
+            return max(pause_s, RETRY_S)
         pause_s = POLL_S * self.rng.uniform(0.8, 1.2)
         free_s = self.seen_s + self.lasts_s() - trio.current_time()
-        return min(pause_s, free_s) if free_s > 0 else pause_s
+        return max(min(pause_s, free_s), RETRY_S) if free_s > 0 else pause_s
 
     async def step(self) -> None:
         """Renew the lease while it is held, take it when it is free, or look."""
@@ -276,10 +280,9 @@
     async def take(self) -> None:
         """Take the lease over under the next fencing number."""
         last = self.record
-        self.highest += 1
         record = LeaseRecord(
             self.holder,
-            self.highest,
+            self.highest + 1,
             "",
             self.duration_s,
             () if last is None else last.leaving,
--- /dev/null
+++ b/tests/process/test_leases.py
@@ -0,0 +1,293 @@
+"""Tests of leases: several candidates over the real platform stand-in."""
+
+import random
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from rosemaryknot.connection.memory_network import MemoryNetwork
+from rosemaryknot.connection.platform import PlatformClient
+from rosemaryknot.process.leases import DURATION_S, KIND, Lease, lease_candidates
+from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.replay.hosts import Host, HostInstrument
+from rosemaryknot.standin.platform import PlatformStandIn
+from rosemaryknot.values.nodes import Address, Node
+
+PLATFORM = Address("10.0.0.9", 7000)
+NAME = "placement-kit-assistant"
+TAKE_OVER_S = DURATION_S + 4.0
+
+
+class Region:
+    """A platform and processes that want one lease, each on its own host."""
+
+    def __init__(self, count, safeguards):
+        self.network = MemoryNetwork()
+        self.platform = PlatformStandIn()
+        self.hosts = [
+            Host(self.network.with_host(f"10.0.0.{1 + index}"))
+            for index in range(count)
+        ]
+        self.clients = [PlatformClient(h.network, PLATFORM) for h in self.hosts]
+        self.leases = [
+            Lease(client, NAME, f"n{i}/1", lambda: True, random.Random(i), safeguards)
+            for i, client in enumerate(self.clients)
+        ]
+        self.most_holders = 0
+        self.numbers = []
+
+    def start(self, nursery):
+        """Run all leases, and note at each moment who believes to hold it."""
+        for host, lease in zip(self.hosts, self.leases, strict=True):
+            nursery.start_soon(host.run, lease.run)
+        nursery.start_soon(self.note)
+
+    async def note(self):
+        while True:
+            self.look()
+            await trio.sleep(0.05)
+
+    def look(self):
+        holders = [lease for lease in self.leases if lease.is_held()]
+        self.most_holders = max(self.most_holders, len(holders))
+        for lease in holders:
+            if not self.numbers or self.numbers[-1] != lease.fencing:
+                self.numbers.append(lease.fencing)
+
+    async def holder(self):
+        while not any(lease.is_held() for lease in self.leases):
+            await trio.sleep(0.05)
+        return next(i for i, lease in enumerate(self.leases) if lease.is_held())
+
+
+def run_region(story, count=3, **safeguards):
+    """Run an async function of a region and a nursery in virtual time."""
+    results = []
+
+    async def main():
+        region = Region(count, Safeguards(**safeguards))
+        async with trio.open_nursery() as nursery:
+            network = region.network.with_host(PLATFORM.host)
+            await nursery.start(region.platform.serve, network, PLATFORM)
+            try:
+                with trio.fail_after(600.0):
+                    results.append(await story(region, nursery))
+            finally:
+                for host in region.hosts:
+                    host.dispose()
+                for client in region.clients:
+                    await client.aclose()
+                nursery.cancel_scope.cancel()
+
+    clock = MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock, instruments=[HostInstrument()])
+    return results[0]
+
+
+class TestLease:
+    def test_race_for_a_free_lease(self):
+        """Five processes find the lease free at the same moment: one gets it."""
+
+        async def story(region, nursery):
+            for wait_s in (DURATION_S, 1.0):
+                async with trio.open_nursery() as steps:
+                    for lease in region.leases:
+                        steps.start_soon(lease.step)
+                await trio.sleep(wait_s)
+                region.look()
+            return region.numbers, region.most_holders
+
+        assert run_region(story, count=5) == ([1], 1)
+
+    def test_renewed_for_long(self):
+        """Nothing fails: one holder, one number, and few calls by all together."""
+
+        async def story(region, nursery):
+            region.start(nursery)
+            await region.holder()
+            before = region.platform.calls.copy()
+            await trio.sleep(300.0)
+            calls = region.platform.calls - before
+            return region.numbers, region.most_holders, calls
+
+        numbers, most, calls = run_region(story)
+        assert (numbers, most) == ([1], 1)
+        assert calls["write"] <= 300 / 2.4
+        assert calls["read"] <= 2 * 300 / 2.4
+
+    def test_holder_paused_across_its_lapse(self):
+        """The holder stands still for a minute and knows nothing of it.
+
+        Another takes the lease over. The first must find its own lapsed at its very
+        first look after the pause, before it has read anything.
+        """
+
+        async def story(region, nursery):
+            region.start(nursery)
+            paused = await region.holder()
+            region.hosts[paused].freeze()
+            await trio.sleep(60.0)
+            taken = [i for i, lease in enumerate(region.leases) if lease.is_held()]
+            region.hosts[paused].thaw()
+            still_held = region.leases[paused].is_held()
+            await trio.sleep(30.0)
+            return paused, taken, still_held, region.numbers, region.most_holders
+
+        paused, taken, still_held, numbers, most = run_region(story)
+        assert len(taken) == 1 and taken != [paused] and not still_held
+        assert (numbers, most) == ([1, 2], 1)
+
+    def test_outage_while_holding(self):
+        """The store is out for a minute, silent or refusing.
+
+        The lease lapses by the holder's own clock, nobody else can take it, and
+        after the outage one process has it under a higher number.
+        """
+
+        async def story(region, nursery, outage):
+            region.start(nursery)
+            await region.holder()
+            region.platform.faults.outage = outage
+            await trio.sleep(DURATION_S)
+            held = [lease.is_held() for lease in region.leases]
+            await trio.sleep(50.0)
+            region.platform.faults.outage = ""
+            await region.holder()
+            await trio.sleep(30.0)
+            return any(held), region.numbers, region.most_holders
+
+        for outage in ("refuse", "silent"):
+
+            async def outage_story(region, nursery, outage=outage):
+                return await story(region, nursery, outage)
+
+            assert run_region(outage_story) == (False, [1, 2], 1)
+
+    def test_answer_of_the_renewal_lost(self):
+        """The store renews the lease, and the answer is lost on the way.
+
+        The holder reads its own write back and goes on under the same number;
+        taken for a failure, it would lose the lease to its own renewal.
+        """
+
+        async def story(region, nursery):
+            region.start(nursery)
+            holder = await region.holder()
+            for _ in range(10):
+                region.platform.faults.lose_answers = 1
+                await trio.sleep(4.0)
+                assert region.platform.faults.lose_answers == 0
+                assert region.leases[holder].is_held()
+            return region.numbers, region.most_holders
+
+        assert run_region(story) == ([1], 1)
+
+    @pytest.mark.parametrize("lease_margin", [True, False])
+    def test_renewal_that_is_read_back_late(self, lease_margin):
+        """A renewal takes effect, its answer is lost, and the store out of reach.
+
+        Ten seconds later the holder reads its own record. A candidate saw the
+        renewal when it was written and takes over now. A holder that counts from
+        when it learns of its renewal goes on beside the new one.
+        """
+
+        async def story(region, nursery):
+            one, other = region.leases
+            address = region.hosts[0].network.host
+            await one.step()
+            await trio.sleep(DURATION_S)
+            await one.step()
+            region.network.delays_s[frozenset((address, PLATFORM.host))] = 0.3
+            region.platform.faults.lose_answers = 1
+            await trio.sleep(3.0)
+            async with trio.open_nursery() as steps:
+                steps.start_soon(one.step)
+                while region.platform.faults.lose_answers:
+                    await trio.sleep(0.01)
+                region.network.cut(address, PLATFORM.host)
+            region.network.heal(address, PLATFORM.host)
+            region.network.delays_s.clear()
+            await trio.sleep(0.5)
+            await other.step()
+            await trio.sleep(DURATION_S)
+            region.look()
+            await one.look()
+            await other.step()
+            region.look()
+            return region.most_holders
+
+        holders = run_region(story, count=2, lease_margin=lease_margin)
+        assert holders == (1 if lease_margin else 2)
+
+    def test_renewals_that_land_late(self):
+        """Writes take effect twelve seconds after they were sent.
+
+        Each lands on a lease that may have passed on, where its condition fails.
+        """
+
+        async def story(region, nursery):
+            region.start(nursery)
+            await region.holder()
+            region.platform.faults.late_effect_s = 12.0
+            await trio.sleep(120.0)
+            region.platform.faults.late_effect_s = 0.0
+            await region.holder()
+            await trio.sleep(30.0)
+            return region.numbers, region.most_holders
+
+        numbers, most = run_region(story)
+        assert most == 1
+        assert numbers == sorted(set(numbers)) and len(numbers) >= 2
+
+    def test_planned_stop(self):
+        """The holder stops: the next one need not wait for the lease to lapse."""
+
+        async def story(region, nursery):
+            region.start(nursery)
+            first = await region.holder()
+            await region.leases[first].release()
+            begin_s = trio.current_time()
+            second = await region.holder()
+            took_s = trio.current_time() - begin_s
+            return took_s, region.leases[second].is_clean, region.numbers
+
+        took_s, is_clean, numbers = run_region(story)
+        assert took_s < 4.0 and is_clean and numbers == [1, 2]
+
+    def test_store_restored_from_a_backup(self):
+        """The store comes back with a record of long ago, or without one.
+
+        Its number is lower than what backend servers have seen. The holder learns
+        of it from them, and the next number is above all that were used.
+        """
+
+        async def story(region, nursery):
+            region.start(nursery)
+            first = await region.holder()
+            await region.leases[first].release()
+            await trio.sleep(DURATION_S)
+            holder = await region.holder()
+            region.platform.rollback(KIND, NAME, 1)
+            await trio.sleep(2 * TAKE_OVER_S)
+            holder = await region.holder()
+            region.leases[holder].note_fencing(7)
+            assert not region.leases[holder].is_held()
+            await trio.sleep(TAKE_OVER_S)
+            return region.numbers, region.most_holders
+
+        numbers, most = run_region(story)
+        assert most == 1
+        assert numbers == sorted(set(numbers)) and numbers[-1] == 8
+
+
+class TestCandidates:
+    def test_zones_and_stability(self):
+        """Candidates lie in different zones, and a node's end moves only its own."""
+        zones = ("a", "b", "c")
+        nodes = [Node(f"n{i}", zones[i % 3], 1) for i in range(63)]
+        chosen = lease_candidates(nodes, NAME)
+        assert {node.zone for node in chosen} == set(zones)
+        rest = [node for node in nodes if node != chosen[0]]
+        assert set(chosen[1:]) <= set(lease_candidates(rest, NAME))
+        assert len(lease_candidates(nodes[::3], NAME)) == 3
