--- a/tests/process/test_leases.py
+++ b/tests/process/test_leases.py
@@ -34,15 +34,26 @@
             Lease(client, NAME, f"n{i}/1", lambda: True, random.Random(i), safeguards)
             for i, client in enumerate(self.clients)
         ]
+        self.spawned = [trio.open_memory_channel(10) for _ in range(count)]
         self.most_holders = 0
         self.numbers = []
 
     def start(self, nursery):
         """Run all leases, and note at each moment who believes to hold it."""
-        for host, lease in zip(self.hosts, self.leases, strict=True):
-            nursery.start_soon(host.run, lease.run)
+        for index, host in enumerate(self.hosts):
+            nursery.start_soon(host.run, self.run_process, index)
+            self.spawn(index, self.leases[index].run)
         nursery.start_soon(self.note)
 
+    async def run_process(self, index):
+        """Run what is spawned on a host, each in a task of that host."""
+        async with trio.open_nursery() as nursery:
+            async for function, args in self.spawned[index][1]:
+                nursery.start_soon(function, *args)
+
+    def spawn(self, index, function, *args):
+        self.spawned[index][0].send_nowait((function, args))
+
     async def note(self):
         while True:
             self.look()
