Split the parts of standby copies, and drop copies at standbys given up

A standby that was cut off kept its copy and would take over, when the relay died, a request that had ended or had another standby (test_given_up_standby_drops_its_copy fails without the drop). Adoption and finding move to modules of their own.

--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -22,6 +22,7 @@
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.process.settings import Settings
 from rosemaryknot.request.admission import Admission, AdmissionLimits
+from rosemaryknot.request.adoption import Adopter
 from rosemaryknot.request.at_most_once import AtMostOnce, ClaimPolicy
 from rosemaryknot.request.budget import EntryBudgets
 from rosemaryknot.request.generation_table import GenerationTable
@@ -87,6 +88,8 @@
         What they may use of the engines, and whose turn it is.
     standby : StandbyCopies
         Copies of accepted model requests.
+    adopter : Adopter
+        Goes on with requests of other entries.
     drain : Drain
         What is in flight.
     stop_deadline_unix_s : float
@@ -142,11 +145,12 @@
             self.relay,
             self.link,
             self.holder,
-            self.drain,
-            self.handlers,
             str(settings.listen.callers),
             safeguards is None or safeguards.standby_copy,
         )
+        self.adopter = Adopter(
+            self.relay, self.standby, self.drain, nursery, self.handlers
+        )
         self.share = ModelShare(self.budgets, self.relay.router, self.drain)
         register_pickup_handlers(self.handlers, self.relay.table)
         self.plain_client = PlainClient(network)
--- a/src/rosemaryknot/process/standby.py
+++ b/src/rosemaryknot/process/standby.py
@@ -16,8 +16,9 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter, gauge
 from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.standby_finder import StandbyFinder
 from rosemaryknot.process.standby_table import HeldCopy, StandbyTable
-from rosemaryknot.values.messages import Message, encode_message
+from rosemaryknot.values.messages import encode_message
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.standby import (
     AdoptGeneration,
@@ -25,13 +26,9 @@
     StandbyAck,
     StandbyBatch,
     StandbyCopy,
-    StandbyFind,
-    StandbyFound,
     StandbyProbe,
     StandbyProbed,
-    StandbyRead,
     StandbyTaken,
-    StandbyText,
     StandbyUpdate,
     are_tokens,
     read_inner,
@@ -44,9 +41,6 @@
 TAKE_TIMEOUT_S = 0.8
 BATCH_TIMEOUT_S = 0.5
 ADOPT_TIMEOUT_S = 0.5
-ENTRY_FIND_TIMEOUT_S = 0.4
-FIND_TIMEOUT_S = 0.8
-READ_MARGIN_S = 1.0
 PROBE_TIMEOUT_S = 0.8
 # Entries speak at least each second: two that are missing are worth a question.
 SILENT_S = 2.0
@@ -55,7 +49,6 @@
 ENTRY_SILENT_S = 3.0
 DIAL_TIMEOUT_S = 1.0
 WATCH_S = 0.25
-MAX_READ_TOKENS = 512
 
 log = logger("standby")
 held_gauge = gauge("standby_copies", "Copies of other nodes' model requests.")
@@ -89,6 +82,8 @@
     ----------
     table : StandbyTable
         Copies of requests that other nodes relay.
+    finder : StandbyFinder
+        Finds requests for pick-ups.
     is_stopping : bool
         Whether this node stops: it keeps no copies and takes nothing over.
     """
@@ -104,14 +99,13 @@
         self.is_leaving = is_leaving
         self.rng = rng
         self.table = StandbyTable()
+        self.finder = StandbyFinder(peers, handlers, self.table)
         self.is_stopping = False
         self.started_s = trio.current_time()
         self.taking: set[tuple[str, int]] = set()
         handlers.on(StandbyCopy)(self.handle_copy)
         handlers.on(StandbyBatch)(self.handle_batch)
         handlers.on(StandbyProbe)(self.handle_probe)
-        handlers.on(StandbyFind)(self.handle_find)
-        handlers.on(StandbyRead)(self.handle_read)
 
     # Placing a copy
 
@@ -297,75 +291,6 @@
         takeovers.add(result="failed")
         return False
 
-    # Pick-up
-
-    async def handle_find(self, asked: StandbyFind, link: MessageLink) -> StandbyFound:
-        """Tell where a request is: everywhere for our entry, here for a peer."""
-        if link.hello.role != "entry":
-            return await self.find_here(asked, None)
-        found = await self.find_here(asked, link)
-        if found.node and not found.is_copy:
-            return found
-        return await self.find_elsewhere(asked, found)
-
-    async def find_here(
-        self, asked: StandbyFind, asker: MessageLink | None
-    ) -> StandbyFound:
-        """Look for a request at our entries and among the copies."""
-        name = self.peers.node.name
-        for link in list(self.peers.entries):
-            if link is not asker:
-                answer = await link.call(asked, ENTRY_FIND_TIMEOUT_S)
-                if isinstance(answer, StandbyFound) and answer.node:
-                    return replace(answer, node=name)
-        held = self.table.get(asked.customer, asked.request)
-        if held is None:
-            return StandbyFound()
-        held.is_wanted = True
-        return StandbyFound(name, not held.outcome, held.copy.service)
-
-    async def find_elsewhere(
-        self, asked: StandbyFind, found: StandbyFound
-    ) -> StandbyFound:
-        """Ask all nodes at once; the first that works on the request decides."""
-        async with trio.open_nursery() as nursery:
-
-            async def ask(name: str) -> None:
-                nonlocal found
-                answer = await self.peers.call(name, asked, FIND_TIMEOUT_S)
-                if not isinstance(answer, StandbyFound):
-                    found = replace(found, unreached=found.unreached + 1)
-                elif answer.node:
-                    found = replace(answer, unreached=found.unreached)
-                    if not answer.is_copy:
-                        nursery.cancel_scope.cancel()
-
-            for node in self.peers.nodes():
-                nursery.start_soon(ask, node.name)
-        gone = len(self.peers.suspected())
-        return replace(found, unreached=found.unreached + gone)
-
-    async def handle_read(
-        self, asked: StandbyRead, link: MessageLink
-    ) -> Message | None:
-        """Return text of a request, from here or from the node that holds it."""
-        if asked.node == self.peers.node.name:
-            return await self.read_here(asked)
-        timeout_s = asked.wait_s + READ_MARGIN_S
-        answer = await self.peers.call(asked.node, asked, timeout_s)
-        return answer if isinstance(answer, StandbyText) else None
-
-    async def read_here(self, asked: StandbyRead) -> StandbyText:
-        """Return text that our entries or the ended copies hold."""
-        for link in list(self.peers.entries):
-            answer = await link.call(asked, asked.wait_s + ENTRY_FIND_TIMEOUT_S)
-            if isinstance(answer, StandbyText) and answer.is_found:
-                return answer
-        held = self.table.get(asked.customer, asked.request)
-        if held is None or not held.outcome:
-            return StandbyText()
-        return text_of(held, asked.offset)
-
 
 def is_due(held: HeldCopy) -> bool:
     """Tell whether a copy of a silent relay is to be taken over without a proof.
@@ -373,19 +298,3 @@
     A pick-up shows that its caller has lost the relay too.
     """
     return held.is_wanted or trio.current_time() - held.heard_s > UNPROVEN_S
-
-
-def text_of(held: HeldCopy, offset: int) -> StandbyText:
-    """Return the text of an ended copy from an offset, bounded."""
-    tokens = held.copy.tokens
-    part = tokens[offset : offset + MAX_READ_TOKENS]
-    is_last = offset + len(part) >= len(tokens)
-    return StandbyText(
-        True,
-        held.copy.lineage,
-        part,
-        len(tokens),
-        held.outcome if is_last else "",
-        held.reason,
-        held.detail,
-    )
--- /dev/null
+++ b/src/rosemaryknot/request/adoption.py
@@ -0,0 +1,103 @@
+"""Goes on with requests that other entries accepted and relayed."""
+
+import json
+
+import trio
+
+from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.process.drain import Drain
+from rosemaryknot.request.generations import Generation
+from rosemaryknot.request.relay import ModelRelay
+from rosemaryknot.request.standby import Copied, StandbyCopies
+from rosemaryknot.values.outcomes import NotRun, Running
+from rosemaryknot.values.requests import ModelRequest
+from rosemaryknot.values.standby import (
+    AdoptGeneration,
+    GenerationAdopted,
+    StandbyCopy,
+    read_inner,
+)
+
+__all__ = ["Adopter"]
+
+
+class Adopter:
+    """Takes requests over from entries that leave or are gone.
+
+    Parameters
+    ----------
+    relay : ModelRelay
+        Runs generations.
+    copies : StandbyCopies
+        Copies to a standby what is taken over.
+    drain : Drain
+        Counts what is taken over as in flight.
+    nursery : trio.Nursery
+        Lives as long as the process.
+    handlers : Handlers
+        Handlers of the agent's link.
+    """
+
+    def __init__(
+        self,
+        relay: ModelRelay,
+        copies: StandbyCopies,
+        drain: Drain,
+        nursery: trio.Nursery,
+        handlers: Handlers,
+    ) -> None:
+        self.relay = relay
+        self.copies = copies
+        self.drain = drain
+        self.nursery = nursery
+        handlers.on(AdoptGeneration)(self.handle_adopt)
+
+    async def handle_adopt(
+        self, order: AdoptGeneration, link: MessageLink
+    ) -> GenerationAdopted:
+        """Go on with a request that another entry relayed."""
+        copy = read_inner(order.copy, StandbyCopy)
+        if copy is None or self.drain.is_stopping:
+            return GenerationAdopted(False)
+        known = self.relay.table.find(copy.customer, copy.request)
+        if known is not None:
+            return GenerationAdopted(not isinstance(known.outcome, Running))
+        request = request_of(copy)
+        if request is None:
+            return GenerationAdopted(False)
+        generation = self.relay.prepare(request, copy.lineage, copy.tokens)
+        if isinstance(generation, NotRun):
+            return GenerationAdopted(False)
+        generation.tell(f"standby: went on for {copy.relay}")
+        self.relay.begin(generation, is_resumed=True, server=copy.server)
+        self.nursery.start_soon(self.hold, generation)
+        if self.copies.is_on:
+            self.nursery.start_soon(self.copies.protect, Copied(generation))
+        return GenerationAdopted(True)
+
+    async def hold(self, generation: Generation) -> None:
+        """Count an adopted generation as in flight until it ends."""
+        with self.drain:
+            await generation.wait_finished()
+
+
+def request_of(copy: StandbyCopy) -> ModelRequest | None:
+    """Return the request of a copy, or None where its body is none."""
+    try:
+        body = json.loads(copy.body)
+        messages = body["messages"]
+    except (ValueError, TypeError, KeyError):
+        return None
+    now_s = trio.current_time()
+    return ModelRequest(
+        request_id=copy.request,
+        customer=copy.customer,
+        service=copy.service,
+        messages=messages,
+        max_tokens=copy.max_tokens,
+        stream=True,
+        priority=copy.priority,
+        arrived_s=now_s,
+        deadline_s=now_s + copy.left_s,
+        body=body,
+    )
--- a/src/rosemaryknot/request/standby.py
+++ b/src/rosemaryknot/request/standby.py
@@ -1,14 +1,13 @@
-"""Standby copies at the entry: sends copies and text, hands over, resumes others'."""
+"""Standby copies at the entry: sends copies and text, and hands over."""
 
 import json
+from collections import deque
 from dataclasses import dataclass, field
 
 import trio
 
-from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.configuration import ConfigurationHolder
-from rosemaryknot.process.drain import Drain
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import gauge
 from rosemaryknot.request.generations import Generation
@@ -18,14 +17,11 @@
 from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Running
 from rosemaryknot.values.requests import ModelRequest
 from rosemaryknot.values.standby import (
-    AdoptGeneration,
-    GenerationAdopted,
     StandbyAck,
     StandbyBatch,
     StandbyCopy,
     StandbyTaken,
     StandbyUpdate,
-    read_inner,
 )
 
 __all__ = ["StandbyCopies"]
@@ -37,6 +33,9 @@
 HEARTBEAT_S = 1.0
 RETRY_S = 1.0
 MAX_FAILURES = 2
+MAX_GIVEN_UP = 4096
+DROP_S = 2.0
+HANDED_OVER = "running"
 MAX_UPDATE_TOKENS = 512
 MAX_BATCH_TOKENS = 8192
 PICKUP_RETRY_S = 0.5
@@ -93,6 +92,25 @@
     heard_s: float = field(default=float("-inf"))
 
 
+@dataclass(slots=True)
+class GivenUp:
+    """A copy at a standby that stopped to answer, to be dropped there later.
+
+    Without it the standby would take over, when the relay dies, a request that
+    another standby goes on with or that has long ended.
+
+    Attributes
+    ----------
+    standby : str
+        Node that may still hold the copy.
+    copied : Copied
+        What was copied.
+    """
+
+    standby: str
+    copied: Copied
+
+
 class StandbyCopies:
     """The entry's part in standby copies; starts model requests as the relay does.
 
@@ -106,10 +124,6 @@
         Link to the agent, which places the copies.
     holder : ConfigurationHolder
         Tells from how many tokens on a request is copied.
-    drain : Drain
-        Counts what is taken over as in flight.
-    handlers : Handlers
-        Handlers of the agent's link.
     address : str
         Where this entry accepts callers.
     is_on : bool
@@ -127,8 +141,6 @@
         relay: ModelRelay,
         link: AgentLink,
         holder: ConfigurationHolder,
-        drain: Drain,
-        handlers: Handlers,
         address: str = "",
         is_on: bool = True,
     ) -> None:
@@ -136,17 +148,16 @@
         self.relay = relay
         self.link = link
         self.holder = holder
-        self.drain = drain
         self.address = address
         self.is_on = is_on
         self.copies: dict[CopyKey, Copied] = {}
         self.standbys: dict[str, StandbyState] = {}
-        self.nursery: trio.Nursery | None = None
-        handlers.on(AdoptGeneration)(self.handle_adopt)
+        self.given_up: deque[GivenUp] = deque(maxlen=MAX_GIVEN_UP)
 
     async def run(self) -> None:
         """Send batches until cancelled."""
-        async with trio.open_nursery() as self.nursery:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.run_drops)
             while True:
                 await trio.sleep(BATCH_S)
                 await self.send_batches()
@@ -314,6 +325,35 @@
         del self.standbys[standby]
         for copied in of_standby:
             copied.standby, copied.avoided, copied.tried_s = "", standby, 0.0
+            self.given_up.append(GivenUp(standby, copied))
+
+    async def run_drops(self) -> None:
+        """Let standbys that were given up drop their copies, until cancelled."""
+        while True:
+            await trio.sleep(DROP_S)
+            by_standby: dict[str, list[GivenUp]] = {}
+            for given_up in self.given_up:
+                by_standby.setdefault(given_up.standby, []).append(given_up)
+            for standby, of_standby in by_standby.items():
+                if await self.drop(standby, of_standby):
+                    left = [g for g in self.given_up if g not in of_standby]
+                    self.given_up = deque(left, MAX_GIVEN_UP)
+
+    async def drop(self, standby: str, of_standby: list[GivenUp]) -> bool:
+        """Let one standby drop copies; tell whether nothing is left to do."""
+        now_s = trio.current_time()
+        updates = [
+            StandbyUpdate(*g.copied.key, 0, outcome=HANDED_OVER)
+            for g in of_standby
+            if g.copied.standby != standby
+            and now_s < g.copied.generation.request.deadline_s
+        ]
+        if not updates:
+            return True
+        payloads = [encode_message(update) for update in updates]
+        batch = StandbyBatch(standby, self.node.name, self.node.incarnation, payloads)
+        answer = await self.link.call(batch, BATCH_TIMEOUT_S)
+        return isinstance(answer, StandbyAck) and answer.is_reached
 
     # Handing over
 
@@ -356,36 +396,6 @@
         generation.tell(f"standby: handed over to {answer.node}")
         self.relay.hand_over(generation, Running(PICKUP_RETRY_S))
 
-    # Going on for others
-
-    async def handle_adopt(
-        self, order: AdoptGeneration, link: MessageLink
-    ) -> GenerationAdopted:
-        """Go on with a request that another entry relayed."""
-        copy = read_inner(order.copy, StandbyCopy)
-        if copy is None or self.drain.is_stopping or self.nursery is None:
-            return GenerationAdopted(False)
-        known = self.relay.table.find(copy.customer, copy.request)
-        if known is not None:
-            return GenerationAdopted(not isinstance(known.outcome, Running))
-        request = request_of(copy)
-        if request is None:
-            return GenerationAdopted(False)
-        generation = self.relay.prepare(request, copy.lineage, copy.tokens)
-        if isinstance(generation, NotRun):
-            return GenerationAdopted(False)
-        generation.tell(f"standby: went on for {copy.relay}")
-        self.relay.begin(generation, is_resumed=True, server=copy.server)
-        self.nursery.start_soon(self.hold, generation)
-        if self.is_on:
-            self.nursery.start_soon(self.protect, Copied(generation))
-        return GenerationAdopted(True)
-
-    async def hold(self, generation: Generation) -> None:
-        """Count an adopted generation as in flight until it ends."""
-        with self.drain:
-            await generation.wait_finished()
-
 
 def add_outcome(update: StandbyUpdate, generation: Generation) -> None:
     """Add to an update how its generation ended, if it did."""
@@ -395,25 +405,3 @@
     update.outcome = type(outcome).__name__.lower()
     if not isinstance(outcome, Answered | Running):
         update.reason, update.detail = str(outcome.reason), outcome.detail
-
-
-def request_of(copy: StandbyCopy) -> ModelRequest | None:
-    """Return the request of a copy, or None where its body is none."""
-    try:
-        body = json.loads(copy.body)
-        messages = body["messages"]
-    except (ValueError, TypeError, KeyError):
-        return None
-    now_s = trio.current_time()
-    return ModelRequest(
-        request_id=copy.request,
-        customer=copy.customer,
-        service=copy.service,
-        messages=messages,
-        max_tokens=copy.max_tokens,
-        stream=True,
-        priority=copy.priority,
-        arrived_s=now_s,
-        deadline_s=now_s + copy.left_s,
-        body=body,
-    )
--- a/tests/request/test_standby.py
+++ b/tests/request/test_standby.py
@@ -7,6 +7,8 @@
 
 from rosemaryknot.connection.links import CallFailed, Handlers
 from rosemaryknot.process.drain import Drain
+from rosemaryknot.request.adoption import Adopter
+from rosemaryknot.request.generation_table import GenerationTable
 from rosemaryknot.request.pickup import RemoteFinder, RemoteGeneration
 from rosemaryknot.request.standby import StandbyCopies
 from rosemaryknot.values.messages import encode_message
@@ -22,6 +24,8 @@
     StandbyFound,
     StandbyTaken,
     StandbyText,
+    StandbyUpdate,
+    read_inner,
 )
 
 
@@ -72,8 +76,6 @@
         fleet.relay,
         link,
         fleet.relay.holder,
-        Drain(),
-        Handlers(),
     )
     nursery.start_soon(copies.run)
     await trio.sleep(0.01)
@@ -134,23 +136,42 @@
         order = AdoptGeneration(encode_message(link.of(StandbyCopy)[-1]))
         other_link = FakeLink(standby_copy=StandbyTaken("waco-c-1"), standby_batch=ack)
         other = StandbyCopies(
-            Node("waco-b-1", "waco-b", 8),
-            fleet.relay,
-            other_link,
-            fleet.relay.holder,
-            Drain(),
-            Handlers(),
+            Node("waco-b-1", "waco-b", 8), fleet.relay, other_link, fleet.relay.holder
         )
-        fleet.relay.table = type(fleet.relay.table)()
-        nursery.start_soon(other.run)
+        fleet.relay.table = GenerationTable()
         await trio.sleep(0.01)
-        assert (await other.handle_adopt(order, None)).accepted
+        adopter = Adopter(fleet.relay, other, Drain(), nursery, Handlers())
+        assert (await adopter.handle_adopt(order, None)).accepted
         adopted = fleet.relay.table.find("estimator-1", "r1")
         assert adopted.lineage == generation.lineage
         assert isinstance(await adopted.wait_finished(), Answered)
         assert adopted.tokens[: len(generation.tokens)] == generation.tokens
         assert fleet.recomputed() == 0
 
+    async def test_given_up_standby_drops_its_copy(self, nursery, autojump_clock):
+        """A standby is cut off for 4 s and the request is copied to another one.
+
+        Its old copy would be taken over when the relay dies, though the request has
+        another standby or has ended: it is told once it can be reached again.
+        """
+        back_s = trio.current_time() + 4.0
+
+        def place(copy):
+            return StandbyTaken("waco-c-1" if copy.avoided else "waco-b-1")
+
+        def take(batch):
+            is_cut = batch.standby == "waco-b-1" and trio.current_time() < back_s
+            return StandbyAck(is_reached=not is_cut)
+
+        link = FakeLink(standby_copy=place, standby_batch=take)
+        _, copies = await new_copies(nursery, link)
+        await copies.start(request(2000))
+        await trio.sleep(8.0)
+        batches = [b for b in link.of(StandbyBatch) if b.standby == "waco-b-1"]
+        update = read_inner(batches[-1].updates[0], StandbyUpdate)
+        assert update.outcome == "running"
+        assert not copies.given_up
+
     async def test_adopted_never_claims_not_run(self, nursery, autojump_clock):
         """An adopted request finds no server: it may have run at its old relay."""
         link = FakeLink()
@@ -159,7 +180,8 @@
         fleet.servers.mark_leaving("e0", 0.0, "notice")
         copy.request = "r8"
         order = AdoptGeneration(encode_message(copy))
-        assert (await copies.handle_adopt(order, None)).accepted
+        adopter = Adopter(fleet.relay, copies, Drain(), nursery, Handlers())
+        assert (await adopter.handle_adopt(order, None)).accepted
         adopted = fleet.relay.table.find("estimator-1", "r8")
         outcome = await adopted.wait_finished()
         assert type(outcome).__name__ == "Unknown"
