Run generated traces against stated outcomes and compare route policies

A trace is JSON lines; the file .outcomes beside it states system, faults and what must come of it in the scenario language.

The language has machine classes, prices, slots and cache of the engines, and shares of the first-token and between-token times. A run's backend servers carry price and times of start and end.

--- a/src/rosemaryknot/replay/main.py
+++ b/src/rosemaryknot/replay/main.py
@@ -3,6 +3,11 @@
 from rosemaryknot.process.command_line import VersionOption, new_application
 from rosemaryknot.replay.faults_command import run_faults
 from rosemaryknot.replay.run_command import run_files
+from rosemaryknot.replay.trace_command import (
+    compare_policies,
+    generate,
+    run_trace,
+)
 
 __all__ = ["app", "main"]
 
@@ -19,6 +24,9 @@
 
 
 app.command("run")(run_files)
+app.command("trace")(run_trace)
+app.command("compare")(compare_policies)
+app.command("generate")(generate)
 app.command("faults")(run_faults)
 
 
--- a/src/rosemaryknot/replay/run_command.py
+++ b/src/rosemaryknot/replay/run_command.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -37,7 +38,7 @@
         "seed": report.seed,
         "held": report.held,
         "outcomes": report.outcomes,
-        "recomputed_tokens": report.recomputed_tokens,
+        "figures": asdict(report.figures),
         "digest": report.digest,
         "decisions": report.decisions,
         "virtual_s": round(report.virtual_s, 3),
@@ -68,7 +69,7 @@
                 path.stem,
                 held,
                 failed,
-                report.recomputed_tokens,
+                report.figures.recomputed_tokens,
                 f"{report.took_s:.1f}",
                 report.digest,
             )
--- a/src/rosemaryknot/replay/scenario.py
+++ b/src/rosemaryknot/replay/scenario.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from rosemaryknot.standin.engine_settings import EngineSettings
+
 __all__ = [
     "KINDS",
     "SERVICES",
@@ -14,6 +16,7 @@
     "Step",
 ]
 
+STEP_S = 0.004
 SERVICES = {
     "kit-assistant": "model",
     "brief-writer": "model",
@@ -61,9 +64,9 @@
 }
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class ServerGroup:
-    """Backend servers that each zone starts with.
+    """Backend servers that a zone, or each zone, starts with.
 
     Attributes
     ----------
@@ -73,11 +76,25 @@
         Servers in each zone.
     form : str
         Form of at-most-once execution of a plain service: ``shards`` or ``objects``.
+    zone : str
+        The only zone; empty for each.
+    machine_class : str
+        Machine class.
+    reclaimable : bool
+        Whether the cloud may take them back.
     """
 
     service: str
     count: int
     form: str = "shards"
+    zone: str = ""
+    machine_class: str = "g1"
+    reclaimable: bool = True
+
+
+def new_engine() -> EngineSettings:
+    """Return what engines are like where a scenario says nothing of them."""
+    return EngineSettings(step_time_s=STEP_S)
 
 
 @dataclass(slots=True)
@@ -104,6 +121,13 @@
         After how long it is sent again without waiting for a reply; 0 to wait.
     declares : bool
         Whether it declares attempt numbers.
+    prefix : str
+        What the prompt begins with, by a name; empty for a prompt of its own.
+    prefix_words : int
+        Words of that beginning.
+    attempt : int
+        Number of this one send of a traced booking or alert; 0 where the caller
+        itself repeats.
     """
 
     customer: str
@@ -116,6 +140,9 @@
     timeout_s: float = 10.0
     repeat_s: float = 0.0
     declares: bool = True
+    prefix: str = ""
+    prefix_words: int = 0
+    attempt: int = 0
 
 
 @dataclass(slots=True)
@@ -179,8 +206,10 @@
         Availability zones.
     delay_s : float
         One-way delay between them, in seconds.
-    step_s : float
-        Step time of the engines, in seconds.
+    engine : EngineSettings
+        What the engines are like.
+    prices : dict of tuple of (str, str, bool) to float
+        Price of an hour by zone, machine class and reclaimable.
     nodes_per_zone : int
         Entry instances of each zone.
     servers : list of ServerGroup
@@ -195,7 +224,8 @@
     seed: int = 0
     zones: list[str] = field(default_factory=list)
     delay_s: float = 0.0005
-    step_s: float = 0.004
+    engine: EngineSettings = field(default_factory=new_engine)
+    prices: dict[tuple[str, str, bool], float] = field(default_factory=dict)
     nodes_per_zone: int = 1
     servers: list[ServerGroup] = field(default_factory=list)
     steps: list[Step] = field(default_factory=list)
--- a/src/rosemaryknot/replay/scenario_checks.py
+++ b/src/rosemaryknot/replay/scenario_checks.py
@@ -160,18 +160,30 @@
 
 
 @check("first_token")
-def first_token(run: "ScenarioRun", subject: Target, compare: str, bound: float) -> str:
-    """Check the time to the first token."""
+def first_token(
+    run: "ScenarioRun", subject: Target, percent: int, compare: str, bound: float
+) -> str:
+    """Check the time to the first token of a share of the requests."""
     records = records_of(run, subject)
     if not records:
         return f"{subject.name} was not sent"
-    return seen(
-        [
-            f"{r.request.name} took {r.first_token_s:.3f} s"
-            for r in records
-            if not COMPARES[compare](r.first_token_s, bound)
-        ]
-    )
+    wrong = [r for r in records if not COMPARES[compare](r.first_token_s, bound)]
+    if 100 * (len(records) - len(wrong)) >= percent * len(records):
+        return ""
+    return seen([f"{r.request.name} took {r.first_token_s:.3f} s" for r in wrong])
+
+
+@check("between_tokens")
+def between_tokens(
+    run: "ScenarioRun", subject: Target, percent: int, compare: str, bound: float
+) -> str:
+    """Check a share of the times between tokens, over all answers together."""
+    gaps_s = [gap for r in records_of(run, subject) for gap in r.gaps_s]
+    if not gaps_s:
+        return f"{subject.name} has no tokens"
+    right = sum(COMPARES[compare](gap, bound) for gap in gaps_s)
+    share_percent = 100 * right / len(gaps_s)
+    return "" if share_percent >= percent else f"{share_percent:.1f} percent are"
 
 
 @check("share")
--- a/src/rosemaryknot/replay/scenario_grammar.py
+++ b/src/rosemaryknot/replay/scenario_grammar.py
@@ -5,15 +5,21 @@
 GRAMMAR = r"""
 start: _NL? (_statement _NL)+
 
-_statement: title | seed | zones | engines | entries | servers
+_statement: title | seed | zones | engines | entries | servers | price
     | timed | repeated | by | expect
 
 title: "scenario" STRING
 seed: "seed" NUMBER
 zones: "zones" NAME+ ["delay" TIME]
-engines: "engines" "step" TIME
+engines: "engines" "step" TIME ["slots" NUMBER] ["cache" NUMBER "tokens"]
 entries: "entries" NUMBER "per" "zone"
-servers: "servers" NAME NUMBER "per" "zone" ["by" FORM]
+servers: "servers" NAME NUMBER (each_zone | in_zone) server_option*
+each_zone: "per" "zone"
+in_zone: "in" NAME
+server_option: "by" FORM -> by_form
+    | "of" "class" NAME -> of_class
+    | "on" "demand" -> on_demand
+price: "price" "of" "class" NAME "in" NAME "is" NUMBER [ON_DEMAND]
 
 timed: "at" TIME _step
 repeated: "from" TIME "to" TIME "every" TIME request
@@ -67,14 +73,16 @@
 one: NAME
 every: "every" KIND
 
-_measure: recomputed | runs | crossed | untrue | lost | first_token | share
-    | late_work | reverted
+_measure: recomputed | runs | crossed | untrue | lost | first_token | between_tokens
+    | share | late_work | reverted
 recomputed: "recomputed" "tokens" COMPARE NUMBER
 runs: "runs" "of" _subject COMPARE NUMBER
 crossed: "no" "answer" "is" "crossed"
 untrue: "no" "refused" KIND "ran"
 lost: "no" "accepted" "request" "is" "lost"
-first_token: "first" "token" "of" _subject COMPARE TIME
+first_token: "first" "token" "of" [share_of] _subject COMPARE TIME
+between_tokens: "between" "tokens" "of" share_of _subject COMPARE TIME
+share_of: NUMBER "percent" "of"
 share: "answered" "share" "of" _subject COMPARE NUMBER
 late_work: "no" "new" "work" "later" "than" TIME "after" "notice"
 reverted: "no" "configuration" "is" "taken" "back"
@@ -86,6 +94,7 @@
 FORM: "shards" | "objects"
 FAULT: "lose answers of" | "answer late" | "refuse" | "go silent before"
     | "go silent after"
+ON_DEMAND: "on demand"
 OUTAGE: "refusing" | "silent"
 COMPARE: "<=" | ">=" | "="
 TIME.2: /\d+(\.\d+)?(ms|s)/
@@ -106,6 +115,7 @@
     "care-brief, chat, alert, ping)",
     "NAME": "a name",
     "NUMBER": "a number",
+    "ON_DEMAND": "on demand",
     "OUTAGE": "refusing or silent",
     "PATH": "a path such as /rules/max_capacity_change_share",
     "RESULT": "a result (answered whole, answered, refused, unknown, accepted, "
--- a/src/rosemaryknot/replay/scenario_language.py
+++ b/src/rosemaryknot/replay/scenario_language.py
@@ -1,7 +1,7 @@
 """Reads scenarios: text to values, with errors that name the place."""
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -18,6 +18,7 @@
     Step,
 )
 from rosemaryknot.replay.scenario_grammar import DESCRIPTIONS, GRAMMAR
+from rosemaryknot.standin.prefix_cache import BLOCK_TOKENS
 
 __all__ = ["ScenarioError", "parse_scenario"]
 
@@ -126,21 +127,57 @@
         if delay is not None:
             self.scenario.delay_s = seconds(delay)
 
-    def engines(self, step: Token) -> None:
-        """Take the step time."""
-        self.scenario.step_s = seconds(step)
+    def engines(self, step: Token, slots: Token | None, cache: Token | None) -> None:
+        """Take what the engines are like."""
+        engine = self.scenario.engine
+        engine.step_time_s = seconds(step)
+        if slots is not None:
+            engine.slots = int(slots)
+        if cache is not None:
+            engine.cache_blocks = max(1, int(cache) // BLOCK_TOKENS)
 
     def entries(self, count: Token) -> None:
         """Take the number of nodes."""
         self.scenario.nodes_per_zone = int(count)
 
-    def servers(self, service: Token, count: Token, form: Token | None) -> None:
+    def servers(
+        self, service: Token, count: Token, zone: str, *options: tuple[str, Any]
+    ) -> None:
         """Take a group of backend servers."""
         if service not in SERVICES:
             raise wrong_value(service, f"a service ({', '.join(SERVICES)})")
-        group = ServerGroup(str(service), int(count), str(form or "shards"))
+        group = ServerGroup(str(service), int(count), zone=zone)
+        for field, value in options:
+            setattr(group, field, value)
         self.scenario.servers.append(group)
 
+    def each_zone(self) -> str:
+        """Return that servers are in each zone."""
+        return ""
+
+    def in_zone(self, zone: Token) -> Token:
+        """Return the zone of servers."""
+        return zone
+
+    def by_form(self, form: Token) -> tuple[str, Any]:
+        """Return the form of at-most-once execution."""
+        return "form", str(form)
+
+    def of_class(self, machine_class: Token) -> tuple[str, Any]:
+        """Return the machine class."""
+        return "machine_class", str(machine_class)
+
+    def on_demand(self) -> tuple[str, Any]:
+        """Return that the cloud takes nothing back."""
+        return "reclaimable", False
+
+    def price(
+        self, machine_class: Token, zone: Token, value: Token, on_demand: Token | None
+    ) -> None:
+        """Take a price of an hour."""
+        key = (str(zone), str(machine_class), on_demand is None)
+        self.scenario.prices[key] = float(value)
+
     # What happens
 
     def timed(self, at: Token, step: tuple[str, dict]) -> None:
@@ -344,12 +381,34 @@
         """Return that what was accepted is answered."""
         return stated("lost")
 
-    def first_token(self, subject: Target, compare: Token, bound: Token) -> Expectation:
+    def first_token(
+        self, percent: int | None, subject: Target, compare: Token, bound: Token
+    ) -> Expectation:
         """Return a bound on the time to the first token."""
         return stated(
-            "first_token", subject=subject, compare=str(compare), bound=seconds(bound)
+            "first_token",
+            subject=subject,
+            percent=percent or 100,
+            compare=str(compare),
+            bound=seconds(bound),
         )
 
+    def between_tokens(
+        self, percent: int, subject: Target, compare: Token, bound: Token
+    ) -> Expectation:
+        """Return a bound on the time between tokens."""
+        return stated(
+            "between_tokens",
+            subject=subject,
+            percent=percent,
+            compare=str(compare),
+            bound=seconds(bound),
+        )
+
+    def share_of(self, percent: Token) -> int:
+        """Return the share that a bound speaks of, in percent."""
+        return int(percent)
+
     def share(self, subject: Target, compare: Token, bound: Token) -> Expectation:
         """Return a bound on the share that is answered."""
         return stated(
@@ -387,13 +446,15 @@
 PARSER = Lark(GRAMMAR, parser="lalr", maybe_placeholders=True, propagate_positions=True)
 
 
-def parse_scenario(text: str) -> Scenario:
+def parse_scenario(text: str, traced: Sequence[Step] = ()) -> Scenario:
     """Read a scenario.
 
     Parameters
     ----------
     text : str
         Its text.
+    traced : sequence of Step
+        Requests of a trace, which happen besides.
 
     Returns
     -------
@@ -415,6 +476,7 @@
     except VisitError as error:
         raise error.orig_exc from None
     add_places(reader.scenario, tree, text)
+    reader.scenario.steps.extend(traced)
     check_whole(reader.scenario)
     check_names(reader.scenario)
     check_requests(reader.scenario)
@@ -446,6 +508,9 @@
 
 def tokens_of(scenario: Scenario) -> Iterator[tuple[str, Token]]:
     """Return the names that must be known, each with what it names."""
+    for group in scenario.servers:
+        if group.zone:
+            yield "zone", group.zone
     for step in scenario.steps:
         request = step.arguments.get("request")
         if request is not None and request.place:
@@ -493,8 +558,15 @@
             name = request.name
             service = KINDS[request.kind].service
             if service not in services:
-                raise wrong_value(request.kind, f"servers {service} in this scenario")
-        if name in names:
+                expected = f"servers {service} in this scenario"
+                raise ScenarioError(
+                    step.line,
+                    getattr(request.kind, "column", 1),
+                    f'"{request.kind}"',
+                    expected,
+                )
+        is_repeat = request is not None and request.attempt > 1
+        if name in names and not is_repeat:
             raise ScenarioError(step.line, 1, f'"{name}" again', "another name")
         if name is not None:
             names.add(name)
--- a/src/rosemaryknot/replay/scenario_requests.py
+++ b/src/rosemaryknot/replay/scenario_requests.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
 
 import httpx
 import trio
@@ -69,11 +70,14 @@
         What came back; an idempotent read has a `BookingNote` too.
     sent_s : float
         When it was first sent, in virtual seconds.
+    gaps_s : list of float
+        Times between the tokens of an answer, in seconds.
     """
 
     request: RequestStep
     note: ModelNote | BookingNote
     sent_s: float
+    gaps_s: list[float] = field(default_factory=list)
 
     @property
     def outcome(self) -> str:
@@ -97,6 +101,30 @@
         return self.note.first_token_s - self.sent_s
 
 
+class TimedCaller(Caller):
+    """A caller that notes the time between tokens."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.gaps_s: list[float] = []
+        self.token_s = 0.0
+
+    def take_token(self, note: ModelNote, event: dict) -> None:
+        """Note one token and when it came."""
+        super().take_token(note, event)
+        now_s = trio.current_time()
+        if self.token_s:
+            self.gaps_s.append(now_s - self.token_s)
+        self.token_s = now_s
+
+
+def prompt_of(request: RequestStep) -> str:
+    """Return a prompt of the request's length, its shared beginning first."""
+    shared = [f"{request.prefix}{n}" for n in range(request.prefix_words)]
+    own = ["oak"] * (request.words - request.prefix_words)
+    return " ".join([*shared, request.name, *own])
+
+
 class Requests:
     """All requests of a run.
 
@@ -134,25 +162,27 @@
             if place in ("", name, node.settings.zone)
         ]
 
-    def caller(self, request: RequestStep) -> Caller:
+    def caller(self, request: RequestStep) -> TimedCaller:
         """Return a caller with random numbers of its own."""
-        rng = random.Random(f"{self.seed} {request.name}")
+        rng = random.Random(f"{self.seed} {request.name} {request.attempt}")
         api_key = self.keys.by_customer[request.customer]
         near = self.entries(request.place)
-        return Caller(self.client, api_key, self.entries(""), rng, near)
+        return TimedCaller(self.client, api_key, self.entries(""), rng, near)
 
     async def send(self, request: RequestStep) -> None:
         """Send a request and note what comes of it."""
         kind = KINDS[request.kind]
         caller = self.caller(request)
         if kind.is_model:
-            words = " ".join(["oak"] * request.words)
-            note = ModelNote(f"{request.name} {words}", request.tokens)
-            self.add(request, note)
+            note = ModelNote(prompt_of(request), request.tokens)
+            self.add(request, note).gaps_s = caller.gaps_s
             await caller.ask(note, kind.service, PICKUP_TIME_S)
             return
-        note = BookingNote(request.name, kind.service, request.declares)
-        self.add(request, note)
+        note = self.plain_note(request)
+        if request.attempt and not kind.path:
+            plan = BookingPlan(True, 1, request.timeout_s)
+            await caller.send_booking(note, plan, request.attempt)
+            return
         if kind.path:
             await self.read(caller, note, request, kind.path)
             return
@@ -161,9 +191,21 @@
         )
         await caller.book(note, plan)
 
-    def add(self, request: RequestStep, note: ModelNote | BookingNote) -> None:
+    def plain_note(self, request: RequestStep) -> BookingNote:
+        """Return the note of a booking or alert; repeats of a trace share it."""
+        known = self.records.get(request.name)
+        if known is not None:
+            return known.note
+        service = KINDS[request.kind].service
+        note = BookingNote(request.name, service, request.declares)
+        self.add(request, note)
+        return note
+
+    def add(self, request: RequestStep, note: ModelNote | BookingNote) -> Record:
         """Open the record of a request."""
-        self.records[request.name] = Record(request, note, trio.current_time())
+        record = Record(request, note, trio.current_time())
+        self.records[request.name] = record
+        return record
 
     async def read(
         self, caller: Caller, note: BookingNote, request: RequestStep, path: str
--- a/src/rosemaryknot/replay/scenario_run.py
+++ b/src/rosemaryknot/replay/scenario_run.py
@@ -8,13 +8,14 @@
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.replay.figures import Figures, figures_of
 from rosemaryknot.replay.scenario import SERVICES, Expectation, Scenario, Step
 from rosemaryknot.replay.scenario_actions import ACTIONS
 from rosemaryknot.replay.scenario_checks import CHECKS
 from rosemaryknot.replay.scenario_requests import Keys, Requests
 from rosemaryknot.replay.system import System, SystemPlan
 from rosemaryknot.replay.virtual_time import DecisionLog, run_in_virtual_time
-from rosemaryknot.standin.ledger import recomputed_tokens
+from rosemaryknot.request.routes import DEFAULT_POLICY
 
 __all__ = ["ScenarioReport", "ScenarioRun", "run_scenario"]
 
@@ -59,8 +60,8 @@
         One for each stated outcome, in the order of the file.
     outcomes : dict of str to int
         Requests by result.
-    recomputed_tokens : int
-        By the engines' ledgers.
+    figures : Figures
+        What it cost and how fast it was.
     digest : str
         Of the decision log.
     decisions : int
@@ -73,7 +74,7 @@
     seed: int
     verdicts: list[Verdict] = field(default_factory=list)
     outcomes: dict[str, int] = field(default_factory=dict)
-    recomputed_tokens: int = 0
+    figures: Figures = field(default_factory=Figures)
     digest: str = ""
     decisions: int = 0
     virtual_s: float = 0.0
@@ -85,18 +86,19 @@
         return all(verdict.held for verdict in self.verdicts)
 
 
-def new_document(scenario: Scenario, keys: Keys) -> dict:
+def new_document(scenario: Scenario, keys: Keys, route_policy: str) -> dict:
     """Return the configuration that a scenario starts with."""
     services = {}
     for group in scenario.servers:
         if SERVICES[group.service] == "model":
             services[group.service] = {
                 "kind": "model",
-                "step_time_ms": scenario.step_s * 1000,
+                "step_time_ms": scenario.engine.step_time_s * 1000,
                 "max_tokens": 8192,
                 "timeout_s": 600,
                 "standby_min_tokens": 256,
                 "moves_kv": True,
+                "route_policy": route_policy,
             }
         else:
             services[group.service] = {
@@ -133,6 +135,8 @@
         What happens.
     safeguards : Safeguards, optional
         All on, but to show what one prevents.
+    route_policy : str
+        Route policy of the model services.
 
     Attributes
     ----------
@@ -157,9 +161,13 @@
     requests: Requests
 
     def __init__(
-        self, scenario: Scenario, safeguards: Safeguards | None = None
+        self,
+        scenario: Scenario,
+        safeguards: Safeguards | None = None,
+        route_policy: str = DEFAULT_POLICY,
     ) -> None:
         self.scenario = scenario
+        self.route_policy = route_policy
         self.safeguards = safeguards or Safeguards()
         steps = scenario.steps
         self.keys = Keys(
@@ -180,23 +188,34 @@
         """Return what the system starts with."""
         scenario = self.scenario
         plan = SystemPlan(
-            new_document(scenario, self.keys),
+            new_document(scenario, self.keys, self.route_policy),
             scenario.zones,
             scenario.nodes_per_zone,
-            servers={group.service: group.count for group in scenario.servers},
+            servers={},
             kinds=SERVICES,
             delay_s=scenario.delay_s,
             safeguards=self.safeguards,
             seed=scenario.seed,
         )
-        plan.engine.step_time_s = scenario.step_s
+        plan.engine = scenario.engine
         return plan
 
+    async def start_servers(self) -> None:
+        """Start the backend servers that the scenario begins with."""
+        for group in self.scenario.servers:
+            for zone in [group.zone] if group.zone else self.scenario.zones:
+                for _ in range(group.count):
+                    await self.system.start_server(
+                        group.service, zone, group.machine_class, group.reclaimable
+                    )
+
     async def run(self) -> None:
         """Run the system and all steps, and check the stated outcomes."""
         async with trio.open_nursery() as nursery:
             self.system = System(self.new_plan(), nursery)
+            self.system.platform.cloud.prices.update(self.scenario.prices)
             await self.system.start()
+            await self.start_servers()
             await trio.sleep(WARM_UP_S)
             self.start_s = trio.current_time()
             async with http_client(self.system.callers, None) as self.client:
@@ -271,12 +290,15 @@
         for record in self.requests.records.values():
             name = f"{record.request.kind} {record.outcome}"
             report.outcomes[name] = report.outcomes.get(name, 0) + 1
-        report.recomputed_tokens = recomputed_tokens(self.requests.generations())
+        report.figures = figures_of(self.requests, self.start_s)
         report.virtual_s = trio.current_time()
 
 
 def run_scenario(
-    scenario: Scenario, shown: bool = False, safeguards: Safeguards | None = None
+    scenario: Scenario,
+    shown: bool = False,
+    safeguards: Safeguards | None = None,
+    route_policy: str = DEFAULT_POLICY,
 ) -> ScenarioReport:
     """Run a scenario in virtual time.
 
@@ -288,6 +310,8 @@
         Whether the decision log is written to standard error.
     safeguards : Safeguards, optional
         By default all on.
+    route_policy : str
+        Route policy of the model services.
 
     Returns
     -------
@@ -295,7 +319,7 @@
         What came of it.
     """
     log = DecisionLog(shown)
-    run = ScenarioRun(scenario, safeguards)
+    run = ScenarioRun(scenario, safeguards, route_policy)
     start_s = time.monotonic()
     with log.recording():
         run_in_virtual_time(scenario.seed, run.run)
--- a/src/rosemaryknot/replay/system.py
+++ b/src/rosemaryknot/replay/system.py
@@ -5,6 +5,7 @@
 be frozen or killed while the entry of its node goes on.
 """
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -126,11 +127,16 @@
         Where it runs.
     standin : EngineStandIn or PlainStandIn
         Its stand-in, with the ledger.
+    started_s, ended_s : float
+        When it began to serve and was terminated, in virtual seconds; infinite
+        while it was not.
     """
 
     listed: BackendServer
     host: Host
     standin: EngineStandIn | PlainStandIn
+    started_s: float
+    ended_s: float = math.inf
 
 
 class System:
@@ -220,7 +226,11 @@
         return host
 
     async def start_server(
-        self, service: str, zone: str, machine_class: str = "g1"
+        self,
+        service: str,
+        zone: str,
+        machine_class: str = "g1",
+        reclaimable: bool = True,
     ) -> ServerProcess:
         """Start one backend server and let the platform list it."""
         self.starts += 1
@@ -229,8 +239,9 @@
             service=service,
             zone=zone,
             machine_class=machine_class,
-            reclaimable=True,
+            reclaimable=reclaimable,
             address="",
+            price_per_hour=self.platform.cloud.price(zone, machine_class, reclaimable),
         )
         listed.address = await self.launch(listed)
         self.platform.add_instance(listed)
@@ -250,7 +261,7 @@
             standin = EngineStandIn(self.plan.engine, unix_time)
         else:
             standin = PlainStandIn(self.plan.plain, unix_time)
-        process = ServerProcess(listed, host, standin)
+        process = ServerProcess(listed, host, standin, trio.current_time())
         await self.start_on(host, standin.serve, host.network, address)
         self.servers[listed.instance] = process
         return str(address)
@@ -373,6 +384,7 @@
         """Kill the process of a terminated instance."""
         if instance in self.servers:
             self.servers[instance].host.kill()
+            self.servers[instance].ended_s = trio.current_time()
         if instance in self.nodes:
             self.nodes[instance].entry.kill()
             self.nodes[instance].agent.kill()
--- a/src/rosemaryknot/request/routes.py
+++ b/src/rosemaryknot/request/routes.py
@@ -6,6 +6,8 @@
 from rosemaryknot.values.nodes import BackendServer
 
 __all__ = [
+    "DEFAULT_POLICY",
+    "POLICIES",
     "Candidate",
     "RequestFacts",
     "RouteChoice",
