--- a/src/rosemaryknot/process/limits/owner.py
+++ b/src/rosemaryknot/process/limits/owner.py
@@ -25,7 +25,7 @@
 
 __all__ = ["LimitOwner", "LimitSource", "Peers"]
 
-SETTLE_S = 4.0
+SETTLE_S = 5.0
 TICK_S = 0.5
 PAUSE_S = 2.0
 FORWARD_TIMEOUT_S = 0.2
