--- a/src/rosemaryknot/process/standby.py
+++ b/src/rosemaryknot/process/standby.py
@@ -99,7 +99,7 @@
         self.is_leaving = is_leaving
         self.rng = rng
         self.table = StandbyTable()
-        self.finder = StandbyFinder(peers, handlers, self.table)
+        self.finder = StandbyFinder(peers, handlers, self.table, is_leaving)
         self.is_stopping = False
         self.started_s = trio.current_time()
         self.taking: set[tuple[str, int]] = set()
--- a/src/rosemaryknot/process/standby_finder.py
+++ b/src/rosemaryknot/process/standby_finder.py
@@ -1,5 +1,6 @@
 """Finds accepted model requests for pick-ups, and reads their text."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import trio
@@ -34,11 +35,20 @@
         Handlers of the agent's links.
     table : StandbyTable
         Copies that this node holds.
+    is_leaving : callable
+        Tells of a node's name whether its instance is known to be leaving.
     """
 
-    def __init__(self, peers: PeerSet, handlers: Handlers, table: StandbyTable) -> None:
+    def __init__(
+        self,
+        peers: PeerSet,
+        handlers: Handlers,
+        table: StandbyTable,
+        is_leaving: Callable[[str], bool],
+    ) -> None:
         self.peers = peers
         self.table = table
+        self.is_leaving = is_leaving
         handlers.on(StandbyFind)(self.handle_find)
         handlers.on(StandbyRead)(self.handle_read)
 
@@ -85,8 +95,9 @@
 
             for node in self.peers.nodes():
                 nursery.start_soon(ask, node.name)
-        gone = len(self.peers.suspected())
-        return replace(found, unreached=found.unreached + gone)
+        # An instance that was taken back has handed over what it held.
+        silent = [n for n in self.peers.suspected() if not self.is_leaving(n)]
+        return replace(found, unreached=found.unreached + len(silent))
 
     async def handle_read(
         self, asked: StandbyRead, link: MessageLink
