Explain placement; give up instances that never come up

An instance without an address counted as starting for as long as its starter held the lease, and nobody released it. It is given up after two minutes. A node that no longer holds a lease shows no placement figures.

--- a/src/rosemaryknot/process/admin_status.py
+++ b/src/rosemaryknot/process/admin_status.py
@@ -72,7 +72,14 @@
 
 
 def placement_line(placed: dict[str, Any]) -> str:
-    """Return what is known of one service's placement for people."""
+    r"""Return what is known of one service's placement for people.
+
+    Examples
+    --------
+    >>> placed = {"service": "chat", "held_here": False, "holder": "waco-a-1/7"}
+    >>> placement_line(placed | {"fencing": 3, "pending": [], "leaving": ["e1"]})
+    'placement of chat: held by waco-a-1/7, number 3\n  leaving: e1'
+    """
     line = f"placement of {placed['service']}: "
     if placed["held_here"]:
         line += f"held here, number {placed['fencing']}"
--- a/src/rosemaryknot/process/placement/policies.py
+++ b/src/rosemaryknot/process/placement/policies.py
@@ -100,13 +100,18 @@
 def startable(
     given: PlacementInput, zone: ZoneTarget, reclaimable: Iterable[bool]
 ) -> list[InstanceKind]:
-    """Return the kinds that may be asked for in a zone now."""
+    """Return the kinds that may be asked for in a zone now.
+
+    Where the configuration names no classes, those that the service has go first:
+    the price list also names classes of other services.
+    """
+    classes = zone.classes or {i.kind.machine_class for i in given.instances}
     return [
         kind
         for kind, facts in sorted(given.kinds.items())
         if kind.zone == zone.zone
         and kind.reclaimable in reclaimable
-        and (not zone.classes or kind.machine_class in zone.classes)
+        and (not classes or kind.machine_class in classes)
         and facts.price_per_hour <= zone.price_ceiling_per_hour
         and facts.refused_until_s <= given.now_s
     ]
--- a/src/rosemaryknot/process/placement/removal.py
+++ b/src/rosemaryknot/process/placement/removal.py
@@ -103,6 +103,15 @@
         if target.is_model and server is not None:
             await self.sender.order(target, server, ServerOrder("drain"))
 
+    async def give_up(self, target: ServiceTarget, names: Iterable[str]) -> None:
+        """Decide for good that instances which never came up go."""
+        failed = [name for name in names if name not in self.lease.leaving]
+        if not failed or not self.sender.is_settled():
+            return
+        if await self.lease.note_leaving(failed):
+            for name in failed:
+                self.note(target, f"give up {name}: it did not come up", name)
+
     async def may_drain(
         self, target: ServiceTarget, name: str, servers: list[BackendServer]
     ) -> bool:
--- a/src/rosemaryknot/process/placement/service.py
+++ b/src/rosemaryknot/process/placement/service.py
@@ -89,6 +89,7 @@
         self.servers = servers
         self.policy = policy
         self.fencing = 0
+        self.is_shown = False
         self.starts = Starts()
         self.rates = KindRates()
         self.prices_s = float("-inf")
@@ -111,6 +112,8 @@
             revision = self.servers.revision
             if target is not None and self.lease.is_held():
                 await self.tick(target)
+            elif target is not None and self.is_shown:
+                self.hide(target.service)
             with trio.move_on_after(TICK_S):
                 await self.servers.wait_changed(revision)
 
@@ -136,6 +139,7 @@
         servers = self.servers_of(target.service)
         await self.removal.look(target, servers)
         self.starts.reconcile(servers)
+        await self.removal.give_up(target, self.starts.failed(servers))
         self.rates.observe(servers, self.lease.leaving)
         given = self.given(target, servers)
         self.show(given)
@@ -186,6 +190,15 @@
         staying = counts[Phase.STARTING] + counts[Phase.LIVE]
         MISSING.set(max(0, wanted - staying), service=service)
         COST.set(self.cost_per_hour(service), service=service)
+        self.is_shown = True
+
+    def hide(self, service: str) -> None:
+        """Set the metrics to nothing once another process may hold the lease."""
+        for phase in (Phase.STARTING, Phase.LIVE, Phase.LEAVING):
+            INSTANCES.set(0, service=service, phase=phase)
+        MISSING.set(0, service=service)
+        COST.set(0, service=service)
+        self.is_shown = False
 
     def cost_per_hour(self, service: str) -> float:
         """Return the price of an hour of what is running."""
--- a/src/rosemaryknot/process/placement/survey.py
+++ b/src/rosemaryknot/process/placement/survey.py
@@ -73,6 +73,8 @@
                 self.by_name.pop(server.instance, None)
             if server.instance not in self.seen:
                 self.drop_unknown(kind_of(server))
+                if is_coming_up(server):
+                    self.note(server.instance, kind_of(server))
         self.seen |= {server.instance for server in servers}
         for name, start in list(self.by_name.items()):
             if start.until_s <= now_s:
@@ -86,6 +88,14 @@
                 self.unknown.remove(start)
                 return
 
+    def failed(self, servers: list[BackendServer]) -> list[str]:
+        """Return the instances that have not come up in time."""
+        return [
+            server.instance
+            for server in servers
+            if is_coming_up(server) and server.instance not in self.by_name
+        ]
+
     def instances(self) -> list[PlacedInstance]:
         """Return the starts as instances that are starting."""
         named = [
@@ -99,6 +109,11 @@
         return named + unknown
 
 
+def is_coming_up(server: BackendServer) -> bool:
+    """Tell whether an instance is there and has no address yet."""
+    return server.state == ServerState.LIVE and not server.address
+
+
 def placed_instances(
     servers: list[BackendServer],
     starts: Starts,
--- a/tests/process/test_placement.py
+++ b/tests/process/test_placement.py
@@ -134,6 +134,31 @@
 
 
 class TestDuty:
+    def test_instances_that_never_come_up(self):
+        """The cloud starts instances in one zone that never get an address.
+
+        They count as starting for two minutes, are then released and replaced, and
+        the zone is whole once the cloud works again.
+        """
+
+        async def story(fleet):
+            launch = fleet.cloud.launcher
+
+            async def launch_some(server):
+                return "" if server.zone == "waco-a" else await launch(server)
+
+            fleet.cloud.launcher = launch_some
+            await fleet.until(lambda: len(fleet.live()) == 3, 30.0)
+            await trio.sleep(60.0)
+            first = fleet.live("waco-a")
+            fleet.cloud.launcher = launch
+            await fleet.until(lambda: first[0] not in fleet.live(), 120.0)
+            await trio.sleep(5.0)
+            return len(first), fleet.counts(), fleet.platform.calls["start"]
+
+        first, counts, asked = run_fleet(story, per_zone=1)
+        assert first == 1 and set(counts.values()) == {1} and asked == 4
+
     def test_reclaimed_zone_is_replaced_at_once(self):
         """A zone is reclaimed with five seconds' notice and refuses new starts.
 
