Keep a node's order of the servers instead of sorting it for each request

Each request hashed and sorted all servers of its service, went through the whole table for leaving ones and through the health of each. The order and the leaving zones are now kept per revision of the table, health is passed over where no server failed, and a prefix that is not known costs one look-up. What is chosen stays as it was.

--- a/src/rosemaryknot/process/prefix_estimate.py
+++ b/src/rosemaryknot/process/prefix_estimate.py
@@ -51,7 +51,7 @@
     return blocks
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class Guess:
     """How much of a prompt is expected to be cached.
 
@@ -67,6 +67,9 @@
     blocks: int
 
 
+NO_GUESS = Guess(0.0, 0)
+
+
 class PrefixEstimate:
     """Blocks that one server has probably cached.
 
@@ -104,16 +107,17 @@
         now_s : float
             Now, in trio time.
         """
+        used = self.used_s
+        if not blocks or blocks[0] not in used:
+            return NO_GUESS
         count = 0
         oldest_s = now_s
         for block in blocks:
-            used_s = self.used_s.get(block)
-            if used_s is None:
+            if block not in used:
                 break
             count += 1
-            oldest_s = min(oldest_s, used_s)
-        if not count:
-            return Guess(0.0, 0)
+            if used[block] < oldest_s:
+                oldest_s = used[block]
         fading = math.pow(0.5, (now_s - oldest_s) / HALF_LIFE_S)
         return Guess(count / len(blocks) * fading * self.trust, count)
 
--- a/src/rosemaryknot/process/server_health.py
+++ b/src/rosemaryknot/process/server_health.py
@@ -86,6 +86,8 @@
             fails the fault is rather between, or theirs in common, and ejecting all
             would turn slow answers into none.
         """
+        if not self.records:
+            return servers
         now = trio.current_time()
         ends = {server.instance: self.ejected_until_s(server) for server in servers}
         usable = [server for server in servers if ends[server.instance] <= now]
--- a/src/rosemaryknot/request/model_share.py
+++ b/src/rosemaryknot/request/model_share.py
@@ -68,7 +68,7 @@
     def capacity(self, service: str) -> float:
         """Return how many requests of a service may be at the engines."""
         router = self.router
-        servers = router.subset(router.servers.servers_of(service))
+        servers = router.considered(service)
         return engine_capacity(router.loads.of(server) for server in servers)
 
     async def admit(
--- a/src/rosemaryknot/request/route_policies.py
+++ b/src/rosemaryknot/request/route_policies.py
@@ -22,7 +22,6 @@
 PREFILL_TOKENS_PER_STEP = 64
 DRAWS = 2
 FEW_CANDIDATES = 4
-CACHE_HOLDERS = 1
 RECLAIM_MARGIN_S = 1.0
 PRICE_WEIGHT_S = 0.02
 NEAR_TIE_SHARE = 0.05
@@ -133,7 +132,8 @@
     candidates = sorted(given.candidates, key=lambda c: c.server.instance)
     if len(candidates) <= FEW_CANDIDATES:
         return candidates
-    by_cache = sorted(candidates, key=lambda c: -c.cached_tokens)
-    looked_at = [c for c in by_cache[:CACHE_HOLDERS] if c.cached_tokens > 0]
-    rest = [c for c in candidates if c not in looked_at]
-    return looked_at + draw.sample(rest, DRAWS)
+    holder = max(candidates, key=lambda c: c.cached_tokens)
+    if holder.cached_tokens <= 0:
+        return draw.sample(candidates, DRAWS)
+    rest = [c for c in candidates if c is not holder]
+    return [holder, *draw.sample(rest, DRAWS)]
--- a/src/rosemaryknot/request/router.py
+++ b/src/rosemaryknot/request/router.py
@@ -78,6 +78,25 @@
     return Prompt(sum(map(len, texts)), prompt_blocks(texts))
 
 
+@dataclass(slots=True)
+class Ranking:
+    """The servers of a service in the order in which this node considers them.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the server table that it was made of.
+    servers : list of BackendServer
+        Live ones; those of the node's zone first, then by a hash of both names.
+    leaving_zones : set of str
+        Zones in which servers of the service are leaving.
+    """
+
+    revision: int
+    servers: list[BackendServer]
+    leaving_zones: set[str]
+
+
 class Router:
     """Chooses servers for model requests.
 
@@ -119,6 +138,7 @@
         self.node = node
         self.sizes = TokenSizes()
         self.turn = 0
+        self.rankings: dict[str, Ranking] = {}
 
     def service(self, name: str) -> Service | None:
         """Return a service of the configuration in force."""
@@ -144,31 +164,46 @@
         choice : RouteChoice or None
             None where there is no server to choose from.
         """
-        live = self.servers.servers_of(generation.service)
-        usable = [s for s in self.health.usable(live) if s.instance not in excluded]
+        ranking = self.ranking(generation.service)
+        usable = self.health.usable(ranking.servers)
+        if excluded:
+            usable = [s for s in usable if s.instance not in excluded]
         if not usable:
             return None
         service = self.service(generation.service)
-        given = self.route_input(generation, prompt, self.subset(usable), service)
+        given = self.route_input(generation, prompt, usable[:SUBSET], service)
         self.turn += 1
         choice = choose_route(service.route_policy if service else "", given)
         self.log_choice(generation, choice)
         return choice
 
-    def subset(self, servers: list[BackendServer]) -> list[BackendServer]:
-        """Return the servers that this node considers, those of its zone first.
+    def ranking(self, service: str) -> Ranking:
+        """Return the servers of a service in the order of this node.
 
-        With many nodes and servers each node knows a few servers well instead of
-        all of them badly, and polls only those.
+        With many nodes and servers each node considers the first few of its own
+        order: it knows a few servers well instead of all of them badly, and polls
+        only those. The order changes only with the table, so it is kept: to sort
+        hundreds of servers for each request would cost more than the choice.
         """
-        if len(servers) <= SUBSET:
-            return servers
-
-        def rank(server: BackendServer) -> tuple[bool, int]:
-            key = f"{self.node}/{server.instance}".encode()
-            return server.zone != self.zone, xxhash.xxh64_intdigest(key)
-
-        return sorted(servers, key=rank)[:SUBSET]
+        known = self.rankings.get(service)
+        if known is not None and known.revision == self.servers.revision:
+            return known
+        servers = self.servers.servers_of(service)
+        if len(servers) > SUBSET:
+            servers = sorted(servers, key=self.rank)
+        leaving = {server.zone for server in self.servers.leaving_of(service)}
+        ranking = Ranking(self.servers.revision, servers, leaving)
+        self.rankings[service] = ranking
+        return ranking
+
+    def considered(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that this node considers."""
+        return self.ranking(service).servers[:SUBSET]
+
+    def rank(self, server: BackendServer) -> tuple[bool, int]:
+        """Return the place of a server in this node's order."""
+        key = f"{self.node}/{server.instance}".encode()
+        return server.zone != self.zone, xxhash.xxh64_intdigest(key)
 
     def polled(self) -> list[BackendServer]:
         """Return the model servers whose load reports are worth reading."""
@@ -178,7 +213,7 @@
             server
             for service in services
             if service.is_model
-            for server in self.subset(self.servers.servers_of(service.name))
+            for server in self.considered(service.name)
         ]
 
     def route_input(
@@ -214,7 +249,9 @@
         Notices come in waves: a long answer sent to a neighbour of a leaving server
         is likely to move again within seconds.
         """
-        zones = {server.zone for server in self.servers.leaving_of(service)}
+        zones = self.ranking(service).leaving_zones
+        if not zones:
+            return
         for candidate in candidates:
             if candidate.server.reclaimable and candidate.server.zone in zones:
                 candidate.time_left_s = WAVE_TIME_LEFT_S
