--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -1,8 +1,9 @@
 """How well customers' limits hold over all instances, and what a flood does to others.
 
 Run: ``python benchmarks/limits.py [--seed N] [--part admission|flood]``. The whole
-system runs in virtual time over the stand-ins. Over- and under-admission are shares of what the limit allows in the
-measured time: 0.02 over is 2 % more. The last line of standard output is JSON.
+system runs in virtual time over the stand-ins. Over- and under-admission are shares of
+what the limit allows in the measured time: 0.02 over is 2 % more. The last line of
+standard output is JSON.
 """
 
 import argparse
