--- a/src/rosemaryknot/request/engine_queue.py
+++ b/src/rosemaryknot/request/engine_queue.py
@@ -330,6 +330,13 @@
         places = max(1.0, self.capacity())
         return self.mean_hold_s * (own + others + 1) / places
 
+    def give_up(self) -> None:
+        """Refuse all that wait."""
+        for backlog in list(self.backlogs.values()):
+            for waiter in [*backlog.short, *backlog.long]:
+                self.forget(waiter)
+                waiter.event.set()
+
     def overloaded(self) -> NotRun:
         """Return the refusal of a request that there is no room for."""
         return self.refuse(Reason.OVERLOADED, "all engines of this service are busy")
@@ -353,6 +360,8 @@
     ----------
     capacity : callable
         Returns how many requests of a service this entry may have at the engines.
+    is_stopping : callable
+        Tells whether the process stops.
 
     Attributes
     ----------
@@ -360,8 +369,13 @@
         Queues by service.
     """
 
-    def __init__(self, capacity: Callable[[str], float]) -> None:
+    def __init__(
+        self,
+        capacity: Callable[[str], float],
+        is_stopping: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.capacity = capacity
+        self.is_stopping = is_stopping
         self.services: dict[str, ServiceQueue] = {}
 
     def queue(self, service: str) -> ServiceQueue:
@@ -404,9 +418,10 @@
         """Look for room that others made, until cancelled.
 
         What other entries have at the engines is known by load reports only, and
-        nobody tells when one of theirs ends.
+        nobody tells when one of theirs ends. When the process stops, what waits has
+        not been accepted: its callers are told at once and go elsewhere.
         """
         while True:
             await trio.sleep(RECHECK_S)
             for queue in self.services.values():
-                queue.start_waiting()
+                queue.give_up() if self.is_stopping() else queue.start_waiting()
--- a/src/rosemaryknot/request/model_share.py
+++ b/src/rosemaryknot/request/model_share.py
@@ -63,7 +63,7 @@
         self.budgets = budgets
         self.router = router
         self.drain = drain
-        self.queue = EngineQueue(self.capacity)
+        self.queue = EngineQueue(self.capacity, lambda: drain.is_stopping)
 
     def capacity(self, service: str) -> float:
         """Return how many requests of a service may be at the engines."""
@@ -102,12 +102,13 @@
             request.priority == PRIORITY_SHORT,
             request.deadline_s,
         )
+        # The process may have begun to stop while the request waited.
+        stopping = self.drain.refusal()
         if isinstance(place, NotRun):
-            return place
+            return stopping or place
         slot.place = place
         request.priority = fair_priority(request.priority, place.rank)
-        # The process may have begun to stop while the request waited.
-        return self.drain.refusal()
+        return stopping
 
     def expected_tokens(self, request: ModelRequest) -> float:
         """Return the tokens that a request may use, by estimate."""
--- a/tests/request/test_engine_queue.py
+++ b/tests/request/test_engine_queue.py
@@ -109,6 +109,14 @@
         assert place.reason == Reason.DEADLINE_TOO_SHORT
         assert place.retry_after_s > 0
 
+    async def test_stop_answers_what_waits(self, autojump_clock, nursery):
+        engines = Engines(2, nursery)
+        nursery.start_soon(engines.queue.run)
+        await engines.send(5, "large", 10.0)
+        engines.queue.is_stopping = lambda: True
+        await trio.sleep(0.2)
+        assert engines.started.count(("large", "refused")) == 3
+
     async def test_caller_gives_up_in_the_queue(self, autojump_clock, nursery):
         engines = Engines(1, nursery)
         await engines.send(3, "large", 1.0)
