Write tokens to a caller from the engine's task

Cause: a token woke four tasks or task steps: the engine's reader, the caller's follower, the lock of hypercorn's write, and the checkpoint behind the write; with a shielded timer for each write. A bare relay wakes two.

Ruled out: joining tokens across streams (adds delay; streams are paced apart), a timer for each stream instead of each write alone (saves one of the four).

Change: a follower who has all tokens lends its connection to the generation. Each emitted token is framed with hypercorn's own h11 state, offered to the application as an ASGI extension, and written without waiting. What the socket does not take is kept, and the follower's task goes on with it under the bound on writes; nothing further is taken before, so a caller who never reads costs one part.

--- a/src/rosemaryknot/connection/http_server.py
+++ b/src/rosemaryknot/connection/http_server.py
@@ -14,7 +14,8 @@
 from hypercorn.trio.worker_context import WorkerContext
 from quart_trio import QuartTrio
 
-from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.direct_write import WithDirectWrite
+from rosemaryknot.connection.network import Network, send_now
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["HttpServer"]
@@ -25,14 +26,38 @@
 
 
 class Connection(TCPServer):
-    """One connection of a caller."""
+    """One connection of a caller.
 
-    def __init__(self, *args: Any) -> None:
-        super().__init__(*args)
+    Attributes
+    ----------
+    unsent : bytes
+        What `write_now` could not write; goes out before anything else.
+    """
+
+    def __init__(self, app: Any, *args: Any) -> None:
+        super().__init__(WithDirectWrite(app, self), *args)
         self.read_scope = trio.CancelScope()
+        self.unsent = b""
 
     async def protocol_send(self, event: Event) -> None:
-        """Write to the caller, who may never read.
+        """Carry out what hypercorn has decided; the writes are our own."""
+        if isinstance(event, RawData):
+            await self.write(event.data)
+        else:
+            await self.send_event(event)
+
+    def write_now(self, data: bytes) -> None:
+        """Write what the socket takes at once; the rest is kept for `write`.
+
+        Parameters
+        ----------
+        data : bytes
+            To be given only while `unsent` is empty and the lock is free.
+        """
+        self.unsent = data[send_now(self.stream, data) :]
+
+    async def write(self, data: bytes) -> None:
+        """Write what is kept and then the data to a caller, who may never read.
 
         Hypercorn shields its write from every cancellation, so no bound around it
         works: a caller who stops reading holds the task and its answer for ever, and
@@ -40,14 +65,12 @@
         after `WRITE_TIMEOUT_S` is enough, since an accepted answer can be picked up
         again by its id.
         """
-        if not isinstance(event, RawData):
-            await self.send_event(event)
-            return
         is_written = False
         async with self.send_lock:
+            data, self.unsent = self.unsent + data, b""
             with trio.move_on_after(WRITE_TIMEOUT_S, shield=True):
                 try:
-                    await self.stream.send_all(event.data)
+                    await self.stream.send_all(data)
                     is_written = True
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     pass
--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -73,8 +73,19 @@
             raise trio.ClosedResourceError
         if pipe.reset:
             raise trio.BrokenResourceError("connection reset")
-        if not data:
-            return
+        if data:
+            self.put(data)
+
+    def send_now(self, data: bytes) -> int:
+        """Send bytes without waiting; return how many were taken."""
+        pipe = self.outgoing
+        if self.closed or pipe.reset or pipe.size > BUFFER_BYTES:
+            return 0
+        self.put(data)
+        return len(data)
+
+    def put(self, data: bytes) -> None:
+        """Put bytes on their way."""
         if self.silent or self.network.is_cut(self.near, self.far):
             # A cut TCP link keeps the sender waiting for acknowledgements and
             # delivers nothing; bytes sent in a cut never arrive here, so the
@@ -82,6 +93,7 @@
             self.silent = True
             return
         delay = self.network.delay_s(self.near, self.far)
+        pipe = self.outgoing
         pipe.chunks.append((trio.current_time() + delay, bytes(data)))
         pipe.size += len(data)
         pipe.wake()
--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -4,6 +4,7 @@
 be delayed, silenced, cut and killed in virtual time.
 """
 
+import os
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -11,7 +12,7 @@
 
 from rosemaryknot.values.nodes import Address
 
-__all__ = ["Network", "SocketNetwork", "StreamHandler"]
+__all__ = ["Network", "SocketNetwork", "StreamHandler", "send_now"]
 
 CONNECT_TIMEOUT_S = 2.0
 
@@ -91,3 +92,26 @@
 
         task_status.started(Address(address.host, bound[1]))
         await trio.serve_listeners(handle, listeners)
+
+
+def send_now(stream: trio.abc.HalfCloseableStream, data: bytes) -> int:
+    """Write what a stream takes without waiting.
+
+    Parameters
+    ----------
+    stream : trio.abc.HalfCloseableStream
+        A stream of a `Network` that nobody else writes to at the moment.
+    data : bytes
+        What to write.
+
+    Returns
+    -------
+    count : int
+        Bytes written; 0 where it is full or broken, which its next `send_all` tells.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return stream.send_now(data)
+    try:
+        return os.write(stream.socket.fileno(), data)
+    except OSError:
+        return 0
--- a/src/rosemaryknot/request/generations.py
+++ b/src/rosemaryknot/request/generations.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from rosemaryknot.connection.direct_write import DirectWriter
 from rosemaryknot.values.outcomes import Answered, NotRun, Running, Unknown
 from rosemaryknot.values.requests import ModelRequest
 
@@ -100,10 +101,31 @@
 
     request_id: str
 
-    def follow(self, offset: int = 0, lineage: str = "") -> AsyncIterator[bytes]:
+    def follow(
+        self, offset: int = 0, lineage: str = "", writer: DirectWriter | None = None
+    ) -> AsyncIterator[bytes]:
         """Yield the events from an offset to the end; see `Generation.follow`."""
 
 
+@dataclass(slots=True)
+class DirectFollower:
+    """A follower who has all tokens and gets the next ones as they are emitted.
+
+    Attributes
+    ----------
+    writer : DirectWriter
+        Its connection.
+    offset : int
+        The next token that it gets.
+    stopped : trio.Event
+        Set when its task has to go on: it is behind, or the request has ended.
+    """
+
+    writer: DirectWriter
+    offset: int
+    stopped: trio.Event
+
+
 class Generation:
     """One accepted model request: its prompt, its emitted tokens and its outcome.
 
@@ -156,6 +178,7 @@
         "story",
         "changed",
         "ended",
+        "direct",
     )
 
     def __init__(
@@ -180,6 +203,7 @@
         self.story: list[StoryLine] = []
         self.changed = trio.lowlevel.ParkingLot()
         self.ended = trio.Event()
+        self.direct: list[DirectFollower] = []
 
     def emit(self, tokens: list[bytes]) -> None:
         """Append tokens and wake the followers.
@@ -190,15 +214,27 @@
             Next tokens of this lineage, each as the inside of a JSON string.
         """
         self.tokens += tokens
+        for follower in self.direct:
+            self.write_through(follower)
         if self.changed:
             self.changed.unpark_all()
 
+    def write_through(self, follower: DirectFollower) -> None:
+        """Write the new tokens to a follower, or let its task do it."""
+        known = len(self.tokens)
+        if follower.writer.write_now(self.frames(follower.offset, known)):
+            follower.offset = known
+        if follower.writer.is_behind:
+            follower.stopped.set()
+
     def finish(self, outcome: Answered | NotRun | Unknown | Running) -> None:
         """End the generation; a second outcome is ignored."""
         if self.outcome is not None:
             return
         self.outcome = outcome
         self.finished_s = trio.current_time()
+        for follower in self.direct:
+            follower.stopped.set()
         self.changed.unpark_all()
         self.ended.set()
 
@@ -235,7 +271,9 @@
             for offset, token in enumerate(self.tokens[start:stop], start)
         )
 
-    async def follow(self, offset: int = 0, lineage: str = "") -> AsyncIterator[bytes]:
+    async def follow(
+        self, offset: int = 0, lineage: str = "", writer: DirectWriter | None = None
+    ) -> AsyncIterator[bytes]:
         """Yield the events from an offset to the end.
 
         Parameters
@@ -245,6 +283,9 @@
         lineage : str
             Lineage that the caller holds the first tokens of; empty where it does
             not know.
+        writer : DirectWriter, optional
+            Connection of the caller. A caller who has all tokens gets the next ones
+            written there and not yielded, until it does not take them.
 
         Yields
         ------
@@ -265,10 +306,36 @@
                 offset = stop
             elif self.outcome is not None:
                 break
+            elif writer is not None:
+                offset = await self.follow_directly(offset, writer)
             else:
                 await self.changed.park()
         yield outcome_event(self.outcome, len(self.tokens)) + DONE
 
+    async def follow_directly(self, offset: int, writer: DirectWriter) -> int:
+        """Have tokens written as they are emitted while the caller takes them.
+
+        Parameters
+        ----------
+        offset : int
+            Number of tokens that the caller has: all there are.
+        writer : DirectWriter
+            Connection of the caller.
+
+        Returns
+        -------
+        offset : int
+            Number of tokens that it has now.
+        """
+        follower = DirectFollower(writer, offset, trio.Event())
+        self.direct.append(follower)
+        try:
+            await follower.stopped.wait()
+        finally:
+            self.direct.remove(follower)
+        await writer.flush()
+        return follower.offset
+
     async def wait_beyond(self, offset: int) -> int:
         """Wait until there are more tokens than ``offset``, or an outcome.
 
--- a/src/rosemaryknot/request/http_api.py
+++ b/src/rosemaryknot/request/http_api.py
@@ -11,6 +11,7 @@
 from werkzeug.exceptions import HTTPException
 
 from rosemaryknot.connection.caller_connection import CallerConnections
+from rosemaryknot.connection.direct_write import direct_writer_of
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.detached import fault_fields
 from rosemaryknot.process.drain import Drain
@@ -193,7 +194,9 @@
 
 def streamed(generation: Followed, offset: int, lineage: str) -> Response:
     """Return the stream of a generation's events."""
-    response = Response(generation.follow(offset, lineage), content_type=SSE_TYPE)
+    writer = direct_writer_of(request.scope)
+    events = generation.follow(offset, lineage, writer)
+    response = Response(events, content_type=SSE_TYPE)
     response.headers["Cache-Control"] = "no-store"
     response.headers[REQUEST_HEADER] = generation.request_id
     return response
--- a/src/rosemaryknot/request/pickup.py
+++ b/src/rosemaryknot/request/pickup.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from rosemaryknot.connection.direct_write import DirectWriter
 from rosemaryknot.connection.links import CallFailed, Handlers, MessageLink
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.logs import logger
@@ -71,7 +72,9 @@
         self.node = node
         self.lineage = ""
 
-    async def follow(self, offset: int = 0, lineage: str = "") -> AsyncIterator[bytes]:
+    async def follow(
+        self, offset: int = 0, lineage: str = "", writer: DirectWriter | None = None
+    ) -> AsyncIterator[bytes]:
         """Yield the events from an offset to the end; see `Generation.follow`."""
         self.lineage = lineage
         patience_until_s = trio.current_time() + PATIENCE_S
