--- a/src/rosemaryknot/replay/fault_kinds.py
+++ b/src/rosemaryknot/replay/fault_kinds.py
@@ -9,17 +9,38 @@
 
 import trio
 
-from rosemaryknot.replay.system import NodeProcesses, ServerProcess, System
+from rosemaryknot.replay.system import (
+    CALLERS_HOST,
+    NodeProcesses,
+    ServerProcess,
+    System,
+)
 from rosemaryknot.standin.plain import PlainFault, PlainStandIn
 from rosemaryknot.standin.platform_faults import OUTAGE_REFUSE, OUTAGE_SILENT
 from rosemaryknot.values.nodes import ServerState
 
-__all__ = ["FAULTS", "Fault", "fault"]
+__all__ = ["BOOKING_FAULTS", "FAULTS", "Fault", "fault"]
 
 Fault = Callable[[System, random.Random], Awaitable[None]]
 
 FAULTS: dict[str, Fault] = {}
 
+BOOKING_FAULTS = [
+    "cut zone",
+    "freeze agent",
+    "freeze entry",
+    "held requests",
+    "held requests",
+    "kill agent",
+    "kill entry",
+    "lost platform answers",
+    "plain service",
+    "plain service",
+    "platform outage",
+    "reclaim node",
+    "refused calls",
+]
+
 NOTICE_S = (2.0, 4.0)
 RESTART_S = (0.3, 3.0)
 HOLD_S = (0.3, 8.0)
@@ -226,6 +247,35 @@
         server.standin.faults.append(planned)
 
 
+@fault("refused calls")
+async def refused_calls(system: System, rng: random.Random) -> None:
+    """Let all servers of a plain service refuse before running, for a while."""
+    service = rng.choice(
+        sorted(s for s, k in system.plan.kinds.items() if k == "plain")
+    )
+    refusing = [s for s in live_servers(system, True) if s.listed.service == service]
+    for server in refusing:
+        server.standin.faults.append(PlainFault("refuse", 1000))
+    await hold(rng)
+    for server in refusing:
+        server.standin.faults[:] = [
+            f for f in server.standin.faults if f.fault != "refuse"
+        ]
+
+
+@fault("held requests")
+async def held_requests(system: System, rng: random.Random) -> None:
+    """Hold what callers send to an entry back, as a full buffer on the way does.
+
+    A caller gives up and sends again elsewhere; its first send arrives later.
+    """
+    entry = any_node(system, rng).entry.network.host
+    pair = frozenset((CALLERS_HOST, entry))
+    system.network.delays_s[pair] = rng.uniform(0.3, 4.0)
+    await hold(rng)
+    system.network.delays_s.pop(pair, None)
+
+
 @fault("engine")
 async def engine(system: System, rng: random.Random) -> None:
     """Let an engine answer late, swap two answers, go silent or die in a stream."""
--- a/src/rosemaryknot/replay/fault_run.py
+++ b/src/rosemaryknot/replay/fault_run.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import httpx
 import trio
 from trio.testing import MockClock
 
@@ -12,7 +13,7 @@
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.replay.audit import Violation, audit_booking, audit_model
 from rosemaryknot.replay.callers import BookingPlan, Caller
-from rosemaryknot.replay.fault_kinds import FAULTS
+from rosemaryknot.replay.fault_kinds import BOOKING_FAULTS, FAULTS
 from rosemaryknot.replay.hosts import HostInstrument
 from rosemaryknot.replay.notes import BookingNote, ModelNote
 from rosemaryknot.replay.system import System, SystemPlan
@@ -27,8 +28,10 @@
 MODEL, SHARDS, OBJECTS = "kit-assistant", "dispatch-app", "visit-notify"
 CUSTOMERS = ["estimator-1", "estimator-2"]
 WARM_UP_S, ACTIVE_S, SETTLE_S = 3.0, 15.0, 25.0
-BOOKINGS, MODEL_REQUESTS, FAULT_COUNT = 14, 6, (2, 6)
+BOOKINGS, MANY_BOOKINGS, MODEL_REQUESTS, FAULT_COUNT = 14, 42, 6, (2, 6)
 PLAIN_TIMEOUT_S = 5.0
+BOOKING_PROFILE = "bookings"
+PROFILES = ("all", "all", BOOKING_PROFILE)
 
 
 @dataclass(slots=True)
@@ -38,7 +41,7 @@
     Attributes
     ----------
     seed : int
-        Seed of the run.
+        Seed of the run; every third one brings many bookings, and faults near them.
     faults : collections.Counter
         Faults by kind.
     outcomes : collections.Counter
@@ -96,6 +99,7 @@
     def __init__(self, seed: int, safeguards: Safeguards) -> None:
         self.report = FaultReport(seed)
         self.rng = random.Random(seed)
+        self.profile = PROFILES[seed % len(PROFILES)]
         self.safeguards = safeguards
         self.bookings: list[BookingNote] = []
         self.models: list[ModelNote] = []
@@ -136,11 +140,19 @@
             self.system.dispose()
             nursery.cancel_scope.cancel()
 
-    def start_work(self, nursery: trio.Nursery, client) -> None:
-        """Start the callers at random times."""
-        entries = [str(n.settings.listen.callers) for n in self.system.nodes.values()]
-        for number in range(BOOKINGS):
-            caller = self.new_caller(client, entries)
+    def start_work(self, nursery: trio.Nursery, client: httpx.AsyncClient) -> None:
+        """Start the callers of the run's profile."""
+        if self.profile == BOOKING_PROFILE:
+            self.start_bookings(nursery, client, MANY_BOOKINGS)
+        else:
+            self.start_bookings(nursery, client, BOOKINGS)
+            self.start_models(nursery, client)
+
+    def start_bookings(
+        self, nursery: trio.Nursery, client: httpx.AsyncClient, count: int
+    ) -> None:
+        """Start callers that book, each in its own manner, at random times."""
+        for number in range(count):
             plan = BookingPlan(
                 declares=self.rng.random() < 0.5,
                 sends=self.rng.randint(2, 5),
@@ -150,18 +162,22 @@
             service = self.rng.choice([SHARDS, SHARDS, OBJECTS])
             note = BookingNote(f"booking-{number}", service, plan.declares)
             self.bookings.append(note)
+            caller = self.new_caller(client)
             nursery.start_soon(self.later, caller.book, note, plan)
+
+    def start_models(self, nursery: trio.Nursery, client: httpx.AsyncClient) -> None:
+        """Start callers that ask the model, at random times."""
         for number in range(MODEL_REQUESTS):
-            caller = self.new_caller(client, entries)
             note = ModelNote(
                 f"plan set {self.report.seed} {number}", self.rng.randint(16, 400)
             )
             self.models.append(note)
-            patience_s = ACTIVE_S + SETTLE_S
-            nursery.start_soon(self.later, caller.ask, note, MODEL, patience_s)
+            caller = self.new_caller(client)
+            nursery.start_soon(self.later, caller.ask, note, MODEL, ACTIVE_S + SETTLE_S)
 
-    def new_caller(self, client, entries: list[str]) -> Caller:
+    def new_caller(self, client: httpx.AsyncClient) -> Caller:
         """Return a caller with random numbers of its own."""
+        entries = [str(n.settings.listen.callers) for n in self.system.nodes.values()]
         rng = random.Random(self.rng.random())
         return Caller(client, self.rng.choice(self.api_keys), entries, rng)
 
@@ -172,8 +188,11 @@
 
     def start_faults(self, nursery: trio.Nursery) -> None:
         """Start the run's faults at random times."""
+        names = sorted(FAULTS)
+        if self.profile == BOOKING_PROFILE:
+            names = BOOKING_FAULTS
         for _ in range(self.rng.randint(*FAULT_COUNT)):
-            name = self.rng.choice(sorted(FAULTS))
+            name = self.rng.choice(names)
             self.report.faults[name] += 1
             rng = random.Random(self.rng.random())
             nursery.start_soon(self.one_fault, name, rng)
