--- a/src/rosemaryknot/request/model_share.py
+++ b/src/rosemaryknot/request/model_share.py
@@ -1,8 +1,9 @@
 """A model request's way from the caller to its turn at the engines."""
 
 from rosemaryknot.process.drain import Drain
+from rosemaryknot.request.accounts import Charge
 from rosemaryknot.request.admission import Slot
-from rosemaryknot.request.budget import Charge, EntryBudgets
+from rosemaryknot.request.budget import EntryBudgets
 from rosemaryknot.request.engine_queue import (
     EngineQueue,
     engine_capacity,
--- a/src/rosemaryknot/request/plain_api.py
+++ b/src/rosemaryknot/request/plain_api.py
@@ -8,10 +8,11 @@
 from rosemaryknot.connection.plain_client import passed_headers
 from rosemaryknot.process.detached import Detached
 from rosemaryknot.process.drain import Drain
+from rosemaryknot.request.accounts import Charge
 from rosemaryknot.request.admission import Admission, Slot
 from rosemaryknot.request.arrivals import Arrival
 from rosemaryknot.request.at_most_once import AtMostOnce
-from rosemaryknot.request.budget import Charge, EntryBudgets
+from rosemaryknot.request.budget import EntryBudgets
 from rosemaryknot.request.http_input import (
     read_attempt,
     read_body,
--- a/tests/process/limit_fleet.py
+++ b/tests/process/limit_fleet.py
@@ -5,10 +5,11 @@
 import trio
 
 from rosemaryknot.connection.links import CallFailed, Handlers
-from rosemaryknot.process.limits.owner import LimitOwner
 from rosemaryknot.process.limits.owner import SETTLE_S as SETTLE_S
+from rosemaryknot.process.limits.owner import LimitOwner
 from rosemaryknot.process.limits.shares import LimitKey, ZoneMembers, owner_of
-from rosemaryknot.request.budget import Charge, EntryBudgets
+from rosemaryknot.request.accounts import Charge
+from rosemaryknot.request.budget import EntryBudgets
 from rosemaryknot.values.limits import BudgetAsk, BudgetTransfer
 from rosemaryknot.values.messages import decode_message, encode_message
 from rosemaryknot.values.nodes import Node
--- a/tests/process/test_limits.py
+++ b/tests/process/test_limits.py
@@ -15,7 +15,7 @@
 
 from rosemaryknot.process.limits.budget import USED_SLOT_S
 from rosemaryknot.process.limits.shares import slot_share
-from rosemaryknot.request.budget import Charge
+from rosemaryknot.request.accounts import Charge
 from rosemaryknot.values.outcomes import NotRun, Reason
 
 ZONES = ["waco-a", "waco-b", "temple-c"]
--- a/tests/request/test_budget.py
+++ b/tests/request/test_budget.py
@@ -6,7 +6,8 @@
 import trio
 
 from rosemaryknot.connection.links import CallFailed
-from rosemaryknot.request.budget import Charge, EntryBudgets
+from rosemaryknot.request.accounts import Charge
+from rosemaryknot.request.budget import EntryBudgets
 from rosemaryknot.values.limits import BudgetGrant
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.outcomes import NotRun
--- a/tests/request/test_engine_queue.py
+++ b/tests/request/test_engine_queue.py
@@ -6,12 +6,11 @@
 from rosemaryknot.process.server_load import LoadReport, ServerLoad
 from rosemaryknot.request.admission import Admission, AdmissionLimits
 from rosemaryknot.request.engine_queue import (
-    MAX_WAITING,
     EngineQueue,
-    Place,
     engine_capacity,
     fair_priority,
 )
+from rosemaryknot.request.service_queue import MAX_WAITING, Place
 from rosemaryknot.values.outcomes import NotRun, Reason
 
 SERVICE = "kit-assistant"
