Keep the watch for a silent link from spinning

Cause: left_s can be a few 1e-16 s; sleeping that long does not change the clock's floating-point value, so the loop spins without time passing.

--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -50,6 +50,7 @@
 MAX_HANDLERS = 2048
 SEND_TIMEOUT_S = 5.0
 HEARTBEAT_S = 1.0
+SHORTEST_SLEEP_S = 0.001
 
 MessageType = TypeVar("MessageType", bound=Message)
 
@@ -214,7 +215,9 @@
             left_s = bound_s - self.silence_s()
             if left_s <= 0:
                 self.close("silent")
-            await trio.sleep(max(left_s, 0))
+            # A rest too small to change the clock's floating-point value would make
+            # this loop spin without time passing.
+            await trio.sleep(max(left_s, SHORTEST_SLEEP_S))
 
     async def flush(self, timeout_s: float) -> None:
         """Wait until everything queued is written, but no longer than the timeout.
