Wait before reading an engine's stream, and ask h11 once a token

Ruled out: an own reader of chunked bodies (h11 stays the parser).

Change: the transport waits until the socket is readable and then reads once. Behind a whole chunk h11 is asked again only where its buffer holds more than a line end.

--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -12,7 +12,7 @@
 
 from rosemaryknot.values.nodes import Address
 
-__all__ = ["Network", "SocketNetwork", "StreamHandler", "send_now"]
+__all__ = ["Network", "SocketNetwork", "StreamHandler", "receive_next", "send_now"]
 
 CONNECT_TIMEOUT_S = 2.0
 
@@ -115,3 +115,43 @@
         return os.write(stream.socket.fileno(), data)
     except OSError:
         return 0
+
+
+async def receive_next(stream: trio.abc.HalfCloseableStream, max_bytes: int) -> bytes:
+    """Receive from a stream that has most likely nothing yet.
+
+    Trio's streams try to read before they wait. Between two tokens that always fails,
+    and costs a system call, an exception and the managers around it.
+
+    Parameters
+    ----------
+    stream : trio.abc.HalfCloseableStream
+        A stream of a `Network` that nobody else reads from.
+    max_bytes : int
+        Most that is returned.
+
+    Returns
+    -------
+    data : bytes
+        What has arrived; empty at the end of the stream.
+
+    Raises
+    ------
+    trio.BrokenResourceError
+        If the connection broke.
+    trio.ClosedResourceError
+        If it was closed on this side.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return await stream.receive_some(max_bytes)
+    while True:
+        descriptor = stream.socket.fileno()
+        if descriptor < 0:
+            raise trio.ClosedResourceError
+        await trio.lowlevel.wait_readable(descriptor)
+        try:
+            return os.read(descriptor, max_bytes)
+        except BlockingIOError:
+            continue
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
--- a/src/rosemaryknot/connection/stream_transport.py
+++ b/src/rosemaryknot/connection/stream_transport.py
@@ -13,12 +13,13 @@
 import httpx
 import trio
 
-from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.network import Network, receive_next
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["StreamTransport", "stream_client"]
 
 RECEIVE_BYTES = 65536
+LINE_END = b"\r\n"
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
 
 
@@ -29,6 +30,15 @@
     return httpx.ReadError("the connection broke")
 
 
+def is_at_end(event: h11.Data, parser: h11.Connection) -> bool:
+    """Tell whether nothing can follow a part of a body before more bytes come.
+
+    Asking the parser once more costs as much as the token. Behind a chunk there may
+    be the end of its line; the next chunk takes more bytes than that.
+    """
+    return event.chunk_end and len(parser.trailing_data[0]) <= len(LINE_END)
+
+
 class StreamBody(httpx.AsyncByteStream):
     """Body of a response, read as it arrives.
 
@@ -55,13 +65,14 @@
                 event = parser.next_event()
                 if type(event) is h11.Data:
                     parts.append(bytes(event.data))
-                    continue
+                    if not is_at_end(event, parser):
+                        continue
                 if parts:
                     yield b"".join(parts)
                     parts.clear()
-                if event is not h11.NEED_DATA:
+                if event is not h11.NEED_DATA and type(event) is not h11.Data:
                     return
-                parser.receive_data(await stream.receive_some(RECEIVE_BYTES))
+                parser.receive_data(await receive_next(stream, RECEIVE_BYTES))
         except BROKEN as error:
             raise mapped_error(error) from error
 
