--- a/src/rosemaryknot/replay/scenario.py
+++ b/src/rosemaryknot/replay/scenario.py
@@ -9,6 +9,7 @@
     "KINDS",
     "SERVICES",
     "Expectation",
+    "Placement",
     "RequestKind",
     "RequestStep",
     "Scenario",
@@ -192,6 +193,26 @@
     text: str = ""
 
 
+@dataclass(slots=True, frozen=True)
+class Placement:
+    """Backend servers that placement keeps in a zone.
+
+    Attributes
+    ----------
+    service, zone : str
+        Of which service, where.
+    count : int
+        How many.
+    classes : tuple of str
+        Machine classes, the first choice first.
+    """
+
+    service: str
+    zone: str
+    count: int
+    classes: tuple[str, ...] = ("g1",)
+
+
 @dataclass(slots=True)
 class Scenario:
     """A whole scenario.
@@ -214,6 +235,8 @@
         Entry instances of each zone.
     servers : list of ServerGroup
         Backend servers of each zone.
+    placements : list of Placement
+        What placement keeps.
     steps : list of Step
         What happens.
     expectations : list of Expectation
@@ -228,6 +251,7 @@
     prices: dict[tuple[str, str, bool], float] = field(default_factory=dict)
     nodes_per_zone: int = 1
     servers: list[ServerGroup] = field(default_factory=list)
+    placements: list[Placement] = field(default_factory=list)
     steps: list[Step] = field(default_factory=list)
     expectations: list[Expectation] = field(default_factory=list)
 
--- a/src/rosemaryknot/replay/scenario_actions.py
+++ b/src/rosemaryknot/replay/scenario_actions.py
@@ -205,6 +205,17 @@
     run.system.platform.faults.lose_answers += count
 
 
+@action("refuse_starts")
+async def refuse_starts(
+    run: "ScenarioRun", target: Target, machine_class: str, lasts_s: float
+) -> None:
+    """Let the cloud refuse starts of a machine class in a zone for a while."""
+    refused = run.system.platform.faults.refused_starts
+    refused.add((str(target.name), machine_class))
+    await trio.sleep(lasts_s)
+    refused.discard((str(target.name), machine_class))
+
+
 @action("stale")
 async def stale(run: "ScenarioRun", number: int) -> None:
     """Let the store hold an older configuration, as a restored backup does."""
--- a/src/rosemaryknot/replay/scenario_checks.py
+++ b/src/rosemaryknot/replay/scenario_checks.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from rosemaryknot.replay.fault_kinds import live_servers
 from rosemaryknot.replay.scenario_language import Target
 from rosemaryknot.replay.scenario_requests import Record
 from rosemaryknot.replay.system import EPOCH_UNIX_S
@@ -97,6 +98,17 @@
     return seen([f"{p} has {n}" for p, n in numbers.items() if n != number])
 
 
+@check("live")
+def live(run: "ScenarioRun", subject: Target, count: int) -> str:
+    """Check how many servers of a service live in a zone."""
+    found = [
+        server
+        for server in live_servers(run.system)
+        if (server.listed.service, server.listed.zone) == (subject.name, subject.zone)
+    ]
+    return "" if len(found) == count else f"{len(found)} live"
+
+
 @check("reverted")
 def reverted(run: "ScenarioRun") -> str:
     """Check that no process took an older configuration back."""
--- a/src/rosemaryknot/replay/scenario_grammar.py
+++ b/src/rosemaryknot/replay/scenario_grammar.py
@@ -5,7 +5,7 @@
 GRAMMAR = r"""
 start: _NL? (_statement _NL)+
 
-_statement: title | seed | zones | engines | entries | servers | price
+_statement: title | seed | zones | engines | entries | servers | price | keep
     | timed | repeated | by | expect
 
 title: "scenario" STRING
@@ -21,6 +21,9 @@
     | "on" "demand" -> on_demand
 price: "price" "of" "class" NAME "in" NAME "is" NUMBER [ON_DEMAND]
 
+keep: "keep" NAME NUMBER "in" NAME ["of" "class" classes]
+classes: NAME ("or" NAME)*
+
 timed: "at" TIME _step
 repeated: "from" TIME "to" TIME "every" TIME request
 by: "by" TIME _outcome
@@ -28,6 +31,7 @@
 
 _step: request | patch | start_server | reclaim | cut | heal | kill | restart
     | freeze | silence | swap | plain_fault | outage | slow | lose | stale
+    | refuse_starts
 
 request: NAME "sends" KIND [size] "as" NAME option*
 size: "of" NUMBER "tokens" ["on" NUMBER "words"]
@@ -56,6 +60,8 @@
 lose: "lose" NUMBER "platform" "answers"
 stale: "roll" "back" "stored" "configuration" "to" NUMBER
 
+refuse_starts: "refuse" "starts" "of" "class" NAME "in" NAME "for" TIME
+
 zone: "zone" NAME
 node: "node" NAME
 entry: "entry" NAME
@@ -64,10 +70,11 @@
 platform: "platform"
 everything: "everything"
 
-_outcome: outcome | exactly_one | in_force
+_outcome: outcome | exactly_one | in_force | live
 outcome: _subject "is" results
 exactly_one: "one" "of" NAME+ "is" results
 in_force: "configuration" NUMBER "in" "force" "everywhere"
+live: NAME "has" NUMBER "live" "in" NAME
 results: RESULT ("or" RESULT)*
 _subject: one | every
 one: NAME
--- a/src/rosemaryknot/replay/scenario_language.py
+++ b/src/rosemaryknot/replay/scenario_language.py
@@ -12,6 +12,7 @@
     KINDS,
     SERVICES,
     Expectation,
+    Placement,
     RequestStep,
     Scenario,
     ServerGroup,
@@ -178,6 +179,17 @@
         key = (str(zone), str(machine_class), on_demand is None)
         self.scenario.prices[key] = float(value)
 
+    def keep(
+        self, service: Token, count: Token, zone: Token, classes: list[str] | None
+    ) -> None:
+        """Take what placement keeps."""
+        placement = Placement(service, zone, int(count), tuple(classes or ["g1"]))
+        self.scenario.placements.append(placement)
+
+    def classes(self, *names: Token) -> list[str]:
+        """Return machine classes."""
+        return [str(name) for name in names]
+
     # What happens
 
     def timed(self, at: Token, step: tuple[str, dict]) -> None:
@@ -326,6 +338,16 @@
         """Return a restored backup of the configuration."""
         return "stale", {"number": int(base)}
 
+    def refuse_starts(
+        self, machine_class: Token, zone: Token, lasts: Token
+    ) -> tuple[str, dict]:
+        """Return a time in which the cloud starts nothing of a class in a zone."""
+        return "refuse_starts", {
+            "target": Target("zone", zone),
+            "machine_class": str(machine_class),
+            "lasts_s": seconds(lasts),
+        }
+
     def server(self, service: Token, zone: Token) -> Target:
         """Return a backend server."""
         return Target("server", service, zone)
@@ -355,6 +377,11 @@
         """Return that a version is in force."""
         return stated("in_force", number=int(value))
 
+    def live(self, service: Token, count: Token, zone: Token) -> Expectation:
+        """Return how many servers of a service live in a zone."""
+        subject = Target("server", service, zone)
+        return stated("live", subject=subject, count=int(count))
+
     def results(self, *results: Token) -> list[str]:
         """Return the results that are allowed."""
         return [str(result) for result in results]
@@ -511,6 +538,9 @@
     for group in scenario.servers:
         if group.zone:
             yield "zone", group.zone
+    for placement in scenario.placements:
+        yield "service", placement.service
+        yield "zone", placement.zone
     for step in scenario.steps:
         request = step.arguments.get("request")
         if request is not None and request.place:
@@ -522,6 +552,8 @@
                 yield from tokens_of_target(target)
     for expectation in scenario.expectations:
         subject = expectation.arguments.get("subject")
+        if subject is not None and subject.kind == "server":
+            yield from tokens_of_target(subject)
         if subject is not None and subject.kind == "one":
             yield "request", subject.name
         for name in expectation.arguments.get("names", ()):
--- a/src/rosemaryknot/replay/scenario_run.py
+++ b/src/rosemaryknot/replay/scenario_run.py
@@ -115,12 +115,25 @@
     customers = {name: {} for name in keys.by_customer}
     return {
         "services": services,
+        "placements": new_placements(scenario),
         "customers": customers,
         "keys": keys.stored,
         "rules": {"max_capacity_change_share": 0.5},
     }
 
 
+def new_placements(scenario: Scenario) -> dict[str, dict]:
+    """Return the placements of the configuration, by service and zone."""
+    found: dict[str, dict] = {}
+    for placement in scenario.placements:
+        found.setdefault(placement.service, {})[placement.zone] = {
+            "count": placement.count,
+            "classes": list(placement.classes),
+            "reclaimable_share": 1.0,
+        }
+    return found
+
+
 def names_in_order(names: list[str]) -> list[str]:
     """Return the names without repeats."""
     return list(dict.fromkeys(names))
