Let tables of nodes that agree have one digest, and relays share the load

Cause: the digest of the peer table was over repr() of its records. A record that came in a message held its state as a plain number, one made from a hello as a PeerState, and the two print differently. Above the full mesh, where both happen, no two digests agreed, and every comparison sent the whole table. Besides, messages between nodes without a link all took the relay whose name sorts first.

Ruled out: suspicion of nodes that get too little processor time. Steady state without any suspicion showed the same traffic.

Change: the digest covers the fields only, and records read from messages hold a PeerState. Of equally good relays, each pair of ends has an order of its own. The relays of an unchanged list of nodes are worked out once.

--- a/src/rosemaryknot/process/peer_links.py
+++ b/src/rosemaryknot/process/peer_links.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 
 import xxhash
 
@@ -36,9 +37,16 @@
     Every node works them out for itself. Views that differ cost some more links or
     a hop, never a wrong answer.
     """
-    return sorted(
+    return list(least_hashed(tuple(names), count))
+
+
+@lru_cache(maxsize=256)
+def least_hashed(names: tuple[str, ...], count: int) -> tuple[str, ...]:
+    """Return the names of least hash; each message passed on asks for them."""
+    ranked = sorted(
         names, key=lambda name: (xxhash.xxh64_intdigest(name.encode()), name)
-    )[:count]
+    )
+    return tuple(ranked[:count])
 
 
 def by_zone(nodes: Iterable[Node]) -> dict[str, list[str]]:
@@ -118,7 +126,8 @@
     -------
     names : list of str
         Relays of the target's zone, then other nodes there, then our own zone's
-        relays, then relays elsewhere, then the rest.
+        relays, then relays elsewhere, then the rest. Equal ones stand in an order
+        of their own for each pair of ends, or one relay would carry everything.
     """
     zones = by_zone([own, *everybody])
     relays = {
@@ -127,13 +136,14 @@
         for name in relays_of(names, plan.relays_per_zone)
     }
 
-    def cost(node: Node) -> tuple[bool, bool, bool, str]:
+    def cost(node: Node) -> tuple[bool, bool, bool, int]:
         is_relay = node.name in relays
+        ends = f"{own.name}>{target.name}>{node.name}"
         return (
             node.zone != target.zone,
             not is_relay,
             node.zone != own.zone,
-            node.name,
+            xxhash.xxh64_intdigest(ends.encode()),
         )
 
     return [n.name for n in sorted(linked, key=cost) if n.name != target.name]
--- a/src/rosemaryknot/process/peer_table.py
+++ b/src/rosemaryknot/process/peer_table.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import msgpack
 import xxhash
 
 from rosemaryknot.values.nodes import Node
@@ -153,7 +154,12 @@
 
     def digest(self) -> int:
         """Return a number that is the same where the live records are the same."""
-        digest = xxhash.xxh64()
-        ranks = [(r.name, *r.rank) for r in self.all_records() if r.state == 0]
-        digest.update(repr(sorted(ranks)).encode())
-        return digest.intdigest()
+        # Of the fields only: a state is a plain number where it came in a message and
+        # a `PeerState` elsewhere. Were that in the digest, tables that agree would be
+        # sent over and over.
+        ranks = sorted(
+            (r.name, r.incarnation, r.sequence)
+            for r in self.all_records()
+            if r.state == PeerState.LIVE
+        )
+        return xxhash.xxh64_intdigest(msgpack.packb(ranks))
--- a/src/rosemaryknot/values/peers.py
+++ b/src/rosemaryknot/values/peers.py
@@ -100,7 +100,9 @@
         name, zone, incarnation, address, sequence, state, age_s = fields[: len(types)]
         if state not in set(PeerState):
             return None
-        return cls(name, zone, incarnation, address, sequence, state, now_s - age_s)
+        return cls(
+            name, zone, incarnation, address, sequence, PeerState(state), now_s - age_s
+        )
 
 
 @message("peer_records")
--- a/tests/process/test_peers.py
+++ b/tests/process/test_peers.py
@@ -108,6 +108,33 @@
     return fleet
 
 
+class TestQuiet:
+    """What nodes send each other when nothing happens."""
+
+    async def test_tables_that_agree_are_not_sent_again(self, autojump_clock):
+        """Twelve nodes know each other, partly by links and partly by hearsay.
+
+        Nodes compare digests every few seconds. If the digest told how a record
+        came, the tables would never agree: every comparison would send all of them,
+        without end, and the cost would grow with the square of the fleet.
+        """
+        async with trio.open_nursery() as nursery:
+            plan = LinkPlan(full_mesh_nodes=6, relays_per_zone=2, neighbours=1)
+            fleet = await whole_fleet(nursery, 12, plan)
+            await trio.sleep(60)
+            before = self.sent(fleet, "peer_records")
+            compared = self.sent(fleet, "peer_digest")
+            await trio.sleep(60)
+            assert self.sent(fleet, "peer_digest") > compared + 100
+            assert self.sent(fleet, "peer_records") == before
+            nursery.cancel_scope.cancel()
+
+    def sent(self, fleet: Fleet, kind: str) -> int:
+        """Return how many messages of a kind all nodes have sent."""
+        counts = [peers.traffic.sent.get(kind) for peers in fleet.sets.values()]
+        return sum(count.messages for count in counts if count is not None)
+
+
 class TestMesh:
     """Seven nodes, as today."""
 
@@ -319,6 +346,27 @@
             assert hops > 100
             nursery.cancel_scope.cancel()
 
+    async def test_relays_share_what_is_passed_on(self, autojump_clock):
+        """Every node calls every other one once, most of them through relays.
+
+        If all callers preferred the same relay, that node would carry a zone's or the
+        whole region's messages, and its traffic would grow with the fleet.
+        """
+        async with trio.open_nursery() as nursery:
+            fleet = await whole_fleet(nursery, 21, self.PLAN)
+            await trio.sleep(60)
+            for one in fleet.sets:
+                for other in fleet.sets:
+                    if one != other:
+                        await fleet.sets[one].call(other, Ping(), 1)
+            for zone in range(3):
+                names = [name for name in fleet.sets if int(name[1:]) % 3 == zone]
+                passed = [
+                    fleet.sets[name].forwarder.passed_on for name in relays_of(names, 2)
+                ]
+                assert max(passed) < 3 * min(passed)
+            nursery.cancel_scope.cancel()
+
     async def test_all_relays_of_a_zone_die(self, autojump_clock):
         """Both relays of a zone die at once; its other nodes have no link outwards.
 
