Compare configuration and servers over links, not through relays

Cause: each second every node compared numbers with two random peers. Above the full mesh most of them have no link, so the zones' relays passed the calls and answers on, up to three hops each.

Change: comparisons and offers go to linked peers, which connect all nodes; only a node without any link asks others.

--- a/src/rosemaryknot/process/configuration_spread.py
+++ b/src/rosemaryknot/process/configuration_spread.py
@@ -51,6 +51,9 @@
     def nodes(self) -> list[Node]:
         """Return the peers that answer."""
 
+    def linked(self) -> list[Node]:
+        """Return those that a link of this node leads to."""
+
     async def call(
         self, name: str, message: Message, timeout_s: float
     ) -> Message | CallFailed:
@@ -160,10 +163,18 @@
     def random_peers(self) -> list[str]:
         """Return a random peer of this zone and one of another, where there are."""
         near, far = [], []
-        for node in self.peers.nodes():
+        for node in self.neighbours():
             (near if node.zone == self.node.zone else far).append(node.name)
         return [self.rng.choice(names) for names in (near, far) if names]
 
+    def neighbours(self) -> list[Node]:
+        """Return the peers to compare with: those with a link, where there are any.
+
+        The links connect all nodes. A comparison that other nodes pass on costs each
+        of them the same again, and the relays carry those of their whole zone.
+        """
+        return self.peers.linked() or self.peers.nodes()
+
     async def tell_changes(self) -> None:
         """Offer each new version to some peers at once."""
         async with trio.open_nursery() as nursery:
@@ -171,7 +182,7 @@
             while True:
                 view = await self.holder.wait_changed(number)
                 number = view.number
-                names = [node.name for node in self.peers.nodes()]
+                names = [node.name for node in self.neighbours()]
                 some = self.rng.sample(names, min(FANOUT, len(names)))
                 nursery.start_soon(self.offer_to, some)
 
--- a/src/rosemaryknot/process/servers_spread.py
+++ b/src/rosemaryknot/process/servers_spread.py
@@ -154,15 +154,17 @@
     def better_peers(self) -> list[str]:
         """Return the peers worth asking.
 
-        A node whose own list is fresh asks anybody, for the marks. Else it asks the
-        watchers of its zone, or all nodes when this one is a watcher that cannot
-        reach the platform.
+        A node whose own list is fresh asks those it is linked to, for the marks. Else
+        it asks the watchers of its zone, or all nodes when this one is a watcher that
+        cannot reach the platform.
         """
         nodes = self.peers.nodes()
         is_fresh = trio.current_time() - self.table.listed_s < FRESH_S
         if not is_fresh and not self.is_watcher():
             zone = [n for n in nodes if n.zone == self.peers.node.zone]
             nodes = chosen_nodes(zone, DUTY, WATCHERS) or nodes
+        elif is_fresh:
+            nodes = self.peers.linked() or nodes
         return [node.name for node in nodes]
 
     async def compare_with(self, name: str) -> None:
--- a/tests/process/test_configuration_spread.py
+++ b/tests/process/test_configuration_spread.py
@@ -32,6 +32,29 @@
 
         assert run_region(main, without_watch=True) < TOLD_S
 
+    def test_many_nodes_need_no_relays_to_pass_it_on(self):
+        """Thirty nodes, above the full mesh: nothing happens, then one change.
+
+        Numbers are compared each second. If that went to nodes without a link, every
+        leaf's comparison would go through its zone's relays, and these would spend
+        their control traffic on it. The change must still be in force in time.
+        """
+
+        async def main(region: Region) -> float:
+            await region.start(30)
+            await trio.sleep(40)
+            before = self.passed_on(region)
+            await trio.sleep(20)
+            assert self.passed_on(region) == before
+            await region.agents[3].submit(1, 3)
+            return await region.until(2)
+
+        assert run_region(main, without_watch=True) < IN_FORCE_S
+
+    def passed_on(self, region: Region) -> int:
+        """Return how many messages of others the nodes have passed on."""
+        return sum(agent.peers.forwarder.passed_on for agent in region.agents)
+
     def test_accepting_agent_dies_before_it_spreads(self):
         """The agent dies right after its write; the watches bring the version."""
 
