Refuse patches that would forget ids of at-most-once requests

An id that ran under one form, kind or horizon could run again after a patch: the other form does not know it, and a shorter horizon ends the doubt after an owner's death sooner. Ruled out: to wait the horizon out before such a patch is in force, which needs two versions of a service on every node.

The patch is refused with the place and what to do.

--- a/src/rosemaryknot/process/claims/records.py
+++ b/src/rosemaryknot/process/claims/records.py
@@ -24,6 +24,7 @@
 
 __all__ = [
     "CLOSED_ALL",
+    "OPEN_GRANT_S",
     "ClaimRecord",
     "RunState",
     "apply_result",
--- a/src/rosemaryknot/version/document.py
+++ b/src/rosemaryknot/version/document.py
@@ -13,7 +13,7 @@
 from jsonschema import Draft202012Validator, validators
 from jsonschema.exceptions import ValidationError
 
-__all__ = ["MAX_DOCUMENT_BYTES", "Problem", "document_problems"]
+__all__ = ["MAX_DOCUMENT_BYTES", "Problem", "document_problems", "pointer"]
 
 MAX_DOCUMENT_BYTES = 400_000
 """The stored object also holds the history and must stay under a megabyte."""
--- a/src/rosemaryknot/version/store.py
+++ b/src/rosemaryknot/version/store.py
@@ -22,6 +22,7 @@
 )
 from rosemaryknot.version.document import Problem
 from rosemaryknot.version.effect import dangers_of, effect_of
+from rosemaryknot.version.kept_ids import kept_id_problems
 from rosemaryknot.version.patch import Patch, changed_document
 from rosemaryknot.version.stored import StoredConfiguration, read_stored
 from rosemaryknot.version.submission import (
@@ -38,7 +39,6 @@
     StoreUnavailable,
     SubmitResult,
 )
-from rosemaryknot.version.view import ConfigurationView
 
 __all__ = ["KIND", "NAME", "ConfigurationStore"]
 
@@ -143,16 +143,18 @@
         effect = effect_of(stored.document, document)
         if not effect:
             return InvalidPatch([Problem("", "the patch changes nothing")])
-        dangers = dangers_of(
-            ConfigurationView.from_document(stored.number, stored.document),
-            ConfigurationView.from_document(stored.number + 1, document),
-        )
+        now_s = self.clock()
+        old, new = stored.view_of(stored.document), stored.view_of(document)
+        problems = list(kept_id_problems(stored.removed, old, new, now_s))
+        if problems:
+            return InvalidPatch(problems)
+        dangers = dangers_of(old, new)
         if dry_run:
             return DryRun(stored.number + 1, effect, dangers)
         open_dangers = [danger for danger in dangers if danger.word not in confirmed]
         if open_dangers:
             return NeedsConfirm(open_dangers, effect)
-        changed = stored.changed_by(patch, document, effect, self.clock())
+        changed = stored.changed_by(patch, document, effect, now_s)
         return Prepared(changed, effect)
 
     def is_behind(self, stored: StoredConfiguration) -> bool:
--- a/src/rosemaryknot/version/stored.py
+++ b/src/rosemaryknot/version/stored.py
@@ -5,7 +5,9 @@
 from typing import Any
 
 from rosemaryknot.values.configuration import ConfigurationPush, document_digest
+from rosemaryknot.version.kept_ids import still_held
 from rosemaryknot.version.patch import Patch, apply_operations, operations_between
+from rosemaryknot.version.view import ConfigurationView
 
 __all__ = ["Change", "StoredConfiguration", "read_stored"]
 
@@ -66,6 +68,9 @@
         Numbers of recent patches by patch id.
     lineage : list of [int, str]
         Recent numbers with the start of their digests, newest last.
+    removed : dict of str to dict
+        Removed plain services whose ids may still be repeated, with the fields of
+        `rosemaryknot.version.kept_ids.RemovedService`.
     settles : int
         See `rosemaryknot.values.configuration.ConfigurationPush`.
     version : int
@@ -78,6 +83,7 @@
     history: list[Change] = field(default_factory=list)
     patches: dict[str, int] = field(default_factory=dict)
     lineage: list[list] = field(default_factory=list)
+    removed: dict[str, dict] = field(default_factory=dict)
     settles: int = 0
     version: int = 0
 
@@ -132,10 +138,20 @@
             history=bounded_history([*self.history, change]),
             patches=dict(list(patches.items())[-MAX_PATCH_IDS:]),
             lineage=lineage[-MAX_LINEAGE:],
+            removed=self.removed_after(document, unix_s),
             settles=self.settles,
             version=self.version,
         )
 
+    def view_of(self, document: dict) -> ConfigurationView:
+        """Return the tables of this document, or of the one to come after it."""
+        return ConfigurationView.from_document(self.number, document)
+
+    def removed_after(self, document: dict, unix_s: float) -> dict[str, dict]:
+        """Return the names of removed services that are held after a change."""
+        old, new = self.view_of(self.document), self.view_of(document)
+        return still_held(self.removed, old, new, unix_s)
+
     def change(self, number: int) -> Change | None:
         """Return the change that made a number, while it is remembered."""
         return next((c for c in self.history if c.number == number), None)
@@ -176,6 +192,7 @@
             "history": [asdict(change) for change in self.history],
             "patches": self.patches,
             "lineage": self.lineage,
+            "removed": self.removed,
         }
         if self.settles:
             value["settles"] = self.settles
