--- a/src/rosemaryknot/request/engine_queue.py
+++ b/src/rosemaryknot/request/engine_queue.py
@@ -5,7 +5,7 @@
 import trio
 
 from rosemaryknot.process.server_load import ServerLoad
-from rosemaryknot.request.service_queue import FREE_STARTS, Place, ServiceQueue
+from rosemaryknot.request.service_queue import Place, ServiceQueue
 from rosemaryknot.values.outcomes import NotRun
 
 __all__ = ["EngineQueue", "engine_capacity", "fair_priority"]
@@ -16,7 +16,7 @@
 LEAST_SHARE = 1 / 8
 
 
-def fair_priority(priority: int, running: int) -> int:
+def fair_priority(priority: int, rank: int) -> int:
     """Return the engine priority of a customer's next request.
 
     Engines queue and pause by priority. The more requests a customer has there, the
@@ -27,8 +27,8 @@
     ----------
     priority : int
         0 for a short answer, 1 for a long one.
-    running : int
-        The customer's requests that this entry has at engines.
+    rank : int
+        From the request's `Place`.
 
     Returns
     -------
@@ -37,11 +37,10 @@
 
     Examples
     --------
-    >>> [fair_priority(0, n) for n in (0, 1, 2, 4, 8)], fair_priority(1, 0)
-    ([0, 0, 2, 4, 6], 1)
+    >>> [fair_priority(0, rank) for rank in (0, 1, 2)], fair_priority(1, 0)
+    ([0, 2, 4], 1)
     """
-    rank = min(MAX_RANK, (running // FREE_STARTS).bit_length())
-    return priority + 2 * rank
+    return priority + 2 * min(MAX_RANK, rank)
 
 
 def engine_capacity(loads: Iterable[ServerLoad]) -> float:
--- a/src/rosemaryknot/request/service_queue.py
+++ b/src/rosemaryknot/request/service_queue.py
@@ -80,7 +80,8 @@
     customer : str
         Whose request it is.
     rank : int
-        The customer's requests at engines when it started.
+        How much of the engines the customer had when it started: 0 with nothing
+        there, one more for each doubling, and one more where it had to wait.
     started_s : float
         When that was, in trio time.
     is_held : bool
@@ -166,11 +167,16 @@
             return True
         return not self.backlogs and self.running_count < self.capacity()
 
-    def start(self, customer: str, cost: float) -> Place:
-        """Hand out a place."""
+    def start(self, customer: str, cost: float, has_waited: bool = False) -> Place:
+        """Hand out a place.
+
+        A customer whose requests wait here has more than its part. At each entry its
+        first ones would else rank as high as another customer's only one, and those
+        of all entries together fill the slots of an engine.
+        """
         tag = max(self.virtual_time, self.tags.get(customer, 0.0))
         self.tags[customer] = tag + cost
-        rank = self.running[customer]
+        rank = self.running[customer].bit_length() + has_waited
         self.running[customer] += 1
         self.running_count += 1
         return Place(self, customer, rank, trio.current_time())
@@ -197,7 +203,7 @@
                 customer = min(few, key=lambda name: self.backlogs[name].tag)
             waiter = self.backlogs[customer].next()
             self.virtual_time = max(self.virtual_time, self.backlogs[customer].tag)
-            waiter.place = self.start(customer, waiter.cost)
+            waiter.place = self.start(customer, waiter.cost, has_waited=True)
             self.forget(waiter)
             waiter.event.set()
 
