Look at peers without a link each ten seconds, not each second

Cause: one task for each known node woke each second, also where no link is wanted, which is the case for nearly all nodes of a large region.

Change: such a task waits ten seconds; whatever changes that wakes it.

--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -39,6 +39,7 @@
 LOG = logger("peers")
 
 TEND_S = 1.0
+IDLE_S = 10.0
 STABLE_S = 1.0
 SPREAD_S = 0.05
 PROBE_TIMEOUT_S = 1.0
@@ -299,8 +300,12 @@
         live = self.table.live_nodes()
         # Links to suspected nodes are tried too, or a healed partition would
         # never be noticed.
-        self.targets = link_targets(self.node, live, self.plan)
-        self.targets |= link_targets(self.node, known, self.plan)
+        targets = link_targets(self.node, live, self.plan)
+        targets |= link_targets(self.node, known, self.plan)
+        newly_wanted = (targets - self.targets) & self.peers.keys()
+        self.targets = targets
+        for name in newly_wanted:
+            self.peers[name].wake()
         for name in self.table.records:
             if name not in self.peers:
                 self.peers[name] = Peer(self.node.name, name)
@@ -337,8 +342,11 @@
                 await self.reconnect(peer, failures)
                 failures += 1
             else:
+                # Most nodes of a large region are such peers; a look at each of them
+                # every second would cost more than all links. `refresh` wakes those
+                # that are wanted.
                 peer.close_all("silent")
-                await peer.wait(TEND_S)
+                await peer.wait(IDLE_S)
         del self.peers[peer.name]
 
     def wants_link(self, peer: Peer) -> bool:
@@ -446,8 +454,10 @@
     def note_record(self, record: PeerRecord) -> None:
         """Act on a record that changed."""
         peer = self.peers.get(record.name)
-        if peer is not None and record.state == PeerState.LEFT:
-            peer.close_all("left")
+        if peer is not None:
+            if record.state == PeerState.LEFT:
+                peer.close_all("left")
+            peer.wake()
         self.touch()
 
     async def handle_probe(self, value: PeerProbe, link: MessageLink) -> PeerAlive:
