--- a/src/rosemaryknot/process/claims/copies.py
+++ b/src/rosemaryknot/process/claims/copies.py
@@ -53,6 +53,9 @@
     def nodes(self) -> list[Node]:
         """Return the other nodes that seem to live."""
 
+    def linked(self) -> list[Node]:
+        """Return those that a link of this node leads to."""
+
     async def call(
         self, name: str, value: Message, timeout_s: float
     ) -> Message | CallFailed:
--- a/src/rosemaryknot/process/claims/duties.py
+++ b/src/rosemaryknot/process/claims/duties.py
@@ -127,10 +127,14 @@
             await changed.wait()
 
     async def gossip(self) -> None:
-        """Ask one peer after the other for a newer map."""
+        """Ask one peer after the other for a newer map.
+
+        Those with a link: the links connect all nodes, and what relays pass on
+        would cost each of them the same again.
+        """
         while True:
             await trio.sleep(GOSSIP_S)
-            nodes = self.peers.nodes()
+            nodes = self.peers.linked() or self.peers.nodes()
             if nodes:
                 await self.maps.ask(self.rng.choice(nodes).name)
 
--- a/tests/process/claim_fakes.py
+++ b/tests/process/claim_fakes.py
@@ -108,6 +108,9 @@
             if name != self.node.name and self.cluster.reaches(self.node.name, name)
         ]
 
+    def linked(self):
+        return self.nodes()
+
     async def broadcast(self, value):
         for node in self.nodes():
             if self.node.name not in self.cluster.mute_pushes:
