End the benchmark's agents with it, and count what relays pass on by itself

The agents of a benchmark that was ended from outside went on. Control's benchmark now says what it could not measure, and its exit code tells. Messages passed on for other nodes were counted as membership, which hid their share.

--- a/benchmarks/agents.py
+++ b/benchmarks/agents.py
@@ -7,6 +7,7 @@
 import argparse
 import json
 import re
+import signal
 import statistics
 import sys
 import tempfile
@@ -26,6 +27,7 @@
 LINKS_PORT, OPERATORS_PORT = 17300, 17200
 SEEDS_PER_ZONE = 2
 SETTLE_S, CHANGE_EVERY_S = 45.0, 5.0
+STARTED_AT_ONCE = 9
 IMPORTS_ONLY = (
     "import rosemaryknot.process.agent, rosemaryknot.process.agent_main, time;"
     "print('ready', flush=True); time.sleep(600)"
@@ -71,7 +73,10 @@
         return f"127.0.{61 + index % len(ZONES)}.{1 + index // len(ZONES)}"
 
     def start(self) -> None:
-        """Start everything, and wait until each agent answers operators."""
+        """Start everything, and wait until each agent answers operators.
+
+        A few agents at a time: their imports fill the machine's processors.
+        """
         platform = ("platform", "--listen", PLATFORM)
         self.processes.start("platform", "-m", "rosemaryknot.standin.main", *platform)
         wait_until(f"http://{PLATFORM}/instances")
@@ -89,8 +94,14 @@
                     f"agent-{index}", "-m", "rosemaryknot.process.agent_main", settings
                 )
             )
+            if index >= STARTED_AT_ONCE:
+                self.wait_for(index - STARTED_AT_ONCE)
         for index in range(self.nodes):
-            wait_until(f"http://{self.host(index)}:{OPERATORS_PORT}/healthz")
+            self.wait_for(index)
+
+    def wait_for(self, index: int) -> None:
+        """Wait until an agent answers operators."""
+        wait_until(f"http://{self.host(index)}:{OPERATORS_PORT}/healthz")
 
     def write_settings(self, index: int) -> str:
         """Write one agent's settings; return the file's name."""
@@ -218,6 +229,8 @@
     parser.add_argument("--nodes", type=int, default=7)
     parser.add_argument("--seconds", type=float, default=20.0)
     options = parser.parse_args()
+    # Ended from outside, it must still end the agents that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     print(json.dumps(measure(options.nodes, options.seconds)))
     return 0
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -38,17 +38,20 @@
         If it could not measure.
     """
     environment = os.environ | {"PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}"}
-    done = subprocess.run(
-        command,
-        cwd=ROOT,
-        env=environment,
-        stdout=subprocess.PIPE,
-        text=True,
-        timeout=PART_TIMEOUT_S,
+    part = subprocess.Popen(
+        command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, text=True
     )
-    lines = done.stdout.strip().splitlines()
-    if done.returncode or not lines:
-        raise RuntimeError(f"{command[-3:]} ended with {done.returncode}")
+    try:
+        output, _ = part.communicate(timeout=PART_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        output = ""
+    finally:
+        # A part that is killed would leave its agents behind.
+        part.terminate()
+        part.wait()
+    lines = output.strip().splitlines()
+    if part.returncode or not lines:
+        raise RuntimeError(f"{' '.join(command[1:])} ended with {part.returncode}")
     return json.loads(lines[-1])
 
 
@@ -60,34 +63,44 @@
     return {"per_node": float(f"{per_node:.4g}"), "at_zero": float(f"{at_zero:.4g}")}
 
 
-def main() -> int:
-    """Run the command line; return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--sizes", type=int, nargs="+", default=[7, 21, 63])
-    parser.add_argument("--seconds", type=float, default=20.0)
-    options = parser.parse_args()
+def measure(sizes: list[int], seconds: float) -> dict:
+    """Return the figures of the largest fleet, all sizes, and slopes over them."""
     at_size: dict[int, dict] = {}
-    for nodes in options.sizes:
+    for nodes in sizes:
         say(f"{nodes} agents in virtual time")
         figures = run_part([*CONFIGURATION, "--nodes", str(nodes)])
         say(f"{nodes} agents as processes")
-        figures |= run_part(
-            [*AGENTS, "--nodes", str(nodes), "--seconds", str(options.seconds)]
-        )
-        at_size[nodes] = figures
+        options = ["--nodes", str(nodes), "--seconds", str(seconds)]
+        at_size[nodes] = figures | run_part([*AGENTS, *options])
     say("limits in virtual time")
     limits = run_part(LIMITS)
-    largest = at_size[max(options.sizes)]
-    result = {name: largest[name] for name in (*SPREAD, *COSTS)}
-    result["reverts"] = sum(figures["reverts"] for figures in at_size.values())
-    result["over_admission"] = limits["over_admission"]
-    result["flood_p95_ratio"] = limits["flood_p95_ratio"]
-    result["slopes"] = {
-        name: slope(options.sizes, [at_size[n][name] for n in options.sizes])
-        for name in (*SPREAD, *COSTS)
+    names = (*SPREAD, *COSTS)
+    largest = at_size[max(sizes)]
+    return {
+        **{name: largest[name] for name in names},
+        "reverts": sum(figures["reverts"] for figures in at_size.values()),
+        "over_admission": limits["over_admission"],
+        "flood_p95_ratio": limits["flood_p95_ratio"],
+        "slopes": {
+            name: slope(sizes, [at_size[nodes][name] for nodes in sizes])
+            for name in names
+        },
+        "at_size": at_size,
+        "limits": limits,
     }
-    result["at_size"] = at_size
-    result["limits"] = limits
+
+
+def main() -> int:
+    """Run the command line; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--sizes", type=int, nargs="+", default=[7, 21, 63])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    try:
+        result = measure(options.sizes, options.seconds)
+    except (RuntimeError, KeyError, ValueError) as error:
+        say(f"could not measure: {error!r}")
+        return 2
     print(json.dumps(result))
     return 1 if result["reverts"] else 0
 
--- a/src/rosemaryknot/process/peer_metrics.py
+++ b/src/rosemaryknot/process/peer_metrics.py
@@ -24,6 +24,7 @@
     "decisions": "operators",
     "drain": "operators",
 }
+FORWARDED = ("peer_forward", "peer_forwarded")
 
 LIVE = gauge("peers_live", "Other nodes that seem to live.")
 LINKED = gauge("peers_linked", "Other nodes with a usable link.")
@@ -41,7 +42,11 @@
     'configuration'
     >>> duty_of("beat")
     'heartbeat'
+    >>> duty_of("peer_forward")
+    'forwarding'
     """
+    if kind in FORWARDED:
+        return "forwarding"
     word = kind.partition("_")[0]
     return DUTIES.get(word, word or "unknown")
 
