Let the fault runner find the closing of attempts when it is off

Cause: the end of a held connection arrived at once, so that a send whose caller had given up was dropped before it was read, and a service's own 503 was taken for a refusal of ours; a later send was then hardly ever refused "not run". Now the end of a stream takes as long as its bytes, a service's own answer counts as one, and its servers may be away for a while.

--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -39,7 +39,7 @@
 
     chunks: deque = field(default_factory=deque)
     size: int = 0
-    ended: bool = False
+    ends_s: float = math.inf
     reset: bool = False
     changed: trio.lowlevel.ParkingLot = field(default_factory=trio.lowlevel.ParkingLot)
 
@@ -47,6 +47,15 @@
         """Let both ends look again."""
         self.changed.unpark_all()
 
+    @property
+    def ended(self) -> bool:
+        """Whether the sender has closed its direction."""
+        return self.ends_s < math.inf
+
+    def next_s(self) -> float:
+        """Return when the next bytes arrive, or the end; never while nothing is sent."""
+        return self.chunks[0][0] if self.chunks else self.ends_s
+
 
 class MemoryStream(trio.abc.HalfCloseableStream):
     """One end of an in-memory connection."""
@@ -105,9 +114,15 @@
     async def send_eof(self) -> None:
         """Close the sending direction."""
         await trio.lowlevel.checkpoint()
-        if not self.silent:
-            self.outgoing.ended = True
-            self.outgoing.wake()
+        self.end()
+
+    def end(self) -> None:
+        """Put the end of the stream on its way, which takes as long as bytes do."""
+        if self.silent or self.network.is_cut(self.near, self.far):
+            return
+        delay = self.network.delay_s(self.near, self.far)
+        self.outgoing.ends_s = min(self.outgoing.ends_s, trio.current_time() + delay)
+        self.outgoing.wake()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Receive what has arrived."""
@@ -118,17 +133,11 @@
                 raise trio.ClosedResourceError
             if pipe.reset:
                 raise trio.BrokenResourceError("connection reset")
-            if pipe.chunks:
-                arrival, data = pipe.chunks[0]
-                wait = arrival - trio.current_time()
-                if wait > 0:
-                    with trio.move_on_after(wait):
-                        await pipe.changed.park()
-                    continue
-                return self.take(max_bytes)
-            if pipe.ended:
-                return b""
-            await pipe.changed.park()
+            wait = pipe.next_s() - trio.current_time()
+            if wait <= 0:
+                return self.take(max_bytes) if pipe.chunks else b""
+            with trio.move_on_after(wait):
+                await pipe.changed.park()
 
     def take(self, max_bytes: int | None) -> bytes:
         """Take the first chunk, or as much of it as fits."""
@@ -146,9 +155,7 @@
         pipe = self.incoming
         if self.closed or pipe.reset:
             return True
-        if pipe.chunks:
-            return pipe.chunks[0][0] <= trio.current_time()
-        return pipe.ended
+        return pipe.next_s() <= trio.current_time()
 
     def kill(self) -> None:
         """Reset both directions, as the death of a process does."""
@@ -161,8 +168,7 @@
         if not self.closed:
             self.closed = True
             self.network.streams.discard(self)
-            if not self.silent:
-                self.outgoing.ended = True
+            self.end()
             self.incoming.reset = True
             self.incoming.wake()
             self.outgoing.wake()
--- a/src/rosemaryknot/replay/audit.py
+++ b/src/rosemaryknot/replay/audit.py
@@ -11,6 +11,7 @@
 __all__ = ["Violation", "audit_booking", "audit_model"]
 
 CROSSED, MIXED, SHORT = "crossed", "mixed", "short"
+OK = "200"
 
 
 @dataclass(slots=True)
@@ -68,9 +69,11 @@
             if untrue:
                 detail = f"send {reply.send} {reply.reason}; ran {untrue[0].send}"
                 found.append(Violation("false_not_run", note.key, detail))
-        if reply.outcome == "answered" and json.loads(reply.body)["key"] != note.key:
+        if reply.outcome != "answered" or reply.reason != OK:
+            continue
+        if json.loads(reply.body)["key"] != note.key:
             found.append(Violation(CROSSED, note.key, reply.body[:80]))
-        if reply.outcome == "answered" and not runs:
+        if not runs:
             found.append(Violation("answer_without_run", note.key, ""))
     return found
 
--- a/src/rosemaryknot/replay/callers.py
+++ b/src/rosemaryknot/replay/callers.py
@@ -13,7 +13,6 @@
 
 IDLE_TIMEOUT_S = 12.0
 PICKUP_GAP_S = 1.0
-STATUS_OUTCOMES = {200: "answered", 202: "running", 504: "unknown"}
 
 
 @dataclass(slots=True)
@@ -39,16 +38,17 @@
 
 
 def outcome_of(response: httpx.Response) -> tuple[str, str]:
-    """Return the outcome and the reason of a response."""
-    if response.status_code == 200:
-        return "answered", ""
+    """Return the outcome and the reason of a response.
+
+    A response without an outcome is the service's own answer, passed through.
+    """
     try:
         body = response.json()
     except ValueError:
-        return "unknown", f"status {response.status_code} without an outcome"
-    if not isinstance(body, dict) or "outcome" not in body:
-        return "unknown", f"status {response.status_code} without an outcome"
-    return body["outcome"], body.get("reason", "")
+        body = None
+    if isinstance(body, dict) and "outcome" in body and response.status_code != 200:
+        return body["outcome"], body.get("reason", "")
+    return "answered", str(response.status_code)
 
 
 class Caller:
--- a/src/rosemaryknot/replay/fault_kinds.py
+++ b/src/rosemaryknot/replay/fault_kinds.py
@@ -38,7 +38,7 @@
     "plain service",
     "platform outage",
     "reclaim node",
-    "refused calls",
+    "service away",
 ]
 
 NOTICE_S = (2.0, 4.0)
@@ -247,20 +247,25 @@
         server.standin.faults.append(planned)
 
 
-@fault("refused calls")
-async def refused_calls(system: System, rng: random.Random) -> None:
-    """Let all servers of a plain service refuse before running, for a while."""
+@fault("service away")
+async def service_away(system: System, rng: random.Random) -> None:
+    """Let nobody listen at the servers of a plain service, for a while."""
     service = rng.choice(
         sorted(s for s, k in system.plan.kinds.items() if k == "plain")
     )
-    refusing = [s for s in live_servers(system, True) if s.listed.service == service]
-    for server in refusing:
-        server.standin.faults.append(PlainFault("refuse", 1000))
+    servers = [s for s in live_servers(system, True) if s.listed.service == service]
+    away = {}
+    for server in servers:
+        host = server.host.network.host
+        listeners = system.network.listeners
+        away.update((a, accept) for a, accept in listeners.items() if a.host == host)
+        system.network.kill_host(host)
     await hold(rng)
-    for server in refusing:
-        server.standin.faults[:] = [
-            f for f in server.standin.faults if f.fault != "refuse"
-        ]
+    for server in servers:
+        if not server.host.is_dead:
+            host = server.host.network.host
+            listening = {a: accept for a, accept in away.items() if a.host == host}
+            system.network.listeners.update(listening)
 
 
 @fault("held requests")
--- a/src/rosemaryknot/replay/fault_run.py
+++ b/src/rosemaryknot/replay/fault_run.py
@@ -28,9 +28,10 @@
 MODEL, SHARDS, OBJECTS = "kit-assistant", "dispatch-app", "visit-notify"
 CUSTOMERS = ["estimator-1", "estimator-2"]
 WARM_UP_S, ACTIVE_S, SETTLE_S = 3.0, 15.0, 25.0
-BOOKINGS, MANY_BOOKINGS, MODEL_REQUESTS, FAULT_COUNT = 14, 42, 6, (2, 6)
+BOOKINGS, MANY_BOOKINGS, MODEL_REQUESTS, FAULT_COUNT = 14, 60, 6, (2, 6)
 PLAIN_TIMEOUT_S = 5.0
 BOOKING_PROFILE = "bookings"
+ALWAYS_NEAR_BOOKINGS = ["held requests", "held requests", "service away"]
 PROFILES = ("all", "all", BOOKING_PROFILE)
 
 
@@ -189,10 +190,11 @@
     def start_faults(self, nursery: trio.Nursery) -> None:
         """Start the run's faults at random times."""
         names = sorted(FAULTS)
+        chosen = []
         if self.profile == BOOKING_PROFILE:
-            names = BOOKING_FAULTS
-        for _ in range(self.rng.randint(*FAULT_COUNT)):
-            name = self.rng.choice(names)
+            names, chosen = BOOKING_FAULTS, ALWAYS_NEAR_BOOKINGS
+        count = self.rng.randint(*FAULT_COUNT)
+        for name in [*chosen, *(self.rng.choice(names) for _ in range(count))]:
             self.report.faults[name] += 1
             rng = random.Random(self.rng.random())
             nursery.start_soon(self.one_fault, name, rng)
