Keep a budget's debt, and number an entry's asks over forgotten accounts

A zone's owner dropped a budget after two minutes without asks; a new one starts full, so a debt of up to three minutes was forgiven. The test (fails without the change) showed a second fault: an entry forgets an idle account after one minute, its asks began at 1 again, and the owner took them for late ones until it forgot the entry's lease too. The customer lived by the fixed part for that time.

--- a/src/rosemaryknot/process/limits/owner.py
+++ b/src/rosemaryknot/process/limits/owner.py
@@ -136,10 +136,14 @@
         return members
 
     def forget_idle(self) -> None:
-        """Drop the budgets of customers that send nothing."""
+        """Drop the budgets of customers that send nothing.
+
+        One with a debt is kept until it is paid: a new budget would start full.
+        """
         now_s = self.clock()
         for key, budget in list(self.budgets.items()):
-            if now_s - budget.touched_s > IDLE_S and not budget.lent:
+            kept_s = IDLE_S + budget.bucket.wait_s(0.0)
+            if now_s - budget.touched_s > kept_s and not budget.lent:
                 del self.budgets[key]
 
     def is_owner(self, key: LimitKey, members: ZoneMembers) -> bool:
--- a/src/rosemaryknot/request/accounts.py
+++ b/src/rosemaryknot/request/accounts.py
@@ -56,8 +56,6 @@
         Until when it is used.
     touched_s : float
         When a request last came.
-    sequence : int
-        Number of the last ask.
     is_asking : bool
         Whether an ask ahead of need is under way.
     lock : trio.Lock
@@ -79,7 +77,6 @@
     fallback_until_s: float = -math.inf
     fallback_share: float = FIRST_FALLBACK_SHARE
     touched_s: float = 0.0
-    sequence: int = 0
     is_asking: bool = False
     lock: trio.Lock = field(default_factory=trio.Lock)
 
@@ -127,9 +124,14 @@
         return limit_reached(self.limit, wait_s, False)
 
     def new_ask(
-        self, key: tuple[str, str], node: Node, tokens: float, slots: int
+        self,
+        key: tuple[str, str],
+        node: Node,
+        sequence: int,
+        tokens: float,
+        slots: int,
     ) -> BudgetAsk:
-        """Return the next ask of an self."""
+        """Return the next ask; what it gives back leaves the account."""
         wanted = self.wanted_tokens()
         returned = self.tokens - min(self.tokens, wanted)
         if self.tokens < 0:
@@ -137,13 +139,12 @@
         self.tokens -= returned
         is_recent = trio.current_time() - self.touched_s < SPARE_SLOT_S
         self.slots = min(self.slots, self.used_slots + is_recent)
-        self.sequence += 1
         is_short = tokens > 0 and self.tokens < tokens
         return BudgetAsk(
             *key,
             node.name,
             node.incarnation,
-            self.sequence,
+            sequence,
             float(self.tokens),
             self.slots,
             self.used_slots,
--- a/src/rosemaryknot/request/budget.py
+++ b/src/rosemaryknot/request/budget.py
@@ -191,8 +191,10 @@
         """Ask once; what is given back leaves the account before the ask does."""
         asked_s = trio.current_time()
         account.expire(asked_s)
-        ask = account.new_ask(key, self.node, tokens, slots)
+        # One count for all accounts: an account that is forgotten and made anew must
+        # not begin again below what the owner has seen, who would take it for late.
         self.asks += 1
+        ask = account.new_ask(key, self.node, self.asks, tokens, slots)
         answer = await self.link.call(ask, ASK_TIMEOUT_S)
         if isinstance(answer, BudgetGrant) and answer.is_owner:
             account.note_grant(ask, answer, asked_s)
--- a/tests/process/limit_fleet.py
+++ b/tests/process/limit_fleet.py
@@ -96,6 +96,7 @@
         while True:
             if not node.is_frozen:
                 node.owner.look()
+                node.owner.forget_idle()
                 await node.owner.transfers.renew()
             await trio.sleep(0.5)
 
--- a/tests/process/test_limits.py
+++ b/tests/process/test_limits.py
@@ -94,6 +94,25 @@
         await trio.sleep(refusal.retry_after_s * 0.3 + 0.01)
         assert isinstance(await node.take(33), Charge)
 
+    async def test_debt_outlives_a_pause(self, autojump_clock, nursery):
+        """A request as large as the limit of a minute, and then none for two minutes.
+
+        The zone's share pays for it in three. The owner forgets customers that send
+        nothing, and must not forget what is owed.
+        """
+        fleet = LimitFleet(tokens_per_minute(RATE), ZONES)
+        await fleet.run(nursery)
+        fleet.cut_zone("waco-a")
+        node = fleet.owner("waco-a")
+        charge = await node.take(RATE)
+        charge.settle(RATE)
+        await trio.sleep(150)
+        refusal = await node.take(10)
+        assert isinstance(refusal, NotRun)
+        assert refusal.retry_after_s > 15
+        await trio.sleep(refusal.retry_after_s)
+        assert isinstance(await node.take(10), Charge)
+
     async def test_more_than_a_minute_holds(self, autojump_clock, fleet):
         refusal = await fleet.owner("waco-a").take(RATE + 1)
         assert (refusal.reason, refusal.retry_after_s) == (Reason.LIMIT_REACHED, 0.0)
