--- a/src/rosemaryknot/process/placement/policies.py
+++ b/src/rosemaryknot/process/placement/policies.py
@@ -144,11 +144,15 @@
 def thin(
     given: PlacementInput, zone: ZoneTarget, count: int, surplus: int, score: Score
 ) -> list[Decision]:
-    """Drain what is too much in a zone, the dearest live ones first."""
+    """Drain what is too much in a zone, the dearest live ones first.
+
+    One that is starting may still fail, so nothing is drained on account of it.
+    """
     live = [i for i in present(given, zone.zone) if i.phase == Phase.LIVE]
     live.sort(key=lambda i: (score(i.kind), i.instance), reverse=True)
     have = len(present(given, zone.zone))
     reason = f"{have} of {count} in {zone.zone}"
+    surplus = min(surplus, len(live) - count)
     return [Drain(i.instance, reason) for i in live[: max(0, surplus)]]
 
 
