Let an operator confirm that an owner of shards has ended

An owner that the platform no longer knows left its shards waiting for ever, and the one way out was a call in the code. The word was also kept by the node's name: it covered a later process of that node.

Now it covers the process that the map names. The operators' API takes it from an editor who names the node twice, refuses it while the node answers or the platform knows the instance as alive, and logs who gave it. GET /v1/shards and the command 'shards' show who owns what and who is mute. What proves an owner's end has a module of its own.

With the word kept by name, the test of the next process fails. In test_absence_from_the_platform_is_no_proof only the way to give the word changed.

--- a/src/rosemaryknot/process/admin_main.py
+++ b/src/rosemaryknot/process/admin_main.py
@@ -17,6 +17,7 @@
 
 COMMAND_MODULES = (
     "rosemaryknot.process.admin_configuration",
+    "rosemaryknot.process.admin_shards",
     "rosemaryknot.process.admin_status",
 )
 
--- /dev/null
+++ b/src/rosemaryknot/process/admin_shards.py
@@ -0,0 +1,85 @@
+"""Operators' commands on the shards of at-most-once execution."""
+
+import json
+from typing import Annotated, Any
+
+import typer
+
+from rosemaryknot.process.admin import (
+    JsonOption,
+    application,
+    call_agent,
+    exit_code_of,
+    print_json,
+    print_table,
+)
+from rosemaryknot.process.admin_status import checked
+from rosemaryknot.process.command_line import ExitCode
+
+__all__ = ["confirm_ended", "shards"]
+
+SHARDS = "/v1/shards"
+
+
+@application.command()
+def shards(context: typer.Context, as_json: JsonOption = False) -> None:
+    """Show who owns which shards, as one agent sees it.
+
+    Exit code 1 while an owner is mute: its shards wait until it answers or its end
+    is proven.
+    """
+    body = checked(call_agent(context.obj, "GET", SHARDS))
+    if as_json:
+        print_json(body)
+    else:
+        print_shards(body)
+    if any(owner["state"] != "live" for owner in body["owners"]):
+        raise typer.Exit(ExitCode.FAILED)
+
+
+def print_shards(body: dict[str, Any]) -> None:
+    """Print the owners for people."""
+    typer.echo(f"shard map {body['map_number']}\n")
+    rows = [
+        [
+            owner["owner"],
+            owner["state"],
+            f"{owner['mute_s']:.0f} s" if owner["mute_s"] else "",
+            len(owner["shards"]),
+            " ".join(str(index) for index in owner["shards"]),
+        ]
+        for owner in body["owners"]
+    ]
+    print_table(["owner", "state", "mute for", "count", "shards"], rows)
+
+
+@application.command("confirm-ended")
+def confirm_ended(
+    context: typer.Context,
+    node: Annotated[str, typer.Argument(help="Name of the node, as in `shards`.")],
+    confirm: Annotated[
+        str,
+        typer.Option(
+            "--confirm", metavar="NODE", help="The same name: its machine is gone."
+        ),
+    ] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Give your word that a node has ended, so that its shards pass on.
+
+    Only for a node that does not answer and that the platform no longer knows. If
+    its process still runs, requests can run twice. Without --confirm nothing is
+    changed, and what could happen is told.
+    """
+    content = json.dumps({"node": node, "confirm": confirm}).encode()
+    path = f"{SHARDS}/confirm-ended"
+    answer = call_agent(context.obj, "POST", path, content=content)
+    if answer.body.get("outcome") == "needs_confirm" and not as_json:
+        typer.echo(f"WARNING: {answer.body['detail']}", err=True)
+        typer.echo(f"nothing was changed; repeat with --confirm {node}", err=True)
+        raise typer.Exit(exit_code_of(answer.status))
+    body = checked(answer)
+    if as_json:
+        print_json(body)
+    else:
+        typer.echo(f"{node} counts as ended; its {body['shards']} shards pass on")
--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -15,6 +15,7 @@
 from rosemaryknot.process.claims.forms import ClaimForm
 from rosemaryknot.process.claims.handlers import register_claim_handlers
 from rosemaryknot.process.claims.objects import ObjectClaims
+from rosemaryknot.process.claims.operators_api import ShardsApi
 from rosemaryknot.process.claims.shards import ShardClaims
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.configuration_spread import (
@@ -142,6 +143,7 @@
         self.add_placement()
         app = operators_app(self.holder, self.store, bootstrap_key)
         app.register_blueprint(StatusApi(self).blueprint())
+        app.register_blueprint(ShardsApi(self.shards).blueprint())
         self.server = HttpServer(app, network)
 
     def add_servers(self) -> None:
--- a/src/rosemaryknot/process/claims/duties.py
+++ b/src/rosemaryknot/process/claims/duties.py
@@ -10,12 +10,13 @@
 
 import trio
 
+from rosemaryknot.process.claims.ended_owners import EndedOwners
 from rosemaryknot.process.claims.map_keeper import MapKeeper
 from rosemaryknot.process.claims.ownership import ShardOwnership
 from rosemaryknot.process.claims.shard_map import Shard, rendezvous
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import gauge
-from rosemaryknot.values.nodes import BackendServer, Node, ServerState
+from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.platform import InstanceSource, Missing
 
 __all__ = ["ShardDuties"]
@@ -29,7 +30,6 @@
 ABSENT_S = 3.0
 # After this long any node takes what the preferred successor did not take.
 ABSENT_ANY_S = 13.0
-ASK_PLATFORM_S = 2.0
 REBALANCE_S = 5.0
 # A node must have been live for this long before it gets shards, and own two fewer
 # than the giver: a node that comes and goes then moves nothing.
@@ -63,8 +63,8 @@
     ----------
     absent_since_s : dict of str to float
         Owners that do not seem to live, since when.
-    confirmed : set of str
-        Nodes whose end an operator has confirmed.
+    ended : EndedOwners
+        Owners that are proven to have ended.
     """
 
     def __init__(
@@ -84,9 +84,8 @@
         self.expected_nodes = expected_nodes
         self.rng = rng or random.Random()
         self.absent_since_s: dict[str, float] = {}
-        self.asked_s: dict[str, float] = {}
         self.live_since_s: dict[Node, float] = {}
-        self.confirmed: set[str] = set()
+        self.ended = EndedOwners(platform)
         self.read_s = 0.0
 
     async def run(self) -> None:
@@ -187,16 +186,13 @@
     async def take_over(self) -> None:
         """Take the shards of owners that are proven to have ended."""
         shards = self.maps.map.shards
-        ended = {}
-        for index in self.ownership.lost():
-            ended[index] = (shards[index].owner, shards[index].incarnation)
+        found = {index: shards[index] for index in self.ownership.lost()}
         for name in list(self.absent_since_s):
-            wanted = self.wanted(name)
-            if wanted and await self.has_ended(name):
-                for index, shard in wanted.items():
-                    ended[index] = (shard.owner, shard.incarnation)
-        if ended:
-            await self.ownership.take(ended)
+            found |= await self.ended.among(self.wanted(name))
+        if found:
+            await self.ownership.take(
+                {i: (shard.owner, shard.incarnation) for i, shard in found.items()}
+            )
 
     def wanted(self, name: str) -> dict[int, Shard]:
         """Return the shards of an absent owner that this node would take."""
@@ -216,35 +212,6 @@
         inside = [node for node in nodes if node.zone == shard.zone]
         return rendezvous(index, inside or nodes)[0] == self.node
 
-    async def has_ended(self, name: str) -> bool:
-        """Ask the platform whether a node's instance is terminated.
-
-        Leaving is no proof, since the process still runs; nor is absence from the
-        list, which lags. Only what says "terminated" lets the ownership pass.
-        """
-        if name in self.confirmed:
-            return True
-        now_s = trio.current_time()
-        if now_s < self.asked_s.get(name, -ASK_PLATFORM_S) + ASK_PLATFORM_S:
-            return False
-        self.asked_s[name] = now_s
-        found = await self.platform.instance(name)
-        if isinstance(found, BackendServer) and found.state == ServerState.TERMINATED:
-            return True
-        log.warning("an owner does not answer and is not proven ended", owner=name)
-        return False
-
-    def confirm_ended(self, name: str) -> None:
-        """Take an operator's word that a node's process has ended for good.
-
-        Parameters
-        ----------
-        name : str
-            The node. If its process still runs, ids of its shards can run twice.
-        """
-        log.warning("an operator confirmed that an owner ended", owner=name)
-        self.confirmed.add(name)
-
     async def rebalance(self) -> None:
         """Hand a shard to a node that owns fewer, at leisure."""
         while True:
--- a/tests/process/test_claims_ownership.py
+++ b/tests/process/test_claims_ownership.py
@@ -21,6 +21,15 @@
     return cluster
 
 
+def confirm_ended(cluster, at, owner):
+    """Confirm the end of an owner at a node; return the number of its shards."""
+    claims = cluster.claims(at)
+    shards = [shard for shard in claims.maps.map.shards if shard.owner == owner]
+    for shard in shards:
+        claims.duties.ended.confirm(shard)
+    return len(shards)
+
+
 class TestTakeover:
     async def test_paused_owner_stays_owner(self, autojump_clock, nursery):
         """Trap B: the owner is paused for ten minutes and wakes.
@@ -54,10 +63,34 @@
         del cluster.instances.states["a-1"]
         await trio.sleep(120)
         assert [] in cluster.owners()
-        cluster.claims("b-1").duties.confirm_ended("a-1")
+        assert confirm_ended(cluster, "b-1", "a-1") > 0
         await trio.sleep(30)
         assert all(len(owners) == 1 for owners in cluster.owners())
 
+    async def test_word_on_an_ended_process_does_not_cover_the_next(
+        self, autojump_clock, nursery
+    ):
+        """An operator confirms that a node ended; it is started again later.
+
+        Its new process gets shards and is cut off. The old word must not pass them
+        on: the new process lives and grants.
+        """
+        cluster = await cluster_of(nursery)
+        cluster.kill("a-1")
+        del cluster.instances.states["a-1"]
+        await trio.sleep(5)
+        confirm_ended(cluster, "b-1", "a-1")
+        await trio.sleep(30)
+        await cluster.start("a-1")
+        await trio.sleep(120)
+        owned = len(cluster.claims("a-1").ownership.owned)
+        assert owned > 0
+        cluster.cut(["a-1"], NODES[1:])
+        del cluster.instances.states["a-1"]
+        await trio.sleep(120)
+        shards = cluster.claims("b-1").maps.map.shards
+        assert sum(shard.owner == "a-1" for shard in shards) == owned
+
     async def test_dead_owner_leaves_no_id_to_run_twice(self, autojump_clock, nursery):
         """An owner grants, the entry sends, and the owner's instance is terminated.
 
