Compare all of up to eight servers, and measure route policies on equal work

make bench-policy looks for the fewest engines at which generated traces of each mix meet the latency target by each route policy.

The new route test fails with four in place of eight; larger fleets keep two draws.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 INSTALLED := $(VENV)/installed
 PYTEST_OPTIONS ?=
 
-.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery scenarios
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -17,6 +17,9 @@
 	@echo "make faults SEED=7      run one seed again, with its decision log"
 	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
 	@echo "make bench-recovery     what reclaim waves and at-most-once execution cost"
+	@echo "make bench-policy       engines each route policy needs at the latency target; minutes"
+	@echo "make bench-control      what control costs 7, 21 and 63 nodes, and how limits hold; minutes"
+	@echo "make bench-slopes       what each peer, server, record and customer costs control"
 	@echo "make scenarios          run all scenario files in virtual time and check what they state"
 	@echo "make lint    check format and lint rules"
 	@echo "make format  format the code and mend what the linter can"
@@ -63,6 +66,11 @@
 	@$(BIN)/python scripts/faults.py $(SEEDS) $(FAULT_OPTIONS)
 endif
 
+BENCH_POLICY_SEEDS ?= 4
+
+bench-policy: venv
+	@$(BIN)/python benchmarks/policy.py --seeds $(BENCH_POLICY_SEEDS)
+
 scenarios: venv
 	@$(BIN)/rosemaryknot-replay run scenarios/*.scenario
 
@@ -71,3 +79,9 @@
 
 bench-recovery: venv
 	@$(BIN)/python benchmarks/recovery.py
+
+bench-control: venv
+	@$(BIN)/python benchmarks/control.py
+
+bench-slopes: venv
+	@$(BIN)/python benchmarks/slopes.py
--- a/tests/request/test_routes.py
+++ b/tests/request/test_routes.py
@@ -95,6 +95,17 @@
         assert theirs["e0"] == 40
         assert 3 < ours["e0"] < 20
 
+    def test_the_free_one_of_few_servers_is_found(self):
+        """Seven engines are full and one is free, in a fleet of the users' size.
+
+        Two servers drawn at random would mostly be full ones, and the caller would
+        wait for a slot while another server idles.
+        """
+        candidates = [Candidate(server(f"e{n}"), 34.0 + n) for n in range(7)]
+        candidates.append(Candidate(server("free"), 3.0))
+        chosen = {choose("estimated_time", candidates, seed) for seed in range(20)}
+        assert chosen == {"free"}
+
     def test_unknown_policy_falls_back(self):
         assert choose("no_such_policy", [Candidate(server("a"))]) == "a"
 
