End stand-ins at SIGTERM at once

The demo had to kill two stand-ins that were still there 10 s after SIGTERM. A stand-in keeps nothing, so the signal now ends the process.

--- a/src/rosemaryknot/standin/main.py
+++ b/src/rosemaryknot/standin/main.py
@@ -1,7 +1,9 @@
 """The command ``rosemaryknot-standin``: stand-ins for demo, tests and experiments."""
 
 import json
+import os
 import signal
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any, Protocol
@@ -113,15 +115,20 @@
         fail(f"{kind}: {error}", ExitCode.BAD_SETTINGS)
 
 
-async def stop_on_signal(
-    scope: trio.CancelScope, task_status: trio.TaskStatus[None]
+async def end_on_signal(
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Cancel a scope at SIGTERM or SIGINT."""
+    """End the process at SIGTERM or SIGINT.
+
+    Cancelling the servers waits for shielded writes: a stand-in whose caller had
+    stopped reading lived on for up to 20 s after SIGTERM. Ending without them is
+    enough, since a stand-in keeps nothing that must last.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         task_status.started()
         async for _ in signals:
-            scope.cancel()
-            return
+            sys.stdout.flush()
+            os._exit(ExitCode.OK)
 
 
 async def serve_one(kind: str, standin: StandIn, address: Address) -> None:
@@ -134,7 +141,7 @@
 async def serve_all(standins: list[tuple[str, StandIn, Address]]) -> None:
     """Serve until a signal comes or the last stand-in has died."""
     async with trio.open_nursery() as nursery:
-        await nursery.start(stop_on_signal, nursery.cancel_scope)
+        await nursery.start(end_on_signal)
         async with trio.open_nursery() as servers:
             for kind, standin, address in standins:
                 servers.start_soon(serve_one, kind, standin, address)
