Tell a caller without attempt numbers that a refusal closed the key

Such a refusal said 'Retry-After: 1', and the same key then got 409 attempt_closed for ever, with the advice to send a higher attempt, which is closed too. Now it carries no Retry-After, and its detail asks for a new Idempotency-Key after so many seconds. Numbered sends are answered as before; a closed attempt is told whether a higher one helps.

--- a/src/rosemaryknot/process/claims/objects.py
+++ b/src/rosemaryknot/process/claims/objects.py
@@ -192,7 +192,7 @@
                 changed = close_attempts(
                     record, request.attempt, request.horizon_s, now_s
                 )
-                return refuse_closed(), changed
+                return refuse_closed(record), changed
             grant(record, request, now_s)
             return ClaimGranted(request.claim), True
 
--- a/src/rosemaryknot/process/claims/owner.py
+++ b/src/rosemaryknot/process/claims/owner.py
@@ -193,7 +193,7 @@
         if close_attempts(record, request.attempt, request.horizon_s, now_s):
             self.put(request.id, record)
         if await self.prove(request.id, record):
-            return refuse_closed()
+            return refuse_closed(record)
         if record.has_run:
             return reply_from_run(record, trio.current_time())
         return refuse_unproven(request, Reason.NOT_PROVEN, False)
--- a/src/rosemaryknot/process/claims/records.py
+++ b/src/rosemaryknot/process/claims/records.py
@@ -46,6 +46,10 @@
 OPEN_GRANT_S = 24 * 3600.0
 RECORD_BYTES = 1000
 RUNNING_RETRY_S = 1.0
+KEY_CLOSED = (
+    "A send without Rosemaryknot-Attempt was refused, which closed the key for good; "
+    "send a new Idempotency-Key."
+)
 
 
 class RunState(StrEnum):
@@ -171,9 +175,11 @@
     return None
 
 
-def refuse_closed() -> ClaimRefused:
+def refuse_closed(record: ClaimRecord) -> ClaimRefused:
     """Return the refusal of a closed attempt."""
-    detail = "A later attempt was refused; send a higher attempt, or a new key."
+    detail = "A later attempt was refused; send a higher Rosemaryknot-Attempt."
+    if record.closed >= CLOSED_ALL:
+        detail = KEY_CLOSED
     return ClaimRefused(RefusedKind.NOT_RUN, Reason.ATTEMPT_CLOSED, detail=detail)
 
 
--- a/src/rosemaryknot/request/at_most_once.py
+++ b/src/rosemaryknot/request/at_most_once.py
@@ -4,6 +4,7 @@
 whose answer got lost is given up, never used when its grant comes late.
 """
 
+import math
 import secrets
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -135,6 +136,7 @@
             outcome = await self.send_granted(request, claim, send)
         else:
             outcome = self.outcome_of(request, claim, reply)
+        outcome = with_advice(request, outcome)
         self.note(request, outcome)
         return outcome
 
@@ -162,6 +164,7 @@
             `NotRun`, or what is known of the id where it cannot be closed.
         """
         outcome = await self.closed_outcome(request, reason, retry_after_s)
+        outcome = with_advice(request, outcome)
         self.note(request, outcome)
         return outcome
 
@@ -306,3 +309,23 @@
     if outcome == RefusedKind.NOT_RUN:
         return NotRun(Reason(reason), retry_after_s, detail)
     return Unknown(Reason(reason), detail)
+
+
+def with_advice(request: PlainRequest, outcome: Outcome) -> Outcome:
+    """Return an outcome that says so where the request's key is closed for good.
+
+    A refused request without an attempt number may be any of its key's sends, so all
+    of them are closed with it. With `Retry-After` a caller would send the same key
+    again, and be refused for ever.
+    """
+    is_closed = isinstance(outcome, NotRun) and outcome.reason != Reason.BODY_DIFFERS
+    if request.attempt or not is_closed:
+        return outcome
+    wait = (
+        f" after {math.ceil(outcome.retry_after_s)} s" if outcome.retry_after_s else ""
+    )
+    detail = (
+        "Without Rosemaryknot-Attempt the refusal closes the key for good: come back"
+        f"{wait} with a new Idempotency-Key, and number its sends from 1."
+    )
+    return NotRun(outcome.reason, 0.0, detail)
--- a/src/rosemaryknot/request/plain_api.py
+++ b/src/rosemaryknot/request/plain_api.py
@@ -191,8 +191,9 @@
         outcome = await self.at_most_once.refuse(
             plain, refusal.reason, refusal.retry_after_s
         )
-        if isinstance(outcome, NotRun) and not outcome.detail:
-            outcome.detail = refusal.detail
+        if isinstance(outcome, NotRun):
+            details = (refusal.detail, outcome.detail)
+            outcome.detail = "; ".join(detail for detail in details if detail)
         return outcome
 
 
