--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -158,13 +158,8 @@
         size = len(payload) + 4
         if size > MAX_FRAME_BYTES:
             raise ValueError(f"{kind} message of {size} bytes is too large")
-        with trio.move_on_after(SEND_TIMEOUT_S) as scope:
-            while self.output and len(self.output) + size > MAX_QUEUED_BYTES:
-                if self.is_closed:
-                    break
-                await self.output_changed.park()
-        if scope.cancelled_caught:
-            self.close("the other end does not read")
+        if not self.has_room(size):
+            await self.wait_for_room(size)
         if self.is_closed:
             raise LinkClosed(self.end_reason)
         self.output += len(payload).to_bytes(4, "big") + payload
@@ -172,6 +167,19 @@
         self.last_sent_s = trio.current_time()
         self.traffic.add_sent(kind, size)
 
+    def has_room(self, size: int) -> bool:
+        """Tell whether a frame may be queued; on a closed link it fails later."""
+        fits = len(self.output) + size <= MAX_QUEUED_BYTES
+        return self.is_closed or not self.output or fits
+
+    async def wait_for_room(self, size: int) -> None:
+        """Wait until a frame may be queued; close the link where none is read."""
+        with trio.move_on_after(SEND_TIMEOUT_S) as scope:
+            while not self.has_room(size):
+                await self.output_changed.park()
+        if scope.cancelled_caught:
+            self.close("the other end does not read")
+
     async def write_output(self) -> None:
         """Write what is queued, in as few writes as there is time for."""
         while not self.is_closed:
