Look at a link when it may have fallen silent, not each second

The next look is due three seconds after the last byte. A link that carries a heartbeat each second is looked at a third as often, and a silent one is noticed after three seconds instead of up to four.

--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -19,7 +19,7 @@
 )
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.logs import logger
-from rosemaryknot.process.peer import LinkEnd, Peer, full_jitter
+from rosemaryknot.process.peer import SILENT_S, LinkEnd, Peer, full_jitter
 from rosemaryknot.process.peer_dialler import ENTRY_ROLE, PeerDialler
 from rosemaryknot.process.peer_forwarding import Forwarder
 from rosemaryknot.process.peer_links import LinkPlan, link_targets
@@ -40,6 +40,8 @@
 
 TEND_S = 1.0
 IDLE_S = 10.0
+# A wait so short that the clock does not move would go round for ever.
+SHORTEST_S = 0.01
 STABLE_S = 1.0
 SPREAD_S = 0.05
 PROBE_TIMEOUT_S = 1.0
@@ -337,7 +339,7 @@
                 self.counters["links_replaced"] += peer.tidy()
                 if not self.wants_link(peer):
                     peer.close_unwanted()
-                await peer.wait(TEND_S)
+                await peer.wait(max(SHORTEST_S, SILENT_S - best.link.silence_s()))
             elif self.wants_link(peer):
                 await self.reconnect(peer, failures)
                 failures += 1
