--- a/src/rosemaryknot/request/generations.py
+++ b/src/rosemaryknot/request/generations.py
@@ -9,22 +9,22 @@
 import trio
 
 from rosemaryknot.connection.direct_write import DirectWriter
+from rosemaryknot.request.stream_events import (
+    DONE,
+    frame_head,
+    outcome_event,
+    token_frame,
+)
 from rosemaryknot.values.outcomes import Answered, NotRun, Running, Unknown
 from rosemaryknot.values.requests import ModelRequest
 
 __all__ = [
-    "DONE",
+    "DirectFollower",
     "Followed",
     "Generation",
     "StoryLine",
-    "frame_head",
-    "outcome_event",
-    "token_frame",
 ]
 
-CONTENT_KEY = b',"choices":[{"index":0,"delta":{"content":"'
-CONTENT_END = b'"}}]}\n\n'
-DONE = b"data: [DONE]\n\n"
 MAX_STORY_LINES = 64
 MAX_FOLLOW_TOKENS = 512
 
@@ -45,51 +45,6 @@
     text: str
 
 
-def outcome_event(outcome: Answered | NotRun | Unknown | Running, tokens: int) -> bytes:
-    r"""Return the last event of a stream.
-
-    Parameters
-    ----------
-    outcome : Answered, NotRun, Unknown or Running
-        How the request ended; `Running` where another entry goes on with it.
-    tokens : int
-        Number of tokens emitted.
-
-    Returns
-    -------
-    event : bytes
-        One server-sent event.
-
-    Examples
-    --------
-    >>> outcome_event(Answered(200, [], b""), 3)
-    b'data: {"outcome":"answered","tokens":3}\n\n'
-    """
-    if isinstance(outcome, Answered):
-        fields = {"outcome": "answered", "tokens": tokens}
-    elif isinstance(outcome, NotRun):
-        fields = {
-            "outcome": "not_run",
-            "reason": outcome.reason,
-            "retry_after": outcome.retry_after_s,
-            "detail": outcome.detail,
-        }
-    elif isinstance(outcome, Running):
-        fields = {
-            "outcome": "running",
-            "retry_after": outcome.retry_after_s,
-            "tokens": tokens,
-        }
-    else:
-        fields = {
-            "outcome": "unknown",
-            "reason": outcome.reason,
-            "tokens": tokens,
-            "detail": outcome.detail,
-        }
-    return b"data: " + json.dumps(fields, separators=(",", ":")).encode() + b"\n\n"
-
-
 class Followed(Protocol):
     """What a pick-up needs of a request, here or at another node.
 
@@ -259,15 +214,9 @@
         """
         head = self.head
         if stop == start + 1:
-            return b"%b%d%b%b%b" % (
-                head,
-                start,
-                CONTENT_KEY,
-                self.tokens[start],
-                CONTENT_END,
-            )
+            return token_frame(head, start, self.tokens[start])
         return b"".join(
-            b"%b%d%b%b%b" % (head, offset, CONTENT_KEY, token, CONTENT_END)
+            token_frame(head, offset, token)
             for offset, token in enumerate(self.tokens[start:stop], start)
         )
 
@@ -371,16 +320,3 @@
     def prompt_bytes(self) -> int:
         """Return the size of the conversation in bytes."""
         return sum(len(str(part.get("content", ""))) for part in self.request.messages)
-
-
-def token_frame(head: bytes, offset: int, token: bytes) -> bytes:
-    """Return the event of one token of the generation with a head."""
-    return b"%b%d%b%b%b" % (head, offset, CONTENT_KEY, token, CONTENT_END)
-
-
-def frame_head(request_id: str, lineage: str) -> bytes:
-    """Return what each event of a generation starts with, up to the offset."""
-    return (
-        f'data: {{"id":{json.dumps(request_id)},"lineage":{json.dumps(lineage)}'
-        ',"offset":'
-    ).encode()
--- a/src/rosemaryknot/request/pickup.py
+++ b/src/rosemaryknot/request/pickup.py
@@ -9,14 +9,14 @@
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.logs import logger
 from rosemaryknot.request.generation_table import GenerationTable
-from rosemaryknot.request.generations import (
+from rosemaryknot.request.generations import Generation
+from rosemaryknot.request.standby import add_outcome
+from rosemaryknot.request.stream_events import (
     DONE,
-    Generation,
     frame_head,
     outcome_event,
     token_frame,
 )
-from rosemaryknot.request.standby import add_outcome
 from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Running, Unknown
 from rosemaryknot.values.standby import (
     StandbyFind,
