--- a/src/rosemaryknot/replay/fault_kinds.py
+++ b/src/rosemaryknot/replay/fault_kinds.py
@@ -38,6 +38,7 @@
     "plain service",
     "platform outage",
     "reclaim node",
+    "restart agents",
     "service away",
 ]
 
@@ -134,6 +135,23 @@
     system.restart_agent(node.settings.node)
 
 
+@fault("restart agents")
+async def restart_agents(system: System, rng: random.Random) -> None:
+    """Kill all agents of a zone, or of all zones, and start them again at once.
+
+    Owners die together with the holders of their copies, as in a careless upgrade.
+    """
+    zone = rng.choice([*system.plan.zones, ""])
+    names = sorted(n for n, p in system.nodes.items() if zone in ("", p.settings.zone))
+    for name in names:
+        system.nodes[name].agent.kill()
+    await trio.sleep(rng.choice([0.0, rng.uniform(*RESTART_S)]))
+    servers = system.platform.cloud.servers
+    for name in names:
+        if servers[name].state != ServerState.TERMINATED:
+            system.restart_agent(name)
+
+
 @fault("reclaim node")
 async def reclaim_node(system: System, rng: random.Random) -> None:
     """Reclaim the instance of a node with notice, if two others stay."""
