Let an HTTP server refuse connections beyond a bound

Nothing bounded the connections of callers: one that opens them without end takes the entry's memory and open files, and every caller's requests fail. Beyond the bound the first request of a connection is answered with 503, or with 504 "unknown" where an earlier send of a booking may have run. Ruled out: a plain close, which a caller cannot tell from a lost answer. Without the bound all five new tests fail.

--- a/src/rosemaryknot/connection/http_server.py
+++ b/src/rosemaryknot/connection/http_server.py
@@ -14,6 +14,7 @@
 from hypercorn.trio.worker_context import WorkerContext
 from quart_trio import QuartTrio
 
+from rosemaryknot.connection.connection_bound import ConnectionBound
 from rosemaryknot.connection.direct_write import WithDirectWrite
 from rosemaryknot.connection.network import Network, send_now
 from rosemaryknot.values.nodes import Address
@@ -121,11 +122,16 @@
         The application.
     network : Network
         Where to listen.
+    max_connections : int, optional
+        Connections that are handled at once; by default without a bound.
     """
 
-    def __init__(self, app: QuartTrio, network: Network) -> None:
+    def __init__(
+        self, app: QuartTrio, network: Network, max_connections: int | None = None
+    ) -> None:
         self.app = app
         self.network = network
+        self.max_connections = max_connections
         self.context = WorkerContext(None)
         self.config = Config()
         self.config.keep_alive_timeout = KEEPALIVE_S
@@ -153,6 +159,8 @@
         async def handle(stream: trio.abc.HalfCloseableStream) -> None:
             await Connection(wrapped, self.config, self.context, {}, stream).run()
 
+        if self.max_connections is not None:
+            handle = ConnectionBound(handle, self.max_connections).handle
         await self.network.listen(address, handle, task_status=task_status)
 
     async def close_idle(self) -> None:
--- /dev/null
+++ b/tests/connection/test_connection_bound.py
@@ -0,0 +1,78 @@
+"""Tests of the bound on callers' connections."""
+
+import pytest
+import trio
+from quart_trio import QuartTrio
+
+from rosemaryknot.connection.http_client import http_client
+from rosemaryknot.connection.http_server import HttpServer
+from rosemaryknot.connection.memory_network import MemoryNetwork
+from rosemaryknot.values.nodes import Address
+
+SERVER = Address("10.0.0.1", 8100)
+URL = f"http://{SERVER}/"
+
+
+async def serve(nursery, max_connections):
+    app = QuartTrio("test")
+
+    @app.route("/", methods=["GET", "POST"])
+    async def root() -> str:
+        return "whole"
+
+    network = MemoryNetwork("10.0.9.1")
+    server = HttpServer(app, network.with_host(SERVER.host), max_connections)
+    await nursery.start(server.serve, SERVER)
+    return network
+
+
+class TestConnectionBound:
+    async def test_connections_without_end(self, nursery, autojump_clock):
+        """One caller holds all connections there are and sends nothing on them.
+
+        Another one's request is refused with an answer and comes through once a
+        connection has ended. Without the bound each of them would be taken, until
+        the process has no memory or files left for anybody.
+        """
+        network = await serve(nursery, 2)
+        held = [await network.dial(SERVER) for _ in range(2)]
+        async with http_client(network, None) as caller:
+            refused = await caller.post(URL, content=b"x" * 200_000)
+            await held[0].aclose()
+            await trio.sleep(0.1)
+            taken = await caller.get(URL)
+        assert refused.status_code == 503
+        assert refused.json()["outcome"] == "not_run"
+        assert refused.headers["Retry-After"] == "1"
+        assert taken.text == "whole"
+
+    @pytest.mark.parametrize(
+        ("attempt", "status", "outcome"),
+        [(None, 504, "unknown"), ("1", 503, "not_run"), ("2", 504, "unknown")],
+    )
+    async def test_booking(self, nursery, autojump_clock, attempt, status, outcome):
+        """A booking's first send may have run; its repeat finds no connection.
+
+        "Not run" would be a lie about the booking then, and its caller would book
+        again under a new key. Only a declared first attempt cannot have run.
+        """
+        network = await serve(nursery, 1)
+        held = await network.dial(SERVER)
+        headers = {"Idempotency-Key": "truck-slot-7"}
+        if attempt is not None:
+            headers["Rosemaryknot-Attempt"] = attempt
+        async with http_client(network, None) as caller:
+            answer = await caller.post(URL, headers=headers)
+        await held.aclose()
+        assert (answer.status_code, answer.json()["outcome"]) == (status, outcome)
+
+    async def test_refusals_are_bounded_too(self, nursery, autojump_clock):
+        """Connections beyond the bound that send nothing end within a second."""
+        network = await serve(nursery, 1)
+        streams = [await network.dial(SERVER) for _ in range(300)]
+        await trio.sleep(1.5)
+        ended = 0
+        for stream in streams[1:]:
+            with trio.move_on_after(0.1):
+                ended += await stream.receive_some(1) == b""
+        assert ended == 299
