Keep a stopping entry in sight of the balancer, and bound its connections

An idle entry ended 0.2 s after SIGTERM, before a balancer that looks at /readyz every few seconds could see the 503; its next callers found a closed port. limits.not_ready_s (2 s) holds the end back, refusing with "stopping"; the notice of a reclaim cuts it short, else the node is gone before its clean end (test_streams_are_handed_over showed that). Without it test_nothing_in_flight fails. limits.max_connections (4,000) sets the bound on callers' connections.

--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -167,7 +167,8 @@
             self.share,
         )
         self.models.finders.append(RemoteFinder(self.link).find)
-        self.server = HttpServer(create_app(self.new_api(nursery, unix_time)), network)
+        app = create_app(self.new_api(nursery, unix_time))
+        self.server = HttpServer(app, network, limits.max_connections)
 
     def new_api(
         self, nursery: trio.Nursery, unix_time: Callable[[], float]
@@ -260,6 +261,18 @@
         await trio.sleep(max(0.0, left_s))
         await self.standby.hand_over_all()
 
+    async def stay_not_ready(self, until_s: float) -> None:
+        """Go on refusing with an answer until a time, or the end of a notice.
+
+        Without requests in flight the process would end before the balancer looks at
+        /readyz, and callers that it still sends here would find their connections
+        refused. Until it has looked they get an answer with "stopping".
+        """
+        with trio.CancelScope(deadline=until_s):
+            await self.has_deadline.wait()
+            left_s = self.stop_deadline_unix_s - self.unix_time() - HANDOVER_S
+            await trio.sleep(max(0.0, left_s))
+
     async def serve(self, nursery: trio.Nursery, address: Address) -> None:
         """Start all tasks; return once callers can connect."""
         await nursery.start(self.relay.run)
@@ -274,12 +287,15 @@
 
     async def stop(self) -> None:
         """End what is in flight whole, or hand it over where time is too short."""
+        limits = self.settings.limits
         self.drain.start()
+        not_ready_until_s = trio.current_time() + limits.not_ready_s
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.hand_over_in_time)
-            await self.drain.wait_idle(self.settings.limits.drain_timeout_s)
+            await self.drain.wait_idle(limits.drain_timeout_s)
             nursery.cancel_scope.cancel()
         await self.standby.hand_over_all()
+        await self.stay_not_ready(not_ready_until_s)
         # A request that is just being read is still refused with an answer, which a
         # closed connection would not tell from a lost one.
         await trio.sleep(CLOSE_GRACE_S)
--- a/src/rosemaryknot/process/settings.py
+++ b/src/rosemaryknot/process/settings.py
@@ -138,21 +138,29 @@
         Largest request body that is read.
     body_timeout_s : float
         Longest time a caller may take to send a body, in seconds.
+    max_connections : int
+        Connections of callers that an entry handles at once; the limit on the
+        process's open files has to allow them.
     max_requests_in_flight : int
         Requests that an entry works on at once.
     max_generations : int
         Accepted model requests that an entry holds, running or kept for pick-up.
     kept_answer_s : float
         How long a finished answer is held for pick-up, in seconds.
+    not_ready_s : float
+        How long a planned stop answers ``/readyz`` with 503 at least, so that the
+        balancer sees it before connections are refused, in seconds.
     drain_timeout_s : float
         Longest wait of a planned stop for requests in flight, in seconds.
     """
 
     max_body_bytes: Bytes = 1024 * 1024
     body_timeout_s: Seconds = 10.0
+    max_connections: Count = 4000
     max_requests_in_flight: Count = 1000
     max_generations: Count = 2000
     kept_answer_s: Seconds = 120.0
+    not_ready_s: Annotated[float, Field(ge=0)] = 2.0
     drain_timeout_s: Seconds = 600.0
 
 
--- a/tests/process/test_drain.py
+++ b/tests/process/test_drain.py
@@ -32,7 +32,7 @@
         The instance is not ready at once and refuses new work with an answer, and
         the three end whole before the process does.
         """
-        fleet = await whole_fleet(nursery)
+        fleet = await whole_fleet(nursery, not_ready_s=0.0)
         for plain in fleet.plains.values():
             plain.faults.append(PlainFault("late", late_s=1.5))
         streams, booked = ([], []), []
@@ -72,9 +72,26 @@
         assert fleet.ended[0].is_set()
         assert fleet.runs() == {"b1": 1}
 
+    async def test_nothing_in_flight(self, nursery, autojump_clock):
+        """The balancer looks at /readyz every two seconds, and the instance is idle.
+
+        Ending at once would leave the balancer sending callers to a closed port until
+        it looks again. The instance goes on to refuse them with an answer for that
+        long, and then ends.
+        """
+        fleet = await whole_fleet(nursery, not_ready_s=2.0)
+        async with fleet.caller() as caller:
+            fleet.stops[0].set()
+            await trio.sleep(1.9)
+            assert (await caller.get("/readyz")).status_code == 503
+            answer = await caller.post(CHAT, json=chat())
+            assert answer.json()["reason"] == "stopping"
+        await trio.sleep(1.0)
+        assert fleet.ended[0].is_set()
+
     async def test_accepted_without_a_caller(self, nursery, autojump_clock):
         """A request was accepted and its caller is gone: it still ends whole."""
-        fleet = await whole_fleet(nursery)
+        fleet = await whole_fleet(nursery, not_ready_s=0.0)
         async with fleet.caller() as caller:
             answer = await caller.post(
                 CHAT, json=chat(800), headers={"Prefer": "respond-async"}
