--- a/src/rosemaryknot/replay/trace_command.py
+++ b/src/rosemaryknot/replay/trace_command.py
@@ -129,7 +129,7 @@
     mix: Annotated[str, typer.Argument(help="bluebonnet or pawbridge.")],
     out: Annotated[Path, typer.Argument(help="File to write.")],
     seed: Annotated[int, typer.Option(min=0, help="Seed of the trace.")] = 0,
-    seconds: Annotated[float, typer.Option(min=1, help="Length.")] = 30.0,
+    seconds: Annotated[float, typer.Option(min=1, help="Length.")] = 15.0,
 ) -> None:
     """Generate a trace from a seed."""
     if mix not in MIXES:
