--- a/src/rosemaryknot/replay/audit.py
+++ b/src/rosemaryknot/replay/audit.py
@@ -1,17 +1,18 @@
 """Compare the callers' notes of a run with the ledgers of the backend servers."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from rosemaryknot.replay.notes import BookingNote, ModelNote
 from rosemaryknot.standin.answers import answer_length, prompt_text, wrong_token
 from rosemaryknot.standin.plain import Run
 
-__all__ = ["Violation", "audit_booking", "audit_model"]
+__all__ = ["Violation", "audit_booking", "audit_leaving", "audit_model"]
 
 CROSSED, MIXED, SHORT = "crossed", "mixed", "short"
 OK = "200"
+LEAVING_BOUND_S = 2.0
 
 
 @dataclass(slots=True)
@@ -21,8 +22,8 @@
     Attributes
     ----------
     kind : str
-        ``ran_twice``, ``false_not_run``, ``crossed``, ``mixed``, ``short`` or
-        ``lost``.
+        ``ran_twice``, ``false_not_run``, ``answer_without_run``, ``crossed``,
+        ``mixed``, ``short``, ``lost`` or ``work_for_leaving``.
     subject : str
         Key or request id.
     detail : str
@@ -108,3 +109,29 @@
         detail = f"{note.outcome} {note.reason} after {len(note.tokens)} tokens"
         found.append(Violation("lost", note.id, detail))
     return found
+
+
+def audit_leaving(
+    instance: str, notice_unix_s: float, started: Mapping[str, float]
+) -> list[Violation]:
+    """Return the requests that a leaving server was newly given.
+
+    Parameters
+    ----------
+    instance : str
+        The server.
+    notice_unix_s : float
+        When its notice was sent, seconds of the epoch.
+    started : mapping of str to float
+        When its work for each request began, seconds of the epoch.
+
+    Returns
+    -------
+    violations : list of Violation
+        One for each request that began later than `LEAVING_BOUND_S` after the notice.
+    """
+    return [
+        Violation("work_for_leaving", request, f"{instance} {late_s:.1f} s after")
+        for request, unix_s in started.items()
+        if (late_s := unix_s - notice_unix_s) > LEAVING_BOUND_S
+    ]
--- a/src/rosemaryknot/replay/fault_run.py
+++ b/src/rosemaryknot/replay/fault_run.py
@@ -11,11 +11,17 @@
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.process.safeguards import Safeguards
-from rosemaryknot.replay.audit import Violation, audit_booking, audit_model
+from rosemaryknot.replay.audit import (
+    Violation,
+    audit_booking,
+    audit_leaving,
+    audit_model,
+)
 from rosemaryknot.replay.callers import BookingPlan, Caller
 from rosemaryknot.replay.fault_kinds import BOOKING_FAULTS, FAULTS
 from rosemaryknot.replay.hosts import HostInstrument
 from rosemaryknot.replay.notes import BookingNote, ModelNote
+from rosemaryknot.replay.server_faults import RECLAIM_FAULTS
 from rosemaryknot.replay.system import System, SystemPlan
 from rosemaryknot.standin.engine import EngineStandIn
 from rosemaryknot.standin.ledger import recomputed_tokens
@@ -28,11 +34,14 @@
 MODEL, SHARDS, OBJECTS = "kit-assistant", "dispatch-app", "visit-notify"
 CUSTOMERS = ["estimator-1", "estimator-2"]
 WARM_UP_S, ACTIVE_S, SETTLE_S = 3.0, 15.0, 25.0
-BOOKINGS, MANY_BOOKINGS, MODEL_REQUESTS, FAULT_COUNT = 14, 60, 6, (2, 6)
+BOOKINGS, MANY_BOOKINGS, MODEL_REQUESTS, MANY_MODEL_REQUESTS = 14, 60, 6, 20
+ANSWERS, LONG_ANSWERS = (16, 400), (100, 600)
+FAULT_COUNT = (2, 6)
 PLAIN_TIMEOUT_S = 5.0
-BOOKING_PROFILE = "bookings"
+ALL_PROFILE, RECLAIM_PROFILE, BOOKING_PROFILE = "all", "reclaims", "bookings"
 ALWAYS_NEAR_BOOKINGS = ["held requests", "held requests", "service away"]
-PROFILES = ("all", "all", BOOKING_PROFILE)
+PROFILES = (ALL_PROFILE, RECLAIM_PROFILE, BOOKING_PROFILE)
+LIST_LAG_S = 10.0
 
 
 @dataclass(slots=True)
@@ -42,7 +51,9 @@
     Attributes
     ----------
     seed : int
-        Seed of the run; every third one brings many bookings, and faults near them.
+        Seed of the run. By threes: all faults; reclaims and faults of backend
+        servers, with the instance list ten seconds late; many bookings and faults
+        near them.
     faults : collections.Counter
         Faults by kind.
     outcomes : collections.Counter
@@ -131,6 +142,8 @@
         async with trio.open_nursery() as nursery:
             self.system = System(self.new_plan(), nursery)
             await self.system.start()
+            if self.profile == RECLAIM_PROFILE:
+                self.system.platform.faults.list_lag_s = LIST_LAG_S
             await trio.sleep(WARM_UP_S)
             async with http_client(self.system.callers, None) as client:
                 with trio.move_on_after(ACTIVE_S + SETTLE_S):
@@ -145,9 +158,12 @@
         """Start the callers of the run's profile."""
         if self.profile == BOOKING_PROFILE:
             self.start_bookings(nursery, client, MANY_BOOKINGS)
+            return
+        self.start_bookings(nursery, client, BOOKINGS)
+        if self.profile == RECLAIM_PROFILE:
+            self.start_models(nursery, client, MANY_MODEL_REQUESTS, LONG_ANSWERS)
         else:
-            self.start_bookings(nursery, client, BOOKINGS)
-            self.start_models(nursery, client)
+            self.start_models(nursery, client, MODEL_REQUESTS, ANSWERS)
 
     def start_bookings(
         self, nursery: trio.Nursery, client: httpx.AsyncClient, count: int
@@ -166,11 +182,17 @@
             caller = self.new_caller(client)
             nursery.start_soon(self.later, caller.book, note, plan)
 
-    def start_models(self, nursery: trio.Nursery, client: httpx.AsyncClient) -> None:
+    def start_models(
+        self,
+        nursery: trio.Nursery,
+        client: httpx.AsyncClient,
+        count: int,
+        tokens: tuple[int, int],
+    ) -> None:
         """Start callers that ask the model, at random times."""
-        for number in range(MODEL_REQUESTS):
+        for number in range(count):
             note = ModelNote(
-                f"plan set {self.report.seed} {number}", self.rng.randint(16, 400)
+                f"plan set {self.report.seed} {number}", self.rng.randint(*tokens)
             )
             self.models.append(note)
             caller = self.new_caller(client)
@@ -193,6 +215,8 @@
         chosen = []
         if self.profile == BOOKING_PROFILE:
             names, chosen = BOOKING_FAULTS, ALWAYS_NEAR_BOOKINGS
+        elif self.profile == RECLAIM_PROFILE:
+            names = RECLAIM_FAULTS
         count = self.rng.randint(*FAULT_COUNT)
         for name in [*chosen, *(self.rng.choice(names) for _ in range(count))]:
             self.report.faults[name] += 1
@@ -233,8 +257,21 @@
             report.outcomes[f"model {note.outcome}"] += 1
             is_lost = bool(note.id) and note.outcome != "answered"
             report.lost_unannounced += is_lost and self.is_excused(note)
+        if self.profile == RECLAIM_PROFILE:
+            report.violations += self.audit_servers()
         report.recomputed_tokens = recomputed_tokens(self.generations())
 
+    def audit_servers(self) -> list[Violation]:
+        """Return the new work that leaving servers were given."""
+        found = []
+        noticed = self.system.platform.cloud.noticed_unix_s
+        for instance, notice_unix_s in noticed.items():
+            server = self.system.servers.get(instance)
+            if server is not None:
+                started = work_started(server.standin)
+                found += audit_leaving(instance, notice_unix_s, started)
+        return found
+
     def generations(self) -> Iterable:
         """Return the ledger entries of all engines."""
         for server in self.system.servers.values():
@@ -242,6 +279,14 @@
                 yield from server.standin.batch.ledger
 
 
+def work_started(standin: EngineStandIn | PlainStandIn) -> dict[str, float]:
+    """Return when each request's first work began at a server, by request id."""
+    if isinstance(standin, PlainStandIn):
+        return {run.id: run.time_unix_s for run in reversed(standin.runs)}
+    ledger = reversed(standin.batch.ledger)
+    return {entry.id: entry.started_unix_s for entry in ledger}
+
+
 def run_seed(seed: int, safeguards: Safeguards | None = None) -> FaultReport:
     """Run one seed in virtual time.
 
--- a/src/rosemaryknot/standin/platform_cloud.py
+++ b/src/rosemaryknot/standin/platform_cloud.py
@@ -40,6 +40,8 @@
         Async function of a new instance that starts it and returns its address.
     nursery : trio.Nursery or None
         Where reclaims run; set while the stand-in serves.
+    noticed_unix_s : dict of str to float
+        When each notice was sent, by instance.
     """
 
     def __init__(self, faults: PlatformFaults, now_unix_s: Callable[[], float]) -> None:
@@ -52,6 +54,7 @@
         self.launcher: Launcher | None = None
         self.nursery: trio.Nursery | None = None
         self.notices: list[Notice] = []
+        self.noticed_unix_s: dict[str, float] = {}
         self.noticed = trio.lowlevel.ParkingLot()
         self.started = 0
 
@@ -138,6 +141,7 @@
         server.deadline_unix_s = self.now_unix_s() + notice_s
         self.record(server)
         self.notices.append(Notice(instance, server.deadline_unix_s))
+        self.noticed_unix_s[instance] = self.now_unix_s()
         self.noticed.unpark_all()
         self.nursery.start_soon(self.terminate_later, instance, notice_s)
 
