Print refusals of all questions of the operators' command alike

checked() stood twice and differed: `show > file` of a refused question wrote "not done: …" into the file, `status` wrote an error to standard error. One piece serves both now, on standard error, with the exit code that knows an unreachable store.

--- a/src/rosemaryknot/process/admin_outcomes.py
+++ b/src/rosemaryknot/process/admin_outcomes.py
@@ -152,6 +152,8 @@
 
 def checked(answer: AgentAnswer) -> dict[str, Any]:
     """Return the body of an answer, or end the program with its refusal."""
+    body = answer.body
     if answer.status >= 300:
-        finish(answer, "", as_json=False)
-    return answer.body
+        detail = body.get("detail") or body.get("reason") or body.get("outcome")
+        fail(detail or "no reason given", code_of(answer))
+    return body
--- a/src/rosemaryknot/process/admin_shards.py
+++ b/src/rosemaryknot/process/admin_shards.py
@@ -13,7 +13,7 @@
     print_json,
     print_table,
 )
-from rosemaryknot.process.admin_status import checked
+from rosemaryknot.process.admin_outcomes import checked
 from rosemaryknot.process.command_line import ExitCode
 
 __all__ = ["confirm_ended", "shards"]
--- a/src/rosemaryknot/process/admin_status.py
+++ b/src/rosemaryknot/process/admin_status.py
@@ -7,30 +7,18 @@
 import typer
 
 from rosemaryknot.process.admin import (
-    AgentAnswer,
     JsonOption,
     application,
     call_agent,
-    exit_code_of,
     print_json,
     print_table,
 )
+from rosemaryknot.process.admin_outcomes import checked
 from rosemaryknot.process.command_line import ExitCode
 
 __all__ = ["drain", "explain", "status"]
 
 
-def checked(answer: AgentAnswer) -> dict[str, Any]:
-    """Return the body of an answer, or end the program with its refusal."""
-    if answer.status < 300:
-        return answer.body
-    detail = (
-        answer.body.get("detail") or answer.body.get("outcome") or "no reason given"
-    )
-    typer.echo(f"error: {detail}", err=True)
-    raise typer.Exit(exit_code_of(answer.status))
-
-
 @application.command()
 def status(context: typer.Context, as_json: JsonOption = False) -> None:
     """Show an agent's view: nodes, configuration, servers, alarms.
