--- a/src/rosemaryknot/replay/faults_command.py
+++ b/src/rosemaryknot/replay/faults_command.py
@@ -60,15 +60,15 @@
         return json.dumps(values)
 
 
-def safeguards_without(name: str) -> Safeguards:
-    """Return safeguards with one of them off; an empty name leaves all on."""
+def safeguards_without(names: str) -> Safeguards:
+    """Return safeguards with those of a comma-separated list off."""
     safeguards = Safeguards()
-    if not name:
-        return safeguards
-    names = [f.name for f in fields(Safeguards)]
-    if name not in names:
-        fail(f"no such safeguard; there are {', '.join(names)}", ExitCode.BAD_USAGE)
-    setattr(safeguards, name, False)
+    known = [f.name for f in fields(Safeguards)]
+    for name in filter(None, names.split(",")):
+        if name not in known:
+            known_names = ", ".join(known)
+            fail(f"no such safeguard; there are {known_names}", ExitCode.BAD_USAGE)
+        setattr(safeguards, name, False)
     return safeguards
 
 
@@ -89,7 +89,7 @@
         int | None, typer.Option(help="Run this seed alone, with its decision log.")
     ] = None,
     without: Annotated[
-        str, typer.Option(help="Turn one safeguard off, to see what it prevents.")
+        str, typer.Option(help="Safeguards to turn off, comma-separated.")
     ] = "",
     until_bad: Annotated[
         bool, typer.Option(help="Stop at the first broken promise.")
