--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -54,6 +54,8 @@
     lines = output.strip().splitlines()
     if part.returncode or not lines:
         raise RuntimeError(f"{' '.join(command[1:])} ended with {part.returncode}")
+    # A later part that fails must not take what was measured with it.
+    say(lines[-1])
     return json.loads(lines[-1])
 
 
