--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -53,7 +53,7 @@
         return self.ends_s < math.inf
 
     def next_s(self) -> float:
-        """Return when the next bytes arrive, or the end; never while nothing is sent."""
+        """Return when the next bytes or the end arrive; infinite before either."""
         return self.chunks[0][0] if self.chunks else self.ends_s
 
 
