Name the member that a patch misses without quoting the document

A mistyped member printed the whole part of the document that was searched, with the salted digests of keys where it was /keys; a failed test operation did the same. Two of the four new cases fail with the library's text.

--- a/src/rosemaryknot/version/patch.py
+++ b/src/rosemaryknot/version/patch.py
@@ -68,10 +68,33 @@
         try:
             changed = jsonpatch.apply_patch(changed, [operation], in_place=True)
         except ERRORS as error:
-            return [Problem(f"/{index}", str(error) or "not an operation")]
+            return [Problem(f"/{index}", error_text(error))]
     return changed
 
 
+def error_text(error: Exception) -> str:
+    """Return why an operation cannot be applied.
+
+    The library's texts quote the whole of what was searched or tested: a page of JSON
+    that hides the reason, with the digests of keys in it.
+
+    Examples
+    --------
+    >>> error_text(jsonpointer.JsonPointerException("member 'a' not found in {'b': 1}"))
+    "member 'a' not found"
+    >>> error_text(KeyError("a"))
+    "member 'a' not found"
+    """
+    if isinstance(error, jsonpatch.JsonPatchTestFailed):
+        return "the tested value is another one"
+    if isinstance(error, KeyError):
+        return f"member {error.args[0]!r} not found"
+    text, searched, _ = str(error).partition(" not found in ")
+    if searched:
+        return f"{text} not found"
+    return text or "not an operation"
+
+
 def changed_document(document: dict, operations: Any) -> dict | list[Problem]:
     """Apply operations and check the outcome whole; see `apply_operations`."""
     changed = apply_operations(document, operations)
--- a/tests/version/test_document.py
+++ b/tests/version/test_document.py
@@ -12,6 +12,7 @@
 
 from rosemaryknot.values.configuration import document_digest
 from rosemaryknot.version.document import document_problems
+from rosemaryknot.version.patch import apply_operations
 from rosemaryknot.version.view import ConfigurationView, IdempotentRule
 
 
@@ -99,3 +100,26 @@
         digest = document_digest(document)
         document["services"]["kit-assistant"]["step_time_ms"] = 3.0
         assert document_digest(document) == digest
+
+
+class TestApplyOperations:
+    @pytest.mark.parametrize(
+        "operation",
+        [
+            {"op": "replace", "path": "/keys/k2/customer", "value": "estimator-2"},
+            {"op": "remove", "path": "/keys/k2"},
+            {"op": "test", "path": "/keys/k1", "value": {}},
+            {"op": "move", "from": "/keys/k2", "path": "/keys/k3"},
+        ],
+    )
+    def test_refusal_shows_no_document(self, operation):
+        """An operator mistypes a member's name.
+
+        The refusal names the member. It must not quote what was searched: pages of
+        JSON on the terminal, and the digests of all keys in them.
+        """
+        document = {"keys": {"k1": {"salt": "ab", "sha256": "cd"}}}
+        problems = apply_operations(document, [operation])
+        assert problems[0].path == "/0"
+        assert "sha256" not in problems[0].text
+        assert "k2" in problems[0].text or operation["op"] == "test"
