Make the lines that operators read plain

Found by going through the README and the first week on a running cluster: a planned stop ended with the warning "agent: lost"; lines named Python classes ("ended as Answered", "OrderDone") and printed a dict of scores; explain showed empty fields; "1 entries"; clean=false did not say that the last holder had not released the lease. The label outcome of rosemaryknot_at_most_once_total has the words of the other metrics now.

--- a/src/rosemaryknot/process/admin_status.py
+++ b/src/rosemaryknot/process/admin_status.py
@@ -37,7 +37,8 @@
 def print_status(body: dict[str, Any]) -> None:
     """Print a status for people."""
     node = body["node"]
-    typer.echo(f"{node['name']} in {node['zone']}, {node['entries']} entries connected")
+    entries = entries_text(node["entries"])
+    typer.echo(f"{node['name']} in {node['zone']}, {entries} connected")
     typer.echo(f"configuration {body['configuration']['number']} in force\n")
     peers = [
         [peer["name"], peer["zone"], peer["state"], yes(peer["linked"])]
@@ -84,6 +85,11 @@
     return line
 
 
+def entries_text(count: int) -> str:
+    """Return a number of entries for people."""
+    return "1 entry" if count == 1 else f"{count} entries"
+
+
 def yes(value: bool) -> str:
     """Return a truth value for people."""
     return "yes" if value else "no"
@@ -120,7 +126,8 @@
 def print_story(body: dict[str, Any]) -> None:
     """Print the decisions about a request for people."""
     for decision in body["decisions"]:
-        values = " ".join(f"{k}={v}" for k, v in decision.get("fields", {}).items())
+        fields = decision.get("fields", {}).items()
+        values = " ".join(f"{name}={value}" for name, value in fields if value != "")
         line = f"{decision['time']} {decision['node']} {decision['part']}:"
         typer.echo(f"{line} {decision['text']} {values}".rstrip())
     if not body["decisions"]:
@@ -146,4 +153,4 @@
     if as_json:
         print_json(body)
     else:
-        typer.echo(f"{node} is stopping, with {body['entries']} entries")
+        typer.echo(f"{node} is stopping, with {entries_text(body['entries'])}")
--- a/src/rosemaryknot/process/agent_link.py
+++ b/src/rosemaryknot/process/agent_link.py
@@ -154,8 +154,9 @@
                 nursery.cancel_scope.cancel()
         finally:
             self.set_link(None)
-            lost.add()
-            log.warning("lost; going on by what is known", reason=reason)
+        # Not reached at the end of the process, which loses nothing.
+        lost.add()
+        log.warning("lost; going on by what is known", reason=reason)
 
     def set_link(self, link: MessageLink | None) -> None:
         """Keep the link, or that there is none, and wake who waits for it."""
--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -291,7 +291,7 @@
             self.acquired_s = trio.current_time()
             self.is_clean = last is not None and last.holder in ("", self.holder)
             CHANGES.add(change="taken")
-            log.info(f"{self.name} taken", fencing=self.fencing, clean=self.is_clean)
+            log.info(f"{self.name} taken", fencing=self.fencing, released=self.is_clean)
 
     async def write(self, record: LeaseRecord) -> bool:
         """Write a record where the store still holds the one we know.
--- a/src/rosemaryknot/process/orders.py
+++ b/src/rosemaryknot/process/orders.py
@@ -27,7 +27,7 @@
 )
 from rosemaryknot.values.platform import Missing, PlatformFailed, StartRefused
 
-__all__ = ["OrderSender", "PendingOrder"]
+__all__ = ["OrderSender", "PendingOrder", "order_outcome_name"]
 
 PAUSE_ALLOWANCE_S = 5.0
 ORDER_ROOM_S = 2.5
@@ -208,11 +208,21 @@
 
     def counted(self, order: str, outcome: Outcome) -> Outcome:
         """Count an outcome and return it."""
-        name = type(outcome).__name__.removeprefix("Order").lower()
-        ORDERS.add(order=order, outcome=name)
+        ORDERS.add(order=order, outcome=order_outcome_name(outcome))
         return outcome
 
 
+def order_outcome_name(outcome: Outcome) -> str:
+    """Return the word for an outcome in logs and metrics.
+
+    Examples
+    --------
+    >>> order_outcome_name(OrderDone())
+    'done'
+    """
+    return type(outcome).__name__.removeprefix("Order").lower()
+
+
 def cloud_outcome(answer: BackendServer | PlatformFailed | None) -> Outcome:
     """Return the outcome of a call of the cloud API."""
     if not isinstance(answer, PlatformFailed):
--- a/src/rosemaryknot/process/placement/server_orders.py
+++ b/src/rosemaryknot/process/placement/server_orders.py
@@ -3,7 +3,7 @@
 import trio
 
 from rosemaryknot.process.logs import logger
-from rosemaryknot.process.orders import OrderSender
+from rosemaryknot.process.orders import OrderSender, order_outcome_name
 from rosemaryknot.values.nodes import BackendServer, ServerState
 from rosemaryknot.values.placement import (
     OrderClient,
@@ -83,7 +83,7 @@
             is_done = isinstance(outcome, OrderDone)
             if is_done:
                 self.introduced.add(name)
-            text = f"{order.order} to {name}: {type(outcome).__name__}"
+            text = f"{order.order} to {name}: {order_outcome_name(outcome)}"
             model = order.arguments.get("model", "")
             log.info(text, service=target.service, instance=name, model=model)
         if orders:
--- a/src/rosemaryknot/request/at_most_once.py
+++ b/src/rosemaryknot/request/at_most_once.py
@@ -15,6 +15,7 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.safeguards import Safeguards
+from rosemaryknot.request.answers import outcome_name
 from rosemaryknot.request.claim_reports import (
     AgentCaller,
     ArrivalNumbers,
@@ -288,10 +289,10 @@
 
     def note(self, request: PlainRequest, outcome: Outcome) -> None:
         """Count and log an outcome."""
-        name = type(outcome).__name__
+        name = outcome_name(outcome)
         OUTCOMES.add(outcome=name, service=request.service)
         reason = getattr(outcome, "reason", "")
-        log.info(f"ended as {name}", request=request.request_id, reason=str(reason))
+        log.info(f"ended: {name}", request=request.request_id, reason=str(reason))
 
 
 def answered(reply: ClaimAnswered | CloseReply) -> Answered:
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -13,6 +13,7 @@
 from rosemaryknot.process.retry_budget import RetryBudgets
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.request.plain_route import PlainCandidate, choose_plain_server
+from rosemaryknot.request.routes import scores_text
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from rosemaryknot.values.requests import NotSent, PlainRequest, SendResult
@@ -209,7 +210,7 @@
             f"chose {choice.server.instance}",
             request=request.request_id,
             service=request.service,
-            scores=choice.scores,
+            scores=scores_text(choice.scores),
             reason="retry" if done.instances else "lowest score",
         )
         return choice.server
@@ -230,12 +231,13 @@
             self.health.note_success(server.instance)
         elif not is_impatience(result, took_s):
             self.health.note_failure(server.instance)
-        tries.add(service=request.service, result=type(result).__name__.lower())
+        name = type(result).__name__.lower()
+        tries.add(service=request.service, result=name)
         if not isinstance(result, Answered):
             log.info(
                 f"{server.instance} failed",
                 request=request.request_id,
-                result=type(result).__name__,
+                result=name,
                 reason=str(result.reason),
             )
         return result
--- a/src/rosemaryknot/request/router.py
+++ b/src/rosemaryknot/request/router.py
@@ -20,6 +20,7 @@
     RouteChoice,
     RouteInput,
     choose_route,
+    scores_text,
 )
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.requests import ModelRequest
@@ -298,13 +299,12 @@
     def log_choice(self, generation: Generation, choice: RouteChoice) -> None:
         """Write the line of a decision."""
         instance = choice.server.instance
-        scores = " ".join(f"{k}={v:.4f}" for k, v in choice.scores.items())
         log.info(
             f"chose {instance}",
             request=generation.request_id,
             service=generation.service,
             attempt=generation.attempts + 1,
             reason=choice.reason,
-            scores=scores,
+            scores=scores_text(choice.scores),
         )
         generation.tell(f"route: chose {instance}: {choice.reason}")
--- a/src/rosemaryknot/request/routes.py
+++ b/src/rosemaryknot/request/routes.py
@@ -15,6 +15,7 @@
     "RoutePolicy",
     "choose_route",
     "route_policy",
+    "scores_text",
 ]
 
 DEFAULT_POLICY = "estimated_time"
@@ -164,3 +165,14 @@
 def choose_route(name: str, given: RouteInput) -> RouteChoice:
     """Choose by a policy; an unknown name falls back to `DEFAULT_POLICY`."""
     return POLICIES.get(name, POLICIES[DEFAULT_POLICY])(given)
+
+
+def scores_text(scores: dict[str, float]) -> str:
+    """Return scores by instance for a log line.
+
+    Examples
+    --------
+    >>> scores_text({"e1": 0.03151, "e2": 2.0})
+    'e1=0.0315 e2=2.0000'
+    """
+    return " ".join(f"{name}={score:.4f}" for name, score in scores.items())
