--- a/src/rosemaryknot/connection/connection_bound.py
+++ b/src/rosemaryknot/connection/connection_bound.py
@@ -26,7 +26,7 @@
 log = logger("http")
 open_gauge = gauge("caller_connections", "Open connections of callers.")
 refused_counter = counter(
-    "caller_connections_refused", "Connections of callers beyond the bound."
+    "caller_connections_refused_total", "Connections of callers beyond the bound."
 )
 
 
--- a/tests/connection/test_links.py
+++ b/tests/connection/test_links.py
@@ -163,8 +163,9 @@
     ):
         """A peer sends no message, or one with a field missing or of a wrong type.
 
-        A handler would fail on it and end the process. What follows in the stream cannot be trusted, so the link ends, is counted,
-        and a call that waits on it fails at once instead of at its timeout.
+        A handler would fail on it and end the process. What follows in the stream
+        cannot be trusted, so the link ends, is counted, and a call that waits on it
+        fails at once instead of at its timeout.
         """
         acceptor = Acceptor(answering())
         async with trio.open_nursery() as nursery:
