Part the reader of scenarios from its grammar's errors and its checks of names

scenario_language.py had 624 lines and three jobs: text to tree, tree to values, and whether each name is borne by something. Each is a module now; Target is with the other values.

--- a/src/rosemaryknot/replay/run_command.py
+++ b/src/rosemaryknot/replay/run_command.py
@@ -11,7 +11,8 @@
 from rosemaryknot.process.command_line import ExitCode, fail
 from rosemaryknot.replay.faults_command import safeguards_without
 from rosemaryknot.replay.scenario import Scenario
-from rosemaryknot.replay.scenario_language import ScenarioError, parse_scenario
+from rosemaryknot.replay.scenario_errors import ScenarioError
+from rosemaryknot.replay.scenario_language import parse_scenario
 from rosemaryknot.replay.scenario_run import ScenarioReport, run_scenario
 
 __all__ = ["run_files"]
--- a/src/rosemaryknot/replay/scenario.py
+++ b/src/rosemaryknot/replay/scenario.py
@@ -15,6 +15,7 @@
     "Scenario",
     "ServerGroup",
     "Step",
+    "Target",
 ]
 
 STEP_S = 0.004
@@ -146,6 +147,26 @@
     attempt: int = 0
 
 
+@dataclass(slots=True)
+class Target:
+    """What a fault hits.
+
+    Attributes
+    ----------
+    kind : str
+        ``zone``, ``node``, ``entry``, ``agent``, ``server``, ``platform`` or
+        ``everything``.
+    name : Token or str
+        Zone, node or service.
+    zone : Token or str
+        Zone of a server.
+    """
+
+    kind: str
+    name: Any = ""
+    zone: Any = ""
+
+
 @dataclass(slots=True)
 class Step:
     """Something that happens at a time.
--- a/src/rosemaryknot/replay/scenario_actions.py
+++ b/src/rosemaryknot/replay/scenario_actions.py
@@ -8,8 +8,7 @@
 
 from rosemaryknot.replay.fault_kinds import live_servers
 from rosemaryknot.replay.hosts import Host
-from rosemaryknot.replay.scenario import RequestStep
-from rosemaryknot.replay.scenario_language import Target
+from rosemaryknot.replay.scenario import RequestStep, Target
 from rosemaryknot.replay.system import PLATFORM, ServerProcess, System
 from rosemaryknot.standin.plain import PlainFault
 from rosemaryknot.standin.platform_faults import OUTAGE_REFUSE, OUTAGE_SILENT
--- a/src/rosemaryknot/replay/scenario_checks.py
+++ b/src/rosemaryknot/replay/scenario_checks.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from rosemaryknot.replay.fault_kinds import live_servers
-from rosemaryknot.replay.scenario_language import Target
+from rosemaryknot.replay.scenario import Target
 from rosemaryknot.replay.scenario_requests import Record
 from rosemaryknot.replay.system import EPOCH_UNIX_S
 from rosemaryknot.standin.engine import EngineStandIn
--- a/src/rosemaryknot/replay/trace_command.py
+++ b/src/rosemaryknot/replay/trace_command.py
@@ -16,7 +16,7 @@
     report_document,
 )
 from rosemaryknot.replay.scenario import Scenario
-from rosemaryknot.replay.scenario_language import ScenarioError
+from rosemaryknot.replay.scenario_errors import ScenarioError
 from rosemaryknot.replay.scenario_run import ScenarioReport, run_scenario
 from rosemaryknot.replay.trace_generator import MIXES, generate_trace
 from rosemaryknot.replay.traces import (
--- a/src/rosemaryknot/replay/traces.py
+++ b/src/rosemaryknot/replay/traces.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from rosemaryknot.replay.scenario import KINDS, RequestStep, Scenario, Step
-from rosemaryknot.replay.scenario_language import MODEL_TIMEOUT_S, parse_scenario
+from rosemaryknot.replay.scenario_language import parse_scenario
+from rosemaryknot.replay.scenario_reader import MODEL_TIMEOUT_S
 
 __all__ = [
     "OUTCOMES_SUFFIX",
--- a/tests/replay/test_scenario_language.py
+++ b/tests/replay/test_scenario_language.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from rosemaryknot.replay.scenario_language import ScenarioError, parse_scenario
+from rosemaryknot.replay.scenario_errors import ScenarioError
+from rosemaryknot.replay.scenario_language import parse_scenario
 
 HEAD = """scenario "a test"
 zones waco-a waco-b
