Let the fault runner find the copy of claims when it is off

With the copy off no seed was bad, as every process of a run was younger than a minute, so that successors refused first attempts for 30 s, and as nothing was held back for longer than a takeover takes. Ruled out: a lack of bookings.

Every twelfth seed now ends an owner right after the first it heard of an id was a later attempt, with half of the entries' requests held back.

--- a/src/rosemaryknot/replay/fault_run.py
+++ b/src/rosemaryknot/replay/fault_run.py
@@ -7,7 +7,6 @@
 
 import httpx
 import trio
-from trio.testing import MockClock
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.process.safeguards import Safeguards
@@ -19,10 +18,11 @@
 )
 from rosemaryknot.replay.callers import BookingPlan, Caller
 from rosemaryknot.replay.fault_kinds import BOOKING_FAULTS, FAULTS
-from rosemaryknot.replay.hosts import HostInstrument
 from rosemaryknot.replay.notes import BookingNote, ModelNote
+from rosemaryknot.replay.owner_faults import OWNER_END, OWNER_FAULTS
 from rosemaryknot.replay.server_faults import RECLAIM_FAULTS
 from rosemaryknot.replay.system import System, SystemPlan
+from rosemaryknot.replay.virtual_time import run_in_virtual_time
 from rosemaryknot.standin.engine import EngineStandIn
 from rosemaryknot.standin.ledger import recomputed_tokens
 from rosemaryknot.standin.plain import PlainStandIn, Run
@@ -34,13 +34,19 @@
 MODEL, SHARDS, OBJECTS = "kit-assistant", "dispatch-app", "visit-notify"
 CUSTOMERS = ["estimator-1", "estimator-2"]
 WARM_UP_S, ACTIVE_S, SETTLE_S = 3.0, 15.0, 25.0
+# A successor takes copies for whole only where no holder has started lately.
+OWNER_WARM_UP_S = 65.0
 BOOKINGS, MANY_BOOKINGS, MODEL_REQUESTS, MANY_MODEL_REQUESTS = 14, 60, 6, 20
 ANSWERS, LONG_ANSWERS = (16, 400), (100, 600)
-FAULT_COUNT = (2, 6)
+FAULT_COUNT, FEW_FAULTS = (2, 6), (0, 1)
 PLAIN_TIMEOUT_S = 5.0
 ALL_PROFILE, RECLAIM_PROFILE, BOOKING_PROFILE = "all", "reclaims", "bookings"
+OWNER_PROFILE = "owners"
 ALWAYS_NEAR_BOOKINGS = ["held requests", "held requests", "service away"]
-PROFILES = (ALL_PROFILE, RECLAIM_PROFILE, BOOKING_PROFILE)
+PROFILES = (
+    *(3 * (ALL_PROFILE, RECLAIM_PROFILE, BOOKING_PROFILE)),
+    *(ALL_PROFILE, RECLAIM_PROFILE, OWNER_PROFILE),
+)
 LIST_LAG_S = 10.0
 
 
@@ -53,7 +59,7 @@
     seed : int
         Seed of the run. By threes: all faults; reclaims and faults of backend
         servers, with the instance list ten seconds late; many bookings and faults
-        near them.
+        near them, in every fourth of these an owner's end.
     faults : collections.Counter
         Faults by kind.
     outcomes : collections.Counter
@@ -144,7 +150,8 @@
             await self.system.start()
             if self.profile == RECLAIM_PROFILE:
                 self.system.platform.faults.list_lag_s = LIST_LAG_S
-            await trio.sleep(WARM_UP_S)
+            is_long = self.profile == OWNER_PROFILE
+            await trio.sleep(OWNER_WARM_UP_S if is_long else WARM_UP_S)
             async with http_client(self.system.callers, None) as client:
                 with trio.move_on_after(ACTIVE_S + SETTLE_S):
                     async with trio.open_nursery() as work:
@@ -156,7 +163,7 @@
 
     def start_work(self, nursery: trio.Nursery, client: httpx.AsyncClient) -> None:
         """Start the callers of the run's profile."""
-        if self.profile == BOOKING_PROFILE:
+        if self.profile in (BOOKING_PROFILE, OWNER_PROFILE):
             self.start_bookings(nursery, client, MANY_BOOKINGS)
             return
         self.start_bookings(nursery, client, BOOKINGS)
@@ -211,13 +218,15 @@
 
     def start_faults(self, nursery: trio.Nursery) -> None:
         """Start the run's faults at random times."""
-        names = sorted(FAULTS)
-        chosen = []
+        names = sorted(set(FAULTS) - {OWNER_END})
+        chosen, bounds = [], FAULT_COUNT
         if self.profile == BOOKING_PROFILE:
             names, chosen = BOOKING_FAULTS, ALWAYS_NEAR_BOOKINGS
         elif self.profile == RECLAIM_PROFILE:
             names = RECLAIM_FAULTS
-        count = self.rng.randint(*FAULT_COUNT)
+        elif self.profile == OWNER_PROFILE:
+            names, chosen, bounds = BOOKING_FAULTS, OWNER_FAULTS, FEW_FAULTS
+        count = self.rng.randint(*bounds)
         for name in [*chosen, *(self.rng.choice(names) for _ in range(count))]:
             self.report.faults[name] += 1
             rng = random.Random(self.rng.random())
@@ -303,6 +312,5 @@
         What happened, with the broken promises.
     """
     run = FaultRun(seed, safeguards or Safeguards())
-    clock = MockClock(autojump_threshold=0)
-    trio.run(run.run, clock=clock, instruments=[HostInstrument()])
+    run_in_virtual_time(seed, run.run)
     return run.report
