Let model requests wait for budget that is there within seconds

Cause: a request was refused whenever its budget was not there at once. Most came while the owners of the newly started zones still waited their 5 s: an entry then has its fixed part only, a sixtieth of the limit and one slot, which one large charge puts into debt. After that a few were refused for less than half a second, since a zone's bucket holds one second of its rate. Besides, a charge above the bucket could never be admitted while any lease held tokens, because the bucket is then never full.

Change: a model request whose known wait is at most 5 s, and a tenth of what is left of its deadline, waits in the entry, first come first served, 64 a customer and service, without a slot of the limit; one that would wait longer is refused as soon as that is known, with the time. The owner keeps the turn of an entry's first waiting request, so that small requests elsewhere don't starve it. A new owner names when it will grant. A full bucket counts what is on lease.

Not taken: charging the answer's tokens as they are emitted, since an accepted request cannot be stopped at the limit.

Shown failing first: with no waiters allowed, both cases of test_at_a_third_of_the_limit, test_new_owner, test_slots_of_a_new_owner, test_bound_holds_with_waiters and the three new tests of test_budget.py fail; with the owner keeping no turns, test_at_a_third_of_the_limit beside small requests fails.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -1,6 +1,6 @@
 """How well customers' limits hold over all instances, and what a flood does to others.
 
-Run: ``python benchmarks/limits.py [--seed N] [--part admission|flood]``. The whole
+Run: ``python benchmarks/limits.py [--seed N] [--part PART]``. The whole
 system runs in virtual time over the stand-ins. Over- and under-admission are shares of
 what the limit allows in the measured time: 0.02 over is 2 % more. The last line of
 standard output is JSON.
@@ -42,6 +42,9 @@
 TOKENS_PER_MINUTE = 30_000
 ANSWER_TOKENS = 16
 OFFERED = 2.0
+LARGE_TOKENS = 400
+LARGE_OFFERED = 1 / 3
+LARGE_WAIT_S = 10.0
 PATIENCE_S = 40.0
 
 FLOOD_S = 6.0
@@ -214,7 +217,14 @@
 
 
 async def measure_case(seed: int, case: str) -> Admission:
-    """Measure one case: steady, burst, instance_lost or zone_cut."""
+    """Measure one case: steady, burst, large, instance_lost or zone_cut.
+
+    Large requests are offered at a part of the limit; what is not admitted counts
+    against what was offered.
+    """
+    is_large = case == "large"
+    share = LARGE_OFFERED if is_large else OFFERED
+    tokens = LARGE_TOKENS if is_large else ANSWER_TOKENS
     limit = {"tokens_per_minute": TOKENS_PER_MINUTE}
     plan, api_keys = new_plan(seed, {CUSTOMER: {"limits": {MODEL: limit}}})
     rng = random.Random(seed)
@@ -227,23 +237,24 @@
             trio.open_nursery() as requests,
         ):
             load = Load(system, client, api_keys, rng, requests)
-            size = ANSWER_TOKENS + 20
-            rate = OFFERED * TOKENS_PER_MINUTE / 60 / size
+            size = tokens + 20
+            rate = share * TOKENS_PER_MINUTE / 60 / size
             entries = load.entries(ZONES, 1 if case == "burst" else 0)
             start_fault(system, case, nursery)
             if case == "instance_lost":
                 lost = system.nodes[owner_name(system, ZONES[0])]
                 entries.remove(str(lost.settings.listen.callers))
             start_s = trio.current_time()
-            offered = await load.send(
-                CUSTOMER, rate, MEASURED_S, ANSWER_TOKENS, entries
-            )
+            offered = await load.send(CUSTOMER, rate, MEASURED_S, tokens, entries)
             end_s = trio.current_time()
-            await trio.sleep(3.0)
+            await trio.sleep(LARGE_WAIT_S if is_large else 3.0)
             requests.cancel_scope.cancel()
         used = offered.used_tokens(prompt_tokens(system), start_s, end_s)
         system.dispose()
         nursery.cancel_scope.cancel()
+    if is_large:
+        admitted = sum(note.accepted_s > 0 for note in offered.notes)
+        return Admission(0.0, round(1 - admitted / len(offered.notes), 4))
     return admission_of(used, end_s - start_s, TOKENS_PER_MINUTE)
 
 
@@ -369,7 +380,25 @@
     }
 
 
-PARTS = {"admission": measure_admission, "flood": measure_flood}
+def measure_large(seed: int) -> dict:
+    """Return the share of large requests, at a third of the limit, that is refused.
+
+    Parameters
+    ----------
+    seed : int
+        Of the load and of all processes.
+
+    Returns
+    -------
+    figures : dict
+        Share of the requests offered.
+    """
+    refused = run_in_virtual_time(measure_case, seed, "large").under
+    say(f"large: {refused:.4f} refused")
+    return {"large_refused": refused}
+
+
+PARTS = {"admission": measure_admission, "large": measure_large, "flood": measure_flood}
 
 
 def measure_limits(seed: int) -> dict:
--- a/src/rosemaryknot/process/limits/bucket.py
+++ b/src/rosemaryknot/process/limits/bucket.py
@@ -73,16 +73,38 @@
         room = max(self.balance, self.capacity)
         self.balance = min(room, self.balance + tokens)
 
-    def take(self, tokens: float) -> bool:
+    def take(self, tokens: float, held: float = 0.0) -> bool:
         """Take tokens; False, and nothing taken, where there are too few."""
-        if self.balance < min(tokens, self.capacity):
+        if self.balance < self.needed(tokens, held):
             return False
         self.balance -= tokens
         return True
 
-    def wait_s(self, tokens: float) -> float:
-        """Return the time until as many tokens can be taken, in seconds."""
-        missing = min(tokens, self.capacity) - self.balance
+    def needed(self, tokens: float, held: float = 0.0) -> float:
+        """Return the balance at which as many tokens can be taken.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens to take.
+        held : float
+            Tokens on lease, which the bucket is short of when it is full.
+        """
+        return min(tokens, max(0.0, self.capacity - held))
+
+    def wait_s(self, tokens: float, held: float = 0.0, ahead: float = 0.0) -> float:
+        """Return the time until as many tokens can be taken, in seconds.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens to take.
+        held : float
+            Tokens on lease.
+        ahead : float
+            Tokens that others will take before.
+        """
+        missing = ahead + self.needed(tokens, held) - self.balance
         if missing <= 0:
             return 0.0
         return missing / self.rate if self.rate > 0 else float("inf")
--- a/src/rosemaryknot/process/limits/budget.py
+++ b/src/rosemaryknot/process/limits/budget.py
@@ -16,6 +16,7 @@
 SPARE_SHARE = 0.5
 DEMAND_WINDOW_S = 1.0
 SLOT_RETRY_S = 1.0
+TURN_S = 0.6
 
 
 @dataclass(slots=True)
@@ -75,6 +76,22 @@
     sequence: int = 0
 
 
+@dataclass(slots=True)
+class Turn:
+    """An entry's request that waits for tokens.
+
+    Attributes
+    ----------
+    tokens : float
+        Tokens that it needs.
+    until_s : float
+        When the turn is lost, unless the entry asks again.
+    """
+
+    tokens: float
+    until_s: float
+
+
 class Budget:
     """The budget of one limit in one zone.
 
@@ -99,6 +116,10 @@
         What the entries hold, by node.
     lent, borrowed : dict of str to Loan
         Slots at the owners in other zones, and from them, by node.
+    turns : dict of str to Turn
+        Requests that wait for tokens, one an entry, by node; first come first.
+    held : float
+        Tokens on lease when the bucket was last filled.
     demand : float
         Tokens a second that the zone's entries asked for lately.
     touched_s : float
@@ -112,6 +133,8 @@
         self.leases: dict[str, EntryLease] = {}
         self.lent: dict[str, Loan] = {}
         self.borrowed: dict[str, Loan] = {}
+        self.turns: dict[str, Turn] = {}
+        self.held = 0.0
         self.demand = 0.0
         self.demand_s = now_s
         self.touched_s = now_s
@@ -127,8 +150,8 @@
 
     def fill(self, now_s: float) -> None:
         """Let tokens accrue and loans end."""
-        held = sum(lease.tokens_at(now_s) for lease in self.leases.values())
-        self.bucket.fill(now_s, held)
+        self.held = sum(lease.tokens_at(now_s) for lease in self.leases.values())
+        self.bucket.fill(now_s, self.held)
         self.end_loans(now_s)
 
     def end_loans(self, now_s: float) -> None:
@@ -137,6 +160,33 @@
             for name in [n for n, loan in loans.items() if loan.until_s <= now_s]:
                 del loans[name]
 
+    def ahead(self, entry: str, now_s: float) -> float:
+        """Return the tokens of the requests whose turn is before an entry's."""
+        for name in [n for n, turn in self.turns.items() if turn.until_s <= now_s]:
+            del self.turns[name]
+        ahead = 0.0
+        for name, turn in self.turns.items():
+            if name == entry:
+                break
+            ahead += turn.tokens
+        return ahead
+
+    def keep_turn(self, ask: BudgetAsk, wait_s: float, now_s: float) -> None:
+        """Note that an entry's request waits, or that it does not.
+
+        Smaller requests of other entries would else take the tokens as they come,
+        and the bucket would never hold enough for a large one.
+        """
+        if not 0 < wait_s <= ask.max_wait_s:
+            self.turns.pop(ask.entry, None)
+            return
+        # A turn that is renewed stays where it is in the order.
+        self.turns[ask.entry] = Turn(ask.needed_tokens, now_s + TURN_S)
+
+    def reserved(self) -> float:
+        """Return the tokens that requests wait for."""
+        return sum(turn.tokens for turn in self.turns.values())
+
     def hold_back(self, now_s: float) -> None:
         """Let no tokens accrue: this node is not a settled owner."""
         self.bucket.filled_s = now_s
@@ -180,12 +230,15 @@
         self.demand = self.demand * kept + tokens / DEMAND_WINDOW_S
         self.demand_s = now_s
 
-    def missing_tokens(self, ask: BudgetAsk) -> float:
+    def missing_tokens(self, ask: BudgetAsk, now_s: float) -> float:
         """Return the tokens without which the ask cannot be granted."""
-        needed = min(ask.needed_tokens, self.bucket.capacity)
-        if not ask.needed_tokens or self.bucket.balance >= needed:
+        if not ask.needed_tokens:
+            return 0.0
+        ahead = self.ahead(ask.entry, now_s)
+        needed = self.bucket.needed(ask.needed_tokens, self.held)
+        if self.bucket.balance >= ahead + needed:
             return 0.0
-        return ask.needed_tokens - self.bucket.balance
+        return ahead + ask.needed_tokens - self.bucket.balance
 
     def missing_slots(self, ask: BudgetAsk, now_s: float) -> int:
         """Return the slots without which the ask cannot be granted."""
@@ -210,13 +263,15 @@
 
     def grant_tokens(self, lease: EntryLease, ask: BudgetAsk) -> float:
         """Grant what is needed, and some of what is expected to be."""
-        if ask.needed_tokens and not self.bucket.take(ask.needed_tokens):
+        needed = ask.needed_tokens
+        if needed and not self.bucket.take(needed, self.held):
             return 0.0
-        spare = min(ask.wanted_tokens, max(0.0, self.bucket.balance) * SPARE_SHARE)
+        left = max(0.0, self.bucket.balance - self.reserved())
+        spare = min(ask.wanted_tokens, left * SPARE_SHARE)
         self.bucket.balance -= spare
         # What is needed is spent as it comes, and only the rest is in stock there.
         lease.tokens += spare
-        return ask.needed_tokens + spare
+        return needed + spare
 
     def donate_tokens(self, wanted: float, now_s: float) -> float:
         """Take out what another zone may have: what this one will not need soon."""
@@ -224,6 +279,7 @@
             return 0.0
         self.note_demand(0.0, now_s)
         reserve = min(self.demand, self.bucket.rate) * BURST_S / 2
+        reserve += self.reserved()
         given = max(0.0, min(wanted, self.bucket.balance - reserve))
         self.bucket.balance -= given
         return given
@@ -266,7 +322,10 @@
 
     def retry_after_s(self, ask: BudgetAsk, now_s: float) -> float:
         """Return when an ask that is not granted now will be."""
-        wait_s = self.bucket.wait_s(ask.needed_tokens) if ask.needed_tokens else 0.0
+        wait_s = 0.0
+        if ask.needed_tokens:
+            ahead = self.ahead(ask.entry, now_s)
+            wait_s = self.bucket.wait_s(ask.needed_tokens, self.held, ahead)
         if self.missing_slots(ask, now_s):
             wait_s = max(wait_s, SLOT_RETRY_S)
         return wait_s
--- a/src/rosemaryknot/process/limits/owner.py
+++ b/src/rosemaryknot/process/limits/owner.py
@@ -227,12 +227,29 @@
         lease = None if budget is None else budget.take_over(ask, now_s)
         if lease is None or not self.views.is_settled(key):
             grants.add(result="not_settled" if lease else "refused")
-            return BudgetGrant(False, fallback_share=fallback)
+            refusal = BudgetGrant(False, fallback_share=fallback)
+            if lease is not None:
+                self.note_early(key, budget, ask, refusal)
+            return refusal
         if ask.needed_tokens or ask.wanted_tokens:
             budget.note_demand(ask.needed_tokens + ask.wanted_tokens, now_s)
         await self.transfers.fetch_missing(key, budget, ask)
         return self.answer(budget, lease, ask, fallback)
 
+    def note_early(
+        self, key: LimitKey, budget: Budget, ask: BudgetAsk, refusal: BudgetGrant
+    ) -> None:
+        """Tell an ask that comes before this owner may grant when it will."""
+        now_s = self.clock()
+        wait_s = self.views.settled_in_s(key, now_s)
+        if not math.isfinite(wait_s):
+            return
+        wait_s += budget.retry_after_s(ask, now_s)
+        lacks_slots = budget.missing_slots(ask, now_s) > 0
+        budget.keep_turn(ask, 0.0 if lacks_slots else wait_s, now_s)
+        refusal.retry_after_s, refusal.lacks_slots = wait_s, lacks_slots
+        refusal.rate = budget.bucket.rate
+
     def answer(
         self, budget: Budget, lease: EntryLease, ask: BudgetAsk, fallback: float
     ) -> BudgetGrant:
@@ -242,6 +259,9 @@
         retry_s = budget.retry_after_s(ask, now_s)
         rate = budget.bucket.rate
         grant = BudgetGrant(True, 0.0, 0, LEASE_S, retry_s, rate, fallback)
+        grant.lacks_slots = budget.missing_slots(ask, now_s) > 0
+        if ask.needed_tokens:
+            budget.keep_turn(ask, 0.0 if grant.lacks_slots else retry_s, now_s)
         if retry_s == 0.0:
             grant.slots = budget.grant_slots(lease, ask, now_s)
             grant.tokens = budget.grant_tokens(lease, ask)
--- a/src/rosemaryknot/process/limits/shares.py
+++ b/src/rosemaryknot/process/limits/shares.py
@@ -1,5 +1,6 @@
 """Which part of a limit a zone may grant, and which of its nodes grants it."""
 
+import math
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -147,6 +148,16 @@
         self.views.append((now_s, ()))
         self.note(live, now_s)
 
+    def settled_in_s(self, key: LimitKey, now_s: float) -> float:
+        """Return when this node will have been the owner for long enough."""
+        wait_s, is_own = 0.0, True
+        for since_s, live in self.views:
+            if not is_own:
+                wait_s = max(0.0, since_s + self.settle_s - now_s)
+            owner = owner_of(key, live)
+            is_own = owner is not None and owner.name == self.name
+        return wait_s if is_own else math.inf
+
     def is_settled(self, key: LimitKey) -> bool:
         """Tell whether this node has been the owner for long enough."""
         known = self.settled.get(key)
--- a/src/rosemaryknot/process/limits/transfers.py
+++ b/src/rosemaryknot/process/limits/transfers.py
@@ -70,7 +70,7 @@
     ) -> None:
         """Ask the other zones for what an entry's ask lacks here."""
         now_s = self.owner.clock()
-        tokens = budget.missing_tokens(ask)
+        tokens = budget.missing_tokens(ask, now_s)
         slots = budget.missing_slots(ask, now_s)
         if not (tokens or slots) or now_s < budget.next_transfer_s:
             return
--- a/src/rosemaryknot/request/accounts.py
+++ b/src/rosemaryknot/request/accounts.py
@@ -6,6 +6,7 @@
 import trio
 
 from rosemaryknot.process.limits.bucket import Bucket
+from rosemaryknot.request.budget_queue import BudgetQueue, Lack
 from rosemaryknot.values.limits import BudgetAsk, BudgetGrant
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.outcomes import NotRun, Reason
@@ -16,8 +17,10 @@
 AHEAD_S = 0.4
 FIRST_FALLBACK_SHARE = 0.01
 MIN_RETRY_S = 0.001
+MAX_RETRY_S = 60.0
 SLOT_RETRY_S = 1.0
 QUIET_S = 0.2
+FALLBACK_S = 1.0
 MIN_RATE = 1e-3
 SPARE_SLOT_S = 1.0
 
@@ -54,10 +57,15 @@
         That share of the whole limit.
     fallback_until_s : float
         Until when it is used.
+    grants_from_s, early_tokens : float
+        When a new owner that may not grant yet will grant what it was asked for,
+        and how much that was.
     touched_s : float
         When a request last came.
     is_asking : bool
         Whether an ask ahead of need is under way.
+    queue : BudgetQueue
+        Requests that wait for tokens.
     lock : trio.Lock
         Held during an ask: the owner sees one at a time.
     """
@@ -76,8 +84,11 @@
     spend_rate: float = 0.0
     fallback_until_s: float = -math.inf
     fallback_share: float = FIRST_FALLBACK_SHARE
+    grants_from_s: float = -math.inf
+    early_tokens: float = 0.0
     touched_s: float = 0.0
     is_asking: bool = False
+    queue: BudgetQueue = field(default_factory=BudgetQueue)
     lock: trio.Lock = field(default_factory=trio.Lock)
 
     def expire(self, now_s: float) -> None:
@@ -103,9 +114,9 @@
     def is_busy(self) -> bool:
         """Tell whether the lease is worth renewing."""
         stock = self.used_slots or self.slots or self.tokens
-        return bool(stock or self.spent or self.spend_rate)
+        return bool(stock or self.spent or self.spend_rate or self.queue)
 
-    def known_refusal(self, tokens: float) -> NotRun | None:
+    def known_lack(self, tokens: float) -> Lack | None:
         """Refuse without a call what the owner has refused until later.
 
         A customer who floods so costs the owner a few asks a second, and not one for
@@ -116,12 +127,12 @@
         if now_s >= self.quiet_until_s:
             return None
         if self.refused_tokens == 0 and not self.has_slot():
-            return limit_reached(self.limit, self.refused_until_s - now_s, True)
+            return Lack(self.refused_until_s - now_s, True, True)
         lacking = tokens - max(0.0, self.tokens) - self.refused_tokens
         if tokens <= 0 or self.refused_tokens == 0 or lacking < 0:
             return None
         wait_s = self.refused_until_s - now_s + lacking / self.rate
-        return limit_reached(self.limit, wait_s, False)
+        return Lack(wait_s)
 
     def new_ask(
         self,
@@ -130,6 +141,7 @@
         sequence: int,
         tokens: float,
         slots: int,
+        max_wait_s: float = 0.0,
     ) -> BudgetAsk:
         """Return the next ask; what it gives back leaves the account."""
         wanted = self.wanted_tokens()
@@ -152,6 +164,7 @@
             float(tokens - self.tokens) if is_short else 0.0,
             slots,
             float(max(0.0, wanted - self.tokens)),
+            max_wait_s,
         )
 
     def note_grant(self, ask: BudgetAsk, grant: BudgetGrant, asked_s: float) -> None:
@@ -162,28 +175,63 @@
         self.fallback_until_s = -math.inf
         if grant.fallback_share > 0:
             self.fallback_share = grant.fallback_share
-        if grant.retry_after_s > 0:
+        has_needed = ask.needed_tokens or ask.needed_slots
+        if grant.retry_after_s > 0 and has_needed:
             now_s = trio.current_time()
             self.refused_until_s = now_s + grant.retry_after_s
             self.quiet_until_s = now_s + min(QUIET_S, grant.retry_after_s)
-            self.refused_tokens = ask.needed_tokens
+            self.refused_tokens = 0 if grant.lacks_slots else ask.needed_tokens
             self.rate = max(MIN_RATE, grant.rate)
 
-    def fall_back(self, tokens: float) -> "Charge | NotRun":
+    def note_no_grant(self, ask: BudgetAsk, grant: BudgetGrant | None) -> None:
+        """Live by the fixed share until an owner may grant.
+
+        Parameters
+        ----------
+        ask : BudgetAsk
+            What was asked.
+        grant : BudgetGrant or None
+            The answer of one who may not grant; None where there was none.
+        """
+        now_s = trio.current_time()
+        self.fallback_until_s = now_s + FALLBACK_S
+        self.grants_from_s = -math.inf
+        if grant is None:
+            return
+        self.fallback_share = grant.fallback_share
+        if grant.retry_after_s > 0 and not grant.lacks_slots:
+            # It will be the owner soon, and keeps the turn of a request that waits
+            # only while it hears of it.
+            self.fallback_until_s = now_s + min(QUIET_S, grant.retry_after_s)
+            self.grants_from_s = now_s + grant.retry_after_s
+            self.early_tokens = ask.needed_tokens
+            self.rate = max(MIN_RATE, grant.rate)
+
+    def fall_back(self, tokens: float) -> "Charge | Lack":
         """Charge the fixed share that each entry has while no owner answers."""
         limit, share, bucket = self.limit, self.fallback_share, self.fallback
         slots = limit.concurrent_requests
         if not self.has_slot() and self.used_slots >= max(1, int(slots * share)):
-            return limit_reached(limit, SLOT_RETRY_S, True)
+            wait_s = self.owner_wait_s(tokens)
+            if math.isinf(wait_s):
+                return Lack(SLOT_RETRY_S, True, True)
+            return Lack(wait_s, True)
         if tokens:
             bucket.rate = bucket.capacity = limit.tokens_per_minute / 60 * share
             bucket.fill(trio.current_time())
             if not bucket.take(tokens):
-                return limit_reached(limit, bucket.wait_s(tokens), False)
+                return Lack(min(bucket.wait_s(tokens), self.owner_wait_s(tokens)))
         self.used_slots += 1
         self.slots = max(self.slots, self.used_slots)
         return Charge(self, tokens, is_fallback=True)
 
+    def owner_wait_s(self, tokens: float) -> float:
+        """Return when a new owner will grant what it was asked too early for."""
+        left_s = self.grants_from_s - trio.current_time()
+        if left_s <= 0:
+            return math.inf
+        return left_s + max(0.0, tokens - self.early_tokens) / self.rate
+
 
 @dataclass(slots=True, eq=False)
 class Charge:
@@ -239,11 +287,12 @@
     return Account(limit, Bucket(rate, rate, rate, now_s))
 
 
-def limit_reached(limit: Limit, wait_s: float, is_by_slots: bool) -> NotRun:
+def limit_reached(limit: Limit, lack: Lack) -> NotRun:
     """Return the refusal of a request beyond a customer's limit."""
-    if is_by_slots:
+    if lack.is_by_slots:
         of = f"{limit.concurrent_requests:g} concurrent requests"
     else:
         of = f"{limit.tokens_per_minute:g} tokens per minute"
+    wait_s = min(lack.wait_s, MAX_RETRY_S)
     wait_s = max(MIN_RETRY_S, math.ceil(wait_s * 1000) / 1000)
     return NotRun(Reason.LIMIT_REACHED, wait_s, f"the limit of {of} is reached")
--- a/src/rosemaryknot/request/budget.py
+++ b/src/rosemaryknot/request/budget.py
@@ -1,6 +1,7 @@
 """The entry's part in the limits: charges requests to budgets that it has on lease."""
 
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 import trio
@@ -9,12 +10,15 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.request.accounts import (
+    MIN_RETRY_S,
+    QUIET_S,
     UNLIMITED_CHARGE,
     Account,
     Charge,
     limit_reached,
     new_account,
 )
+from rosemaryknot.request.budget_queue import MAX_WAITING, Lack, Waiter
 from rosemaryknot.values.limits import BudgetGrant
 from rosemaryknot.values.messages import Message
 from rosemaryknot.values.nodes import Node
@@ -26,7 +30,6 @@
 ASK_TIMEOUT_S = 0.25
 RENEW_S = 0.3
 LOW_SHARE = 0.5
-FALLBACK_S = 1.0
 IDLE_S = 60.0
 SPEND_WEIGHT = 0.3
 
@@ -57,6 +60,8 @@
         By customer and service.
     asks : int
         Asks made so far.
+    is_stopping : callable
+        Tells whether the process stops; what waits is then refused.
     """
 
     def __init__(self, node: Node, link: Caller) -> None:
@@ -65,6 +70,7 @@
         self.accounts: dict[tuple[str, str], Account] = {}
         self.nursery: trio.Nursery | None = None
         self.asks = 0
+        self.is_stopping: Callable[[], bool] = lambda: False
 
     async def run(self) -> None:
         """Renew leases until cancelled."""
@@ -102,9 +108,17 @@
             account.is_asking = False
 
     async def take(
-        self, customer: str, service: str, limit: Limit, tokens: float
+        self,
+        customer: str,
+        service: str,
+        limit: Limit,
+        tokens: float,
+        max_wait_s: float = 0.0,
     ) -> Charge | NotRun:
-        """Charge a request, or refuse it at once.
+        """Charge a request, let it wait its turn, or refuse it at once.
+
+        It waits only where it is known to be admitted within its time; one that
+        would wait longer is refused as soon as that is known.
 
         Parameters
         ----------
@@ -114,6 +128,8 @@
             The customer's whole limit there.
         tokens : float
             Tokens that the request may use; 0 where they are not counted.
+        max_wait_s : float
+            How long it may wait for tokens, in seconds.
 
         Returns
         -------
@@ -130,9 +146,49 @@
             return NotRun(Reason.LIMIT_REACHED, 0.0, detail)
         account = self.account(customer, service, limit)
         key = (customer, service)
-        if self.is_ready(account, tokens):
+        if not (account.queue and tokens) and self.is_ready(account, tokens):
             return self.charge(key, account, tokens)
-        return await self.make_ready(key, account, tokens)
+        taken = await self.take_in_turn(key, account, tokens, max_wait_s)
+        return limit_reached(limit, taken) if isinstance(taken, Lack) else taken
+
+    async def take_in_turn(
+        self, key: tuple[str, str], account: Account, tokens: float, max_wait_s: float
+    ) -> Charge | Lack:
+        """Charge a request now, or when those before it have been."""
+        until_s = trio.current_time() + max_wait_s
+        queue = account.queue
+        if not (queue and tokens):
+            taken = await self.make_ready(key, account, tokens, max_wait_s)
+            if isinstance(taken, Charge) or taken.is_guess or not tokens:
+                return taken
+            if not queue:
+                queue.due_s = trio.current_time() + taken.wait_s
+        if queue:
+            taken = queue.lack_behind(tokens, account.rate)
+        left_s = until_s - trio.current_time()
+        if taken.wait_s > left_s or len(queue) >= MAX_WAITING:
+            return taken
+        waiter = queue.join(tokens, until_s)
+        try:
+            await waiter.is_next.wait()
+            return waiter.lack or await self.take_at_head(key, account, waiter)
+        finally:
+            queue.leave(waiter)
+
+    async def take_at_head(
+        self, key: tuple[str, str], account: Account, waiter: Waiter
+    ) -> Charge | Lack:
+        """Ask for the request at the head until it is charged, or waits too long."""
+        while True:
+            left_s = waiter.until_s - trio.current_time()
+            taken = await self.make_ready(key, account, waiter.tokens, max(0.0, left_s))
+            if isinstance(taken, Charge):
+                return taken
+            left_s = waiter.until_s - trio.current_time()
+            if taken.is_guess or taken.wait_s > left_s or self.is_stopping():
+                return taken
+            account.queue.note_due(taken.wait_s, account.rate)
+            await trio.sleep(min(QUIET_S, max(MIN_RETRY_S, taken.wait_s)))
 
     def account(self, customer: str, service: str, limit: Limit) -> Account:
         """Return the account of a customer, by the limit that is in force."""
@@ -150,8 +206,8 @@
         return account.has(tokens)
 
     async def make_ready(
-        self, key: tuple[str, str], account: Account, tokens: float
-    ) -> Charge | NotRun:
+        self, key: tuple[str, str], account: Account, tokens: float, max_wait_s: float
+    ) -> Charge | Lack:
         """Ask for what a request lacks, and charge it where it is granted."""
         early = self.without_asking(account, tokens)
         if early is not None:
@@ -163,17 +219,18 @@
             early = self.without_asking(account, tokens)
             if early is not None:
                 return early
-            await self.ask(key, account, tokens, 0 if account.has_slot() else 1)
+            slots = 0 if account.has_slot() else 1
+            await self.ask(key, account, tokens, slots, max_wait_s)
             if self.is_ready(account, tokens):
                 return self.charge(key, account, tokens)
             early = self.without_asking(account, tokens)
-            return early or limit_reached(account.limit, 0.0, False)
+            return early or Lack(0.0)
 
-    def without_asking(self, account: Account, tokens: float) -> Charge | NotRun | None:
+    def without_asking(self, account: Account, tokens: float) -> Charge | Lack | None:
         """Return what can be said without the owner, or None where it must be asked."""
         if trio.current_time() < account.fallback_until_s:
             return account.fall_back(tokens)
-        return account.known_refusal(tokens)
+        return account.known_lack(tokens)
 
     def charge(self, key: tuple[str, str], account: Account, tokens: float) -> Charge:
         """Charge a request that the lease covers."""
@@ -186,7 +243,12 @@
         return Charge(account, tokens)
 
     async def ask(
-        self, key: tuple[str, str], account: Account, tokens: float, slots: int
+        self,
+        key: tuple[str, str],
+        account: Account,
+        tokens: float,
+        slots: int,
+        max_wait_s: float = 0.0,
     ) -> None:
         """Ask once; what is given back leaves the account before the ask does."""
         asked_s = trio.current_time()
@@ -194,12 +256,10 @@
         # One count for all accounts: an account that is forgotten and made anew must
         # not begin again below what the owner has seen, who would take it for late.
         self.asks += 1
-        ask = account.new_ask(key, self.node, self.asks, tokens, slots)
+        ask = account.new_ask(key, self.node, self.asks, tokens, slots, max_wait_s)
         answer = await self.link.call(ask, ASK_TIMEOUT_S)
         if isinstance(answer, BudgetGrant) and answer.is_owner:
             account.note_grant(ask, answer, asked_s)
             return
         fallbacks.add()
-        account.fallback_until_s = trio.current_time() + FALLBACK_S
-        if isinstance(answer, BudgetGrant):
-            account.fallback_share = answer.fallback_share
+        account.note_no_grant(ask, answer if isinstance(answer, BudgetGrant) else None)
--- a/src/rosemaryknot/request/model_share.py
+++ b/src/rosemaryknot/request/model_share.py
@@ -1,5 +1,7 @@
 """A model request's way from the caller to its turn at the engines."""
 
+import trio
+
 from rosemaryknot.process.drain import Drain
 from rosemaryknot.request.accounts import Charge
 from rosemaryknot.request.admission import Slot
@@ -18,6 +20,8 @@
 __all__ = ["ModelShare", "used_tokens"]
 
 PRIORITY_SHORT = 0
+BUDGET_WAIT_S = 5.0
+BUDGET_WAIT_SHARE = 0.1
 
 
 def used_tokens(generation: Generation, charge: Charge) -> float:
@@ -64,6 +68,7 @@
         self.budgets = budgets
         self.router = router
         self.drain = drain
+        budgets.is_stopping = lambda: drain.is_stopping
         self.queue = EngineQueue(self.capacity, lambda: drain.is_stopping)
 
     def capacity(self, service: str) -> float:
@@ -92,9 +97,16 @@
             Why it may not go on.
         """
         cost = self.expected_tokens(request)
-        charge = await self.budgets.take(request.customer, request.service, limit, cost)
+        left_s = request.deadline_s - trio.current_time()
+        charge = await self.budgets.take(
+            request.customer,
+            request.service,
+            limit,
+            cost,
+            min(BUDGET_WAIT_S, left_s * BUDGET_WAIT_SHARE),
+        )
         if isinstance(charge, NotRun):
-            return charge
+            return self.drain.refusal() or charge
         slot.charge = charge
         place = await self.queue.enter(
             request.customer,
--- a/src/rosemaryknot/values/limits.py
+++ b/src/rosemaryknot/values/limits.py
@@ -39,6 +39,9 @@
         Slots of the request that waits.
     wanted_tokens : float
         Tokens that it expects to spend besides.
+    max_wait_s : float
+        How long the request that waits may do so, in seconds; the owner keeps its
+        turn where that is long enough.
     """
 
     kind: ClassVar[str]
@@ -54,6 +57,7 @@
     needed_tokens: float = 0.0
     needed_slots: int = 0
     wanted_tokens: float = 0.0
+    max_wait_s: float = 0.0
 
 
 @message("budget_grant")
@@ -73,11 +77,14 @@
         How long the lease holds, in seconds from before the ask was sent.
     retry_after_s : float
         When what was needed and not granted will be there, in seconds; 0 where it
-        was granted.
+        was granted. Of a sender that will be the owner soon, the time from when
+        on it grants.
     rate : float
         Tokens a second of the zone, by which the time for more than that is known.
     fallback_share : float
         Share of the whole limit that the entry may use while it has no owner.
+    lacks_slots : bool
+        Whether slots are missing: the time named is then a guess.
     """
 
     kind: ClassVar[str]
@@ -88,6 +95,7 @@
     retry_after_s: float = 0.0
     rate: float = 0.0
     fallback_share: float = 0.0
+    lacks_slots: bool = False
 
 
 @message("budget_transfer")
--- a/tests/process/limit_fleet.py
+++ b/tests/process/limit_fleet.py
@@ -59,8 +59,9 @@
             return CallFailed("closed", maybe_handled=False)
         return await self.fleet.call(self, self.node.name, value, "entry", timeout_s)
 
-    async def take(self, tokens, customer=CUSTOMER):
-        return await self.entry.take(customer, SERVICE, self.fleet.limit, tokens)
+    async def take(self, tokens, customer=CUSTOMER, max_wait_s=0.0):
+        limit = self.fleet.limit
+        return await self.entry.take(customer, SERVICE, limit, tokens, max_wait_s)
 
 
 class LimitFleet:
@@ -132,7 +133,7 @@
             self.cuts.add(frozenset((zone, other)))
 
 
-async def flood(nodes, seconds, tokens, gap_s):
+async def flood(nodes, seconds, tokens, gap_s, max_wait_s=0.0):
     """Send requests of ``tokens`` to each node in turn; return tokens admitted."""
     admitted = 0.0
     end_s = trio.current_time() + seconds
@@ -140,7 +141,7 @@
 
         async def send(node):
             nonlocal admitted
-            charge = await node.take(tokens)
+            charge = await node.take(tokens, max_wait_s=max_wait_s)
             if isinstance(charge, Charge):
                 admitted += tokens
                 charge.settle(tokens)
--- a/tests/process/test_limits.py
+++ b/tests/process/test_limits.py
@@ -1,5 +1,6 @@
 """Limits over all instances, under what goes wrong between them."""
 
+import math
 import random
 
 import pytest
@@ -17,6 +18,7 @@
 from rosemaryknot.process.limits.shares import slot_share
 from rosemaryknot.request.accounts import Charge
 from rosemaryknot.values.outcomes import NotRun, Reason
+from rosemaryknot.version.tables import Limit
 
 ZONES = ["waco-a", "waco-b", "temple-c"]
 RATE = 6000
@@ -118,6 +120,84 @@
         assert (refusal.reason, refusal.retry_after_s) == (Reason.LIMIT_REACHED, 0.0)
 
 
+class TestLargeRequests:
+    @pytest.mark.parametrize("small_gap_s", [math.inf, 0.05])
+    async def test_at_a_third_of_the_limit(self, autojump_clock, fleet, small_gap_s):
+        """Requests of three seconds of a zone's rate come, a third of the limit.
+
+        Some come while the bucket still pays for the one before. Each waits for it
+        and is admitted, also while another entry of the zone sends small requests
+        all the time, which would take the tokens as they come.
+        """
+        fleet.cut_zone("waco-a")
+        rng = random.Random(2)
+        owner, [other] = fleet.owner("waco-a"), fleet.others("waco-a")
+        taken = []
+
+        async def send_large(node):
+            charge = await node.take(100, max_wait_s=5)
+            taken.append(charge)
+            if isinstance(charge, Charge):
+                await trio.sleep(1)
+                charge.settle(100)
+
+        async def send_small():
+            while math.isfinite(small_gap_s):
+                charge = await owner.take(3, max_wait_s=0.5)
+                if isinstance(charge, Charge):
+                    charge.settle(3)
+                await trio.sleep(small_gap_s)
+
+        async with trio.open_nursery() as senders:
+            senders.start_soon(send_small)
+            async with trio.open_nursery() as large:
+                for _ in range(10):
+                    large.start_soon(send_large, other)
+                    await trio.sleep(rng.uniform(1.5, 16.5))
+            senders.cancel_scope.cancel()
+        assert [type(charge) for charge in taken] == [Charge] * 10
+
+    async def test_new_owner(self, autojump_clock, nursery):
+        """All nodes start, and large requests come before an owner may grant.
+
+        The first is admitted by the entry's fixed share. The next ones wait for the
+        owner where they can, and are refused at once with the time that it takes
+        where not; a caller who comes back then is admitted.
+        """
+        fleet = LimitFleet(tokens_per_minute(RATE), ZONES)
+        await fleet.run(nursery, settled=False)
+        await trio.sleep(2)
+        fleet.cut_zone("waco-a")
+        [node] = fleet.others("waco-a")
+        assert isinstance(await node.take(100, max_wait_s=1), Charge)
+        start_s = trio.current_time()
+        refusal = await node.take(60, max_wait_s=2)
+        assert trio.current_time() - start_s < 0.3
+        assert 2 < refusal.retry_after_s < 5.0
+        assert isinstance(await node.take(60, max_wait_s=5), Charge)
+        waited_s = trio.current_time() - start_s
+        assert waited_s == pytest.approx(refusal.retry_after_s, abs=0.25)
+
+    async def test_slots_of_a_new_owner(self, autojump_clock, nursery):
+        """The same with concurrent requests: each entry has one slot of its own.
+
+        The second request waits for the owner, which has slots to spare.
+        """
+        fleet = LimitFleet(Limit(RATE, 40), ZONES)
+        await fleet.run(nursery, settled=False)
+        await trio.sleep(2)
+        [node] = fleet.others("waco-a")
+        for _ in range(2):
+            assert isinstance(await node.take(30, max_wait_s=5), Charge)
+
+    async def test_bound_holds_with_waiters(self, autojump_clock, fleet):
+        """Large and small requests wait everywhere, at twice the limit."""
+        nodes = list(fleet.nodes.values())
+        admitted = await flood(nodes, MINUTE_S, 50, 0.25, max_wait_s=5)
+        seconds = MINUTE_S + 5
+        assert 0.95 * RATE <= admitted <= RATE / 60 * (seconds + 1) + 3 * 50
+
+
 class TestLostMessages:
     @pytest.mark.parametrize(
         ("kind", "share"), [("BudgetTransfer", 0.5), ("BudgetAsk", 0.1)]
--- a/tests/request/test_budget.py
+++ b/tests/request/test_budget.py
@@ -8,6 +8,7 @@
 from rosemaryknot.connection.links import CallFailed
 from rosemaryknot.request.accounts import Charge
 from rosemaryknot.request.budget import EntryBudgets
+from rosemaryknot.request.budget_queue import MAX_WAITING
 from rosemaryknot.values.limits import BudgetGrant
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.outcomes import NotRun
@@ -51,8 +52,8 @@
     return budgets
 
 
-async def take(entry, tokens=10.0, limit=LIMIT):
-    return await entry.take(CUSTOMER, SERVICE, limit, tokens)
+async def take(entry, tokens=10.0, limit=LIMIT, max_wait_s=0.0):
+    return await entry.take(CUSTOMER, SERVICE, limit, tokens, max_wait_s)
 
 
 class TestEntryBudgets:
@@ -144,6 +145,67 @@
         await trio.sleep(1)
         assert isinstance(await take(entry, 50.0), Charge)
 
+    async def test_waits_in_turn(self, autojump_clock, entry, owner):
+        """The budget is there in two seconds; a large and a small request come.
+
+        The large one waits and the small one behind it, in this order, without
+        slots. One that may not wait as long is refused at once.
+        """
+        owner.retry_after_s = 2.0
+        order = []
+
+        async def send(tokens):
+            order.append((tokens, await take(entry, tokens, max_wait_s=5.0)))
+
+        async with trio.open_nursery() as senders:
+            senders.start_soon(send, 200.0)
+            await trio.sleep(0.1)
+            senders.start_soon(send, 10.0)
+            await trio.sleep(0.1)
+            account = entry.accounts[CUSTOMER, SERVICE]
+            assert (len(account.queue), account.used_slots) == (2, 0)
+            started_s = trio.current_time()
+            refusal = await take(entry, 10.0, max_wait_s=1.0)
+            assert trio.current_time() == started_s
+            assert refusal.retry_after_s > 2.5
+            await trio.sleep(1.0)
+            owner.retry_after_s = 0.0
+        assert [tokens for tokens, _ in order] == [200.0, 10.0]
+        assert all(isinstance(charge, Charge) for _, charge in order)
+
+    async def test_given_up_is_told_at_once(self, autojump_clock, entry, owner):
+        """A request waits for a second, and then hears that it would take a minute.
+
+        It is refused then, and those behind it, and not when their time is over.
+        """
+        owner.retry_after_s = 2.0
+        refused = []
+
+        async def send():
+            refused.append(await take(entry, 50.0, max_wait_s=5.0))
+
+        started_s = trio.current_time()
+        async with trio.open_nursery() as senders:
+            for _ in range(3):
+                senders.start_soon(send)
+            await trio.sleep(1.0)
+            owner.retry_after_s = 60.0
+        assert trio.current_time() - started_s < 1.5
+        assert [type(answer) for answer in refused] == [NotRun] * 3
+        assert min(answer.retry_after_s for answer in refused) > 55
+
+    async def test_waiters_are_bounded(self, autojump_clock, entry, owner):
+        owner.retry_after_s = 4.0
+        async with trio.open_nursery() as senders:
+            for _ in range(MAX_WAITING):
+                senders.start_soon(lambda: take(entry, 0.1, max_wait_s=5.0))
+            await trio.sleep(0.5)
+            started_s = trio.current_time()
+            assert isinstance(await take(entry, 0.1, max_wait_s=5.0), NotRun)
+            assert trio.current_time() == started_s
+            entry.is_stopping = lambda: True
+        assert trio.current_time() - started_s < 0.5
+
     async def test_forgets_idle_customers(self, autojump_clock, entry):
         (await take(entry)).settle(10.0)
         await trio.sleep(120)
