Part the drops of given-up copies from the keeping of standby copies

The last is a module now, and the records that both need another. No change in what it does; one test reads the list of copies at its new place.

--- a/src/rosemaryknot/request/adoption.py
+++ b/src/rosemaryknot/request/adoption.py
@@ -8,7 +8,8 @@
 from rosemaryknot.process.drain import Drain
 from rosemaryknot.request.generations import Generation
 from rosemaryknot.request.relay import ModelRelay
-from rosemaryknot.request.standby import Copied, StandbyCopies
+from rosemaryknot.request.standby import StandbyCopies
+from rosemaryknot.request.standby_state import Copied
 from rosemaryknot.values.outcomes import NotRun, Running
 from rosemaryknot.values.requests import ModelRequest
 from rosemaryknot.values.standby import (
--- a/src/rosemaryknot/request/standby.py
+++ b/src/rosemaryknot/request/standby.py
@@ -1,8 +1,6 @@
 """Standby copies at the entry: sends copies and text, and hands over."""
 
 import json
-from collections import deque
-from dataclasses import dataclass, field
 
 import trio
 
@@ -12,6 +10,8 @@
 from rosemaryknot.process.metrics import gauge
 from rosemaryknot.request.generations import Generation
 from rosemaryknot.request.relay import ModelRelay
+from rosemaryknot.request.standby_drops import BATCH_TIMEOUT_S, StandbyDrops
+from rosemaryknot.request.standby_state import Copied, CopyKey, StandbyState
 from rosemaryknot.values.messages import encode_message
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Running
@@ -29,13 +29,9 @@
 COPY_TIMEOUT_S = 1.7
 HANDOVER_TIMEOUT_S = 3.0
 BATCH_S = 0.25
-BATCH_TIMEOUT_S = 1.0
 HEARTBEAT_S = 1.0
 RETRY_S = 1.0
 MAX_FAILURES = 2
-MAX_GIVEN_UP = 4096
-DROP_S = 2.0
-HANDED_OVER = "running"
 MAX_UPDATE_TOKENS = 512
 MAX_BATCH_TOKENS = 8192
 PICKUP_RETRY_S = 0.5
@@ -43,73 +39,6 @@
 log = logger("standby")
 copied_gauge = gauge("standby_copied", "Running model requests with a standby copy.")
 
-CopyKey = tuple[str, str]
-
-
-@dataclass(slots=True)
-class Copied:
-    """A generation that is to have a copy.
-
-    Attributes
-    ----------
-    generation : Generation
-        What is copied.
-    standby : str
-        Node that holds the copy; empty while none does.
-    sent : int
-        Tokens that the standby has.
-    avoided : str
-        Node that stopped to answer.
-    tried_s : float
-        When a standby was last looked for, in trio time.
-    """
-
-    generation: Generation
-    standby: str = ""
-    sent: int = 0
-    avoided: str = ""
-    tried_s: float = 0.0
-
-    @property
-    def key(self) -> CopyKey:
-        """Customer and id."""
-        return self.generation.customer, self.generation.request_id
-
-
-@dataclass(slots=True)
-class StandbyState:
-    """What is known of one standby.
-
-    Attributes
-    ----------
-    failures : int
-        Batches in a row without an answer.
-    heard_s : float
-        When it last answered, in trio time.
-    """
-
-    failures: int = 0
-    heard_s: float = field(default=float("-inf"))
-
-
-@dataclass(slots=True)
-class GivenUp:
-    """A copy at a standby that stopped to answer, to be dropped there later.
-
-    Without it the standby would take over, when the relay dies, a request that
-    another standby goes on with or that has long ended.
-
-    Attributes
-    ----------
-    standby : str
-        Node that may still hold the copy.
-    copied : Copied
-        What was copied.
-    """
-
-    standby: str
-    copied: Copied
-
 
 class StandbyCopies:
     """The entry's part in standby copies; starts model requests as the relay does.
@@ -152,12 +81,12 @@
         self.is_on = is_on
         self.copies: dict[CopyKey, Copied] = {}
         self.standbys: dict[str, StandbyState] = {}
-        self.given_up: deque[GivenUp] = deque(maxlen=MAX_GIVEN_UP)
+        self.drops = StandbyDrops(node, link)
 
     async def run(self) -> None:
         """Send batches until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.run_drops)
+            nursery.start_soon(self.drops.run)
             while True:
                 await trio.sleep(BATCH_S)
                 await self.send_batches()
@@ -325,35 +254,7 @@
         del self.standbys[standby]
         for copied in of_standby:
             copied.standby, copied.avoided, copied.tried_s = "", standby, 0.0
-            self.given_up.append(GivenUp(standby, copied))
-
-    async def run_drops(self) -> None:
-        """Let standbys that were given up drop their copies, until cancelled."""
-        while True:
-            await trio.sleep(DROP_S)
-            by_standby: dict[str, list[GivenUp]] = {}
-            for given_up in self.given_up:
-                by_standby.setdefault(given_up.standby, []).append(given_up)
-            for standby, of_standby in by_standby.items():
-                if await self.drop(standby, of_standby):
-                    left = [g for g in self.given_up if g not in of_standby]
-                    self.given_up = deque(left, MAX_GIVEN_UP)
-
-    async def drop(self, standby: str, of_standby: list[GivenUp]) -> bool:
-        """Let one standby drop copies; tell whether nothing is left to do."""
-        now_s = trio.current_time()
-        updates = [
-            StandbyUpdate(*g.copied.key, 0, outcome=HANDED_OVER)
-            for g in of_standby
-            if g.copied.standby != standby
-            and now_s < g.copied.generation.request.deadline_s
-        ]
-        if not updates:
-            return True
-        payloads = [encode_message(update) for update in updates]
-        batch = StandbyBatch(standby, self.node.name, self.node.incarnation, payloads)
-        answer = await self.link.call(batch, BATCH_TIMEOUT_S)
-        return isinstance(answer, StandbyAck) and answer.is_reached
+            self.drops.add(standby, copied)
 
     # Handing over
 
--- a/tests/request/test_standby.py
+++ b/tests/request/test_standby.py
@@ -170,7 +170,7 @@
         batches = [b for b in link.of(StandbyBatch) if b.standby == "waco-b-1"]
         update = read_inner(batches[-1].updates[0], StandbyUpdate)
         assert update.outcome == "running"
-        assert not copies.given_up
+        assert not copies.drops.given_up
 
     async def test_adopted_never_claims_not_run(self, nursery, autojump_clock):
         """An adopted request finds no server: it may have run at its old relay."""
