--- a/src/rosemaryknot/request/at_most_once.py
+++ b/src/rosemaryknot/request/at_most_once.py
@@ -316,8 +316,8 @@
     """Return an outcome that says so where the request's key is closed for good.
 
     A refused request without an attempt number may be any of its key's sends, so all
-    of them are closed with it. With `Retry-After` a caller would send the same key
-    again, and be refused for ever.
+    of them are closed with it. `Retry-After` still says when to come back; the detail
+    says how, since the same key would be refused for ever.
     """
     is_closed = isinstance(outcome, NotRun) and outcome.reason != Reason.BODY_DIFFERS
     if request.attempt or not is_closed:
@@ -329,4 +329,4 @@
         "Without Rosemaryknot-Attempt the refusal closes the key for good: come back"
         f"{wait} with a new Idempotency-Key, and number its sends from 1."
     )
-    return NotRun(outcome.reason, 0.0, detail)
+    return NotRun(outcome.reason, outcome.retry_after_s, detail)
