Close an agent's connections to the platform after its tasks

A run of the demo ended with an agent's exit code 1 and a traceback: the planned stop closed the platform's client while the tasks that ask it still ran, and the next call raised RuntimeError. The client is closed once they have ended. With the close at its old place the new test fails with the demo's error.

--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -295,7 +295,6 @@
         await self.wait_entries()
         await self.peers.leave()
         await self.server.close_idle()
-        await self.platform.aclose()
         log.info("planned stop is over")
 
     async def hand_over(self) -> None:
@@ -360,3 +359,6 @@
         await stop.wait()
         await agent.end()
         nursery.cancel_scope.cancel()
+    # Only now: a task that still asks the platform with a closed client would raise,
+    # and a planned stop that handed everything over would end with a failure.
+    await agent.platform.aclose()
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -351,3 +351,29 @@
             assert [n.name for n in region.agents[0].peers.nodes()] == ["node-1"]
             assert region.agents[0].peers.counters["suspicions"] == 0
             nursery.cancel_scope.cancel()
+
+
+class TestStop:
+    async def test_platform_is_asked_while_connections_close(self, autojump_clock):
+        """An agent stops, and closing its connections to the platform takes a while.
+
+        The tasks that ask the platform each second must have ended before: one that
+        meets a closed client raises, and the process ends with a failure after a
+        planned stop that handed everything over.
+        """
+        async with trio.open_nursery() as nursery:
+            region = Region(nursery, 1)
+            await region.start()
+            await trio.sleep(10.0)
+            platform = region.agents[0].platform
+            close = platform.aclose
+
+            async def close_slowly() -> None:
+                await close()
+                await trio.sleep(10.0)
+
+            platform.aclose = close_slowly
+            region.stops[0].set()
+            await trio.sleep(60.0)
+            assert region.ended == [0]
+            nursery.cancel_scope.cancel()
