Let an agent that restarts during its node's notice wait for its entry

Ruled out: the hand-over itself, which was never asked for. The agent now waits until an entry has taken the order to stop, or the deadline is there. The new test fails without the wait.

--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -50,6 +50,7 @@
 BOOTSTRAP_ENV = "ROSEMARYKNOT_BOOTSTRAP_KEY"
 ENTRY_GRACE_S = 5.0
 ENTRY_CHECK_S = 0.1
+LAST_MOMENT_S = 0.3
 DRAIN_TIMEOUT_S = 2.0
 HANDOVER_TIMEOUT_S = 20.0
 
@@ -134,6 +135,7 @@
         self.peer_metrics = PeerMetrics(self.peers)
         self.platform = PlatformClient(network, settings.platform)
         self.is_draining = False
+        self.has_stopped_entry = False
         self.deadline_unix_s = 0.0
         self.add_servers()
         self.add_configuration()
@@ -260,8 +262,25 @@
     async def drain_entry(self, link: MessageLink) -> None:
         """Ask an entry that connects while the node stops to stop too."""
         if self.is_draining:
-            asked = DrainRequest("stop of the node", self.deadline_unix_s)
-            await link.call(asked, DRAIN_TIMEOUT_S)
+            await self.ask_to_drain(link, "stop of the node")
+
+    async def ask_to_drain(self, link: MessageLink, operator: str) -> bool:
+        """Ask an entry to stop; tell whether it does."""
+        asked = DrainRequest(operator, self.deadline_unix_s)
+        answer = await link.call(asked, DRAIN_TIMEOUT_S)
+        accepted = isinstance(answer, DrainAccepted)
+        self.has_stopped_entry = self.has_stopped_entry or accepted
+        return accepted
+
+    def awaits_entry(self) -> bool:
+        """Tell whether an entry of a node that is taken away may not know it yet.
+
+        An agent that restarts during the notice finds the mark before its entry has
+        linked up, and a frozen entry answers late. If the agent ended then, the entry
+        would go on accepting work until the node is gone, and lose it.
+        """
+        left_s = self.deadline_unix_s - self.unix_time()
+        return not self.has_stopped_entry and left_s > LAST_MOMENT_S
 
     async def drain(self, operator: str, deadline_unix_s: float = 0.0) -> int:
         """Begin the planned stop of the whole node; return how many entries stop.
@@ -279,9 +298,7 @@
         self.deadline_unix_s = deadline_unix_s
         stopping = 0
         for link in list(self.peers.entries):
-            asked = DrainRequest(operator, deadline_unix_s)
-            answer = await link.call(asked, DRAIN_TIMEOUT_S)
-            stopping += isinstance(answer, DrainAccepted)
+            stopping += await self.ask_to_drain(link, operator)
         self.stop.set()
         return stopping
 
@@ -311,7 +328,7 @@
         if self.is_draining:
             bound_s = self.settings.limits.drain_timeout_s
         with trio.move_on_after(bound_s):
-            while self.peers.entries:
+            while self.peers.entries or self.awaits_entry():
                 await trio.sleep(ENTRY_CHECK_S)
 
 
--- a/tests/process/test_standby.py
+++ b/tests/process/test_standby.py
@@ -178,6 +178,29 @@
 
         run_story(story)
 
+    def test_agent_restarts_during_the_notice(self):
+        """The agent dies, the notice comes, and the agent is started again.
+
+        It finds its node marked before its entry has linked up. It waits for the
+        entry and has it hand over, instead of ending with nobody told.
+        """
+
+        async def story(fleet):
+            note = ModelNote("plan set of a barn", SHORT * 2)
+            node = fleet.system.nodes[RELAY]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.ask, note, fleet.caller([RELAY]))
+                await fleet.wait_tokens(note, 5)
+                node.agent.kill()
+                fleet.system.platform.reclaim(RELAY, 4.0)
+                await trio.sleep(0.5)
+                fleet.system.restart_agent(RELAY)
+                await node.entry_ended.wait()
+                assert not node.entry.is_dead
+            assert_whole(note)
+
+        run_story(story)
+
     def test_notice_during_a_planned_stop(self):
         """An operator drains the node; the notice comes while a stream still runs.
 
