Let a goodbye be handled before the links end

Cause: test_goodbye failed once in a clean clone (two nodes suspected a node that had said goodbye): the end of a link cancels what its other end has not handled yet, and the goodbye was the last thing before it. Ruled out: the bound of the test.

--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -47,6 +47,7 @@
 PROBE_TIMEOUT_S = 1.0
 SEED_PAUSE_S = 5.0
 GOODBYE_S = 1.0
+GOODBYE_LINGER_S = 0.1
 ENTRY_SILENT_S = 5.0
 
 EntryLinkHandler = Callable[[MessageLink], Awaitable[None]]
@@ -266,6 +267,10 @@
         async with trio.open_nursery() as nursery:
             for node in self.linked():
                 nursery.start_soon(self.best_link(node.name).flush, GOODBYE_S)
+        # The end of a link cancels what its other end has still to handle. A goodbye
+        # that the connection's end follows at once is lost, and the node suspected;
+        # a moment between the two lets it be handled.
+        await trio.sleep(GOODBYE_LINGER_S)
 
     async def run_seed(self, address: Address) -> None:
         """Look for a node at an address until one is known there."""
