Run two benchmarks by the shared virtual time

benchmarks/limits.py and recovery.py had copies of run_in_virtual_time that left the order of tasks unseeded, so equal seeds gave unequal runs. They call the one of replay/virtual_time.py now.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -18,15 +18,14 @@
 import httpx
 import numpy as np
 import trio
-from trio.testing import MockClock
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.process.limits.shares import LimitKey, owner_of
 from rosemaryknot.process.logs import configure_logs
 from rosemaryknot.replay.callers import Caller
-from rosemaryknot.replay.hosts import HostInstrument
 from rosemaryknot.replay.notes import ModelNote
 from rosemaryknot.replay.system import System, SystemPlan
+from rosemaryknot.replay.virtual_time import run_in_virtual_time
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.version.keys import new_key
 
@@ -116,12 +115,6 @@
     return plan, api_keys
 
 
-def run_in_virtual_time(function: Callable, *args: object) -> object:
-    """Run an async function over freezable hosts in virtual time."""
-    clock = MockClock(autojump_threshold=0)
-    return trio.run(function, *args, clock=clock, instruments=[HostInstrument()])
-
-
 class Load:
     """Programs of customers that send at a rate, whatever they are answered.
 
@@ -338,8 +331,8 @@
     figures : dict
         Times in seconds, their ratio, and requests without a first token.
     """
-    alone, alone_lost = run_in_virtual_time(measure_first_tokens, seed, False)
-    flooded, flooded_lost = run_in_virtual_time(measure_first_tokens, seed, True)
+    alone, alone_lost = run_in_virtual_time(seed, measure_first_tokens, seed, False)
+    flooded, flooded_lost = run_in_virtual_time(seed, measure_first_tokens, seed, True)
     p95_alone, p95_flood = np.quantile(alone, 0.95), np.quantile(flooded, 0.95)
     return {
         "first_token_p95_s": round(float(p95_alone), 5),
@@ -369,7 +362,7 @@
     """
     over, under = {}, {}
     for case in CASES:
-        result = run_in_virtual_time(measure_case, seed, case)
+        result = run_in_virtual_time(seed, measure_case, seed, case)
         over[case], under[case] = result.over, result.under
         say(f"{case}: {over[case]:.4f} over, {under[case]:.4f} under")
     return {
@@ -393,7 +386,7 @@
     figures : dict
         Share of the requests offered.
     """
-    refused = run_in_virtual_time(measure_case, seed, "large").under
+    refused = run_in_virtual_time(seed, measure_case, seed, "large").under
     say(f"large: {refused:.4f} refused")
     return {"large_refused": refused}
 
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -14,15 +14,14 @@
 
 import trio
 from claims import ClaimsBench
-from trio.testing import MockClock
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.process.logs import configure_logs
 from rosemaryknot.replay.audit import audit_model
 from rosemaryknot.replay.callers import Caller
-from rosemaryknot.replay.hosts import HostInstrument
 from rosemaryknot.replay.notes import ModelNote
 from rosemaryknot.replay.system import System, SystemPlan
+from rosemaryknot.replay.virtual_time import run_in_virtual_time
 from rosemaryknot.standin.engine import EngineStandIn
 from rosemaryknot.standin.ledger import recomputed_tokens
 from rosemaryknot.version.keys import new_key
@@ -84,12 +83,6 @@
     return plan, api_key
 
 
-def run_in_virtual_time(function, *args):
-    """Run an async function over freezable hosts in virtual time."""
-    clock = MockClock(autojump_threshold=0)
-    return trio.run(function, *args, clock=clock, instruments=[HostInstrument()])
-
-
 # Reclaim waves
 
 
@@ -166,7 +159,7 @@
         bookings=BOOKINGS, store_ms=STORE_MS, zone_delay_ms=ZONE_DELAY_MS, seed=0
     )
     bench = ClaimsBench(options)
-    run_in_virtual_time(bench.run)
+    run_in_virtual_time(0, bench.run)
     return bench.figures
 
 
@@ -179,7 +172,7 @@
     totals = {policy: WaveResult() for policy in POLICIES}
     for seed in range(options.seeds):
         for policy in POLICIES:
-            result = run_in_virtual_time(run_waves, seed, policy)
+            result = run_in_virtual_time(seed, run_waves, seed, policy)
             totals[policy].recomputed += result.recomputed
             totals[policy].lost += result.lost
             totals[policy].answered += result.answered
