--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Put the pinned libraries and the product's package where the programs look for them.
+set -eu
+
+libraries=target/deps
+stamp=target/libraries.lock
+
+if ! cmp -s requirements.lock "$stamp"; then
+    echo "build: installing the pinned libraries"
+    rm -rf "$libraries"
+    python3 -m pip install --quiet --target "$libraries" --requirement requirements.lock
+    cp requirements.lock "$stamp"
+fi
+echo "build: copying the package"
+rm -rf "$libraries/rosemaryknot"
+cp -R src/rosemaryknot "$libraries/rosemaryknot"
--- /dev/null
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -0,0 +1,396 @@
+"""Connections of callers to the gateway, by h11.
+
+Quart on hypercorn cannot break an answer off so that it looks broken, notice that a
+caller leaves while nothing is sent to it, or tell kept connections to close; hence
+h11 over the network's streams here.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from rosemaryknot.connection.network import Network, receive_next
+from rosemaryknot.process.logs import logger
+from rosemaryknot.values.gateway import CallerLimits, GatewayRequest, Headers
+from rosemaryknot.values.gateway_answers import GatewayWire, Refusal, TargetFault
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["CallerConnection", "GatewayListener", "Reply"]
+
+READ_BYTES = 65536
+# A caller that reads nothing for this long gets its connection closed; longer than
+# the two seconds after which callers give a stream up themselves.
+WRITE_TIMEOUT_S = 10.0
+# Bytes of a next request that are kept while the current one is answered.
+MAX_AHEAD_BYTES = 65536
+# A connection closed with unread bytes is reset, and the reset destroys an answer
+# that is still on its way; so what comes is read and dropped for this long.
+LINGER_S = 0.5
+# How long a body may stand still before it counts as given up.
+BODY_IDLE_S = 5.0
+BAD_REQUEST = 400
+TIMEOUT_STATUS = 408
+TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+
+log = logger("callers")
+
+
+class CallerGone(Exception):
+    """The caller closed its connection, or stopped reading."""
+
+
+class Reply:
+    """Writes the answer to one request.
+
+    Attributes
+    ----------
+    is_started : bool
+        Whether a part of the answer may have gone out.
+    is_done : bool
+        Whether it went out whole.
+    """
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self.connection = connection
+        self.is_started = False
+        self.is_done = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        self.is_started = True
+        headers = list(headers)
+        if self.connection.is_closing():
+            headers.append((b"connection", b"close"))
+        await self.connection.send(h11.Response(status_code=status, headers=headers))
+
+    async def data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self.connection.send(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """End the answer whole."""
+        await self.connection.send(h11.EndOfMessage())
+        self.is_done = True
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer in one write."""
+        await self.start(status, headers)
+        if body:
+            await self.data(body)
+        await self.end()
+
+
+Handler = Callable[[GatewayRequest, Reply], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class ListenerState:
+    """What the connections of a listener share.
+
+    Attributes
+    ----------
+    wire : GatewayWire
+        Names of the headers.
+    handler : callable
+        Answers a request.
+    limits : callable
+        Returns the limits in force.
+    is_stopping : bool
+        Whether kept connections are told to close.
+    open : int
+        Connections that are open.
+    busy : int
+        Those with a request that was read in part or whole.
+    """
+
+    wire: GatewayWire
+    handler: Handler
+    limits: Callable[[], CallerLimits]
+    is_stopping: bool = False
+    open: int = 0
+    busy: int = 0
+
+
+class CallerConnection:
+    """One connection: reads a request, has it answered, goes on.
+
+    Parameters
+    ----------
+    stream : trio.abc.HalfCloseableStream
+        The connection.
+    state : ListenerState
+        What all connections share.
+    """
+
+    def __init__(
+        self, stream: trio.abc.HalfCloseableStream, state: ListenerState
+    ) -> None:
+        self.stream = stream
+        self.state = state
+        limits = state.limits()
+        self.conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes + 4096
+        )
+        self.unsent = b""
+        self.saw_end = False
+
+    def is_closing(self) -> bool:
+        """Tell whether the connection closes after this answer."""
+        return self.state.is_stopping
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        self.state.open += 1
+        try:
+            while await self.serve_one():
+                self.conn.start_next_cycle()
+        except (CallerGone, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            self.state.open -= 1
+
+    async def serve_one(self) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            head = await self.read_head()
+            if head is None:
+                return False
+            self.state.busy += 1
+            try:
+                return await self.serve_head(head)
+            finally:
+                self.state.busy -= 1
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint or BAD_REQUEST
+            await self.refuse(Refusal(status, "not a proper HTTP request"))
+            return False
+
+    async def serve_head(self, head: h11.Request) -> bool:
+        """Read the rest of a request, answer it, return whether another may follow."""
+        arrived_s = trio.current_time()
+        fault = self.fault_of(head)
+        body = b"" if fault is not None else await self.read_body()
+        if fault is None and body is None:
+            fault = Refusal(TOO_LARGE, "the body is too large")
+        if fault is not None:
+            await self.refuse(fault)
+            return False
+        request = self.state.wire.read_request(
+            head.method, head.target, head.headers.raw_items(), body, arrived_s
+        )
+        if isinstance(request, TargetFault):
+            await self.refuse(Refusal(request.status, request.reason))
+            return False
+        return await self.answer(request)
+
+    def fault_of(self, head: h11.Request) -> Refusal | None:
+        """Return why a head is refused, or None.
+
+        A request with both a length and chunks is read differently by different
+        servers; what one takes for its body another one takes for a request of its
+        own that nobody asked for.
+        """
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            return Refusal(BAD_REQUEST, "both a length and chunks")
+        if names.count(b"host") != 1:
+            return Refusal(BAD_REQUEST, "needs one Host header")
+        size = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if size > self.state.limits().max_header_bytes:
+            return Refusal(HEADERS_TOO_LARGE, "the headers are too large")
+        return None
+
+    async def read_head(self) -> h11.Request | None:
+        """Return the next request's head, or None where none comes any more."""
+        limits = self.state.limits()
+        began_s = trio.current_time()
+        is_begun = bool(self.conn.trailing_data[0])
+        while True:
+            event = self.conn.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA or self.saw_end:
+                return None
+            limit_s = limits.header_timeout_s if is_begun else limits.idle_timeout_s
+            data = None
+            with trio.move_on_at(began_s + limit_s):
+                data = await self.receive()
+            if data is None:
+                if is_begun:
+                    await self.refuse(Refusal(TIMEOUT_STATUS, "headers took too long"))
+                return None
+            if not is_begun and data:
+                is_begun = True
+                began_s = trio.current_time()
+            self.conn.receive_data(data)
+
+    async def read_body(self) -> bytes | None:
+        """Return the body of a request, or None where it is too large."""
+        limit = self.state.limits().max_body_bytes
+        if self.conn.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self.conn.next_event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limit:
+                    return None
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            elif event is h11.NEED_DATA:
+                await self.read_more(BODY_IDLE_S)
+            else:
+                raise CallerGone
+
+    async def read_more(self, limit_s: float) -> None:
+        """Feed what the caller sends next."""
+        with trio.move_on_after(limit_s):
+            data = await self.receive()
+            if not data:
+                raise CallerGone
+            self.conn.receive_data(data)
+            return
+        raise CallerGone
+
+    async def receive(self) -> bytes:
+        """Return what the caller sends next; empty at the end."""
+        data = await receive_next(self.stream, READ_BYTES)
+        if not data:
+            self.saw_end = True
+        return data
+
+    async def answer(self, request: GatewayRequest) -> bool:
+        """Have a request answered; stop when the caller leaves meanwhile."""
+        reply = Reply(self)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.watch_caller, nursery.cancel_scope)
+            try:
+                await self.state.handler(request, reply)
+            except CallerGone:
+                pass
+            nursery.cancel_scope.cancel()
+        if not reply.is_done or self.saw_end:
+            # An answer that ends early must not look whole: without its last chunk
+            # or its full length, the closed connection shows that it broke off.
+            return False
+        if self.conn.our_state is not h11.DONE:
+            return False
+        return self.conn.their_state is h11.DONE
+
+    async def watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancel the request when its caller leaves.
+
+        A caller that leaves while nothing is sent to it shows only in a read. Its
+        server would go on working for nobody. What it sends ahead is kept.
+        """
+        ahead = 0
+        while ahead < MAX_AHEAD_BYTES:
+            try:
+                data = await self.receive()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+                self.saw_end = True
+            if not data:
+                scope.cancel()
+                return
+            ahead += len(data)
+            self.conn.receive_data(data)
+
+    async def send(self, event: h11.Event) -> None:
+        """Send an event.
+
+        Raises
+        ------
+        CallerGone
+            If the caller does not read, or has closed.
+        """
+        data = self.conn.send(event)
+        if not data:
+            return
+        with trio.move_on_after(WRITE_TIMEOUT_S):
+            try:
+                await self.stream.send_all(data)
+                return
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+        raise CallerGone
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Answer a request that cannot be read, and drop what still comes of it."""
+        if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        log.info("refused unread", status=refusal.status, reason=refusal.reason)
+        body = (refusal.reason + "\n").encode()
+        headers = [
+            (b"content-type", b"text/plain"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        await self.send(h11.Response(status_code=refusal.status, headers=headers))
+        await self.send(h11.Data(data=body))
+        await self.send(h11.EndOfMessage())
+        await self.linger()
+
+    async def linger(self) -> None:
+        """Let the answer arrive before the connection is closed."""
+        with trio.move_on_after(LINGER_S):
+            await self.stream.send_eof()
+            while await self.stream.receive_some(READ_BYTES):
+                pass
+
+
+class GatewayListener:
+    """Accepts callers.
+
+    Parameters
+    ----------
+    network : Network
+        Where to listen.
+    wire : GatewayWire
+        Names of the headers.
+    handler : callable
+        Answers a request.
+    limits : callable
+        Returns the limits in force.
+    max_connections : int
+        Open connections; more are closed unread, so that their callers may try
+        elsewhere.
+
+    Attributes
+    ----------
+    state : ListenerState
+        What the connections share.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        wire: GatewayWire,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        max_connections: int,
+    ) -> None:
+        self.network = network
+        self.state = ListenerState(wire, handler, limits)
+        self.max_connections = max_connections
+
+    async def run(
+        self,
+        address: Address,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept until cancelled."""
+        await self.network.listen(address, self.handle, task_status=task_status)
+
+    async def handle(self, stream: trio.abc.HalfCloseableStream) -> None:
+        """Serve one connection."""
+        if self.state.open >= self.max_connections:
+            log.warning("connection closed: too many", open=self.state.open)
+            return
+        await CallerConnection(stream, self.state).run()
--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -183,16 +183,31 @@
         path: str,
         content: bytes | None = None,
         headers: dict[str, str] | None = None,
+        wait_s: float = 0.0,
     ) -> httpx.Response | PlatformFailed:
-        """Make one call and read its whole answer."""
+        """Make one call and read its whole answer.
+
+        Parameters
+        ----------
+        method, path, content, headers
+            Of the HTTP request.
+        wait_s : float
+            How long the platform may hold the answer back, in seconds; the bound on
+            the call is that much longer.
+        """
         self.made += 1
         pool = self.pool
         pool.users += 1
         failed = PlatformFailed(TIMEOUT, maybe_done=True)
+        timeout = httpx.Timeout(self.timeout_s + wait_s, connect=self.timeout_s / 2)
         try:
-            with trio.move_on_after(self.timeout_s):
+            with trio.move_on_after(self.timeout_s + wait_s):
                 response = await pool.client.request(
-                    method, self.url + path, content=content, headers=headers
+                    method,
+                    self.url + path,
+                    content=content,
+                    headers=headers,
+                    timeout=timeout,
                 )
                 return checked(response)
         except httpx.TransportError as error:
--- /dev/null
+++ b/src/rosemaryknot/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: names, forms and calls. It decides nothing."""
--- /dev/null
+++ b/src/rosemaryknot/process/duties.py
@@ -0,0 +1,385 @@
+"""Duties that one gateway does for all, under a lease: usage and sizes of services."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from rosemaryknot.process.gateway_exchange import GatewayExchange
+from rosemaryknot.process.gateway_state import GatewayState
+from rosemaryknot.process.leases import Lease
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter
+from rosemaryknot.process.scaling_policy import (
+    ServiceDemand,
+    ZoneServers,
+    wanted_sizes,
+)
+from rosemaryknot.process.true_time import TrueTime
+from rosemaryknot.process.usage_book import UsageBook
+from rosemaryknot.values.duties import (
+    DutyCalls,
+    DutyDone,
+    DutyFailed,
+    DutyRefused,
+    SizeOrder,
+)
+from rosemaryknot.values.gateway import GatewayService
+
+__all__ = ["DutyParts", "ScalingDuty", "UsageDuty"]
+
+STEP_S = 0.5
+# After the end of a window, so that late reports are in: some reports of the gateways.
+SETTLE_S = 2.0
+# A window that could not be told for this long counts as lost; the next ones go on.
+GIVE_UP_WINDOWS = 8
+USAGE_NOTE = "usage"
+# Pause after a call without an answer; the platform may carry it out late.
+RETRY_S = 1.0
+# A zone that refused reclaimable servers, or lost them, is not asked for this long.
+DRY_S = 4.0
+# How long a smaller need must last before servers are given up, in seconds: longer
+# than a dip between two clumps of traffic, shorter than half a wave.
+SHRINK_S = 8.0
+# Room above the measured work, for clumps and for what is not seen yet.
+HEADROOM = 1.5
+# Share of an engine's places that may be taken before requests wait for each other.
+BUSY_SHARE = 0.5
+# Need as a share of the servers found at the start, before there is any traffic.
+FIRST_SHARE = 0.35
+# An order whose servers do not come is given again after their boot and this.
+MISSING_S = 4.0
+
+CALLS = counter("duty_calls_total", "Calls for duties by duty and outcome.")
+
+log = logger("duties")
+
+
+@dataclass(slots=True)
+class DutyParts:
+    """What the duties work with.
+
+    Attributes
+    ----------
+    lease : Lease
+        Who does them.
+    calls : DutyCalls
+        The platform's calls.
+    state : GatewayState
+        Configuration and servers.
+    usage : UsageBook
+        Usage by window.
+    clock : TrueTime
+        The agreed time.
+    exchange : GatewayExchange
+        The other gateways' demand.
+    """
+
+    lease: Lease
+    calls: DutyCalls
+    state: GatewayState
+    usage: UsageBook
+    clock: TrueTime
+    exchange: GatewayExchange
+
+
+class UsageDuty:
+    """Tells the usage of each window once, and always with the same counts.
+
+    Parameters
+    ----------
+    parts : DutyParts
+        What it works with.
+    """
+
+    def __init__(self, parts: DutyParts) -> None:
+        self.parts = parts
+        self.started_window = parts.usage.window_of(parts.clock.now())
+        self.done: int | None = None
+        self.retry_s = 0.0
+
+    async def run(self) -> None:
+        """Do the duty while the lease is held, until cancelled."""
+        while True:
+            await trio.sleep(STEP_S)
+            if self.parts.lease.is_held() and trio.current_time() >= self.retry_s:
+                await self.step()
+
+    async def step(self) -> None:
+        """Tell the oldest window that is over and not told."""
+        parts = self.parts
+        noted = parts.lease.notes.get(USAGE_NOTE)
+        if noted is not None and self.done != noted["window"]:
+            # The holder before may have sent these counts without seeing an answer;
+            # other counts for the same window would be a second report.
+            await self.send(int(noted["window"]), noted["counts"])
+            return
+        last = self.started_window - 1 if noted is None else int(noted["window"])
+        window = last + 1
+        now_s = parts.clock.now()
+        ended_s = (window + 1) * parts.usage.window_s
+        current = parts.usage.window_of(now_s)
+        if current - window > GIVE_UP_WINDOWS:
+            window = current - GIVE_UP_WINDOWS
+        elif now_s < ended_s + SETTLE_S:
+            return
+        configuration = parts.state.configuration
+        if configuration is None:
+            return
+        counts = parts.usage.total(window, configuration.customers)
+        note = {"window": window, "counts": counts}
+        if await parts.lease.note(USAGE_NOTE, note):
+            await self.send(window, counts)
+
+    async def send(self, window: int, counts: dict[str, int]) -> None:
+        """Tell one window; what is noted in the store is sent as it stands there."""
+        parts = self.parts
+        if not parts.lease.is_held():
+            return
+        fencing = parts.lease.fencing
+        outcome = await parts.calls.send_usage(window, counts, fencing)
+        CALLS.add(duty="usage", outcome=type(outcome).__name__)
+        log.info(
+            "usage told",
+            window=window,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", None),
+            fencing=fencing,
+            requests=sum(counts.values()),
+        )
+        if isinstance(outcome, DutyDone):
+            self.done = window
+        elif isinstance(outcome, DutyRefused):
+            parts.lease.note_fencing(fencing + 1)
+            self.retry_s = trio.current_time() + RETRY_S
+        else:
+            self.retry_s = trio.current_time() + RETRY_S
+            late = parts.usage.window_of(parts.clock.now()) - window
+            if late > GIVE_UP_WINDOWS:
+                self.done = window
+
+
+@dataclass(slots=True)
+class Ordered:
+    """The last order of one kind of server in a zone.
+
+    Attributes
+    ----------
+    count : int
+        Servers ordered.
+    at_s : float
+        When, in trio time.
+    is_taken : bool
+        Whether the platform has taken it.
+    """
+
+    count: int
+    at_s: float
+    is_taken: bool
+
+
+@dataclass(slots=True)
+class Need:
+    """A service's need, which grows at once and shrinks after a while.
+
+    Attributes
+    ----------
+    servers : float
+        In force.
+    since_s : float
+        Since when a smaller one is measured.
+    highest : float
+        The highest one measured since then.
+    """
+
+    servers: float
+    since_s: float = 0.0
+    highest: float = 0.0
+
+    def note(self, measured: float, now_s: float) -> None:
+        """Take a measurement in."""
+        if measured >= self.servers:
+            self.servers = measured
+            self.since_s = now_s
+            self.highest = 0.0
+            return
+        self.highest = max(self.highest, measured)
+        if now_s - self.since_s > SHRINK_S:
+            self.servers = self.highest
+            self.since_s = now_s
+            self.highest = 0.0
+
+
+class ScalingDuty:
+    """Keeps the sizes of services at what their traffic needs.
+
+    Parameters
+    ----------
+    parts : DutyParts
+        What it works with.
+    rng : random.Random
+        Spreads steps.
+    now : callable
+        Returns trio time.
+    """
+
+    def __init__(
+        self,
+        parts: DutyParts,
+        rng: random.Random,
+        now: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self.parts = parts
+        self.rng = rng
+        self.now = now
+        self.ordered: dict[tuple[str, str, bool], Ordered] = {}
+        self.needs: dict[str, Need] = {}
+        self.dry_until_s: dict[tuple[str, str], float] = defaultdict(float)
+        self.fencing = 0
+        self.has_traffic = False
+
+    async def run(self) -> None:
+        """Do the duty while the lease is held, until cancelled."""
+        while True:
+            await trio.sleep(STEP_S * self.rng.uniform(0.8, 1.0))
+            if self.parts.lease.is_held():
+                await self.step()
+
+    async def step(self) -> None:
+        """Compare what is wanted with what was ordered, and order the difference."""
+        configuration = self.parts.state.configuration
+        if configuration is None or not self.parts.state.servers.is_listed:
+            return
+        if self.fencing != self.parts.lease.fencing:
+            # What the holder before has ordered is not known.
+            self.fencing = self.parts.lease.fencing
+            self.ordered.clear()
+        for service in configuration.services.values():
+            if service.scaling is not None and service.scaling.max_servers > 0:
+                await self.scale(service)
+
+    async def scale(self, service: GatewayService) -> None:
+        """Order what one service lacks, or has too much of."""
+        demand = self.demand_of(service)
+        for order in wanted_sizes(service.name, service.scaling, demand):
+            if self.is_due(order, service, demand):
+                await self.give(order, demand)
+
+    def demand_of(self, service: GatewayService) -> ServiceDemand:
+        """Return a service's need and what it has."""
+        now_s = self.now()
+        by_zone: dict[str, ZoneServers] = {
+            zone: ZoneServers() for zone in service.scaling.zone_prices
+        }
+        leaving = set()
+        for state in self.parts.state.servers.by_id.values():
+            entry = state.entry
+            if entry.service != service.name:
+                continue
+            there = by_zone.setdefault(entry.zone, ZoneServers())
+            if state.is_leaving:
+                if entry.is_reclaimable and entry.leaves_s is not None:
+                    leaving.add(entry.zone)
+            elif entry.is_reclaimable:
+                there.reclaimable += 1
+            else:
+                there.on_demand += 1
+        for zone in leaving:
+            self.dry_until_s[service.name, zone] = now_s + DRY_S
+        need = self.need_of(service, by_zone, now_s)
+        dry = {zone for zone in by_zone if self.dry_until_s[service.name, zone] > now_s}
+        return ServiceDemand(need, by_zone, dry)
+
+    def need_of(
+        self, service: GatewayService, by_zone: dict[str, ZoneServers], now_s: float
+    ) -> float:
+        """Return how many servers the traffic needs."""
+        tokens, requests, rate = self.measured(service.name)
+        if tokens > 0:
+            self.has_traffic = True
+        need = self.needs.get(service.name)
+        if need is None:
+            present = sum(z.reclaimable + z.on_demand for z in by_zone.values())
+            need = self.needs[service.name] = Need(present * FIRST_SHARE, now_s)
+        if self.has_traffic:
+            slots = 1 if service.engine is None else service.engine.slots
+            measured = tokens * HEADROOM / rate + requests / (slots * BUSY_SHARE)
+            need.note(measured, now_s)
+        return need.servers
+
+    def measured(self, service: str) -> tuple[float, int, float]:
+        """Return tokens a second, requests in flight and tokens a server reads."""
+        exchange = self.parts.exchange
+        own = exchange.report_demand().get(service)
+        found = [] if own is None else [own]
+        for report in exchange.fresh_reports():
+            theirs = report.demand.get(service)
+            if theirs is not None:
+                found.append(theirs)
+        if not found:
+            return 0.0, 0, 1.0
+        tokens = sum(entry[0] for entry in found)
+        rates = sorted(entry[2] for entry in found)
+        return tokens, sum(entry[1] for entry in found), rates[len(rates) // 2]
+
+    def is_due(
+        self, order: SizeOrder, service: GatewayService, demand: ServiceDemand
+    ) -> bool:
+        """Tell whether an order is to be given now."""
+        key = (order.service, order.zone, order.is_reclaimable)
+        there = demand.by_zone.get(order.zone, ZoneServers())
+        present = there.reclaimable if order.is_reclaimable else there.on_demand
+        last = self.ordered.get(key)
+        now_s = self.now()
+        if last is None:
+            return present != order.count
+        if last.count != order.count:
+            return last.is_taken or now_s - last.at_s > RETRY_S
+        wait_s = RETRY_S
+        if last.is_taken:
+            wait_s = service.scaling.boot_s + MISSING_S
+        return present != order.count and now_s - last.at_s > wait_s
+
+    async def give(self, order: SizeOrder, demand: ServiceDemand) -> None:
+        """Give one order."""
+        parts = self.parts
+        if not parts.lease.is_held():
+            return
+        fencing = parts.lease.fencing
+        outcome = await parts.calls.send_order(order, fencing)
+        key = (order.service, order.zone, order.is_reclaimable)
+        is_taken = isinstance(outcome, DutyDone)
+        self.ordered[key] = Ordered(order.count, self.now(), is_taken)
+        CALLS.add(duty="scaling", outcome=type(outcome).__name__)
+        there = demand.by_zone.get(order.zone, ZoneServers())
+        log.info(
+            "servers ordered",
+            service=order.service,
+            zone=order.zone,
+            reclaimable=order.is_reclaimable,
+            count=order.count,
+            there=there.reclaimable if order.is_reclaimable else there.on_demand,
+            need=round(demand.servers, 2),
+            fencing=fencing,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", None),
+        )
+        if isinstance(outcome, DutyRefused):
+            self.note_refused(order, fencing)
+        elif isinstance(outcome, DutyFailed):
+            self.ordered[key].at_s = self.now()
+
+    def note_refused(self, order: SizeOrder, fencing: int) -> None:
+        """Tell a zone without servers from a lease that another has taken over.
+
+        Both are refused alike. Orders of on-demand servers are refused for a higher
+        number only, so that kind decides; a zone that is out of reclaimable ones is
+        left alone for a while.
+        """
+        if order.is_reclaimable and order.count > 0:
+            key = (order.service, order.zone)
+            self.dry_until_s[key] = self.now() + DRY_S
+            return
+        self.parts.lease.note_fencing(fencing + 1)
--- /dev/null
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -0,0 +1,301 @@
+"""What gateways tell each other, and what each makes of it."""
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.process.configuration_spread import chosen_nodes
+from rosemaryknot.process.gateway_quota import QuotaBook
+from rosemaryknot.process.gateway_servers import PeerLoad
+from rosemaryknot.process.gateway_state import GatewayState
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.store_follower import StoreFollower
+from rosemaryknot.process.true_time import TrueTime
+from rosemaryknot.process.usage_book import UsageBook
+from rosemaryknot.values.gateway_peers import GatewayReport, StateOffer
+from rosemaryknot.values.nodes import Node
+from rosemaryknot.values.platform import Listed, StoredObject
+
+__all__ = ["ExchangeParts", "GatewayExchange"]
+
+REPORT_S = 0.25
+# A load that was told longer ago than this says nothing any more.
+LOAD_S = 1.0
+# A gateway that was not heard for this long brings no demand any more.
+FRESH_S = 3.0
+# Places of parts told in one report at most.
+MAX_PLACES = 200
+# Gateways that pass newer state on to one that cannot reach the store.
+HELPERS = 2
+OFFER_PAUSE_S = 0.5
+# A difference that stays this long is no matter of the way any more.
+BEHIND_S = 0.6
+
+log = logger("exchange")
+
+
+@dataclass(slots=True)
+class ExchangeParts:
+    """What reports are made from and taken into.
+
+    Attributes
+    ----------
+    node : Node
+        This node.
+    peers : PeerSet
+        The others.
+    state : GatewayState
+        Configuration and servers.
+    quota : QuotaBook
+        Customers' limits.
+    usage : UsageBook
+        Usage by window.
+    clock : TrueTime
+        The agreed time.
+    followers : dict of str to StoreFollower
+        By kind; ``configuration`` and ``servers``.
+    demand : Demand
+        What this node's callers ask for.
+    """
+
+    node: Node
+    peers: PeerSet
+    state: GatewayState
+    quota: QuotaBook
+    usage: UsageBook
+    clock: TrueTime
+    followers: dict[str, StoreFollower]
+    demand: "Demand"
+
+
+@dataclass(slots=True)
+class Demand:
+    """Work that callers bring, by service, smoothed over some seconds.
+
+    Attributes
+    ----------
+    tokens : dict of str to float
+        Prompt tokens that had to be read, in a second.
+    """
+
+    smoothing_s: float = 3.0
+    tokens: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    at_s: float = 0.0
+
+    def note(self, service: str, tokens: int) -> None:
+        """Count a request's work."""
+        self.decay()
+        self.tokens[service] += tokens / self.smoothing_s
+
+    def decay(self) -> None:
+        """Let what was counted fade."""
+        now_s = trio.current_time()
+        passed_s = now_s - self.at_s
+        self.at_s = now_s
+        factor = max(0.0, 1 - passed_s / self.smoothing_s)
+        for service in self.tokens:
+            self.tokens[service] *= factor
+
+
+class GatewayExchange:
+    """Sends this gateway's reports and takes in the others'.
+
+    Parameters
+    ----------
+    parts : ExchangeParts
+        What reports are made from and taken into.
+    handlers : Handlers
+        Of the node's links.
+    rng : random.Random
+        Spreads the reports over time.
+
+    Attributes
+    ----------
+    reports : dict of str to tuple of (float, GatewayReport)
+        When each gateway's last report came, and it.
+    """
+
+    def __init__(
+        self, parts: ExchangeParts, handlers: Handlers, rng: random.Random
+    ) -> None:
+        self.parts = parts
+        self.rng = rng
+        self.sequence = 0
+        self.reports: dict[str, tuple[float, GatewayReport]] = {}
+        self.offered_s: dict[str, float] = {}
+        self.behind_since_s: float | None = None
+        handlers.on(GatewayReport)(self.handle_report)
+        handlers.on(StateOffer)(self.handle_offer)
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await trio.sleep(REPORT_S * self.rng.uniform(0.9, 1.1))
+            self.refresh()
+            await self.parts.peers.broadcast(self.report())
+
+    def refresh(self) -> None:
+        """Deal limits out anew and forget what is old."""
+        parts = self.parts
+        now_s = trio.current_time()
+        parts.quota.tick(now_s, len(parts.peers.nodes()) + 1)
+        parts.quota.forget(now_s)
+        parts.usage.forget(parts.clock.now())
+        for state in parts.state.servers.by_id.values():
+            state.peers = {
+                name: load
+                for name, load in state.peers.items()
+                if now_s - load.at_s < LOAD_S
+            }
+
+    def report(self) -> GatewayReport:
+        """Return this gateway's state."""
+        parts = self.parts
+        self.sequence += 1
+        servers = parts.state.servers
+        places, servers.recent = servers.recent[-MAX_PLACES:], []
+        return GatewayReport(
+            node=parts.node.name,
+            incarnation=parts.node.incarnation,
+            sequence=self.sequence,
+            clock_s=parts.clock.wall(),
+            version=parts.state.version,
+            servers_revision=parts.followers["servers"].revision,
+            spent=parts.quota.told(),
+            loads={
+                name: [state.in_flight, state.waiting_tokens]
+                for name, state in servers.by_id.items()
+                if state.in_flight
+            },
+            places=[list(place) for place in places],
+            runs=parts.usage.told(parts.clock.now()),
+            demand=self.report_demand(),
+            lost=[kind for kind, f in parts.followers.items() if f.is_lost()],
+        )
+
+    def report_demand(self) -> dict[str, list]:
+        """Return what this gateway's callers ask for, by service."""
+        parts = self.parts
+        parts.demand.decay()
+        rate = round(parts.state.servers.rate)
+        return {
+            name: [round(tokens), self.in_flight(name), rate]
+            for name, tokens in parts.demand.tokens.items()
+        }
+
+    def fresh_reports(self) -> list[GatewayReport]:
+        """Return the latest reports of the gateways that are heard."""
+        now_s = trio.current_time()
+        return [r for at_s, r in self.reports.values() if now_s - at_s < FRESH_S]
+
+    def in_flight(self, service: str) -> int:
+        """Return this gateway's requests at a service's servers."""
+        states = self.parts.state.servers.by_id.values()
+        return sum(s.in_flight for s in states if s.entry.service == service)
+
+    async def handle_report(self, report: GatewayReport, link: MessageLink) -> None:
+        """Take in what another gateway tells."""
+        now_s = trio.current_time()
+        known = self.reports.get(report.node)
+        if known is not None:
+            last = known[1]
+            if (last.incarnation, last.sequence) >= (
+                report.incarnation,
+                report.sequence,
+            ):
+                return
+        parts = self.parts
+        self.reports[report.node] = (now_s, report)
+        parts.clock.note_peer(report.node, report.clock_s)
+        parts.usage.note_told(report.node, report.incarnation, report.runs)
+        for customer, (total, demand) in report.spent.items():
+            parts.quota.note_peer(
+                customer, report.node, report.incarnation, total, demand, now_s
+            )
+        self.take_loads(report, now_s)
+        self.compare(report, now_s)
+        await self.help(report, now_s)
+
+    def take_loads(self, report: GatewayReport, now_s: float) -> None:
+        """Take over what a gateway has in flight, and where it sent prompts."""
+        servers = self.parts.state.servers
+        for name, state in servers.by_id.items():
+            load = report.loads.get(name)
+            if load is None:
+                state.peers.pop(report.node, None)
+            else:
+                state.peers[report.node] = PeerLoad(int(load[0]), int(load[1]), now_s)
+        for part_id, server_id in report.places:
+            servers.note_place(part_id, server_id)
+
+    def compare(self, report: GatewayReport, now_s: float) -> None:
+        """Ask the store again when a gateway stays ahead of this one."""
+        if report.version <= self.parts.state.version:
+            if report.version == self.parts.state.version:
+                self.behind_since_s = None
+            return
+        if self.behind_since_s is None:
+            self.behind_since_s = now_s
+        elif now_s - self.behind_since_s > BEHIND_S:
+            self.behind_since_s = now_s
+            log.warning(
+                "behind another gateway",
+                version=self.parts.state.version,
+                theirs=report.version,
+                node=report.node,
+            )
+            self.parts.followers["configuration"].look_again()
+
+    async def help(self, report: GatewayReport, now_s: float) -> None:
+        """Pass newer state on to a gateway that is behind for lack of the store."""
+        last_s = self.offered_s.get(report.node, float("-inf"))
+        if not report.lost or now_s - last_s < OFFER_PAUSE_S:
+            return
+        if not self.is_helper(report.node):
+            return
+        self.offered_s[report.node] = now_s
+        for offer in self.offers(report):
+            await self.parts.peers.send(report.node, offer)
+
+    def is_helper(self, node: str) -> bool:
+        """Tell whether this gateway is one of those that help another."""
+        parts = self.parts
+        nodes = [other for other in parts.peers.nodes() if other.name != node]
+        return parts.node in chosen_nodes([*nodes, parts.node], node, HELPERS)
+
+    def offers(self, report: GatewayReport) -> list[StateOffer]:
+        """Return what a gateway lacks."""
+        state = self.parts.state
+        found = []
+        if report.version < state.version:
+            objects = {
+                state.configuration_name: [state.document_revision, state.document]
+            }
+            found.append(StateOffer("configuration", state.document_revision, objects))
+        follower = self.parts.followers["servers"]
+        if report.servers_revision < follower.revision and follower.is_steady():
+            objects = {name: list(entry) for name, entry in state.entries.items()}
+            found.append(StateOffer("servers", follower.revision, objects))
+        return found
+
+    async def handle_offer(self, offer: StateOffer, link: MessageLink) -> None:
+        """Take newer state over while the store cannot be reached."""
+        follower = self.parts.followers.get(offer.kind_name)
+        if follower is None or not follower.is_lost():
+            return
+        objects: dict[str, Any] = {
+            name: StoredObject(int(entry[0]), entry[1])
+            for name, entry in offer.objects.items()
+        }
+        state = self.parts.state
+        if offer.kind_name == "configuration":
+            state.list_configuration(Listed(offer.revision, objects), True)
+        elif offer.revision > follower.revision:
+            log.info("servers taken over from another gateway", revision=offer.revision)
+            state.list_servers(Listed(offer.revision, objects), True)
+            follower.revision = offer.revision
--- /dev/null
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -0,0 +1,145 @@
+"""The configuration and the servers that a gateway goes by; neither goes back."""
+
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from rosemaryknot.process.gateway_servers import ServerTable
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import gauge
+from rosemaryknot.values.gateway import CallerLimits, GatewayConfiguration, RoutedServer
+from rosemaryknot.values.platform import Listed, ObjectChanged
+
+__all__ = ["GatewayState"]
+
+VERSION = gauge("configuration_version", "Version of the configuration in force.")
+SERVERS = gauge("known_servers", "Backend servers that may get work.")
+
+log = logger("state")
+
+DecodeConfiguration = Callable[[Any], GatewayConfiguration]
+DecodeServer = Callable[[str, Any], RoutedServer]
+
+
+class GatewayState:
+    """What the store has told, decoded.
+
+    Parameters
+    ----------
+    decode_configuration, decode_server : callable
+        Decode the value of an object; raise ValueError for one that is no such.
+    configuration_name : str
+        Name of the configuration's object.
+
+    Attributes
+    ----------
+    configuration : GatewayConfiguration or None
+        In force; None before the first one.
+    document : object
+        The value that it was decoded from, for nodes that cannot reach the store.
+    entries : dict of str to tuple of (int, object)
+        Revisions and values of the servers' entries, for the same.
+    servers : ServerTable
+        The servers.
+    """
+
+    def __init__(
+        self,
+        decode_configuration: DecodeConfiguration,
+        decode_server: DecodeServer,
+        configuration_name: str,
+    ) -> None:
+        self.decode_configuration = decode_configuration
+        self.decode_server = decode_server
+        self.configuration_name = configuration_name
+        self.configuration: GatewayConfiguration | None = None
+        self.document: Any = None
+        self.document_revision = 0
+        self.entries: dict[str, tuple[int, Any]] = {}
+        self.servers = ServerTable()
+        self.changed = trio.Event()
+
+    @property
+    def version(self) -> int:
+        """Version in force, -1 before the first."""
+        return -1 if self.configuration is None else self.configuration.version
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers' connections."""
+        if self.configuration is None:
+            return CallerLimits()
+        return self.configuration.limits
+
+    def is_known(self) -> bool:
+        """Tell whether requests can be served."""
+        return self.configuration is not None and self.servers.is_listed
+
+    # Configuration.
+
+    def list_configuration(self, listed: Listed, is_steady: bool) -> None:
+        """Take over a list of configurations."""
+        found = listed.objects.get(self.configuration_name)
+        if found is not None:
+            self.take_configuration(found.value, found.version, "list")
+
+    def change_configuration(self, change: ObjectChanged, is_steady: bool) -> None:
+        """Take over a change of a configuration."""
+        if change.name == self.configuration_name and not change.deleted:
+            self.take_configuration(change.value, change.version, "watch")
+
+    def take_configuration(self, value: Any, revision: int, source: str) -> None:
+        """Put a configuration into force unless it is an older one.
+
+        A read that was answered late, or by another node, may hold an older version;
+        taken over, it would bring routes and keys back that operators have removed.
+        """
+        try:
+            configuration = self.decode_configuration(value)
+        except ValueError as error:
+            log.error("configuration not usable", error=str(error), revision=revision)
+            return
+        if configuration.version <= self.version:
+            return
+        log.info(
+            "configuration in force",
+            version=configuration.version,
+            before=self.version,
+            revision=revision,
+            source=source,
+        )
+        self.configuration = configuration
+        self.document = value
+        self.document_revision = revision
+        VERSION.set(configuration.version)
+
+    # Servers.
+
+    def list_servers(self, listed: Listed, is_steady: bool) -> None:
+        """Take over a list of servers."""
+        self.entries = {
+            name: (found.version, found.value) for name, found in listed.objects.items()
+        }
+        found = [self.server_of(name, e.value) for name, e in listed.objects.items()]
+        self.servers.replace_all([s for s in found if s is not None], is_steady)
+        SERVERS.set(len(self.servers.by_id))
+
+    def change_server(self, change: ObjectChanged, is_steady: bool) -> None:
+        """Take over a change of a server."""
+        if change.deleted:
+            self.entries.pop(change.name, None)
+            self.servers.remove(change.name, is_steady)
+        else:
+            self.entries[change.name] = (change.version, change.value)
+            server = self.server_of(change.name, change.value)
+            if server is not None:
+                self.servers.put(server)
+        SERVERS.set(len(self.servers.by_id))
+
+    def server_of(self, name: str, value: Any) -> RoutedServer | None:
+        """Return a server, or None where its entry is not usable."""
+        try:
+            return self.decode_server(name, value)
+        except ValueError as error:
+            log.error("server entry not usable", server=name, error=str(error))
+            return None
--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from typing import Any
 
 import trio
 
@@ -82,6 +83,9 @@
         Time of a lease, in seconds.
     margin_s : float
         What the holder takes off, for clocks of unequal rates, in seconds.
+    suspended_s : callable
+        Returns how long the machine was suspended since some moment, in seconds; the
+        steady clock does not count that time, and the lease would seem to last.
 
     Attributes
     ----------
@@ -108,6 +112,7 @@
         safeguards: Safeguards | None = None,
         duration_s: float = DURATION_S,
         margin_s: float = MARGIN_S,
+        suspended_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.store = store
         self.name = name
@@ -117,6 +122,7 @@
         self.safeguards = Safeguards() if safeguards is None else safeguards
         self.duration_s = duration_s
         self.margin_s = margin_s
+        self.suspended_s = suspended_s
         self.record: LeaseRecord | None = None
         self.version = -1
         self.seen_s = float("-inf")
@@ -135,7 +141,11 @@
 
     def left_s(self) -> float:
         """Return how long this process still holds the lease, in seconds."""
-        return self.until_s - trio.current_time()
+        return self.until_s - self.time_s()
+
+    def time_s(self) -> float:
+        """Return trio time with the time in suspension, in seconds."""
+        return trio.current_time() + self.suspended_s()
 
     def is_held(self) -> bool:
         """Tell whether this process holds the lease now; ask before each order."""
@@ -161,6 +171,25 @@
             record = replace(self.record, leaving=(*known, *names))
             return await self.write(record)
 
+    @property
+    def notes(self) -> dict[str, Any]:
+        """What the holders of the duty have left, by name."""
+        return {} if self.record is None else self.record.notes
+
+    async def note(self, name: str, value: Any) -> bool:
+        """Leave something to the next holder, before this one acts on it.
+
+        Returns
+        -------
+        is_written : bool
+            Whether it certainly stands in the store, written by the holder.
+        """
+        async with self.lock:
+            if not self.is_held():
+                return False
+            record = replace(self.record, notes=self.notes | {name: value})
+            return await self.write(record)
+
     def forget_leaving(self, name: str) -> None:
         """Leave an instance that the platform has ended out of the next write."""
         self.gone.add(name)
@@ -273,7 +302,7 @@
             return
         until_s = sent_s + record.duration_s - self.margin_s
         if not self.safeguards.lease_margin:
-            until_s = trio.current_time() + record.duration_s
+            until_s = self.time_s() + record.duration_s
         self.fencing = record.fencing
         self.until_s = max(self.until_s, until_s)
 
@@ -286,6 +315,7 @@
             "",
             self.duration_s,
             () if last is None else last.leaving,
+            {} if last is None else last.notes,
         )
         if await self.write(record):
             self.acquired_s = trio.current_time()
@@ -321,7 +351,7 @@
 
     def remember_send(self, write_id: str) -> None:
         """Remember when a write was sent, for as long as it can matter."""
-        now_s = trio.current_time()
+        now_s = self.time_s()
         recent = now_s - self.duration_s
         self.sent_s = {k: v for k, v in self.sent_s.items() if v > recent}
         self.sent_s[write_id] = now_s
--- /dev/null
+++ b/src/rosemaryknot/process/node.py
@@ -0,0 +1,428 @@
+"""A gateway node: all its parts as tasks of one process."""
+
+import random
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import trio
+from quart import Response
+from quart_trio import QuartTrio
+
+from rosemaryknot.connection.gateway_caller import GatewayListener
+from rosemaryknot.connection.gateway_server import ServerPool
+from rosemaryknot.connection.http_server import HttpServer
+from rosemaryknot.connection.links import Handlers
+from rosemaryknot.connection.network import Network
+from rosemaryknot.process.attempt_budget import AttemptBudget
+from rosemaryknot.process.duties import DutyParts, ScalingDuty, UsageDuty
+from rosemaryknot.process.gateway_exchange import (
+    Demand,
+    ExchangeParts,
+    GatewayExchange,
+)
+from rosemaryknot.process.gateway_quota import QuotaBook
+from rosemaryknot.process.gateway_state import GatewayState
+from rosemaryknot.process.leases import Lease, lease_candidates
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import render_metrics
+from rosemaryknot.process.node_settings import NodeSettings, load_node_settings
+from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.store_follower import StoreFollower
+from rosemaryknot.process.true_time import TrueTime, running_time_s
+from rosemaryknot.process.usage_book import UsageBook
+from rosemaryknot.request.gateway import Gateway, GatewayParts
+from rosemaryknot.values.duties import DutyCalls
+from rosemaryknot.values.gateway_answers import GatewayWire
+from rosemaryknot.values.nodes import Node
+
+__all__ = ["Adapter", "GatewayNode", "run_node"]
+
+# The links run between our own machines, on ports that nobody else reaches; the key
+# only keeps a node of another deployment away. See docs/design/platform.md.
+LINK_KEY = b"rosemaryknot-gateway-links"
+LEASE_NAME = "gateway-duties"
+LEASE_MARGIN_S = 0.5
+# The balancer asks each second and leaves a node out after two misses.
+NOT_READY_S = 2.6
+# What is left of the grace for closing connections and giving the lease back.
+STOP_RESERVE_S = 0.8
+TIDY_S = 0.5
+SETTINGS_CHECK_S = 1.0
+# Descriptors that are not for callers: backend servers, store, peers, files.
+OTHER_FILES = 600
+READY = 200
+NOT_READY = 503
+
+log = logger("node")
+
+
+@dataclass(slots=True)
+class Adapter:
+    """How the platform is spoken to.
+
+    Attributes
+    ----------
+    wire : GatewayWire
+        Headers of requests and answers.
+    store : object
+        The store; see `rosemaryknot.values.store_changes.ChangeSource` and
+        `rosemaryknot.values.platform.ObjectStore`.
+    duties : DutyCalls or None
+        Calls for duties.
+    decode_configuration, decode_server : callable
+        Decode objects of the store.
+    configuration_kind, configuration_name, servers_kind : str
+        Where these objects are.
+    readiness_path : str
+        What the balancer asks for.
+    """
+
+    wire: GatewayWire
+    store: Any
+    duties: DutyCalls | None
+    decode_configuration: Callable
+    decode_server: Callable
+    configuration_kind: str
+    configuration_name: str
+    servers_kind: str
+    readiness_path: str
+
+
+class Suspension:
+    """Tells how long the machine was suspended since the start."""
+
+    def __init__(self) -> None:
+        self.first = self.difference()
+
+    def difference(self) -> float:
+        """Return how far the time that goes on is ahead of the steady one."""
+        return running_time_s() - time.monotonic()
+
+    def passed_s(self) -> float:
+        """Return the time in suspension, in seconds."""
+        return max(0.0, self.difference() - self.first)
+
+
+class GatewayNode:
+    """The parts of one node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    adapter : Adapter
+        The platform.
+    network : Network
+        Where connections come from and go to.
+    rng : random.Random
+        Jitter and draws.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        adapter: Adapter,
+        network: Network,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.adapter = adapter
+        self.network = network
+        self.rng = rng
+        self.is_stopping = False
+        self.node = Node(settings.node, settings.zone, int(time.time() * 1000))
+        self.state = GatewayState(
+            adapter.decode_configuration,
+            adapter.decode_server,
+            adapter.configuration_name,
+        )
+        self.pool = ServerPool(network)
+        self.clock = TrueTime()
+        self.demand = Demand()
+        self.quota = QuotaBook(settings.is_first_start)
+        bounds = settings.bounds
+        self.usage = UsageBook(
+            self.node.name, self.node.incarnation, bounds.usage_window_s
+        )
+        handlers = Handlers()
+        self.peers = PeerSet(
+            network,
+            self.node,
+            settings.listen.peers,
+            LINK_KEY,
+            settings.seeds,
+            handlers,
+            rng=rng,
+        )
+        self.budget = AttemptBudget(
+            bounds.retry_ratio,
+            bounds.retry_window_s,
+            bounds.retry_slack,
+            lambda: len(self.peers.nodes()) + 1,
+        )
+        self.followers = self.make_followers()
+        self.exchange = GatewayExchange(
+            ExchangeParts(
+                self.node,
+                self.peers,
+                self.state,
+                self.quota,
+                self.usage,
+                self.clock,
+                self.followers,
+                self.demand,
+            ),
+            handlers,
+            rng,
+        )
+        self.listener = GatewayListener(
+            network,
+            adapter.wire,
+            Gateway(self.gateway_parts()).handle,
+            self.state.limits,
+            max(100, settings.machine.files - OTHER_FILES),
+        )
+        self.lease = self.make_lease()
+
+    def make_followers(self) -> dict[str, StoreFollower]:
+        """Return what follows the configuration and the servers."""
+        adapter, state = self.adapter, self.state
+        return {
+            "configuration": StoreFollower(
+                adapter.store,
+                adapter.configuration_kind,
+                state.list_configuration,
+                state.change_configuration,
+                self.rng,
+            ),
+            "servers": StoreFollower(
+                adapter.store,
+                adapter.servers_kind,
+                state.list_servers,
+                state.change_server,
+                self.rng,
+            ),
+        }
+
+    def gateway_parts(self) -> GatewayParts:
+        """Return what requests are answered with."""
+
+        def take_quota(limit: Any, units: float) -> float:
+            return self.quota.take(limit, units, trio.current_time())
+
+        return GatewayParts(
+            zone=self.settings.zone,
+            wire=self.adapter.wire,
+            configuration=lambda: self.state.configuration,
+            servers=self.state.servers,
+            pool=self.pool,
+            take_quota=take_quota,
+            may_retry=lambda name: self.budget.take(name, trio.current_time()),
+            note_request=lambda name: self.budget.note_request(
+                name, trio.current_time()
+            ),
+            note_run=lambda name: self.usage.note(name, self.clock.now()),
+            note_work=self.demand.note,
+            rng=self.rng,
+        )
+
+    def make_lease(self) -> Lease:
+        """Return this node's view of the duties' lease."""
+        return Lease(
+            self.adapter.store,
+            LEASE_NAME,
+            f"{self.node.name}/{self.node.incarnation}",
+            self.is_candidate,
+            self.rng,
+            duration_s=max(self.settings.bounds.lease_ms / 1000, 2.0),
+            margin_s=LEASE_MARGIN_S,
+            suspended_s=Suspension().passed_s,
+        )
+
+    def is_candidate(self) -> bool:
+        """Tell whether this node should take the duties where nobody does them."""
+        if self.is_stopping or not self.state.is_known():
+            return False
+        nodes = [*self.peers.nodes(), self.node]
+        return self.node in lease_candidates(nodes, LEASE_NAME)
+
+    def is_ready(self) -> bool:
+        """Tell whether this node should get new connections."""
+        return self.state.is_known() and not self.is_stopping
+
+    async def serve(self, nursery: trio.Nursery) -> None:
+        """Start all tasks."""
+        start_soon = nursery.start_soon
+        listen = self.settings.listen
+        await nursery.start(self.peers.run)
+        await nursery.start(self.serve_pages, listen.readiness)
+        if self.settings.metrics_address != listen.readiness:
+            await nursery.start(self.serve_pages, self.settings.metrics_address)
+        await nursery.start(self.listener.run, listen.callers)
+        for follower in self.followers.values():
+            start_soon(follower.run)
+        start_soon(self.exchange.run)
+        start_soon(self.tidy)
+        if self.adapter.duties is not None:
+            self.start_duties(nursery)
+        log.info(
+            "started",
+            node=self.node.name,
+            zone=self.node.zone,
+            incarnation=self.node.incarnation,
+            callers=str(listen.callers),
+            first_start=self.settings.is_first_start,
+        )
+
+    def start_duties(self, nursery: trio.Nursery) -> None:
+        """Start what is done under the lease."""
+        parts = DutyParts(
+            self.lease,
+            self.adapter.duties,
+            self.state,
+            self.usage,
+            self.clock,
+            self.exchange,
+        )
+        nursery.start_soon(self.lease.run)
+        duties = self.settings.cloud.duties
+        if "usage" in duties:
+            nursery.start_soon(UsageDuty(parts).run)
+        if "scaling" in duties:
+            nursery.start_soon(ScalingDuty(parts, self.rng).run)
+
+    async def serve_pages(
+        self, address: Any, task_status: Any = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve readiness and metrics."""
+        app = QuartTrio(__name__)
+
+        @app.get(self.adapter.readiness_path)
+        async def readiness() -> Response:
+            return Response("", READY if self.is_ready() else NOT_READY)
+
+        @app.get("/metrics")
+        async def metrics() -> Response:
+            body, content_type = render_metrics()
+            return Response(body, READY, content_type=content_type)
+
+        await HttpServer(app, self.network).serve(address, task_status=task_status)
+
+    async def tidy(self) -> None:
+        """Close what is idle or gone, for ever."""
+        while True:
+            await trio.sleep(TIDY_S)
+            await self.pool.tidy()
+            for server_id in self.state.servers.tidy():
+                await self.pool.close_all(server_id)
+
+    async def end(self) -> None:
+        """End a planned stop: what was read is answered first."""
+        began_s = trio.current_time()
+        until_s = began_s + self.settings.bounds.grace_s - STOP_RESERVE_S
+        self.is_stopping = True
+        self.listener.state.is_stopping = True
+        log.info("not ready: planned stop", in_flight=self.listener.state.busy)
+        with trio.move_on_at(until_s):
+            await self.lease.release()
+            await trio.sleep_until(began_s + NOT_READY_S)
+            while self.listener.state.busy:
+                await trio.sleep(0.05)
+        with trio.move_on_after(STOP_RESERVE_S / 2):
+            await self.peers.leave()
+        log.info(
+            "stopped",
+            cut_off=self.listener.state.busy,
+            took_s=round(trio.current_time() - began_s, 2),
+        )
+
+
+async def watch_settings(node: GatewayNode, path: Path) -> None:
+    """Read the settings again at SIGHUP and when the file has changed."""
+    changed = trio.Event()
+
+    async def wait_signal() -> None:
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                changed.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait_signal)
+        known = stamp_of(path)
+        while True:
+            with trio.move_on_after(SETTINGS_CHECK_S):
+                await changed.wait()
+            is_asked = changed.is_set()
+            changed = trio.Event()
+            stamp = stamp_of(path)
+            if is_asked or stamp != known:
+                known = stamp
+                reload_settings(node, path)
+
+
+def stamp_of(path: Path) -> tuple[int, int]:
+    """Return what changes with a file."""
+    try:
+        found = path.stat()
+    except OSError:
+        return (0, 0)
+    return (found.st_mtime_ns, found.st_size)
+
+
+def reload_settings(node: GatewayNode, path: Path) -> None:
+    """Take over what may change while the process runs: seeds and bounds."""
+    settings = load_node_settings(path)
+    if not isinstance(settings, NodeSettings):
+        for error in settings:
+            log.error("settings not taken over", error=str(error))
+        return
+    node.settings.bounds = settings.bounds
+    node.budget.ratio = settings.bounds.retry_ratio
+    node.budget.slack = settings.bounds.retry_slack
+    node.peers.add_seeds(settings.seeds)
+    log.info("settings taken over", seeds=len(settings.seeds))
+
+
+async def run_node(
+    settings: NodeSettings,
+    path: Path | None,
+    make_adapter: Callable[[NodeSettings, Network], Adapter],
+    stop: trio.Event,
+    network: Network,
+    rng: random.Random | None = None,
+    task_status: trio.TaskStatus[GatewayNode] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a node until a planned stop is over.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    path : pathlib.Path or None
+        Their file, which is read again when it changes.
+    make_adapter : callable
+        Makes the adapter of the platform.
+    stop : trio.Event
+        Asks for a planned stop.
+    network : Network
+        Where connections come from and go to.
+    rng : random.Random, optional
+        A seeded one in tests.
+    task_status : trio.TaskStatus
+        Told the node once it serves.
+    """
+    rng = random.Random() if rng is None else rng
+    adapter = make_adapter(settings, network)
+    node = GatewayNode(settings, adapter, network, rng)
+    async with trio.open_nursery() as nursery:
+        await node.serve(nursery)
+        if path is not None:
+            nursery.start_soon(watch_settings, node, path)
+        task_status.started(node)
+        await stop.wait()
+        await node.end()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/rosemaryknot/process/node_main.py
@@ -0,0 +1,61 @@
+"""Command line of a gateway node."""
+
+from pathlib import Path
+
+import trio
+import typer
+
+from rosemaryknot.connection.network import Network
+from rosemaryknot.process.command_line import (
+    EXIT_CODES,
+    ExitCode,
+    SettingsFile,
+    VersionOption,
+    new_application,
+    run_process,
+)
+from rosemaryknot.process.logs import configure_logs
+from rosemaryknot.process.node_settings import NodeSettings, load_node_settings
+
+__all__ = ["main"]
+
+STDOUT = 1
+
+application = new_application("Serve callers in front of backend servers.")
+
+
+def checked_node_settings(file: Path) -> NodeSettings:
+    """Return whole settings, or print all errors and end the program."""
+    settings = load_node_settings(file)
+    if isinstance(settings, NodeSettings):
+        return settings
+    for error in settings:
+        typer.echo(f"{file}: {error}", err=True)
+    raise typer.Exit(ExitCode.BAD_SETTINGS)
+
+
+@application.command(epilog=EXIT_CODES)
+def node(file: SettingsFile, version: VersionOption = False) -> None:
+    """Serve callers until SIGTERM; SIGHUP reads the settings again.
+
+    The first SIGTERM or SIGINT asks for a planned stop: requests that were read are
+    answered first. A second one cuts the wait short.
+    """
+    settings = checked_node_settings(file)
+    configure_logs(settings.log.format, settings.log.level, fd=STDOUT)
+    from rosemaryknot.platform.adapter import make_adapter
+    from rosemaryknot.process.node import run_node
+
+    async def run(settings: NodeSettings, stop: trio.Event, network: Network) -> None:
+        await run_node(settings, file, make_adapter, stop, network)
+
+    raise typer.Exit(run_process(run, settings))
+
+
+def main() -> None:
+    """Run the command line."""
+    application()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemaryknot/process/settings.py
+++ b/src/rosemaryknot/process/settings.py
@@ -36,6 +36,7 @@
     "SettingsError",
     "load_settings",
     "parse_address",
+    "read_checked",
     "read_secret",
     "require_listeners",
 ]
@@ -273,31 +274,51 @@
     ]
 
 
-def load_settings(path: Path | str) -> Settings | list[SettingsError]:
-    """Load and check a settings file.
+def read_checked(path: Path | str, adapter: TypeAdapter) -> Any:
+    """Read a JSON file into checked classes.
 
     Parameters
     ----------
     path : pathlib.Path or str
         The JSON file.
+    adapter : pydantic.TypeAdapter
+        Of the classes.
 
     Returns
     -------
-    settings : Settings or list of SettingsError
-        Whole settings with the secrets read, or everything that is wrong.
+    settings : object or list of SettingsError
+        Whole settings, or everything that is wrong.
     """
-    path = Path(path)
     try:
-        text = path.read_text(encoding="utf-8")
+        text = Path(path).read_text(encoding="utf-8")
     except (OSError, ValueError) as error:
         return [SettingsError("", f"cannot be read: {error_text(error)}")]
     fault = check_json(text)
     if fault is not None:
         return [fault]
     try:
-        settings = ADAPTER.validate_json(text)
+        return adapter.validate_json(text)
     except ValidationError as invalid:
         return errors_of(invalid)
+
+
+def load_settings(path: Path | str) -> Settings | list[SettingsError]:
+    """Load and check a settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path or str
+        The JSON file.
+
+    Returns
+    -------
+    settings : Settings or list of SettingsError
+        Whole settings with the secrets read, or everything that is wrong.
+    """
+    path = Path(path)
+    settings = read_checked(path, ADAPTER)
+    if not isinstance(settings, Settings):
+        return settings
     key = read_secret(
         settings.cluster_key_file, settings.cluster_key_env, path.parent, "cluster_key"
     )
--- /dev/null
+++ b/src/rosemaryknot/process/store_follower.py
@@ -0,0 +1,146 @@
+"""Follows one kind of object in the store: a list, then its changes, for ever."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter
+from rosemaryknot.values.platform import Listed, ObjectChanged, PlatformFailed
+from rosemaryknot.values.store_changes import Changes, ChangeSource, HistoryGone
+
+__all__ = ["StoreFollower"]
+
+# How long the store holds an answer without changes. A watch that went silent is
+# replaced after this and the call's own bound; peers tell of changes before.
+WAIT_S = 5.0
+RETRY_S = 0.1
+MAX_RETRY_S = 1.0
+# After an outage entries may still be missing for two seconds; see `ServerTable`.
+UNSTEADY_S = 2.5
+
+CALLS = counter("store_calls_total", "Calls to the store by kind and outcome.")
+
+log = logger("store")
+
+
+class StoreFollower:
+    """Keeps a kind of object known.
+
+    Parameters
+    ----------
+    store : ChangeSource
+        The store.
+    kind : str
+        Kind of the objects.
+    on_list : callable
+        Called with a list and whether the store was there all the while.
+    on_change : callable
+        Called with a change and whether the store was there all the while.
+    rng : random.Random
+        Spreads tries.
+
+    Attributes
+    ----------
+    revision : int
+        Up to which changes are known; -1 before the first list.
+    fresh_s : float
+        When the store last said that this is all, in trio time.
+    """
+
+    def __init__(
+        self,
+        store: ChangeSource,
+        kind: str,
+        on_list: Callable[[Listed, bool], None],
+        on_change: Callable[[ObjectChanged, bool], None],
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.kind = kind
+        self.on_list = on_list
+        self.on_change = on_change
+        self.rng = rng
+        self.revision = -1
+        self.fresh_s = float("-inf")
+        self.back_s = float("-inf")
+        self.failures = 0
+        self.scope = trio.CancelScope()
+        self.wants_list = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            with trio.CancelScope() as self.scope:
+                await self.step()
+
+    def look_again(self) -> None:
+        """List at once: a peer knows something newer than this node.
+
+        A watch that the network has lost track of says nothing for good, and its
+        node would go on with an old state until the wait is over.
+        """
+        self.wants_list = True
+        self.scope.cancel()
+
+    async def step(self) -> None:
+        """List, or wait for changes; then take them over."""
+        if self.revision < 0 or self.wants_list:
+            self.wants_list = False
+            await self.list_all()
+            return
+        outcome = await self.store.changes(self.kind, self.revision, WAIT_S)
+        if isinstance(outcome, PlatformFailed):
+            await self.note_failure(outcome)
+        elif isinstance(outcome, HistoryGone):
+            log.info("history gone, listing again", kind=self.kind)
+            await self.list_all()
+        else:
+            self.take_changes(outcome)
+
+    def take_changes(self, changes: Changes) -> None:
+        """Take over changes in their order."""
+        self.note_success()
+        for change in changes.events:
+            self.on_change(change, self.is_steady())
+        self.revision = max(self.revision, changes.revision)
+
+    async def list_all(self) -> None:
+        """Take over a list."""
+        listed = await self.store.list_objects(self.kind)
+        if isinstance(listed, PlatformFailed):
+            await self.note_failure(listed)
+            return
+        self.note_success()
+        if listed.version < self.revision:
+            log.warning("older list left alone", kind=self.kind, at=listed.version)
+            return
+        self.on_list(listed, self.is_steady())
+        self.revision = listed.version
+
+    def is_steady(self) -> bool:
+        """Tell whether the store has been there for a while."""
+        return self.failures == 0 and trio.current_time() - self.back_s > UNSTEADY_S
+
+    def is_lost(self) -> bool:
+        """Tell whether the store does not answer at the moment."""
+        return self.failures > 0 or self.revision < 0
+
+    def note_success(self) -> None:
+        """Count an answer."""
+        CALLS.add(kind=self.kind, outcome="ok")
+        self.fresh_s = trio.current_time()
+        if self.failures:
+            log.info("store regained", kind=self.kind, failures=self.failures)
+            self.back_s = self.fresh_s
+            self.failures = 0
+
+    async def note_failure(self, failed: PlatformFailed) -> None:
+        """Count a failure and wait a little."""
+        CALLS.add(kind=self.kind, outcome=failed.reason)
+        self.failures += 1
+        if self.failures == 1:
+            log.warning("store lost", kind=self.kind, reason=failed.reason)
+        pause_s = min(RETRY_S * 2 ** min(self.failures - 1, 5), MAX_RETRY_S)
+        await trio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
--- /dev/null
+++ b/src/rosemaryknot/process/usage_book.py
@@ -0,0 +1,81 @@
+"""Usage by window of true time: how many requests of each customer began to run."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+__all__ = ["UsageBook"]
+
+# Windows that are kept; long enough for a duty that changes hands in an outage.
+KEPT_WINDOWS = 12
+# Windows that are told to the others each time.
+TOLD_WINDOWS = 4
+
+Counts = dict[str, int]
+
+
+class UsageBook:
+    """Counts of this gateway, and the latest that the others told.
+
+    Parameters
+    ----------
+    node : str
+        This gateway.
+    incarnation : int
+        Its life. A restarted gateway counts from zero; what the life before it had
+        told stays.
+    window_s : float
+        Length of a window, in seconds.
+
+    Examples
+    --------
+    >>> book = UsageBook("n1", 1, 5.0)
+    >>> book.note("ada", 12.0)
+    >>> book.note_told("n2", 7, {2: {"ada": 3}})
+    >>> book.total(2, ["ada", "bob"])
+    {'ada': 4, 'bob': 0}
+    """
+
+    def __init__(self, node: str, incarnation: int, window_s: float) -> None:
+        self.own = (node, incarnation)
+        self.window_s = window_s
+        self.counts: dict[int, dict[tuple[str, int], Counts]] = defaultdict(dict)
+
+    def window_of(self, true_s: float) -> int:
+        """Return the number of the window at a time."""
+        return int(true_s // self.window_s)
+
+    def note(self, customer: str, true_s: float) -> None:
+        """Count a request that began to run."""
+        counts = self.counts[self.window_of(true_s)].setdefault(self.own, {})
+        counts[customer] = counts.get(customer, 0) + 1
+
+    def note_told(self, node: str, incarnation: int, runs: dict) -> None:
+        """Take over the counts of another gateway; they only rise in one life."""
+        for window, told in runs.items():
+            known = self.counts[int(window)].setdefault((node, incarnation), {})
+            for customer, count in told.items():
+                known[customer] = max(known.get(customer, 0), int(count))
+
+    def told(self, true_s: float) -> dict[int, Counts]:
+        """Return this gateway's counts of the latest windows."""
+        last = self.window_of(true_s)
+        windows = range(last - TOLD_WINDOWS + 1, last + 1)
+        return {
+            window: dict(self.counts[window][self.own])
+            for window in windows
+            if self.own in self.counts.get(window, {})
+        }
+
+    def total(self, window: int, customers: Iterable[str]) -> Counts:
+        """Return the counts of a window over all gateways."""
+        total = dict.fromkeys(customers, 0)
+        for counts in self.counts.get(window, {}).values():
+            for customer, count in counts.items():
+                total[customer] = total.get(customer, 0) + count
+        return total
+
+    def forget(self, true_s: float) -> None:
+        """Drop windows that are long over."""
+        oldest = self.window_of(true_s) - KEPT_WINDOWS
+        for window in [window for window in self.counts if window < oldest]:
+            del self.counts[window]
--- /dev/null
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -0,0 +1,141 @@
+"""Which backend server a request goes to.
+
+Load pattern: prompts of some thousand tokens come in clumps, a server reads one prompt
+after the other between the tokens of the others, and most of a prompt's beginning was
+read before by some server. What delays a first event is the unread tokens ahead; so the
+server with the least of them, its own part included, is chosen, and not the one with
+the fewest requests.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from rosemaryknot.process.gateway_servers import (
+    MODEL_SILENT_S,
+    PLAIN_SILENT_S,
+    ServerState,
+)
+from rosemaryknot.values.gateway import ModelInput
+
+__all__ = ["Candidate", "Placement", "PlacementInput", "placement_policy", "usable"]
+
+# What a running request adds to a first event's wait, in tokens: each step of the
+# engine lasts longer by its share.
+RUNNING_TOKENS = 60
+# What going to another zone is taken for, in tokens: it costs bytes between zones,
+# and half a millisecond each way.
+OTHER_ZONE_TOKENS = 300
+OTHER_ZONE_REQUESTS = 1.0
+# A server that fails this share of its attempts is left out, while enough others
+# remain.
+FAILING_SHARE = 0.35
+# Share of the servers that must remain; below it the failing ones are used as well,
+# since one node's bad luck or broken link must not empty a service.
+FLOOR_SHARE = 0.5
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A server as the choice sees it.
+
+    Attributes
+    ----------
+    state : ServerState
+        The server.
+    requests, tokens : int
+        In flight there from all nodes, and unread prompt tokens.
+    kept_tokens : int
+        Of this request's prompt, read there before.
+    """
+
+    state: ServerState
+    requests: int
+    tokens: int
+    kept_tokens: int = 0
+
+
+@dataclass(slots=True)
+class PlacementInput:
+    """What a choice is made from.
+
+    Attributes
+    ----------
+    zone : str
+        Of this node.
+    size : ModelInput or None
+        Tokens of a model request.
+    candidates : list of Candidate
+        Usable servers.
+    rng : random.Random
+        Breaks ties.
+    """
+
+    zone: str
+    size: ModelInput | None
+    candidates: list[Candidate]
+    rng: random.Random
+
+
+Placement = Callable[[PlacementInput], Candidate | None]
+POLICIES: dict[str, Placement] = {}
+
+
+def placement_policy(name: str) -> Callable[[Placement], Placement]:
+    """Register a placement under a name."""
+
+    def register(policy: Placement) -> Placement:
+        POLICIES[name] = policy
+        return policy
+
+    return register
+
+
+@placement_policy("unread_tokens")
+def least_unread_tokens(given: PlacementInput) -> Candidate | None:
+    """Choose the server with the least unread tokens in front of the first event."""
+
+    def cost(candidate: Candidate) -> tuple[float, float]:
+        own = given.size.prompt_tokens - candidate.kept_tokens
+        is_near = candidate.state.entry.zone == given.zone
+        far = 0 if is_near else OTHER_ZONE_TOKENS
+        running = candidate.requests * RUNNING_TOKENS
+        return candidate.tokens + own + running + far, given.rng.random()
+
+    return min(given.candidates, key=cost, default=None)
+
+
+@placement_policy("least_busy")
+def least_busy(given: PlacementInput) -> Candidate | None:
+    """Choose the server with the fewest requests for its slots."""
+
+    def cost(candidate: Candidate) -> tuple[float, float]:
+        is_near = candidate.state.entry.zone == given.zone
+        far = 0 if is_near else OTHER_ZONE_REQUESTS
+        slots = max(1, candidate.state.entry.slots)
+        return (candidate.requests + far) / slots, given.rng.random()
+
+    return min(given.candidates, key=cost, default=None)
+
+
+def usable(
+    states: Sequence[ServerState],
+    now_s: float,
+    tried: set[str],
+    is_model: bool,
+) -> list[ServerState]:
+    """Return the servers that may get a request, the sound ones where enough are.
+
+    Examples
+    --------
+    >>> usable([], 0.0, set(), True)
+    []
+    """
+    limit_s = MODEL_SILENT_S if is_model else PLAIN_SILENT_S
+    staying = [s for s in states if not s.is_leaving and s.entry.id not in tried]
+    present = [s for s in staying if now_s >= s.avoid_until_s]
+    present = [s for s in present if not s.is_silent(now_s, limit_s)]
+    sound = [s for s in present if s.failure_share < FAILING_SHARE]
+    if len(sound) >= FLOOR_SHARE * len(staying):
+        return sound
+    return present or staying
--- /dev/null
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -0,0 +1,78 @@
+"""What gateways tell each other."""
+
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+from rosemaryknot.values.messages import Message, message
+
+__all__ = ["GatewayReport", "StateOffer"]
+
+
+@message("gateway_report")
+@dataclass(slots=True)
+class GatewayReport(Message):
+    """State of one gateway; each one replaces the one before, so losses mend.
+
+    Attributes
+    ----------
+    node : str
+        Its name.
+    incarnation : int
+        Its life; totals start anew with it.
+    sequence : int
+        Rises with each report.
+    clock_s : float
+        Its time of day, in seconds of the epoch.
+    version : int
+        Its configuration; -1 where it has none.
+    servers_revision : int
+        Of the store, up to which it knows the servers.
+    spent : dict
+        By customer: units taken since its start, and units asked for in a second.
+    loads : dict
+        By server: requests in flight, and prompt tokens that wait.
+    places : list
+        Parts of prompts and the servers that they went to since the last report.
+    runs : dict
+        By usage window, customer: requests that began to run.
+    demand : dict
+        By service: prompt tokens in a second, requests in flight, tokens that a
+        server reads in a second.
+    lost : list of str
+        Kinds of objects for which the store does not answer it.
+    """
+
+    kind: ClassVar[str]
+    node: str
+    incarnation: int
+    sequence: int
+    clock_s: float
+    version: int
+    servers_revision: int
+    spent: dict = field(default_factory=dict)
+    loads: dict = field(default_factory=dict)
+    places: list = field(default_factory=list)
+    runs: dict = field(default_factory=dict)
+    demand: dict = field(default_factory=dict)
+    lost: list = field(default_factory=list)
+
+
+@message("gateway_state")
+@dataclass(slots=True)
+class StateOffer(Message):
+    """Newer objects of the store, for a gateway that cannot reach it.
+
+    Attributes
+    ----------
+    kind_name : str
+        Kind of the objects.
+    revision : int
+        Of the store, up to which changes are in it.
+    objects : dict
+        Revision and value by name, all of the kind.
+    """
+
+    kind: ClassVar[str]
+    kind_name: str
+    revision: int
+    objects: dict = field(default_factory=dict)
--- a/src/rosemaryknot/values/leases.py
+++ b/src/rosemaryknot/values/leases.py
@@ -23,6 +23,8 @@
     leaving : tuple of str
         Instances that a holder has decided to release. A decision is never taken
         back, so that an order to release one of them is right at any later time.
+    notes : dict
+        What the holders of the duty leave to the next one, by name.
     """
 
     holder: str
@@ -30,6 +32,7 @@
     write_id: str
     duration_s: float
     leaving: tuple[str, ...] = field(default=())
+    notes: dict[str, Any] = field(default_factory=dict)
 
     def to_value(self) -> dict[str, Any]:
         """Return the JSON value."""
@@ -54,6 +57,7 @@
                 write_id=str(value["write_id"]),
                 duration_s=float(value["duration_s"]),
                 leaving=tuple(str(name) for name in value["leaving"]),
+                notes=dict(value.get("notes") or {}),
             )
         except (KeyError, TypeError, ValueError):
             return None
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,7 +29,7 @@
 }
 """Modules that process may import although it outlives their folder, and why."""
 
-MAINS = {"entry.py", "agent.py"}
+MAINS = {"entry.py", "agent.py", "node.py"}
 """Besides ``*_main.py`` and ``admin*.py``, which is a command that ends by itself:
 modules of process that put the parts together and may import everything."""
 
