Stop, heed leaving servers and find a lost store in time

Change: a stopping node refuses what cannot end before the stop and closes idle kept connections once it is out of rotation; a lost store is asked without a wait, and nodes tell each other that it is back or that they know more; a deletion counts as a lapse only just after the return, and is heeded well before the bound.

Ruled out: slow nodes (cores at 0.09 at most) and the peers' links.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -5,8 +5,9 @@
 h11 over the network's streams here.
 """
 
+import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 import trio
@@ -104,6 +105,10 @@
         Connections that are open.
     busy : int
         Those with a request that was read in part or whole.
+    stops_at_s : float
+        When a planned stop ends them, in trio time; infinite without one.
+    idle : set of trio.CancelScope
+        Of connections that wait for a request.
     """
 
     wire: GatewayWire
@@ -112,6 +117,17 @@
     is_stopping: bool = False
     open: int = 0
     busy: int = 0
+    stops_at_s: float = math.inf
+    idle: set[trio.CancelScope] = field(default_factory=set)
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request.
+
+        Their callers would send on them until the process ends, and the last ones
+        would be cut off; closed now, they go to another node.
+        """
+        for scope in self.idle:
+            scope.cancel()
 
 
 class CallerConnection:
@@ -215,9 +231,7 @@
             if event is not h11.NEED_DATA or self.saw_end:
                 return None
             limit_s = limits.header_timeout_s if is_begun else limits.idle_timeout_s
-            data = None
-            with trio.move_on_at(began_s + limit_s):
-                data = await self.receive()
+            data = await self.receive_until(began_s + limit_s, is_begun)
             if data is None:
                 if is_begun:
                     await self.refuse(Refusal(TIMEOUT_STATUS, "headers took too long"))
@@ -227,6 +241,17 @@
                 began_s = trio.current_time()
             self.conn.receive_data(data)
 
+    async def receive_until(self, until_s: float, is_begun: bool) -> bytes | None:
+        """Return what comes next, or None where nothing comes in time."""
+        with trio.move_on_at(until_s) as scope:
+            if not is_begun:
+                self.state.idle.add(scope)
+            try:
+                return await self.receive()
+            finally:
+                self.state.idle.discard(scope)
+        return None
+
     async def read_body(self) -> bytes | None:
         """Return the body of a request, or None where it is too large."""
         limit = self.state.limits().max_body_bytes
--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -137,6 +137,10 @@
     ----------
     made : int
         Calls made; a watch counts once.
+    is_lost : bool
+        Whether the last call failed.
+    returns : int
+        How often a call succeeded after one that failed.
     """
 
     def __init__(
@@ -151,6 +155,8 @@
         self.timeout_s = timeout_s
         self.idle_bound_s = idle_bound_s
         self.made = 0
+        self.is_lost = False
+        self.returns = 0
         self.pool = self.new_pool()
 
     async def aclose(self) -> None:
@@ -209,14 +215,25 @@
                     headers=headers,
                     timeout=timeout,
                 )
-                return checked(response)
+                return self.noted(checked(response))
         except httpx.TransportError as error:
             failed = failure_of(error)
         finally:
             await self.leave(pool)
         if failed.reason == TIMEOUT:
             self.retire(pool)
-        return failed
+        return self.noted(failed)
+
+    def noted(
+        self, outcome: httpx.Response | PlatformFailed
+    ) -> httpx.Response | PlatformFailed:
+        """Take note of whether the platform is there."""
+        if isinstance(outcome, PlatformFailed):
+            self.is_lost = True
+        elif self.is_lost:
+            self.is_lost = False
+            self.returns += 1
+        return outcome
 
     def retire(self, pool: Pool) -> None:
         """Use new connections from now on.
--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -89,6 +89,11 @@
     def __init__(self, network: Network, address: Address) -> None:
         self.calls = PlatformCalls(network, address)
 
+    @property
+    def returns(self) -> int:
+        """How often the store was there again after a call that failed."""
+        return self.calls.returns
+
     async def aclose(self) -> None:
         """Close the kept connections."""
         await self.calls.aclose()
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -20,6 +20,7 @@
 from rosemaryknot.values.gateway_peers import GatewayReport, StateOffer
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.platform import Listed, StoredObject
+from rosemaryknot.values.store_changes import ChangeSource
 
 __all__ = ["ExchangeParts", "GatewayExchange"]
 
@@ -61,6 +62,8 @@
         By kind; ``configuration`` and ``servers``.
     demand : Demand
         What this node's callers ask for.
+    store : ChangeSource
+        The store.
     """
 
     node: Node
@@ -71,6 +74,7 @@
     clock: TrueTime
     followers: dict[str, StoreFollower]
     demand: "Demand"
+    store: ChangeSource
 
 
 @dataclass(slots=True)
@@ -128,7 +132,7 @@
         self.sequence = 0
         self.reports: dict[str, tuple[float, GatewayReport]] = {}
         self.offered_s: dict[str, float] = {}
-        self.behind_since_s: float | None = None
+        self.behind_since_s: dict[str, float] = {}
         handlers.on(GatewayReport)(self.handle_report)
         handlers.on(StateOffer)(self.handle_offer)
 
@@ -165,7 +169,9 @@
             sequence=self.sequence,
             clock_s=parts.clock.wall(),
             version=parts.state.version,
-            servers_revision=parts.followers["servers"].revision,
+            revisions={kind: f.revision for kind, f in parts.followers.items()},
+            seen={kind: f.seen for kind, f in parts.followers.items()},
+            returns=parts.store.returns,
             spent=parts.quota.told(),
             loads={
                 name: [state.in_flight, state.waiting_tokens]
@@ -218,7 +224,7 @@
                 customer, report.node, report.incarnation, total, demand, now_s
             )
         self.take_loads(report, now_s)
-        self.compare(report, now_s)
+        self.compare(report, None if known is None else known[1], now_s)
         await self.help(report, now_s)
 
     def take_loads(self, report: GatewayReport, now_s: float) -> None:
@@ -233,23 +239,25 @@
         for part_id, server_id in report.places:
             servers.note_place(part_id, server_id)
 
-    def compare(self, report: GatewayReport, now_s: float) -> None:
-        """Ask the store again when a gateway stays ahead of this one."""
-        if report.version <= self.parts.state.version:
-            if report.version == self.parts.state.version:
-                self.behind_since_s = None
-            return
-        if self.behind_since_s is None:
-            self.behind_since_s = now_s
-        elif now_s - self.behind_since_s > BEHIND_S:
-            self.behind_since_s = now_s
-            log.warning(
-                "behind another gateway",
-                version=self.parts.state.version,
-                theirs=report.version,
-                node=report.node,
-            )
-            self.parts.followers["configuration"].look_again()
+    def compare(
+        self, report: GatewayReport, last: GatewayReport | None, now_s: float
+    ) -> None:
+        """Ask the store again when another gateway stays ahead of this one.
+
+        It does so too when another gateway found the store again: this one's watch
+        may have been lost in the outage without a sign.
+        """
+        is_same = last is not None and last.incarnation == report.incarnation
+        has_returned = is_same and report.returns > last.returns
+        for kind, follower in self.parts.followers.items():
+            if has_returned and report.returns > self.parts.store.returns:
+                follower.look_again(f"{report.node} found the store again")
+            if follower.revision >= report.seen.get(kind, -1):
+                self.behind_since_s.pop(kind, None)
+                continue
+            since_s = self.behind_since_s.setdefault(kind, now_s)
+            if now_s - since_s > BEHIND_S:
+                follower.look_again(f"{report.node} is ahead")
 
     async def help(self, report: GatewayReport, now_s: float) -> None:
         """Pass newer state on to a gateway that is behind for lack of the store."""
@@ -278,7 +286,8 @@
             }
             found.append(StateOffer("configuration", state.document_revision, objects))
         follower = self.parts.followers["servers"]
-        if report.servers_revision < follower.revision and follower.is_steady():
+        theirs = report.revisions.get("servers", -1)
+        if theirs < follower.revision and follower.is_steady():
             objects = {name: list(entry) for name, entry in state.entries.items()}
             found.append(StateOffer("servers", follower.revision, objects))
         return found
@@ -299,3 +308,4 @@
             log.info("servers taken over from another gateway", revision=offer.revision)
             state.list_servers(Listed(offer.revision, objects), True)
             follower.revision = offer.revision
+            follower.seen = max(follower.seen, offer.revision)
--- a/src/rosemaryknot/process/gateway_quota.py
+++ b/src/rosemaryknot/process/gateway_quota.py
@@ -195,6 +195,22 @@
         peer.demand = demand
         peer.heard_s = now_s
 
+    def explain(self, limit: CustomerLimit) -> dict[str, float]:
+        """Return what a customer's answers rest on, for the log."""
+        account = self.accounts[limit.name]
+        return {
+            "rate": account.rate,
+            "burst": account.burst,
+            "level": round(account.level),
+            "part": round(account.part),
+            "share": round(self.share(account), 3),
+            "demand": round(account.demand),
+            "demand_all": round(
+                account.demand + sum(p.demand for p in account.peers.values())
+            ),
+            "nodes": self.nodes,
+        }
+
     def told(self) -> dict[str, list[float]]:
         """Return what the others are told."""
         return {
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -11,9 +11,6 @@
 
 __all__ = ["ServerState", "ServerTable"]
 
-# An entry that lapsed while the store was away is written again within two seconds of
-# its return, if its server lives; what is still missing then is gone.
-RETURN_S = 2.0
 # First pause after a failed connection or answer; doubles with each one in a row.
 PAUSE_S = 0.25
 MAX_PAUSE_S = 4.0
@@ -124,6 +121,9 @@
         Of the store, up to which entries are known; -1 before the first list.
     is_listed : bool
         Whether the servers were listed at least once.
+    return_s : float
+        How long an entry that is missing after an outage may take to come back, in
+        seconds.
     """
 
     def __init__(self) -> None:
@@ -131,7 +131,7 @@
         self.rate = FIRST_RATE
         self.revision = -1
         self.is_listed = False
-        self.returned_s = float("-inf")
+        self.return_s = 1.4
         self.parts: OrderedDict[str, dict[str, float]] = OrderedDict()
         self.recent: list[tuple[str, str]] = []
         self.gone: list[str] = []
@@ -190,7 +190,7 @@
         now_s = trio.current_time()
         for state in list(self.by_id.values()):
             since_s = state.missing_since_s
-            if since_s is not None and now_s - since_s > RETURN_S:
+            if since_s is not None and now_s - since_s > self.return_s:
                 self.drop(state)
         gone, self.gone = self.gone, []
         return gone
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -46,10 +46,14 @@
 LINK_KEY = b"rosemaryknot-gateway-links"
 LEASE_NAME = "gateway-duties"
 LEASE_MARGIN_S = 0.5
+# An entry that lapsed while the store was away is written again within two seconds of
+# its return, if its server lives; what is still missing then is gone.
+RETURN_S = 2.0
+DRAIN_USED = 0.7
 # The balancer asks each second and leaves a node out after two misses.
 NOT_READY_S = 2.6
 # What is left of the grace for closing connections and giving the lease back.
-STOP_RESERVE_S = 0.8
+STOP_RESERVE_S = 0.6
 TIDY_S = 0.5
 SETTINGS_CHECK_S = 1.0
 # Descriptors that are not for callers: backend servers, store, peers, files.
@@ -140,6 +144,11 @@
             adapter.decode_server,
             adapter.configuration_name,
         )
+        # A deletion may be a lapse of an outage, or the word of leaving: it must be
+        # heeded well before work has to have stopped.
+        self.state.servers.return_s = min(
+            RETURN_S, settings.bounds.drain_ms / 1000 * DRAIN_USED
+        )
         self.pool = ServerPool(network)
         self.clock = TrueTime()
         self.demand = Demand()
@@ -175,6 +184,7 @@
                 self.clock,
                 self.followers,
                 self.demand,
+                adapter.store,
             ),
             handlers,
             rng,
@@ -221,12 +231,14 @@
             servers=self.state.servers,
             pool=self.pool,
             take_quota=take_quota,
+            explain_quota=self.quota.explain,
             may_retry=lambda name: self.budget.take(name, trio.current_time()),
             note_request=lambda name: self.budget.note_request(
                 name, trio.current_time()
             ),
             note_run=lambda name: self.usage.note(name, self.clock.now()),
             note_work=self.demand.note,
+            stops_at_s=lambda: self.listener.state.stops_at_s,
             rng=self.rng,
         )
 
@@ -327,9 +339,11 @@
         self.is_stopping = True
         self.listener.state.is_stopping = True
         log.info("not ready: planned stop", in_flight=self.listener.state.busy)
+        self.listener.state.stops_at_s = until_s
         with trio.move_on_at(until_s):
             await self.lease.release()
             await trio.sleep_until(began_s + NOT_READY_S)
+            self.listener.state.close_idle()
             while self.listener.state.busy:
                 await trio.sleep(0.05)
         with trio.move_on_after(STOP_RESERVE_S / 2):
--- a/src/rosemaryknot/process/node_settings.py
+++ b/src/rosemaryknot/process/node_settings.py
@@ -120,6 +120,8 @@
         Length of a usage window, in seconds.
     usage_delay_s : float
         When the usage of a window is due after its end, in seconds.
+    drain_ms : float
+        How long a server that leaves still serves, in milliseconds.
     lease_ms : float
         Least time of a lease, in milliseconds.
     """
@@ -130,6 +132,7 @@
     retry_slack: Share = 10.0
     usage_window_s: Seconds = 5.0
     usage_delay_s: Seconds = 10.0
+    drain_ms: Milliseconds = 2000.0
     lease_ms: Milliseconds = 3000.0
 
 
--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -16,9 +16,13 @@
 # replaced after this and the call's own bound; peers tell of changes before.
 WAIT_S = 5.0
 RETRY_S = 0.1
-MAX_RETRY_S = 1.0
-# After an outage entries may still be missing for two seconds; see `ServerTable`.
-UNSTEADY_S = 2.5
+MAX_RETRY_S = 0.8
+# Between two questions that other nodes' reports call for; a call's own bound.
+NUDGE_PAUSE_S = 2.0
+# While the store is lost it is asked without a wait, so that its return shows at once.
+LOST_WAIT_S = 0.0
+# What lapsed in an outage shows in the first answer after it, or in one just behind.
+UNSTEADY_S = 0.7
 
 CALLS = counter("store_calls_total", "Calls to the store by kind and outcome.")
 
@@ -45,8 +49,8 @@
     ----------
     revision : int
         Up to which changes are known; -1 before the first list.
-    fresh_s : float
-        When the store last said that this is all, in trio time.
+    seen : int
+        Revision of the newest change that was taken over.
     """
 
     def __init__(
@@ -63,11 +67,11 @@
         self.on_change = on_change
         self.rng = rng
         self.revision = -1
-        self.fresh_s = float("-inf")
+        self.seen = -1
+        self.nudged_s = float("-inf")
         self.back_s = float("-inf")
         self.failures = 0
         self.scope = trio.CancelScope()
-        self.wants_list = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -75,22 +79,27 @@
             with trio.CancelScope() as self.scope:
                 await self.step()
 
-    def look_again(self) -> None:
-        """List at once: a peer knows something newer than this node.
+    def look_again(self, reason: str) -> None:
+        """Ask the store at once: another node knows something newer than this one.
 
         A watch that the network has lost track of says nothing for good, and its
-        node would go on with an old state until the wait is over.
+        node would go on with an old state until the wait is over. Asked again no
+        sooner than a call may take, or no call would ever end.
         """
-        self.wants_list = True
+        now_s = trio.current_time()
+        if now_s - self.nudged_s < NUDGE_PAUSE_S:
+            return
+        self.nudged_s = now_s
+        log.info("looks again", kind=self.kind, reason=reason, revision=self.revision)
         self.scope.cancel()
 
     async def step(self) -> None:
         """List, or wait for changes; then take them over."""
-        if self.revision < 0 or self.wants_list:
-            self.wants_list = False
+        if self.revision < 0:
             await self.list_all()
             return
-        outcome = await self.store.changes(self.kind, self.revision, WAIT_S)
+        wait_s = LOST_WAIT_S if self.failures else WAIT_S
+        outcome = await self.store.changes(self.kind, self.revision, wait_s)
         if isinstance(outcome, PlatformFailed):
             await self.note_failure(outcome)
         elif isinstance(outcome, HistoryGone):
@@ -104,6 +113,7 @@
         self.note_success()
         for change in changes.events:
             self.on_change(change, self.is_steady())
+            self.seen = max(self.seen, change.version)
         self.revision = max(self.revision, changes.revision)
 
     async def list_all(self) -> None:
@@ -118,6 +128,8 @@
             return
         self.on_list(listed, self.is_steady())
         self.revision = listed.version
+        found = [entry.version for entry in listed.objects.values()]
+        self.seen = max([self.seen, *found])
 
     def is_steady(self) -> bool:
         """Tell whether the store has been there for a while."""
@@ -130,10 +142,9 @@
     def note_success(self) -> None:
         """Count an answer."""
         CALLS.add(kind=self.kind, outcome="ok")
-        self.fresh_s = trio.current_time()
         if self.failures:
             log.info("store regained", kind=self.kind, failures=self.failures)
-            self.back_s = self.fresh_s
+            self.back_s = trio.current_time()
             self.failures = 0
 
     async def note_failure(self, failed: PlatformFailed) -> None:
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -41,6 +41,11 @@
 __all__ = ["Gateway", "GatewayParts"]
 
 DEFAULT_PATIENCE_S = 60.0
+# Weight of the newest answer in a route's duration, and how many mean deviations
+# above the mean nearly all answers end.
+DURATION_WEIGHT = 0.1
+DEVIATIONS = 3.0
+FIRST_DURATION_S = 1.0
 # What is left must cover the way to the server and back, or nobody gains by sending.
 LEAST_LEFT_S = 0.01
 # Without a first byte for this many times the wanted latency, a request that may be
@@ -87,6 +92,8 @@
     take_quota : callable
         Of customer and units; returns after how many seconds they would be there,
         0 where they were taken.
+    explain_quota : callable
+        Of a customer; returns what the last answer of ``take_quota`` rests on.
     may_retry : callable
         Of a service; tells whether one more attempt is within the budget, and
         counts it.
@@ -96,6 +103,8 @@
         Of a customer; counts a request that began to run.
     note_work : callable
         Of a service and prompt tokens that it has to read; counts the work.
+    stops_at_s : callable
+        Returns when a planned stop ends requests, in trio time; infinite without.
     rng : random.Random
         Spreads returns and breaks ties.
     """
@@ -106,10 +115,12 @@
     servers: ServerTable
     pool: ServerPool
     take_quota: Callable[[CustomerLimit, float], float]
+    explain_quota: Callable[[CustomerLimit], dict[str, float]]
     may_retry: Callable[[str], bool]
     note_request: Callable[[str], None]
     note_run: Callable[[str], None]
     note_work: Callable[[str, int], None]
+    stops_at_s: Callable[[], float]
     rng: random.Random
 
 
@@ -162,6 +173,36 @@
         return self.until_s - trio.current_time()
 
 
+class Durations:
+    """How long answers of each route take, smoothed, with their deviation.
+
+    Examples
+    --------
+    >>> durations = Durations()
+    >>> durations.likely_s("r")
+    1.0
+    >>> for _ in range(100):
+    ...     durations.note("r", 0.2)
+    >>> round(durations.likely_s("r"), 1)
+    0.2
+    """
+
+    def __init__(self) -> None:
+        self.by_route: dict[str, tuple[float, float]] = {}
+
+    def note(self, route: str, took_s: float) -> None:
+        """Count an answer."""
+        mean_s, deviation_s = self.by_route.get(route, (took_s, took_s / 2))
+        deviation_s += DURATION_WEIGHT * (abs(took_s - mean_s) - deviation_s)
+        mean_s += DURATION_WEIGHT * (took_s - mean_s)
+        self.by_route[route] = (mean_s, deviation_s)
+
+    def likely_s(self, route: str) -> float:
+        """Return within which time nearly all answers end, in seconds."""
+        mean_s, deviation_s = self.by_route.get(route, (FIRST_DURATION_S, 0.0))
+        return mean_s + DEVIATIONS * deviation_s
+
+
 class Gateway:
     """Answers requests.
 
@@ -173,6 +214,7 @@
 
     def __init__(self, parts: GatewayParts) -> None:
         self.parts = parts
+        self.durations = Durations()
 
     async def handle(self, request: GatewayRequest, reply: Reply) -> None:
         """Answer a request."""
@@ -212,14 +254,33 @@
         service = self.service_of(configuration, route)
         if service is None:
             return self.refusal(UNAVAILABLE, "the route has no service")
+        if not self.ends_in_time(route):
+            return self.refusal(UNAVAILABLE, "stops before the answer would end")
         wait_s = self.quota_wait_s(customer, request)
         if wait_s > 0:
+            log.info(
+                "over the customer's limit",
+                request=request.id,
+                customer=customer.name,
+                **parts.explain_quota(customer),
+            )
             return self.refusal(TOO_MANY, "over the customer's limit", wait_s)
         parts.note_request(service.name)
         return Course(
             request, reply, route, service, customer, until_s, configuration.version
         )
 
+    def ends_in_time(self, route: GatewayRoute) -> bool:
+        """Tell whether an answer most likely ends before a planned stop.
+
+        While most of a zone's nodes are away, the balancer sends callers to those
+        that stop as well. A long stream taken late would be cut in its middle.
+        """
+        left_s = self.parts.stops_at_s() - trio.current_time()
+        if left_s == math.inf:
+            return True
+        return self.durations.likely_s(route.name) < left_s
+
     def customer_of(
         self,
         configuration: GatewayConfiguration,
@@ -407,6 +468,8 @@
     def log_end(self, course: Course, outcome: object) -> None:
         """Log how a request ended that got an answer of a server."""
         took_s = trio.current_time() - course.request.arrived_s
+        if isinstance(outcome, Completed):
+            self.durations.note(course.route.name, took_s)
         REQUESTS.add(outcome=type(outcome).__name__)
         WHOLE.observe(took_s)
         log.info(
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -25,8 +25,12 @@
         Its time of day, in seconds of the epoch.
     version : int
         Its configuration; -1 where it has none.
-    servers_revision : int
-        Of the store, up to which it knows the servers.
+    revisions : dict
+        By kind of object: revision of the store up to which it knows them.
+    seen : dict
+        By kind of object: revision of the newest change that it has taken over.
+    returns : int
+        How often it found the store again after a call that failed.
     spent : dict
         By customer: units taken since its start, and units asked for in a second.
     loads : dict
@@ -48,7 +52,9 @@
     sequence: int
     clock_s: float
     version: int
-    servers_revision: int
+    revisions: dict = field(default_factory=dict)
+    seen: dict = field(default_factory=dict)
+    returns: int = 0
     spent: dict = field(default_factory=dict)
     loads: dict = field(default_factory=dict)
     places: list = field(default_factory=list)
--- a/src/rosemaryknot/values/store_changes.py
+++ b/src/rosemaryknot/values/store_changes.py
@@ -30,7 +30,15 @@
 
 
 class ChangeSource(Protocol):
-    """A store whose kinds can be listed and then followed."""
+    """A store whose kinds can be listed and then followed.
+
+    Attributes
+    ----------
+    returns : int
+        How often it was there again after a call that failed.
+    """
+
+    returns: int
 
     async def list_objects(self, kind: str) -> Listed | PlatformFailed:
         """Read all objects of a kind."""
