Keep on-demand servers until reclaimable ones are there

The need was too high besides: the measured rate of reading followed the mean of answers that had waited.

--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -51,6 +51,8 @@
 FIRST_SHARE = 0.35
 # An order whose servers do not come is given again after their boot and this.
 MISSING_S = 4.0
+# Servers that are ordered are expected within their boot and this.
+BOOT_MARGIN_S = 1.0
 
 CALLS = counter("duty_calls_total", "Calls for duties by duty and outcome.")
 
@@ -288,10 +290,23 @@
                 there.on_demand += 1
         for zone in leaving:
             self.dry_until_s[service.name, zone] = now_s + DRY_S
+        for zone, there in by_zone.items():
+            there.booting = self.booting(service, zone, there, now_s)
         need = self.need_of(service, by_zone, now_s)
         dry = {zone for zone in by_zone if self.dry_until_s[service.name, zone] > now_s}
         return ServiceDemand(need, by_zone, dry)
 
+    def booting(
+        self, service: GatewayService, zone: str, there: ZoneServers, now_s: float
+    ) -> int:
+        """Return how many reclaimable servers are ordered and may still boot."""
+        last = self.ordered.get((service.name, zone, True))
+        if last is None or not last.is_taken:
+            return 0
+        if now_s - last.at_s > service.scaling.boot_s + BOOT_MARGIN_S:
+            return 0
+        return max(0, last.count - there.reclaimable)
+
     def need_of(
         self, service: GatewayService, by_zone: dict[str, ZoneServers], now_s: float
     ) -> float:
@@ -305,7 +320,7 @@
             need = self.needs[service.name] = Need(present * FIRST_SHARE, now_s)
         if self.has_traffic:
             slots = 1 if service.engine is None else service.engine.slots
-            measured = tokens * HEADROOM / rate + requests / (slots * BUSY_SHARE)
+            measured = max(tokens * HEADROOM / rate, requests / (slots * BUSY_SHARE))
             need.note(measured, now_s)
         return need.servers
 
@@ -355,9 +370,8 @@
         CALLS.add(duty="scaling", outcome=type(outcome).__name__)
         there = demand.by_zone.get(order.zone, ZoneServers())
         log.info(
-            "servers ordered",
+            f"servers ordered in {order.zone}",
             service=order.service,
-            zone=order.zone,
             reclaimable=order.is_reclaimable,
             count=order.count,
             there=there.reclaimable if order.is_reclaimable else there.on_demand,
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -17,7 +17,12 @@
 # Weight of the newest sample in a server's failure share and speed.
 SMOOTHING = 0.15
 # Prompt tokens that a server reads in a second, before anything was measured.
-FIRST_RATE = 60_000.0
+FIRST_RATE = 100_000.0
+# The rate follows this quantile of what is seen, by this share a sample; smaller
+# prompts tell more of the way than of the engine.
+RATE_QUANTILE = 0.8
+RATE_STEP = 0.02
+RATE_LEAST_TOKENS = 4000
 # Parts of prompts whose place is remembered, and for how long. Engines drop the least
 # recently used parts after some tens of seconds under load.
 MAX_PARTS = 20_000
@@ -148,9 +153,9 @@
         if state is None:
             state = self.by_id[entry.id] = ServerState(entry)
             state.ready_s = trio.current_time()
-            log.info("server known", server=entry.id, service=entry.service)
+            log.info(f"server {entry.id} known", service=entry.service, zone=entry.zone)
         if entry.is_leaving and not state.is_leaving:
-            log.info("server leaves", server=entry.id, left_s=entry.leaves_s)
+            log.info(f"server {entry.id} leaves", left_s=entry.leaves_s)
         state.entry = entry
         state.is_leaving = state.is_leaving or entry.is_leaving
         state.missing_since_s = None
@@ -163,7 +168,7 @@
         if not is_store_steady and not state.is_leaving:
             if state.missing_since_s is None:
                 state.missing_since_s = trio.current_time()
-                log.warning("server missing after an outage", server=server_id)
+                log.warning(f"server {server_id} missing after an outage")
             return
         self.drop(state)
 
@@ -180,7 +185,7 @@
     def drop(self, state: ServerState) -> None:
         """Give no more work to a server whose entry is gone."""
         if not state.is_leaving:
-            log.info("server gone", server=state.entry.id)
+            log.info(f"server {state.entry.id} gone")
         state.is_leaving = True
         if state.in_flight == 0 and self.by_id.pop(state.entry.id, None):
             self.gone.append(state.entry.id)
@@ -213,11 +218,13 @@
     ) -> None:
         """Count the first bytes of an answer, and learn how fast prompts are read."""
         state.waiting_tokens -= tokens
-        if tokens + ahead < 2000 or took_s <= 0.02:
+        if tokens < RATE_LEAST_TOKENS or took_s <= 0:
             return
-        sample = (tokens + ahead) / took_s
-        self.rate += SMOOTHING / 5 * (sample - self.rate)
-        self.rate = max(self.rate, 5_000.0)
+        # What an engine can do shows in its better answers; the others waited for
+        # work that this gateway does not see.
+        step = RATE_STEP * self.rate
+        is_faster = (tokens + ahead) / took_s > self.rate
+        self.rate += step * RATE_QUANTILE if is_faster else -step * (1 - RATE_QUANTILE)
 
     def end(self, state: ServerState, waiting_tokens: int) -> None:
         """Count the end of a request."""
@@ -240,8 +247,7 @@
         state.avoid_until_s = max(state.avoid_until_s, now_s + pause_s)
         if state.failures in (1, 4, 16):
             log.warning(
-                "server failed",
-                server=state.entry.id,
+                f"server {state.entry.id} failed",
                 reason=reason,
                 failures=state.failures,
                 pause_s=pause_s,
--- a/src/rosemaryknot/process/scaling_policy.py
+++ b/src/rosemaryknot/process/scaling_policy.py
@@ -25,10 +25,13 @@
     ----------
     reclaimable, on_demand : int
         That take work.
+    booting : int
+        Reclaimable ones that are ordered and have not had the time to boot.
     """
 
     reclaimable: int = 0
     on_demand: int = 0
+    booting: int = 0
 
 
 @dataclass(slots=True)
@@ -72,6 +75,10 @@
 ) -> list[SizeOrder]:
     """Return the sizes that a service should have.
 
+    On-demand servers cover what reclaimable ones do not. Reclaimable ones that boot
+    count against ordering more, but not for giving any up: between the two moments
+    lies a boot, in which there would be neither.
+
     Parameters
     ----------
     service : str
@@ -86,57 +93,52 @@
     sizes : list of SizeOrder
         Two for each zone, cheapest zone first.
     """
-    zones = sorted(limits.zone_prices or demand.by_zone, key=limits.zone_prices.get)
-    if not zones:
-        return []
+    zones = sorted(demand.by_zone, key=lambda z: limits.zone_prices.get(z, 1.0))
     each = 0
     if 0 < limits.reclaimable_price < 1:
         each = reclaimable_in_each(demand.servers, len(zones), limits.max_servers)
-    reclaimable = {
-        zone: each if zone not in demand.dry_zones else kept(demand, zone, each)
-        for zone in zones
-    }
-    on_demand = on_demand_sizes(zones, limits, demand, reclaimable, each)
+    there = sum(demand.by_zone[zone].on_demand for zone in zones)
+    least = missing_servers(demand, each, with_booting=True)
+    most = missing_servers(demand, each, with_booting=False)
+    on_demand = spread(zones, max(least, min(there, most)), limits, demand)
     sizes = []
     for zone in zones:
-        sizes.append(SizeOrder(service, zone, True, reclaimable[zone]))
-        sizes.append(SizeOrder(service, zone, False, on_demand[zone]))
+        count = on_demand[zone]
+        reclaimable = min(each, limits.max_servers - count)
+        if zone in demand.dry_zones:
+            reclaimable = min(reclaimable, demand.by_zone[zone].reclaimable)
+        count = max(count, limits.min_servers - reclaimable)
+        sizes.append(SizeOrder(service, zone, True, reclaimable))
+        sizes.append(SizeOrder(service, zone, False, count))
     return sizes
 
 
-def kept(demand: ServiceDemand, zone: str, each: int) -> int:
-    """Return the reclaimable servers that a zone without others still has."""
-    return min(each, demand.by_zone.get(zone, ZoneServers()).reclaimable)
+def missing_servers(demand: ServiceDemand, each: int, with_booting: bool) -> int:
+    """Return how many servers the need lacks when the fullest zone is reclaimed."""
+    counts = []
+    for zone in demand.by_zone.values():
+        booting = zone.booting if with_booting else 0
+        counts.append(min(each, zone.reclaimable + booting))
+    safe = sum(counts) - max(counts, default=0)
+    return max(0, math.ceil(demand.servers - 1e-9) - safe)
 
 
-def on_demand_sizes(
-    zones: list[str],
-    limits: ScalingLimits,
-    demand: ServiceDemand,
-    reclaimable: dict[str, int],
-    each: int,
+def spread(
+    zones: list[str], count: int, limits: ScalingLimits, demand: ServiceDemand
 ) -> dict[str, int]:
-    """Return the on-demand servers for what reclaimable ones do not cover.
+    """Spread on-demand servers over the zones, the cheapest first.
 
-    What counts are the reclaimable servers that are there, without the zone that has
-    most of them: it may be the next to go. While they boot, on-demand servers stay.
+    One after the other: a zone that is cut off must not take all of them along.
     """
-    present = {z: demand.by_zone.get(z, ZoneServers()).reclaimable for z in zones}
-    counted = [min(present[zone], reclaimable[zone]) for zone in zones]
-    safe = sum(counted) - max(counted, default=0)
-    missing = max(0, math.ceil(demand.servers - 1e-9) - safe)
     sizes = dict.fromkeys(zones, 0)
-    for zone in zones:
-        least = max(0, limits.min_servers - reclaimable[zone])
-        sizes[zone] = least
-        missing -= least
-    while missing > 0:
-        room = [z for z in zones if reclaimable[z] + sizes[z] < limits.max_servers]
+    for _ in range(count):
+        room = [
+            zone
+            for zone in zones
+            if sizes[zone] + demand.by_zone[zone].reclaimable < limits.max_servers
+        ]
         if not room:
             break
-        # One after the other over the zones, the cheapest first: a zone that is cut
-        # off must not take all of them along.
         zone = min(room, key=lambda z: (sizes[z], zones.index(z)))
         sizes[zone] += 1
-        missing -= 1
     return sizes
