--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -266,6 +266,9 @@
         """Order what one service lacks, or has too much of."""
         demand = self.demand_of(service)
         for order in wanted_sizes(service.name, service.scaling, demand):
+            if order.is_reclaimable and order.zone in demand.dry_zones:
+                # Refused, or just taken back; asked again when it may have some.
+                continue
             if self.is_due(order, service, demand):
                 await self.give(order, demand)
 
@@ -294,7 +297,7 @@
             there.booting = self.booting(service, zone, there, now_s)
         need = self.need_of(service, by_zone, now_s)
         dry = {zone for zone in by_zone if self.dry_until_s[service.name, zone] > now_s}
-        return ServiceDemand(need, by_zone, dry)
+        return ServiceDemand(need / HEADROOM, need, by_zone, dry)
 
     def booting(
         self, service: GatewayService, zone: str, there: ZoneServers, now_s: float
--- a/src/rosemaryknot/process/scaling_policy.py
+++ b/src/rosemaryknot/process/scaling_policy.py
@@ -40,14 +40,17 @@
 
     Attributes
     ----------
+    work : float
+        Servers' worth of work as measured; what must be left when a zone is reclaimed.
     servers : float
-        Servers' worth of work, with room for bursts.
+        The same with room for bursts; what there should be.
     by_zone : dict of str to ZoneServers
         What there is.
     dry_zones : set of str
         Zones that have no reclaimable servers to give at the moment.
     """
 
+    work: float
     servers: float
     by_zone: dict[str, ZoneServers] = field(default_factory=dict)
     dry_zones: set[str] = field(default_factory=set)
@@ -114,13 +117,18 @@
 
 
 def missing_servers(demand: ServiceDemand, each: int, with_booting: bool) -> int:
-    """Return how many servers the need lacks when the fullest zone is reclaimed."""
+    """Return how many servers are missing besides the reclaimable ones.
+
+    All together carry the need with its room for bursts; without the fullest zone,
+    which may be reclaimed next, they still carry the measured work.
+    """
     counts = []
     for zone in demand.by_zone.values():
         booting = zone.booting if with_booting else 0
         counts.append(min(each, zone.reclaimable + booting))
     safe = sum(counts) - max(counts, default=0)
-    return max(0, math.ceil(demand.servers - 1e-9) - safe)
+    missing = max(demand.servers - sum(counts), demand.work - safe)
+    return max(0, math.ceil(missing - 1e-9))
 
 
 def spread(
