Bring lapsed servers back, keep usage in the store, keep a spare server

Causes, from the nodes' logs. Counts of a window were lost where all nodes were killed.

Change: gone and drained are two things, and an entry that returns clears the first; the choice itself looks at when a missing server counts as gone; counts go out with each renewal of the lease; the need has a spare server.

--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -28,7 +28,7 @@
 )
 from rosemaryknot.values.gateway import GatewayService
 
-__all__ = ["DutyParts", "ScalingDuty", "UsageDuty"]
+__all__ = ["KEPT_NOTE", "DutyParts", "ScalingDuty", "UsageDuty"]
 
 STEP_S = 0.5
 # After the end of a window, so that late reports are in: some reports of the gateways.
@@ -36,6 +36,7 @@
 # A window that could not be told for this long counts as lost; the next ones go on.
 GIVE_UP_WINDOWS = 8
 USAGE_NOTE = "usage"
+KEPT_NOTE = "usage_kept"
 # Pause after a call without an answer; the platform may carry it out late.
 RETRY_S = 1.0
 # A zone that refused reclaimable servers, or lost them, is not asked for this long.
@@ -48,7 +49,10 @@
 # Share of an engine's places that may be taken before requests wait for each other.
 BUSY_SHARE = 0.5
 # Need as a share of the servers found at the start, before there is any traffic.
-FIRST_SHARE = 0.35
+FIRST_SHARE = 0.5
+# Servers that there are besides: one may crash or leave at any moment, which for a
+# small service is a large part of it.
+SPARE_SERVERS = 1
 # An order whose servers do not come is given again after their boot and this.
 MISSING_S = 4.0
 # Servers that are ordered are expected within their boot and this.
@@ -101,6 +105,7 @@
         self.started_window = parts.usage.window_of(parts.clock.now())
         self.done: int | None = None
         self.retry_s = 0.0
+        self.fencing = 0
 
     async def run(self) -> None:
         """Do the duty while the lease is held, until cancelled."""
@@ -112,6 +117,9 @@
     async def step(self) -> None:
         """Tell the oldest window that is over and not told."""
         parts = self.parts
+        if self.fencing != parts.lease.fencing:
+            self.fencing = parts.lease.fencing
+            parts.usage.take_kept(parts.lease.notes.get(KEPT_NOTE, {}))
         noted = parts.lease.notes.get(USAGE_NOTE)
         if noted is not None and self.done != noted["window"]:
             # The holder before may have sent these counts without seeing an answer;
@@ -297,7 +305,8 @@
             there.booting = self.booting(service, zone, there, now_s)
         need = self.need_of(service, by_zone, now_s)
         dry = {zone for zone in by_zone if self.dry_until_s[service.name, zone] > now_s}
-        return ServiceDemand(need / HEADROOM, need, by_zone, dry)
+        work = max(0.0, need - SPARE_SERVERS) / HEADROOM
+        return ServiceDemand(work, need, by_zone, dry)
 
     def booting(
         self, service: GatewayService, zone: str, there: ZoneServers, now_s: float
@@ -323,8 +332,8 @@
             need = self.needs[service.name] = Need(present * FIRST_SHARE, now_s)
         if self.has_traffic:
             slots = 1 if service.engine is None else service.engine.slots
-            measured = max(tokens * HEADROOM / rate, requests / (slots * BUSY_SHARE))
-            need.note(measured, now_s)
+            work = max(tokens / rate, requests / (slots * BUSY_SHARE * HEADROOM))
+            need.note(work * HEADROOM + SPARE_SERVERS, now_s)
         return need.servers
 
     def measured(self, service: str) -> tuple[float, int, float]:
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -287,7 +287,7 @@
             found.append(StateOffer("configuration", state.document_revision, objects))
         follower = self.parts.followers["servers"]
         theirs = report.revisions.get("servers", -1)
-        if theirs < follower.revision and follower.is_steady():
+        if theirs < follower.revision and not follower.is_lost():
             objects = {name: list(entry) for name, entry in state.entries.items()}
             found.append(StateOffer("servers", follower.revision, objects))
         return found
@@ -303,9 +303,9 @@
         }
         state = self.parts.state
         if offer.kind_name == "configuration":
-            state.list_configuration(Listed(offer.revision, objects), True)
+            state.list_configuration(Listed(offer.revision, objects))
         elif offer.revision > follower.revision:
             log.info("servers taken over from another gateway", revision=offer.revision)
-            state.list_servers(Listed(offer.revision, objects), True)
+            state.list_servers(Listed(offer.revision, objects))
             follower.revision = offer.revision
             follower.seen = max(follower.seen, offer.revision)
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -1,5 +1,6 @@
 """The backend servers, what this node has in flight there, and how they behave."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -78,10 +79,13 @@
         Since when it owes bytes.
     peers : dict of str to PeerLoad
         By node.
-    is_leaving : bool
-        Whether it takes no new work; never taken back.
-    missing_since_s : float or None
-        Since when its entry is missing although the store has only just returned.
+    has_drained : bool
+        Whether it said that it leaves; never taken back.
+    is_gone : bool
+        Whether its entry is gone for good, as far as is known.
+    gone_at_s : float
+        When it counts as gone, since its entry is missing although it never said
+        that it leaves; infinite while there is one.
     """
 
     entry: RoutedServer
@@ -93,9 +97,19 @@
     heard_s: float = float("-inf")
     waiting_since_s: float = 0.0
     peers: dict[str, PeerLoad] = field(default_factory=dict)
-    is_leaving: bool = False
-    missing_since_s: float | None = None
-    ready_s: float = 0.0
+    has_drained: bool = False
+    is_gone: bool = False
+    gone_at_s: float = math.inf
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it takes no new work."""
+        return self.has_drained or self.is_gone
+
+    @property
+    def is_missing(self) -> bool:
+        """Whether its entry is missing and it may yet come back."""
+        return self.gone_at_s < math.inf
 
     def load(self) -> tuple[int, int]:
         """Return requests and unread prompt tokens of all nodes."""
@@ -152,41 +166,47 @@
         state = self.by_id.get(entry.id)
         if state is None:
             state = self.by_id[entry.id] = ServerState(entry)
-            state.ready_s = trio.current_time()
             log.info(f"server {entry.id} known", service=entry.service, zone=entry.zone)
-        if entry.is_leaving and not state.is_leaving:
+        elif state.is_gone or state.is_missing:
+            log.info(f"server {entry.id} back", service=entry.service)
+        if entry.is_leaving and not state.has_drained:
             log.info(f"server {entry.id} leaves", left_s=entry.leaves_s)
         state.entry = entry
-        state.is_leaving = state.is_leaving or entry.is_leaving
-        state.missing_since_s = None
+        state.has_drained = state.has_drained or entry.is_leaving
+        state.is_gone = False
+        state.gone_at_s = math.inf
+
+    def remove(self, server_id: str) -> None:
+        """Note that an entry is gone.
 
-    def remove(self, server_id: str, is_store_steady: bool) -> None:
-        """Note that an entry is gone."""
+        Entries also lapse while the store is away, all at once, though their servers
+        live; a node may not even notice the outage. One that did not say that it
+        leaves is therefore kept for `return_s`, for when no other server is left.
+        """
         state = self.by_id.get(server_id)
         if state is None:
             return
-        if not is_store_steady and not state.is_leaving:
-            if state.missing_since_s is None:
-                state.missing_since_s = trio.current_time()
-                log.warning(f"server {server_id} missing after an outage")
-            return
-        self.drop(state)
+        if state.is_leaving:
+            self.drop(state)
+        elif not state.is_missing:
+            state.gone_at_s = trio.current_time() + self.return_s
+            log.info(f"server {server_id} missing")
 
-    def replace_all(self, entries: Iterable[RoutedServer], is_steady: bool) -> None:
+    def replace_all(self, entries: Iterable[RoutedServer]) -> None:
         """Take over a whole list."""
         entries = list(entries)
         for entry in entries:
             self.put(entry)
         known = {entry.id for entry in entries}
         for server_id in [name for name in self.by_id if name not in known]:
-            self.remove(server_id, is_steady)
+            self.remove(server_id)
         self.is_listed = True
 
     def drop(self, state: ServerState) -> None:
         """Give no more work to a server whose entry is gone."""
-        if not state.is_leaving:
+        if not state.is_gone:
             log.info(f"server {state.entry.id} gone")
-        state.is_leaving = True
+        state.is_gone = True
         if state.in_flight == 0 and self.by_id.pop(state.entry.id, None):
             self.gone.append(state.entry.id)
 
@@ -194,8 +214,7 @@
         """Drop what is gone for good; return the ids whose connections can close."""
         now_s = trio.current_time()
         for state in list(self.by_id.values()):
-            since_s = state.missing_since_s
-            if since_s is not None and now_s - since_s > self.return_s:
+            if now_s >= state.gone_at_s:
                 self.drop(state)
         gone, self.gone = self.gone, []
         return gone
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -77,13 +77,13 @@
 
     # Configuration.
 
-    def list_configuration(self, listed: Listed, is_steady: bool) -> None:
+    def list_configuration(self, listed: Listed) -> None:
         """Take over a list of configurations."""
         found = listed.objects.get(self.configuration_name)
         if found is not None:
             self.take_configuration(found.value, found.version, "list")
 
-    def change_configuration(self, change: ObjectChanged, is_steady: bool) -> None:
+    def change_configuration(self, change: ObjectChanged) -> None:
         """Take over a change of a configuration."""
         if change.name == self.configuration_name and not change.deleted:
             self.take_configuration(change.value, change.version, "watch")
@@ -115,20 +115,20 @@
 
     # Servers.
 
-    def list_servers(self, listed: Listed, is_steady: bool) -> None:
+    def list_servers(self, listed: Listed) -> None:
         """Take over a list of servers."""
         self.entries = {
             name: (found.version, found.value) for name, found in listed.objects.items()
         }
         found = [self.server_of(name, e.value) for name, e in listed.objects.items()]
-        self.servers.replace_all([s for s in found if s is not None], is_steady)
+        self.servers.replace_all([s for s in found if s is not None])
         SERVERS.set(len(self.servers.by_id))
 
-    def change_server(self, change: ObjectChanged, is_steady: bool) -> None:
+    def change_server(self, change: ObjectChanged) -> None:
         """Take over a change of a server."""
         if change.deleted:
             self.entries.pop(change.name, None)
-            self.servers.remove(change.name, is_steady)
+            self.servers.remove(change.name)
         else:
             self.entries[change.name] = (change.version, change.value)
             server = self.server_of(change.name, change.value)
--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -86,6 +86,9 @@
     suspended_s : callable
         Returns how long the machine was suspended since some moment, in seconds; the
         steady clock does not count that time, and the lease would seem to last.
+    fresh_notes : callable
+        Returns notes that go out with each write of the holder, so that keeping them
+        costs no call.
 
     Attributes
     ----------
@@ -113,6 +116,7 @@
         duration_s: float = DURATION_S,
         margin_s: float = MARGIN_S,
         suspended_s: Callable[[], float] = lambda: 0.0,
+        fresh_notes: Callable[[], dict[str, Any]] = dict,
     ) -> None:
         self.store = store
         self.name = name
@@ -123,6 +127,7 @@
         self.duration_s = duration_s
         self.margin_s = margin_s
         self.suspended_s = suspended_s
+        self.fresh_notes = fresh_notes
         self.record: LeaseRecord | None = None
         self.version = -1
         self.seen_s = float("-inf")
@@ -339,7 +344,8 @@
         self.writes += 1
         write_id = f"{self.holder}#{self.writes}"
         leaving = tuple(name for name in record.leaving if name not in self.gone)
-        record = replace(record, write_id=write_id, leaving=leaving)
+        notes = record.notes | self.fresh_notes()
+        record = replace(record, write_id=write_id, leaving=leaving, notes=notes)
         self.remember_send(write_id)
         outcome = await self.send(record)
         if isinstance(outcome, Written):
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -18,7 +18,12 @@
 from rosemaryknot.connection.links import Handlers
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.attempt_budget import AttemptBudget
-from rosemaryknot.process.duties import DutyParts, ScalingDuty, UsageDuty
+from rosemaryknot.process.duties import (
+    KEPT_NOTE,
+    DutyParts,
+    ScalingDuty,
+    UsageDuty,
+)
 from rosemaryknot.process.gateway_exchange import (
     Demand,
     ExchangeParts,
@@ -49,7 +54,7 @@
 # An entry that lapsed while the store was away is written again within two seconds of
 # its return, if its server lives; what is still missing then is gone.
 RETURN_S = 2.0
-DRAIN_USED = 0.7
+DRAIN_USED = 0.85
 # The balancer asks each second and leaves a node out after two misses.
 NOT_READY_S = 2.6
 # What is left of the grace for closing connections and giving the lease back.
@@ -253,6 +258,7 @@
             duration_s=max(self.settings.bounds.lease_ms / 1000, 2.0),
             margin_s=LEASE_MARGIN_S,
             suspended_s=Suspension().passed_s,
+            fresh_notes=lambda: {KEPT_NOTE: self.usage.kept(self.clock.now())},
         )
 
     def is_candidate(self) -> bool:
@@ -346,8 +352,10 @@
             self.listener.state.close_idle()
             while self.listener.state.busy:
                 await trio.sleep(0.05)
-        with trio.move_on_after(STOP_RESERVE_S / 2):
             await self.peers.leave()
+            # Requests on kept connections came in meanwhile.
+            while self.listener.state.busy:
+                await trio.sleep(0.05)
         log.info(
             "stopped",
             cut_off=self.listener.state.busy,
--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -21,8 +21,6 @@
 NUDGE_PAUSE_S = 2.0
 # While the store is lost it is asked without a wait, so that its return shows at once.
 LOST_WAIT_S = 0.0
-# What lapsed in an outage shows in the first answer after it, or in one just behind.
-UNSTEADY_S = 0.7
 
 CALLS = counter("store_calls_total", "Calls to the store by kind and outcome.")
 
@@ -39,9 +37,9 @@
     kind : str
         Kind of the objects.
     on_list : callable
-        Called with a list and whether the store was there all the while.
+        Called with a list.
     on_change : callable
-        Called with a change and whether the store was there all the while.
+        Called with a change.
     rng : random.Random
         Spreads tries.
 
@@ -57,8 +55,8 @@
         self,
         store: ChangeSource,
         kind: str,
-        on_list: Callable[[Listed, bool], None],
-        on_change: Callable[[ObjectChanged, bool], None],
+        on_list: Callable[[Listed], None],
+        on_change: Callable[[ObjectChanged], None],
         rng: random.Random,
     ) -> None:
         self.store = store
@@ -69,7 +67,6 @@
         self.revision = -1
         self.seen = -1
         self.nudged_s = float("-inf")
-        self.back_s = float("-inf")
         self.failures = 0
         self.scope = trio.CancelScope()
 
@@ -112,7 +109,7 @@
         """Take over changes in their order."""
         self.note_success()
         for change in changes.events:
-            self.on_change(change, self.is_steady())
+            self.on_change(change)
             self.seen = max(self.seen, change.version)
         self.revision = max(self.revision, changes.revision)
 
@@ -126,15 +123,11 @@
         if listed.version < self.revision:
             log.warning("older list left alone", kind=self.kind, at=listed.version)
             return
-        self.on_list(listed, self.is_steady())
+        self.on_list(listed)
         self.revision = listed.version
         found = [entry.version for entry in listed.objects.values()]
         self.seen = max([self.seen, *found])
 
-    def is_steady(self) -> bool:
-        """Tell whether the store has been there for a while."""
-        return self.failures == 0 and trio.current_time() - self.back_s > UNSTEADY_S
-
     def is_lost(self) -> bool:
         """Tell whether the store does not answer at the moment."""
         return self.failures > 0 or self.revision < 0
@@ -144,7 +137,6 @@
         CALLS.add(kind=self.kind, outcome="ok")
         if self.failures:
             log.info("store regained", kind=self.kind, failures=self.failures)
-            self.back_s = trio.current_time()
             self.failures = 0
 
     async def note_failure(self, failed: PlatformFailed) -> None:
--- a/src/rosemaryknot/process/usage_book.py
+++ b/src/rosemaryknot/process/usage_book.py
@@ -9,6 +9,8 @@
 KEPT_WINDOWS = 12
 # Windows that are told to the others each time.
 TOLD_WINDOWS = 4
+# Windows that are kept in the store: the current one, and those that may not be told.
+KEPT_IN_STORE = 3
 
 Counts = dict[str, int]
 
@@ -66,6 +68,29 @@
             if self.own in self.counts.get(window, {})
         }
 
+    def kept(self, true_s: float) -> dict[str, dict[str, Counts]]:
+        """Return the latest windows of all gateways, to be kept in the store.
+
+        Where all gateways are killed at once, what they told each other is lost with
+        them; what stands in the store is not.
+        """
+        last = self.window_of(true_s)
+        return {
+            str(window): {
+                f"{node}/{incarnation}": dict(counts)
+                for (node, incarnation), counts in self.counts[window].items()
+            }
+            for window in range(last - KEPT_IN_STORE + 1, last + 1)
+            if window in self.counts
+        }
+
+    def take_kept(self, kept: dict) -> None:
+        """Take over what a gateway has kept in the store."""
+        for window, by_life in kept.items():
+            for life, counts in by_life.items():
+                node, _, incarnation = life.rpartition("/")
+                self.note_told(node, int(incarnation), {int(window): counts})
+
     def total(self, window: int, customers: Iterable[str]) -> Counts:
         """Return the counts of a window over all gateways."""
         total = dict.fromkeys(customers, 0)
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -436,7 +436,7 @@
             return
         if isinstance(outcome, NotRunThere) and outcome.status == 421:
             # Another server has the address now; this one is gone.
-            state.is_leaving = True
+            state.is_gone = True
             log.info("server gone: its address is another's", server=state.entry.id)
             return
         servers.note_failure(state, getattr(outcome, "reason", "not run"))
--- a/src/rosemaryknot/request/gateway_placement.py
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -132,10 +132,15 @@
     []
     """
     limit_s = MODEL_SILENT_S if is_model else PLAIN_SILENT_S
-    staying = [s for s in states if not s.is_leaving and s.entry.id not in tried]
+    staying = [s for s in states if not s.is_leaving and now_s < s.gone_at_s]
+    staying = [s for s in staying if s.entry.id not in tried]
     present = [s for s in staying if now_s >= s.avoid_until_s]
     present = [s for s in present if not s.is_silent(now_s, limit_s)]
+    # Missing entries may have lapsed with the store; others are safer.
+    listed = [s for s in present if not s.is_missing]
+    if listed:
+        present = listed
     sound = [s for s in present if s.failure_share < FAILING_SHARE]
-    if len(sound) >= FLOOR_SHARE * len(staying):
+    if sound and len(sound) >= FLOOR_SHARE * len(present):
         return sound
     return present or staying
