--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -9,14 +9,12 @@
 from typing import Any
 
 import trio
-from quart import Response
-from quart_trio import QuartTrio
 
 from rosemaryknot.connection.gateway_caller import GatewayListener
 from rosemaryknot.connection.gateway_server import ServerPool
-from rosemaryknot.connection.http_server import HttpServer
 from rosemaryknot.connection.links import Handlers
 from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.pages import Page, PageServer
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.duties import (
     KEPT_NOTE,
@@ -317,18 +315,15 @@
         self, address: Any, task_status: Any = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve readiness and metrics."""
-        app = QuartTrio(__name__)
-
-        @app.get(self.adapter.readiness_path)
-        async def readiness() -> Response:
-            return Response("", READY if self.is_ready() else NOT_READY)
-
-        @app.get("/metrics")
-        async def metrics() -> Response:
-            body, content_type = render_metrics()
-            return Response(body, READY, content_type=content_type)
+        pages = {
+            self.adapter.readiness_path: self.readiness_page,
+            "/metrics": metrics_page,
+        }
+        await PageServer(self.network, pages).run(address, task_status=task_status)
 
-        await HttpServer(app, self.network).serve(address, task_status=task_status)
+    def readiness_page(self) -> Page:
+        """Return what the balancer is told."""
+        return Page(READY if self.is_ready() else NOT_READY)
 
     async def tidy(self) -> None:
         """Close what is idle or gone, for ever."""
@@ -363,6 +358,12 @@
         )
 
 
+def metrics_page() -> Page:
+    """Return what the collector is told."""
+    body, content_type = render_metrics()
+    return Page(READY, body, content_type)
+
+
 async def watch_settings(node: GatewayNode, path: Path) -> None:
     """Read the settings again at SIGHUP and when the file has changed."""
     changed = trio.Event()
