Play the platform's path in virtual time, with stand-ins of its wire

They found: a stray answer that ended exactly was followed by "no bytes", which h11 takes for the connection's end, so the right answer behind it was lost; a repeatable request gave up a slow server though there was no other one; a server that let all its requests' time pass without a byte looked idle afterwards and got the next one; a new holder of the lease overwrote the kept usage before it had read it (all counts of a killed system lost). All four are mended.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -130,7 +130,9 @@
             h11.Request(method=self.request.method, target=b"/", headers=[HOST])
         )
         self.conn.send(h11.EndOfMessage())
-        self.conn.receive_data(rest)
+        if rest:
+            # No bytes would stand for the end of the connection.
+            self.conn.receive_data(rest)
         return True
 
     async def next_event(self) -> object:
--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -105,7 +105,6 @@
         self.started_window = parts.usage.window_of(parts.clock.now())
         self.done: int | None = None
         self.retry_s = 0.0
-        self.fencing = 0
 
     async def run(self) -> None:
         """Do the duty while the lease is held, until cancelled."""
@@ -117,9 +116,6 @@
     async def step(self) -> None:
         """Tell the oldest window that is over and not told."""
         parts = self.parts
-        if self.fencing != parts.lease.fencing:
-            self.fencing = parts.lease.fencing
-            parts.usage.take_kept(parts.lease.notes.get(KEPT_NOTE, {}))
         noted = parts.lease.notes.get(USAGE_NOTE)
         if noted is not None and self.done != noted["window"]:
             # The holder before may have sent these counts without seeing an answer;
--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -87,8 +87,8 @@
         Returns how long the machine was suspended since some moment, in seconds; the
         steady clock does not count that time, and the lease would seem to last.
     fresh_notes : callable
-        Returns notes that go out with each write of the holder, so that keeping them
-        costs no call.
+        Of the notes that stand in the store, those of another holder included;
+        returns what goes out with each write, so that keeping it costs no call.
 
     Attributes
     ----------
@@ -116,7 +116,7 @@
         duration_s: float = DURATION_S,
         margin_s: float = MARGIN_S,
         suspended_s: Callable[[], float] = lambda: 0.0,
-        fresh_notes: Callable[[], dict[str, Any]] = dict,
+        fresh_notes: Callable[[dict[str, Any]], dict[str, Any]] = dict,
     ) -> None:
         self.store = store
         self.name = name
@@ -344,7 +344,7 @@
         self.writes += 1
         write_id = f"{self.holder}#{self.writes}"
         leaving = tuple(name for name in record.leaving if name not in self.gone)
-        notes = record.notes | self.fresh_notes()
+        notes = record.notes | self.fresh_notes(record.notes)
         record = replace(record, write_id=write_id, leaving=leaving, notes=notes)
         self.remember_send(write_id)
         outcome = await self.send(record)
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -127,6 +127,8 @@
         Where connections come from and go to.
     rng : random.Random
         Jitter and draws.
+    clock : TrueTime, optional
+        Another one in tests.
     """
 
     def __init__(
@@ -135,13 +137,17 @@
         adapter: Adapter,
         network: Network,
         rng: random.Random,
+        clock: TrueTime | None = None,
     ) -> None:
         self.settings = settings
         self.adapter = adapter
         self.network = network
         self.rng = rng
         self.is_stopping = False
-        self.node = Node(settings.node, settings.zone, int(time.time() * 1000))
+        self.clock = TrueTime() if clock is None else clock
+        # From when it was started, so that a later life of the node is known as such.
+        incarnation = int(self.clock.wall() * 1000)
+        self.node = Node(settings.node, settings.zone, incarnation)
         self.state = GatewayState(
             adapter.decode_configuration,
             adapter.decode_server,
@@ -153,7 +159,6 @@
             RETURN_S, settings.bounds.drain_ms / 1000 * DRAIN_USED
         )
         self.pool = ServerPool(network)
-        self.clock = TrueTime()
         self.demand = Demand()
         self.quota = QuotaBook(settings.is_first_start)
         bounds = settings.bounds
@@ -256,9 +261,14 @@
             duration_s=max(self.settings.bounds.lease_ms / 1000, 2.0),
             margin_s=LEASE_MARGIN_S,
             suspended_s=Suspension().passed_s,
-            fresh_notes=lambda: {KEPT_NOTE: self.usage.kept(self.clock.now())},
+            fresh_notes=self.kept_usage,
         )
 
+    def kept_usage(self, notes: dict[str, Any]) -> dict[str, Any]:
+        """Return the usage that is kept in the store, with what stands there."""
+        self.usage.take_kept(notes.get(KEPT_NOTE, {}))
+        return {KEPT_NOTE: self.usage.kept(self.clock.now())}
+
     def is_candidate(self) -> bool:
         """Tell whether this node should take the duties where nobody does them."""
         if self.is_stopping or not self.state.is_known():
@@ -417,6 +427,7 @@
     stop: trio.Event,
     network: Network,
     rng: random.Random | None = None,
+    clock: TrueTime | None = None,
     task_status: trio.TaskStatus[GatewayNode] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run a node until a planned stop is over.
@@ -435,12 +446,14 @@
         Where connections come from and go to.
     rng : random.Random, optional
         A seeded one in tests.
+    clock : TrueTime, optional
+        Another one in tests.
     task_status : trio.TaskStatus
         Told the node once it serves.
     """
     rng = random.Random() if rng is None else rng
     adapter = make_adapter(settings, network)
-    node = GatewayNode(settings, adapter, network, rng)
+    node = GatewayNode(settings, adapter, network, rng, clock)
     async with trio.open_nursery() as nursery:
         await node.serve(nursery)
         if path is not None:
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -419,14 +419,27 @@
             self.parts.note_work(course.service.name, tokens)
         attempt = Attempt(self, course, state, tokens, candidate.tokens)
         self.parts.servers.begin(state, size, tokens)
-        outcome: object = Lost("cut off")
+        outcome = None
         try:
             outcome = await attempt.run()
         finally:
+            if outcome is None:
+                self.judge_cut_off(course, attempt)
             self.parts.servers.end(state, attempt.waiting_tokens)
         self.judge(state, outcome)
         return outcome
 
+    def judge_cut_off(self, course: Course, attempt: "Attempt") -> None:
+        """Count against a server that it let a request's time pass without a byte.
+
+        Once its last request has ended, a server that went dark owes nothing and
+        looks idle; it would be the next one's choice.
+        """
+        now_s = trio.current_time()
+        is_late = now_s >= course.until_s
+        if is_late and attempt.state.heard_s < attempt.began_s:
+            self.parts.servers.note_failure(attempt.state, "silent to the end")
+
     def judge(self, state: ServerState, outcome: object) -> None:
         """Count what an attempt says of its server."""
         servers = self.parts.servers
@@ -575,11 +588,17 @@
         return max(0, min(9, rank))
 
     def patience_s(self) -> float:
-        """Return how long to wait for a first byte before trying elsewhere."""
+        """Return how long to wait for a first byte before trying elsewhere.
+
+        Without another server there is no elsewhere, and a late answer is better
+        than none.
+        """
         course = self.course
         route = course.route
         if not route.may_repeat or course.sent >= route.max_attempts:
             return math.inf
+        if self.gateway.place(course) is None:
+            return math.inf
         return max(route.target_s * REPEAT_PATIENCE, MIN_REPEAT_PATIENCE_S)
 
     async def receive(
--- /dev/null
+++ b/src/rosemaryknot/standin/users/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the users' platform: store, cloud and backend servers."""
--- /dev/null
+++ b/src/rosemaryknot/standin/users/raw_http.py
@@ -0,0 +1,196 @@
+"""An HTTP server that can also misbehave: cut, reset, add and withhold bytes."""
+
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from socket import SO_LINGER, SOL_SOCKET
+from urllib.parse import parse_qsl
+
+import h11
+import trio
+
+from rosemaryknot.connection.network import Network
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["RawRequest", "RawServer", "RawWire"]
+
+READ_BYTES = 65536
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+@dataclass(slots=True)
+class RawRequest:
+    """A request, read whole.
+
+    Attributes
+    ----------
+    method, target, path : str
+        As they came; the path without its query.
+    query : dict of str to str
+        Decoded.
+    headers : dict of str to str
+        Names in lower case; the last one of a name.
+    body : bytes
+        As it came.
+    caller : str
+        Host of the caller, where the network tells.
+    """
+
+    method: str
+    target: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    caller: str = ""
+    names: list[str] = field(default_factory=list)
+
+
+class RawWire:
+    """The sending side of a connection."""
+
+    def __init__(self, stream: trio.abc.HalfCloseableStream) -> None:
+        self.stream = stream
+        self.is_open = True
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        await self.stream.send_all(data)
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head of an answer."""
+        lines = [f"HTTP/1.1 {status} x"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        await self.send(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    async def answer(
+        self, status: int, headers: dict[str, str] | None = None, body: bytes = b""
+    ) -> None:
+        """Send a whole answer with its length."""
+        headers = dict(headers or {}) | {"Content-Length": str(len(body))}
+        lines = [f"HTTP/1.1 {status} x"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        await self.send(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def chunk(self, data: bytes) -> None:
+        """Send one chunk of a body without length."""
+        await self.send(b"%x\r\n%s\r\n" % (len(data), data))
+
+    async def last_chunk(self) -> None:
+        """End a body of chunks."""
+        await self.send(b"0\r\n\r\n")
+
+    def close(self) -> None:
+        """Close the connection once the answer is out."""
+        self.is_open = False
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        self.is_open = False
+        if isinstance(self.stream, trio.SocketStream):
+            self.stream.socket.setsockopt(SOL_SOCKET, SO_LINGER, NO_LINGER)
+        else:
+            self.stream.kill()
+
+
+RawHandler = Callable[[RawRequest, RawWire], Awaitable[None]]
+
+
+class RawServer:
+    """Reads requests and hands them to a handler that writes bytes itself.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers a request.
+    """
+
+    def __init__(self, handler: RawHandler) -> None:
+        self.handler = handler
+
+    async def serve(
+        self,
+        network: Network,
+        address: Address,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled."""
+        await network.listen(address, self.handle, task_status=task_status)
+
+    async def handle(self, stream: trio.abc.HalfCloseableStream) -> None:
+        """Serve one connection."""
+        wire = RawWire(stream)
+        rest = b""
+        try:
+            while wire.is_open:
+                found = await self.read(stream, rest)
+                if found is None:
+                    return
+                request, rest = found
+                await self.answer(request, wire, stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    async def answer(
+        self, request: RawRequest, wire: RawWire, stream: trio.abc.HalfCloseableStream
+    ) -> None:
+        """Have a request answered; a caller that leaves cancels it."""
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                try:
+                    if not await stream.receive_some(READ_BYTES):
+                        wire.is_open = False
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    wire.is_open = False
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            try:
+                await self.handler(request, wire)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                wire.is_open = False
+            nursery.cancel_scope.cancel()
+
+    async def read(
+        self, stream: trio.abc.HalfCloseableStream, rest: bytes
+    ) -> tuple[RawRequest, bytes] | None:
+        """Return the next request and what came behind it, or None at the end."""
+        conn = h11.Connection(h11.SERVER)
+        if rest:
+            conn.receive_data(rest)
+        head = None
+        body = b""
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                data = await stream.receive_some(READ_BYTES)
+                if not data:
+                    return None
+                conn.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                caller = str(getattr(stream, "far", ""))
+                return request_of(head, body, caller), conn.trailing_data[0]
+            else:
+                return None
+
+
+def request_of(head: h11.Request, body: bytes, caller: str) -> RawRequest:
+    """Return a request in plain types."""
+    target = head.target.decode("latin-1")
+    path, _, query = target.partition("?")
+    headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
+    return RawRequest(
+        head.method.decode(),
+        target,
+        path,
+        dict(parse_qsl(query)),
+        headers,
+        body,
+        caller,
+        list(headers),
+    )
--- /dev/null
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -0,0 +1,271 @@
+"""Stand-ins of the users' backend servers, which can misbehave in their known ways."""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
+
+__all__ = ["Arrival", "ServerStandIn"]
+
+EVENT_TOKENS = 5
+ATTEMPT = "rosemaryknot-attempt-id"
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request as it reached the server.
+
+    Attributes
+    ----------
+    request : RawRequest
+        What came.
+    at_s : float
+        When, in trio time.
+    has_run : bool
+        Whether the server worked on it.
+    ended : str
+        ``whole``, ``cut`` or ``refused``.
+    """
+
+    request: RawRequest
+    at_s: float
+    has_run: bool = False
+    ended: str = "cut"
+
+    @property
+    def id(self) -> str:
+        """Id of the caller's attempt."""
+        return self.request.headers.get(ATTEMPT, "")
+
+
+Fault = Callable[["ServerStandIn", Arrival, RawWire], Awaitable[None]]
+FAULTS: dict[str, Fault] = {}
+
+
+def server_fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a way to misbehave."""
+
+    def register(fault: Fault) -> Fault:
+        FAULTS[name] = fault
+        return fault
+
+    return register
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What all servers of a test have seen."""
+
+    arrivals: list[Arrival] = field(default_factory=list)
+
+    def runs_of(self, request_id: str) -> int:
+        """Return how often a request ran."""
+        return sum(a.has_run for a in self.arrivals if a.id == request_id)
+
+
+class ServerStandIn:
+    """One server, of a plain service or of a model.
+
+    Parameters
+    ----------
+    id : str
+        Its id.
+    is_model : bool
+        Whether it answers with event streams.
+    work_s : float
+        Time of a plain request, or between two events.
+    ledger : Ledger, optional
+        Shared by all servers of a test.
+
+    Attributes
+    ----------
+    faults : collections.deque of str
+        Names of `FAULTS` that the next requests meet, one each; empty text for none.
+    """
+
+    def __init__(
+        self,
+        id: str,
+        is_model: bool = False,
+        work_s: float = 0.02,
+        ledger: Ledger | None = None,
+    ) -> None:
+        self.id = id
+        self.is_model = is_model
+        self.work_s = work_s
+        self.ledger = Ledger() if ledger is None else ledger
+        self.arrivals: list[Arrival] = []
+        self.faults: deque[str] = deque()
+        self.is_mute = False
+        self.server = RawServer(self.handle)
+
+    async def handle(self, request: RawRequest, wire: RawWire) -> None:
+        """Answer a request, or misbehave."""
+        arrival = Arrival(request, trio.current_time())
+        self.arrivals.append(arrival)
+        self.ledger.arrivals.append(arrival)
+        expected = request.headers.get("rosemaryknot-expect-instance")
+        if expected not in (None, self.id):
+            arrival.ended = "refused"
+            await wire.answer(421, {"Rosemaryknot-Instance-Id": self.id})
+            return
+        if self.is_mute:
+            await trio.sleep_forever()
+        fault = self.faults.popleft() if self.faults else ""
+        if fault:
+            await FAULTS[fault](self, arrival, wire)
+            return
+        await self.serve(arrival, wire)
+
+    async def serve(self, arrival: Arrival, wire: RawWire) -> None:
+        """Answer as a sound server does."""
+        arrival.has_run = True
+        if self.is_model:
+            await wire.head(
+                200, self.headers(arrival) | {"Transfer-Encoding": "chunked"}
+            )
+            for event in self.events(arrival):
+                await trio.sleep(self.work_s)
+                await wire.chunk(event)
+            await wire.last_chunk()
+        else:
+            await trio.sleep(self.work_s)
+            await wire.answer(200, self.headers(arrival), self.body(arrival))
+        arrival.ended = "whole"
+
+    def headers(self, arrival: Arrival) -> dict[str, str]:
+        """Return the headers of an answer."""
+        headers = {
+            "Rosemaryknot-Instance-Signature": f"{self.id}.sig",
+            "Rosemaryknot-Attempt-Id": arrival.id,
+        }
+        if self.is_model:
+            headers["Content-Type"] = "text/event-stream"
+        return headers
+
+    def body(self, arrival: Arrival) -> bytes:
+        """Return the body of a plain answer, which tells whose it is."""
+        return f"{self.id} answers {arrival.id}".encode()
+
+    def events(self, arrival: Arrival) -> list[bytes]:
+        """Return the events that are left of a stream; every server makes the same."""
+        headers = arrival.request.headers
+        tokens = int(headers.get("rosemaryknot-token-usage", "0,20").split(",")[1])
+        count = max(1, tokens // EVENT_TOKENS)
+        last = int(headers.get("last-event-id", "-1"))
+        return [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(last + 1, count)]
+
+
+@server_fault("shed")
+async def shed(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Refuse: full."""
+    arrival.ended = "refused"
+    headers = {"Rosemaryknot-Not-Executed": "1", "Rosemaryknot-Attempt-Id": arrival.id}
+    await wire.answer(503, headers)
+
+
+@server_fault("error")
+async def error(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Run and fail."""
+    arrival.has_run = True
+    arrival.ended = "whole"
+    await wire.answer(500, server.headers(arrival), b"failed")
+
+
+@server_fault("reset")
+async def reset(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Run and lose the answer with the connection."""
+    arrival.has_run = True
+    await trio.sleep(server.work_s)
+    wire.reset()
+
+
+@server_fault("mute")
+async def mute(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Run and say nothing."""
+    arrival.has_run = True
+    await trio.sleep_forever()
+
+
+@server_fault("cut_event")
+async def cut_event(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Break a stream off in the middle of its third event."""
+    arrival.has_run = True
+    headers = server.headers(arrival) | {"Transfer-Encoding": "chunked"}
+    await wire.head(200, headers)
+    events = server.events(arrival)
+    await wire.chunk(b"".join(events[:2]) + events[2][:7])
+    await trio.sleep(server.work_s)
+    wire.reset()
+
+
+@server_fault("cut_body")
+async def cut_body(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Close in the middle of a plain answer."""
+    arrival.has_run = True
+    body = server.body(arrival)
+    headers = server.headers(arrival) | {"Content-Length": str(len(body))}
+    await wire.head(200, headers)
+    await wire.send(body[:5])
+    wire.close()
+
+
+@server_fault("unframed")
+async def unframed(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Answer whole without a length; the connection's end is the answer's."""
+    arrival.has_run = True
+    arrival.ended = "whole"
+    await wire.head(200, server.headers(arrival))
+    await wire.send(server.body(arrival))
+    wire.close()
+
+
+@server_fault("unframed_reset")
+async def unframed_reset(
+    server: ServerStandIn, arrival: Arrival, wire: RawWire
+) -> None:
+    """Begin an answer without a length and reset the connection."""
+    arrival.has_run = True
+    await wire.head(200, server.headers(arrival))
+    await wire.send(server.body(arrival)[:5])
+    await trio.sleep(0.01)
+    wire.reset()
+
+
+@server_fault("extra")
+async def extra(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Answer twice."""
+    await server.serve(arrival, wire)
+    await wire.answer(200, server.headers(arrival), server.body(arrival))
+
+
+@server_fault("late_extra")
+async def late_extra(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Answer, and answer again just when the next request comes."""
+    await server.serve(arrival, wire)
+    headers, body = server.headers(arrival), server.body(arrival)
+
+    async def again(next_arrival: Arrival, next_wire: RawWire) -> None:
+        await next_wire.answer(200, headers, body)
+        del server.serve
+        await server.serve(next_arrival, next_wire)
+
+    server.serve = again
+
+
+@server_fault("rubbish")
+async def rubbish(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Send bytes that are no answer."""
+    arrival.has_run = True
+    await wire.send(b"\x00\x01 this is no answer\r\n\r\n")
+    wire.close()
+
+
+@server_fault("unsigned")
+async def unsigned(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
+    """Answer 200 without the signature."""
+    arrival.has_run = True
+    await wire.answer(200, {"Rosemaryknot-Attempt-Id": arrival.id}, b"whose?")
