Count customers' limits over the deployment's window

Now takings count over the window, and a request larger than the room passes as often as the room is a part of it.

--- a/src/rosemaryknot/process/gateway_quota.py
+++ b/src/rosemaryknot/process/gateway_quota.py
@@ -1,17 +1,23 @@
 """Customers' limits over all gateways, by what each tells the others it has taken.
 
-Load pattern: one customer sends many times its usual, at all gateways at once. Every
-gateway keeps the same account: it refills at the customer's rate and everybody's
-takings go off it. Between two reports a gateway does not see what the others take, so
-it takes no more than its share of what was there, by its share of the demand.
+Load pattern: one customer sends many times its usual, at all gateways at once. A limit
+is a rate and a burst; within any window of the deployment's length a customer may take
+the rate times the window and the burst. Every gateway keeps the same account of the
+window: its own takings and what the others tell. Between two reports it does not see
+what the others take, so it takes no more than its share of what was left, by its share
+of the demand.
 """
 
+import random
+from collections import deque
 from dataclasses import dataclass, field
 
 from rosemaryknot.values.gateway import CustomerLimit
 
 __all__ = ["QuotaBook"]
 
+# Takings of a window are added up in slots of this length, in seconds.
+SLOT_S = 0.25
 # Of the measured demand; long against a report, short against a window of limits.
 DEMAND_S = 2.0
 # A gateway with no demand yet still has this part of an equal share.
@@ -21,7 +27,7 @@
 UNHEARD_S = 1.0
 # After this long it is taken to be gone.
 FORGET_S = 20.0
-# Refused callers come back after at least this time.
+# Refused callers come back after at least this time, and at most this one.
 LEAST_WAIT_S = 0.1
 MAX_WAIT_S = 2.0
 
@@ -41,7 +47,7 @@
     heard_s : float
         When it last told.
     assumed : float
-        Units that were taken off for it since.
+        Units that were counted for it since.
     pace : float
         Units that it took in a second, between its last reports.
     """
@@ -56,53 +62,111 @@
 
 @dataclass(slots=True)
 class Account:
-    """One customer's limit as this gateway sees it."""
+    """One customer's limit as this gateway sees it.
 
-    rate: float
-    burst: float
-    level: float
+    Attributes
+    ----------
+    limit : CustomerLimit
+        The limit in force.
+    slots : collections.deque of list of (float, float)
+        Begin and units of the window's slots.
+    taken : float
+        Units in the window.
+    room : float
+        What this gateway may still take before the next report.
+    total : float
+        Units that it has taken since its start.
+    demand : float
+        Units that its callers ask for in a second.
+    """
+
+    limit: CustomerLimit
     at_s: float
-    part: float = 0.0
+    slots: deque = field(default_factory=deque)
+    taken: float = 0.0
+    room: float = 0.0
     total: float = 0.0
     demand: float = 0.0
     peers: dict[str, PeerTakings] = field(default_factory=dict)
 
+    def count(self, units: float, now_s: float) -> None:
+        """Count takings in the window; fewer than nothing takes some back."""
+        self.taken += units
+        if self.slots and now_s - self.slots[-1][0] < SLOT_S:
+            self.slots[-1][1] += units
+        else:
+            self.slots.append([now_s, units])
+
+    def expire(self, before_s: float) -> None:
+        """Forget what lies before the window."""
+        while self.slots and self.slots[0][0] < before_s:
+            self.taken -= self.slots.popleft()[1]
+
 
 class QuotaBook:
     """Accounts of all customers.
 
     Parameters
     ----------
+    window_s : float
+        Over which limits count, in seconds.
     is_first_start : bool
         Whether the whole system starts for the first time. A gateway that starts
-        again does not know what was taken just before, so its accounts begin empty.
+        again does not know what was taken just before, and assumes the rate.
+    rng : random.Random
+        Decides on requests larger than the room.
 
     Attributes
     ----------
     accounts : dict of str to Account
         By customer.
+
+    Examples
+    --------
+    >>> book = QuotaBook(2.0, True, random.Random(1))
+    >>> limit = CustomerLimit("ada", rate=10, burst=10)
+    >>> [book.take(limit, 10, 0.0) for _ in range(3)]
+    [0.0, 0.0, 0.0]
+    >>> book.take(limit, 10, 0.5)
+    1.0
+    >>> book.tick(2.3, 1)
+    >>> book.take(limit, 10, 2.3)
+    0.0
     """
 
-    def __init__(self, is_first_start: bool) -> None:
+    def __init__(
+        self, window_s: float, is_first_start: bool, rng: random.Random
+    ) -> None:
+        self.rng = rng
+        self.window_s = window_s
         self.is_first_start = is_first_start
         self.accounts: dict[str, Account] = {}
-        self.ticked_s = float("-inf")
         self.nodes = 1
 
     def account(self, limit: CustomerLimit, now_s: float) -> Account:
         """Return a customer's account, with the limit that is in force."""
         account = self.accounts.get(limit.name)
         if account is None:
-            level = limit.burst if self.is_first_start else 0.0
-            account = Account(limit.rate, limit.burst, level, now_s)
-            account.part = level * self.share(account)
-            self.accounts[limit.name] = account
-        if (account.rate, account.burst) != (limit.rate, limit.burst):
-            account.rate, account.burst = limit.rate, limit.burst
-            account.level = min(account.level, limit.burst)
-            account.part = min(account.part, limit.burst)
+            account = self.accounts[limit.name] = Account(limit, now_s)
+            if not self.is_first_start:
+                self.assume_past(account, now_s)
+            self.deal(account)
+        elif account.limit is not limit:
+            account.limit = limit
+            self.deal(account)
         return account
 
+    def assume_past(self, account: Account, now_s: float) -> None:
+        """Count the rate over the window before this gateway's start."""
+        count = max(1, round(self.window_s / SLOT_S))
+        for number in range(count, 0, -1):
+            account.count(account.limit.rate * SLOT_S, now_s - number * SLOT_S)
+
+    def left(self, account: Account) -> float:
+        """Return what of the window is not taken."""
+        limit = account.limit
+        return limit.rate * self.window_s + limit.burst - account.taken
+
     def share(self, account: Account) -> float:
         """Return this gateway's part of the demand, 0 to 1."""
         others = sum(peer.demand for peer in account.peers.values())
@@ -112,31 +176,46 @@
         by_demand = account.demand / (account.demand + others)
         return max(by_demand, LEAST_SHARE * equal)
 
-    def refill(self, account: Account, now_s: float) -> None:
-        """Add what has come since the last time."""
-        added_s = now_s - account.at_s
-        if added_s <= 0:
+    def deal(self, account: Account) -> None:
+        """Give this gateway its share of what is left."""
+        account.room = max(self.left(account), 0.0) * self.share(account)
+
+    def fits(self, account: Account, units: float) -> bool:
+        """Tell whether units may be taken from this gateway's room.
+
+        A request larger than the room passes as often as the room is a part of it:
+        all gateways together then take what is left, on the mean. Were it refused
+        each time, what is left would lie unused while it is dealt out in small
+        parts; were it taken each time, each gateway would go over by one request.
+        """
+        if self.left(account) <= 0 or account.room <= 0:
+            return False
+        return units <= account.room or self.rng.random() * units < account.room
+
+    def refresh(self, account: Account, now_s: float) -> None:
+        """Bring an account up to now."""
+        passed_s = now_s - account.at_s
+        if passed_s <= 0:
             return
         account.at_s = now_s
-        account.level = min(account.burst, account.level + account.rate * added_s)
-        account.part += account.rate * added_s * self.share(account)
-        account.demand *= max(0.0, 1 - added_s / DEMAND_S)
+        account.demand *= max(0.0, 1 - passed_s / DEMAND_S)
+        account.expire(now_s - self.window_s)
         for peer in account.peers.values():
-            self.assume(account, peer, now_s, added_s)
+            self.assume(account, peer, now_s, passed_s)
 
     def assume(
-        self, account: Account, peer: PeerTakings, now_s: float, added_s: float
+        self, account: Account, peer: PeerTakings, now_s: float, passed_s: float
     ) -> None:
-        """Take off what a gateway that is not heard may go on taking.
+        """Count what a gateway that is not heard may go on taking.
 
         Cut off from the others it still serves its callers within its share. If
         nobody counted that, both sides together would go over the limit.
         """
         silent_s = now_s - peer.heard_s
         if UNHEARD_S < silent_s < FORGET_S:
-            units = min(peer.pace, account.rate) * added_s
+            units = min(peer.pace, account.limit.rate) * passed_s
             peer.assumed += units
-            account.level -= units
+            account.count(units, now_s)
 
     def take(self, limit: CustomerLimit, units: float, now_s: float) -> float:
         """Take units from a customer's limit.
@@ -147,24 +226,22 @@
             0 where they were taken, else when to come back, in seconds.
         """
         account = self.account(limit, now_s)
-        self.refill(account, now_s)
+        self.refresh(account, now_s)
         account.demand += units / DEMAND_S
-        if account.level > 0 and account.part > 0:
-            account.level -= units
-            account.part -= units
+        if self.fits(account, units):
+            account.count(units, now_s)
+            account.room = max(account.room - units, 0.0)
             account.total += units
             return 0.0
-        missing = units - min(account.level, account.part)
-        pace = max(account.rate * self.share(account), 1e-9)
-        return min(max(missing / pace, LEAST_WAIT_S), MAX_WAIT_S)
+        pace = max(limit.rate * self.share(account), 1e-9)
+        return min(max(units / pace, LEAST_WAIT_S), MAX_WAIT_S)
 
     def tick(self, now_s: float, nodes: int) -> None:
         """Deal out what is there anew, at each report."""
         self.nodes = nodes
         for account in self.accounts.values():
-            self.refill(account, now_s)
-            fair = max(account.level, 0.0) * self.share(account)
-            account.part = min(account.part, 0.0) + fair
+            self.refresh(account, now_s)
+            self.deal(account)
 
     def note_peer(
         self,
@@ -175,20 +252,20 @@
         demand: float,
         now_s: float,
     ) -> None:
-        """Take off what another gateway tells that it has taken."""
+        """Count what another gateway tells that it has taken."""
         account = self.accounts.get(customer)
         if account is None:
             return
         peer = account.peers.get(node)
         if peer is None or peer.incarnation != incarnation:
-            # Its earlier takings are in the level already, or were before this
-            # gateway's time.
+            # What it took before this gateway knew it was before this gateway's
+            # time, or is counted already.
             seen = total if peer is None else 0.0
             peer = PeerTakings(incarnation, seen, demand, now_s)
             account.peers[node] = peer
         taken = max(0.0, total - peer.total)
         passed_s = max(now_s - peer.heard_s, 0.05)
-        account.level -= max(0.0, taken - peer.assumed)
+        account.count(max(0.0, taken - peer.assumed), now_s)
         peer.pace = 0.7 * peer.pace + 0.3 * taken / passed_s
         peer.assumed = 0.0
         peer.total = max(peer.total, total)
@@ -198,17 +275,21 @@
     def explain(self, limit: CustomerLimit) -> dict[str, float]:
         """Return what a customer's answers rest on, for the log."""
         account = self.accounts[limit.name]
+        heard = [peer.heard_s for peer in account.peers.values()]
         return {
-            "rate": account.rate,
-            "burst": account.burst,
-            "level": round(account.level),
-            "part": round(account.part),
+            "rate": limit.rate,
+            "burst": limit.burst,
+            "left": round(self.left(account)),
+            "room": round(account.room),
             "share": round(self.share(account), 3),
             "demand": round(account.demand),
             "demand_all": round(
                 account.demand + sum(p.demand for p in account.peers.values())
             ),
             "nodes": self.nodes,
+            "oldest_report_s": round(
+                account.at_s - min(heard, default=account.at_s), 2
+            ),
         }
 
     def told(self) -> dict[str, list[float]]:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -160,8 +160,8 @@
         )
         self.pool = ServerPool(network)
         self.demand = Demand()
-        self.quota = QuotaBook(settings.is_first_start)
         bounds = settings.bounds
+        self.quota = QuotaBook(bounds.limit_window_s, settings.is_first_start, rng)
         self.usage = UsageBook(
             self.node.name, self.node.incarnation, bounds.usage_window_s
         )
--- a/src/rosemaryknot/process/node_settings.py
+++ b/src/rosemaryknot/process/node_settings.py
@@ -116,6 +116,8 @@
         Window in which they are counted, in seconds.
     retry_slack : float
         Attempts that all nodes together may make besides.
+    limit_window_s : float
+        Window over which customers' limits count, in seconds.
     usage_window_s : float
         Length of a usage window, in seconds.
     usage_delay_s : float
@@ -130,6 +132,7 @@
     retry_ratio: Share = 0.1
     retry_window_s: Seconds = 10.0
     retry_slack: Share = 10.0
+    limit_window_s: Seconds = 1.0
     usage_window_s: Seconds = 5.0
     usage_delay_s: Seconds = 10.0
     drain_ms: Milliseconds = 2000.0
