Keep the first servers as traffic begins

It runs from the first traffic now; the first need follows from the bound, not from the entries seen first; orders are given at once, so that one lost answer does not hold the others up for 2 s.

--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -48,8 +48,9 @@
 HEADROOM = 1.5
 # Share of an engine's places that may be taken before requests wait for each other.
 BUSY_SHARE = 0.5
-# Need as a share of the servers found at the start, before there is any traffic.
-FIRST_SHARE = 0.5
+# Need before there is any traffic, as a share of the most servers that there may be:
+# servers enter one after the other at the start, so their number tells nothing yet.
+FIRST_SHARE = 0.33
 # Servers that there are besides: one may crash or leave at any moment, which for a
 # small service is a large part of it.
 SPARE_SERVERS = 1
@@ -244,7 +245,7 @@
         self.needs: dict[str, Need] = {}
         self.dry_until_s: dict[tuple[str, str], float] = defaultdict(float)
         self.fencing = 0
-        self.has_traffic = False
+        self.busy: set[str] = set()
 
     async def run(self) -> None:
         """Do the duty while the lease is held, until cancelled."""
@@ -256,7 +257,7 @@
     async def step(self) -> None:
         """Compare what is wanted with what was ordered, and order the difference."""
         configuration = self.parts.state.configuration
-        if configuration is None or not self.parts.state.servers.is_settled():
+        if configuration is None or not self.parts.state.servers.is_listed:
             return
         if self.fencing != self.parts.lease.fencing:
             # What the holder before has ordered is not known.
@@ -269,12 +270,14 @@
     async def scale(self, service: GatewayService) -> None:
         """Order what one service lacks, or has too much of."""
         demand = self.demand_of(service)
-        for order in wanted_sizes(service.name, service.scaling, demand):
-            if order.is_reclaimable and order.zone in demand.dry_zones:
-                # Refused, or just taken back; asked again when it may have some.
-                continue
-            if self.is_due(order, service, demand):
-                await self.give(order, demand)
+        async with trio.open_nursery() as nursery:
+            # At once: a call whose answer is lost holds the others up for seconds.
+            for order in wanted_sizes(service.name, service.scaling, demand):
+                if order.is_reclaimable and order.zone in demand.dry_zones:
+                    # Refused, or just taken back; asked when it may have some again.
+                    continue
+                if self.is_due(order, service, demand):
+                    nursery.start_soon(self.give, order, demand)
 
     def demand_of(self, service: GatewayService) -> ServiceDemand:
         """Return a service's need and what it has."""
@@ -320,13 +323,16 @@
     ) -> float:
         """Return how many servers the traffic needs."""
         tokens, requests, rate = self.measured(service.name)
-        if tokens > 0:
-            self.has_traffic = True
         need = self.needs.get(service.name)
         if need is None:
-            present = sum(z.reclaimable + z.on_demand for z in by_zone.values())
-            need = self.needs[service.name] = Need(present * FIRST_SHARE, now_s)
-        if self.has_traffic:
+            bound = service.scaling.max_servers * len(by_zone)
+            first = bound * FIRST_SHARE + SPARE_SERVERS
+            need = self.needs[service.name] = Need(first, now_s)
+        if tokens > 0 and service.name not in self.busy:
+            # What was ordered for traffic to come is not given up as it begins.
+            self.busy.add(service.name)
+            need.since_s = now_s
+        if service.name in self.busy:
             slots = 1 if service.engine is None else service.engine.slots
             work = max(tokens / rate, requests / (slots * BUSY_SHARE * HEADROOM))
             need.note(work * HEADROOM + SPARE_SERVERS, now_s)
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -12,9 +12,6 @@
 
 __all__ = ["ServerState", "ServerTable"]
 
-# Entries are written about each 1.2 s, so all of them are there when none was new for
-# this long.
-SETTLED_S = 1.3
 # First pause after a failed connection or answer; doubles with each one in a row.
 PAUSE_S = 0.25
 MAX_PAUSE_S = 4.0
@@ -153,8 +150,6 @@
         self.rate = FIRST_RATE
         self.revision = -1
         self.is_listed = False
-        self.was_settled = False
-        self.grown_s = float("-inf")
         self.return_s = 1.4
         self.parts: OrderedDict[str, dict[str, float]] = OrderedDict()
         self.recent: list[tuple[str, str]] = []
@@ -162,14 +157,6 @@
 
     # What the store tells.
 
-    def is_settled(self) -> bool:
-        """Tell whether no server was new for a while.
-
-        Just after the start of all, servers write their entries one after the other;
-        a size that follows from the first ones would be too small.
-        """
-        return self.is_listed and trio.current_time() - self.grown_s > SETTLED_S
-
     def put(self, entry: RoutedServer) -> None:
         """Take over an entry.
 
@@ -179,9 +166,6 @@
         state = self.by_id.get(entry.id)
         if state is None:
             state = self.by_id[entry.id] = ServerState(entry)
-            if not self.was_settled:
-                self.was_settled = self.is_settled()
-                self.grown_s = trio.current_time()
             log.info(f"server {entry.id} known", service=entry.service, zone=entry.zone)
         elif state.is_gone or state.is_missing:
             log.info(f"server {entry.id} back", service=entry.service)
