--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PYTEST_OPTIONS ?=
 PYTEST_JOBS ?= 4
 
-.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak platform-demo
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -16,6 +16,8 @@
 	@echo "make test    run all tests and doctests"
 	@echo "make faults SEEDS=200   run the system in virtual time under seeded faults"
 	@echo "make faults SEED=7      run one seed again, with its decision log"
+	@echo "make platform-demo      the users' platform on loopback: stand-ins, three nodes, callers"
+	@echo "make bench-peak         placement at the peak's load, before and after"
 	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
 	@echo "make bench-recovery     what reclaim waves and at-most-once execution cost"
 	@echo "make bench-policy       engines each route policy needs at the latency target; minutes"
@@ -75,6 +77,12 @@
 scenarios: venv
 	@$(BIN)/rosemaryknot-replay run scenarios/*.scenario
 
+bench-peak: venv
+	@$(BIN)/python benchmarks/peak.py
+
+platform-demo: venv
+	@$(BIN)/python examples/platform_demo.py
+
 bench-relay: venv
 	@$(BIN)/python benchmarks/relay.py
 
--- a/src/rosemaryknot/process/logs.py
+++ b/src/rosemaryknot/process/logs.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import math
 import os
 import select
 import time
@@ -92,6 +93,10 @@
     ----------
     fd : int
         File descriptor.
+    max_lines_per_s : float
+        Lines beyond it are dropped and counted.
+    clock : callable
+        Monotonic time in seconds.
 
     Attributes
     ----------
@@ -99,9 +104,31 @@
         Lines that could not be written since the last one that could.
     """
 
-    def __init__(self, fd: int = STDERR) -> None:
+    def __init__(
+        self,
+        fd: int = STDERR,
+        max_lines_per_s: float = math.inf,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.fd = fd
+        self.max_lines_per_s = max_lines_per_s
+        self.clock = clock
         self.lost = 0
+        self.second = 0
+        self.lines = 0
+
+    def is_over(self) -> bool:
+        """Count a line; tell whether it is beyond the bound of its second.
+
+        Load would otherwise grow the logs without end, and the time to write them
+        would go off the requests.
+        """
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.lines = 0
+        self.lines += 1
+        return self.lines > self.max_lines_per_s
 
     def msg(self, line: str) -> None:
         """Write a line, or count it as lost.
@@ -112,7 +139,7 @@
         """
         data = line.encode(errors="replace")[: MAX_LINE_BYTES - 1] + b"\n"
         try:
-            if not self.writable():
+            if self.is_over() or not self.writable():
                 raise BlockingIOError
             os.write(self.fd, data)
         except OSError:
@@ -216,7 +243,12 @@
     return GuardedLogger
 
 
-def configure_logs(format: str = "text", level: str = "info", fd: int = STDERR) -> None:
+def configure_logs(
+    format: str = "text",
+    level: str = "info",
+    fd: int = STDERR,
+    max_lines_per_s: float = math.inf,
+) -> None:
     """Set up the logs of this process.
 
     Parameters
@@ -227,9 +259,11 @@
         Lowest level that is written: debug, info, warning or error.
     fd : int
         File descriptor that takes the lines.
+    max_lines_per_s : float
+        Lines beyond it are dropped and counted.
     """
     render = render_json if format == "json" else render_text
-    writer = LineWriter(fd)
+    writer = LineWriter(fd, max_lines_per_s)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
--- a/src/rosemaryknot/process/node_main.py
+++ b/src/rosemaryknot/process/node_main.py
@@ -20,6 +20,9 @@
 __all__ = ["main"]
 
 STDOUT = 1
+# A busy node writes some 150 lines a second, two to four a request; at three times
+# that, writing takes about a thirtieth of a core (60 us a line).
+MAX_LINES_PER_S = 500
 
 application = new_application("Serve callers in front of backend servers.")
 
@@ -42,7 +45,7 @@
     answered first. A second one cuts the wait short.
     """
     settings = checked_node_settings(file)
-    configure_logs(settings.log.format, settings.log.level, fd=STDOUT)
+    configure_logs(settings.log.format, settings.log.level, STDOUT, MAX_LINES_PER_S)
     from rosemaryknot.platform.adapter import make_adapter
     from rosemaryknot.process.node import run_node
 
--- a/tests/process/test_logs.py
+++ b/tests/process/test_logs.py
@@ -83,6 +83,20 @@
         assert pipe.lines() == []
 
 
+class TestLineWriter:
+    def test_bound_in_a_second(self, pipe):
+        """Many requests write many lines; the bound drops some and counts them."""
+        now_s = 7.2
+        writer = logs.LineWriter(pipe.writer, 3, lambda: now_s)
+        for number in range(5):
+            writer.msg(f"line {number}")
+        assert pipe.lines() == ["line 0", "line 1", "line 2"]
+        assert writer.lost == 2
+        now_s = 8.1
+        writer.msg("next second")
+        assert pipe.lines() == ["next second"]
+
+
 class TestHarmless:
     def test_reader_that_stops_reading(self, pipe):
         """The log collector hangs, and every caller's stream freezes with it.
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -17,6 +17,7 @@
     "connection": {"version", "process"},
     "version": {"process"},
     "process": set(),
+    "platform": {"connection", "process"},
 }
 """Folders that each folder may import from, besides itself and values."""
 
@@ -29,6 +30,44 @@
 }
 """Modules that process may import although it outlives their folder, and why."""
 
+WIRE_NAMES = (
+    "rosemaryknot-attempt-id",
+    "rosemaryknot-deadline-ms",
+    "rosemaryknot-duty-holder",
+    "rosemaryknot-expect-instance",
+    "rosemaryknot-fencing-token",
+    "rosemaryknot-instance-signature",
+    "rosemaryknot-not-executed",
+    "rosemaryknot-prefix-hash",
+    "rosemaryknot-tenant",
+    "rosemaryknot-token-usage",
+    "apikeys",
+    "coldremainingms",
+    "gapaimms",
+    "hasmore",
+    "kvcapacity",
+    "maxattempts",
+    "maxreplicas",
+    "minreplicas",
+    "pathprefix",
+    "ratepers",
+    "sessionaffinity",
+    "sincerevision",
+    "spotprice",
+    "storerevision",
+    "targetlatencyms",
+    "timeoutms",
+    "/v1/objects",
+    "/v1/readyz",
+    "waitms",
+    "windowid",
+    "zoneprices",
+)
+"""Names of the users' platform, in lower case; one of each kind of message."""
+
+KNOW_THE_WIRE = ("platform/", "standin/users/")
+"""Folders that may name them: the adapter, and the stand-ins of the other end."""
+
 MAINS = {"entry.py", "agent.py", "node.py"}
 """Besides ``*_main.py`` and ``admin*.py``, which is a command that ends by itself:
 modules of process that put the parts together and may import everything."""
@@ -107,6 +146,23 @@
     )
 
 
+class TestPlatform:
+    def test_only_the_adapter_knows_the_wire(self):
+        for path in sorted(ROOT.rglob("*.py")):
+            name = path.relative_to(ROOT).as_posix()
+            if name.startswith(KNOW_THE_WIRE):
+                continue
+            text = path.read_text().lower()
+            assert not [word for word in WIRE_NAMES if word in text], name
+
+    def test_the_adapter_decides_nothing(self):
+        """It imports neither what chooses nor what keeps time or chance."""
+        for path in sorted((ROOT / "platform").glob("*.py")):
+            imports = imports_of(path.relative_to(ROOT).as_posix())
+            assert not imports & {"random", "time", "trio"}, path.name
+            assert not any(f"{PACKAGE}.request" in name for name in imports)
+
+
 class TestLayout:
     @pytest.mark.parametrize("name", MODULES)
     def test_imports_only_what_outlives_it(self, name):
