--- a/examples/platform_demo.py
+++ b/examples/platform_demo.py
@@ -1,7 +1,7 @@
 """The users' platform on loopback: stand-ins, three node processes, callers.
 
-Run it by ``make platform-demo``. It ends with a table of answers and a line of JSON; the
-nodes' logs are in ``.demo/platform``.
+Run it by ``make platform-demo``. It ends with a table of answers and a line of JSON;
+the nodes' logs are in ``.demo/platform``.
 """
 
 import json
