Deliver an answer that is there, and deal plenty generously

Refusals for a limit came with 216,105 units left and no room: a share of a seventh is less than a large request.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -52,16 +52,20 @@
         Whether a part of the answer may have gone out.
     is_done : bool
         Whether it went out whole.
+    status : int
+        What was sent; 0 before.
     """
 
     def __init__(self, connection: "CallerConnection") -> None:
         self.connection = connection
         self.is_started = False
         self.is_done = False
+        self.status = 0
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of an answer."""
         self.is_started = True
+        self.status = status
         headers = list(headers)
         if self.connection.is_closing():
             headers.append((b"connection", b"close"))
--- a/src/rosemaryknot/process/gateway_quota.py
+++ b/src/rosemaryknot/process/gateway_quota.py
@@ -21,12 +21,16 @@
 # Of the measured demand; long against a report, short against a window of limits.
 DEMAND_S = 2.0
 # A gateway with no demand yet still has this part of an equal share.
-LEAST_SHARE = 0.25
+LEAST_SHARE = 0.5
 # After this long without a report a gateway is taken to go on as before: it may be
 # cut off and take its share unseen. Four reports.
 UNHEARD_S = 1.0
 # After this long it is taken to be gone.
 FORGET_S = 20.0
+# What is left is plenty while it covers the demand of all for this long; a demand that
+# jumps is seen with the next reports, within a quarter second.
+PLENTY_S = 2.0
+PLENTY_SHARE = 0.5
 # Refused callers come back after at least this time, and at most this one.
 LEAST_WAIT_S = 0.1
 MAX_WAIT_S = 2.0
@@ -181,7 +185,14 @@
 
     def deal(self, account: Account) -> None:
         """Give this gateway its share of what is left."""
-        account.room = max(self.left(account), 0.0) * self.share(account)
+        left = max(self.left(account), 0.0)
+        all_demand = account.demand + sum(p.demand for p in account.peers.values())
+        if left > PLENTY_S * all_demand:
+            # What all gateways may take unseen is a small part of what is left; dealt
+            # in shares, large requests would find no room beside plenty.
+            account.room = left * PLENTY_SHARE
+        else:
+            account.room = left * self.share(account)
 
     def fits(self, account: Account, units: float) -> bool:
         """Tell whether units may be taken, and take them from this gateway's room.
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -55,6 +55,8 @@
 MIN_REPEAT_PATIENCE_S = 0.3
 # Attempts that left no byte at a server cost little; this many may follow each other.
 MAX_UNSENT = 3
+# Longest that the delivery of a whole answer goes on after its time.
+DELIVERY_S = 1.0
 # Callers come back within this time, drawn evenly, so that they do not come at once.
 RETURN_SPREAD_S = 0.4
 RETURN_LEAST_S = 0.05
@@ -404,8 +406,10 @@
             return Refusal(BAD_GATEWAY, getattr(outcome, "reason", "server failed"))
         return self.refusal(UNAVAILABLE, "the servers are full")
 
-    def timed_out(self, course: Course) -> Refusal | Broken:
+    def timed_out(self, course: Course) -> Refusal | Broken | Completed:
         """Return the answer of a request whose time is over."""
+        if course.reply.is_done:
+            return Completed(course.reply.status)
         if course.reply.is_started:
             return Broken("the time is over")
         if course.may_have_run:
@@ -684,7 +688,10 @@
         headers = [pair for pair in head.headers if pair[0] != b"content-length"]
         headers.append((b"content-length", str(len(body)).encode()))
         self.note_first()
-        await self.course.reply.whole(head.status, headers, bytes(body))
+        # An answer that is there is delivered, also where its time ends just now: cut
+        # here, the caller would see a closed connection instead of it.
+        with trio.move_on_after(DELIVERY_S, shield=True):
+            await self.course.reply.whole(head.status, headers, bytes(body))
         return Completed(head.status)
 
     async def relay_events(
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -143,6 +143,19 @@
             assert answer.status == 504
             assert 1.9 < answer.took_s < 2.3
 
+    async def test_answer_at_the_last_moment(self, autojump_clock):
+        """A server answers just as the caller's time ends.
+
+        The time cut the delivery off, and the caller saw a closed connection though
+        its answer was there; it is delivered.
+        """
+        async with platform_fleet(plain=1) as fleet:
+            for work_s in (1.9990, 1.9995, 1.9999, 2.0):
+                fleet.servers["p0"].work_s = work_s
+                answer = await fleet.ask("/book/x", request_id=f"t{work_s}")
+                assert answer.is_whole
+                assert answer.status in (200, 504)
+
     async def test_what_may_repeat_is_tried_elsewhere(self, autojump_clock):
         async with platform_fleet() as fleet:
             for fault in ("reset", "error", "rubbish", "cut_body", "unframed_reset"):
--- a/tests/process/test_gateway_quota.py
+++ b/tests/process/test_gateway_quota.py
@@ -92,6 +92,16 @@
         used = sum(u for at, u in gateways.taken if at > 20) / 20
         assert used > 0.75 * ALLOWED / WINDOW_S
 
+    def test_large_request_beside_plenty(self):
+        """A customer's window is nearly untouched, and a large request comes.
+
+        It is larger than one gateway's share of what is left, and was refused in
+        most of the cases.
+        """
+        gateways = Gateways(7)
+        gateways.run(10, 300, [1] * 7)
+        assert gateways.ask(3, 4000.0)
+
     def test_cut_off(self):
         """Two gateways of six are cut off while a customer sends far too much.
 
