--- a/src/rosemaryknot/replay/main.py
+++ b/src/rosemaryknot/replay/main.py
@@ -2,6 +2,7 @@
 
 from rosemaryknot.process.command_line import VersionOption, new_application
 from rosemaryknot.replay.faults_command import run_faults
+from rosemaryknot.replay.platform_command import run_platform
 from rosemaryknot.replay.run_command import run_files
 from rosemaryknot.replay.trace_command import (
     compare_policies,
@@ -28,6 +29,7 @@
 app.command("compare")(compare_policies)
 app.command("generate")(generate)
 app.command("faults")(run_faults)
+app.command("platform")(run_platform)
 
 
 def main() -> None:
--- a/tests/gateway/platform_fleet.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -1,8 +1,10 @@
-"""Gateway nodes, the platform's store and cloud, and servers on a memory network."""
+"""Gateway nodes between the stand-ins of their platform, on one memory network."""
 
 import random
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import h11
 import trio
@@ -23,6 +25,20 @@
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.values.nodes import Address
 
+__all__ = [
+    "Answer",
+    "Caller",
+    "HOST",
+    "KEY",
+    "MODEL",
+    "MODEL_HEADERS",
+    "PLAIN",
+    "PlatformSystem",
+    "document",
+    "platform_system",
+    "route",
+]
+
 STORE = Address("10.0.0.1", 8361)
 CLOUD = Address("10.0.0.2", 8361)
 CALLERS = "10.9.0.1"
@@ -31,6 +47,7 @@
 PLAIN = "booking"
 KEY = "key-of-ada"
 EPOCH_S = 1_000_000.0
+READ_BYTES = 65536
 
 MODEL_HEADERS = {
     "Rosemaryknot-Model": "m",
@@ -39,7 +56,7 @@
 }
 
 
-def route(name, prefix, kind, service, **fields):
+def route(name: str, prefix: str, kind: str, service: str, **fields: Any) -> dict:
     """Return a route as the operator writes it."""
     return {
         "name": name,
@@ -55,7 +72,7 @@
     } | fields
 
 
-def document(version=1, **fields):
+def document(version: int = 1, **fields: Any) -> dict:
     """Return a configuration as the operator writes it."""
     return {
         "version": version,
@@ -113,24 +130,32 @@
 
 
 class Caller:
-    """Sends requests over connections of its own."""
+    """Sends requests over a connection of its own."""
 
-    def __init__(self, network, address):
+    def __init__(self, network: MemoryNetwork, address: Address) -> None:
         self.network = network
         self.address = address
-        self.stream = None
 
-    async def open(self):
+    async def open(self) -> "Caller":
+        """Connect."""
         self.stream = await self.network.dial(self.address)
         self.conn = h11.Connection(h11.CLIENT)
         return self
 
-    async def close(self):
+    async def close(self) -> None:
+        """Close at once."""
         await trio.aclose_forcefully(self.stream)
 
-    async def send(self, path, method="POST", request_id="r1", body=b"", **headers):
-        """Send a request on the open connection."""
-        names = {
+    async def send(
+        self,
+        path: str,
+        method: str = "POST",
+        request_id: str = "r1",
+        body: bytes = b"",
+        **headers: str | None,
+    ) -> None:
+        """Send a request; a header of None is left out."""
+        names: dict[str, str | None] = {
             "Host": HOST,
             "Rosemaryknot-Attempt-Id": request_id,
             "Rosemaryknot-Deadline-Ms": "2000",
@@ -140,68 +165,85 @@
             names[name.replace("_", "-")] = value
         if body or method == "POST":
             names["Content-Length"] = str(len(body))
-        pairs = [(k, v) for k, v in names.items() if v is not None]
+        pairs = [(name, value) for name, value in names.items() if value is not None]
         data = self.conn.send(h11.Request(method=method, target=path, headers=pairs))
         if body:
             data += self.conn.send(h11.Data(data=body))
         data += self.conn.send(h11.EndOfMessage())
         await self.stream.send_all(data)
 
-    async def receive(self):
-        """Return the answer."""
+    async def receive(self) -> Answer:
+        """Return the answer, as far as it came."""
         answer = Answer()
         began_s = trio.current_time()
         while True:
             try:
                 event = self.conn.next_event()
-            except h11.RemoteProtocolError:
+                if event is h11.NEED_DATA:
+                    self.conn.receive_data(await self.stream.receive_some(READ_BYTES))
+                    continue
+            except (h11.RemoteProtocolError, trio.BrokenResourceError):
                 break
-            if event is h11.NEED_DATA:
-                try:
-                    data = await self.stream.receive_some(65536)
-                except trio.BrokenResourceError:
-                    break
-                self.conn.receive_data(data)
-            elif isinstance(event, h11.Response):
+            if isinstance(event, h11.Response):
                 answer.status = event.status_code
                 answer.headers = {k.decode(): v.decode() for k, v in event.headers}
             elif isinstance(event, h11.Data):
                 answer.body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                answer.is_whole = True
-                break
             else:
+                answer.is_whole = isinstance(event, h11.EndOfMessage)
                 break
         answer.took_s = trio.current_time() - began_s
         return answer
 
-    def reuse(self):
+    def reuse(self) -> None:
         """Make the connection ready for the next request."""
         self.conn.start_next_cycle()
 
 
-class PlatformFleet:
-    """Everything around some nodes."""
+class PlatformSystem:
+    """Some nodes and everything around them.
 
-    def __init__(self, nursery, seed=1):
+    Attributes
+    ----------
+    store, cloud : StoreStandIn, CloudStandIn
+        The platform.
+    servers : dict of str to ServerStandIn
+        Backend servers by id.
+    ledger : Ledger
+        What all servers have seen.
+    nodes : dict of str to GatewayNode
+        By name; of a node that was killed the last life.
+    down : set of str
+        Nodes that a fault has ended and will start again.
+    """
+
+    def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
         self.nursery = nursery
+        self.seed = seed
         self.network = MemoryNetwork()
         self.store = StoreStandIn()
         self.cloud = CloudStandIn()
         self.ledger = Ledger()
-        self.servers = {}
+        self.servers: dict[str, ServerStandIn] = {}
         self.nodes: dict[str, GatewayNode] = {}
-        self.stops = {}
-        self.scopes = {}
-        self.seed = seed
-
-    async def start(self, nodes=1, plain=2, models=2, configuration=None, **options):
-        """Start the platform, servers and nodes."""
+        self.stops: dict[str, trio.Event] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.down: set[str] = set()
+
+    async def start(
+        self,
+        nodes: int = 1,
+        plain: int = 2,
+        models: int = 2,
+        configuration: dict | None = None,
+        **options: Any,
+    ) -> None:
+        """Start the platform, servers and nodes; options go to `settings`."""
         start = self.nursery.start
-        store_net = self.network.with_host(STORE.host)
-        await start(self.store.server.serve, store_net, STORE)
-        cloud_net = self.network.with_host(CLOUD.host)
-        await start(self.cloud.server.serve, cloud_net, CLOUD)
+        store_network = self.network.with_host(STORE.host)
+        await start(self.store.server.serve, store_network, STORE)
+        cloud_network = self.network.with_host(CLOUD.host)
+        await start(self.cloud.server.serve, cloud_network, CLOUD)
         self.store.put("config", "main", configuration or document())
         for number in range(plain):
             await self.add_server(f"p{number}", PLAIN, zone=f"z{number % 3}")
@@ -211,10 +253,16 @@
             await self.add_node(number, **options)
         await trio.sleep(0.5)
 
-    async def add_server(self, server_id, service, zone="z0", work_s=0.02, **entry):
+    async def add_server(
+        self,
+        server_id: str,
+        service: str,
+        zone: str = "z0",
+        work_s: float = 0.02,
+        **entry: Any,
+    ) -> ServerStandIn:
         """Start a server and write its entry."""
-        number = len(self.servers) + 1
-        address = Address(f"10.1.0.{number}", 8000)
+        address = Address(f"10.1.0.{len(self.servers) + 1}", 8000)
         server = ServerStandIn(server_id, service == MODEL, work_s, self.ledger)
         self.servers[server_id] = server
         await self.nursery.start(
@@ -230,7 +278,13 @@
         self.store.put("servers", server_id, server.entry)
         return server
 
-    def settings(self, number, is_first_start=True, bounds=None, duties=()):
+    def settings(
+        self,
+        number: int,
+        is_first_start: bool = True,
+        bounds: Bounds | None = None,
+        duties: tuple[str, ...] | list[str] = (),
+    ) -> NodeSettings:
         """Return a node's settings."""
         host = f"10.2.0.{number + 1}"
         return NodeSettings(
@@ -248,13 +302,13 @@
             bounds=bounds or Bounds(retry_ratio=0.5, retry_slack=100),
         )
 
-    async def add_node(self, number, **options):
-        """Start a node."""
+    async def add_node(self, number: int, **options: Any) -> GatewayNode:
+        """Start a node, or start it again."""
         settings = self.settings(number, **options)
         stop = trio.Event()
         clock = TrueTime(lambda: EPOCH_S + trio.current_time(), trio.current_time)
 
-        async def run(task_status):
+        async def run(task_status: trio.TaskStatus[GatewayNode]) -> None:
             with trio.CancelScope() as scope:
                 self.scopes[settings.node] = scope
                 await run_node(
@@ -273,17 +327,17 @@
         self.stops[settings.node] = stop
         return node
 
-    def kill(self, name):
+    def kill(self, name: str) -> None:
         """End a node at once, as SIGKILL does."""
         self.scopes[name].cancel()
         self.network.kill_host(self.nodes[name].settings.listen.callers.host)
 
-    def caller(self, node="n0", host=CALLERS):
+    def caller(self, node: str = "n0", host: str = CALLERS) -> Caller:
         """Return a caller of a node."""
         address = self.nodes[node].settings.listen.callers
         return Caller(self.network.with_host(host), address)
 
-    async def ask(self, path, node="n0", **options):
+    async def ask(self, path: str, node: str = "n0", **options: Any) -> Answer:
         """Send one request on a connection of its own and return the answer."""
         caller = await self.caller(node).open()
         began_s = trio.current_time()
@@ -295,10 +349,12 @@
 
 
 @asynccontextmanager
-async def platform_fleet(**options):
-    """Run a fleet."""
+async def platform_system(
+    seed: int = 1, **options: Any
+) -> AsyncIterator[PlatformSystem]:
+    """Run a system while the block runs."""
     async with trio.open_nursery() as nursery:
-        fleet = PlatformFleet(nursery)
-        await fleet.start(**options)
-        yield fleet
+        system = PlatformSystem(nursery, seed)
+        await system.start(**options)
+        yield system
         nursery.cancel_scope.cancel()
--- a/tests/gateway/test_control.py
+++ b/tests/gateway/test_control.py
@@ -1,16 +1,16 @@
 """Tests of what gateways believe: configuration, servers, the store, duties, stops."""
 
 import trio
-from tests.gateway.platform_fleet import (
+
+from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.standin.users.system import (
     MODEL_HEADERS,
     PLAIN,
     document,
-    platform_fleet,
+    platform_system,
     route,
 )
 
-from rosemaryknot.process.node_settings import Bounds
-
 
 def with_stock(version, prefix):
     """Return a configuration whose only route is under a prefix."""
@@ -19,7 +19,7 @@
 
 class TestConfiguration:
     async def test_change_is_in_force_soon(self, autojump_clock):
-        async with platform_fleet(nodes=3) as fleet:
+        async with platform_system(nodes=3) as fleet:
             fleet.store.put("config", "main", with_stock(7, "/new/"))
             await trio.sleep(0.2)
             for name in fleet.nodes:
@@ -31,7 +31,7 @@
 
         Taken over, it would bring routes and keys back that operators have removed.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.store.put("config", "main", with_stock(7, "/new/"))
             await trio.sleep(0.2)
             fleet.store.put("config", "main", with_stock(3, "/old/"))
@@ -41,21 +41,21 @@
             assert (await fleet.ask("/old/x", method="GET")).status == 404
 
     async def test_key_is_taken_away(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             tenants = [{"name": "ada", "apiKeys": ["other"], "ratePerS": 0}]
             fleet.store.put("config", "main", document(2, tenants=tenants))
             await trio.sleep(0.2)
             assert (await fleet.ask("/book/x")).status == 401
 
     async def test_unusable_document_is_left_alone(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.store.put("config", "main", {"version": 9, "routes": [{}]})
             await trio.sleep(0.2)
             assert fleet.nodes["n0"].state.version == 1
             assert (await fleet.ask("/book/x")).status == 200
 
     async def test_history_is_gone(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.store.faults.begin("silent")
             await trio.sleep(1)
             fleet.store.put("config", "main", with_stock(7, "/new/"))
@@ -71,7 +71,7 @@
         to their end. One node's other call meets the outage, finds the store again
         and tells; the others ask at once and have the change within two seconds.
         """
-        async with platform_fleet(nodes=3, duties=["usage"]) as fleet:
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
             await trio.sleep(5)
             fleet.store.faults.begin("silent")
             await trio.sleep(2.5)
@@ -87,7 +87,7 @@
 
         The others know, and pass it on to the one that says it has lost the store.
         """
-        async with platform_fleet(nodes=3) as fleet:
+        async with platform_system(nodes=3) as fleet:
             fleet.store.faults.begin("busy", "10.2.0.2")
             await trio.sleep(6)
             fleet.store.put("config", "main", with_stock(7, "/new/"))
@@ -102,7 +102,7 @@
 
 class TestServers:
     async def test_draining_server_gets_no_new_work(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             entry = fleet.servers["p0"].entry | {"state": "draining"}
             fleet.store.put("servers", "p0", entry)
             await trio.sleep(0.1)
@@ -121,7 +121,7 @@
         They are written again a second later. The server with the request stayed
         marked as leaving for good, and its service had no server any more.
         """
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].work_s = 1.0
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(fleet.ask, "/book/long")
@@ -141,7 +141,7 @@
         through up to half a second later.
         """
         bounds = Bounds(drain_ms=2000)
-        async with platform_fleet(plain=1, bounds=bounds) as fleet:
+        async with platform_system(plain=1, bounds=bounds) as fleet:
             gone_s = trio.current_time()
             fleet.store.remove("servers", "p0")
             while trio.current_time() < gone_s + 4:
@@ -156,7 +156,7 @@
         It accepts connections still; new streams sent there would wait for nothing.
         After a second without a byte it gets no more of them.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.servers["m0"].is_mute = True
             async with trio.open_nursery() as nursery:
                 for number in range(8):
@@ -175,7 +175,7 @@
                 assert len(fleet.servers["m0"].arrivals) == before
 
     async def test_same_parts_go_to_the_same_server(self, autojump_clock):
-        async with platform_fleet(nodes=2, models=4) as fleet:
+        async with platform_system(nodes=2, models=4) as fleet:
             for number in range(6):
                 await fleet.ask(
                     "/plan/x",
@@ -195,7 +195,7 @@
         It says at once that it is not ready, the stream ends whole, and the idle
         connection is closed unread so that its caller goes elsewhere.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.servers["m0"].work_s = fleet.servers["m1"].work_s = 0.25
             idle = await fleet.caller().open()
             await idle.send("/stock/x", method="GET", request_id="idle")
@@ -234,7 +234,7 @@
         """
         slow = document()
         slow["routes"][0]["timeoutMs"] = 9000
-        async with platform_fleet(configuration=slow) as fleet:
+        async with platform_system(configuration=slow) as fleet:
             fleet.servers["m0"].work_s = fleet.servers["m1"].work_s = 0.2
             for number in range(30):
                 await fleet.ask("/plan/x", request_id=f"f{number}", **MODEL_HEADERS)
@@ -256,7 +256,7 @@
 class TestDuties:
     async def test_usage_by_windows(self, autojump_clock):
         """Requests through all nodes are told once a window by one of them."""
-        async with platform_fleet(nodes=3, duties=["usage"]) as fleet:
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
             await trio.sleep(5)
             for number in range(60):
                 await fleet.ask(
@@ -275,7 +275,7 @@
         and a second report with others would be a breach; it sends what the first
         one left in the store.
         """
-        async with platform_fleet(nodes=3, duties=["usage"]) as fleet:
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
             await trio.sleep(6)
             for number in range(20):
                 await fleet.ask(
@@ -300,7 +300,7 @@
         What they told each other is gone with them; the counts that went out with the
         lease's renewals are not.
         """
-        async with platform_fleet(nodes=2, duties=["usage"]) as fleet:
+        async with platform_system(nodes=2, duties=["usage"]) as fleet:
             await trio.sleep(6)
             for number in range(20):
                 await fleet.ask("/stock/x", method="GET", request_id=f"k{number}")
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -3,11 +3,12 @@
 from collections import deque
 
 import trio
-from tests.gateway.platform_fleet import (
+
+from rosemaryknot.standin.users.system import (
     HOST,
     MODEL_HEADERS,
     document,
-    platform_fleet,
+    platform_system,
     route,
 )
 
@@ -16,7 +17,7 @@
 
 class TestPlainRequests:
     async def test_is_forwarded_as_it_came(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             answer = await fleet.ask("/book/x?y=1&z=%20", body=b"slot 7")
             arrival = fleet.ledger.arrivals[0]
             assert answer.status == 200 and answer.is_whole
@@ -46,7 +47,7 @@
             "Rosemaryknot-Request-Priority": "0",
             "Rosemaryknot-Expect-Instance": "other",
         }
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             answer = await fleet.ask("/stock/x", method="GET", **forged)
             headers = fleet.ledger.arrivals[0].request.headers
             assert answer.status == 200
@@ -56,7 +57,7 @@
                 assert name.lower() not in headers
 
     async def test_refusals_of_our_own(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             assert (await fleet.ask("/none/x")).status == 404
             wrong = await fleet.ask("/book/x", Authorization="Bearer wrong")
             assert wrong.status == 401
@@ -71,7 +72,7 @@
         The bound counted all bytes that had come with the head, and a request that
         came in one piece was refused with 431 for the size of its body.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             assert (await fleet.ask("/book/x", body=b"x" * 30000)).status == 200
 
     async def test_smuggled_request(self, autojump_clock):
@@ -80,7 +81,7 @@
         Servers that take the length would read what the chunks end with as a request
         of its own; it is refused before anything is passed on.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             caller = await fleet.caller().open()
             await caller.stream.send_all(
                 b"POST /book/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n"
@@ -94,7 +95,7 @@
 
         It knows no route; a 404 would say that there is none, so it answers 503.
         """
-        async with platform_fleet(nodes=0) as fleet:
+        async with platform_system(nodes=0) as fleet:
             fleet.store.faults.begin("busy")
             await fleet.add_node(0)
             answer = await fleet.ask("/book/x")
@@ -111,7 +112,7 @@
         Nobody can tell whether it ran, so it is sent nowhere else, and the caller
         gets a 502, which promises nothing.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             for server in fleet.servers.values():
                 server.faults.append("reset")
             answer = await fleet.ask("/book/x")
@@ -123,7 +124,7 @@
 
         The caller gets 503 and when to come back, and the request has run nowhere.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             for server in fleet.servers.values():
                 server.faults.append("shed")
             answer = await fleet.ask("/book/x")
@@ -137,7 +138,7 @@
         At the end of the caller's time the answer is 504: it may have run. A 503
         would be a false promise.
         """
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].faults.append("mute")
             answer = await fleet.ask("/book/x")
             assert answer.status == 504
@@ -149,7 +150,7 @@
         The time cut the delivery off, and the caller saw a closed connection though
         its answer was there; it is delivered.
         """
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             for work_s in (1.9990, 1.9995, 1.9999, 2.0):
                 fleet.servers["p0"].work_s = work_s
                 answer = await fleet.ask("/book/x", request_id=f"t{work_s}")
@@ -157,7 +158,7 @@
                 assert answer.status in (200, 504)
 
     async def test_what_may_repeat_is_tried_elsewhere(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             for fault in ("reset", "error", "rubbish", "cut_body", "unframed_reset"):
                 for server in fleet.servers.values():
                     server.faults.clear()
@@ -174,7 +175,7 @@
         Waited for to the end, the caller would get nothing; a question may run twice,
         so after twice the wanted time it goes to the other one.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.servers["p0"].is_mute = True
             for number in range(4):
                 answer = await fleet.ask(
@@ -189,7 +190,7 @@
         It answers 421 to a request that names the first one; the request goes to a
         sound server and the address gets no more of them.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.servers["p0"].id = "someone-else"
             for number in range(6):
                 answer = await fleet.ask(
@@ -207,7 +208,7 @@
         The next request on it would get the answer of the one before; the bytes that
         lie unread show, and the connection is not used again.
         """
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].faults.append("extra")
             for number in range(3):
                 answer = await fleet.ask(
@@ -221,7 +222,7 @@
         It lies where that request's answer is due; its id tells that it belongs to
         another one, and the right one behind it is read.
         """
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].faults.append("late_extra")
             for number in range(3):
                 answer = await fleet.ask(
@@ -230,7 +231,7 @@
                 assert answer.body == f"p0 answers l{number}".encode()
 
     async def test_answer_without_length(self, autojump_clock):
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].faults.append("unframed")
             answer = await fleet.ask("/book/x")
             assert (answer.status, answer.is_whole) == (200, True)
@@ -240,12 +241,12 @@
 
         Passed on, the caller would take a stranger's bytes for its answer.
         """
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].faults.append("unsigned")
             assert (await fleet.ask("/book/x")).status == 502
 
     async def test_servers_failure_is_passed_on(self, autojump_clock):
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].faults.append("error")
             answer = await fleet.ask("/book/x")
             assert answer.status == 500
@@ -255,7 +256,7 @@
 
 class TestStreams:
     async def test_whole_stream(self, autojump_clock):
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             answer = await fleet.ask("/plan/x", **MODEL_HEADERS)
             assert (answer.status, answer.is_whole) == (200, True)
             assert answer.body == WHOLE_STREAM
@@ -266,7 +267,7 @@
         The torn event is not passed on; the stream goes on at another server behind
         the second one, and the caller sees one whole stream.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             fleet.servers["m0"].faults.append("cut_event")
             fleet.servers["m1"].faults.append("")
             await fleet.ask("/ask/x", request_id="first", **MODEL_HEADERS)
@@ -287,7 +288,7 @@
         The caller gets the whole events and then a closed connection without the last
         chunk, so that it cannot take the beginning for all.
         """
-        async with platform_fleet(models=1) as fleet:
+        async with platform_system(models=1) as fleet:
             fleet.servers["m0"].faults.append("cut_event")
             answer = await fleet.ask("/plan/x", **MODEL_HEADERS)
             assert answer.status == 200 and not answer.is_whole
@@ -300,7 +301,7 @@
 
         A status cannot follow a stream's beginning: the connection is closed.
         """
-        async with platform_fleet() as fleet:
+        async with platform_system() as fleet:
             queue = deque(["cut_event", "error"])
             fleet.servers["m0"].faults = fleet.servers["m1"].faults = queue
             answer = await fleet.ask("/ask/x", **MODEL_HEADERS)
@@ -316,7 +317,7 @@
         Nothing is sent to it, so only a read shows it. Its server must not go on
         working for nobody: its connection is closed at once.
         """
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             fleet.servers["p0"].work_s = 1.5
             caller = await fleet.caller().open()
             await caller.send("/stock/x", method="GET")
@@ -328,7 +329,7 @@
             assert fleet.ledger.arrivals[0].ended == "cut"
 
     async def test_while_it_uploads(self, autojump_clock):
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             caller = await fleet.caller().open()
             await caller.stream.send_all(
                 b"POST /book/x HTTP/1.1\r\nHost: a.example\r\n"
@@ -341,7 +342,7 @@
             assert not fleet.ledger.arrivals
 
     async def test_kept_connection(self, autojump_clock):
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             caller = await fleet.caller().open()
             for number in range(3):
                 await caller.send("/stock/x", method="GET", request_id=f"k{number}")
@@ -351,7 +352,7 @@
                 await trio.sleep(4)
 
     async def test_slow_headers(self, autojump_clock):
-        async with platform_fleet(plain=1) as fleet:
+        async with platform_system(plain=1) as fleet:
             caller = await fleet.caller().open()
             await caller.stream.send_all(b"GET /stock/x HT")
             await trio.sleep(1.2)
@@ -369,7 +370,7 @@
             {"service": "writer", "weight": 0},
         ]
         routes[1]["service"] = "booking"
-        async with platform_fleet(configuration=document(routes=routes)) as fleet:
+        async with platform_system(configuration=document(routes=routes)) as fleet:
             known = fleet.nodes["n0"].state.configuration
             assert known.route_of(HOST, "/a/b/c").name == "some"
             assert known.route_of(HOST, "/a/c").name == "all"
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,13 +3,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from tests.gateway.platform_fleet import KEY, document
 
 from rosemaryknot.platform.documents import (
     DocumentError,
     configuration_of,
     server_of,
 )
+from rosemaryknot.standin.users.system import KEY, document
 from rosemaryknot.values.gateway import Repeat
 
 VALUES = st.recursive(
