Add a soak of real node processes on loopback

Signals, changed settings, configurations, the stand-ins' faults and a proxy that delays, silences and resets, by seed; the audit is that of the plays in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PYTEST_OPTIONS ?=
 PYTEST_JOBS ?= 4
 
-.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak platform-demo
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak platform-demo soak
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -17,6 +17,7 @@
 	@echo "make faults SEEDS=200   run the system in virtual time under seeded faults"
 	@echo "make faults SEED=7      run one seed again, with its decision log"
 	@echo "make platform-demo      the users' platform on loopback: stand-ins, three nodes, callers"
+	@echo "make soak SEED=7 | SEEDS=5 MINUTES=3   node processes on loopback under faults from outside"
 	@echo "make bench-peak         placement at the peak's load, before and after"
 	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
 	@echo "make bench-recovery     what reclaim waves and at-most-once execution cost"
@@ -77,6 +78,11 @@
 scenarios: venv
 	@$(BIN)/rosemaryknot-replay run scenarios/*.scenario
 
+SEEDS_OF_SOAK = $(if $(SEED),--seed $(SEED),--seeds $(SEEDS) $(if $(MINUTES),--minutes $(MINUTES)))
+
+soak: venv
+	@$(BIN)/python scripts/soak.py $(SEEDS_OF_SOAK)
+
 bench-peak: venv
 	@$(BIN)/python benchmarks/peak.py
 
--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,446 @@
+"""A soak: real node processes on loopback, faults from outside, promises checked.
+
+``make soak SEED=k`` runs one seed, ``make soak SEEDS=n`` fresh ones. It ends only
+processes that it started, by their ids.
+"""
+
+import json
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Any
+
+import trio
+import typer
+from soak_proxy import SoakProxy
+
+from rosemaryknot.connection.network import SocketNetwork
+from rosemaryknot.standin.users.audit import Seen, Violation, audit
+from rosemaryknot.standin.users.cloud import CloudStandIn
+from rosemaryknot.standin.users.play import Play, note_seen, play_load
+from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
+from rosemaryknot.standin.users.servers import Ledger, ServerStandIn
+from rosemaryknot.standin.users.store import StoreStandIn
+from rosemaryknot.standin.users.system import MODEL, PLAIN, Answer, Caller, document
+from rosemaryknot.values.nodes import Address
+
+FOLDER = Path(".demo/soak")
+HOST = "127.0.0.1"
+NODES = 3
+GRACE_S = 4.0
+LENGTH_S = 14.0
+READY_S = 8.0
+# A node answers again so soon after the last fault.
+RECOVERY_S = 8.0
+MAX_MEMORY_MB = 200
+MAX_FILES = 400
+LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+SoakFault = Callable[["SoakSystem", random.Random, float], Awaitable[None]]
+SOAK_FAULTS: dict[str, SoakFault] = {}
+
+
+def soak_fault(kind: str) -> Callable[[SoakFault], SoakFault]:
+    """Register a kind of fault; it returns when it is over."""
+
+    def register(fault: SoakFault) -> SoakFault:
+        SOAK_FAULTS[kind] = fault
+        return fault
+
+    return register
+
+
+class SoakNode:
+    """One node as a process."""
+
+    def __init__(self, name: str, settings: dict[str, Any]) -> None:
+        self.name = name
+        self.settings = settings
+        self.path = FOLDER / f"{name}.json"
+        self.log = FOLDER / f"{name}.log"
+        self.process: subprocess.Popen | None = None
+        self.is_busy = False
+
+    def write(self) -> None:
+        """Write the settings file."""
+        self.path.write_text(json.dumps(self.settings))
+
+    def start(self) -> None:
+        """Start the process."""
+        self.write()
+        with open(self.log, "a") as log:
+            command = [
+                sys.executable,
+                "-m",
+                "rosemaryknot.process.node_main",
+                self.path,
+            ]
+            self.process = subprocess.Popen(command, stdout=log, stderr=log)
+        self.settings["is_first_start"] = False
+
+    def send(self, number: int) -> None:
+        """Send a signal to the process."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait(self, timeout_s: float) -> int | None:
+        """Return the exit code, None where the process goes on."""
+        with trio.move_on_after(timeout_s):
+            while self.process.poll() is None:
+                await trio.sleep(0.02)
+        return self.process.poll()
+
+    def usage(self) -> tuple[float, int]:
+        """Return memory in MB and open files."""
+        proc = Path("/proc") / str(self.process.pid)
+        try:
+            pages = int((proc / "statm").read_text().split()[1])
+            return pages * 4096 / 1e6, len(list((proc / "fd").iterdir()))
+        except OSError:
+            return 0.0, 0
+
+
+class SoakSystem:
+    """Nodes, stand-ins and proxies."""
+
+    def __init__(self, nursery: trio.Nursery, seed: int) -> None:
+        self.nursery = nursery
+        self.network = SocketNetwork()
+        self.base = 21000 + seed % 400 * 20
+        self.store = StoreStandIn()
+        self.cloud = CloudStandIn()
+        self.ledger = Ledger()
+        self.servers: dict[str, ServerStandIn] = {}
+        self.proxies: dict[str, SoakProxy] = {}
+        self.nodes: dict[str, SoakNode] = {}
+        self.problems: list[Violation] = []
+
+    async def start(self) -> None:
+        """Start everything and wait until the nodes are ready."""
+        anywhere = Address(HOST, 0)
+        start = self.nursery.start
+        store = await start(self.store.server.serve, self.network, anywhere)
+        cloud = await start(self.cloud.server.serve, self.network, anywhere)
+        self.store.put("config", "main", document())
+        for number in range(6):
+            await self.add_server(f"s{number}", MODEL if number < 3 else PLAIN)
+        for number in range(NODES):
+            proxy = SoakProxy(store)
+            address = await start(proxy.serve, anywhere)
+            self.proxies[f"store of n{number}"] = proxy
+            self.nodes[f"n{number}"] = SoakNode(
+                f"n{number}", self.node_settings(number, address, cloud)
+            )
+        for node in self.nodes.values():
+            node.log.write_text("")
+            node.start()
+        for name in self.nodes:
+            if not await self.is_back(name, READY_S):
+                self.problems.append(Violation("starts", name))
+
+    def node_settings(self, number: int, store: Address, cloud: Address) -> dict:
+        """Return a node's settings."""
+        ports = [self.base + number * 4 + offset for offset in range(4)]
+        return {
+            "node": f"n{number}",
+            "zone": f"z{number % 3}",
+            "region": "r",
+            "listen": {
+                "callers": f"{HOST}:{ports[0]}",
+                "readiness": f"{HOST}:{ports[1]}",
+                "peers": f"{HOST}:{ports[2]}",
+            },
+            "metrics_port": ports[3],
+            "seeds": [f"{HOST}:{self.base + 2}"],
+            "is_first_start": True,
+            "store": {"address": str(store)},
+            "cloud": {"address": str(cloud), "duties": ["usage"]},
+            "bounds": {"grace_s": GRACE_S, "retry_ratio": 0.5, "retry_slack": 100.0},
+        }
+
+    async def add_server(self, name: str, service: str) -> None:
+        """Start a server behind a proxy and write its entry."""
+        server = ServerStandIn(name, service == MODEL, 0.02, self.ledger)
+        anywhere = Address(HOST, 0)
+        target = await self.nursery.start(server.server.serve, self.network, anywhere)
+        proxy = SoakProxy(target)
+        address = await self.nursery.start(proxy.serve, anywhere)
+        self.servers[name] = server
+        self.proxies[name] = proxy
+        server.entry = {
+            "service": service,
+            "address": str(address),
+            "zone": f"z{len(self.servers) % 3}",
+            "slots": 16,
+            "state": "ready",
+        }
+        self.store.put("servers", name, server.entry)
+
+    async def ask(self, path: str, node: str, **options: Any) -> Answer:
+        """Send one request on a connection of its own."""
+        address = Address.from_text(self.nodes[node].settings["listen"]["callers"])
+        caller = await Caller(self.network, address).open()
+        try:
+            await caller.send(path, **options)
+            return await caller.receive()
+        finally:
+            with trio.CancelScope(shield=True):
+                await caller.close()
+
+    async def is_back(self, name: str, within_s: float) -> bool:
+        """Tell whether a node answers within a time."""
+        until_s = trio.current_time() + within_s
+        while trio.current_time() < until_s:
+            try:
+                answer = await self.ask("/none/x", name, request_id="")
+            except (OSError, trio.BrokenResourceError):
+                answer = Answer()
+            if answer.status == 404:
+                return True
+            await trio.sleep(0.1)
+        return False
+
+    def check_bounds(self) -> None:
+        """Note nodes that have grown."""
+        for node in self.nodes.values():
+            memory_mb, files = node.usage()
+            if memory_mb > MAX_MEMORY_MB or files > MAX_FILES:
+                detail = f"{node.name}: {memory_mb:.0f} MB, {files} files"
+                self.problems.append(Violation("bounded", detail))
+
+    async def end(self) -> None:
+        """Stop the nodes; each must end by itself in time."""
+        for node in self.nodes.values():
+            node.send(signal.SIGCONT)
+            node.send(signal.SIGTERM)
+        for node in self.nodes.values():
+            code = await node.wait(GRACE_S + 2)
+            if code != 0:
+                self.problems.append(Violation("planned_stop", f"{node.name}: {code}"))
+                node.send(signal.SIGKILL)
+                node.process.wait()
+
+
+def idle_node(system: SoakSystem, rng: random.Random) -> SoakNode | None:
+    """Return a node that no other fault has in hand."""
+    idle = [node for node in system.nodes.values() if not node.is_busy]
+    return rng.choice(idle) if len(idle) > 1 else None
+
+
+@soak_fault("kill")
+async def kill(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Kill a process and start it again."""
+    node = idle_node(system, rng)
+    if node is None:
+        return
+    node.is_busy = True
+    node.send(signal.SIGKILL)
+    await node.wait(2)
+    await trio.sleep(for_s / 3)
+    node.start()
+    await system.is_back(node.name, READY_S)
+    node.is_busy = False
+
+
+@soak_fault("stop")
+async def stop(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Stop a process as planned and start it again."""
+    node = idle_node(system, rng)
+    if node is None:
+        return
+    node.is_busy = True
+    node.send(signal.SIGTERM)
+    if await node.wait(GRACE_S + 1.5) != 0:
+        system.problems.append(Violation("planned_stop", node.name))
+        node.send(signal.SIGKILL)
+        await node.wait(2)
+    node.start()
+    await system.is_back(node.name, READY_S)
+    node.is_busy = False
+
+
+@soak_fault("pause")
+async def pause(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Pause a process and let it go on."""
+    node = idle_node(system, rng)
+    if node is None:
+        return
+    node.is_busy = True
+    node.send(signal.SIGSTOP)
+    await trio.sleep(for_s)
+    node.send(signal.SIGCONT)
+    node.is_busy = False
+
+
+@soak_fault("hangup")
+async def hangup(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Change a settings file, with or without a signal."""
+    node = rng.choice(list(system.nodes.values()))
+    node.settings["bounds"]["retry_slack"] = float(rng.randint(50, 200))
+    node.write()
+    if rng.random() < 0.7:
+        node.send(signal.SIGHUP)
+
+
+@soak_fault("configure")
+async def configure(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Write a new version of the configuration."""
+    known = system.store.objects["config"]["main"]["spec"]
+    system.store.put("config", "main", document(known["version"] + rng.randint(1, 5)))
+
+
+@soak_fault("store")
+async def store_fault(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let the store refuse, reset or say nothing."""
+    system.store.faults.begin(rng.choice(("busy", "many", "reset", "silent")))
+    await trio.sleep(for_s)
+    system.store.faults.end()
+
+
+@soak_fault("lost_writes")
+async def lost_writes(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let writes be done late and not be answered."""
+    system.store.faults.delay_writes_s = rng.uniform(0, 2)
+    system.store.faults.lose_writes += rng.randint(1, 3)
+
+
+@soak_fault("compact")
+async def compact(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let the store forget its history."""
+    system.store.forget_history()
+
+
+@soak_fault("lapse")
+async def lapse(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let all servers' entries go and come back."""
+    for name in list(system.store.objects["servers"]):
+        system.store.remove("servers", name)
+    await trio.sleep(min(for_s, 1.5))
+    for name, server in system.servers.items():
+        system.store.put("servers", name, server.entry)
+
+
+@soak_fault("server")
+async def server_fault(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let a server misbehave."""
+    server = rng.choice(list(system.servers.values()))
+    server.faults.extend([rng.choice(sorted(SERVER_FAULTS))] * rng.randint(1, 8))
+
+
+@soak_fault("mute")
+async def mute(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let a server say nothing."""
+    server = rng.choice(list(system.servers.values()))
+    server.is_mute = True
+    await trio.sleep(for_s)
+    server.is_mute = False
+
+
+@soak_fault("delay")
+async def delay(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Delay what goes through a proxy."""
+    proxy = rng.choice(list(system.proxies.values()))
+    proxy.delay_s = rng.uniform(0.02, 0.3)
+    await trio.sleep(for_s)
+    proxy.delay_s = 0.0
+
+
+@soak_fault("silence")
+async def silence(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Cut one or both directions of a proxy without a sign."""
+    proxy = rng.choice(list(system.proxies.values()))
+    proxy.silent = set(rng.choice((("to",), ("from",), ("to", "from"))))
+    await trio.sleep(for_s)
+    proxy.silent = set()
+
+
+@soak_fault("reset")
+async def reset(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Reset all connections through a proxy."""
+    rng.choice(list(system.proxies.values())).reset_all()
+
+
+async def run_seed(seed: int) -> tuple[list[Violation], Counter]:
+    """Run one seed; return what was wrong, and the faults by kind."""
+    rng = random.Random(seed)
+    seen = Seen()
+    happened: Counter = Counter()
+    async with trio.open_nursery() as nursery:
+        system = SoakSystem(nursery, seed)
+        await system.start()
+
+        async def cause_trouble() -> None:
+            until_s = trio.current_time() + LENGTH_S - 4
+            async with trio.open_nursery() as faults:
+                while trio.current_time() < until_s:
+                    kind = rng.choice(sorted(SOAK_FAULTS))
+                    happened[kind] += 1
+                    for_s = rng.uniform(0.3, 4.0)
+                    faults.start_soon(SOAK_FAULTS[kind], system, rng, for_s)
+                    await trio.sleep(rng.uniform(0.2, 2.5))
+
+        async with trio.open_nursery() as under_way:
+            under_way.start_soon(cause_trouble)
+            play = Play(length_s=LENGTH_S, load=LOAD)
+            await play_load(system, play, rng, seen)
+        for name in system.nodes:
+            if not await system.is_back(name, RECOVERY_S):
+                system.problems.append(Violation("recovers", name))
+        system.check_bounds()
+        await system.end()
+        note_seen(system, seen)
+        seen.runs.pop("", None)
+        nursery.cancel_scope.cancel()
+    return audit(seen) + system.problems, happened
+
+
+@app.command()
+def main(
+    seed: Annotated[int | None, typer.Option(help="One seed to run again.")] = None,
+    seeds: Annotated[int, typer.Option(help="How many fresh seeds.")] = 1,
+    minutes: Annotated[float, typer.Option(help="No new seed after this.")] = 60.0,
+) -> None:
+    """Run the soak and print a line for each seed, then one of JSON."""
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    first = int(time.time()) % 1_000_000 if seed is None else seed
+    faults: Counter = Counter()
+    by_kind: Counter = Counter()
+    first_bad = None
+    done = 0
+    began_s = time.monotonic()
+    for number in range(first, first + (seeds if seed is None else 1)):
+        if time.monotonic() - began_s > minutes * 60:
+            break
+        violations, happened = trio.run(run_seed, number)
+        done += 1
+        faults += happened
+        by_kind.update(violation.promise for violation in violations)
+        if violations and first_bad is None:
+            first_bad = number
+        print(f"seed {number}: {len(violations)} wrong, faults {dict(happened)}")
+        for violation in violations[:5]:
+            print(f"  {violation.promise}: {violation.detail}")
+        sys.stdout.flush()
+    print(
+        json.dumps(
+            {
+                "seeds": done,
+                "faults": dict(faults),
+                "violations": by_kind.total(),
+                "violations_by_kind": dict(by_kind),
+                "first_bad_seed": first_bad,
+            }
+        )
+    )
+    raise typer.Exit(1 if first_bad is not None else 0)
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/scripts/soak_proxy.py
@@ -0,0 +1,99 @@
+"""A loopback proxy that delays, silences, cuts and resets what goes through it."""
+
+import struct
+from socket import SO_LINGER, SOL_SOCKET
+
+import trio
+
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["SoakProxy"]
+
+READ_BYTES = 65536
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class SoakProxy:
+    """Forwards one address to another.
+
+    Attributes
+    ----------
+    delay_s : float
+        How long each piece is held.
+    silent : set of str
+        Directions that drop what comes: ``to`` the target, ``from`` it. What was open
+        meanwhile stays silent for good.
+    """
+
+    def __init__(self, target: Address) -> None:
+        self.target = target
+        self.delay_s = 0.0
+        self.silent: set[str] = set()
+        self.streams: set[trio.SocketStream] = set()
+        self.deaf: set[trio.SocketStream] = set()
+
+    async def serve(
+        self,
+        address: Address,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(Address(address.host, port))
+        await trio.serve_listeners(self.handle, listeners)
+
+    async def handle(self, near: trio.SocketStream) -> None:
+        """Forward one connection."""
+        try:
+            far = await trio.open_tcp_stream(self.target.host, self.target.port)
+        except OSError:
+            self.reset(near)
+            return
+        self.streams |= {near, far}
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.pump, near, far, "to", nursery.cancel_scope)
+                nursery.start_soon(self.pump, far, near, "from", nursery.cancel_scope)
+        finally:
+            self.streams -= {near, far}
+            self.deaf -= {near, far}
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(near)
+                await trio.aclose_forcefully(far)
+
+    async def pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        direction: str,
+        scope: trio.CancelScope,
+    ) -> None:
+        """Forward one direction."""
+        try:
+            while data := await source.receive_some(READ_BYTES):
+                if direction in self.silent:
+                    self.deaf.add(sink)
+                if sink in self.deaf:
+                    continue
+                if self.delay_s:
+                    await trio.sleep(self.delay_s)
+                await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # Passed on as a reset: a plain end would make a broken answer without a
+            # length look whole.
+            self.reset(sink)
+        scope.cancel()
+
+    def reset(self, stream: trio.SocketStream) -> None:
+        """Reset one connection."""
+        try:
+            stream.socket.setsockopt(SOL_SOCKET, SO_LINGER, NO_LINGER)
+        except OSError:
+            return
+        stream.socket.close()
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        for stream in list(self.streams):
+            self.reset(stream)
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -150,6 +150,12 @@
         """Return the body of a plain answer, which tells whose it is."""
         return f"{self.id} answers {arrival.id}".encode()
 
+    def payload(self, arrival: Arrival) -> bytes:
+        """Return all bytes of a sound answer's body."""
+        if self.is_model:
+            return b"".join(self.events(arrival))
+        return self.body(arrival)
+
     def events(self, arrival: Arrival) -> list[bytes]:
         """Return the events that are left of a stream; every server makes the same."""
         headers = arrival.request.headers
@@ -206,7 +212,7 @@
 async def cut_body(server: ServerStandIn, arrival: Arrival, wire: RawWire) -> None:
     """Close in the middle of a plain answer."""
     arrival.has_run = True
-    body = server.body(arrival)
+    body = server.payload(arrival)
     headers = server.headers(arrival) | {"Content-Length": str(len(body))}
     await wire.head(200, headers)
     await wire.send(body[:5])
@@ -219,7 +225,7 @@
     arrival.has_run = True
     arrival.ended = "whole"
     await wire.head(200, server.headers(arrival))
-    await wire.send(server.body(arrival))
+    await wire.send(server.payload(arrival))
     wire.close()
 
 
@@ -230,7 +236,7 @@
     """Begin an answer without a length and reset the connection."""
     arrival.has_run = True
     await wire.head(200, server.headers(arrival))
-    await wire.send(server.body(arrival)[:5])
+    await wire.send(server.payload(arrival)[:5])
     await trio.sleep(0.01)
     wire.reset()
 
