--- /dev/null
+++ b/tests/gateway/test_fuzz.py
@@ -0,0 +1,108 @@
+"""Bytes that nobody thinks of, from callers, servers, the store and settings files."""
+
+import json
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from rosemaryknot.process.node_settings import NodeSettings, load_node_settings
+from rosemaryknot.request.event_stream import EventSplitter
+from rosemaryknot.standin.users.system import platform_system
+
+HEADS = st.sampled_from(
+    [
+        b"GET /stock/x HTTP/1.1\r\nHost: a.example\r\n\r\n",
+        b"POST /book/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 9\r\n\r\n",
+        b"POST /book/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"GET /stock/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: -1\r\n\r\n",
+        b"GET /stock/x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+    ]
+)
+PIECES = st.lists(HEADS | st.binary(max_size=80), min_size=1, max_size=5)
+
+
+async def sound_after(pieces: list[bytes]) -> None:
+    """Send pieces on one connection; the node must go on serving others."""
+    async with platform_system(plain=1, models=0) as system:
+        stream = await system.caller().network.dial(
+            system.nodes["n0"].settings.listen.callers
+        )
+        try:
+            for piece in pieces:
+                await stream.send_all(piece)
+                await trio.sleep(0.01)
+        except trio.BrokenResourceError:
+            pass
+        await trio.sleep(0.2)
+        await trio.aclose_forcefully(stream)
+        answer = await system.ask("/stock/x", method="GET", request_id="sound")
+        assert answer.body.endswith(b"answers sound")
+        await trio.sleep(0.1)
+        assert system.nodes["n0"].listener.state.open == 0
+
+
+class TestCallersBytes:
+    @settings(max_examples=25, deadline=None)
+    @given(PIECES)
+    def test_node_goes_on(self, pieces):
+        clock = MockClock(autojump_threshold=0)
+        trio.run(sound_after, pieces, clock=clock)
+
+
+async def answered_by(data: bytes) -> None:
+    """Let a server answer any bytes; the caller gets a status or a broken answer."""
+    async with platform_system(plain=1, models=0) as system:
+        server = system.servers["p0"]
+        sound = server.serve
+
+        async def rubbish(arrival, wire):
+            arrival.has_run = True
+            await wire.send(data)
+            wire.close()
+
+        server.serve = rubbish
+        answer = await system.ask("/book/x")
+        assert answer.status in (0, 502) or answer.body is not None
+        if answer.status == 200:
+            assert answer.headers["rosemaryknot-instance-signature"]
+        server.serve = sound
+        answer = await system.ask("/book/x", request_id="next")
+        assert answer.status in (200, 503)
+
+
+class TestServersBytes:
+    @settings(max_examples=25, deadline=None)
+    @given(
+        st.binary(max_size=200)
+        | st.builds(
+            lambda head, rest: head + rest,
+            st.sampled_from(
+                [
+                    b"HTTP/1.1 200 x\r\nContent-Length: 5\r\n",
+                    b"HTTP/1.1 200 x\r\n\r\n",
+                    b"HTTP/1.1 503 x\r\nRosemaryknot-Not-Executed: 1\r\n\r\n",
+                ]
+            ),
+            st.binary(max_size=60),
+        )
+    )
+    def test_caller_gets_no_strangers_answer(self, data):
+        trio.run(answered_by, data, clock=MockClock(autojump_threshold=0))
+
+
+class TestStreamsBytes:
+    @given(st.lists(st.binary(max_size=20)))
+    def test_nothing_is_lost_or_added(self, chunks):
+        splitter = EventSplitter()
+        passed = b"".join(splitter.feed(chunk) for chunk in chunks)
+        assert passed + bytes(splitter.rest) == b"".join(chunks)
+
+
+class TestSettings:
+    @given(st.binary(max_size=200) | st.text().map(lambda t: json.dumps(t).encode()))
+    def test_any_file(self, tmp_path_factory, data):
+        path = tmp_path_factory.mktemp("settings") / "node.json"
+        path.write_bytes(data)
+        assert not isinstance(load_node_settings(path), NodeSettings)
