--- a/src/rosemaryknot/process/gateway_quota.py
+++ b/src/rosemaryknot/process/gateway_quota.py
@@ -127,15 +127,18 @@
 
     Examples
     --------
+    Before the next report a gateway takes a part of what is left at most.
+
     >>> book = QuotaBook(2.0, True, random.Random(1))
     >>> limit = CustomerLimit("ada", rate=10, burst=10)
     >>> [book.take(limit, 10, 0.0) for _ in range(3)]
-    [0.0, 0.0, 0.0]
+    [0.0, 0.0, 1.0]
+    >>> book.tick(0.5, 1)
     >>> book.take(limit, 10, 0.5)
-    1.0
-    >>> book.tick(2.3, 1)
-    >>> book.take(limit, 10, 2.3)
     0.0
+    >>> book.tick(1.0, 1)
+    >>> book.take(limit, 10, 1.0)
+    1.0
     """
 
     def __init__(
