--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -154,7 +154,6 @@
         self.conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes + 4096
         )
-        self.unsent = b""
         self.saw_end = False
 
     def is_closing(self) -> bool:
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -136,8 +136,6 @@
         Servers that may still have work.
     rate : float
         Prompt tokens that a model server reads in a second, as measured.
-    revision : int
-        Of the store, up to which entries are known; -1 before the first list.
     is_listed : bool
         Whether the servers were listed at least once.
     has_changed : bool
@@ -150,7 +148,6 @@
     def __init__(self) -> None:
         self.by_id: dict[str, ServerState] = {}
         self.rate = FIRST_RATE
-        self.revision = -1
         self.is_listed = False
         self.return_s = 1.4
         self.parts: OrderedDict[str, dict[str, float]] = OrderedDict()
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -12,6 +12,7 @@
 from rosemaryknot.process.gateway_servers import ServerState, ServerTable
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter, histogram
+from rosemaryknot.request.durations import Durations
 from rosemaryknot.request.event_stream import EventSplitter
 from rosemaryknot.request.gateway_placement import (
     POLICIES,
@@ -41,11 +42,6 @@
 __all__ = ["Gateway", "GatewayParts"]
 
 DEFAULT_PATIENCE_S = 60.0
-# Weight of the newest answer in a route's duration, and how many mean deviations
-# above the mean nearly all answers end.
-DURATION_WEIGHT = 0.1
-DEVIATIONS = 3.0
-FIRST_DURATION_S = 1.0
 # What is left must cover the way to the server and back, or nobody gains by sending.
 LEAST_LEFT_S = 0.01
 # Without a first byte for this many times the wanted latency, a request that may be
@@ -181,62 +177,6 @@
         return self.until_s - trio.current_time()
 
 
-@dataclass(slots=True)
-class Smoothed:
-    """A figure's smoothed mean and mean deviation."""
-
-    mean: float
-    deviation: float = 0.0
-
-    def note(self, value: float) -> None:
-        """Take a value in."""
-        self.deviation += DURATION_WEIGHT * (abs(value - self.mean) - self.deviation)
-        self.mean += DURATION_WEIGHT * (value - self.mean)
-
-    def high(self) -> float:
-        """Return what nearly all values lie below."""
-        return self.mean + DEVIATIONS * self.deviation
-
-
-class Durations:
-    """How long answers of each route take, smoothed, with their deviation.
-
-    Examples
-    --------
-    >>> durations = Durations()
-    >>> durations.likely_s("r")
-    1.0
-    >>> for _ in range(100):
-    ...     durations.note("r", 0.2, 100)
-    >>> round(durations.likely_s("r", 100), 1), round(durations.likely_s("r", 300), 1)
-    (0.2, 0.6)
-    """
-
-    def __init__(self) -> None:
-        self.by_route: dict[str, Smoothed] = {}
-        self.pace_by_route: dict[str, Smoothed] = {}
-
-    def note(self, route: str, took_s: float, tokens: int = 0) -> None:
-        """Count an answer of some output tokens, 0 where it has none."""
-        self.by_route.setdefault(route, Smoothed(took_s)).note(took_s)
-        if tokens > 0:
-            pace = took_s / tokens
-            self.pace_by_route.setdefault(route, Smoothed(pace)).note(pace)
-
-    def likely_s(self, route: str, tokens: int = 0) -> float:
-        """Return within which time nearly all such answers end, in seconds.
-
-        Streams of one route differ by far in length; a longer one than most takes
-        its tokens' time.
-        """
-        known = self.by_route.get(route)
-        if known is None:
-            return FIRST_DURATION_S
-        pace = self.pace_by_route.get(route)
-        by_tokens = 0.0 if pace is None else tokens * pace.high()
-        return max(known.high(), by_tokens)
-
-
 class Gateway:
     """Answers requests.
 
