--- a/scripts/platform_days.py
+++ b/scripts/platform_days.py
@@ -11,7 +11,7 @@
 
 import typer
 
-DAYS = Path(__file__).parent.parent / "scenarios" / "platform"
+DAYS = Path(__file__).parent.parent / "deploy" / "days"
 RULES = re.compile(r"^([A-Z]+) at .*", re.MULTILINE)
 
 app = typer.Typer(add_completion=False)
@@ -36,7 +36,7 @@
     seed: Annotated[int | None, typer.Option(help="Another seed.")] = None,
     jobs: Annotated[int, typer.Option(help="Days at once.")] = 2,
 ) -> None:
-    """Play every day of scenarios/platform on each deployment."""
+    """Play every day of deploy/days on each deployment."""
     days = sorted(DAYS.glob("*.toml"))
     with ThreadPoolExecutor(jobs) as pool:
         tasks = [
