Add a failing test of a stream that outruns a planned stop

Cause: a node that has stopped for seconds takes a stream whose own time limit lies beyond the stop's end, since answers of late would have ended in time. The servers slow down after it was taken, and the end of the stop cuts the started answer.

Ruled out: nothing is changed yet.

--- /dev/null
+++ b/tests/gateway/test_planned_stop.py
@@ -0,0 +1,62 @@
+"""Tests of what a gateway takes while it ends a planned stop, in virtual time."""
+
+import trio
+
+from rosemaryknot.standin.users.system import MODEL_HEADERS, document, platform_system
+
+LONG_MS = 15_000
+# A stream has ten events.
+CALM_EVENT_S = 0.13
+SLOWEST_EVENT_S = 0.29
+CROWDED_EVENT_S = 0.5
+
+
+def with_long_streams():
+    """Return a configuration whose streams have a limit beyond any stop."""
+    configuration = document()
+    configuration["routes"][0]["timeoutMs"] = LONG_MS
+    return configuration
+
+
+def set_pace(fleet, event_s):
+    """Let all model servers take a time for each event."""
+    for name in ("m0", "m1"):
+        fleet.servers[name].work_s = event_s
+
+
+async def open_long(fleet, request_id):
+    """Send a stream with a long limit on a connection of its own."""
+    caller = await fleet.caller().open()
+    headers = MODEL_HEADERS | {"Rosemaryknot-Deadline-Ms": str(LONG_MS)}
+    await caller.send("/plan/x", request_id=request_id, **headers)
+    return caller
+
+
+class TestLoadOutrunsTheStop:
+    async def test_started_answer_is_never_cut(self, autojump_clock):
+        """A stream comes 4.28 s after the signal of a planned stop with a grace of 8 s.
+
+        Answers of late took 1.3 to 2.9 s, so the node judged that this one would end
+        within the 3.1 s left and took it, though its own time limit was 15 s. The rest
+        of the zone stopped too, its load filled the servers, and this one needed over
+        3.1 s: the caller saw a started answer cut at the end of the stop.
+        """
+        async with platform_system(nodes=1, configuration=with_long_streams()) as fleet:
+            for number in range(30):
+                is_slowest = number == 10
+                set_pace(fleet, SLOWEST_EVENT_S if is_slowest else CALM_EVENT_S)
+                calm = await open_long(fleet, f"calm{number}")
+                assert (await calm.receive()).is_whole
+                await calm.close()
+            set_pace(fleet, CROWDED_EVENT_S)
+            in_flight = await open_long(fleet, "in flight")
+            fleet.stops["n0"].set()
+            await trio.sleep(4.28)
+            late = await open_long(fleet, "late")
+            answer = await late.receive()
+            assert answer.is_whole
+            assert answer.status in (200, 503)
+            if answer.status == 503:
+                assert 0 < float(answer.headers["retry-after"]) < 1
+                assert fleet.ledger.runs_of("late") == 0
+            await in_flight.close()
