Add a failing test of a request read behind the last look of a planned stop

Cause: a planned stop ends when no request is in flight at one look. A request that is read in the same moment on an open connection is sent to a server over a kept connection before the process ends, and its caller sees a closed connection.

Before: the request ran at the server once, its caller got no byte.

--- /dev/null
+++ b/tests/gateway/test_bounds.py
@@ -0,0 +1,46 @@
+"""Tests of promises that hold also where something takes longer than usual."""
+
+import h11
+import trio
+
+from rosemaryknot.standin.users.system import HOST, KEY, platform_system
+
+
+def question(caller):
+    """Return the bytes of a request, for a test that decides when they go out."""
+    headers = [
+        ("Host", HOST),
+        ("Rosemaryknot-Attempt-Id", "late"),
+        ("Rosemaryknot-Deadline-Ms", "2000"),
+        ("Authorization", f"Bearer {KEY}"),
+    ]
+    request = h11.Request(method="GET", target="/stock/x", headers=headers)
+    return caller.conn.send(request) + caller.conn.send(h11.EndOfMessage())
+
+
+class TestLastMomentOfAStop:
+    async def test_request_behind_the_last_look(self, autojump_clock):
+        """A stop is nearly over: nothing is in flight, and the node looks once more.
+
+        A request lies on a connection that was opened late, and is read in the same
+        moment. It went out to a server, the process ended, and the caller saw a
+        closed connection. The node counted requests that were read, not connections
+        that may still bring one.
+        """
+        async with platform_system(plain=1) as fleet:
+            # A connection to the server is kept, so nothing is waited for.
+            await fleet.ask("/stock/x", method="GET", request_id="early")
+            node = fleet.nodes["n0"]
+            callers = []
+            leave = node.peers.leave
+
+            async def leave_and_be_asked():
+                callers.append(await fleet.caller().open())
+                await leave()
+                callers[0].stream.send_now(question(callers[0]))
+
+            node.peers.leave = leave_and_be_asked
+            fleet.stops["n0"].set()
+            await trio.sleep(4)
+            answer = await callers[0].receive()
+            assert answer.is_whole or not fleet.ledger.runs_of("late")
