End a planned stop when no connection is left, not when no request is seen

Cause: the stop ended at a look at which no request was in flight. Requests come in on open connections, and one that was read in the moment of that look was sent to a server and cut by the end of the process. An earlier mend looked a second time, which moved the moment.

Ruled out: looking more often or later, which leaves a moment behind each look; stopping the listener's task, with which the connections that it accepted would end.

Change: after the goodbye to the other nodes new connections are closed unread, which callers repeat anywhere, idle ones are closed, and the stop is over once none is open.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -31,6 +31,8 @@
 LINGER_S = 0.5
 # How long a body may stand still before it counts as given up.
 BODY_IDLE_S = 5.0
+# How often a stop looks whether connections have ended.
+CLOSE_STEP_S = 0.05
 BAD_REQUEST = 400
 TIMEOUT_STATUS = 408
 TOO_LARGE = 413
@@ -105,6 +107,8 @@
         Returns the limits in force.
     is_stopping : bool
         Whether kept connections are told to close.
+    is_closed : bool
+        Whether new connections are closed unread.
     open : int
         Connections that are open.
     busy : int
@@ -119,6 +123,7 @@
     handler: Handler
     limits: Callable[[], CallerLimits]
     is_stopping: bool = False
+    is_closed: bool = False
     open: int = 0
     busy: int = 0
     stops_at_s: float = math.inf
@@ -133,6 +138,17 @@
         for scope in self.idle:
             scope.cancel()
 
+    async def close(self) -> None:
+        """Take no more connections, and wait until those that are open have ended.
+
+        A request may be read in the very moment in which none is in flight; sent on,
+        it would be cut by the end of the process. Without a connection none is read.
+        """
+        self.is_closed = True
+        while self.open:
+            self.close_idle()
+            await trio.sleep(CLOSE_STEP_S)
+
 
 class CallerConnection:
     """One connection: reads a request, has it answered, goes on.
@@ -418,6 +434,8 @@
 
     async def handle(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection."""
+        if self.state.is_closed:
+            return
         if self.state.open >= self.max_connections:
             log.warning("connection closed: too many", open=self.state.open)
             return
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -382,9 +382,7 @@
             while self.listener.state.busy:
                 await trio.sleep(0.05)
             await self.peers.leave()
-            # Requests on kept connections came in meanwhile.
-            while self.listener.state.busy:
-                await trio.sleep(0.05)
+            await self.listener.state.close()
         log.info(
             "stopped",
             cut_off=self.listener.state.busy,
