Add a failing test of a planned stop of the lease's holder with a silent store

Cause: the stop gives the lease back first and waits for the store without a bound of its own: each call may take two seconds, and there may be four of them.

Before: an idle connection was closed 4.0 s after the signal instead of 2.6 s.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -44,3 +44,21 @@
             await trio.sleep(4)
             answer = await callers[0].receive()
             assert answer.is_whole or not fleet.ledger.runs_of("late")
+
+    async def test_store_is_silent(self, autojump_clock):
+        """The node that stops holds the duties, and the store answers nothing.
+
+        It waited for the store, twice two seconds and more, before it closed idle
+        connections: their callers went on sending until the process ended.
+        """
+        async with platform_system(duties=("usage",)) as fleet:
+            await trio.sleep(4)
+            assert fleet.nodes["n0"].lease.is_held()
+            idle = await fleet.caller().open()
+            await idle.send("/stock/x", method="GET", request_id="idle")
+            assert (await idle.receive()).status == 200
+            fleet.store.faults.begin("silent")
+            began_s = trio.current_time()
+            fleet.stops["n0"].set()
+            assert await idle.stream.receive_some(10) == b""
+            assert trio.current_time() - began_s < 3.0
