Bound the wait for the store in a planned stop

Cause: what callers see of a stop (idle connections closed, the node gone from its peers' lists) came after the answers of the store.

Ruled out: giving the lease back beside the rest; the same bound without a task more.

Change: giving back ends when the balancer has left the node out. The holder has stopped counting on the lease before it writes, so a write that is cut off is safe.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -376,7 +376,10 @@
         log.info("not ready: planned stop", in_flight=self.listener.state.busy)
         self.listener.state.stops_at_s = until_s
         with trio.move_on_at(until_s):
-            await self.lease.release()
+            # A store that does not answer must not hold up the callers; a lease that
+            # is not given back lapses by itself.
+            with trio.move_on_at(began_s + NOT_READY_S):
+                await self.lease.release()
             await trio.sleep_until(began_s + NOT_READY_S)
             self.listener.state.close_idle()
             while self.listener.state.busy:
