Add a failing test of a server that leaves while a connection to it is opened

Cause: that a server stays is looked at when it is chosen, and the request goes out after up to 0.6 s of opening a connection.

Before: the request went to the leaving server 0.5 s after the choice.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -62,3 +62,23 @@
             fleet.stops["n0"].set()
             assert await idle.stream.receive_some(10) == b""
             assert trio.current_time() - began_s < 3.0
+
+
+class TestServerLeavesMeanwhile:
+    async def test_while_a_connection_is_opened(self, autojump_clock):
+        """A server is chosen, and opening a connection to it takes half a second.
+
+        Meanwhile the server says that it leaves. The request went out to it all the
+        same, half a second nearer to the server's end than the choice had looked;
+        another server was there to take it.
+        """
+        async with platform_system() as fleet:
+            fleet.network.delays_s[frozenset(("10.2.0.1", "10.1.0.1"))] = 0.25
+            caller = await fleet.caller().open()
+            await caller.send("/book/x")
+            await trio.sleep(0.1)
+            entry = fleet.servers["p0"].entry | {"state": "draining"}
+            fleet.store.put("servers", "p0", entry)
+            answer = await caller.receive()
+            assert answer.body == b"p1 answers r1"
+            assert not fleet.servers["p0"].arrivals
