Look again whether a server stays after a connection to it was opened

Cause: the choice of a server was taken for true until the request went out, which may be 0.6 s later. With the 1.7 s for which an entry that is missing is used and the way of the word, the sum goes beyond a drain of two seconds.

Ruled out: a shorter time for the dial, which gives up sound servers; taking the time of a dial off the 1.7 s, which refuses what a lapsed entry's server would answer.

Change: what takes work is one question, asked at the choice and before the send. It counts as not sent, so another server is asked without a part of the budget.

--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -113,6 +113,10 @@
         """Whether its entry is missing and it may yet come back."""
         return self.gone_at_s < math.inf
 
+    def takes_work(self, now_s: float) -> bool:
+        """Tell whether it may get new work, as far as is known."""
+        return not self.is_leaving and now_s < self.gone_at_s
+
     def load(self) -> tuple[int, int]:
         """Return requests and unread prompt tokens of all nodes."""
         requests = self.in_flight
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -69,6 +69,11 @@
         )
         if isinstance(connection, NotSent):
             return connection
+        if not self.state.takes_work(trio.current_time()):
+            # It was chosen before the connection was opened, which may take most of
+            # the time that it serves on.
+            await connection.aclose()
+            return NotSent("the server leaves")
         try:
             outcome = await self.exchange(connection)
         except BaseException:
--- a/src/rosemaryknot/request/gateway_placement.py
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -135,7 +135,7 @@
     []
     """
     limit_s = MODEL_SILENT_S if is_model else PLAIN_SILENT_S
-    staying = [s for s in states if not s.is_leaving and now_s < s.gone_at_s]
+    staying = [s for s in states if s.takes_work(now_s)]
     staying = [s for s in staying if s.entry.id not in tried]
     present = [s for s in staying if now_s >= s.avoid_until_s]
     present = [s for s in present if not s.is_silent(now_s, limit_s)]
