Add a failing test of a zone whose hub freezes while a server leaves

Cause: a node turns to the next relay after a second of silence and counts the turn like a word of the hub; so it asks the store itself only if it looks between the two.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -1,6 +1,7 @@
 """Tests of promises that hold also where something takes longer than usual."""
 
 import h11
+import pytest
 import trio
 
 from rosemaryknot.standin.users.system import HOST, KEY, platform_system
@@ -82,3 +83,35 @@
             answer = await caller.receive()
             assert answer.body == b"p1 answers r1"
             assert not fleet.servers["p0"].arrivals
+
+
+class TestWordOfTheStore:
+    @pytest.mark.parametrize("count", [1, 2])
+    async def test_relays_of_a_zone_are_silent(self, autojump_clock, count):
+        """The hub of a zone freezes, or it and the relay after it; a server leaves.
+
+        The zone's other nodes hear nothing. Each turns to the next relay after a
+        second, and counted the turn as if it had heard something: it went on trusting
+        that a node watches the store for it. Some gave the server work for 2.1 s, and
+        for 3.2 s where two were frozen.
+        """
+        async with platform_system(nodes=30) as fleet:
+            await trio.sleep(12)
+            here = [n for n in fleet.nodes.values() if n.node.zone == "z0"]
+            silent = here[0].exchange.hubs.relays("z0")[:count]
+            for name in silent:
+                freeze(fleet, name)
+            entry = fleet.servers["p0"].entry | {"state": "draining"}
+            fleet.store.put("servers", "p0", entry)
+            await trio.sleep(1.5)
+            for node in here:
+                if node.node.name not in silent:
+                    assert node.state.servers.by_id["p0"].has_drained, node.node
+
+
+def freeze(fleet, name):
+    """Cut a node off from everything, without a sign to anybody."""
+    host = fleet.nodes[name].settings.listen.callers.host
+    others = {f"10.2.0.{number + 1}" for number in range(len(fleet.nodes))}
+    for other in (others | {"10.0.0.1"}) - {host}:
+        fleet.network.cut(host, other)
