Count only a hub's word as a sign that the store is watched for a node

Cause: turning to another relay set the moment at which a hub was heard, so the node counted the hub that had just gone silent as one that watches, for a second more at each turn. The bound of a second was in the code, and a turn went around it.

Ruled out: a shorter time until the turn, which leaves the sum open for each relay more that is silent; more nodes that watch in each zone, which costs a call each a change.

Change: two moments, of the last word and of the last turn. A zone's nodes watch for themselves from one second after the last word until a hub is heard.

--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -59,6 +59,8 @@
         What was reported here.
     turn : int
         Which of the zone's relays this node reports to.
+    turned_s : float
+        When a sum came last, or this node turned to another relay.
     heard_s : float
         When a sum came last.
     holds_lease : callable
@@ -74,6 +76,7 @@
         self.own = OwnReports()
         self.sequence = 0
         self.turn = 0
+        self.turned_s = 0.0
         self.heard_s = 0.0
         self.is_on = False
         self.last: HubSum | None = None
@@ -87,7 +90,7 @@
         is_large = len(self.parts.peers.nodes()) + 1 > DIRECT_NODES
         if is_large != self.is_on:
             self.is_on = is_large
-            self.heard_s = trio.current_time()
+            self.turned_s = self.heard_s = trio.current_time()
             self.parts.quota.drop_peers()
             log.info("reports go through hubs" if is_large else "reports go to all")
         return is_large
@@ -108,7 +111,11 @@
         return self.target() == name or self.book.is_hub(trio.current_time())
 
     def watching(self, kind: str) -> list[str]:
-        """Return the nodes that were told to watch a kind of object."""
+        """Return the nodes that were told to watch a kind of object.
+
+        While no sum comes nobody is trusted to, however many relays were asked: a
+        turn to a relay that is silent too would hide changes for a second more.
+        """
         if self.last is None or trio.current_time() - self.heard_s > SILENT_S:
             return []
         return self.last.watching.get(kind, [])
@@ -127,9 +134,9 @@
             await self.parts.peers.send(target, report)
         if self.is_hub():
             await self.serve()
-        if now_s - self.heard_s > SILENT_S:
+        if now_s - self.turned_s > SILENT_S:
             self.turn += 1
-            self.heard_s = now_s
+            self.turned_s = now_s
             log.info("hub silent, turns to another", silent=target, to=self.target())
         if self.sequence % FULL_EACH == 0:
             await self.tell_candidates()
@@ -173,7 +180,7 @@
         if told.hub != self.target():
             return
         now_s = trio.current_time()
-        self.heard_s = now_s
+        self.turned_s = self.heard_s = now_s
         last, self.last = self.last, told
         is_same = last is not None and (last.hub, last.incarnation) == (
             told.hub,
