--- /dev/null
+++ b/tests/gateway/test_bounds.py
@@ -0,0 +1,117 @@
+"""Tests of promises that hold also where something takes longer than usual."""
+
+import h11
+import pytest
+import trio
+
+from rosemaryknot.standin.users.system import HOST, KEY, platform_system
+
+
+def question(caller):
+    """Return the bytes of a request, for a test that decides when they go out."""
+    headers = [
+        ("Host", HOST),
+        ("Rosemaryknot-Attempt-Id", "late"),
+        ("Rosemaryknot-Deadline-Ms", "2000"),
+        ("Authorization", f"Bearer {KEY}"),
+    ]
+    request = h11.Request(method="GET", target="/stock/x", headers=headers)
+    return caller.conn.send(request) + caller.conn.send(h11.EndOfMessage())
+
+
+class TestLastMomentOfAStop:
+    async def test_request_behind_the_last_look(self, autojump_clock):
+        """A stop is nearly over: nothing is in flight, and the node looks once more.
+
+        A request lies on a connection that was opened late, and is read in the same
+        moment. It went out to a server, the process ended, and the caller saw a
+        closed connection. The node counted requests that were read, not connections
+        that may still bring one.
+        """
+        async with platform_system(plain=1) as fleet:
+            # A connection to the server is kept, so nothing is waited for.
+            await fleet.ask("/stock/x", method="GET", request_id="early")
+            node = fleet.nodes["n0"]
+            callers = []
+            leave = node.peers.leave
+
+            async def leave_and_be_asked():
+                callers.append(await fleet.caller().open())
+                await leave()
+                callers[0].stream.send_now(question(callers[0]))
+
+            node.peers.leave = leave_and_be_asked
+            fleet.stops["n0"].set()
+            await trio.sleep(4)
+            answer = await callers[0].receive()
+            assert answer.is_whole or not fleet.ledger.runs_of("late")
+
+    async def test_store_is_silent(self, autojump_clock):
+        """The node that stops holds the duties, and the store answers nothing.
+
+        It waited for the store, twice two seconds and more, before it closed idle
+        connections: their callers went on sending until the process ended.
+        """
+        async with platform_system(duties=("usage",)) as fleet:
+            await trio.sleep(4)
+            assert fleet.nodes["n0"].lease.is_held()
+            idle = await fleet.caller().open()
+            await idle.send("/stock/x", method="GET", request_id="idle")
+            assert (await idle.receive()).status == 200
+            fleet.store.faults.begin("silent")
+            began_s = trio.current_time()
+            fleet.stops["n0"].set()
+            assert await idle.stream.receive_some(10) == b""
+            assert trio.current_time() - began_s < 3.0
+
+
+class TestServerLeavesMeanwhile:
+    async def test_while_a_connection_is_opened(self, autojump_clock):
+        """A server is chosen, and opening a connection to it takes half a second.
+
+        Meanwhile the server says that it leaves. The request went out to it all the
+        same, half a second nearer to the server's end than the choice had looked;
+        another server was there to take it.
+        """
+        async with platform_system() as fleet:
+            fleet.network.delays_s[frozenset(("10.2.0.1", "10.1.0.1"))] = 0.25
+            caller = await fleet.caller().open()
+            await caller.send("/book/x")
+            await trio.sleep(0.1)
+            entry = fleet.servers["p0"].entry | {"state": "draining"}
+            fleet.store.put("servers", "p0", entry)
+            answer = await caller.receive()
+            assert answer.body == b"p1 answers r1"
+            assert not fleet.servers["p0"].arrivals
+
+
+class TestWordOfTheStore:
+    @pytest.mark.parametrize("count", [1, 2])
+    async def test_relays_of_a_zone_are_silent(self, autojump_clock, count):
+        """The hub of a zone freezes, or it and the relay after it; a server leaves.
+
+        The zone's other nodes hear nothing. Each turns to the next relay after a
+        second, and counted the turn as if it had heard something: it went on trusting
+        that a node watches the store for it. Some gave the server work for 2.1 s, and
+        for 3.2 s where two were frozen.
+        """
+        async with platform_system(nodes=30) as fleet:
+            await trio.sleep(12)
+            here = [n for n in fleet.nodes.values() if n.node.zone == "z0"]
+            silent = here[0].exchange.hubs.relays("z0")[:count]
+            for name in silent:
+                freeze(fleet, name)
+            entry = fleet.servers["p0"].entry | {"state": "draining"}
+            fleet.store.put("servers", "p0", entry)
+            await trio.sleep(1.5)
+            for node in here:
+                if node.node.name not in silent:
+                    assert node.state.servers.by_id["p0"].has_drained, node.node
+
+
+def freeze(fleet, name):
+    """Cut a node off from everything, without a sign to anybody."""
+    host = fleet.nodes[name].settings.listen.callers.host
+    others = {f"10.2.0.{number + 1}" for number in range(len(fleet.nodes))}
+    for other in (others | {"10.0.0.1"}) - {host}:
+        fleet.network.cut(host, other)
