Show that an answer which a planned stop cuts is named nowhere

Cause: a request that is cancelled writes no line. The caller that leaves in the middle of an answer leaves no line either.

--- /dev/null
+++ b/tests/gateway/test_owed_answers.py
@@ -0,0 +1,134 @@
+"""Answers that a node owes its callers, and the lines that name those it cuts."""
+
+import json
+import os
+
+import pytest
+import trio
+
+from rosemaryknot.process import logs
+from rosemaryknot.standin.users.system import document, platform_system
+
+# Longer than the grace of a planned stop, so that the stop cuts it.
+LONG = {
+    "Rosemaryknot_Token_Usage": "10,250",
+    "Rosemaryknot_Deadline_Ms": "12000",
+}
+
+
+def patient_document() -> dict:
+    """Return a configuration whose streams may take twelve seconds."""
+    patient = document()
+    patient["routes"][0]["timeoutMs"] = 12000
+    return patient
+
+
+class LogPipe:
+    """A pipe that takes a process's lines, with its reading end."""
+
+    def __init__(self) -> None:
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+
+    def lines(self, *events: str) -> list[dict]:
+        """Return the lines of these events written since the last call."""
+        data = b""
+        try:
+            while chunk := os.read(self.reader, 1 << 20):
+                data += chunk
+        except BlockingIOError:
+            pass
+        found = [json.loads(line) for line in data.splitlines()]
+        return [line for line in found if line["event"] in events]
+
+
+@pytest.fixture
+def log():
+    """Return a pipe that the process logs to."""
+    pipe = LogPipe()
+    logs.configure_logs("json", fd=pipe.writer)
+    yield pipe
+    logs.configure_logs(level="warning")
+    os.close(pipe.writer)
+    os.close(pipe.reader)
+
+
+class TestPlannedStop:
+    async def test_cut_answer_is_named(self, autojump_clock, log):
+        """A node stops while a stream runs that is longer than its grace.
+
+        The caller has the beginning of the stream and a closed connection. Asked for
+        its id, the node's log has to say that the stop cut it, where it ran, since
+        when, and how far it was; the number in the last line is that of these lines.
+        """
+        async with platform_system(configuration=patient_document()) as fleet:
+            fleet.servers["m0"].work_s = fleet.servers["m1"].work_s = 0.2
+            caller = await fleet.caller().open()
+            await caller.send("/plan/x", request_id="long", **LONG)
+            await trio.sleep(1)
+            fleet.stops["n0"].set()
+            answer = await caller.receive()
+            assert answer.status == 200 and not answer.is_whole
+            cut, stopped = log.lines("cut off", "stopped")
+            assert cut["request"] == "long" and cut["cause"] == "planned stop"
+            assert cut["phase"] == "answering" and cut["route"] == "plan"
+            assert cut["server"] in ("m0", "m1")
+            assert cut["taken_after_stop_s"] == pytest.approx(-1, abs=0.1)
+            assert cut["ran_s"] == pytest.approx(8.4, abs=0.1)
+            assert cut["left_s"] == pytest.approx(12 - 8.4, abs=0.1)
+            assert cut["max_output"] == 250
+            assert cut["sent_bytes"] == len(answer.body) > 0
+            assert stopped["event"] == "stopped" and stopped["cut_off"] == 1
+
+    async def test_body_that_comes_slowly_is_counted(self, autojump_clock, log):
+        """At the end of a planned stop a caller is still sending a body.
+
+        Its request is read in part, its connection is closed without an answer, and
+        nothing names it. A head that has not come whole is counted apart: nobody
+        knows yet what it asks for.
+        """
+        async with platform_system() as fleet:
+            slow = await fleet.caller().open()
+            await slow.stream.send_all(
+                b"POST /book/x HTTP/1.1\r\nHost: a.example\r\n"
+                b"Rosemaryknot-Attempt-Id: slow\r\nContent-Length: 50\r\n\r\n"
+            )
+            fleet.stops["n0"].set()
+            for _ in range(7):
+                await slow.stream.send_all(b"x")
+                await trio.sleep(1)
+            half = await fleet.caller().open()
+            await half.stream.send_all(b"GET /stock/x HT")
+            await trio.sleep(1)
+            cut, stopped = log.lines("cut off", "stopped")
+            assert cut["request"] == "slow" and cut["phase"] == "reading its body"
+            assert stopped["cut_off"] == 1 and stopped["heads_unread"] == 1
+
+
+class TestCallersWhoLeave:
+    async def test_in_the_middle_of_an_answer(self, autojump_clock, log):
+        """A caller closes its connection while its stream runs.
+
+        The request is cancelled, and the log had nothing under its id: neither that
+        it was taken nor how it ended.
+        """
+        async with platform_system(configuration=patient_document()) as fleet:
+            fleet.servers["m0"].work_s = fleet.servers["m1"].work_s = 0.2
+            caller = await fleet.caller().open()
+            await caller.send("/plan/x", request_id="gone", **LONG)
+            await trio.sleep(1)
+            await caller.close()
+            await trio.sleep(0.1)
+            [cut] = log.lines("cut off", "answered", "broke off")
+            assert cut["event"] == "cut off" and cut["request"] == "gone"
+            assert cut["cause"] == "the caller left" and cut["route"] == "plan"
+            assert cut["taken_after_stop_s"] is None
+            assert cut["sent_bytes"] > 0
+
+    async def test_whole_answer_names_nobody(self, autojump_clock, log):
+        async with platform_system() as fleet:
+            assert (await fleet.ask("/stock/x", method="GET")).is_whole
+            assert (await fleet.ask("/none/x")).status == 404
+            assert (await fleet.ask("/book/x", body=b"x" * 70000)).status == 413
+            await trio.sleep(1)
+            assert log.lines("cut off") == []
