Name each answer that is cut, with its cause

Cause: a cancelled request left no line, and the number in a stop's last line was that of busy connections, counted before they were cancelled: it named nobody, took an answer whose last byte was out for cut, and left out a head that was half read.

Ruled out: a line where the request is cancelled only, since that comes after the last line of the stop and after a kill if the connections take long to close; a line in the gateway's handler, which sees neither bodies nor refusals.

Change: a connection notes what it owes from the first byte of a request to the last one of its answer. The end of a planned stop names each in one line (`cut off`: cause, phase, when it was taken against the signal, how long it ran, its own limit, bytes sent, server), then writes `stopped` with the number of these lines, whole answers on their way (`delivering`) and heads read in part (`heads_unread`). A request that ends otherwise without a line (its caller left or stood still, the process ends) gets the same line. `answered` says the request's most output tokens. Counter `caller_answers_cut_total` by cause, gauge `caller_answers_owed`. The steps of a stop and what is taken in it are as before.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -13,6 +13,7 @@
 import trio
 
 from rosemaryknot.connection.network import Network, receive_next
+from rosemaryknot.connection.owed_answers import Cause, OwedAnswer, OwedAnswers, Phase
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.gateway import CallerLimits, GatewayRequest, Headers
 from rosemaryknot.values.gateway_answers import GatewayWire, Refusal, TargetFault
@@ -40,7 +41,17 @@
 
 
 class CallerGone(Exception):
-    """The caller closed its connection, or stopped reading."""
+    """The caller closed its connection, or stopped reading.
+
+    Attributes
+    ----------
+    cause : Cause
+        Which of the two.
+    """
+
+    def __init__(self, cause: Cause = Cause.CALLER_LEFT) -> None:
+        super().__init__(cause)
+        self.cause = cause
 
 
 class Reply:
@@ -48,6 +59,8 @@
 
     Attributes
     ----------
+    owed : OwedAnswer
+        What is told of the request where it is cut.
     is_started : bool
         Whether a part of the answer may have gone out.
     is_done : bool
@@ -56,8 +69,9 @@
         What was sent; 0 before.
     """
 
-    def __init__(self, connection: "CallerConnection") -> None:
+    def __init__(self, connection: "CallerConnection", owed: OwedAnswer) -> None:
         self.connection = connection
+        self.owed = owed
         self.is_started = False
         self.is_done = False
         self.status = 0
@@ -74,11 +88,13 @@
     async def data(self, data: bytes) -> None:
         """Send a part of the body."""
         await self.connection.send(h11.Data(data=data))
+        self.owed.sent_bytes += len(data)
 
     async def end(self) -> None:
         """End the answer whole."""
         await self.connection.send(h11.EndOfMessage())
         self.is_done = True
+        self.owed.is_whole = True
 
     async def whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send an answer in one write."""
@@ -113,6 +129,8 @@
         When a planned stop ends them, in trio time; infinite without one.
     idle : set of trio.CancelScope
         Of connections that wait for a request.
+    owed : OwedAnswers
+        What they owe their callers, to the last byte.
     """
 
     wire: GatewayWire
@@ -123,6 +141,7 @@
     busy: int = 0
     stops_at_s: float = math.inf
     idle: set[trio.CancelScope] = field(default_factory=set)
+    owed: OwedAnswers = field(default_factory=OwedAnswers)
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request.
@@ -155,6 +174,7 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes + 4096
         )
         self.saw_end = False
+        self.owed: OwedAnswer | None = None
 
     def is_closing(self) -> bool:
         """Tell whether the connection closes after this answer."""
@@ -173,6 +193,26 @@
 
     async def serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
+        try:
+            return await self.serve_next()
+        except CallerGone as error:
+            self.note_cause(error.cause)
+            raise
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.note_cause(Cause.CALLER_LEFT)
+            raise
+        finally:
+            if self.owed is not None:
+                self.state.owed.end(self.owed)
+                self.owed = None
+
+    def note_cause(self, cause: Cause) -> None:
+        """Note why the request would end now."""
+        if self.owed is not None:
+            self.owed.cause = cause
+
+    async def serve_next(self) -> bool:
+        """Read a request and have it answered; return whether another may follow."""
         try:
             head = await self.read_head()
             if head is None:
@@ -190,6 +230,9 @@
     async def serve_head(self, head: h11.Request) -> bool:
         """Read the rest of a request, answer it, return whether another may follow."""
         arrived_s = trio.current_time()
+        self.owed.since_s = arrived_s
+        self.owed.phase = Phase.BODY
+        self.owed.explain = lambda: self.explain(head, arrived_s)
         fault = self.fault_of(head)
         body = b"" if fault is not None else await self.read_body()
         if fault is None and body is None:
@@ -205,6 +248,13 @@
             return False
         return await self.answer(request)
 
+    def explain(self, head: h11.Request, arrived_s: float) -> dict[str, object]:
+        """Return what a line tells of a request that is not read whole."""
+        request = self.state.wire.read_request(
+            head.method, head.target, head.headers.raw_items(), b"", arrived_s
+        )
+        return {"request": getattr(request, "id", "")}
+
     def fault_of(self, head: h11.Request) -> Refusal | None:
         """Return why a head is refused, or None.
 
@@ -228,6 +278,8 @@
         began_s = trio.current_time()
         is_begun = bool(self.conn.trailing_data[0])
         while True:
+            if is_begun and self.owed is None:
+                self.owed = self.state.owed.begin()
             event = self.conn.next_event()
             if isinstance(event, h11.Request):
                 return event
@@ -284,7 +336,7 @@
                 raise CallerGone
             self.conn.receive_data(data)
             return
-        raise CallerGone
+        raise CallerGone(Cause.CALLER_STALLED)
 
     async def receive(self) -> bytes:
         """Return what the caller sends next; empty at the end."""
@@ -295,13 +347,17 @@
 
     async def answer(self, request: GatewayRequest) -> bool:
         """Have a request answered; stop when the caller leaves meanwhile."""
-        reply = Reply(self)
+        owed = self.owed
+        owed.phase = Phase.ANSWER
+        reply = Reply(self, owed)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch_caller, nursery.cancel_scope)
             try:
                 await self.state.handler(request, reply)
-            except CallerGone:
-                pass
+                # What ends here has its line of the handler.
+                owed.is_told = True
+            except CallerGone as error:
+                owed.cause = error.cause
             nursery.cancel_scope.cancel()
         if not reply.is_done or self.saw_end:
             # An answer that ends early must not look whole: without its last chunk
@@ -325,6 +381,7 @@
                 data = b""
                 self.saw_end = True
             if not data:
+                self.note_cause(Cause.CALLER_LEFT)
                 scope.cancel()
                 return
             ahead += len(data)
@@ -346,14 +403,15 @@
                 await self.stream.send_all(data)
                 return
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
-        raise CallerGone
+                raise CallerGone from None
+        raise CallerGone(Cause.CALLER_STALLED)
 
     async def refuse(self, refusal: Refusal) -> None:
         """Answer a request that cannot be read, and drop what still comes of it."""
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         log.info("refused unread", status=refusal.status, reason=refusal.reason)
+        self.owed.phase = Phase.REFUSAL
         body = (refusal.reason + "\n").encode()
         headers = [
             (b"content-type", b"text/plain"),
@@ -363,6 +421,7 @@
         await self.send(h11.Response(status_code=refusal.status, headers=headers))
         await self.send(h11.Data(data=body))
         await self.send(h11.EndOfMessage())
+        self.owed.is_told = True
         await self.linger()
 
     async def linger(self) -> None:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -14,6 +14,7 @@
 from rosemaryknot.connection.gateway_server import ServerPool
 from rosemaryknot.connection.links import Handlers
 from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.owed_answers import OWED
 from rosemaryknot.connection.pages import Page, PageServer
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.change_spread import ChangeSpread
@@ -351,7 +352,7 @@
         """Serve readiness and metrics."""
         pages = {
             self.adapter.readiness_path: self.readiness_page,
-            "/metrics": metrics_page,
+            "/metrics": self.metrics_page,
         }
         await PageServer(self.network, pages).run(address, task_status=task_status)
 
@@ -359,6 +360,12 @@
         """Return what the balancer is told."""
         return Page(READY if self.is_ready() else NOT_READY)
 
+    def metrics_page(self) -> Page:
+        """Return what the collector is told."""
+        OWED.set(len(self.listener.state.owed.all))
+        body, content_type = render_metrics()
+        return Page(READY, body, content_type)
+
     async def tidy(self) -> None:
         """Close what is idle or gone, for ever."""
         while True:
@@ -373,6 +380,7 @@
         until_s = began_s + self.settings.bounds.grace_s - STOP_RESERVE_S
         self.is_stopping = True
         self.listener.state.is_stopping = True
+        self.listener.state.owed.stop_began_s = began_s
         log.info("not ready: planned stop", in_flight=self.listener.state.busy)
         self.listener.state.stops_at_s = until_s
         with trio.move_on_at(until_s):
@@ -385,19 +393,16 @@
             # Requests on kept connections came in meanwhile.
             while self.listener.state.busy:
                 await trio.sleep(0.05)
+        cuts = self.listener.state.owed.cut()
         log.info(
             "stopped",
-            cut_off=self.listener.state.busy,
+            cut_off=cuts.cut_off,
+            delivering=cuts.delivering,
+            heads_unread=cuts.heads_unread,
             took_s=round(trio.current_time() - began_s, 2),
         )
 
 
-def metrics_page() -> Page:
-    """Return what the collector is told."""
-    body, content_type = render_metrics()
-    return Page(READY, body, content_type)
-
-
 async def watch_settings(node: GatewayNode, path: Path) -> None:
     """Read the settings again at SIGHUP and when the file has changed."""
     changed = trio.Event()
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -1,5 +1,7 @@
 """One request of a caller: admitted, sent to a backend server, answered once."""
 
+from functools import partial
+
 import trio
 
 from rosemaryknot.connection.gateway_caller import Reply
@@ -14,6 +16,7 @@
     Course,
     GatewayParts,
     choice_of,
+    explain_cut,
     output_tokens,
     refusal,
 )
@@ -64,6 +67,7 @@
         if isinstance(course, Refusal):
             await self.refuse(request, reply, course)
             return
+        reply.owed.explain = partial(explain_cut, course)
         outcome = None
         with trio.move_on_at(course.until_s):
             outcome = await self.run(course)
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -5,6 +5,7 @@
 import trio
 
 from rosemaryknot.connection.gateway_server import ServerConnection
+from rosemaryknot.connection.owed_answers import Phase
 from rosemaryknot.process.gateway_servers import ServerState
 from rosemaryknot.process.metrics import histogram
 from rosemaryknot.request.event_stream import EventSplitter
@@ -185,6 +186,7 @@
         headers = [pair for pair in head.headers if pair[0] != b"content-length"]
         headers.append((b"content-length", str(len(body)).encode()))
         self.note_first()
+        self.course.reply.owed.phase = Phase.DELIVERY
         # An answer that is there is delivered, also where its time ends just now: cut
         # here, the caller would see a closed connection instead of it.
         with trio.move_on_after(DELIVERY_S, shield=True):
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -24,6 +24,7 @@
     "Course",
     "GatewayParts",
     "choice_of",
+    "explain_cut",
     "output_tokens",
     "refusal",
 ]
@@ -184,6 +185,22 @@
         "prompt": 0
         if course.request.size is None
         else course.request.size.prompt_tokens,
+        "max_output": output_tokens(course.request),
+    }
+
+
+def explain_cut(course: Course) -> dict[str, object]:
+    """Return what a line tells of a request that is cut on its way."""
+    limit_s = course.until_s - course.request.arrived_s
+    return {
+        "request": course.request.id,
+        "route": course.route.name,
+        "version": course.version,
+        "limit_s": round(limit_s, 3),
+        "left_s": round(course.left_s(), 3),
+        "servers": len(course.tried),
+        "first_s": None if course.first_s is None else round(course.first_s, 3),
+        **choice_of(course),
     }
 
 
--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -7,7 +7,7 @@
 import trio
 
 from rosemaryknot.process import logs
-from rosemaryknot.standin.users.system import document, platform_system
+from rosemaryknot.standin.users.system import MODEL_HEADERS, document, platform_system
 
 # Longer than the grace of a planned stop, so that the stop cuts it.
 LONG = {
@@ -104,6 +104,14 @@
             assert cut["request"] == "slow" and cut["phase"] == "reading its body"
             assert stopped["cut_off"] == 1 and stopped["heads_unread"] == 1
 
+    async def test_whole_stop_names_nobody(self, autojump_clock, log):
+        async with platform_system() as fleet:
+            await fleet.ask("/plan/x", request_id="short", **MODEL_HEADERS)
+            fleet.stops["n0"].set()
+            await trio.sleep(4)
+            [stopped] = log.lines("cut off", "stopped")
+            assert stopped["cut_off"] == 0 and stopped["heads_unread"] == 0
+
 
 class TestCallersWhoLeave:
     async def test_in_the_middle_of_an_answer(self, autojump_clock, log):
@@ -125,6 +133,20 @@
             assert cut["taken_after_stop_s"] is None
             assert cut["sent_bytes"] > 0
 
+    async def test_in_the_middle_of_a_body(self, autojump_clock, log):
+        async with platform_system() as fleet:
+            caller = await fleet.caller().open()
+            await caller.stream.send_all(
+                b"POST /book/x HTTP/1.1\r\nHost: a.example\r\n"
+                b"Rosemaryknot-Attempt-Id: half\r\nContent-Length: 50\r\n\r\nx"
+            )
+            await trio.sleep(0.1)
+            await caller.close()
+            await trio.sleep(0.1)
+            [cut] = log.lines("cut off")
+            assert cut["request"] == "half" and cut["cause"] == "the caller left"
+            assert cut["phase"] == "reading its body"
+
     async def test_whole_answer_names_nobody(self, autojump_clock, log):
         async with platform_system() as fleet:
             assert (await fleet.ask("/stock/x", method="GET")).is_whole
