--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -104,6 +104,26 @@
             assert cut["request"] == "slow" and cut["phase"] == "reading its body"
             assert stopped["cut_off"] == 1 and stopped["heads_unread"] == 1
 
+    async def test_stop_that_is_cut_short(self, autojump_clock, log):
+        """A second signal ends a planned stop while an answer is owed.
+
+        The stop ended before its last line, so that neither the number of answers
+        that were cut nor any of their ids was told.
+        """
+        async with platform_system(configuration=patient_document()) as fleet:
+            fleet.servers["m0"].work_s = fleet.servers["m1"].work_s = 0.2
+            caller = await fleet.caller().open()
+            await caller.send("/plan/x", request_id="long", **LONG)
+            await trio.sleep(0.5)
+            fleet.stops["n0"].set()
+            await trio.sleep(1)
+            fleet.scopes["n0"].cancel()
+            await trio.sleep(0.1)
+            cut, stopped = log.lines("cut off", "stopped")
+            assert cut["request"] == "long" and cut["cause"] == "planned stop"
+            assert stopped["cut_off"] == 1
+            assert stopped["took_s"] == pytest.approx(1, abs=0.1)
+
     async def test_whole_stop_names_nobody(self, autojump_clock, log):
         async with platform_system() as fleet:
             await fleet.ask("/plan/x", request_id="short", **MODEL_HEADERS)
--- a/tests/process/test_logs.py
+++ b/tests/process/test_logs.py
@@ -97,6 +97,43 @@
         assert pipe.lines() == ["next second"]
 
 
+class TestEndOfAProcess:
+    def test_last_lines_of_a_busy_second(self, pipe):
+        """A busy node stops, and its second's lines are used up.
+
+        Its last lines, which name the answers that it cuts, were dropped, and no line
+        followed that could tell how many. From the end of a stop on there is room for
+        some more.
+        """
+        logs.configure_logs(fd=pipe.writer, max_lines_per_s=1)
+        log = logs.logger("node")
+        for number in range(3):
+            log.info("answered", request=f"r{number}")
+        logs.hold_lines()
+        log.info("cut off", request="r9")
+        log.info("stopped", cut_off=1)
+        logs.flush_lines()
+        *_, cut, stopped = pipe.lines()
+        assert "cut off" in cut and "lines_lost=2" in cut
+        assert "stopped" in stopped
+
+    def test_reader_that_is_behind(self, pipe):
+        """The collector is behind when a node stops, and reads on a moment later.
+
+        The pipe was full at the last line, so it was dropped. It is held and written
+        once the process has nothing else to do.
+        """
+        log = logs.logger("node")
+        for number in range(1000):
+            log.info("answered", request="r" * 100, number=number)
+        logs.hold_lines()
+        log.info("stopped", cut_off=1)
+        assert "stopped" not in pipe.lines()[-1]
+        logs.flush_lines()
+        [stopped] = pipe.lines()
+        assert "stopped cut_off=1" in stopped
+
+
 class TestHarmless:
     def test_reader_that_stops_reading(self, pipe):
         """The log collector hangs, and every caller's stream freezes with it.
