Let the last lines of a stop reach the output

A second signal cancelled the stop before it wrote anything.

Ruled out: to wait for the reader at each line, which would freeze requests; to lift the bound of a second for the end, since cancelled requests would then write without one; to write `stopped` after the connections are closed, which may come after a kill.

Change: from the end of a stop on, up to 300 lines that do not fit are held, written before the next line, and once more when the process has nothing else to do, for at most 0.2 s of the 0.6 s that a stop leaves. At most 250 answers are named before the last line. The stop writes its lines also where a second signal ends it.

--- a/src/rosemaryknot/connection/owed_answers.py
+++ b/src/rosemaryknot/connection/owed_answers.py
@@ -12,6 +12,10 @@
 
 __all__ = ["OWED", "Cause", "OwedAnswer", "OwedAnswers", "Phase", "StopCuts"]
 
+# Answers that the end of a stop names before its last line; the others are named as
+# their connections end. Fewer than the lines that are held at a process's end.
+MAX_NAMED = 250
+
 CUT = counter("caller_answers_cut_total", "Answers that were not given, by cause.")
 OWED = gauge("caller_answers_owed", "Requests read in part or whole, not answered.")
 
@@ -136,7 +140,8 @@
                 cuts.delivering += 1
             else:
                 cuts.cut_off += 1
-                self.tell(owed)
+                if cuts.cut_off <= MAX_NAMED:
+                    self.tell(owed)
         return cuts
 
     def tell(self, owed: OwedAnswer) -> None:
--- a/src/rosemaryknot/process/command_line.py
+++ b/src/rosemaryknot/process/command_line.py
@@ -11,7 +11,7 @@
 
 from rosemaryknot import __version__
 from rosemaryknot.connection.network import Network, SocketNetwork
-from rosemaryknot.process.logs import configure_logs, logger
+from rosemaryknot.process.logs import configure_logs, flush_lines, logger
 from rosemaryknot.process.settings import (
     Settings,
     SettingsError,
@@ -240,6 +240,8 @@
         # machine, which a sentence explains better than a traceback.
         for error in leaves(group):
             log.error("cannot go on", error=str(error))
+    finally:
+        flush_lines()
     return code
 
 
--- a/src/rosemaryknot/process/logs.py
+++ b/src/rosemaryknot/process/logs.py
@@ -10,7 +10,7 @@
 import os
 import select
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, MutableMapping
 from dataclasses import dataclass
 from typing import Any
@@ -19,11 +19,22 @@
 
 from rosemaryknot.process.decisions import remember_line
 
-__all__ = ["LineWriter", "RepeatLimit", "configure_logs", "logger"]
+__all__ = [
+    "LineWriter",
+    "RepeatLimit",
+    "configure_logs",
+    "flush_lines",
+    "hold_lines",
+    "logger",
+]
 
 STDERR = 2
 # A pipe that polls as writable takes this many bytes without blocking (PIPE_BUF).
 MAX_LINE_BYTES = 4096
+# Lines at the end of a process that are held where they cannot be written, and how
+# long it waits for their reader then: a third of what a stop leaves of its grace.
+MAX_HELD = 300
+FLUSH_S = 0.2
 REPEATS = 10
 WINDOW_S = 10.0
 MAX_TEXTS = 500
@@ -102,6 +113,10 @@
     ----------
     lost : int
         Lines that could not be written since the last one that could.
+    held : collections.deque of bytes
+        Lines to write as soon as there is room, oldest first.
+    room : int
+        How many more may be held.
     """
 
     def __init__(
@@ -114,6 +129,8 @@
         self.max_lines_per_s = max_lines_per_s
         self.clock = clock
         self.lost = 0
+        self.held: deque[bytes] = deque()
+        self.room = 0
         self.second = 0
         self.lines = 0
 
@@ -138,22 +155,60 @@
         a pipe that polls as writable has room for `MAX_LINE_BYTES`.
         """
         data = line.encode(errors="replace")[: MAX_LINE_BYTES - 1] + b"\n"
+        is_over = self.is_over()
+        self.write_held()
+        if not self.held and not is_over and self.write(data):
+            self.lost = 0
+        elif self.room:
+            self.room -= 1
+            self.held.append(data)
+            self.lost = 0
+        else:
+            self.lost += 1
+
+    def write(self, data: bytes) -> bool:
+        """Write a line where it fits; tell whether it did."""
         try:
-            if self.is_over() or not self.writable():
-                raise BlockingIOError
+            if not self.writable():
+                return False
             os.write(self.fd, data)
         except OSError:
-            self.lost += 1
-        else:
-            self.lost = 0
+            return False
+        return True
+
+    def write_held(self) -> None:
+        """Write the lines that are held, as far as they fit."""
+        while self.held and self.write(self.held[0]):
+            self.held.popleft()
+
+    def hold(self) -> None:
+        """Hold the next lines that cannot be written, in place of dropping them.
+
+        The last lines of a process tell what it left undone. Dropped, they would be
+        counted by nobody, since no line follows; a bound on them is enough, since
+        little is logged after them.
+        """
+        self.room = MAX_HELD
+
+    def flush(self) -> None:
+        """Write the lines that are held, waiting a moment for their reader.
+
+        It blocks, so nothing else may be at work in the process.
+        """
+        until_s = time.monotonic() + FLUSH_S
+        self.write_held()
+        while self.held and (left_s := until_s - time.monotonic()) > 0:
+            if not self.writable(left_s) or not self.write(self.held[0]):
+                return
+            self.held.popleft()
 
     debug = info = warning = error = critical = exception = msg
 
-    def writable(self) -> bool:
-        """Tell whether a line can be written without waiting."""
+    def writable(self, wait_s: float = 0.0) -> bool:
+        """Tell whether a line can be written without waiting, or after a wait."""
         poll = select.poll()
         poll.register(self.fd, select.POLLOUT)
-        return bool(poll.poll(0))
+        return bool(poll.poll(wait_s * 1000))
 
 
 @dataclass(slots=True)
@@ -297,4 +352,19 @@
     return structlog.get_logger(part=part)
 
 
+def hold_lines() -> None:
+    """Hold the lines that cannot be written from now on; see `LineWriter.hold`."""
+    current_writer().hold()
+
+
+def flush_lines() -> None:
+    """Write what is held at the end of a process; see `LineWriter.flush`."""
+    current_writer().flush()
+
+
+def current_writer() -> LineWriter:
+    """Return the writer of this process's lines."""
+    return structlog.get_config()["logger_factory"]()
+
+
 configure_logs(level="warning")
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -29,7 +29,7 @@
 from rosemaryknot.process.gateway_quota import QuotaBook
 from rosemaryknot.process.gateway_state import GatewayState
 from rosemaryknot.process.leases import Lease, lease_candidates
-from rosemaryknot.process.logs import logger
+from rosemaryknot.process.logs import hold_lines, logger
 from rosemaryknot.process.metrics import render_metrics
 from rosemaryknot.process.node_settings import NodeSettings, load_node_settings
 from rosemaryknot.process.peers import PeerSet
@@ -383,16 +383,25 @@
         self.listener.state.owed.stop_began_s = began_s
         log.info("not ready: planned stop", in_flight=self.listener.state.busy)
         self.listener.state.stops_at_s = until_s
-        with trio.move_on_at(until_s):
-            await self.lease.release()
-            await trio.sleep_until(began_s + NOT_READY_S)
-            self.listener.state.close_idle()
-            while self.listener.state.busy:
-                await trio.sleep(0.05)
-            await self.peers.leave()
-            # Requests on kept connections came in meanwhile.
-            while self.listener.state.busy:
-                await trio.sleep(0.05)
+        try:
+            with trio.move_on_at(until_s):
+                await self.lease.release()
+                await trio.sleep_until(began_s + NOT_READY_S)
+                self.listener.state.close_idle()
+                while self.listener.state.busy:
+                    await trio.sleep(0.05)
+                await self.peers.leave()
+                # Requests on kept connections came in meanwhile.
+                while self.listener.state.busy:
+                    await trio.sleep(0.05)
+        finally:
+            # A second signal ends the wait; who asks for an answer that it cut finds
+            # a line all the same.
+            self.log_stopped(began_s)
+
+    def log_stopped(self, began_s: float) -> None:
+        """Write what a stop cuts, and its last line."""
+        hold_lines()
         cuts = self.listener.state.owed.cut()
         log.info(
             "stopped",
--- a/tests/process/test_logs.py
+++ b/tests/process/test_logs.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import time
 
 import pytest
 
@@ -133,6 +134,22 @@
         [stopped] = pipe.lines()
         assert "stopped cut_off=1" in stopped
 
+    def test_reader_that_never_reads(self, pipe):
+        """The collector hangs for good; the process has to end all the same."""
+        log = logs.logger("node")
+        for number in range(1000):
+            log.info("answered", request="r" * 100, number=number)
+        logs.hold_lines()
+        began_s = time.monotonic()
+        for number in range(1000):
+            log.info("cut off", request="r" * 100, number=number)
+        logs.flush_lines()
+        assert time.monotonic() - began_s < 1
+        os.close(pipe.reader)
+        pipe.reader = os.open(os.devnull, os.O_RDONLY)
+        log.info("stopped")
+        logs.flush_lines()
+
 
 class TestHarmless:
     def test_reader_that_stops_reading(self, pipe):
