Show that a caller that reads nothing can end a node

Cause: a request that its server's connection does not take at once is sent on beside the answer, in a nursery. Where the caller is given up meanwhile (nothing read for ten seconds, or its connection broke in a write), the error leaves that nursery in a group. The connection catches the error itself only, so the group ends the listener and with it the process and every answer that it owes.

--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from rosemaryknot.connection import gateway_server
 from rosemaryknot.process import logs
 from rosemaryknot.standin.users.system import MODEL_HEADERS, document, platform_system
 
@@ -167,6 +168,37 @@
             assert cut["request"] == "half" and cut["cause"] == "the caller left"
             assert cut["phase"] == "reading its body"
 
+    @pytest.mark.parametrize("taken_at_once", [1.0, 0.5])
+    async def test_reads_nothing(self, autojump_clock, log, monkeypatch, taken_at_once):
+        """A caller reads nothing of a long answer, and is given up after ten seconds.
+
+        Where the server's connection had not taken the whole request at once, the rest
+        is sent beside the answer. What gave the caller up came wrapped from there, was
+        caught by nobody, and ended the process with all other callers' answers.
+        """
+
+        def send_part(stream, data):
+            return gateway_server_send(stream, data[: int(len(data) * taken_at_once)])
+
+        gateway_server_send = gateway_server.send_now
+        monkeypatch.setattr(gateway_server, "send_now", send_part)
+        patient = patient_document()
+        patient["routes"][0]["timeoutMs"] = 30000
+        async with platform_system(configuration=patient) as fleet:
+            fleet.servers["m0"].work_s = fleet.servers["m1"].work_s = 0.0
+            caller = await fleet.caller().open()
+            await caller.send(
+                "/plan/x",
+                request_id="deaf",
+                Rosemaryknot_Token_Usage="10,100000",
+                Rosemaryknot_Deadline_Ms="30000",
+            )
+            await trio.sleep(12)
+            [cut] = log.lines("cut off")
+            assert cut["request"] == "deaf"
+            assert cut["cause"] == "the caller stood still"
+            assert (await fleet.ask("/stock/x", method="GET")).status == 200
+
     async def test_whole_answer_names_nobody(self, autojump_clock, log):
         async with platform_system() as fleet:
             whole = await fleet.ask("/stock/x", method="GET")
