Give up a caller that reads nothing without ending the node

Cause: the error came in a group out of the nursery in which a request's rest is sent beside its answer, and the connection caught it bare only.

Ruled out: to unwrap it in the attempt, since any nursery in the handler does the same to it; to catch groups at the listener, which would hide other errors.

Change: the connection takes it out of groups as well.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -54,6 +54,19 @@
         self.cause = cause
 
 
+def cause_of(group: BaseExceptionGroup) -> Cause:
+    """Return why a caller is gone, out of a group of `CallerGone`.
+
+    Examples
+    --------
+    >>> inner = ExceptionGroup("", [CallerGone(Cause.CALLER_STALLED)])
+    >>> str(cause_of(ExceptionGroup("", [inner])))
+    'the caller stood still'
+    """
+    first = group.exceptions[0]
+    return cause_of(first) if isinstance(first, BaseExceptionGroup) else first.cause
+
+
 class Reply:
     """Writes the answer to one request.
 
@@ -356,8 +369,10 @@
                 await self.state.handler(request, reply)
                 # What ends here has its line of the handler.
                 owed.is_told = True
-            except CallerGone as error:
-                owed.cause = error.cause
+            except* CallerGone as group:
+                # Raised beside a request's rest that is being sent, it comes in a
+                # group, which would end the listener and every other answer.
+                owed.cause = cause_of(group)
             nursery.cancel_scope.cancel()
         if not reply.is_done or self.saw_end:
             # An answer that ends early must not look whole: without its last chunk
