--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -14,6 +14,7 @@
 from rosemaryknot.connection.gateway_server import ServerPool
 from rosemaryknot.connection.links import Handlers
 from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.owed_answers import OWED
 from rosemaryknot.connection.pages import Page, PageServer
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.change_spread import ChangeSpread
@@ -28,7 +29,7 @@
 from rosemaryknot.process.gateway_quota import QuotaBook
 from rosemaryknot.process.gateway_state import GatewayState
 from rosemaryknot.process.leases import Lease, lease_candidates
-from rosemaryknot.process.logs import logger
+from rosemaryknot.process.logs import hold_lines, logger
 from rosemaryknot.process.metrics import render_metrics
 from rosemaryknot.process.node_settings import NodeSettings, load_node_settings
 from rosemaryknot.process.peers import PeerSet
@@ -351,7 +352,7 @@
         """Serve readiness and metrics."""
         pages = {
             self.adapter.readiness_path: self.readiness_page,
-            "/metrics": metrics_page,
+            "/metrics": self.metrics_page,
         }
         await PageServer(self.network, pages).run(address, task_status=task_status)
 
@@ -359,6 +360,12 @@
         """Return what the balancer is told."""
         return Page(READY if self.is_ready() else NOT_READY)
 
+    def metrics_page(self) -> Page:
+        """Return what the collector is told."""
+        OWED.set(len(self.listener.state.owed.all))
+        body, content_type = render_metrics()
+        return Page(READY, body, content_type)
+
     async def tidy(self) -> None:
         """Close what is idle or gone, for ever."""
         while True:
@@ -373,32 +380,43 @@
         until_s = began_s + self.settings.bounds.grace_s - STOP_RESERVE_S
         self.is_stopping = True
         self.listener.state.is_stopping = True
+        self.listener.state.owed.stop_began_s = began_s
         log.info("not ready: planned stop", in_flight=self.listener.state.busy)
         self.listener.state.stops_at_s = until_s
-        with trio.move_on_at(until_s):
-            # A store that does not answer must not hold up the callers; a lease that
-            # is not given back lapses by itself.
-            with trio.move_on_at(began_s + NOT_READY_S):
-                await self.lease.release()
-            await trio.sleep_until(began_s + NOT_READY_S)
-            self.listener.state.close_idle()
-            while self.listener.state.busy:
-                await trio.sleep(0.05)
-            await self.peers.leave()
-            await self.listener.state.close()
+        try:
+            with trio.move_on_at(until_s):
+                await self.end_requests(began_s)
+        finally:
+            # A second signal ends the wait; who asks for an answer that it cut finds
+            # a line all the same.
+            self.log_stopped(began_s)
+
+    async def end_requests(self, began_s: float) -> None:
+        """Let callers go elsewhere, and wait until none is owed an answer."""
+        # A store that does not answer must not hold up the callers; a lease that is
+        # not given back lapses by itself.
+        with trio.move_on_at(began_s + NOT_READY_S):
+            await self.lease.release()
+        await trio.sleep_until(began_s + NOT_READY_S)
+        self.listener.state.close_idle()
+        while self.listener.state.busy:
+            await trio.sleep(0.05)
+        await self.peers.leave()
+        await self.listener.state.close()
+
+    def log_stopped(self, began_s: float) -> None:
+        """Write what a stop cuts, and its last line."""
+        hold_lines()
+        cuts = self.listener.state.owed.cut()
         log.info(
             "stopped",
-            cut_off=self.listener.state.busy,
+            cut_off=cuts.cut_off,
+            delivering=cuts.delivering,
+            heads_unread=cuts.heads_unread,
             took_s=round(trio.current_time() - began_s, 2),
         )
 
 
-def metrics_page() -> Page:
-    """Return what the collector is told."""
-    body, content_type = render_metrics()
-    return Page(READY, body, content_type)
-
-
 async def watch_settings(node: GatewayNode, path: Path) -> None:
     """Read the settings again at SIGHUP and when the file has changed."""
     changed = trio.Event()
