Take late in a planned stop only what a time limit ends before it

Cause: during a planned stop a request was taken when answers of late would have ended in time. An estimate bounds nothing: while a zone thins out, callers come to stopping nodes and servers fill up, so answers outran every estimate, and the stop's end cut them.

Change: the decision is a function of typed inputs in request/stop_admission.py, its ways in a registry. Until the balancer has left the node out (2.6 s after the signal) answers of late decide, if there are any; after it, only what the request's own limit ends before the stop. A plain request that may run again gets a shorter limit and ends whole or with an honest 504. What answers of late speak against is refused as before: an earlier test asks for that. One line of the log for each decision.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -5,7 +5,6 @@
 h11 over the network's streams here.
 """
 
-import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -15,7 +14,12 @@
 from rosemaryknot.connection.network import Network, receive_next
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.gateway import CallerLimits, GatewayRequest, Headers
-from rosemaryknot.values.gateway_answers import GatewayWire, Refusal, TargetFault
+from rosemaryknot.values.gateway_answers import (
+    GatewayWire,
+    PlannedStop,
+    Refusal,
+    TargetFault,
+)
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["CallerConnection", "GatewayListener", "Reply"]
@@ -109,8 +113,8 @@
         Connections that are open.
     busy : int
         Those with a request that was read in part or whole.
-    stops_at_s : float
-        When a planned stop ends them, in trio time; infinite without one.
+    stop : PlannedStop or None
+        The planned stop that goes on.
     idle : set of trio.CancelScope
         Of connections that wait for a request.
     """
@@ -121,7 +125,7 @@
     is_stopping: bool = False
     open: int = 0
     busy: int = 0
-    stops_at_s: float = math.inf
+    stop: PlannedStop | None = None
     idle: set[trio.CancelScope] = field(default_factory=set)
 
     def close_idle(self) -> None:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -37,7 +37,7 @@
 from rosemaryknot.process.usage_book import UsageBook
 from rosemaryknot.request.gateway import Gateway, GatewayParts
 from rosemaryknot.values.duties import DutyCalls
-from rosemaryknot.values.gateway_answers import GatewayWire
+from rosemaryknot.values.gateway_answers import GatewayWire, PlannedStop
 from rosemaryknot.values.nodes import Node
 
 __all__ = ["Adapter", "GatewayNode", "run_node"]
@@ -261,7 +261,7 @@
             ),
             note_run=lambda name: self.usage.note(name, self.clock.now()),
             note_work=self.demand.note,
-            stops_at_s=lambda: self.listener.state.stops_at_s,
+            stop=lambda: self.listener.state.stop,
             rng=self.rng,
         )
 
@@ -374,10 +374,11 @@
         self.is_stopping = True
         self.listener.state.is_stopping = True
         log.info("not ready: planned stop", in_flight=self.listener.state.busy)
-        self.listener.state.stops_at_s = until_s
+        left_out_s = began_s + NOT_READY_S
+        self.listener.state.stop = PlannedStop(began_s, left_out_s, until_s)
         with trio.move_on_at(until_s):
             await self.lease.release()
-            await trio.sleep_until(began_s + NOT_READY_S)
+            await trio.sleep_until(left_out_s)
             self.listener.state.close_idle()
             while self.listener.state.busy:
                 await trio.sleep(0.05)
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -215,7 +215,8 @@
         took_s = trio.current_time() - course.request.arrived_s
         if isinstance(outcome, Completed):
             tokens = output_tokens(course.request)
-            self.durations.note(course.route.name, took_s, tokens)
+            now_s = trio.current_time()
+            self.durations.note(course.route.name, took_s, tokens, now_s)
         REQUESTS.add(outcome=type(outcome).__name__)
         WHOLE.observe(took_s)
         log.info(
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -17,7 +17,7 @@
     GatewayRoute,
     GatewayService,
 )
-from rosemaryknot.values.gateway_answers import GatewayWire, Refusal
+from rosemaryknot.values.gateway_answers import GatewayWire, PlannedStop, Refusal
 
 __all__ = [
     "UNAVAILABLE",
@@ -69,8 +69,8 @@
         Of a customer; counts a request that began to run.
     note_work : callable
         Of a service and prompt tokens that it has to read; counts the work.
-    stops_at_s : callable
-        Returns when a planned stop ends requests, in trio time; infinite without.
+    stop : callable
+        Returns the planned stop that goes on, or None.
     rng : random.Random
         Spreads returns and breaks ties.
     """
@@ -87,7 +87,7 @@
     note_request: Callable[[str], None]
     note_run: Callable[[str], None]
     note_work: Callable[[str, int], None]
-    stops_at_s: Callable[[], float]
+    stop: Callable[[], PlannedStop | None]
     rng: random.Random
 
 
--- a/src/rosemaryknot/request/gateway_entry.py
+++ b/src/rosemaryknot/request/gateway_entry.py
@@ -1,7 +1,5 @@
 """What is decided about a request before a server is chosen: route, customer, time."""
 
-import math
-
 import trio
 
 from rosemaryknot.connection.gateway_caller import Reply
@@ -14,14 +12,21 @@
     output_tokens,
     refusal,
 )
+from rosemaryknot.request.stop_admission import (
+    STOP_ADMISSIONS,
+    RefusedInStop,
+    StopInput,
+    TakenInStop,
+)
 from rosemaryknot.values.gateway import (
     CustomerLimit,
     GatewayConfiguration,
     GatewayRequest,
     GatewayRoute,
     GatewayService,
+    Repeat,
 )
-from rosemaryknot.values.gateway_answers import Refusal
+from rosemaryknot.values.gateway_answers import PlannedStop, Refusal
 
 __all__ = ["Entry"]
 
@@ -29,6 +34,8 @@
 # What is left must cover the way to the server and back, or nobody gains by sending.
 LEAST_LEFT_S = 0.01
 TOO_MANY = 429
+# The way in force; weighed in docs/design/platform.md.
+STOP_ADMISSION = "bound_and_estimate"
 
 log = logger("gateway")
 
@@ -42,11 +49,17 @@
         What it works with.
     durations : Durations
         How long answers have taken.
+
+    Attributes
+    ----------
+    admit_in_stop : callable
+        Decides on what is read during a planned stop; one of `STOP_ADMISSIONS`.
     """
 
     def __init__(self, parts: GatewayParts, durations: Durations) -> None:
         self.parts = parts
         self.durations = durations
+        self.admit_in_stop = STOP_ADMISSIONS[STOP_ADMISSION]
 
     def admit(self, request: GatewayRequest, reply: Reply) -> Course | Refusal:
         """Return a request's course, or why it is refused."""
@@ -68,10 +81,12 @@
         service = self.service_of(configuration, route)
         if service is None:
             return refusal(self.parts.rng, UNAVAILABLE, "the route has no service")
-        if not self.ends_in_time(route, request):
-            return refusal(
-                self.parts.rng, UNAVAILABLE, "stops before the answer would end"
-            )
+        stop = parts.stop()
+        if stop is not None:
+            outcome = self.decide_in_stop(stop, route, request, until_s)
+            if isinstance(outcome, RefusedInStop):
+                return refusal(parts.rng, UNAVAILABLE, outcome.reason)
+            until_s = outcome.until_s
         units = units_of(customer, request)
         wait_s = parts.take_quota(customer, units) if units else 0.0
         if wait_s > 0:
@@ -97,16 +112,35 @@
             last_rank=configuration.last_rank_by_service[service.name],
         )
 
-    def ends_in_time(self, route: GatewayRoute, request: GatewayRequest) -> bool:
-        """Tell whether an answer most likely ends before a planned stop.
-
-        While most of a zone's nodes are away, the balancer sends callers to those
-        that stop as well. A long stream taken late would be cut in its middle.
-        """
-        left_s = self.parts.stops_at_s() - trio.current_time()
-        if left_s == math.inf:
-            return True
-        return self.durations.likely_s(route.name, output_tokens(request)) < left_s
+    def decide_in_stop(
+        self,
+        stop: PlannedStop,
+        route: GatewayRoute,
+        request: GatewayRequest,
+        until_s: float,
+    ) -> TakenInStop | RefusedInStop:
+        """Decide on a request that was read during a planned stop, and log it."""
+        now_s = trio.current_time()
+        likely = self.durations.likely(route.name, output_tokens(request), now_s)
+        may_end_early = route.repeat == Repeat.ANY
+        given = StopInput(now_s, stop, until_s, likely, may_end_early)
+        # A stream started on an estimate was cut at the stop's end whenever the load
+        # outran the estimate; what a time limit bounds ends before, whatever the load.
+        outcome = self.admit_in_stop(given)
+        log.info(
+            "decided in a planned stop",
+            request=request.id,
+            route=route.name,
+            taken=isinstance(outcome, TakenInStop),
+            by=getattr(outcome, "bound", "no bound"),
+            since_signal_s=round(now_s - stop.signalled_s, 3),
+            stop_left_s=round(stop.ends_s - now_s, 3),
+            limit_left_s=round(until_s - now_s, 3),
+            likely_s=round(likely.within_s, 3),
+            answers=likely.answers,
+            answers_age_s=None if likely.age_s is None else round(likely.age_s, 1),
+        )
+        return outcome
 
     def customer_of(
         self,
--- a/src/rosemaryknot/values/gateway_answers.py
+++ b/src/rosemaryknot/values/gateway_answers.py
@@ -13,6 +13,7 @@
     "Lost",
     "NotRunThere",
     "NotSent",
+    "PlannedStop",
     "Refusal",
     "TargetFault",
 ]
@@ -52,6 +53,25 @@
     headers: Headers = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class PlannedStop:
+    """A planned stop that goes on; times are trio's.
+
+    Attributes
+    ----------
+    signalled_s : float
+        When its signal came.
+    left_out_s : float
+        When the balancer has had the time to send new callers elsewhere.
+    ends_s : float
+        When it ends what is still open.
+    """
+
+    signalled_s: float
+    left_out_s: float
+    ends_s: float
+
+
 @dataclass(slots=True)
 class NotSent:
     """No byte can have left for the server."""
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from rosemaryknot.request import gateway_entry
 from rosemaryknot.standin.users.system import MODEL_HEADERS, document, platform_system
 
 LONG_MS = 15_000
@@ -60,3 +61,68 @@
                 assert 0 < float(answer.headers["retry-after"]) < 1
                 assert fleet.ledger.runs_of("late") == 0
             await in_flight.close()
+
+
+class TestPlainRequestLate:
+    async def test_it_ends_with_an_answer(self, autojump_clock):
+        """A plain request that may run again comes 6.5 s after the signal.
+
+        Its own limit lies beyond the stop, and its server falls silent. It gets a
+        limit that ends before the stop does: the caller reads an honest failure
+        instead of a closed connection.
+        """
+        async with platform_system(nodes=1, configuration=with_long_streams()) as fleet:
+            assert (await fleet.ask("/stock/x", method="GET")).status == 200
+            set_pace(fleet, CROWDED_EVENT_S * 2)
+            in_flight = await open_long(fleet, "in flight")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(6.5)
+            for name in ("p0", "p1"):
+                fleet.servers[name].is_mute = True
+            late = await fleet.ask("/stock/x", method="GET", request_id="late")
+            assert late.is_whole
+            assert late.status == 504
+            assert 0.7 < late.took_s < 0.9
+            await in_flight.close()
+
+
+class Lines:
+    """Keeps lines of a log."""
+
+    def __init__(self):
+        self.kept = []
+
+    def info(self, event, **fields):
+        self.kept.append(fields | {"event": event})
+
+
+class TestDecisionLine:
+    async def test_each_decision_says_what_it_rests_on(
+        self, autojump_clock, monkeypatch
+    ):
+        """A stream is refused late in a stop; the log tells why under its id."""
+        async with platform_system(nodes=1, configuration=with_long_streams()) as fleet:
+            calm = await open_long(fleet, "calm")
+            assert (await calm.receive()).is_whole
+            set_pace(fleet, CROWDED_EVENT_S)
+            in_flight = await open_long(fleet, "in flight")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(4.0)
+            lines = Lines()
+            monkeypatch.setattr(gateway_entry, "log", lines)
+            late = await open_long(fleet, "late")
+            assert (await late.receive()).status == 503
+            assert len(lines.kept) == 1
+            decided = lines.kept[0]
+            assert decided["request"] == "late"
+            assert decided["route"] == "plan"
+            assert not decided["taken"]
+            assert 3.9 < decided["since_signal_s"] < 4.1
+            assert 3.3 < decided["stop_left_s"] < 3.5
+            assert 14.9 < decided["limit_left_s"] <= 15.0
+            assert decided["answers"] == 1
+            assert 3.9 < decided["answers_age_s"] < 4.2
+            assert 0.1 < decided["likely_s"] < 0.5
+            await in_flight.close()
