--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -5,7 +5,6 @@
 h11 over the network's streams here.
 """
 
-import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -16,7 +15,12 @@
 from rosemaryknot.connection.owed_answers import Cause, OwedAnswer, OwedAnswers, Phase
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.gateway import CallerLimits, GatewayRequest, Headers
-from rosemaryknot.values.gateway_answers import GatewayWire, Refusal, TargetFault
+from rosemaryknot.values.gateway_answers import (
+    GatewayWire,
+    PlannedStop,
+    Refusal,
+    TargetFault,
+)
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["CallerConnection", "GatewayListener", "Reply"]
@@ -142,8 +146,8 @@
         Connections that are open.
     busy : int
         Those with a request that was read in part or whole.
-    stops_at_s : float
-        When a planned stop ends them, in trio time; infinite without one.
+    stop : PlannedStop or None
+        The planned stop that goes on.
     idle : set of trio.CancelScope
         Of connections that wait for a request.
     owed : OwedAnswers
@@ -157,7 +161,7 @@
     is_closed: bool = False
     open: int = 0
     busy: int = 0
-    stops_at_s: float = math.inf
+    stop: PlannedStop | None = None
     idle: set[trio.CancelScope] = field(default_factory=set)
     owed: OwedAnswers = field(default_factory=OwedAnswers)
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -38,7 +38,7 @@
 from rosemaryknot.process.usage_book import UsageBook
 from rosemaryknot.request.gateway import Gateway, GatewayParts
 from rosemaryknot.values.duties import DutyCalls
-from rosemaryknot.values.gateway_answers import GatewayWire
+from rosemaryknot.values.gateway_answers import GatewayWire, PlannedStop
 from rosemaryknot.values.nodes import Node
 
 __all__ = ["Adapter", "GatewayNode", "run_node"]
@@ -262,7 +262,7 @@
             ),
             note_run=lambda name: self.usage.note(name, self.clock.now()),
             note_work=self.demand.note,
-            stops_at_s=lambda: self.listener.state.stops_at_s,
+            stop=lambda: self.listener.state.stop,
             rng=self.rng,
         )
 
@@ -382,22 +382,23 @@
         self.listener.state.is_stopping = True
         self.listener.state.owed.stop_began_s = began_s
         log.info("not ready: planned stop", in_flight=self.listener.state.busy)
-        self.listener.state.stops_at_s = until_s
+        stop = PlannedStop(began_s, began_s + NOT_READY_S, until_s)
+        self.listener.state.stop = stop
         try:
             with trio.move_on_at(until_s):
-                await self.end_requests(began_s)
+                await self.end_requests(stop)
         finally:
             # A second signal ends the wait; who asks for an answer that it cut finds
             # a line all the same.
             self.log_stopped(began_s)
 
-    async def end_requests(self, began_s: float) -> None:
+    async def end_requests(self, stop: PlannedStop) -> None:
         """Let callers go elsewhere, and wait until none is owed an answer."""
         # A store that does not answer must not hold up the callers; a lease that is
         # not given back lapses by itself.
-        with trio.move_on_at(began_s + NOT_READY_S):
+        with trio.move_on_at(stop.left_out_s):
             await self.lease.release()
-        await trio.sleep_until(began_s + NOT_READY_S)
+        await trio.sleep_until(stop.left_out_s)
         self.listener.state.close_idle()
         while self.listener.state.busy:
             await trio.sleep(0.05)
