--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,9 +1,16 @@
 """Tests of what a gateway takes while it ends a planned stop, in virtual time."""
 
+import h11
 import trio
 
 from rosemaryknot.request import gateway_entry
-from rosemaryknot.standin.users.system import MODEL_HEADERS, document, platform_system
+from rosemaryknot.standin.users.system import (
+    HOST,
+    KEY,
+    MODEL_HEADERS,
+    document,
+    platform_system,
+)
 
 LONG_MS = 15_000
 # A stream has ten events.
@@ -87,6 +94,63 @@
             await in_flight.close()
 
 
+class TestBoundStreamLate:
+    async def test_it_is_taken_and_goes_on_elsewhere(self, autojump_clock):
+        """A stream with a limit of 3 s comes 4 s after the signal; its server breaks.
+
+        It surely ends before the stop does, also with a second server: the caller
+        gets it whole.
+        """
+        async with platform_system(nodes=1, configuration=with_long_streams()) as fleet:
+            set_pace(fleet, CALM_EVENT_S)
+            assert (await fleet.ask("/ask/x", **MODEL_HEADERS)).is_whole
+            set_pace(fleet, CROWDED_EVENT_S)
+            in_flight = await open_long(fleet, "in flight")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(4.0)
+            set_pace(fleet, CALM_EVENT_S)
+            fleet.servers["m0"].faults.append("cut_event")
+            late = await fleet.ask("/ask/x", request_id="late", **MODEL_HEADERS)
+            assert late.status == 200
+            assert late.is_whole
+            assert fleet.ledger.runs_of("late") == 2
+            await in_flight.close()
+
+
+class TestSlowBodyLate:
+    async def test_decided_when_it_was_read(self, autojump_clock):
+        """A body begins to come before the balancer leaves the node out, ends after.
+
+        The time that is left counts from when the request was read whole.
+        """
+        async with platform_system(nodes=1, configuration=with_long_streams()) as fleet:
+            calm = await open_long(fleet, "calm")
+            assert (await calm.receive()).is_whole
+            set_pace(fleet, CROWDED_EVENT_S)
+            in_flight = await open_long(fleet, "in flight")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(2.0)
+            slow = await fleet.caller().open()
+            headers = [
+                ("Host", HOST),
+                ("Rosemaryknot-Attempt-Id", "slow"),
+                ("Rosemaryknot-Deadline-Ms", str(LONG_MS)),
+                ("Authorization", f"Bearer {KEY}"),
+                ("Content-Length", "2"),
+                *MODEL_HEADERS.items(),
+            ]
+            head = h11.Request(method="POST", target="/plan/x", headers=headers)
+            await slow.stream.send_all(slow.conn.send(head))
+            await trio.sleep(1.0)
+            await slow.stream.send_all(slow.conn.send(h11.Data(data=b"ok")))
+            slow.conn.send(h11.EndOfMessage())
+            assert (await slow.receive()).status == 503
+            assert fleet.ledger.runs_of("slow") == 0
+            await in_flight.close()
+
+
 class Lines:
     """Keeps lines of a log."""
 
