--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -1,5 +1,6 @@
 """Gateway nodes between the stand-ins of their platform, on one memory network."""
 
+import math
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -120,6 +121,8 @@
         0 where no head came.
     is_whole : bool
         Whether the answer ended as it said it would.
+    took_s, first_s : float
+        Until its end and the first part of its body, in seconds.
     """
 
     status: int = 0
@@ -127,6 +130,7 @@
     body: bytes = b""
     is_whole: bool = False
     took_s: float = 0.0
+    first_s: float = math.inf
 
 
 class Caller:
@@ -188,6 +192,7 @@
                 answer.status = event.status_code
                 answer.headers = {k.decode(): v.decode() for k, v in event.headers}
             elif isinstance(event, h11.Data):
+                answer.first_s = min(answer.first_s, trio.current_time() - began_s)
                 answer.body += bytes(event.data)
             else:
                 answer.is_whole = isinstance(event, h11.EndOfMessage)
