Add a failing test of servers that leave while a zone's hub has lost the store

Cause: a node that sees that it is behind asks the store once, no sooner than two seconds after the last time, and waits for the word of the same hub again.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -108,6 +108,30 @@
                 if node.node.name not in silent:
                     assert node.state.servers.by_id["p0"].has_drained, node.node
 
+    async def test_hub_is_cut_off_from_the_store(self, autojump_clock):
+        """The hub of a zone loses the store, and servers leave one after the other.
+
+        It does not know yet and says that it watches. The zone's other nodes see in
+        the sums that they are behind and ask the store, once in two seconds; a server
+        that left just after the question got work for up to 2.2 s.
+        """
+        async with platform_system(nodes=30, plain=8) as fleet:
+            await trio.sleep(12)
+            here = [n for n in fleet.nodes.values() if n.node.zone == "z0"]
+            hub = here[0].exchange.hubs.target()
+            fleet.network.cut(fleet.nodes[hub].settings.listen.callers.host, "10.0.0.1")
+            left_s = {}
+            for name in sorted(fleet.servers):
+                entry = fleet.servers[name].entry | {"state": "draining"}
+                fleet.store.put("servers", name, entry)
+                left_s[name] = trio.current_time()
+                await trio.sleep(0.3)
+                for node in here:
+                    servers = node.state.servers.by_id
+                    late = [n for n in left_s if not servers[n].has_drained]
+                    late = [n for n in late if trio.current_time() - left_s[n] > 1.5]
+                    assert node.node.name == hub or not late
+
 
 def freeze(fleet, name):
     """Cut a node off from everything, without a sign to anybody."""
