Watch the store for oneself for a while where the word of others has failed

Cause: that a hub watches is its own word, which stays true to it for seconds after it has lost the store. A node that found itself behind asked once and believed it again; the pause of two seconds between two questions then became the delay of the next change.

Ruled out: a shorter pause, at which a slow store's calls would never end; having hubs prove their watch by calls without changes, which cost calls all the time.

Change: after each sign that it is behind, a node watches for itself for as long as the hub's call may take to fail. It costs one call in five seconds and one a change, only at the nodes that were left behind.

--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -22,6 +22,9 @@
 # While the store is lost it is asked without a wait, so that its return shows at once.
 # So does a node that others tell of changes, when it asks for what it has missed.
 NO_WAIT_S = 0.0
+# How long a node watches for itself after the word of others has failed it: as long as
+# a call of a watching node may take to show that it has lost the store.
+OWN_WATCH_S = WAIT_S + 2.0
 # How often a node that is told of changes looks whether it has to watch again.
 REST_S = 0.25
 
@@ -52,6 +55,8 @@
         Up to which changes are known; -1 before the first list.
     seen : int
         Revision of the newest change that was taken over.
+    own_until_s : float
+        Until when this node watches the store itself whatever others tell.
     watches : callable
         Tells whether this node watches the store itself; others tell it otherwise.
     on_taken : callable
@@ -76,6 +81,7 @@
         self.nudged_s = float("-inf")
         self.failures = 0
         self.is_asked = False
+        self.own_until_s = float("-inf")
         self.watches: Callable[[], bool] = lambda: True
         self.on_taken: Callable[[int, Changes], None] = lambda before, changes: None
         self.scope = trio.CancelScope()
@@ -91,9 +97,11 @@
 
         A watch that the network has lost track of says nothing for good, and its
         node would go on with an old state until the wait is over. Asked again no
-        sooner than a call may take, or no call would ever end.
+        sooner than a call may take, or no call would ever end. Until then and some time
+        more this node watches for itself, or the next change would wait for the pause.
         """
         now_s = trio.current_time()
+        self.own_until_s = now_s + OWN_WATCH_S
         if now_s - self.nudged_s < NUDGE_PAUSE_S:
             return
         self.nudged_s = now_s
@@ -106,7 +114,7 @@
         if self.revision < 0:
             await self.list_all()
             return
-        watches = self.watches()
+        watches = self.watches() or trio.current_time() < self.own_until_s
         if not watches and not self.failures and not self.is_asked:
             await trio.sleep(REST_S)
             return
