Add a failing test of usage that is told before all nodes were heard

Cause: a window is told two seconds after its end, by when reports usually are in. The settings name the moment at which it is due, and nothing reads it.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.standin.users.system import HOST, KEY, platform_system
 
 
@@ -133,6 +134,47 @@
                     assert node.node.name == hub or not late
 
 
+class TestUsageIsWaitedFor:
+    async def test_reports_come_late(self, autojump_clock):
+        """The reports of one node come 2.6 s late, and it serves to a window's end.
+
+        The holder of the duty told the window two seconds after its end, as if all had
+        been heard by then, and left the node's last requests out; there were eight
+        seconds more until the counts were due.
+        """
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            await trio.sleep(12 - trio.current_time())
+            late = next(n for n in fleet.nodes.values() if not n.lease.is_held())
+            host = late.settings.listen.callers.host
+            for node in fleet.nodes.values():
+                other = node.settings.listen.callers.host
+                if other != host:
+                    fleet.network.delays_s[frozenset((host, other))] = 2.6
+            await trio.sleep_until(13.5)
+            for number in range(12):
+                request_id = f"u{number}"
+                await fleet.ask("/book/x", late.node.name, request_id=request_id)
+                await trio.sleep(0.1)
+            assert trio.current_time() < 15
+            await trio.sleep_until(24)
+            window = late.usage.window_of(late.clock.now()) - 2
+            assert fleet.cloud.usage[window] == {"ada": 12}
+
+    async def test_node_is_gone(self, autojump_clock):
+        """A node is killed in a window; the others' counts are told when they are due.
+
+        Nobody hears from it that it has counted to the end, so there is a bound.
+        """
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            await trio.sleep(14 - trio.current_time())
+            gone = next(n for n in fleet.nodes.values() if not n.lease.is_held())
+            fleet.kill(gone.node.name)
+            await trio.sleep_until(15)
+            window = gone.usage.window_of(gone.clock.now()) - 1
+            await trio.sleep_until(15 + Bounds().usage_delay_s - 3)
+            assert window in fleet.cloud.usage
+
+
 def freeze(fleet, name):
     """Cut a node off from everything, without a sign to anybody."""
     host = fleet.nodes[name].settings.listen.callers.host
