Wait for the usage of all live nodes until it is due, not for two seconds

Cause: that all reports are in two seconds after a window was an estimate. Under load and through hubs they come later, what they tell is left out for good, and the bound of the deployment, when usage is due, was read from the settings and used nowhere.

Ruled out: a longer fixed wait, which is an estimate too and uses up the time for lost answers.

Change: reports say up to when their counts go. A window is told once every live node has told its counts up to the window's end, at the latest after half of the time until it is due; what is left then is for two calls of two seconds. A missing node is logged.

Not measured at size.

--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -31,8 +31,11 @@
 __all__ = ["KEPT_NOTE", "DutyParts", "ScalingDuty", "UsageDuty"]
 
 STEP_S = 0.5
-# After the end of a window, so that late reports are in: some reports of the gateways.
+# At least so long after the end of a window, for gateways that are just met.
 SETTLE_S = 2.0
+# Of the time after which usage is due: so long a window waits for gateways that have
+# not told their counts. What is left is for two calls that take two seconds each.
+WAITED_SHARE = 0.5
 # A window that could not be told for this long counts as lost; the next ones go on.
 GIVE_UP_WINDOWS = 8
 USAGE_NOTE = "usage"
@@ -99,10 +102,13 @@
     ----------
     parts : DutyParts
         What it works with.
+    delay_s : float
+        When the usage of a window is due after its end, in seconds.
     """
 
-    def __init__(self, parts: DutyParts) -> None:
+    def __init__(self, parts: DutyParts, delay_s: float) -> None:
         self.parts = parts
+        self.delay_s = delay_s
         self.started_window = parts.usage.window_of(parts.clock.now())
         self.done: int | None = None
         self.retry_s = 0.0
@@ -126,11 +132,10 @@
         last = self.started_window - 1 if noted is None else int(noted["window"])
         window = last + 1
         now_s = parts.clock.now()
-        ended_s = (window + 1) * parts.usage.window_s
         current = parts.usage.window_of(now_s)
         if current - window > GIVE_UP_WINDOWS:
             window = current - GIVE_UP_WINDOWS
-        elif now_s < ended_s + SETTLE_S:
+        elif not self.is_settled(window, now_s):
             return
         configuration = parts.state.configuration
         if configuration is None:
@@ -140,6 +145,23 @@
         if await parts.lease.note(USAGE_NOTE, note):
             await self.send(window, counts)
 
+    def is_settled(self, window: int, now_s: float) -> bool:
+        """Tell whether a window may be told: all have counted it, or it is due soon.
+
+        It is told once and for all, so a gateway whose reports are late, as under
+        load, would be left out of it for good.
+        """
+        ended_s = (window + 1) * self.parts.usage.window_s
+        if now_s < ended_s + SETTLE_S:
+            return False
+        waiting = self.parts.exchange.uncounted(ended_s)
+        if not waiting:
+            return True
+        if now_s < ended_s + self.delay_s * WAITED_SHARE:
+            return False
+        log.warning("usage told without some", window=window, missing=len(waiting))
+        return True
+
     async def send(self, window: int, counts: dict[str, int]) -> None:
         """Tell one window; what is noted in the store is sent as it stands there."""
         parts = self.parts
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -119,6 +119,7 @@
             runs=parts.usage.told(parts.clock.now()),
             demand=self.report_demand(),
             lost=[kind for kind, f in parts.followers.items() if f.is_lost()],
+            counted_s=parts.clock.now(),
         )
 
     def report_demand(self) -> dict[str, list]:
@@ -136,6 +137,12 @@
         now_s = trio.current_time()
         return [r for at_s, r in self.reports.values() if now_s - at_s < FRESH_S]
 
+    def uncounted(self, true_s: float) -> list[str]:
+        """Return the live gateways whose usage up to a time was not heard."""
+        counted_s = self.parts.usage.counted_s
+        names = [node.name for node in self.parts.peers.nodes()]
+        return [name for name in names if counted_s.get(name, 0.0) < true_s]
+
     def in_flight(self, service: str) -> int:
         """Return this gateway's requests at a service's servers."""
         states = self.parts.state.servers.by_id.values()
@@ -156,6 +163,7 @@
         self.reports[report.node] = (now_s, report)
         parts.clock.note_peer(report.node, report.clock_s)
         parts.usage.note_told(report.node, report.incarnation, report.runs)
+        parts.usage.note_counted(report.node, report.counted_s)
         if self.hubs.is_on:
             # Only what candidates for duties use; the rest comes with the sums, and
             # would be counted twice.
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -340,8 +340,9 @@
         )
         nursery.start_soon(self.lease.run)
         duties = self.settings.cloud.duties
+        delay_s = self.settings.bounds.usage_delay_s
         if "usage" in duties:
-            nursery.start_soon(UsageDuty(parts).run)
+            nursery.start_soon(UsageDuty(parts, delay_s).run)
         if "scaling" in duties:
             nursery.start_soon(ScalingDuty(parts, self.rng).run)
 
--- a/src/rosemaryknot/process/usage_book.py
+++ b/src/rosemaryknot/process/usage_book.py
@@ -41,6 +41,7 @@
         self.own = (node, incarnation)
         self.window_s = window_s
         self.counts: dict[int, dict[tuple[str, int], Counts]] = defaultdict(dict)
+        self.counted_s: dict[str, float] = {}
 
     def window_of(self, true_s: float) -> int:
         """Return the number of the window at a time."""
@@ -58,6 +59,10 @@
             for customer, count in told.items():
                 known[customer] = max(known.get(customer, 0), int(count))
 
+    def note_counted(self, node: str, true_s: float) -> None:
+        """Note up to when another gateway's counts are known."""
+        self.counted_s[node] = max(true_s, self.counted_s.get(node, 0.0))
+
     def told(self, true_s: float) -> dict[int, Counts]:
         """Return this gateway's counts of the latest windows."""
         last = self.window_of(true_s)
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -47,6 +47,8 @@
         server reads in a second.
     lost : list of str
         Kinds of objects for which the store does not answer it.
+    counted_s : float
+        Agreed time of day up to which ``runs`` are counted, in seconds of the epoch.
     """
 
     kind: ClassVar[str]
@@ -62,6 +64,7 @@
     runs: dict = field(default_factory=dict)
     demand: dict = field(default_factory=dict)
     lost: list = field(default_factory=list)
+    counted_s: float = 0.0
 
 
 @message("gateway_load")
