Add a failing test of a drain that the settings shorten while a node runs

Cause: bounds are taken over from changed settings, but what was worked out from them at the start stays: use of missing entries, length of the lease, windows of limits.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -1,9 +1,12 @@
 """Tests of promises that hold also where something takes longer than usual."""
 
+import json
+
 import h11
 import pytest
 import trio
 
+from rosemaryknot.process.node import reload_settings
 from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.standin.users.system import HOST, KEY, platform_system
 
@@ -175,6 +178,45 @@
             assert window in fleet.cloud.usage
 
 
+class TestSettingsAgain:
+    async def test_shorter_drain(self, autojump_clock, tmp_path):
+        """The settings name a shorter drain while the node runs.
+
+        An entry that is missing is used for a part of it. The part was worked out at
+        the start, and work went to servers that had ended by the new bound.
+        """
+        async with platform_system(plain=1) as fleet:
+            node = fleet.nodes["n0"]
+            reload_settings(node, settings_file(tmp_path, node, drain_ms=800))
+            gone_s = trio.current_time()
+            fleet.store.remove("servers", "p0")
+            while trio.current_time() < gone_s + 3:
+                await fleet.ask("/stock/x", method="GET")
+                await trio.sleep(0.02)
+            last_s = max(a.at_s for a in fleet.ledger.arrivals)
+            assert last_s - gone_s < 0.8
+
+
+def settings_file(folder, node, **bounds):
+    """Write a node's settings with other bounds; return the path."""
+    settings = node.settings
+    path = folder / "node.json"
+    value = {
+        "node": settings.node,
+        "zone": settings.zone,
+        "region": settings.region,
+        "listen": {
+            "callers": str(settings.listen.callers),
+            "readiness": str(settings.listen.readiness),
+            "peers": str(settings.listen.peers),
+        },
+        "store": {"address": str(settings.store.address)},
+        "bounds": bounds,
+    }
+    path.write_text(json.dumps(value))
+    return path
+
+
 def freeze(fleet, name):
     """Cut a node off from everything, without a sign to anybody."""
     host = fleet.nodes[name].settings.listen.callers.host
