Take over all that follows from changed bounds

Cause: bounds were replaced in the settings, while values that had been worked out from them stayed as at the start.

Ruled out: asking the settings at each use, which puts them into parts that know none.

Change: one method works the values out, at the start and at each change.

Before and after, a drain of 0.8 s named while the node runs: work until 1.68 s after the entry was gone, and until before 0.8 s. tests/gateway, tests/process/test_leases.py and tests/test_layout.py pass.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -30,7 +30,7 @@
 from rosemaryknot.process.leases import Lease, lease_candidates
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import render_metrics
-from rosemaryknot.process.node_settings import NodeSettings, load_node_settings
+from rosemaryknot.process.node_settings import Bounds, NodeSettings, load_node_settings
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.store_follower import StoreFollower
 from rosemaryknot.process.true_time import TrueTime, running_time_s
@@ -154,11 +154,6 @@
             adapter.decode_server,
             adapter.configuration_name,
         )
-        # A deletion may be a lapse of an outage, or the word of leaving: it must be
-        # heeded well before work has to have stopped.
-        self.state.servers.return_s = min(
-            RETURN_S, settings.bounds.drain_ms / 1000 * DRAIN_USED
-        )
         self.pool = ServerPool(network)
         self.demand = Demand()
         bounds = settings.bounds
@@ -215,6 +210,7 @@
             max(100, settings.machine.files - OTHER_FILES),
         )
         self.lease = self.make_lease()
+        self.take_bounds(settings.bounds)
         self.exchange.hubs.holds_lease = self.lease.is_held
 
     def make_followers(self) -> dict[str, StoreFollower]:
@@ -273,7 +269,6 @@
             f"{self.node.name}/{self.node.incarnation}",
             self.is_candidate,
             self.rng,
-            duration_s=LEASE_SHARE * self.settings.bounds.lease_ms / 1000,
             margin_s=LEASE_MARGIN_S,
             suspended_s=Suspension().passed_s,
             fresh_notes=self.kept_usage,
@@ -281,6 +276,23 @@
             is_first_start=self.settings.is_first_start,
         )
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Go by bounds, at the start and when the settings have changed.
+
+        A usage window that is under way keeps its length: counted by another one, a
+        window would be told twice with different counts.
+        """
+        self.settings.bounds = bounds
+        # A deletion may be a lapse of an outage, or the word of leaving: it must be
+        # heeded well before work has to have stopped.
+        drained_s = bounds.drain_ms / 1000 * DRAIN_USED
+        self.state.servers.return_s = min(RETURN_S, drained_s)
+        self.lease.duration_s = LEASE_SHARE * bounds.lease_ms / 1000
+        self.quota.window_s = bounds.limit_window_s
+        self.budget.ratio = bounds.retry_ratio
+        self.budget.window_s = bounds.retry_window_s
+        self.budget.slack = bounds.retry_slack
+
     def is_holder_heard(self, holder: str) -> bool:
         """Tell whether the node of a lease's holder was heard just now."""
         name = holder.partition("/")[0]
@@ -439,9 +451,7 @@
         for error in settings:
             log.error("settings not taken over", error=str(error))
         return
-    node.settings.bounds = settings.bounds
-    node.budget.ratio = settings.bounds.retry_ratio
-    node.budget.slack = settings.bounds.retry_slack
+    node.take_bounds(settings.bounds)
     node.peers.add_seeds(settings.seeds)
     log.info("settings taken over", seeds=len(settings.seeds))
 
