Add a failing test of a retry budget whose gateways are cut off from each other

Cause: a gateway's part is worked out from those that seem to live at the moment.

Before: ten gateways in two halves may make 160 further attempts of 100.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.node import reload_settings
 from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.standin.users.system import HOST, KEY, platform_system
@@ -178,6 +179,32 @@
             assert window in fleet.cloud.usage
 
 
+class TestRetryBudget:
+    def test_nodes_that_seem_dead(self):
+        """Half of ten gateways is cut off, and each half takes the other for dead.
+
+        Both go on serving. Each gateway took a fifth of what all may spend besides,
+        and together they spent twice of it.
+        """
+        nodes = [10]
+        budget = AttemptBudget(0.0, 10.0, 100.0, lambda: nodes[0])
+        budget.take("s", 0.0)
+        nodes[0] = 5
+        taken = sum(budget.take("s", 5.0) for _ in range(50))
+        assert 10 * (taken + 1) <= 100
+
+    def test_nodes_that_are_gone(self):
+        """Gateways that stay away are counted no more, or callers are tried too little.
+
+        Their part falls to those that are left after some windows.
+        """
+        nodes = [10]
+        budget = AttemptBudget(0.0, 10.0, 100.0, lambda: nodes[0])
+        budget.take("s", 0.0)
+        nodes[0] = 5
+        assert sum(budget.take("s", 61.0) for _ in range(50)) == 16
+
+
 class TestSettingsAgain:
     async def test_shorter_drain(self, autojump_clock, tmp_path):
         """The settings name a shorter drain while the node runs.
