Count gateways that seem dead in the retry budget for a minute

Cause: the part of a gateway rests on how many seem to live. One that is cut off seems dead, serves on and spends its part, which the others had dealt out among themselves.

Ruled out: agreeing on parts through the store, which costs calls and is out of reach in just this case.

Change: the most gateways of the last minute count. The test now has no attempts for a minute and a half before the cut, in which the number must have been noted by the requests; its bound is as before.

Not covered: gateways that all start at once know few others for a moment.

--- a/src/rosemaryknot/process/attempt_budget.py
+++ b/src/rosemaryknot/process/attempt_budget.py
@@ -10,6 +10,9 @@
 USED_SHARE = 0.8
 # Gateways assumed before the others are known.
 LEAST_NODES = 4
+# How long a gateway that seems dead is counted on; longer than a partition may last
+# and the windows that see its end.
+COUNTED_S = 60.0
 
 
 class AttemptBudget:
@@ -49,9 +52,12 @@
         self.nodes = nodes
         self.requests: dict[str, deque[float]] = defaultdict(deque)
         self.further: dict[str, deque[float]] = defaultdict(deque)
+        self.most_nodes = LEAST_NODES
+        self.most_s = float("-inf")
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a request."""
+        self.counted_nodes(now_s)
         self.drop_old(self.requests[service], now_s)
         self.requests[service].append(now_s)
 
@@ -60,13 +66,24 @@
         requests, further = self.requests[service], self.further[service]
         self.drop_old(requests, now_s)
         self.drop_old(further, now_s)
-        part = self.slack / max(self.nodes(), LEAST_NODES)
+        part = self.slack / self.counted_nodes(now_s)
         allowed = USED_SHARE * (self.ratio * len(requests) + part)
         if len(further) + 1 > allowed:
             return False
         further.append(now_s)
         return True
 
+    def counted_nodes(self, now_s: float) -> int:
+        """Return the most gateways of late: one that seems dead may be cut off.
+
+        It goes on spending its part where it is; dealt out anew among the others, that
+        part would be spent twice.
+        """
+        nodes = max(self.nodes(), LEAST_NODES)
+        if nodes >= self.most_nodes or now_s - self.most_s > COUNTED_S:
+            self.most_nodes, self.most_s = nodes, now_s
+        return self.most_nodes
+
     def drop_old(self, times: deque[float], now_s: float) -> None:
         """Forget what lies before the window."""
         while times and times[0] < now_s - self.window_s:
