--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -9,7 +9,7 @@
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.node import reload_settings
 from rosemaryknot.process.node_settings import Bounds
-from rosemaryknot.standin.users.system import HOST, KEY, platform_system
+from rosemaryknot.standin.users.system import HOST, KEY, document, platform_system
 
 
 def question(caller):
@@ -90,6 +90,36 @@
             assert not fleet.servers["p0"].arrivals
 
 
+class TestTimeLimitPassedOn:
+    @pytest.mark.parametrize("first", ["shed", "mute"])
+    async def test_second_attempt_behind_a_dial(self, autojump_clock, first):
+        """A server sheds a request, or says nothing; the other one is far to dial.
+
+        Each server is told what is left of the caller's time when the request goes
+        out to it, never what was left when it came.
+        """
+        async with platform_system(configuration=patient()) as fleet:
+            fleet.network.delays_s[frozenset(("10.2.0.1", "10.1.0.2"))] = 0.2
+            fleet.servers["p0"].faults.append(first)
+            began_s = trio.current_time()
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert answer.body == b"p1 answers r1"
+            assert len(fleet.ledger.arrivals) == 2
+            for arrival in fleet.ledger.arrivals:
+                told_ms = int(arrival.request.headers["rosemaryknot-deadline-ms"])
+                # One way of 0.2 s passes after the request went out.
+                gone_s = arrival.at_s - began_s
+                assert 1.99 - gone_s <= told_ms / 1000 <= 2.2 - gone_s
+
+
+def patient():
+    """Return a configuration whose routes outlast the callers' time."""
+    found = document()
+    for entry in found["routes"]:
+        entry["timeoutMs"] = 9000
+    return found
+
+
 class TestWordOfTheStore:
     @pytest.mark.parametrize("count", [1, 2])
     async def test_relays_of_a_zone_are_silent(self, autojump_clock, count):
