Add a failing test of duties that go to and fro when the holder between stops

Cause: that duties do not go to another node and back within the least time rests on how long a lapse, a stop and a start usually take together. A holder that lost the store and has it again needs none of them.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -168,6 +168,33 @@
                     assert node.node.name == hub or not late
 
 
+class TestDutiesDoNotGoToAndFro:
+    async def test_holder_is_back_soon(self, autojump_clock):
+        """The holder loses the store, another node takes the duties and is stopped.
+
+        The first one has the store again and took the duties back half a second later:
+        calls of both may then arrive as of the one, the other and the one again,
+        within the least time that the deployment sets for that.
+        """
+        async with platform_system(nodes=2, duties=["usage"]) as fleet:
+            await trio.sleep(6)
+            first = next(n for n in fleet.nodes.values() if n.lease.is_held())
+            other = next(n for n in fleet.nodes.values() if n is not first)
+            host = first.settings.listen.callers.host
+            fleet.network.cut(host, "10.0.0.1")
+            while not other.lease.is_held():
+                if first.lease.is_held():
+                    held_s = trio.current_time()
+                await trio.sleep(0.02)
+            fleet.network.heal(host, "10.0.0.1")
+            fleet.stops[other.node.name].set()
+            while not first.lease.is_held():
+                await trio.sleep(0.02)
+                assert trio.current_time() < held_s + 6
+            least_s = first.settings.bounds.lease_ms / 1000
+            assert trio.current_time() - held_s >= least_s
+
+
 class TestUsageIsWaitedFor:
     async def test_reports_come_late(self, autojump_clock):
         """The reports of one node come 2.6 s late, and it serves to a window's end.
