Let a former holder wait the least time of a lease before it takes duties back

Cause: no bound kept duties from going to another node and back; that it took long enough was the sum of what usually lies between.

Ruled out: a longer lease, which changes hands later after a kill.

Change: a process that held the lease takes it after another holder only once the least time has passed since its own hold could last have counted. Others may take it at once. A new life of a machine is not covered; its stop and start take longer.

--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -92,6 +92,9 @@
     is_heard : callable
         Of a holder; tells whether its node was heard just now. One that was not may
         be gone: the sooner its last write is seen, the sooner its time is over.
+    least_s : float
+        Least time between two holds of this process with another holder's between
+        them, in seconds.
     is_first_start : bool
         Whether the whole system starts for the first time: a missing record means
         then that nobody has held the lease.
@@ -125,6 +128,7 @@
         fresh_notes: Callable[[dict[str, Any]], dict[str, Any]] = dict,
         is_heard: Callable[[str], bool] = lambda holder: True,
         is_first_start: bool = False,
+        least_s: float = 0.0,
     ) -> None:
         self.store = store
         self.name = name
@@ -138,12 +142,14 @@
         self.fresh_notes = fresh_notes
         self.is_heard = is_heard
         self.is_first_start = is_first_start
+        self.least_s = least_s
         self.record: LeaseRecord | None = None
         self.version = -1
         self.seen_s = float("-inf")
         self.fencing = 0
         self.highest = 0
         self.until_s = float("-inf")
+        self.last_until_s = float("-inf")
         self.acquired_s = float("-inf")
         self.is_clean = False
         self.is_ending = False
@@ -251,7 +257,7 @@
                 await self.write(self.record)
             else:
                 await self.look()
-                if not self.is_held() and self.is_free():
+                if not self.is_held() and self.is_free() and self.may_return():
                     await self.take()
             if was_held and not self.is_held():
                 CHANGES.add(change="lapsed")
@@ -288,6 +294,17 @@
         # is at work, so a missing record is waited out like a written one.
         return trio.current_time() - self.seen_s >= self.lasts_s()
 
+    def may_return(self) -> bool:
+        """Tell whether another holder's time lies far enough behind.
+
+        Duties that go to another node and back look, to those who get late calls of
+        both, like two holders at once. How long a lapse and a stop take does not keep
+        them apart: the other holder may give the lease back at any moment.
+        """
+        if self.record is None or self.record.fencing == self.fencing:
+            return True
+        return self.time_s() - self.last_until_s >= self.least_s
+
     async def look(self) -> None:
         """Read the record."""
         found = await self.store.read(KIND, self.name)
@@ -324,6 +341,7 @@
             until_s = self.time_s() + record.duration_s
         self.fencing = record.fencing
         self.until_s = max(self.until_s, until_s)
+        self.last_until_s = self.until_s
 
     async def take(self) -> None:
         """Take the lease over under the next fencing number."""
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -287,6 +287,7 @@
         # heeded well before work has to have stopped.
         drained_s = bounds.drain_ms / 1000 * DRAIN_USED
         self.state.servers.return_s = min(RETURN_S, drained_s)
+        self.lease.least_s = bounds.lease_ms / 1000
         self.lease.duration_s = LEASE_SHARE * bounds.lease_ms / 1000
         self.quota.window_s = bounds.limit_window_s
         self.budget.ratio = bounds.retry_ratio
