--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -1,10 +1,15 @@
 """Tests of promises that hold also where something takes longer than usual."""
 
+import json
+
 import h11
 import pytest
 import trio
 
-from rosemaryknot.standin.users.system import HOST, KEY, platform_system
+from rosemaryknot.process.attempt_budget import AttemptBudget
+from rosemaryknot.process.node import reload_settings
+from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.standin.users.system import HOST, KEY, document, platform_system
 
 
 def question(caller):
@@ -85,6 +90,36 @@
             assert not fleet.servers["p0"].arrivals
 
 
+class TestTimeLimitPassedOn:
+    @pytest.mark.parametrize("first", ["shed", "mute"])
+    async def test_second_attempt_behind_a_dial(self, autojump_clock, first):
+        """A server sheds a request, or says nothing; the other one is far to dial.
+
+        Each server is told what is left of the caller's time when the request goes
+        out to it, never what was left when it came.
+        """
+        async with platform_system(configuration=patient()) as fleet:
+            fleet.network.delays_s[frozenset(("10.2.0.1", "10.1.0.2"))] = 0.2
+            fleet.servers["p0"].faults.append(first)
+            began_s = trio.current_time()
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert answer.body == b"p1 answers r1"
+            assert len(fleet.ledger.arrivals) == 2
+            for arrival in fleet.ledger.arrivals:
+                told_ms = int(arrival.request.headers["rosemaryknot-deadline-ms"])
+                # One way of 0.2 s passes after the request went out.
+                gone_s = arrival.at_s - began_s
+                assert 1.99 - gone_s <= told_ms / 1000 <= 2.2 - gone_s
+
+
+def patient():
+    """Return a configuration whose routes outlast the callers' time."""
+    found = document()
+    for entry in found["routes"]:
+        entry["timeoutMs"] = 9000
+    return found
+
+
 class TestWordOfTheStore:
     @pytest.mark.parametrize("count", [1, 2])
     async def test_relays_of_a_zone_are_silent(self, autojump_clock, count):
@@ -108,6 +143,164 @@
                 if node.node.name not in silent:
                     assert node.state.servers.by_id["p0"].has_drained, node.node
 
+    async def test_hub_is_cut_off_from_the_store(self, autojump_clock):
+        """The hub of a zone loses the store, and servers leave one after the other.
+
+        It does not know yet and says that it watches. The zone's other nodes see in
+        the sums that they are behind and ask the store, once in two seconds; a server
+        that left just after the question got work for up to 2.2 s.
+        """
+        async with platform_system(nodes=30, plain=8) as fleet:
+            await trio.sleep(12)
+            here = [n for n in fleet.nodes.values() if n.node.zone == "z0"]
+            hub = here[0].exchange.hubs.target()
+            fleet.network.cut(fleet.nodes[hub].settings.listen.callers.host, "10.0.0.1")
+            left_s = {}
+            for name in sorted(fleet.servers):
+                entry = fleet.servers[name].entry | {"state": "draining"}
+                fleet.store.put("servers", name, entry)
+                left_s[name] = trio.current_time()
+                await trio.sleep(0.3)
+                for node in here:
+                    servers = node.state.servers.by_id
+                    late = [n for n in left_s if not servers[n].has_drained]
+                    late = [n for n in late if trio.current_time() - left_s[n] > 1.5]
+                    assert node.node.name == hub or not late
+
+
+class TestDutiesDoNotGoToAndFro:
+    async def test_holder_is_back_soon(self, autojump_clock):
+        """The holder loses the store, another node takes the duties and is stopped.
+
+        The first one has the store again and took the duties back half a second later:
+        calls of both may then arrive as of the one, the other and the one again,
+        within the least time that the deployment sets for that.
+        """
+        async with platform_system(nodes=2, duties=["usage"]) as fleet:
+            await trio.sleep(6)
+            first = next(n for n in fleet.nodes.values() if n.lease.is_held())
+            other = next(n for n in fleet.nodes.values() if n is not first)
+            host = first.settings.listen.callers.host
+            fleet.network.cut(host, "10.0.0.1")
+            while not other.lease.is_held():
+                if first.lease.is_held():
+                    held_s = trio.current_time()
+                await trio.sleep(0.02)
+            fleet.network.heal(host, "10.0.0.1")
+            fleet.stops[other.node.name].set()
+            while not first.lease.is_held():
+                await trio.sleep(0.02)
+                assert trio.current_time() < held_s + 6
+            least_s = first.settings.bounds.lease_ms / 1000
+            assert trio.current_time() - held_s >= least_s
+
+
+class TestUsageIsWaitedFor:
+    async def test_reports_come_late(self, autojump_clock):
+        """The reports of one node come 2.6 s late, and it serves to a window's end.
+
+        The holder of the duty told the window two seconds after its end, as if all had
+        been heard by then, and left the node's last requests out; there were eight
+        seconds more until the counts were due.
+        """
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            await trio.sleep(12 - trio.current_time())
+            late = next(n for n in fleet.nodes.values() if not n.lease.is_held())
+            host = late.settings.listen.callers.host
+            for node in fleet.nodes.values():
+                other = node.settings.listen.callers.host
+                if other != host:
+                    fleet.network.delays_s[frozenset((host, other))] = 2.6
+            await trio.sleep_until(13.5)
+            for number in range(12):
+                request_id = f"u{number}"
+                await fleet.ask("/book/x", late.node.name, request_id=request_id)
+                await trio.sleep(0.1)
+            assert trio.current_time() < 15
+            await trio.sleep_until(24)
+            window = late.usage.window_of(late.clock.now()) - 2
+            assert fleet.cloud.usage[window] == {"ada": 12}
+
+    async def test_node_is_gone(self, autojump_clock):
+        """A node is killed in a window; the others' counts are told when they are due.
+
+        Nobody hears from it that it has counted to the end, so there is a bound.
+        """
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            await trio.sleep(14 - trio.current_time())
+            gone = next(n for n in fleet.nodes.values() if not n.lease.is_held())
+            fleet.kill(gone.node.name)
+            await trio.sleep_until(15)
+            window = gone.usage.window_of(gone.clock.now()) - 1
+            await trio.sleep_until(15 + Bounds().usage_delay_s - 3)
+            assert window in fleet.cloud.usage
+
+
+class TestRetryBudget:
+    def test_nodes_that_seem_dead(self):
+        """Half of ten gateways is cut off, and each half takes the other for dead.
+
+        Both go on serving. Each gateway took a fifth of what all may spend besides,
+        and together they spent twice of it.
+        """
+        nodes = [10]
+        budget = AttemptBudget(0.0, 10.0, 100.0, lambda: nodes[0])
+        budget.take("s", 0.0)
+        budget.note_request("s", 95.0)
+        nodes[0] = 5
+        taken = sum(budget.take("s", 100.0) for _ in range(50))
+        assert 10 * taken <= 100
+
+    def test_nodes_that_are_gone(self):
+        """Gateways that stay away are counted no more, or callers are tried too little.
+
+        Their part falls to those that are left after some windows.
+        """
+        nodes = [10]
+        budget = AttemptBudget(0.0, 10.0, 100.0, lambda: nodes[0])
+        budget.take("s", 0.0)
+        nodes[0] = 5
+        assert sum(budget.take("s", 61.0) for _ in range(50)) == 16
+
+
+class TestSettingsAgain:
+    async def test_shorter_drain(self, autojump_clock, tmp_path):
+        """The settings name a shorter drain while the node runs.
+
+        An entry that is missing is used for a part of it. The part was worked out at
+        the start, and work went to servers that had ended by the new bound.
+        """
+        async with platform_system(plain=1) as fleet:
+            node = fleet.nodes["n0"]
+            reload_settings(node, settings_file(tmp_path, node, drain_ms=800))
+            gone_s = trio.current_time()
+            fleet.store.remove("servers", "p0")
+            while trio.current_time() < gone_s + 3:
+                await fleet.ask("/stock/x", method="GET")
+                await trio.sleep(0.02)
+            last_s = max(a.at_s for a in fleet.ledger.arrivals)
+            assert last_s - gone_s < 0.8
+
+
+def settings_file(folder, node, **bounds):
+    """Write a node's settings with other bounds; return the path."""
+    settings = node.settings
+    path = folder / "node.json"
+    value = {
+        "node": settings.node,
+        "zone": settings.zone,
+        "region": settings.region,
+        "listen": {
+            "callers": str(settings.listen.callers),
+            "readiness": str(settings.listen.readiness),
+            "peers": str(settings.listen.peers),
+        },
+        "store": {"address": str(settings.store.address)},
+        "bounds": bounds,
+    }
+    path.write_text(json.dumps(value))
+    return path
+
 
 def freeze(fleet, name):
     """Cut a node off from everything, without a sign to anybody."""
