Hold all that is believed of a server to one life of it

Cause: a server may start again under the id that it had, with nothing of before. All beliefs stood by id: prompts kept there, requests and unread tokens in flight, failures and pauses, the mark of leaving, idle connections. A new life inherited them, and a late write of the old one could bring its address back.

Ruled out: ending requests under way at once where a new life shows. They end with their connection; another writer's entry with a higher birth would otherwise cut sound streams. Comparing `sequence`: nothing is decided by it, so it needs no life.

Change: `ServerIncarnation` (id and birth) names a life in the table, the pool, what was tried, and by its text in loads, prompt places and sums of hubs. The state of a life holds all beliefs, prompt parts included, so a new one begins without them. An older or missing birth after a known one changes nothing and is said once; servers that tell none have one life. A state that is not known is no longer taken for leaving.

Entries must hold each field that servers write, in its form.

The one changed test (`test_is_decoded`) gives a whole entry and checks the life too.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -24,7 +24,7 @@
 from rosemaryknot.standin.users.cloud import CloudStandIn
 from rosemaryknot.standin.users.play import Play, note_seen, play_load
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
-from rosemaryknot.standin.users.servers import Ledger, ServerStandIn
+from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.standin.users.system import MODEL, PLAIN, Answer, Caller, document
 from rosemaryknot.values.nodes import Address
@@ -174,13 +174,9 @@
         address = await self.nursery.start(proxy.serve, anywhere)
         self.servers[name] = server
         self.proxies[name] = proxy
-        server.entry = {
-            "service": service,
-            "address": str(address),
-            "zone": f"z{len(self.servers) % 3}",
-            "slots": 16,
-            "state": "ready",
-        }
+        zone = f"z{len(self.servers) % 3}"
+        born_ms = int(time.time() * 1000)
+        server.entry = server_entry(service, address, zone, born_ms)
         self.store.put("servers", name, server.entry)
 
     async def ask(self, path: str, node: str, **options: Any) -> Answer:
--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -14,6 +14,7 @@
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.gateway import Headers, RoutedServer
 from rosemaryknot.values.gateway_answers import AnswerHead, GatewayWire, Lost, NotSent
+from rosemaryknot.values.incarnation import ServerIncarnation
 
 __all__ = ["ServerConnection", "ServerPool"]
 
@@ -198,20 +199,21 @@
 
     Attributes
     ----------
-    idle : dict of str to list of ServerConnection
-        By the server's id, the last used one at the end.
+    idle : dict of ServerIncarnation to list of ServerConnection
+        By the server's life, the last used one at the end. One to a life before may
+        lead nowhere: without a reset from there, a request on it gets no answer.
     """
 
     def __init__(self, network: Network) -> None:
         self.network = network
-        self.idle: dict[str, list[ServerConnection]] = {}
+        self.idle: dict[ServerIncarnation, list[ServerConnection]] = {}
 
     async def take(
         self, server: RoutedServer, may_reuse: bool = True
     ) -> ServerConnection | NotSent:
         """Return an idle connection to a server, or a new one."""
-        while may_reuse and self.idle.get(server.id):
-            connection = self.idle[server.id].pop()
+        while may_reuse and self.idle.get(server.incarnation):
+            connection = self.idle[server.incarnation].pop()
             is_fresh = trio.current_time() < connection.idle_until_s
             if is_fresh and not is_readable(connection.stream):
                 return connection
@@ -233,22 +235,23 @@
         """Keep a connection for the next request, or close it."""
         if connection.is_reusable:
             connection.is_reusable = False
-            self.idle.setdefault(connection.server.id, []).append(connection)
+            life = connection.server.incarnation
+            self.idle.setdefault(life, []).append(connection)
         else:
             await connection.aclose()
 
-    async def close_all(self, server_id: str) -> None:
-        """Close the idle connections to a server that is gone."""
-        for connection in self.idle.pop(server_id, []):
+    async def close_all(self, life: ServerIncarnation) -> None:
+        """Close the idle connections to a life of a server that is over."""
+        for connection in self.idle.pop(life, []):
             await connection.aclose()
 
     async def tidy(self) -> None:
         """Close connections that were idle for too long."""
         now_s = trio.current_time()
-        for server_id, connections in list(self.idle.items()):
+        for life, connections in list(self.idle.items()):
             stale = [c for c in connections if c.idle_until_s <= now_s]
-            self.idle[server_id] = [c for c in connections if c.idle_until_s > now_s]
-            if not self.idle[server_id]:
-                del self.idle[server_id]
+            self.idle[life] = [c for c in connections if c.idle_until_s > now_s]
+            if not self.idle[life]:
+                del self.idle[life]
             for connection in stale:
                 await connection.aclose()
--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -235,10 +235,14 @@
             stream.silent = True
         return len(ends)
 
-    def kill_host(self, host: str) -> None:
-        """Reset the connections of a host and stop its listeners."""
+    def kill_streams(self, host: str) -> None:
+        """Reset the connections of a host; new ones work."""
         for stream in [s for s in self.streams if host in (s.near, s.far)]:
             stream.kill()
+
+    def kill_host(self, host: str) -> None:
+        """Reset the connections of a host and stop its listeners."""
+        self.kill_streams(host)
         for address in [a for a in self.listeners if a.host == host]:
             del self.listeners[address]
 
--- a/src/rosemaryknot/platform/documents.py
+++ b/src/rosemaryknot/platform/documents.py
@@ -1,5 +1,7 @@
 """Objects of the platform's store, decoded into the gateway's types."""
 
+import math
+from ipaddress import ip_address
 from typing import Any
 
 from rosemaryknot.values.gateway import (
@@ -13,6 +15,7 @@
     RoutedServer,
     ScalingLimits,
 )
+from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
 
 __all__ = [
@@ -35,10 +38,39 @@
 }
 
 
+# Characters of a reason in a log line.
+MAX_REASON = 80
+# Of a server: whether it takes no new work.
+STATES = {"ready": False, "draining": True}
+MAX_PORT = 65535
+# The largest number that nodes can tell each other.
+MAX_WHOLE = 2**63 - 1
+# What the decoding of any value may raise: a number beyond all floats is an
+# `OverflowError`, which would end the node.
+DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+
+
 class DocumentError(ValueError):
     """A document that lacks a field, or has one of another form."""
 
 
+def reason_of(error: Exception) -> str:
+    """Return what is wrong with a document, for the log."""
+    if isinstance(error, KeyError):
+        return f"no {error.args[0]}"
+    if isinstance(error, ValueError):
+        return str(error)[:MAX_REASON]
+    return "not of the form of such an object"
+
+
+def finite(value: Any) -> float:
+    """Return a number; one beyond all bounds would make limits and waits endless."""
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError("a number is not finite")
+    return number
+
+
 def route_of(data: dict[str, Any]) -> GatewayRoute:
     """Return a route.
 
@@ -46,7 +78,7 @@
     service, and ``sessionAffinity`` marks the routes of model requests.
     """
     backends = [
-        (str(b["service"]), float(b["weight"])) for b in data.get("backends", [])
+        (str(b["service"]), finite(b["weight"])) for b in data.get("backends", [])
     ]
     if not backends:
         backends = [(str(data["service"]), 1.0)]
@@ -56,8 +88,8 @@
         path_prefix=str(data["pathPrefix"]),
         # What is not known is not repeated.
         repeat=REPEATS.get(data.get("type"), Repeat.ONCE),
-        timeout_s=float(data.get("timeoutMs") or 60_000) / 1000,
-        target_s=float(data.get("targetLatencyMs") or 1_000) / 1000,
+        timeout_s=finite(data.get("timeoutMs") or 60_000) / 1000,
+        target_s=finite(data.get("targetLatencyMs") or 1_000) / 1000,
         priority=int(data.get("priority") or 0),
         backends=backends,
         max_attempts=max(1, int(data.get("maxAttempts") or 1)),
@@ -88,9 +120,9 @@
     return ScalingLimits(
         min_servers=int(data.get("minReplicas") or 0),
         max_servers=int(data.get("maxReplicas") or 0),
-        boot_s=float(data.get("bootS") or 0.0),
-        reclaimable_price=float(data.get("spotPrice") or 0.0),
-        zone_prices={k: float(v) for k, v in (data.get("zonePrices") or {}).items()},
+        boot_s=finite(data.get("bootS") or 0.0),
+        reclaimable_price=finite(data.get("spotPrice") or 0.0),
+        zone_prices={k: finite(v) for k, v in (data.get("zonePrices") or {}).items()},
     )
 
 
@@ -100,8 +132,8 @@
     return CustomerLimit(
         name=str(data["name"]),
         priority=None if priority is None else int(priority),
-        rate=float(data.get("ratePerS") or 0.0),
-        burst=float(data.get("burst") or 0.0),
+        rate=finite(data.get("ratePerS") or 0.0),
+        burst=finite(data.get("burst") or 0.0),
         counts_tokens=data.get("unit") == "tokens",
         plain_tokens=int(data.get("plainTokens") or 1),
     )
@@ -113,8 +145,8 @@
     return CallerLimits(
         max_header_bytes=int(data.get("maxHeaderBytes") or known.max_header_bytes),
         max_body_bytes=int(data.get("maxBodyBytes") or known.max_body_bytes),
-        header_timeout_s=float(data.get("headerTimeoutMs") or 3000) / 1000,
-        idle_timeout_s=float(data.get("idleTimeoutMs") or 15_000) / 1000,
+        header_timeout_s=finite(data.get("headerTimeoutMs") or 3000) / 1000,
+        idle_timeout_s=finite(data.get("idleTimeoutMs") or 15_000) / 1000,
     )
 
 
@@ -134,7 +166,7 @@
             by_host.setdefault(route.host, []).append(route)
         services = [service_of(data) for data in value.get("services") or []]
         return GatewayConfiguration(
-            version=int(value["version"]),
+            version=whole_of(value, "version"),
             routes_by_host=by_host,
             services={service.name: service for service in services},
             customers={customer.name: customer for customer in customers},
@@ -145,16 +177,79 @@
             },
             limits=limits_of(value.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        text = f"configuration: {type(error).__name__} {error}"
-        raise DocumentError(text) from error
+    except DECODE_ERRORS as error:
+        raise DocumentError(f"configuration: {reason_of(error)}") from error
+
+
+def text_of(data: dict[str, Any], name: str) -> str:
+    """Return a text that must be there and not be empty."""
+    value = data[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is no text")
+    return value
+
+
+def whole_of(data: dict[str, Any], name: str) -> int:
+    """Return a whole number from 0 on that must be there; true and false are none."""
+    value = data[name]
+    if type(value) is not int or not 0 <= value <= MAX_WHOLE:
+        raise ValueError(f"{name} is no whole number")
+    return value
+
+
+def address_of(data: dict[str, Any]) -> Address:
+    """Return where a server listens: an IP number and a port that there can be."""
+    address = Address.from_text(text_of(data, "address"))
+    ip_address(address.host)
+    if not 0 < address.port <= MAX_PORT:
+        raise ValueError("address has no such port")
+    return address
+
+
+def incarnation_of(name: str, data: dict[str, Any]) -> ServerIncarnation:
+    """Return which life of which server an entry tells of.
+
+    The id goes out in a header of each request, which takes no other characters.
+    """
+    if not name.isascii() or not name.isprintable() or not name or " " in name:
+        raise ValueError("its name is no id")
+    return ServerIncarnation(name, whole_of(data, "born") if "born" in data else None)
+
+
+def is_leaving_of(data: dict[str, Any]) -> bool:
+    """Tell whether a server's state says that it leaves.
+
+    A state that is not known must not count as leaving: that is never taken back, and
+    another writer's entry would end a server for good.
+    """
+    is_leaving = STATES.get(text_of(data, "state"))
+    if is_leaving is None:
+        raise ValueError("state is not known")
+    return is_leaving
+
+
+def leaves_s_of(data: dict[str, Any]) -> float | None:
+    """Return how long after the writing of the entry the server ends, where told."""
+    leaves_ms = data.get("leaves_ms")
+    return None if leaves_ms is None else finite(leaves_ms) / 1000
+
+
+def check_unused(data: dict[str, Any]) -> None:
+    """Check the fields of a server's entry that nothing is decided by."""
+    text_of(data, "version")
+    whole_of(data, "sequence")
+    cold_ms = data["coldRemainingMs"]
+    if isinstance(cold_ms, bool) or finite(cold_ms) < 0:
+        raise ValueError("coldRemainingMs is no time")
 
 
 def server_of(name: str, value: Any) -> RoutedServer:
     """Return a backend server.
 
-    ``state`` is ``draining`` where it leaves, ``spot`` marks what the cloud may take
-    back, and ``leaves_ms`` is counted from the writing of the entry.
+    Every field that servers write must be there in its form, also those that are not
+    used: where one is not, another writer made the entry, and nobody may listen at
+    its address. Only ``born`` may be missing, as servers of older software tell none.
+    ``spot`` marks what the cloud may take back.
 
     Raises
     ------
@@ -162,16 +257,16 @@
         If a field is missing or has another form.
     """
     try:
-        leaves_ms = value.get("leaves_ms")
+        check_unused(value)
         return RoutedServer(
-            id=name,
-            service=str(value["service"]),
-            zone=str(value.get("zone") or ""),
-            address=Address.from_text(value["address"]),
-            slots=int(value.get("slots") or 0),
-            is_leaving=value.get("state") != "ready",
+            incarnation=incarnation_of(name, value),
+            service=text_of(value, "service"),
+            zone=text_of(value, "zone"),
+            address=address_of(value),
+            slots=whole_of(value, "slots"),
+            is_leaving=is_leaving_of(value),
             is_reclaimable=bool(value.get("spot")),
-            leaves_s=None if leaves_ms is None else float(leaves_ms) / 1000,
+            leaves_s=leaves_s_of(value),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentError(f"server {name}: {type(error).__name__}") from error
+    except DECODE_ERRORS as error:
+        raise DocumentError(reason_of(error)) from error
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -8,9 +8,9 @@
 from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.process.configuration_spread import chosen_nodes
 from rosemaryknot.process.exchange_parts import ExchangeParts
-from rosemaryknot.process.gateway_servers import PeerLoad
 from rosemaryknot.process.hub_exchange import HubExchange
 from rosemaryknot.process.logs import logger
+from rosemaryknot.process.server_state import PeerLoad
 from rosemaryknot.values.gateway_peers import (
     GatewayReport,
     HubReport,
@@ -201,14 +201,14 @@
         """Take over what a gateway has in flight, and where it sent prompts."""
         now_s = trio.current_time()
         servers = self.parts.state.servers
-        for name, state in servers.by_id.items():
-            load = report.loads.get(name)
+        for state in servers.by_id.values():
+            load = report.loads.get(state.told_as)
             if load is None:
                 state.peers.pop(report.node, None)
             else:
                 state.peers[report.node] = PeerLoad(int(load[0]), int(load[1]), now_s)
-        for part_id, server_id in report.places:
-            servers.note_place(part_id, server_id)
+        for part_id, told_as in report.places:
+            servers.note_place(part_id, told_as)
 
     def compare(
         self, report: GatewayReport, last: GatewayReport | None, now_s: float
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -3,14 +3,15 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 import trio
 
 from rosemaryknot.process.logs import logger
+from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.values.gateway import ModelInput, PromptPart, RoutedServer
+from rosemaryknot.values.incarnation import ServerIncarnation
 
-__all__ = ["ServerState", "ServerTable"]
+__all__ = ["ServerTable"]
 
 # First pause after a failed connection or answer; doubles with each one in a row.
 PAUSE_S = 0.25
@@ -30,6 +31,9 @@
 # recently used parts after some tens of seconds under load.
 MAX_PARTS = 20_000
 PART_S = 60.0
+# Ids whose last life is remembered: as many as may end while a late write of theirs is
+# carried out, a few seconds of the largest deployment; 1 KB each.
+MAX_ENDED = 500
 # A running stream makes an event every few tens of milliseconds, so a model server
 # with work that says nothing for this long is not working.
 MODEL_SILENT_S = 1.0
@@ -38,97 +42,6 @@
 log = logger("servers")
 
 
-@dataclass(slots=True)
-class PeerLoad:
-    """What another node has in flight at a server.
-
-    Attributes
-    ----------
-    requests : int
-        Requests in flight.
-    tokens : int
-        Prompt tokens that are not read yet.
-    at_s : float
-        When it was told, in trio time.
-    """
-
-    requests: int
-    tokens: int
-    at_s: float
-
-
-@dataclass(slots=True)
-class ServerState:
-    """One backend server as this node sees it.
-
-    Attributes
-    ----------
-    entry : RoutedServer
-        As the store tells.
-    in_flight : int
-        Requests of this node.
-    waiting_tokens : int
-        Prompt tokens of this node's requests that have no first event yet.
-    failure_share : float
-        Smoothed share of attempts that failed, 0 to 1.
-    failures : int
-        Failures in a row.
-    avoid_until_s : float
-        No work before, unless nothing else is left.
-    heard_s : float
-        When the last bytes came.
-    waiting_since_s : float
-        Since when it owes bytes.
-    peers : dict of str to PeerLoad
-        By node.
-    has_drained : bool
-        Whether it said that it leaves; never taken back.
-    is_gone : bool
-        Whether its entry is gone for good, as far as is known.
-    gone_at_s : float
-        When it counts as gone, since its entry is missing although it never said
-        that it leaves; infinite while there is one.
-    """
-
-    entry: RoutedServer
-    in_flight: int = 0
-    waiting_tokens: int = 0
-    failure_share: float = 0.0
-    failures: int = 0
-    avoid_until_s: float = 0.0
-    heard_s: float = float("-inf")
-    waiting_since_s: float = 0.0
-    peers: dict[str, PeerLoad] = field(default_factory=dict)
-    has_drained: bool = False
-    is_gone: bool = False
-    gone_at_s: float = math.inf
-
-    @property
-    def is_leaving(self) -> bool:
-        """Whether it takes no new work."""
-        return self.has_drained or self.is_gone
-
-    @property
-    def is_missing(self) -> bool:
-        """Whether its entry is missing and it may yet come back."""
-        return self.gone_at_s < math.inf
-
-    def load(self) -> tuple[int, int]:
-        """Return requests and unread prompt tokens of all nodes."""
-        requests = self.in_flight
-        tokens = self.waiting_tokens
-        for peer in self.peers.values():
-            requests += peer.requests
-            tokens += peer.tokens
-        return requests, tokens
-
-    def is_silent(self, now_s: float, limit_s: float) -> bool:
-        """Tell whether it owes bytes and has sent none for too long."""
-        if not self.in_flight:
-            return False
-        return now_s - max(self.heard_s, self.waiting_since_s) > limit_s
-
-
 class ServerTable:
     """All servers by id, and where parts of prompts were read.
 
@@ -155,31 +68,76 @@
         self.rate_samples = 0
         self.is_listed = False
         self.return_s = 1.4
-        self.parts: OrderedDict[str, dict[str, float]] = OrderedDict()
+        # Parts are held by the state of a life, not by a server's id: a server that has
+        # started again keeps nothing, and would be sent prompts to be read anew.
+        self.parts: OrderedDict[str, dict[ServerState, float]] = OrderedDict()
         self.recent: list[tuple[str, str]] = []
         self.has_changed = False
-        self.gone: list[str] = []
+        self.ended: OrderedDict[str, ServerState] = OrderedDict()
+        self.gone: list[ServerIncarnation] = []
 
     # What the store tells.
 
-    def put(self, entry: RoutedServer) -> None:
-        """Take over an entry.
+    def put(self, entry: RoutedServer) -> str:
+        """Take over an entry; return why not, empty text where it was.
 
-        A server that has said that it leaves never takes new work again under the
-        same id: an older read must not bring it back.
+        A server that has said that it leaves never takes new work again in the same
+        life: an older read must not bring it back.
         """
         state = self.by_id.get(entry.id)
+        known = state or self.ended.get(entry.id)
+        if known is not None and known.incarnation != entry.incarnation:
+            if not entry.incarnation.is_newer_than(known.incarnation):
+                # A write of the life before that was carried out late, or another
+                # writer's: taken over, work would go to a server that is gone.
+                return f"of no newer life than {known.incarnation.born_ms}"
+            self.replace(known, entry)
+            state = known = None
         if state is None:
-            state = self.by_id[entry.id] = ServerState(entry)
-            log.info(f"server {entry.id} known", service=entry.service, zone=entry.zone)
+            state = self.by_id[entry.id] = self.begin_life(entry, known)
         elif state.is_gone or state.is_missing:
-            log.info(f"server {entry.id} back", service=entry.service)
+            log.info(f"server {entry.id} back", service=entry.service, born=entry.born)
         if entry.is_leaving and not state.has_drained:
-            log.info(f"server {entry.id} leaves", left_s=entry.leaves_s)
+            log.info(
+                f"server {entry.id} leaves", left_s=entry.leaves_s, born=entry.born
+            )
         state.entry = entry
         state.has_drained = state.has_drained or entry.is_leaving
         state.is_gone = False
         state.gone_at_s = math.inf
+        return ""
+
+    def begin_life(self, entry: RoutedServer, known: ServerState | None) -> ServerState:
+        """Return the state of a life that is not in the table, the old one if known."""
+        log.info(
+            f"server {entry.id} known",
+            service=entry.service,
+            zone=entry.zone,
+            born=entry.born,
+            again=known is not None,
+        )
+        self.ended.pop(entry.id, None)
+        return known or ServerState(entry, trio.current_time())
+
+    def replace(self, old: ServerState, entry: RoutedServer) -> None:
+        """End the life before; what is under way there only counts for it.
+
+        Its requests may have run and are not sent anew for this reason, its idle
+        connections lead nowhere any more.
+        """
+        log.info(
+            f"server {entry.id} started again",
+            born=entry.born,
+            before=old.entry.born,
+            in_flight=old.in_flight,
+            drained=old.has_drained,
+            failures=old.failures,
+            known_s=round(trio.current_time() - old.known_s, 3),
+        )
+        old.is_gone = True
+        self.by_id.pop(entry.id, None)
+        self.ended.pop(entry.id, None)
+        self.gone.append(old.incarnation)
 
     def remove(self, server_id: str) -> None:
         """Note that an entry is gone.
@@ -195,28 +153,41 @@
             self.drop(state)
         elif not state.is_missing:
             state.gone_at_s = trio.current_time() + self.return_s
-            log.info(f"server {server_id} missing")
+            log.info(f"server {server_id} missing", born=state.entry.born)
 
-    def replace_all(self, entries: Iterable[RoutedServer]) -> None:
-        """Take over a whole list."""
+    def replace_all(self, entries: Iterable[RoutedServer]) -> dict[str, str]:
+        """Take over a whole list; return what was not taken over, and why."""
         entries = list(entries)
-        for entry in entries:
-            self.put(entry)
+        reasons = {entry.id: self.put(entry) for entry in entries}
         known = {entry.id for entry in entries}
         for server_id in [name for name in self.by_id if name not in known]:
             self.remove(server_id)
         self.is_listed = True
+        return {server_id: reason for server_id, reason in reasons.items() if reason}
 
     def drop(self, state: ServerState) -> None:
         """Give no more work to a server whose entry is gone."""
         if not state.is_gone:
-            log.info(f"server {state.entry.id} gone")
+            log.info(f"server {state.entry.id} gone", born=state.entry.born)
         state.is_gone = True
         if state.in_flight == 0 and self.by_id.pop(state.entry.id, None):
-            self.gone.append(state.entry.id)
+            self.gone.append(state.incarnation)
+            self.note_ended(state)
 
-    def tidy(self) -> list[str]:
-        """Drop what is gone for good; return the ids whose connections can close."""
+    def note_ended(self, state: ServerState) -> None:
+        """Remember the last life of an id, so that a late word of it is known as such.
+
+        Without a number lives cannot be told apart, and an entry that comes back is
+        taken for a new one.
+        """
+        if state.entry.born is None:
+            return
+        self.ended[state.entry.id] = state
+        while len(self.ended) > MAX_ENDED:
+            self.ended.popitem(last=False)
+
+    def tidy(self) -> list[ServerIncarnation]:
+        """Drop what is gone for good; return whose connections can close."""
         now_s = trio.current_time()
         for state in list(self.by_id.values()):
             if now_s >= state.gone_at_s:
@@ -235,8 +206,8 @@
         state.waiting_tokens += tokens
         self.has_changed = True
         if size is not None:
-            self.note_parts(state.entry.id, size.parts[:-1])
-            self.recent += [(part.id, state.entry.id) for part in size.parts[:-1]]
+            self.note_parts(state, size.parts[:-1])
+            self.recent += [(part.id, state.told_as) for part in size.parts[:-1]]
 
     def first_event(
         self, state: ServerState, tokens: int, ahead: int, took_s: float
@@ -262,8 +233,9 @@
         state.in_flight -= 1
         state.waiting_tokens -= waiting_tokens
         self.has_changed = True
-        if state.entry.id not in self.by_id and state.in_flight == 0:
-            self.gone.append(state.entry.id)
+        is_current = self.by_id.get(state.entry.id) is state
+        if not is_current and state.in_flight == 0:
+            self.gone.append(state.incarnation)
 
     def note_success(self, state: ServerState) -> None:
         """Count an attempt that was answered whole."""
@@ -283,15 +255,16 @@
                 reason=reason,
                 failures=state.failures,
                 pause_s=pause_s,
+                born=state.entry.born,
             )
 
     # What the others are told.
 
     def loads(self) -> dict[str, list[int]]:
-        """Return requests in flight and unread tokens of this node, by server."""
+        """Return own requests in flight and unread tokens, by server's life."""
         return {
-            name: [state.in_flight, state.waiting_tokens]
-            for name, state in self.by_id.items()
+            state.told_as: [state.in_flight, state.waiting_tokens]
+            for state in self.by_id.values()
             if state.in_flight
         }
 
@@ -302,27 +275,29 @@
 
     # Where parts of prompts are.
 
-    def note_parts(self, server_id: str, parts: tuple[PromptPart, ...]) -> None:
+    def note_parts(self, state: ServerState, parts: tuple[PromptPart, ...]) -> None:
         """Remember that a server has read parts of a prompt."""
         now_s = trio.current_time()
         for part in parts:
             places = self.parts.setdefault(part.id, {})
-            places[server_id] = now_s
+            places[state] = now_s
             self.parts.move_to_end(part.id)
         while len(self.parts) > MAX_PARTS:
             self.parts.popitem(last=False)
 
-    def note_place(self, part_id: str, server_id: str) -> None:
-        """Remember what another node has sent to a server."""
-        if server_id in self.by_id:
-            self.note_parts(server_id, (PromptPart(part_id, 0),))
+    def note_place(self, part_id: str, told_as: str) -> None:
+        """Remember what another node has sent to a server, where that life lasts."""
+        server_id = ServerIncarnation.from_text(told_as).id
+        state = self.by_id.get(server_id)
+        if state is not None and state.told_as == told_as:
+            self.note_parts(state, (PromptPart(part_id, 0),))
 
-    def kept_tokens(self, server_id: str, size: ModelInput) -> int:
+    def kept_tokens(self, state: ServerState, size: ModelInput) -> int:
         """Return how many tokens of a prompt a server most likely keeps."""
         now_s = trio.current_time()
         kept = 0
         for part in size.parts[:-1]:
-            at_s = self.parts.get(part.id, {}).get(server_id)
+            at_s = self.parts.get(part.id, {}).get(state)
             if at_s is None or now_s - at_s > PART_S:
                 break
             kept += part.tokens
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -1,6 +1,6 @@
 """The configuration and the servers that a gateway goes by; neither goes back."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any
 
 import trio
@@ -16,6 +16,9 @@
 VERSION = gauge("configuration_version", "Version of the configuration in force.")
 SERVERS = gauge("known_servers", "Backend servers that may get work.")
 
+# Characters of an entry's name in a log line; other writers may choose any.
+MAX_NAME = 60
+
 log = logger("state")
 
 DecodeConfiguration = Callable[[Any], GatewayConfiguration]
@@ -58,6 +61,8 @@
         self.document_revision = 0
         self.entries: dict[str, tuple[int, Any]] = {}
         self.servers = ServerTable()
+        # By name: revision of the last entry that was left alone and said so.
+        self.left_alone: dict[str, int] = {}
         self.changed = trio.Event()
 
     @property
@@ -120,26 +125,72 @@
         self.entries = {
             name: (found.version, found.value) for name, found in listed.objects.items()
         }
-        found = [self.server_of(name, e.value) for name, e in listed.objects.items()]
-        self.servers.replace_all([s for s in found if s is not None])
+        found = [
+            self.server_of(name, entry.value, entry.version)
+            for name, entry in listed.objects.items()
+        ]
+        usable = [server for server in found if server is not None]
+        for server_id, reason in self.servers.replace_all(usable).items():
+            revision = listed.objects[server_id].version
+            self.note_left_alone(server_id, reason, revision)
+        self.forget_left_alone(listed.objects)
         SERVERS.set(len(self.servers.by_id))
 
     def change_server(self, change: ObjectChanged) -> None:
         """Take over a change of a server."""
         if change.deleted:
             self.entries.pop(change.name, None)
+            self.left_alone.pop(change.name, None)
             self.servers.remove(change.name)
         else:
             self.entries[change.name] = (change.version, change.value)
-            server = self.server_of(change.name, change.value)
-            if server is not None:
-                self.servers.put(server)
+            self.take_server(change)
         SERVERS.set(len(self.servers.by_id))
 
-    def server_of(self, name: str, value: Any) -> RoutedServer | None:
+    def take_server(self, change: ObjectChanged) -> None:
+        """Take over the entry of a server.
+
+        Where it was overwritten with something that names no server, it counts as
+        missing: nobody vouches for the server now, and a live one writes its entry
+        again with its next heartbeat, within the time that a missing one is kept for.
+        """
+        server = self.server_of(change.name, change.value, change.version)
+        if server is None:
+            self.servers.remove(change.name)
+            return
+        reason = self.servers.put(server)
+        if reason:
+            self.note_left_alone(change.name, reason, change.version)
+
+    def server_of(self, name: str, value: Any, revision: int) -> RoutedServer | None:
         """Return a server, or None where its entry is not usable."""
         try:
-            return self.decode_server(name, value)
+            server = self.decode_server(name, value)
         except ValueError as error:
-            log.error("server entry not usable", server=name, error=str(error))
+            self.note_left_alone(name, str(error), revision)
             return None
+        known = self.configuration
+        if known is not None and server.service not in known.services:
+            # Kept all the same: no request goes there, and a later version may name
+            # the service.
+            self.note_left_alone(name, f"service {server.service} unknown", revision)
+        return server
+
+    def note_left_alone(self, name: str, reason: str, revision: int) -> None:
+        """Say once for an entry and change why no server is used by it.
+
+        The same entry comes again with each list and from each node that offers its
+        state; a line for each time would hide the others.
+        """
+        if self.left_alone.get(name) == revision:
+            return
+        self.left_alone[name] = revision
+        log.error(
+            f"entry of server {name[:MAX_NAME]} left alone",
+            reason=reason,
+            revision=revision,
+        )
+
+    def forget_left_alone(self, names: Container[str]) -> None:
+        """Forget entries that are no more."""
+        self.left_alone = {k: v for k, v in self.left_alone.items() if k in names}
--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -14,11 +14,11 @@
 
 from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.process.exchange_parts import ExchangeParts
-from rosemaryknot.process.gateway_servers import PeerLoad
 from rosemaryknot.process.hub_sums import HubBook, OwnReports
 from rosemaryknot.process.leases import lease_candidates
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer_links import relays_of
+from rosemaryknot.process.server_state import PeerLoad
 from rosemaryknot.values.gateway_peers import GatewayReport, HubReport, HubSum
 from rosemaryknot.values.messages import Message
 
@@ -216,15 +216,15 @@
         counted = self.own.counted
         own = {} if counted is None else counted.loads
         servers = self.parts.state.servers
-        for name, state in servers.by_id.items():
-            requests, tokens = told.loads.get(name, (0, 0))
-            own_requests, own_tokens = own.get(name, (0, 0))
+        for state in servers.by_id.values():
+            requests, tokens = told.loads.get(state.told_as, (0, 0))
+            own_requests, own_tokens = own.get(state.told_as, (0, 0))
             load = PeerLoad(
                 max(0, requests - own_requests), max(0, tokens - own_tokens), now_s
             )
             state.peers = {OTHERS: load}
-        for part_id, server_id in told.places:
-            servers.note_place(part_id, server_id)
+        for part_id, told_as in told.places:
+            servers.note_place(part_id, told_as)
 
     # As a hub.
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -364,8 +364,8 @@
         while True:
             await trio.sleep(TIDY_S)
             await self.pool.tidy()
-            for server_id in self.state.servers.tidy():
-                await self.pool.close_all(server_id)
+            for life in self.state.servers.tidy():
+                await self.pool.close_all(life)
 
     async def end(self) -> None:
         """End a planned stop: what was read is answered first."""
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -3,9 +3,9 @@
 import trio
 
 from rosemaryknot.connection.gateway_caller import Reply
-from rosemaryknot.process.gateway_servers import ServerState
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter, histogram
+from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.durations import Durations
 from rosemaryknot.request.gateway_attempt import Attempt
 from rosemaryknot.request.gateway_choice import choose_server, refuse_overload
@@ -70,7 +70,7 @@
         if outcome is None:
             outcome = self.timed_out(course)
         if isinstance(outcome, Refusal) and not reply.is_started:
-            await self.refuse(request, reply, outcome)
+            await self.refuse(request, reply, outcome, choice_of(course))
         else:
             self.log_end(course, outcome)
 
@@ -143,7 +143,7 @@
         """Send the request to one server and relay its answer."""
         state = candidate.state
         course.chosen = candidate
-        course.tried.add(state.entry.id)
+        course.tried.add(state.incarnation)
         size = course.request.size
         tokens = 0
         if size is not None:
@@ -182,16 +182,24 @@
         if isinstance(outcome, NotRunThere) and outcome.status == 421:
             # Another server has the address now; this one is gone.
             state.is_gone = True
-            log.info("server gone: its address is another's", server=state.entry.id)
+            log.info(
+                "server gone: its address is another's",
+                server=state.entry.id,
+                born=state.entry.born,
+            )
             return
         servers.note_failure(state, getattr(outcome, "reason", "not run"))
 
     # Ends.
 
     async def refuse(
-        self, request: GatewayRequest, reply: Reply, refusal: Refusal
+        self,
+        request: GatewayRequest,
+        reply: Reply,
+        refusal: Refusal,
+        choice: dict[str, object] | None = None,
     ) -> None:
-        """Answer a request ourselves."""
+        """Answer a request ourselves; the log tells the last choice of a server."""
         REQUESTS.add(outcome=str(refusal.status))
         log.info(
             "refused",
@@ -200,6 +208,7 @@
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
             took_s=round(trio.current_time() - request.arrived_s, 3),
+            **(choice or {}),
         )
         body = (refusal.reason + "\n").encode()
         headers = self.parts.wire.refusal_headers(request)
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -5,8 +5,8 @@
 import trio
 
 from rosemaryknot.connection.gateway_server import ServerConnection
-from rosemaryknot.process.gateway_servers import ServerState
 from rosemaryknot.process.metrics import histogram
+from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.event_stream import EventSplitter
 from rosemaryknot.request.gateway_choice import usable_servers
 from rosemaryknot.request.gateway_course import Course, GatewayParts
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from rosemaryknot.process.gateway_servers import ServerState
 from rosemaryknot.process.logs import logger
+from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.gateway_admission import (
     ADMISSIONS,
     AdmissionInput,
@@ -45,7 +45,7 @@
         requests, tokens = state.load()
         kept = 0
         if size is not None:
-            kept = parts.servers.kept_tokens(state.entry.id, size)
+            kept = parts.servers.kept_tokens(state, size)
         candidates.append(Candidate(state, requests, tokens, kept))
     policy = "least_busy" if size is None else "unread_tokens"
     return POLICIES[policy](PlacementInput(parts.zone, size, candidates, parts.rng))
@@ -77,6 +77,7 @@
         "servers overloaded",
         request=course.request.id,
         server=candidate.state.entry.id,
+        server_born=candidate.state.entry.born,
         tokens_there=candidate.tokens,
         unread=unread,
         rate=round(rate),
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -18,6 +18,7 @@
     GatewayService,
 )
 from rosemaryknot.values.gateway_answers import GatewayWire, Refusal
+from rosemaryknot.values.incarnation import ServerIncarnation
 
 __all__ = [
     "UNAVAILABLE",
@@ -111,8 +112,8 @@
         Taken from the customer's limit.
     until_s : float
         When it is given up, in trio time.
-    tried : set of str
-        Servers that were asked.
+    tried : set of ServerIncarnation
+        Servers that were asked; one that has started again since was not.
     sent : int
         Attempts of which a byte may have left.
     may_have_run : bool
@@ -138,7 +139,7 @@
     until_s: float
     version: int
     last_rank: int
-    tried: set[str] = field(default_factory=set)
+    tried: set[ServerIncarnation] = field(default_factory=set)
     sent: int = 0
     unsent: int = 0
     may_have_run: bool = False
@@ -177,6 +178,9 @@
         return {}
     return {
         "server": chosen.state.entry.id,
+        "server_born": chosen.state.entry.born,
+        "server_known_s": round(trio.current_time() - chosen.state.known_s, 3),
+        "server_failures": chosen.state.failures,
         "server_zone": chosen.state.entry.zone,
         "requests_there": chosen.requests,
         "tokens_there": chosen.tokens,
--- a/src/rosemaryknot/request/gateway_placement.py
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -11,12 +11,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from rosemaryknot.process.gateway_servers import (
-    MODEL_SILENT_S,
-    PLAIN_SILENT_S,
-    ServerState,
-)
+from rosemaryknot.process.gateway_servers import MODEL_SILENT_S, PLAIN_SILENT_S
+from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.values.gateway import ModelInput
+from rosemaryknot.values.incarnation import ServerIncarnation
 
 __all__ = ["Candidate", "Placement", "PlacementInput", "placement_policy", "usable"]
 
@@ -124,7 +122,7 @@
 def usable(
     states: Sequence[ServerState],
     now_s: float,
-    tried: set[str],
+    tried: set[ServerIncarnation],
     is_model: bool,
 ) -> list[ServerState]:
     """Return the servers that may get a request, the sound ones where enough are.
@@ -136,7 +134,8 @@
     """
     limit_s = MODEL_SILENT_S if is_model else PLAIN_SILENT_S
     staying = [s for s in states if not s.is_leaving and now_s < s.gone_at_s]
-    staying = [s for s in staying if s.entry.id not in tried]
+    if tried:
+        staying = [s for s in staying if s.incarnation not in tried]
     present = [s for s in staying if now_s >= s.avoid_until_s]
     present = [s for s in present if not s.is_silent(now_s, limit_s)]
     # Missing entries may have lapsed with the store; others are safer.
--- a/src/rosemaryknot/standin/peak.py
+++ b/src/rosemaryknot/standin/peak.py
@@ -16,7 +16,8 @@
 import trio
 from trio.testing import MockClock
 
-from rosemaryknot.process.gateway_servers import PeerLoad, ServerTable
+from rosemaryknot.process.gateway_servers import ServerTable
+from rosemaryknot.process.server_state import PeerLoad
 from rosemaryknot.request.gateway_admission import (
     ADMISSIONS,
     AdmissionInput,
@@ -30,6 +31,7 @@
     usable,
 )
 from rosemaryknot.values.gateway import ModelInput, PromptPart, RoutedServer
+from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["LOADS", "Load", "Tally", "Way", "play_peak"]
@@ -239,7 +241,8 @@
         for server in range(SERVERS):
             zone = ZONES[server % len(ZONES)]
             address = Address("10.0.0.1", 80 + server)
-            self.table.put(RoutedServer(f"s{server}", "model", zone, address, 128))
+            life = ServerIncarnation(f"s{server}")
+            self.table.put(RoutedServer(life, "model", zone, address, 128))
 
     def place(self, size: ModelInput) -> Candidate:
         """Choose a server."""
@@ -247,7 +250,7 @@
         candidates = []
         for state in usable(states, trio.current_time(), set(), True):
             requests, tokens = state.load()
-            kept = self.table.kept_tokens(state.entry.id, size)
+            kept = self.table.kept_tokens(state, size)
             candidates.append(Candidate(state, requests, tokens, kept))
         given = PlacementInput(self.zone, size, candidates, self.rng)
         return POLICIES[self.way.placement](given)
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -3,12 +3,13 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import trio
 
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
-__all__ = ["Arrival", "ServerStandIn"]
+__all__ = ["Arrival", "ServerStandIn", "server_entry"]
 
 EVENT_TOKENS = 5
 ATTEMPT = "rosemaryknot-attempt-id"
@@ -41,6 +42,23 @@
         return self.request.headers.get(ATTEMPT, "")
 
 
+def server_entry(
+    service: str, address: Any, zone: str, born_ms: int | None
+) -> dict[str, Any]:
+    """Return what a server writes of itself; older software tells no birth."""
+    born = {} if born_ms is None else {"born": born_ms}
+    return {
+        "service": service,
+        "address": str(address),
+        "zone": zone,
+        "version": "v1",
+        "slots": 16,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+    } | born
+
+
 Fault = Callable[["ServerStandIn", Arrival, RawWire], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 
@@ -82,6 +100,8 @@
 
     Attributes
     ----------
+    entry : dict
+        What it writes of itself.
     faults : collections.deque of str
         Names of `FAULTS` that the next requests meet, one each; empty text for none.
     """
@@ -97,6 +117,7 @@
         self.is_model = is_model
         self.work_s = work_s
         self.ledger = Ledger() if ledger is None else ledger
+        self.entry: dict[str, Any] = {}
         self.arrivals: list[Arrival] = []
         self.faults: deque[str] = deque()
         self.is_mute = False
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -21,7 +21,7 @@
 )
 from rosemaryknot.process.true_time import TrueTime
 from rosemaryknot.standin.users.cloud import CloudStandIn
-from rosemaryknot.standin.users.servers import Ledger, ServerStandIn
+from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.values.nodes import Address
 
@@ -110,6 +110,11 @@
     } | fields
 
 
+def now_ms() -> int:
+    """Return the time of day of the servers, in milliseconds of the epoch."""
+    return int((EPOCH_S + trio.current_time()) * 1000)
+
+
 @dataclass
 class Answer:
     """What a caller got.
@@ -264,20 +269,40 @@
         """Start a server and write its entry."""
         address = Address(f"10.1.0.{len(self.servers) + 1}", 8000)
         server = ServerStandIn(server_id, service == MODEL, work_s, self.ledger)
-        self.servers[server_id] = server
-        await self.nursery.start(
-            server.server.serve, self.network.with_host(address.host), address
-        )
-        server.entry = {
-            "service": service,
-            "address": str(address),
-            "zone": zone,
-            "slots": 16,
-            "state": "ready",
-        } | entry
-        self.store.put("servers", server_id, server.entry)
+        born = entry.pop("born", now_ms())
+        server.entry = server_entry(service, address, zone, born) | entry
+        await self.serve_server(server)
         return server
 
+    async def serve_server(self, server: ServerStandIn) -> None:
+        """Let a server listen and write its entry."""
+        address = Address.from_text(server.entry["address"])
+        network = self.network.with_host(address.host)
+
+        async def run(task_status: trio.TaskStatus[Address]) -> None:
+            with trio.CancelScope() as scope:
+                self.scopes[server.id] = scope
+                await server.server.serve(network, address, task_status=task_status)
+
+        self.servers[server.id] = server
+        await self.nursery.start(run)
+        self.store.put("servers", server.id, server.entry)
+
+    async def restart_server(self, server_id: str, down_s: float = 0.0) -> None:
+        """Let a server crash and start again under its id, with nothing of before.
+
+        Its address stays and its birth rises; a server that tells none goes on so.
+        """
+        old = self.servers[server_id]
+        self.scopes[server_id].cancel()
+        self.network.kill_host(Address.from_text(old.entry["address"]).host)
+        await trio.sleep(down_s)
+        server = ServerStandIn(server_id, old.is_model, old.work_s, self.ledger)
+        server.entry = old.entry | {"state": "ready", "sequence": 1}
+        if "born" in old.entry:
+            server.entry["born"] = max(now_ms(), old.entry["born"] + 1)
+        await self.serve_server(server)
+
     def settings(
         self,
         number: int,
--- a/src/rosemaryknot/values/gateway.py
+++ b/src/rosemaryknot/values/gateway.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
 
 __all__ = [
@@ -255,8 +256,8 @@
 
     Attributes
     ----------
-    id : str
-        One life of the server; an address may be used again by another.
+    incarnation : ServerIncarnation
+        Which life of which server; an address may be used again by another.
     service, zone : str
         What it serves, and where.
     address : Address
@@ -271,7 +272,7 @@
         How long after the entry was written it ends, where known.
     """
 
-    id: str
+    incarnation: ServerIncarnation
     service: str
     zone: str
     address: Address
@@ -280,6 +281,16 @@
     is_reclaimable: bool = False
     leaves_s: float | None = None
 
+    @property
+    def id(self) -> str:
+        """Its id, which a later life may have as well."""
+        return self.incarnation.id
+
+    @property
+    def born(self) -> int | None:
+        """When this life started, in milliseconds of the epoch, where it was told."""
+        return self.incarnation.born_ms
+
 
 @dataclass(slots=True, frozen=True)
 class PromptPart:
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -74,9 +74,10 @@
     node : str
         Its name.
     loads : dict
-        By server: requests in flight, and prompt tokens that wait.
+        By server's life: requests in flight, and prompt tokens that wait. A life is
+        named by its text, so that sums keep the lives of one server apart.
     places : list
-        Parts of prompts and the servers that they went to since the last report.
+        Parts of prompts and the servers' lives that they went to since the last report.
     """
 
     kind: ClassVar[str]
@@ -154,9 +155,10 @@
     spent : dict
         By customer: units taken since its start, and units asked for in a second.
     loads : dict
-        By server: requests in flight, and prompt tokens that wait.
+        By server's life: requests in flight, and prompt tokens that wait. A life is
+        named by its text, so that sums keep the lives of one server apart.
     places : list
-        Parts of prompts and the servers that they went to since the last report.
+        Parts of prompts and the servers' lives that they went to since the last report.
     """
 
     kind: ClassVar[str]
@@ -205,9 +207,10 @@
     spent : dict
         By customer: units taken since the hub's start, and asked for in a second.
     loads : dict
-        By server: requests in flight, and prompt tokens that wait.
+        By server's life: requests in flight, and prompt tokens that wait. A life is
+        named by its text, so that sums keep the lives of one server apart.
     places : list
-        Parts of prompts and the servers that they went to.
+        Parts of prompts and the servers' lives that they went to.
     counted : dict
         By gateway that reports to the hub: sequence of the report that is counted.
     """
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from rosemaryknot.process.gateway_servers import FIRST_RATE, PeerLoad
+from rosemaryknot.process.gateway_servers import FIRST_RATE
+from rosemaryknot.process.server_state import PeerLoad
 from rosemaryknot.standin.users.system import (
     HOST,
     MODEL_HEADERS,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -11,6 +11,7 @@
 )
 from rosemaryknot.standin.users.system import KEY, document
 from rosemaryknot.values.gateway import Repeat
+from rosemaryknot.values.incarnation import ServerIncarnation
 
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -64,13 +65,19 @@
                 "service": "s",
                 "address": "10.0.0.1:80",
                 "zone": "z",
+                "version": "v1",
+                "slots": 4,
                 "state": "draining",
+                "coldRemainingMs": 0,
+                "sequence": 7,
+                "born": 1764722000123,
                 "spot": True,
                 "leaves_ms": 1500,
             },
         )
         assert server.is_leaving and server.is_reclaimable
         assert server.leaves_s == 1.5
+        assert server.incarnation == ServerIncarnation("i-1", 1764722000123)
 
     @given(VALUES)
     def test_any_value(self, value):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -6,9 +6,10 @@
 from rosemaryknot.platform.headers import PlatformWire
 from rosemaryknot.values.gateway import GatewayRequest, RoutedServer
 from rosemaryknot.values.gateway_answers import TargetFault
+from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
 
-SERVER = RoutedServer("i-1", "s", "z", Address("10.0.0.1", 80))
+SERVER = RoutedServer(ServerIncarnation("i-1"), "s", "z", Address("10.0.0.1", 80))
 HEAD = [
     (b"Host", b"a.example:8080"),
     (b"Rosemaryknot-Attempt-Id", b"r1"),
