Leave alone what other writers put into the store, and keep the rest

Cause: an answer of the store with one item that is no JSON, no text or no object was lost whole, so a node knew no change of any server while it stood there. A number beyond 64 bits or half a character ended the node that passed it on; one beyond all floats, a port or a name that there cannot be ended it with the watch or the first request. An overwritten record of the duties' lease ended the holder's lease, unreadable notes its node.

Ruled out: dropping what was known of a server whose entry is overwritten at once. It counts as missing: used while no other is left, gone where its next heartbeats do not write it again within the time for entries that lapsed.

Change: `platform/store_answers.py` reads answers item by item, knows a spoilt entry by its metadata and puts a mark in place of values that no message takes. Each entry that is left alone is said once for each of its changes, with the reason. The holder of a lease whose record cannot be read keeps it and writes it again; others wait as for one that has just written; what was left to the next holder is kept.

Left: a value with unbalanced brackets or quotes outside of texts hides where its item ends; such an answer is lost whole as before.

--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -7,12 +7,18 @@
 
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.platform_calls import BAD_ANSWER, PlatformCalls
+from rosemaryknot.platform.store_answers import (
+    changed_objects,
+    item_of,
+    objects_of,
+    page_of,
+    stored_object,
+)
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import (
     Conflict,
     Listed,
     Missing,
-    ObjectChanged,
     PlatformFailed,
     StoredObject,
     Written,
@@ -34,23 +40,6 @@
     return f"/v1/objects/{kind}" + (f"/{name}" if name else "")
 
 
-def stored_object(item: dict) -> StoredObject:
-    """Return an object; its ``spec`` holds the value."""
-    return StoredObject(int(item["metadata"]["revision"]), item.get("spec"))
-
-
-def changed_object(event: dict) -> ObjectChanged:
-    """Return one change of a watch."""
-    item = event["object"]
-    is_deleted = bool(event.get("deleted"))
-    return ObjectChanged(
-        item["metadata"]["name"],
-        int(item["metadata"]["revision"]),
-        None if is_deleted else item.get("spec"),
-        is_deleted,
-    )
-
-
 def wrapped(name: str, value: Any, revision: int | None = None) -> bytes:
     """Return a value as the body of a write."""
     metadata: dict[str, Any] = {"name": name, "finalizers": []}
@@ -107,7 +96,9 @@
             return response
         if response.status_code == NOT_FOUND:
             return Missing()
-        return parsed(response, stored_object)
+        # A value that cannot be read is no object; its revision is not known then.
+        found = parsed(response, lambda content: stored_object(item_of(content), kind))
+        return PlatformFailed(BAD_ANSWER) if found is None else found
 
     async def list_objects(self, kind: str) -> Listed | PlatformFailed:
         """Read all objects of a kind, page by page."""
@@ -116,21 +107,22 @@
         for _ in range(MAX_PAGES):
             query = f"?sinceRevision={after}" if after else ""
             response = await self.calls.get(object_path(kind) + query)
-            page = parsed(response, lambda data: data)
+            page = parsed(response, lambda content: page_of(content, "items"))
             if isinstance(page, PlatformFailed):
                 return page
             try:
-                names = [item["metadata"]["name"] for item in page["items"]]
-                found = [stored_object(item) for item in page["items"]]
                 # The first page's revision: a change between two pages is then
                 # seen again in the watch rather than missed.
                 listed.version = listed.version or int(page["storeRevision"])
-                listed.objects |= dict(zip(names, found, strict=True))
-                if not page.get("hasMore") or not names:
-                    return listed
-                after = names[-1]
-            except (ValueError, KeyError, TypeError):
+            except (ValueError, KeyError, TypeError, OverflowError):
                 return PlatformFailed(BAD_ANSWER)
+            found = objects_of(page["items"], kind)
+            listed.objects |= found
+            if not page.get("hasMore"):
+                return listed
+            if not found:
+                return PlatformFailed(BAD_ANSWER)
+            after = list(found)[-1]
         return PlatformFailed("too many pages")
 
     async def create(self, kind: str, name: str, value: Any) -> Any:
@@ -172,13 +164,13 @@
             return response
         if response.status_code == GONE:
             return HistoryGone()
-        return parsed(
-            response,
-            lambda data: Changes(
-                int(data["storeRevision"]),
-                [changed_object(event) for event in data["events"]],
-            ),
-        )
+        return parsed(response, lambda content: changes_of(content, kind))
+
+
+def changes_of(content: bytes, kind: str) -> Changes:
+    """Return the changes that an answer to a watch tells."""
+    page = page_of(content, "events")
+    return Changes(int(page["storeRevision"]), changed_objects(page["events"], kind))
 
 
 def parsed(response: httpx.Response | PlatformFailed, parse: Any) -> Any:
@@ -188,6 +180,6 @@
     if response.status_code not in OK:
         return PlatformFailed(f"status {response.status_code}")
     try:
-        return parse(response.json())
-    except (ValueError, KeyError, TypeError):
+        return parse(response.content)
+    except (ValueError, KeyError, TypeError, OverflowError):
         return PlatformFailed(BAD_ANSWER)
--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -18,7 +18,7 @@
     wanted_sizes,
 )
 from rosemaryknot.process.true_time import TrueTime
-from rosemaryknot.process.usage_book import UsageBook
+from rosemaryknot.process.usage_book import UsageBook, counts_of
 from rosemaryknot.values.duties import (
     DutyCalls,
     DutyDone,
@@ -36,6 +36,8 @@
 # A window that could not be told for this long counts as lost; the next ones go on.
 GIVE_UP_WINDOWS = 8
 USAGE_NOTE = "usage"
+# Characters of an unreadable note in a log line.
+MAX_SHOWN = 80
 KEPT_NOTE = "usage_kept"
 # Pause after a call without an answer; the platform may carry it out late.
 RETRY_S = 1.0
@@ -92,6 +94,22 @@
     exchange: GatewayExchange
 
 
+@dataclass(slots=True)
+class UsageNote:
+    """A window's counts as a holder has left them to the next.
+
+    Attributes
+    ----------
+    window : int
+        Number of the window.
+    counts : dict of str to int
+        By customer.
+    """
+
+    window: int
+    counts: dict[str, int]
+
+
 class UsageDuty:
     """Tells the usage of each window once, and always with the same counts.
 
@@ -117,13 +135,16 @@
     async def step(self) -> None:
         """Tell the oldest window that is over and not told."""
         parts = self.parts
-        noted = parts.lease.notes.get(USAGE_NOTE)
-        if noted is not None and self.done != noted["window"]:
+        noted = self.noted()
+        if noted is not None and self.done != noted.window:
             # The holder before may have sent these counts without seeing an answer;
             # other counts for the same window would be a second report.
-            await self.send(int(noted["window"]), noted["counts"])
+            await self.send(noted.window, noted.counts)
             return
-        last = self.started_window - 1 if noted is None else int(noted["window"])
+        if noted is not None:
+            last = noted.window
+        else:
+            last = self.started_window - 1 if self.done is None else self.done
         window = last + 1
         now_s = parts.clock.now()
         ended_s = (window + 1) * parts.usage.window_s
@@ -140,6 +161,18 @@
         if await parts.lease.note(USAGE_NOTE, note):
             await self.send(window, counts)
 
+    def noted(self) -> "UsageNote | None":
+        """Return the last window that a holder has written down, None without one."""
+        value = self.parts.lease.notes.get(USAGE_NOTE)
+        if value is None:
+            return None
+        try:
+            return UsageNote(int(value["window"]), counts_of(value["counts"]))
+        except (KeyError, TypeError, ValueError, OverflowError):
+            # Another writer's; an error here would end the node with the duty.
+            log.warning("usage note cannot be read", note=str(value)[:MAX_SHOWN])
+            return None
+
     async def send(self, window: int, counts: dict[str, int]) -> None:
         """Tell one window; what is noted in the store is sent as it stands there."""
         parts = self.parts
--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -36,6 +36,7 @@
 RETRY_S = 0.5
 CANDIDATES = 3
 RELEASE_TRIES = 2
+UNKNOWN_HOLDER = "?"
 
 CHANGES = counter("lease_changes_total", "Leases taken over, given back and lapsed.")
 
@@ -292,7 +293,11 @@
         """Read the record."""
         found = await self.store.read(KIND, self.name)
         if isinstance(found, StoredObject):
-            self.take_note(found.version, LeaseRecord.from_value(found.value))
+            record = LeaseRecord.from_value(found.value)
+            if record is None:
+                self.note_unreadable(found.version)
+            else:
+                self.take_note(found.version, record)
         elif isinstance(found, Missing):
             self.take_note(0, None)
 
@@ -308,6 +313,22 @@
             self.highest = max(self.highest, record.fencing)
             self.credit(record)
 
+    def note_unreadable(self, version: int) -> None:
+        """Take note that another writer has overwritten the record.
+
+        Its holder goes on and writes it anew: nobody else takes the lease before the
+        time of the holder's last write is over. For the others the holder is unknown,
+        and they wait as for one that has just written. What holders have left is kept,
+        or usage would be told a second time.
+        """
+        if version == self.version:
+            return
+        log.warning(f"record of {self.name} cannot be read", version=version)
+        self.version = version
+        self.seen_s = trio.current_time()
+        if self.record is not None and not self.is_held():
+            self.record = replace(self.record, holder=UNKNOWN_HOLDER)
+
     def credit(self, record: LeaseRecord) -> None:
         """Count the time of a write of ours that took effect.
 
--- a/src/rosemaryknot/process/usage_book.py
+++ b/src/rosemaryknot/process/usage_book.py
@@ -2,8 +2,11 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from typing import Any
 
-__all__ = ["UsageBook"]
+from rosemaryknot.process.logs import logger
+
+__all__ = ["UsageBook", "counts_of"]
 
 # Windows that are kept; long enough for a duty that changes hands in an outage.
 KEPT_WINDOWS = 12
@@ -12,8 +15,34 @@
 # Windows that are kept in the store: the current one, and those that may not be told.
 KEPT_IN_STORE = 3
 
+# Characters of unreadable usage in a log line.
+MAX_SHOWN = 80
+
 Counts = dict[str, int]
 
+log = logger("usage")
+
+
+def counts_of(value: Any) -> Counts:
+    """Return counts that were read from the store.
+
+    Raises
+    ------
+    ValueError
+        If they are none.
+
+    Examples
+    --------
+    >>> counts_of({"ada": 3})
+    {'ada': 3}
+    """
+    if not isinstance(value, dict):
+        raise ValueError("counts are no object")
+    for name, count in value.items():
+        if not isinstance(name, str) or type(count) is not int or count < 0:
+            raise ValueError(f"no count: {name!r}")
+    return value
+
 
 class UsageBook:
     """Counts of this gateway, and the latest that the others told.
@@ -85,11 +114,16 @@
         }
 
     def take_kept(self, kept: dict) -> None:
-        """Take over what a gateway has kept in the store."""
-        for window, by_life in kept.items():
-            for life, counts in by_life.items():
-                node, _, incarnation = life.rpartition("/")
-                self.note_told(node, int(incarnation), {int(window): counts})
+        """Take over what a gateway has kept in the store, as far as it can be read."""
+        try:
+            for window, by_life in kept.items():
+                for life, counts in by_life.items():
+                    node, _, incarnation = life.rpartition("/")
+                    told = {int(window): counts_of(counts)}
+                    self.note_told(node, int(incarnation), told)
+        except (AttributeError, TypeError, ValueError):
+            # Another writer's; an error here would end the node with the lease.
+            log.warning("kept usage cannot be read", kept=str(kept)[:MAX_SHOWN])
 
     def total(self, window: int, customers: Iterable[str]) -> Counts:
         """Return the counts of a window over all gateways."""
--- a/src/rosemaryknot/standin/users/store.py
+++ b/src/rosemaryknot/standin/users/store.py
@@ -8,7 +8,7 @@
 
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
-__all__ = ["StoreFaults", "StoreStandIn"]
+__all__ = ["RawValue", "StoreFaults", "StoreStandIn"]
 
 PREFIX = "/v1/objects/"
 PAGE = 50
@@ -16,6 +16,27 @@
 JSON = {"Content-Type": "application/json"}
 
 
+@dataclass(slots=True, frozen=True)
+class RawValue:
+    """A value that the store gives out as bytes, whatever they are."""
+
+    data: bytes
+
+
+def encoded(value: Any) -> bytes:
+    """Return the body of an answer, raw values as they are."""
+    raw: list[bytes] = []
+
+    def mark(found: Any) -> str:
+        raw.append(found.data)
+        return f"raw value {len(raw) - 1}"
+
+    body = json.dumps(value, default=mark).encode()
+    for number, data in enumerate(raw):
+        body = body.replace(b'"raw value %d"' % number, data)
+    return body
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """What is wrong with the store at the moment.
@@ -76,10 +97,13 @@
         Of the last change.
     calls : list of Call
         All calls.
+    strays : dict of str to list
+        By kind: what stands among the objects and is none.
     """
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, dict]] = {}
+        self.strays: dict[str, list[Any]] = {}
         self.revision = 10
         self.history: list[tuple[int, str, dict]] = []
         self.first_known = 0
@@ -121,7 +145,13 @@
         item = item | {"metadata": item["metadata"] | {"revision": self.revision}}
         self.note(kind, {"object": item, "deleted": True})
 
-    def note(self, kind: str, event: dict) -> None:
+    def put_stray(self, kind: str, item: Any) -> None:
+        """Put something among the objects that is none, and tell the watches."""
+        self.revision += 1
+        self.strays.setdefault(kind, []).append(item)
+        self.note(kind, item)
+
+    def note(self, kind: str, event: Any) -> None:
         """Remember a change and wake the watches."""
         self.history.append((self.revision, kind, event))
         self.changed.set()
@@ -155,7 +185,7 @@
             if outcome is None:
                 await trio.sleep_forever()
             status, value = outcome
-        await wire.answer(status, JSON, json.dumps(value).encode())
+        await wire.answer(status, JSON, encoded(value))
 
     async def is_hit(self, request: RawRequest, wire: RawWire) -> bool:
         """Let a fault happen to a call; tell whether one did."""
@@ -183,6 +213,7 @@
         """Return one page of a list."""
         names = sorted(n for n in self.objects.get(kind, {}) if n > after)
         items = [self.objects[kind][n] for n in names[:PAGE]]
+        items += self.strays.get(kind, [])
         return {
             "items": items,
             "hasMore": len(names) > PAGE,
--- a/src/rosemaryknot/values/leases.py
+++ b/src/rosemaryknot/values/leases.py
@@ -5,6 +5,11 @@
 
 __all__ = ["LeaseRecord"]
 
+# A number that rises by one at each change of holder never gets there.
+MAX_FENCING = 2**53
+# Longer than any lease of ours lasts, ten seconds.
+MAX_DURATION_S = 60.0
+
 
 @dataclass(slots=True, frozen=True)
 class LeaseRecord:
@@ -51,13 +56,28 @@
         True
         """
         try:
-            return cls(
-                holder=str(value["holder"]),
-                fencing=int(value["fencing"]),
-                write_id=str(value["write_id"]),
+            record = cls(
+                holder=value["holder"],
+                fencing=value["fencing"],
+                write_id=value["write_id"],
                 duration_s=float(value["duration_s"]),
                 leaving=tuple(str(name) for name in value["leaving"]),
                 notes=dict(value.get("notes") or {}),
             )
-        except (KeyError, TypeError, ValueError):
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
             return None
+        return record if record.is_sound() else None
+
+    def is_sound(self) -> bool:
+        """Tell whether its fields can be those of a lease.
+
+        Another writer's record with a number beyond all that can be counted, or a
+        time without end, would keep every node from the lease for good.
+        """
+        return (
+            isinstance(self.holder, str)
+            and isinstance(self.write_id, str)
+            and type(self.fencing) is int
+            and 0 <= self.fencing <= MAX_FENCING
+            and 0 < self.duration_s <= MAX_DURATION_S
+        )
--- /dev/null
+++ b/tests/gateway/test_foreign_entries.py
@@ -0,0 +1,307 @@
+"""Tests of entries that another writer puts into the store."""
+
+import random
+
+import pytest
+import structlog
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from rosemaryknot.process.leases import KIND as LEASES
+from rosemaryknot.process.node import LEASE_NAME
+from rosemaryknot.process.usage_book import UsageBook
+from rosemaryknot.standin.users.foreign import FOREIGN, foreign_value
+from rosemaryknot.standin.users.store import RawValue
+from rosemaryknot.standin.users.system import PLAIN, document, platform_system
+from rosemaryknot.values.leases import LeaseRecord
+
+SOON_S = 0.2
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+STRAYS = (None, 7, "item", [], {}, {"metadata": None}, {"metadata": {"name": 3}})
+
+
+def ids_of(fleet, node="n0"):
+    return set(fleet.nodes[node].state.servers.by_id)
+
+
+def values_of(sound):
+    """Return one value of each way in which an entry is none of a server's."""
+    rng = random.Random(1)
+    return {way: foreign_value(way, sound, rng) for way in FOREIGN}
+
+
+class TestServers:
+    async def test_name_no_server_to_use(self, autojump_clock):
+        """Entries of every foreign kind come by the watch, and by a list.
+
+        None of them names a server; the sound ones change and are used as before, and
+        no list or watch begins anew because of them.
+        """
+        async with platform_system(nodes=2) as fleet:
+            known = ids_of(fleet)
+            sound = fleet.servers["p0"].entry
+            lists = [c for c in fleet.store.calls if "watch" not in c.path]
+            for way, value in values_of(sound).items():
+                fleet.store.put("servers", f"x-{way}", value)
+                await trio.sleep(0.05)
+            for stray in STRAYS:
+                fleet.store.put_stray("servers", stray)
+            await fleet.add_server("p9", PLAIN)
+            await trio.sleep(SOON_S)
+            assert ids_of(fleet) == known | {"p9"}
+            assert [c for c in fleet.store.calls if "watch" not in c.path] == lists
+            await fleet.nodes["n0"].followers["servers"].list_all()
+            assert ids_of(fleet) == known | {"p9"}
+            assert not fleet.nodes["n0"].followers["servers"].is_lost()
+
+    @pytest.mark.parametrize("name", ["", "x y", "x\ny", "x\u00e9", "x\ud800"])
+    async def test_name_that_is_no_id(self, autojump_clock, name):
+        """A sound entry stands under a name that no header takes.
+
+        Sent as the expected server, it ended the node with its first request there.
+        """
+        async with platform_system(plain=0) as fleet:
+            server = await fleet.add_server("p0", PLAIN)
+            fleet.store.put("servers", name, server.entry)
+            fleet.store.remove("servers", "p0")
+            await trio.sleep(3)
+            assert ids_of(fleet) == {"m0", "m1"}
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert answer.status == 503
+
+    async def test_new_node_lists_the_others(self, autojump_clock):
+        async with platform_system() as fleet:
+            for way, value in values_of(fleet.servers["p0"].entry).items():
+                fleet.store.put("servers", f"x-{way}", value)
+            for stray in STRAYS:
+                fleet.store.put_stray("servers", stray)
+            await fleet.add_node(1)
+            await trio.sleep(1)
+            assert ids_of(fleet, "n1") == {"p0", "p1", "m0", "m1"}
+
+    async def test_reach_nodes_that_do_not_watch(self, autojump_clock):
+        """Fifteen nodes tell each other of foreign entries among sound ones."""
+        async with platform_system(nodes=15) as fleet:
+            await trio.sleep(8)
+            for way, value in values_of(fleet.servers["p0"].entry).items():
+                fleet.store.put("servers", f"x-{way}", value)
+            await fleet.add_server("p9", PLAIN)
+            await trio.sleep(1)
+            for name in fleet.nodes:
+                assert ids_of(fleet, name) == {"p0", "p1", "m0", "m1", "p9"}
+
+    async def test_reach_a_node_without_the_store(self, autojump_clock):
+        async with platform_system(nodes=3) as fleet:
+            fleet.store.faults.begin("busy", "10.2.0.2")
+            await trio.sleep(6)
+            for way, value in values_of(fleet.servers["p0"].entry).items():
+                fleet.store.put("servers", f"x-{way}", value)
+            await fleet.add_server("p9", PLAIN)
+            await trio.sleep(2)
+            assert "p9" in ids_of(fleet, "n1")
+            assert ids_of(fleet, "n1") == ids_of(fleet)
+
+    async def test_one_line_an_entry_and_change(self, autojump_clock):
+        async with platform_system() as fleet:
+            sound = fleet.servers["p0"].entry
+            with structlog.testing.capture_logs() as lines:
+                fleet.store.put("servers", "x1", sound | {"state": "resting"})
+                await trio.sleep(SOON_S)
+                for _ in range(3):
+                    await fleet.nodes["n0"].followers["servers"].list_all()
+                fleet.store.put("servers", "x1", sound | {"slots": True})
+                await trio.sleep(SOON_S)
+            reasons = [x["reason"] for x in lines if "left alone" in x["event"]]
+            assert reasons == ["state is not known", "slots is no whole number"]
+
+    async def test_unknown_service_may_come_later(self, autojump_clock):
+        """A server's service is in no configuration yet, and in the next one."""
+        async with platform_system(plain=0) as fleet:
+            with structlog.testing.capture_logs() as lines:
+                await fleet.add_server("q0", "new")
+                await trio.sleep(SOON_S)
+            assert [x["reason"] for x in lines if "reason" in x] == [
+                "service new unknown"
+            ]
+            services = [{"name": "new", "maxConnections": 10}]
+            routes = document()["routes"][3] | {"service": "new"}
+            fleet.store.put(
+                "config", "main", document(7, routes=[routes], services=services)
+            )
+            await trio.sleep(SOON_S)
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert answer.status == 200
+
+    async def test_known_server_is_used_till_nobody_vouches(self, autojump_clock):
+        """The entry of a service's only server is overwritten and written again.
+
+        It goes on taking requests meanwhile. Where it is not written again, its
+        server may have left: it gets none after the time for a missing entry.
+        """
+        async with platform_system(plain=1) as fleet:
+            sound = fleet.servers["p0"].entry
+            fleet.store.put("servers", "p0", {"state": "resting"})
+            await trio.sleep(1)
+            answer = await fleet.ask("/stock/x", method="GET", request_id="s1")
+            assert answer.status == 200
+            fleet.store.put("servers", "p0", sound)
+            await trio.sleep(3)
+            answer = await fleet.ask("/stock/x", method="GET", request_id="s2")
+            assert answer.status == 200
+            fleet.store.put("servers", "p0", RawValue(b"{nothing}"))
+            await trio.sleep(3)
+            answer = await fleet.ask("/stock/x", method="GET", request_id="s3")
+            assert answer.status == 503
+
+    async def test_overwritten_state_is_no_word_of_leaving(self, autojump_clock):
+        async with platform_system(plain=1) as fleet:
+            sound = fleet.servers["p0"].entry
+            fleet.store.put("servers", "p0", sound | {"state": "resting"})
+            await trio.sleep(SOON_S)
+            fleet.store.put("servers", "p0", sound)
+            await trio.sleep(SOON_S)
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert answer.status == 200
+
+
+async def watched_among(values: list) -> None:
+    """Let a node watch any values among sound entries."""
+    async with platform_system(plain=1, models=0) as fleet:
+        for number, value in enumerate(values):
+            fleet.store.put("servers", f"x{number}", value)
+            fleet.store.put_stray("servers", value)
+            await trio.sleep(0.01)
+        await fleet.add_server("p1", PLAIN)
+        await trio.sleep(SOON_S)
+        assert ids_of(fleet) == {"p0", "p1"}
+        await fleet.nodes["n0"].followers["servers"].list_all()
+        assert ids_of(fleet) == {"p0", "p1"}
+        assert (await fleet.ask("/stock/x", method="GET")).status == 200
+
+
+class TestWholeWatch:
+    @settings(max_examples=25, deadline=None)
+    @given(st.lists(JSON, min_size=1, max_size=4))
+    def test_any_values(self, values):
+        trio.run(watched_among, values, clock=MockClock(autojump_threshold=0))
+
+
+class TestConfiguration:
+    @pytest.mark.parametrize(
+        "value",
+        [
+            None,
+            {},
+            document(9) | {"version": True},
+            document(9) | {"version": "9"},
+            document(9) | {"routes": [7]},
+            RawValue(b"{version: 9}"),
+            RawValue(b'{"version": 9, "routes": [{"weight": 1e999}]}'),
+        ],
+    )
+    async def test_what_was_in_force_stays(self, autojump_clock, value):
+        async with platform_system(nodes=2) as fleet:
+            fleet.store.put("config", "main", value)
+            fleet.store.put("config", "other", value)
+            await trio.sleep(SOON_S)
+            assert fleet.nodes["n0"].state.version == 1
+            assert (await fleet.ask("/book/x")).status == 200
+            fleet.store.put("config", "main", document(10))
+            await trio.sleep(SOON_S)
+            assert fleet.nodes["n0"].state.version == 10
+
+
+class TestLease:
+    @pytest.mark.parametrize(
+        "value",
+        [
+            None,
+            "mine",
+            {"holder": "n0/1"},
+            {
+                "holder": "x",
+                "fencing": 10**17,
+                "write_id": "",
+                "duration_s": 2.0,
+                "leaving": [],
+            },
+            {
+                "holder": "x",
+                "fencing": 1,
+                "write_id": "",
+                "duration_s": 1e9,
+                "leaving": [],
+            },
+            {"holder": 7, "fencing": True, "write_id": "", "duration_s": "1e999"},
+            RawValue(b"{holder}"),
+            RawValue(b'{"fencing": ' + b"9" * 5000 + b"}"),
+        ],
+    )
+    async def test_holder_goes_on(self, autojump_clock, value):
+        """Another writer overwrites the record of the duties' lease.
+
+        Its holder keeps the lease and writes its record again; nobody takes it over,
+        and each window is told once.
+        """
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            await trio.sleep(14)
+            calls = len(fleet.cloud.calls)
+            [holder] = {c.holder for c in fleet.cloud.calls}
+            fencing = fleet.nodes[holder].lease.fencing
+            fleet.store.put(LEASES, LEASE_NAME, value)
+            for _ in range(40):
+                await trio.sleep(0.1)
+                assert fleet.nodes[holder].lease.is_held()
+            await trio.sleep(14)
+            assert fleet.nodes[holder].lease.fencing == fencing
+            assert len(fleet.cloud.calls) > calls
+            assert {c.holder for c in fleet.cloud.calls} == {holder}
+            assert not fleet.cloud.doubled
+
+    @pytest.mark.parametrize(
+        "notes",
+        [
+            {"usage": 7, "usage_kept": 7},
+            {"usage": {"window": "x", "counts": {}}, "usage_kept": {"x": {"y": 1}}},
+            {"usage": {"window": 3, "counts": {"ada": []}}, "usage_kept": {"3": {}}},
+        ],
+    )
+    async def test_notes_that_cannot_be_read(self, autojump_clock, notes):
+        """The notes to the next holder are spoilt, and its node takes the lease."""
+        async with platform_system(nodes=2, duties=["usage"]) as fleet:
+            await trio.sleep(14)
+            known = fleet.store.objects[LEASES][LEASE_NAME]["spec"]
+            holder = known["holder"].partition("/")[0]
+            fleet.kill(holder)
+            fleet.store.put(LEASES, LEASE_NAME, known | {"notes": notes})
+            calls = len(fleet.cloud.calls)
+            await trio.sleep(14)
+            [other] = set(fleet.nodes) - {holder}
+            assert fleet.nodes[other].lease.is_held()
+            assert len(fleet.cloud.calls) > calls
+
+    @given(JSON)
+    def test_any_record(self, value):
+        assert LeaseRecord.from_value(value) is None
+
+    @given(
+        st.sampled_from(["holder", "fencing", "write_id", "duration_s", "notes"]), JSON
+    )
+    def test_any_field(self, name, value):
+        sound = LeaseRecord("n0/1", 3, "w", 2.0).to_value()
+        record = LeaseRecord.from_value(sound | {name: value})
+        if record is not None:
+            assert record.duration_s > 0 and record.fencing + 1 > 0
+
+    @given(JSON)
+    def test_any_usage(self, value):
+        book = UsageBook("n0", 1, 5.0)
+        book.take_kept(value)
+        book.take_kept({"3": {"n1/2": value}})
+        assert book.total(3, ["ada"])["ada"] >= 0
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -49,6 +49,18 @@
         with pytest.raises(DocumentError):
             configuration_of(value)
 
+    @pytest.mark.parametrize("number", [float("inf"), float("nan"), 10**400])
+    @pytest.mark.parametrize("name", ["priority", "timeoutMs", "maxAttempts"])
+    def test_number_beyond_all_bounds(self, name, number):
+        """An error of another kind would end the node with the watch."""
+        data = document()
+        data["routes"][0][name] = number
+        try:
+            configuration_of(data)
+        except DocumentError:
+            return
+        assert number == 10**400 and name != "timeoutMs"
+
     @given(st.sampled_from(["routes", "services", "tenants", "limits"]), VALUES)
     def test_any_part(self, name, value):
         try:
@@ -57,29 +69,71 @@
             pass
 
 
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "draining",
+    "coldRemainingMs": 0,
+    "sequence": 7,
+    "born": 1764722000123,
+    "spot": True,
+    "leaves_ms": 1500,
+}
+MAY_BE_MISSING = ("born", "spot", "leaves_ms")
+OF_ANOTHER_FORM = {
+    "service": ("", 7, None, ["s"]),
+    "address": ("10.0.0.1", "a.example:80", "10.0.0.1:0", "10.0.0.1:65536", ":80", 80),
+    "zone": ("", 1, None),
+    "version": (1, None, {}),
+    "slots": (True, -1, 4.0, "4", 2**64, None),
+    "state": ("resting", "READY", "", None, True),
+    "coldRemainingMs": (True, -1, "x", None, float("nan")),
+    "sequence": (True, -1, 1.5, "7", None),
+    "born": (True, -1, 1764722000123.0, "1764722000123", None, 2**64, []),
+    "leaves_ms": ("soon", [], float("inf")),
+}
+
+
 class TestServers:
     def test_is_decoded(self):
-        server = server_of(
-            "i-1",
-            {
-                "service": "s",
-                "address": "10.0.0.1:80",
-                "zone": "z",
-                "version": "v1",
-                "slots": 4,
-                "state": "draining",
-                "coldRemainingMs": 0,
-                "sequence": 7,
-                "born": 1764722000123,
-                "spot": True,
-                "leaves_ms": 1500,
-            },
-        )
+        server = server_of("i-1", ENTRY)
         assert server.is_leaving and server.is_reclaimable
         assert server.leaves_s == 1.5
         assert server.incarnation == ServerIncarnation("i-1", 1764722000123)
 
+    @pytest.mark.parametrize("name", sorted(set(ENTRY) - set(MAY_BE_MISSING)))
+    def test_field_is_missing(self, name):
+        entry = {key: value for key, value in ENTRY.items() if key != name}
+        with pytest.raises(DocumentError, match=f"no {name}"):
+            server_of("i-1", entry)
+
+    @pytest.mark.parametrize("name", MAY_BE_MISSING)
+    def test_field_may_be_missing(self, name):
+        entry = {key: value for key, value in ENTRY.items() if key != name}
+        assert server_of("i-1", entry).id == "i-1"
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [(name, value) for name, values in OF_ANOTHER_FORM.items() for value in values],
+    )
+    def test_field_of_another_form(self, name, value):
+        with pytest.raises(DocumentError):
+            server_of("i-1", ENTRY | {name: value})
+
     @given(VALUES)
     def test_any_value(self, value):
         with pytest.raises(DocumentError):
             server_of("i-1", value)
+
+    @given(st.text(), st.sampled_from(sorted(ENTRY)), VALUES)
+    def test_any_name_and_field(self, server_id, name, value):
+        """What names a server can be sent to: its id in a header, its address."""
+        try:
+            server = server_of(server_id, ENTRY | {name: value})
+        except DocumentError:
+            return
+        assert server.id.encode("ascii").strip() == server_id.encode()
+        assert 0 < server.address.port < 65536
