--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -9,7 +9,7 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.values.gateway import ModelInput, PromptPart, RoutedServer
-from rosemaryknot.values.incarnation import ServerIncarnation
+from rosemaryknot.values.incarnation import ServerIncarnation, id_of
 
 __all__ = ["ServerTable"]
 
@@ -287,8 +287,7 @@
 
     def note_place(self, part_id: str, told_as: str) -> None:
         """Remember what another node has sent to a server, where that life lasts."""
-        server_id = ServerIncarnation.from_text(told_as).id
-        state = self.by_id.get(server_id)
+        state = self.by_id.get(id_of(told_as))
         if state is not None and state.told_as == told_as:
             self.note_parts(state, (PromptPart(part_id, 0),))
 
--- a/src/rosemaryknot/values/incarnation.py
+++ b/src/rosemaryknot/values/incarnation.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ServerIncarnation"]
+__all__ = ["ServerIncarnation", "id_of"]
 
 SEPARATOR = "@"
+DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,26 +46,35 @@
     def to_text(self) -> str:
         """Return the text by which nodes name this life to each other.
 
+        The birth stands in base 36, eight characters in place of thirteen: each name of
+        a life is in up to a hundred places of a message.
+
         Examples
         --------
-        >>> ServerIncarnation("i-1", 1000).to_text()
-        'i-1@1000'
+        >>> ServerIncarnation("i-1", 1_764_722_000_123).to_text()
+        'i-1@mip9wxyz'
         >>> ServerIncarnation("i-1").to_text()
         'i-1@'
         """
-        born = "" if self.born_ms is None else str(self.born_ms)
+        born = "" if self.born_ms is None else base_36(self.born_ms)
         return f"{self.id}{SEPARATOR}{born}"
 
-    @classmethod
-    def from_text(cls, text: str) -> "ServerIncarnation":
-        """Return the life that a text names; the id may hold the separator.
 
-        Examples
-        --------
-        >>> ServerIncarnation.from_text("a@b@1000")
-        ServerIncarnation(id='a@b', born_ms=1000)
-        >>> ServerIncarnation.from_text("i-1@").born_ms is None
-        True
-        """
-        server_id, _, born = text.rpartition(SEPARATOR)
-        return cls(server_id, int(born) if born.isdecimal() else None)
+def base_36(number: int) -> str:
+    """Return a number from 0 on in base 36."""
+    digits = ""
+    while number >= len(DIGITS):
+        number, last = divmod(number, len(DIGITS))
+        digits = DIGITS[last] + digits
+    return DIGITS[number] + digits
+
+
+def id_of(text: str) -> str:
+    """Return the id of the server whose life a text names.
+
+    Examples
+    --------
+    >>> id_of("a@b@mip9wxyz")
+    'a@b'
+    """
+    return text.rpartition(SEPARATOR)[0]
