Play restarts under one id and entries of other writers, drawn and in the soak

Drawn plays add one to four of them to the faults that a seed drew before, which stay as they were: a server starts again once or twice within a heartbeat, at once or after a second, with a late write of the life before or without; another writer's entry, over a server's own until its next heartbeat, or beside them, all leading to a trap. A request at the trap breaks a promise of its own. The soak draws both kinds too. The faults of plays stand in a module of their own.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -22,6 +22,7 @@
 from rosemaryknot.connection.network import SocketNetwork
 from rosemaryknot.standin.users.audit import Seen, Violation, audit
 from rosemaryknot.standin.users.cloud import CloudStandIn
+from rosemaryknot.standin.users.foreign import FOREIGN, foreign_value
 from rosemaryknot.standin.users.play import Play, note_seen, play_load
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
 from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
@@ -34,6 +35,7 @@
 NODES = 3
 GRACE_S = 4.0
 LENGTH_S = 14.0
+HEARTBEAT_S = 1.0
 READY_S = 8.0
 # A node answers again so soon after the last fault.
 RECOVERY_S = 8.0
@@ -118,6 +120,7 @@
         self.cloud = CloudStandIn()
         self.ledger = Ledger()
         self.servers: dict[str, ServerStandIn] = {}
+        self.trap = ServerStandIn("trap")
         self.proxies: dict[str, SoakProxy] = {}
         self.nodes: dict[str, SoakNode] = {}
         self.problems: list[Violation] = []
@@ -128,6 +131,8 @@
         start = self.nursery.start
         store = await start(self.store.server.serve, self.network, anywhere)
         cloud = await start(self.cloud.server.serve, self.network, anywhere)
+        trap = await start(self.trap.server.serve, self.network, anywhere)
+        self.trap.entry = server_entry(PLAIN, trap, "z0", int(time.time() * 1000))
         self.store.put("config", "main", document())
         for number in range(6):
             await self.add_server(f"s{number}", MODEL if number < 3 else PLAIN)
@@ -179,6 +184,12 @@
         server.entry = server_entry(service, address, zone, born_ms)
         self.store.put("servers", name, server.entry)
 
+    async def overwrite(self, name: str, value: Any) -> None:
+        """Put something over a server's entry until its next heartbeat."""
+        self.store.put("servers", name, value)
+        await trio.sleep(HEARTBEAT_S)
+        self.store.put("servers", name, self.servers[name].entry)
+
     async def ask(self, path: str, node: str, **options: Any) -> Answer:
         """Send one request on a connection of its own."""
         address = Address.from_text(self.nodes[node].settings["listen"]["callers"])
@@ -339,6 +350,33 @@
     server.is_mute = False
 
 
+@soak_fault("restart")
+async def restart(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let a server start again under its id, once or twice in a heartbeat."""
+    name = rng.choice(list(system.servers))
+    for _ in range(rng.choice((1, 2))):
+        before = system.servers[name].entry
+        system.servers[name].begin_life(int(time.time() * 1000))
+        system.proxies[name].reset_all()
+        system.store.put("servers", name, system.servers[name].entry)
+    if rng.random() < 0.5:
+        await system.overwrite(name, before | {"state": "draining"})
+
+
+@soak_fault("foreign")
+async def foreign(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let another writer write an entry, over a server's own or beside them."""
+    way = rng.choice(sorted(FOREIGN))
+    value = foreign_value(way, system.trap.entry, rng)
+    if rng.random() < 0.5:
+        await system.overwrite(rng.choice(list(system.servers)), value)
+        return
+    system.store.put("servers", f"x-{way}", value)
+    system.store.put_stray("servers", way)
+    await trio.sleep(for_s)
+    system.store.remove("servers", f"x-{way}")
+
+
 @soak_fault("delay")
 async def delay(system: SoakSystem, rng: random.Random, for_s: float) -> None:
     """Delay what goes through a proxy."""
--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -61,6 +61,8 @@
         Fencing numbers of accepted calls, in order.
     holders : list of tuple of (str, int)
         Holders and numbers of accepted calls.
+    trapped : list of str
+        Requests that came where only entries of another writer lead.
     """
 
     asked: list[Asked] = field(default_factory=list)
@@ -68,6 +70,7 @@
     usage_doubled: list[int] = field(default_factory=list)
     fences: list[int] = field(default_factory=list)
     holders: list[tuple[str, int]] = field(default_factory=list)
+    trapped: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -171,6 +174,13 @@
             yield f"{asked.id} is no beginning of its stream"
 
 
+@promise("named_by_servers")
+def named_by_servers(seen: Seen) -> Iterable[str]:
+    """Find requests that went where another writer's entry leads."""
+    for request_id in seen.trapped:
+        yield f"{request_id!r} went to the trap"
+
+
 @promise("one_usage_report")
 def one_usage_report(seen: Seen) -> Iterable[str]:
     """Find usage windows that were told with different counts."""
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -3,7 +3,6 @@
 import json
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -11,13 +10,15 @@
 import trio
 
 from rosemaryknot.standin.users.audit import Asked, Seen, Violation, audit
+from rosemaryknot.standin.users.play_faults import (
+    PLAY_FAULTS,
+    draw_fault,
+    draw_server_life,
+)
 from rosemaryknot.standin.users.servers import EVENT_TOKENS
-from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
 from rosemaryknot.standin.users.system import (
     MODEL_HEADERS,
-    STORE,
     PlatformSystem,
-    document,
     platform_system,
 )
 
@@ -29,7 +30,6 @@
 EVENTS = 50 // EVENT_TOKENS
 # After the last request, so that what is under way ends and usage is told.
 SETTLE_S = 14.0
-RESTART_S = 0.5
 
 
 @dataclass(slots=True)
@@ -93,132 +93,6 @@
         )
 
 
-PlayFault = Callable[[PlatformSystem, dict[str, Any]], Awaitable[None]]
-PLAY_FAULTS: dict[str, PlayFault] = {}
-
-
-def play_fault(kind: str) -> Callable[[PlayFault], PlayFault]:
-    """Register a kind of fault, which returns when it is over."""
-
-    def register(fault: PlayFault) -> PlayFault:
-        PLAY_FAULTS[kind] = fault
-        return fault
-
-    return register
-
-
-@play_fault("store")
-async def store_fault(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let the store be ``mode`` for ``for_s``, for one node or all."""
-    hosts = [fault["host"]] if "host" in fault else []
-    system.store.faults.begin(fault["mode"], *hosts)
-    await trio.sleep(fault["for_s"])
-    system.store.faults.end()
-
-
-@play_fault("lost_writes")
-async def lost_writes(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let ``count`` writes be done late and not be answered."""
-    system.store.faults.delay_writes_s = fault.get("late_s", 0.0)
-    system.store.faults.lose_writes += fault["count"]
-
-
-@play_fault("compact")
-async def compact(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let the store forget its history."""
-    system.store.forget_history()
-
-
-@play_fault("lapse")
-async def lapse(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let all servers' entries go and come back after ``for_s``."""
-    for name in list(system.store.objects["servers"]):
-        system.store.remove("servers", name)
-    await trio.sleep(fault["for_s"])
-    for name, server in system.servers.items():
-        system.store.put("servers", name, server.entry)
-
-
-@play_fault("lost_duties")
-async def lost_duties(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let ``count`` calls of duties be carried out and not be answered."""
-    system.cloud.faults.lose_calls += fault["count"]
-
-
-@play_fault("kill")
-async def kill(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Kill a node and start it again after ``for_s``."""
-    name = fault["node"]
-    if name in system.down:
-        return
-    system.down.add(name)
-    system.kill(name)
-    await trio.sleep(fault["for_s"])
-    await start_again(system, name)
-
-
-@play_fault("stop")
-async def stop(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Stop a node as planned and start it again."""
-    name = fault["node"]
-    if name in system.down:
-        return
-    system.down.add(name)
-    system.stops[name].set()
-    await trio.sleep(system.nodes[name].settings.bounds.grace_s)
-    system.kill(name)
-    await trio.sleep(RESTART_S)
-    await start_again(system, name)
-
-
-async def start_again(system: PlatformSystem, name: str) -> None:
-    """Start the next life of a node."""
-    await system.add_node(int(name[1:]), is_first_start=False, duties=["usage"])
-    system.down.discard(name)
-
-
-@play_fault("server")
-async def server_fault(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let the next ``count`` requests of a server meet a fault of its own."""
-    server = system.servers[fault["server"]]
-    server.faults.extend([fault["fault"]] * fault["count"])
-
-
-@play_fault("mute")
-async def mute(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let a server say nothing for ``for_s``."""
-    server = system.servers[fault["server"]]
-    server.is_mute = True
-    await trio.sleep(fault["for_s"])
-    server.is_mute = False
-
-
-@play_fault("drain")
-async def drain(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let a server say that it leaves, and come back under another id."""
-    old = system.servers[fault["server"]]
-    system.store.put("servers", old.id, old.entry | {"state": "draining"})
-    await trio.sleep(fault["for_s"])
-    system.store.remove("servers", old.id)
-    name = f"{fault['server']}-next-{len(system.servers)}"
-    await system.add_server(name, old.entry["service"], old.entry["zone"])
-
-
-@play_fault("cut")
-async def cut(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Cut a node off from another host for ``for_s``."""
-    system.network.cut(fault["host"], fault["from"])
-    await trio.sleep(fault["for_s"])
-    system.network.heal(fault["host"], fault["from"])
-
-
-@play_fault("configure")
-async def configure(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Write a new version of the configuration."""
-    known = system.store.objects["config"]["main"]["spec"]
-    system.store.put("config", "main", document(known["version"] + 3))
-
-
 async def play_load(
     system: PlatformSystem, play: Play, rng: random.Random, seen: Seen
 ) -> None:
@@ -289,6 +163,7 @@
     for arrival in system.ledger.arrivals:
         if arrival.has_run:
             seen.runs[arrival.id] = seen.runs.get(arrival.id, 0) + 1
+    seen.trapped = [arrival.id for arrival in system.trap.arrivals]
     accepted = [call for call in system.cloud.calls if call.status == 200]
     seen.usage_doubled = system.cloud.doubled
     seen.fences = [call.fencing for call in accepted]
@@ -300,43 +175,12 @@
     rng = random.Random(seed)
     play = Play(nodes=rng.choice((1, 2, 3, 4)))
     for _ in range(rng.randint(3, 7)):
-        play.faults.append(draw_fault(rng, play))
+        play.faults.append(draw_fault(rng, play.nodes))
+    for _ in range(rng.randint(1, 4)):
+        play.faults.append(draw_server_life(rng))
     return play
 
 
-def draw_fault(rng: random.Random, play: Play) -> dict[str, Any]:
-    """Draw one fault of any kind."""
-    node = rng.randrange(play.nodes)
-    host = f"10.2.0.{node + 1}"
-    server = rng.choice(("p0", "p1", "p2", "m0", "m1", "m2"))
-    for_s = round(rng.uniform(0.5, 5.0), 2)
-    drawn = rng.choice(
-        (
-            {"kind": "store", "mode": rng.choice(("busy", "many", "reset", "silent"))},
-            {"kind": "store", "mode": rng.choice(("busy", "silent")), "host": host},
-            {"kind": "lost_writes", "count": rng.randint(1, 4), "late_s": for_s},
-            {"kind": "compact"},
-            {"kind": "lapse"},
-            {"kind": "lost_duties", "count": rng.randint(1, 3)},
-            {"kind": "kill", "node": f"n{node}"},
-            {"kind": "stop", "node": f"n{node}"},
-            {
-                "kind": "server",
-                "server": server,
-                "fault": rng.choice(sorted(SERVER_FAULTS)),
-                "count": rng.randint(1, 10),
-            },
-            {"kind": "mute", "server": server},
-            {"kind": "drain", "server": server},
-            {"kind": "cut", "host": host, "from": STORE.host},
-            {"kind": "cut", "host": host, "from": f"10.1.0.{rng.randint(1, 6)}"},
-            {"kind": "cut", "host": host, "from": f"10.2.0.{rng.randint(1, 4)}"},
-            {"kind": "configure"},
-        )
-    )
-    return {"at": round(rng.uniform(0.5, 15.0), 2), "for_s": for_s} | drawn
-
-
 def load_play(path: Path) -> Play:
     """Read a play from a JSON file.
 
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -123,6 +123,12 @@
         self.is_mute = False
         self.server = RawServer(self.handle)
 
+    def begin_life(self, born_ms: int) -> None:
+        """Forget what was before and write a later birth, as a start under one id."""
+        self.faults.clear()
+        self.is_mute = False
+        self.entry = self.entry | {"born": max(born_ms, self.entry["born"] + 1)}
+
     async def handle(self, request: RawRequest, wire: RawWire) -> None:
         """Answer a request, or misbehave."""
         arrival = Arrival(request, trio.current_time())
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -42,6 +42,7 @@
 STORE = Address("10.0.0.1", 8361)
 CLOUD = Address("10.0.0.2", 8361)
 CALLERS = "10.9.0.1"
+TRAP = Address("10.1.9.9", 8000)
 HOST = "a.example"
 MODEL = "writer"
 PLAIN = "booking"
@@ -219,7 +220,9 @@
     nodes : dict of str to GatewayNode
         By name; of a node that was killed the last life.
     down : set of str
-        Nodes that a fault has ended and will start again.
+        Nodes and servers that a fault has ended and will start again.
+    trap : ServerStandIn
+        Where entries of another writer lead; no server writes its address.
     """
 
     def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
@@ -234,6 +237,7 @@
         self.stops: dict[str, trio.Event] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
         self.down: set[str] = set()
+        self.trap = ServerStandIn("trap")
 
     async def start(
         self,
@@ -249,6 +253,9 @@
         await start(self.store.server.serve, store_network, STORE)
         cloud_network = self.network.with_host(CLOUD.host)
         await start(self.cloud.server.serve, cloud_network, CLOUD)
+        trap_network = self.network.with_host(TRAP.host)
+        await start(self.trap.server.serve, trap_network, TRAP)
+        self.trap.entry = server_entry(PLAIN, TRAP, "z0", now_ms())
         self.store.put("config", "main", configuration or document())
         for number in range(plain):
             await self.add_server(f"p{number}", PLAIN, zone=f"z{number % 3}")
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -60,6 +60,7 @@
             ("ones_own", Seen([Asked("a", "plain", True, 200, b"x answers b", True)])),
             ("in_order", Seen([Asked("a", "stream", True, 200, b"", True, 2)])),
             ("in_order", Seen([Asked("a", "stream", True, 200, b"id: 1\n", False, 2)])),
+            ("named_by_servers", Seen(trapped=["a"])),
             ("one_usage_report", Seen(usage_doubled=[7])),
             ("fences_rise", Seen(fences=[2, 1])),
             ("fences_rise", Seen(holders=[("n1", 3), ("n2", 3)])),
