--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -102,6 +102,7 @@
                 f"server {entry.id} leaves", left_s=entry.leaves_s, born=entry.born
             )
         state.entry = entry
+        state.entry_s = trio.current_time()
         state.has_drained = state.has_drained or entry.is_leaving
         state.is_gone = False
         state.gone_at_s = math.inf
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -41,6 +41,8 @@
         As the store tells; always of this life.
     known_s : float
         Since when this life is known, in trio time.
+    entry_s : float
+        When its entry was last taken over, in trio time.
     told_as : str
         How nodes name this life to each other.
     in_flight : int
@@ -70,6 +72,7 @@
 
     entry: RoutedServer
     known_s: float = 0.0
+    entry_s: float = 0.0
     in_flight: int = 0
     waiting_tokens: int = 0
     failure_share: float = 0.0
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -176,11 +176,13 @@
     chosen = course.chosen
     if chosen is None:
         return {}
+    now_s = trio.current_time()
     return {
         "server": chosen.state.entry.id,
         "server_born": chosen.state.entry.born,
-        "server_known_s": round(trio.current_time() - chosen.state.known_s, 3),
-        "server_failures": chosen.state.failures,
+        "server_known_s": round(now_s - chosen.state.known_s, 3),
+        "server_entry_s": round(now_s - chosen.state.entry_s, 3),
+        "server_failures": chosen.failures,
         "server_zone": chosen.state.entry.zone,
         "requests_there": chosen.requests,
         "tokens_there": chosen.tokens,
--- a/src/rosemaryknot/request/gateway_placement.py
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -48,12 +48,15 @@
         In flight there from all nodes, and unread prompt tokens.
     kept_tokens : int
         Of this request's prompt, read there before.
+    failures : int
+        Attempts that failed there in a row.
     """
 
     state: ServerState
     requests: int
     tokens: int
     kept_tokens: int = 0
+    failures: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/gateway/test_server_restarts.py
+++ b/tests/gateway/test_server_restarts.py
@@ -398,6 +398,7 @@
             born = fleet.servers["p0"].entry["born"]
             [refused] = [x for x in info_lines if x["event"] == "refused"]
             assert (refused["request"], refused["server_born"]) == ("b1", born)
-            assert refused["server_known_s"] > 0
+            assert refused["server_known_s"] >= refused["server_entry_s"] > 0
+            assert refused["server_failures"] == 0
             [failed] = [x for x in info_lines if x["event"] == "server p0 failed"]
             assert failed["born"] == born
