--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -1,5 +1,7 @@
 """One request of a caller: admitted, sent to a backend server, answered once."""
 
+from functools import partial
+
 import trio
 
 from rosemaryknot.connection.gateway_caller import Reply
@@ -14,6 +16,7 @@
     Course,
     GatewayParts,
     choice_of,
+    explain_cut,
     output_tokens,
     refusal,
 )
@@ -64,6 +67,7 @@
         if isinstance(course, Refusal):
             await self.refuse(request, reply, course)
             return
+        reply.owed.explain = partial(explain_cut, course)
         outcome = None
         with trio.move_on_at(course.until_s):
             outcome = await self.run(course)
@@ -224,7 +228,8 @@
         took_s = trio.current_time() - course.request.arrived_s
         if isinstance(outcome, Completed):
             tokens = output_tokens(course.request)
-            self.durations.note(course.route.name, took_s, tokens)
+            now_s = trio.current_time()
+            self.durations.note(course.route.name, took_s, tokens, now_s)
         REQUESTS.add(outcome=type(outcome).__name__)
         WHOLE.observe(took_s)
         log.info(
@@ -237,5 +242,6 @@
             servers=len(course.tried),
             took_s=round(took_s, 3),
             first_s=None if course.first_s is None else round(course.first_s, 3),
+            sent_bytes=course.reply.owed.sent_bytes,
             **choice_of(course),
         )
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -5,6 +5,7 @@
 import trio
 
 from rosemaryknot.connection.gateway_server import ServerConnection
+from rosemaryknot.connection.owed_answers import Phase
 from rosemaryknot.process.metrics import histogram
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.event_stream import EventSplitter
@@ -69,6 +70,11 @@
         )
         if isinstance(connection, NotSent):
             return connection
+        if not self.state.takes_work(trio.current_time()):
+            # It was chosen before the connection was opened, which may take most of
+            # the time that it serves on.
+            await connection.aclose()
+            return NotSent("the server leaves")
         try:
             outcome = await self.exchange(connection)
         except BaseException:
@@ -185,6 +191,7 @@
         headers = [pair for pair in head.headers if pair[0] != b"content-length"]
         headers.append((b"content-length", str(len(body)).encode()))
         self.note_first()
+        self.course.reply.owed.phase = Phase.DELIVERY
         # An answer that is there is delivered, also where its time ends just now: cut
         # here, the caller would see a closed connection instead of it.
         with trio.move_on_after(DELIVERY_S, shield=True):
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -17,7 +17,7 @@
     GatewayRoute,
     GatewayService,
 )
-from rosemaryknot.values.gateway_answers import GatewayWire, Refusal
+from rosemaryknot.values.gateway_answers import GatewayWire, PlannedStop, Refusal
 from rosemaryknot.values.incarnation import ServerIncarnation
 
 __all__ = [
@@ -25,6 +25,7 @@
     "Course",
     "GatewayParts",
     "choice_of",
+    "explain_cut",
     "output_tokens",
     "refusal",
 ]
@@ -70,8 +71,8 @@
         Of a customer; counts a request that began to run.
     note_work : callable
         Of a service and prompt tokens that it has to read; counts the work.
-    stops_at_s : callable
-        Returns when a planned stop ends requests, in trio time; infinite without.
+    stop : callable
+        Returns the planned stop that goes on, or None.
     rng : random.Random
         Spreads returns and breaks ties.
     """
@@ -88,7 +89,7 @@
     note_request: Callable[[str], None]
     note_run: Callable[[str], None]
     note_work: Callable[[str, int], None]
-    stops_at_s: Callable[[], float]
+    stop: Callable[[], PlannedStop | None]
     rng: random.Random
 
 
@@ -190,6 +191,22 @@
         "prompt": 0
         if course.request.size is None
         else course.request.size.prompt_tokens,
+        "max_output": output_tokens(course.request),
+    }
+
+
+def explain_cut(course: Course) -> dict[str, object]:
+    """Return what a line tells of a request that is cut on its way."""
+    limit_s = course.until_s - course.request.arrived_s
+    return {
+        "request": course.request.id,
+        "route": course.route.name,
+        "version": course.version,
+        "limit_s": round(limit_s, 3),
+        "left_s": round(course.left_s(), 3),
+        "servers": len(course.tried),
+        "first_s": None if course.first_s is None else round(course.first_s, 3),
+        **choice_of(course),
     }
 
 
