Close quiet connections to a life of a server that is over

Cause: a machine that loses power resets nothing. A stream on it waited until its caller left, though the entry of the next life had shown for seconds that nothing would come.

Ruled out: closing all connections to the life before at once. What is on its way would be lost, and another writer's entry with a later birth would cut sound streams.

Change: the pool knows the connections in use, and closes those to a life that is over once they have brought nothing for half a second; a resumable stream goes on elsewhere (test: whole in under 2.5 s, before it stayed without an end).

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
+from weakref import WeakSet
 
 import h11
 import trio
@@ -32,6 +33,10 @@
 # Late answers to earlier requests that are passed over before the connection is
 # given up.
 MAX_STRAYS = 2
+# A connection to a life that is over and without a byte for this long brings none.
+QUIET_S = 0.5
+# How long lives that are over are remembered; no request takes as long.
+OVER_S = 120.0
 HOST = (b"host", b"server")
 
 CONNECTIONS = counter("server_connections_total", "Connections opened to servers.")
@@ -43,6 +48,8 @@
 
     Attributes
     ----------
+    heard_s : float
+        When bytes came last, or it was opened, in trio time.
     idle_until_s : float
         When it may not be used again, in trio time.
     is_reusable : bool
@@ -56,6 +63,7 @@
         self.server = server
         self.conn = h11.Connection(h11.CLIENT)
         self.idle_until_s = 0.0
+        self.heard_s = trio.current_time()
         self.is_reusable = False
         self.is_sent = False
         self.wants_close = False
@@ -151,6 +159,7 @@
                 data = await receive_next(self.stream, READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return Lost("the connection was reset")
+            self.heard_s = trio.current_time()
             self.conn.receive_data(data)
 
     async def chunks(self) -> AsyncIterator[bytes | Lost]:
@@ -202,11 +211,17 @@
     idle : dict of ServerIncarnation to list of ServerConnection
         By the server's life, the last used one at the end. One to a life before may
         lead nowhere: without a reset from there, a request on it gets no answer.
+    busy : WeakSet of ServerConnection
+        Those in use.
+    over : dict of ServerIncarnation to float
+        Lives that the next one has replaced, and when, in trio time.
     """
 
     def __init__(self, network: Network) -> None:
         self.network = network
         self.idle: dict[ServerIncarnation, list[ServerConnection]] = {}
+        self.busy: WeakSet[ServerConnection] = WeakSet()
+        self.over: dict[ServerIncarnation, float] = {}
 
     async def take(
         self, server: RoutedServer, may_reuse: bool = True
@@ -216,6 +231,7 @@
             connection = self.idle[server.incarnation].pop()
             is_fresh = trio.current_time() < connection.idle_until_s
             if is_fresh and not is_readable(connection.stream):
+                self.busy.add(connection)
                 return connection
             await connection.aclose()
         return await self.dial(server)
@@ -228,11 +244,14 @@
                 stream = await self.network.dial(server.address)
             except OSError as error:
                 return NotSent(f"no connection: {type(error).__name__}")
-            return ServerConnection(stream, server)
+            connection = ServerConnection(stream, server)
+            self.busy.add(connection)
+            return connection
         return NotSent("no connection: timeout")
 
     async def give_back(self, connection: ServerConnection) -> None:
         """Keep a connection for the next request, or close it."""
+        self.busy.discard(connection)
         if connection.is_reusable:
             connection.is_reusable = False
             life = connection.server.incarnation
@@ -245,9 +264,32 @@
         for connection in self.idle.pop(life, []):
             await connection.aclose()
 
+    def note_over(self, life: ServerIncarnation) -> None:
+        """Take note that the next life of a server has replaced one."""
+        self.over[life] = trio.current_time()
+
+    async def close_quiet(self) -> None:
+        """Close connections in use to lives that are over, once they are quiet.
+
+        A machine that lost power resets nothing, and a stream on it would wait until
+        its caller leaves; closed, one that may be resumed goes on elsewhere. What was
+        on its way still arrives within the time.
+        """
+        now_s = trio.current_time()
+        for connection in list(self.busy):
+            over_s = self.over.get(connection.server.incarnation)
+            if over_s is None:
+                continue
+            if now_s - max(over_s, connection.heard_s) > QUIET_S:
+                await connection.aclose()
+        # Longer than any request lasts, so that none is left there.
+        self.over = {k: v for k, v in self.over.items() if now_s - v < OVER_S}
+
     async def tidy(self) -> None:
         """Close connections that were idle for too long."""
         now_s = trio.current_time()
+        if self.over:
+            await self.close_quiet()
         for life, connections in list(self.idle.items()):
             stale = [c for c in connections if c.idle_until_s <= now_s]
             self.idle[life] = [c for c in connections if c.idle_until_s > now_s]
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from rosemaryknot.process.kept_parts import KeptParts
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.values.gateway import ModelInput, PromptPart, RoutedServer
@@ -27,10 +28,6 @@
 RATE_LEAST_TOKENS = 4000
 # Samples after which the rate says more of the servers than of its first value.
 RATE_KNOWN_SAMPLES = 50
-# Parts of prompts whose place is remembered, and for how long. Engines drop the least
-# recently used parts after some tens of seconds under load.
-MAX_PARTS = 20_000
-PART_S = 60.0
 # Ids whose last life is remembered: as many as may end while a late write of theirs is
 # carried out, a few seconds of the largest deployment; 1 KB each.
 MAX_ENDED = 500
@@ -49,6 +46,8 @@
     ----------
     by_id : dict of str to ServerState
         Servers that may still have work.
+    kept : KeptParts
+        Which parts of prompts they keep.
     rate : float
         Prompt tokens that a model server reads in a second, as measured.
     rate_samples : int
@@ -68,13 +67,12 @@
         self.rate_samples = 0
         self.is_listed = False
         self.return_s = 1.4
-        # Parts are held by the state of a life, not by a server's id: a server that has
-        # started again keeps nothing, and would be sent prompts to be read anew.
-        self.parts: OrderedDict[str, dict[ServerState, float]] = OrderedDict()
+        self.kept = KeptParts()
         self.recent: list[tuple[str, str]] = []
         self.has_changed = False
         self.ended: OrderedDict[str, ServerState] = OrderedDict()
         self.gone: list[ServerIncarnation] = []
+        self.replaced: list[ServerIncarnation] = []
 
     # What the store tells.
 
@@ -139,6 +137,7 @@
         self.by_id.pop(entry.id, None)
         self.ended.pop(entry.id, None)
         self.gone.append(old.incarnation)
+        self.replaced.append(old.incarnation)
 
     def remove(self, server_id: str) -> None:
         """Note that an entry is gone.
@@ -196,6 +195,11 @@
         gone, self.gone = self.gone, []
         return gone
 
+    def take_replaced(self) -> list[ServerIncarnation]:
+        """Return the lives that the next one has replaced since the last call."""
+        replaced, self.replaced = self.replaced, []
+        return replaced
+
     # What attempts tell.
 
     def begin(self, state: ServerState, size: ModelInput | None, tokens: int) -> None:
@@ -207,7 +211,7 @@
         state.waiting_tokens += tokens
         self.has_changed = True
         if size is not None:
-            self.note_parts(state, size.parts[:-1])
+            self.kept.note(state, size.parts[:-1])
             self.recent += [(part.id, state.told_as) for part in size.parts[:-1]]
 
     def first_event(
@@ -276,29 +280,8 @@
 
     # Where parts of prompts are.
 
-    def note_parts(self, state: ServerState, parts: tuple[PromptPart, ...]) -> None:
-        """Remember that a server has read parts of a prompt."""
-        now_s = trio.current_time()
-        for part in parts:
-            places = self.parts.setdefault(part.id, {})
-            places[state] = now_s
-            self.parts.move_to_end(part.id)
-        while len(self.parts) > MAX_PARTS:
-            self.parts.popitem(last=False)
-
     def note_place(self, part_id: str, told_as: str) -> None:
         """Remember what another node has sent to a server, where that life lasts."""
         state = self.by_id.get(id_of(told_as))
         if state is not None and state.told_as == told_as:
-            self.note_parts(state, (PromptPart(part_id, 0),))
-
-    def kept_tokens(self, state: ServerState, size: ModelInput) -> int:
-        """Return how many tokens of a prompt a server most likely keeps."""
-        now_s = trio.current_time()
-        kept = 0
-        for part in size.parts[:-1]:
-            at_s = self.parts.get(part.id, {}).get(state)
-            if at_s is None or now_s - at_s > PART_S:
-                break
-            kept += part.tokens
-        return kept
+            self.kept.note(state, (PromptPart(part_id, 0),))
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -370,6 +370,8 @@
         """Close what is idle or gone, for ever."""
         while True:
             await trio.sleep(TIDY_S)
+            for life in self.state.servers.take_replaced():
+                self.pool.note_over(life)
             await self.pool.tidy()
             for life in self.state.servers.tidy():
                 await self.pool.close_all(life)
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -45,7 +45,7 @@
         requests, tokens = state.load()
         kept = 0
         if size is not None:
-            kept = parts.servers.kept_tokens(state, size)
+            kept = parts.servers.kept.tokens(state, size)
         candidates.append(Candidate(state, requests, tokens, kept, state.failures))
     policy = "least_busy" if size is None else "unread_tokens"
     return POLICIES[policy](PlacementInput(parts.zone, size, candidates, parts.rng))
--- a/src/rosemaryknot/standin/peak.py
+++ b/src/rosemaryknot/standin/peak.py
@@ -250,7 +250,7 @@
         candidates = []
         for state in usable(states, trio.current_time(), set(), True):
             requests, tokens = state.load()
-            kept = self.table.kept_tokens(state, size)
+            kept = self.table.kept.tokens(state, size)
             candidates.append(Candidate(state, requests, tokens, kept))
         given = PlacementInput(self.zone, size, candidates, self.rng)
         return POLICIES[self.way.placement](given)
--- a/tests/gateway/test_server_restarts.py
+++ b/tests/gateway/test_server_restarts.py
@@ -57,12 +57,12 @@
             await trio.sleep(SOON_S)
             for node in fleet.nodes.values():
                 table = node.state.servers
-                assert table.kept_tokens(table.by_id["m0"], SIZE) == 400
+                assert table.kept.tokens(table.by_id["m0"], SIZE) == 400
             await fleet.restart_server("m0")
             await trio.sleep(SOON_S)
             for node in fleet.nodes.values():
                 table = node.state.servers
-                assert table.kept_tokens(table.by_id["m0"], SIZE) == 0
+                assert table.kept.tokens(table.by_id["m0"], SIZE) == 0
 
     async def test_owes_nothing(self, autojump_clock):
         """A server starts again twice within a heartbeat, with a stream on it.
@@ -227,6 +227,49 @@
             assert answers[0].is_whole
             assert answers[0].body.count(b"data:") == 10
 
+    async def test_silent_stream_goes_on_elsewhere(self, autojump_clock):
+        """A machine loses power in a stream and its server starts again.
+
+        Nothing resets the stream's connection; it was waited on until the caller left.
+        """
+        async with platform_system(models=2) as fleet:
+            for server in fleet.servers.values():
+                server.work_s = 0.1
+            answers = []
+
+            async def ask():
+                options = MODEL_HEADERS | {"Rosemaryknot-Deadline-Ms": "9000"}
+                answers.append(await fleet.ask("/ask/x", request_id="a1", **options))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.35)
+                [used] = [s for s in ("m0", "m1") if fleet.servers[s].arrivals]
+                entry = fleet.servers[used].entry
+                fleet.network.silence("10.2.0.1", entry["address"].split(":")[0])
+                entry = entry | {"born": entry["born"] + 1}
+                fleet.store.put("servers", used, entry)
+            assert answers[0].is_whole
+            assert answers[0].took_s < 2.5
+
+    async def test_stream_that_flows_is_left_alone(self, autojump_clock):
+        """Another writer writes a later birth over the entry of a busy server."""
+        async with platform_system(models=1) as fleet:
+            fleet.servers["m0"].work_s = 0.2
+            answers = []
+
+            async def plan():
+                options = MODEL_HEADERS | {"Rosemaryknot-Deadline-Ms": "9000"}
+                answers.append(await fleet.ask("/plan/x", request_id="a1", **options))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(plan)
+                await trio.sleep(0.35)
+                entry = fleet.servers["m0"].entry
+                entry = entry | {"born": entry["born"] + 1}
+                fleet.store.put("servers", "m0", entry)
+            assert answers[0].is_whole
+
     async def test_tells_nothing_of_the_next_life(self, autojump_clock):
         """A request at a mute server ends after the server has started again.
 
@@ -308,11 +351,11 @@
             table = fleet.nodes["n0"].state.servers
             state = state_of(fleet, "m0")
             assert state.load() == (0, 0)
-            assert table.kept_tokens(state, SIZE) == 0
+            assert table.kept.tokens(state, SIZE) == 0
             told = LoadReport("n9", {state.told_as: [2, 30]}, [["aa", state.told_as]])
             await exchange.handle_load(told, None)
             assert state.load() == (2, 30)
-            assert table.kept_tokens(state, SIZE) == 400
+            assert table.kept.tokens(state, SIZE) == 400
 
     def test_in_sums_of_hubs(self):
         """Two gateways report loads at two lives of one server, which are not added."""
