Keep what a server without a birth keeps over a lapse of its entry

Cause: parts of prompts had stood by id and now stand by the state of a life. A server that tells no birth got a new state where its entry came back after it had counted as gone, so prompts of its sessions went elsewhere and were read anew.

Change: the state of its one life is taken up again, unless it had said that it leaves. With the safeguard only for servers that tell a birth, a test fails; so does one where a server that had left is taken up as leaving.

--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -107,7 +107,13 @@
         return ""
 
     def begin_life(self, entry: RoutedServer, known: ServerState | None) -> ServerState:
-        """Return the state of a life that is not in the table, the old one if known."""
+        """Return the state of a life that is not in the table, the old one if known.
+
+        Without a number, one that has said that it leaves cannot be told from the next
+        life, which would get no work for good.
+        """
+        if known is not None and known.has_drained and known.entry.born is None:
+            known = None
         log.info(
             f"server {entry.id} known",
             service=entry.service,
@@ -175,13 +181,12 @@
             self.note_ended(state)
 
     def note_ended(self, state: ServerState) -> None:
-        """Remember the last life of an id, so that a late word of it is known as such.
+        """Remember the last life of an id.
 
-        Without a number lives cannot be told apart, and an entry that comes back is
-        taken for a new one.
+        A late word of it is known as such then, and where only its entry had lapsed in
+        an outage, what it keeps is known when it is back: prompts of its sessions went
+        elsewhere otherwise and were read anew.
         """
-        if state.entry.born is None:
-            return
         self.ended[state.entry.id] = state
         while len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
--- a/tests/gateway/test_server_restarts.py
+++ b/tests/gateway/test_server_restarts.py
@@ -410,6 +410,34 @@
         table.put(entry_of(100))
         assert table.by_id["p0"] is state and state.has_drained
 
+    @pytest.mark.parametrize("born", [None, 100])
+    async def test_keeps_its_prompts_over_a_lapse(self, autojump_clock, born):
+        """An outage takes an entry away for longer than it is waited for.
+
+        The server lived all the time, and its sessions' prompts are read there.
+        """
+        table = ServerTable()
+        table.put(entry_of(born))
+        table.begin(table.by_id["p0"], SIZE, 0)
+        table.end(table.by_id["p0"], 0)
+        table.remove("p0")
+        await trio.sleep(5)
+        table.tidy()
+        assert "p0" not in table.by_id
+        table.put(entry_of(born))
+        assert table.kept.tokens(table.by_id["p0"], SIZE) == 400
+
+    async def test_leaving_without_a_number(self, autojump_clock):
+        """A server that tells no birth has left, and is there again under its id.
+
+        It cannot be told whether it started again; as before, it gets work.
+        """
+        table = ServerTable()
+        table.put(entry_of(None, is_leaving=True))
+        table.remove("p0")
+        table.put(entry_of(None))
+        assert not table.by_id["p0"].is_leaving
+
     async def test_without_numbers(self, autojump_clock):
         """Older software tells no birth; all that its server writes is of one life."""
         async with platform_system(plain=0) as fleet:
