--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -384,9 +384,11 @@
         """Close what is idle or gone, for ever."""
         while True:
             await trio.sleep(TIDY_S)
+            for life in self.state.servers.take_replaced():
+                self.pool.note_over(life)
             await self.pool.tidy()
-            for server_id in self.state.servers.tidy():
-                await self.pool.close_all(server_id)
+            for life in self.state.servers.tidy():
+                await self.pool.close_all(life)
 
     async def end(self) -> None:
         """End a planned stop: what was read is answered first."""
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -22,7 +22,7 @@
 )
 from rosemaryknot.process.true_time import TrueTime
 from rosemaryknot.standin.users.cloud import CloudStandIn
-from rosemaryknot.standin.users.servers import Ledger, ServerStandIn
+from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.values.nodes import Address
 
@@ -43,6 +43,7 @@
 STORE = Address("10.0.0.1", 8361)
 CLOUD = Address("10.0.0.2", 8361)
 CALLERS = "10.9.0.1"
+TRAP = Address("10.1.9.9", 8000)
 HOST = "a.example"
 MODEL = "writer"
 PLAIN = "booking"
@@ -111,6 +112,11 @@
     } | fields
 
 
+def now_ms() -> int:
+    """Return the time of day of the servers, in milliseconds of the epoch."""
+    return int((EPOCH_S + trio.current_time()) * 1000)
+
+
 @dataclass
 class Answer:
     """What a caller got.
@@ -219,7 +225,9 @@
     nodes : dict of str to GatewayNode
         By name; of a node that was killed the last life.
     down : set of str
-        Nodes that a fault has ended and will start again.
+        Nodes and servers that a fault has ended and will start again.
+    trap : ServerStandIn
+        Where entries of another writer lead; no server writes its address.
     """
 
     def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
@@ -234,6 +242,7 @@
         self.stops: dict[str, trio.Event] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
         self.down: set[str] = set()
+        self.trap = ServerStandIn("trap")
 
     async def start(
         self,
@@ -249,6 +258,9 @@
         await start(self.store.server.serve, store_network, STORE)
         cloud_network = self.network.with_host(CLOUD.host)
         await start(self.cloud.server.serve, cloud_network, CLOUD)
+        trap_network = self.network.with_host(TRAP.host)
+        await start(self.trap.server.serve, trap_network, TRAP)
+        self.trap.entry = server_entry(PLAIN, TRAP, "z0", now_ms())
         self.store.put("config", "main", configuration or document())
         for number in range(plain):
             await self.add_server(f"p{number}", PLAIN, zone=f"z{number % 3}")
@@ -269,20 +281,40 @@
         """Start a server and write its entry."""
         address = Address(f"10.1.0.{len(self.servers) + 1}", 8000)
         server = ServerStandIn(server_id, service == MODEL, work_s, self.ledger)
-        self.servers[server_id] = server
-        await self.nursery.start(
-            server.server.serve, self.network.with_host(address.host), address
-        )
-        server.entry = {
-            "service": service,
-            "address": str(address),
-            "zone": zone,
-            "slots": 16,
-            "state": "ready",
-        } | entry
-        self.store.put("servers", server_id, server.entry)
+        born = entry.pop("born", now_ms())
+        server.entry = server_entry(service, address, zone, born) | entry
+        await self.serve_server(server)
         return server
 
+    async def serve_server(self, server: ServerStandIn) -> None:
+        """Let a server listen and write its entry."""
+        address = Address.from_text(server.entry["address"])
+        network = self.network.with_host(address.host)
+
+        async def run(task_status: trio.TaskStatus[Address]) -> None:
+            with trio.CancelScope() as scope:
+                self.scopes[server.id] = scope
+                await server.server.serve(network, address, task_status=task_status)
+
+        self.servers[server.id] = server
+        await self.nursery.start(run)
+        self.store.put("servers", server.id, server.entry)
+
+    async def restart_server(self, server_id: str, down_s: float = 0.0) -> None:
+        """Let a server crash and start again under its id, with nothing of before.
+
+        Its address stays and its birth rises; a server that tells none goes on so.
+        """
+        old = self.servers[server_id]
+        self.scopes[server_id].cancel()
+        self.network.kill_host(Address.from_text(old.entry["address"]).host)
+        await trio.sleep(down_s)
+        server = ServerStandIn(server_id, old.is_model, old.work_s, self.ledger)
+        server.entry = old.entry | {"state": "ready", "sequence": 1}
+        if "born" in old.entry:
+            server.entry["born"] = max(now_ms(), old.entry["born"] + 1)
+        await self.serve_server(server)
+
     def settings(
         self,
         number: int,
