--- a/src/rosemaryknot/request/durations.py
+++ b/src/rosemaryknot/request/durations.py
@@ -12,7 +12,7 @@
 DEVIATIONS = 3.0
 # How much of the largest value is left after each later one: half after seventy.
 LARGEST_KEPT = 0.99
-# Said of a route without answers; no decision rests on it.
+# Said of a route without answers; only whether a limit may be cut short rests on it.
 FIRST_DURATION_S = 1.0
 
 
--- a/src/rosemaryknot/request/stop_admission.py
+++ b/src/rosemaryknot/request/stop_admission.py
@@ -27,7 +27,7 @@
 ]
 
 # Kept of the stop's end for an answer of our own to go out, in seconds: one write to a
-# caller who reads; a hundred times the way to it.
+# caller who reads.
 ANSWER_S = 0.1
 OWN_LIMIT = "its own time limit"
 SHORTER_LIMIT = "a time limit cut to the stop's end"
