Add failing tests of three ways in which a planned stop ends callers badly

A caller that sends half a head makes the node close every new connection unread while it waits for the rest (5 s in the test, the header time limit). A request whose server is silent has its connection closed at the stop's end, though no byte of an answer had gone out and an honest failure could. A kept connection whose answer ends past the moment at which idle ones are closed stays open, and its next request is refused.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from rosemaryknot.standin.users.system import HOST, KEY, platform_system
+from rosemaryknot.standin.users.system import HOST, KEY, document, platform_system
 
 
 def question(caller):
@@ -46,6 +46,30 @@
             answer = await callers[0].receive()
             assert answer.is_whole or not fleet.ledger.runs_of("late")
 
+    async def test_half_a_head_shuts_nobody_out(self, autojump_clock):
+        """In the only node's planned stop one caller sends half a head, then nothing.
+
+        Nothing else is in flight, so the node closed every new connection unread, and
+        waited for the rest of the head: five seconds in which it neither served, nor
+        refused with when to come back, nor ended to start again.
+        """
+        configuration = document()
+        configuration["limits"]["headerTimeoutMs"] = 5000
+        async with platform_system(configuration=configuration) as fleet:
+            fleet.stops["n0"].set()
+            await trio.sleep(2)
+            half = await fleet.caller().open()
+            await half.stream.send_all(b"GET /stock/x HT")
+            await trio.sleep(1)
+            for number in range(20):
+                answer = await fleet.ask("/stock/x", "n0", request_id=f"r{number}")
+                assert answer.status in (200, 503), f"{number}: {answer}"
+                await trio.sleep(0.1)
+            await half.close()
+            await trio.sleep(0.3)
+            with pytest.raises(ConnectionRefusedError):
+                await fleet.caller().open()
+
     async def test_store_is_silent(self, autojump_clock):
         """The node that stops holds the duties, and the store answers nothing.
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Tests of what a gateway takes while it ends a planned stop, in virtual time."""
 
+import pytest
 import trio
 
 from rosemaryknot.request import gateway_entry
@@ -87,6 +88,54 @@
             await in_flight.close()
 
 
+class TestNotBegunAtTheEnd:
+    @pytest.mark.parametrize("path", ["/stock/x", "/book/x", "/ask/x"])
+    async def test_caller_reads_an_honest_failure(self, autojump_clock, path):
+        """A request comes a second before the signal, and its server falls silent.
+
+        Its own limit lies beyond the stop, and no byte of an answer has gone out when
+        the stop ends. Its connection was closed without a word; only what was taken
+        during the stop, and may run again, had a limit that left time for an answer.
+        """
+        configuration = with_long_streams()
+        for entry in configuration["routes"]:
+            entry["timeoutMs"] = LONG_MS
+        async with platform_system(configuration=configuration) as fleet:
+            for server in fleet.servers.values():
+                server.is_mute = True
+            caller = await fleet.caller().open()
+            await caller.send(path, Rosemaryknot_Deadline_Ms=str(LONG_MS))
+            await trio.sleep(1)
+            fleet.stops["n0"].set()
+            answer = await caller.receive()
+            assert answer.is_whole
+            assert answer.status == 504
+            assert answer.took_s < 7.4
+
+
+class TestKeptConnection:
+    async def test_closes_behind_an_answer_past_the_moment(self, autojump_clock):
+        """A stream begins before the signal and ends 4 s after it.
+
+        Its head could not yet tell that the connection closes, and the one look at
+        idle connections was over when it ended. The caller sent its next request here
+        and was refused, though another node was ready.
+        """
+        async with platform_system(nodes=2, configuration=with_long_streams()) as fleet:
+            set_pace(fleet, CROWDED_EVENT_S)
+            kept = await open_long(fleet, "kept")
+            await trio.sleep(0.9)
+            set_pace(fleet, CROWDED_EVENT_S * 1.2)
+            longer = await open_long(fleet, "longer")
+            fleet.stops["n0"].set()
+            answer = await kept.receive()
+            assert answer.is_whole
+            assert "connection" not in answer.headers
+            with trio.fail_after(0.1):
+                assert await kept.stream.receive_some(10) == b""
+            assert (await longer.receive()).is_whole
+
+
 class Lines:
     """Keeps lines of a log."""
 
