--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -127,13 +127,15 @@
             await trio.sleep(0.9)
             set_pace(fleet, CROWDED_EVENT_S * 1.2)
             longer = await open_long(fleet, "longer")
+            await trio.sleep(0.05)
             fleet.stops["n0"].set()
             answer = await kept.receive()
             assert answer.is_whole
             assert "connection" not in answer.headers
             with trio.fail_after(0.1):
                 assert await kept.stream.receive_some(10) == b""
-            assert (await longer.receive()).is_whole
+            last = await longer.receive()
+            assert last.is_whole and last.status == 200
 
 
 class Lines:
