Shut a stopping node's door only when no connection is open

Cause: the end of a stop closed new connections unread from its first look on, and then waited for those that were open. One caller with half a head, or one request read late, kept all others out for its whole time; the node neither served, refused nor ended.

Ruled out: a shorter wait for heads, which still shuts callers out and cuts one that is merely slow.

Change: the node serves and refuses as before until no connection is open; in that same step it takes no more, so that no request can come between. The goodbye to the other nodes follows: no request is served behind it any more. Idle connections are closed only while no request is at work, since new ones may be the only way to be served.

Before: 20 of 20 requests beside half a head were closed unread (the first failed the test). After: all are answered, and the node ends when the half is given up. With the line that shuts the door off, test_request_behind_the_last_look fails. tests/connection and tests/gateway test_bounds.py, test_owed_answers.py, test_control.py and test_requests.py pass.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -175,15 +175,18 @@
             scope.cancel()
 
     async def close(self) -> None:
-        """Take no more connections, and wait until those that are open have ended.
+        """Wait until no connection is open, then take no more.
 
         A request may be read in the very moment in which none is in flight; sent on,
         it would be cut by the end of the process. Without a connection none is read.
+        Shut before, one caller with half a head would keep all others out, unserved
+        and unrefused, for as long as the node waits for the rest.
         """
-        self.is_closed = True
         while self.open:
-            self.close_idle()
+            if not self.busy:
+                self.close_idle()
             await trio.sleep(CLOSE_STEP_S)
+        self.is_closed = True
 
 
 class CallerConnection:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -400,10 +400,9 @@
             await self.lease.release()
         await trio.sleep_until(stop.left_out_s)
         self.listener.state.close_idle()
-        while self.listener.state.busy:
-            await trio.sleep(0.05)
-        await self.peers.leave()
         await self.listener.state.close()
+        # Last, since the others take this node for gone from here on.
+        await self.peers.leave()
 
     def log_stopped(self, began_s: float) -> None:
         """Write what a stop cuts, and its last line."""
