Close a kept connection behind an answer that ends late in a stop

Cause: the head of an answer that began before the signal does not tell that the connection closes, and idle connections are closed at one moment only. Where other requests were in flight the connection stayed open, and the caller's next request was refused here though other nodes were ready.

Ruled out: closing idle connections at each look, which also closes new ones whose request is on its way while the balancer has nobody else.

Change: past that moment a connection closes behind a whole answer, unless the caller has already sent the next request: that one is answered.

With the look at what was sent ahead off, test_one_sent_ahead_is_answered fails.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -403,7 +403,18 @@
             return False
         if self.conn.our_state is not h11.DONE:
             return False
-        return self.conn.their_state is h11.DONE
+        return self.conn.their_state is h11.DONE and not self.is_left_out()
+
+    def is_left_out(self) -> bool:
+        """Tell whether the caller's next request should go to another node.
+
+        The head of an answer that began before a stop could not tell so, and the next
+        request would be refused here; one that was sent ahead is answered.
+        """
+        stop = self.state.stop
+        if stop is None or self.conn.trailing_data[0]:
+            return False
+        return trio.current_time() >= stop.left_out_s
 
     async def watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancel the request when its caller leaves.
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Tests of what a gateway takes while it ends a planned stop, in virtual time."""
 
+import h11
 import pytest
 import trio
 
@@ -137,6 +138,20 @@
             last = await longer.receive()
             assert last.is_whole and last.status == 200
 
+    async def test_one_sent_ahead_is_answered(self, autojump_clock):
+        """The caller sent its next request ahead; read, it must not be dropped."""
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            set_pace(fleet, CROWDED_EVENT_S)
+            kept = await open_long(fleet, "kept")
+            await trio.sleep(0.9)
+            fleet.stops["n0"].set()
+            await trio.sleep(1)
+            ahead = fleet.caller()
+            ahead.stream, ahead.conn = kept.stream, h11.Connection(h11.CLIENT)
+            await ahead.send("/stock/x", method="GET", request_id="ahead")
+            assert (await kept.receive()).is_whole
+            assert (await ahead.receive()).status == 200
+
 
 class Lines:
     """Keeps lines of a log."""
