Answer before a stop's end those whose answer has not begun

Cause: only what was taken during a stop, and may run again, had a limit that left time for an answer of ours. A request taken before the signal, or before the balancer had left the node out, and whose server fell silent, had its connection closed without a word at the stop's end. No rule of what is taken bounds those.

Ruled out: a shorter limit for all that are in flight at the signal, which would also end streams that begin later and could end whole.

Change: 0.1 s before the stop's end the requests of whose answer nothing has gone out are ended as by their time limit: 504 where they may have run, 503 where they have not. The reason names the stop. Started answers go on to the end as before.

Before: status 0, connection closed at 7.4 s, for plain requests of both kinds and for a resumable stream (the test fails). After: 504 at 7.3 s. tests/gateway, tests/connection, tests/request, tests/platform and the layout test pass.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -37,6 +37,7 @@
 from rosemaryknot.process.true_time import TrueTime, running_time_s
 from rosemaryknot.process.usage_book import UsageBook
 from rosemaryknot.request.gateway import Gateway, GatewayParts
+from rosemaryknot.request.stop_admission import ANSWER_S
 from rosemaryknot.values.duties import DutyCalls
 from rosemaryknot.values.gateway_answers import GatewayWire, PlannedStop
 from rosemaryknot.values.nodes import Node
@@ -386,12 +387,20 @@
         self.listener.state.stop = stop
         try:
             with trio.move_on_at(until_s):
-                await self.end_requests(stop)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.end_unbegun, until_s - ANSWER_S)
+                    await self.end_requests(stop)
+                    nursery.cancel_scope.cancel()
         finally:
             # A second signal ends the wait; who asks for an answer that it cut finds
             # a line all the same.
             self.log_stopped(began_s)
 
+    async def end_unbegun(self, at_s: float) -> None:
+        """Answer in time those whose answer cannot begin any more."""
+        await trio.sleep_until(at_s)
+        self.gateway.end_unbegun()
+
     async def end_requests(self, stop: PlannedStop) -> None:
         """Let callers go elsewhere, and wait until none is owed an answer."""
         # A store that does not answer must not hold up the callers; a lease that is
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -54,12 +54,20 @@
     ----------
     parts : GatewayParts
         What it works with.
+
+    Attributes
+    ----------
+    durations : Durations
+        How long answers have taken.
+    running : dict of Reply to trio.CancelScope
+        What ends a request that tries servers.
     """
 
     def __init__(self, parts: GatewayParts) -> None:
         self.parts = parts
         self.durations = Durations()
         self.entry = Entry(parts, self.durations)
+        self.running: dict[Reply, trio.CancelScope] = {}
 
     async def handle(self, request: GatewayRequest, reply: Reply) -> None:
         """Answer a request."""
@@ -69,8 +77,12 @@
             return
         reply.owed.explain = partial(explain_cut, course)
         outcome = None
-        with trio.move_on_at(course.until_s):
-            outcome = await self.run(course)
+        with trio.move_on_at(course.until_s) as scope:
+            self.running[reply] = scope
+            try:
+                outcome = await self.run(course)
+            finally:
+                del self.running[reply]
         if outcome is None:
             outcome = self.timed_out(course)
         if isinstance(outcome, Refusal) and not reply.is_started:
@@ -78,6 +90,16 @@
         else:
             self.log_end(course, outcome)
 
+    def end_unbegun(self) -> None:
+        """End the requests of whose answer nothing has gone out; a stop ends soon.
+
+        Their callers would see a connection closed without a word, also where nothing
+        has run; an honest failure is still possible, and a started answer may yet end.
+        """
+        for reply, scope in self.running.items():
+            if not reply.is_started:
+                scope.cancel()
+
     # Attempts.
 
     async def run(self, course: Course) -> Completed | Refusal | Broken:
@@ -137,9 +159,10 @@
             return Completed(course.reply.status)
         if course.reply.is_started:
             return Broken("the time is over")
+        cause = "the node stops" if course.left_s() > 0 else "the time is over"
         if course.may_have_run:
-            return Refusal(GATEWAY_TIMEOUT, "the time is over; it may have run")
-        return refusal(self.parts.rng, UNAVAILABLE, "the time is over; it did not run")
+            return Refusal(GATEWAY_TIMEOUT, f"{cause}; it may have run")
+        return refusal(self.parts.rng, UNAVAILABLE, f"{cause}; it did not run")
 
     async def attempt(
         self, course: Course, candidate: Candidate
--- a/src/rosemaryknot/request/stop_admission.py
+++ b/src/rosemaryknot/request/stop_admission.py
@@ -17,6 +17,7 @@
 from rosemaryknot.values.gateway_answers import PlannedStop
 
 __all__ = [
+    "ANSWER_S",
     "STOP_ADMISSIONS",
     "Likely",
     "RefusedInStop",
