Test three bounds of a stop's last lines that no test held

With each of them off all tests passed: the call that holds lines at a stop's end, the call that writes them at the process's end, and the bound on how many answers are named before the last line. Run with each off: test_reader_that_is_behind, test_process_ends_with_the_lines_that_are_held and test_more_than_the_held_lines fail, in this order. Nothing but tests is changed.

--- a/tests/connection/test_owed_answers.py
+++ b/tests/connection/test_owed_answers.py
@@ -3,8 +3,14 @@
 import pytest
 import structlog
 
-from rosemaryknot.connection.owed_answers import Cause, OwedAnswers, Phase, StopCuts
-from rosemaryknot.process.logs import configure_logs
+from rosemaryknot.connection.owed_answers import (
+    MAX_NAMED,
+    Cause,
+    OwedAnswers,
+    Phase,
+    StopCuts,
+)
+from rosemaryknot.process.logs import MAX_HELD, configure_logs
 
 
 @pytest.fixture
@@ -55,3 +61,19 @@
         assert answers.cut() == StopCuts(cut_off=1)
         answers.end(owed)
         assert len(lines) == 1 and not answers.all
+
+    async def test_more_than_the_held_lines(self, autojump_clock, lines):
+        """A stop cuts more answers than lines are held where nobody reads them.
+
+        The line that tells their number comes after them, and must be held too. The
+        others are named as their connections end.
+        """
+        answers = OwedAnswers()
+        owed = [answers.begin() for _ in range(MAX_HELD + 1)]
+        for one in owed:
+            one.phase = Phase.ANSWER
+        assert answers.cut() == StopCuts(cut_off=MAX_HELD + 1)
+        assert len(lines) == MAX_NAMED < MAX_HELD
+        for one in owed:
+            answers.end(one)
+        assert len(lines) == MAX_HELD + 1
--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -1,5 +1,6 @@
 """Answers that a node owes its callers, and the lines that name those it cuts."""
 
+import contextlib
 import json
 import os
 
@@ -125,6 +126,24 @@
             assert stopped["cut_off"] == 1
             assert stopped["took_s"] == pytest.approx(1, abs=0.1)
 
+    async def test_reader_that_is_behind(self, autojump_clock, log):
+        """The collector of the lines is behind when a stop ends, and reads on later.
+
+        The pipe was full at the last lines. The end of the stop has to ask that they
+        are held, or nobody learns what it cut.
+        """
+        async with platform_system() as fleet:
+            fleet.stops["n0"].set()
+            await trio.sleep(1)
+            os.set_blocking(log.writer, False)
+            with contextlib.suppress(BlockingIOError):
+                while os.write(log.writer, b'{"event": ""}\n'):
+                    pass
+            await trio.sleep(3)
+            assert log.lines("stopped") == []
+            logs.flush_lines()
+            assert len(log.lines("stopped")) == 1
+
     async def test_whole_stop_names_nobody(self, autojump_clock, log):
         async with platform_system() as fleet:
             await fleet.ask("/plan/x", request_id="short", **MODEL_HEADERS)
--- a/tests/process/test_logs.py
+++ b/tests/process/test_logs.py
@@ -7,6 +7,8 @@
 import pytest
 
 from rosemaryknot.process import logs
+from rosemaryknot.process.command_line import run_process
+from rosemaryknot.process.settings import Settings
 
 
 class Pipe:
@@ -134,6 +136,21 @@
         [stopped] = pipe.lines()
         assert "stopped cut_off=1" in stopped
 
+    def test_process_ends_with_the_lines_that_are_held(self, pipe):
+        """The collector reads on when the main of a process has already returned."""
+
+        async def main(settings, stop, network):
+            for number in range(1000):
+                log.info("answered", request="r" * 100, number=number)
+            logs.hold_lines()
+            log.info("stopped", cut_off=1)
+            assert "stopped" not in pipe.lines()[-1]
+
+        log = logs.logger("node")
+        run_process(main, Settings("n0", "z0", "r"))
+        [stopped] = pipe.lines()
+        assert "stopped cut_off=1" in stopped
+
     def test_reader_that_never_reads(self, pipe):
         """The collector hangs for good; the process has to end all the same."""
         log = logs.logger("node")
