Add failing tests of whole answers to callers that read slowly

A ready answer to a caller that needs 1.2 s to read it is cut after 1.0 s, though its time limit leaves 0.8 s more, and the log says answered. In a planned stop the same second outlasts what is left of the grace: 7.8 s after the signal the connection is still open. The case of an answer that is ready long before the stop's end passes; it guards the mend.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -4,7 +4,18 @@
 import pytest
 import trio
 
-from rosemaryknot.standin.users.system import HOST, KEY, document, platform_system
+from rosemaryknot.connection.memory_network import MemoryStream
+from rosemaryknot.process.logs import FLUSH_S
+from rosemaryknot.standin.users.system import (
+    CALLERS,
+    HOST,
+    KEY,
+    document,
+    platform_system,
+)
+
+NODE = "10.2.0.1"
+GRACE_S = 8.0
 
 
 def question(caller):
@@ -89,6 +100,58 @@
             assert trio.current_time() - began_s < 3.0
 
 
+def read_slowly(monkeypatch, write_s):
+    """Let each write from the first node to its callers take a time."""
+
+    async def send_all(stream, data):
+        if (stream.near, stream.far) == (NODE, CALLERS):
+            await trio.sleep(write_s)
+        await send_at_once(stream, data)
+
+    send_at_once = MemoryStream.send_all
+    monkeypatch.setattr(MemoryStream, "send_all", send_all)
+
+
+class TestSlowReader:
+    async def test_whole_answer_has_the_requests_time(
+        self, autojump_clock, monkeypatch
+    ):
+        """A caller with two seconds left reads a whole answer within 1.2 s.
+
+        What keeps a ready answer from being cut by the end of its time, for a second
+        more, began when the answer was there, and cut it while time was left. The log
+        said that it was answered.
+        """
+        async with platform_system() as fleet:
+            read_slowly(monkeypatch, 0.6)
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert 1.2 < answer.took_s < 2
+            assert answer.is_whole
+
+    @pytest.mark.parametrize("taken_before_s", [1.0, 8.0])
+    async def test_node_ends_within_its_grace(
+        self, autojump_clock, monkeypatch, taken_before_s
+    ):
+        """A whole answer is on its way to a caller that reads nothing as a stop ends.
+
+        It was kept up for a second more, and the node was killed before: the stop
+        leaves only 0.6 s of the grace. Lines that were held for the end were lost.
+        """
+        configuration = document()
+        for entry in configuration["routes"]:
+            entry["timeoutMs"] = 30_000
+        async with platform_system(configuration=configuration) as fleet:
+            read_slowly(monkeypatch, 9.0)
+            for name in ("p0", "p1"):
+                fleet.servers[name].work_s = 8.25
+            caller = await fleet.caller().open()
+            await caller.send("/book/x", Rosemaryknot_Deadline_Ms="30000")
+            await trio.sleep(taken_before_s)
+            fleet.stops["n0"].set()
+            await trio.sleep(GRACE_S - FLUSH_S)
+            assert fleet.nodes["n0"].listener.state.open == 0
+
+
 class TestServerLeavesMeanwhile:
     async def test_while_a_connection_is_opened(self, autojump_clock):
         """A server is chosen, and opening a connection to it takes half a second.
