Measure what a gateway spends its time on, by part

`make bench-load` runs all nodes of a deployment in virtual time with callers, and charges each step of a task to the node and the part that it belongs to.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PYTEST_OPTIONS ?=
 PYTEST_JOBS ?= 4
 
-.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak bench-nodes platform-demo soak
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak bench-nodes bench-load platform-demo soak
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -20,6 +20,7 @@
 	@echo "make soak SEED=7 | SEEDS=5 MINUTES=3   node processes on loopback under faults from outside"
 	@echo "make bench-peak         admission, waiting and placement at the worst load; minutes"
 	@echo "make bench-nodes        what knowing of each other costs 7 to 91 gateways; minutes"
+	@echo "make bench-load         what a gateway spends its time on, by part, nodes and servers; minutes"
 	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
 	@echo "make bench-recovery     what reclaim waves and at-most-once execution cost"
 	@echo "make bench-policy       engines each route policy needs at the latency target; minutes"
@@ -87,6 +88,9 @@
 bench-nodes: venv
 	@$(BIN)/python benchmarks/gateway_nodes.py
 
+bench-load: venv
+	@$(BIN)/python benchmarks/gateway_load.py
+
 bench-peak: venv
 	@$(BIN)/python benchmarks/peak.py
 
