Write to callers what their connection takes at once

Each event of a stream was written under a deadline and through the stream, which costs a cancel scope and two turns of the loop. Now the deadline covers only what does not fit.

Loopback, 90 bytes a write, reader in another thread, processor time of 20,000 writes, three times: 26.4 to 29.4 us before, 4.9 to 5.2 us after.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -12,7 +12,7 @@
 import h11
 import trio
 
-from rosemaryknot.connection.network import Network, receive_next
+from rosemaryknot.connection.network import Network, receive_next, send_now
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.gateway import CallerLimits, GatewayRequest, Headers
 from rosemaryknot.values.gateway_answers import GatewayWire, Refusal, TargetFault
@@ -339,6 +339,9 @@
             If the caller does not read, or has closed.
         """
         data = self.conn.send(event)
+        # What the connection takes at once needs no deadline and no turn of the loop:
+        # 5 us a write instead of 27 (processor time of 20,000 writes over loopback).
+        data = data[send_now(self.stream, data) :] if data else data
         if not data:
             return
         with trio.move_on_after(WRITE_TIMEOUT_S):
