--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -1,12 +1,21 @@
 """Tests of what thirty gateways tell each other through the hubs of their zones."""
 
+from collections import Counter
+from functools import partial
+
 import trio
 
 from rosemaryknot.process.hub_sums import HubBook
 from rosemaryknot.process.leases import lease_candidates
 from rosemaryknot.process.node import LEASE_NAME
 from rosemaryknot.process.node_settings import Bounds
-from rosemaryknot.standin.users.system import PLAIN, document, platform_system, route
+from rosemaryknot.standin.users.system import (
+    MODEL_HEADERS,
+    PLAIN,
+    document,
+    platform_system,
+    route,
+)
 from rosemaryknot.values.gateway_peers import HubReport
 
 NODES = 30
@@ -242,6 +251,35 @@
             assert len(fleet.store.calls) - calls < 100
 
 
+class TestPlacement:
+    async def test_many_do_not_choose_alike(self, autojump_clock):
+        """One of eight engines has nothing to read, and thirty gateways know it.
+
+        Their callers ask at the same moment. Nobody hears of the others' choices
+        before the next sum, so all thirty prompts went to the idle engine and were
+        read one after the other: callers got their first words late beside seven
+        engines with less to do. No engine may get half of what came.
+        """
+        async with fleet_of(document(), models=8) as fleet:
+            await trio.sleep(4)
+            table = fleet.nodes["n0"].state.servers
+            for number in range(1, 8):
+                table.begin(table.by_id[f"m{number}"], None, 4000)
+            await trio.sleep(1.5)
+            async with trio.open_nursery() as nursery:
+                for number, name in enumerate(fleet.nodes):
+                    ask = partial(fleet.ask, "/plan/x", name, request_id=f"r{number}")
+                    nursery.start_soon(partial(ask, **MODEL_HEADERS))
+            chosen = Counter(
+                name
+                for name, server in fleet.servers.items()
+                for arrival in server.arrivals
+                if arrival.id.startswith("r")
+            )
+            assert chosen.total() == NODES
+            assert max(chosen.values()) < NODES / 2
+
+
 class TestBook:
     def test_late_report_is_left_out(self):
         book = HubBook("n0", 1)
