--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PYTEST_OPTIONS ?=
 PYTEST_JOBS ?= 4
 
-.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak bench-nodes bench-planned-stop platform-demo soak
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak bench-nodes bench-planned-stop bench-load platform-demo soak
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -21,6 +21,7 @@
 	@echo "make bench-peak         admission, waiting and placement at the worst load; minutes"
 	@echo "make bench-nodes        what knowing of each other costs 7 to 91 gateways; minutes"
 	@echo "make bench-planned-stop   what callers get while nodes stop in series, by way; minutes"
+	@echo "make bench-load         what a gateway spends its time on, by part, nodes and servers; minutes"
 	@echo "make bench-relay        processor time a relayed token costs, against bare sockets"
 	@echo "make bench-recovery     what reclaim waves and at-most-once execution cost"
 	@echo "make bench-policy       engines each route policy needs at the latency target; minutes"
@@ -91,6 +92,9 @@
 bench-planned-stop: venv
 	@$(BIN)/python benchmarks/planned_stop.py --reserves
 
+bench-load: venv
+	@$(BIN)/python benchmarks/gateway_load.py
+
 bench-peak: venv
 	@$(BIN)/python benchmarks/peak.py
 
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -56,6 +56,9 @@
         Whether the servers were listed at least once.
     has_changed : bool
         Whether what is in flight has changed since the others were told.
+    is_told_late : bool
+        Whether the others' work is told by sums of hubs, some hundred milliseconds old
+        and the same for many gateways.
     return_s : float
         How long an entry that is missing after an outage may take to come back, in
         seconds.
@@ -73,6 +76,7 @@
         self.ended: OrderedDict[str, ServerState] = OrderedDict()
         self.gone: list[ServerIncarnation] = []
         self.replaced: list[ServerIncarnation] = []
+        self.is_told_late = False
 
     # What the store tells.
 
