Give a whole answer its request's time, and no more than a stop leaves

Cause: the second for which a ready answer is kept from being cut began when the answer was there, not when its time was over, and bounded the delivery at any time. At a stop's end the same second was longer than what the stop leaves of the grace (0.6 s), so that the process was killed in it, with the lines that it held.

Ruled out: no shield at all, with which an answer that is ready in the last moment is cut.

Change: the delivery goes on until a second after the request's time; a stop's end bounds it to 0.3 s more, which leaves the time for the last lines. An answer that its caller did not read in time is told as broken off, not as answered, and does not count among the durations.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -29,7 +29,7 @@
 from rosemaryknot.process.gateway_quota import QuotaBook
 from rosemaryknot.process.gateway_state import GatewayState
 from rosemaryknot.process.leases import Lease, lease_candidates
-from rosemaryknot.process.logs import hold_lines, logger
+from rosemaryknot.process.logs import FLUSH_S, hold_lines, logger
 from rosemaryknot.process.metrics import render_metrics
 from rosemaryknot.process.node_settings import NodeSettings, load_node_settings
 from rosemaryknot.process.peers import PeerSet
@@ -60,6 +60,8 @@
 NOT_READY_S = 2.6
 # What is left of the grace for closing connections and giving the lease back.
 STOP_RESERVE_S = 0.6
+# How much of it whole answers may still use; the rest is for the last lines.
+LAST_DELIVERY_S = STOP_RESERVE_S - FLUSH_S - 0.1
 TIDY_S = 0.5
 SETTINGS_CHECK_S = 1.0
 # Descriptors that are not for callers: backend servers, store, peers, files.
@@ -399,7 +401,7 @@
     async def end_unbegun(self, at_s: float) -> None:
         """Answer in time those whose answer cannot begin any more."""
         await trio.sleep_until(at_s)
-        self.gateway.end_unbegun()
+        self.gateway.end_unbegun(at_s + ANSWER_S + LAST_DELIVERY_S)
 
     async def end_requests(self, stop: PlannedStop) -> None:
         """Let callers go elsewhere, and wait until none is owed an answer."""
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -39,6 +39,7 @@
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 SERVER_ERROR = 500
+NOT_READ = "the caller did not read it in time"
 
 REQUESTS = counter("gateway_requests_total", "Requests by outcome.")
 ATTEMPTS = counter("gateway_attempts_total", "Attempts at backend servers by outcome.")
@@ -59,15 +60,15 @@
     ----------
     durations : Durations
         How long answers have taken.
-    running : dict of Reply to trio.CancelScope
-        What ends a request that tries servers.
+    running : dict of Reply to Course
+        Requests that were admitted and not ended.
     """
 
     def __init__(self, parts: GatewayParts) -> None:
         self.parts = parts
         self.durations = Durations()
         self.entry = Entry(parts, self.durations)
-        self.running: dict[Reply, trio.CancelScope] = {}
+        self.running: dict[Reply, Course] = {}
 
     async def handle(self, request: GatewayRequest, reply: Reply) -> None:
         """Answer a request."""
@@ -77,8 +78,8 @@
             return
         reply.owed.explain = partial(explain_cut, course)
         outcome = None
-        with trio.move_on_at(course.until_s) as scope:
-            self.running[reply] = scope
+        with trio.move_on_at(course.until_s) as course.limit:
+            self.running[reply] = course
             try:
                 outcome = await self.run(course)
             finally:
@@ -90,15 +91,23 @@
         else:
             self.log_end(course, outcome)
 
-    def end_unbegun(self) -> None:
+    def end_unbegun(self, last_s: float) -> None:
         """End the requests of whose answer nothing has gone out; a stop ends soon.
 
         Their callers would see a connection closed without a word, also where nothing
         has run; an honest failure is still possible, and a started answer may yet end.
+
+        Parameters
+        ----------
+        last_s : float
+            Until when whole answers may still be on their way, in trio time; kept up
+            longer, they would hold the process up until it is killed.
         """
-        for reply, scope in self.running.items():
-            if not reply.is_started:
-                scope.cancel()
+        for reply, course in self.running.items():
+            if course.delivery is not None:
+                course.delivery.deadline = min(course.delivery.deadline, last_s)
+            elif not reply.is_started:
+                course.limit.cancel()
 
     # Attempts.
 
@@ -240,19 +249,20 @@
     def log_end(self, course: Course, outcome: object) -> None:
         """Log how a request ended that got an answer of a server."""
         took_s = trio.current_time() - course.request.arrived_s
-        if isinstance(outcome, Completed):
+        is_whole = isinstance(outcome, Completed) and course.reply.is_done
+        if is_whole:
             tokens = output_tokens(course.request)
             now_s = trio.current_time()
             self.durations.note(course.route.name, took_s, tokens, now_s)
         REQUESTS.add(outcome=type(outcome).__name__)
         WHOLE.observe(took_s)
         log.info(
-            "answered" if isinstance(outcome, Completed) else "broke off",
+            "answered" if is_whole else "broke off",
             request=course.request.id,
             route=course.route.name,
             version=course.version,
             status=getattr(outcome, "status", None),
-            reason=getattr(outcome, "reason", None),
+            reason=getattr(outcome, "reason", None if is_whole else NOT_READ),
             servers=len(course.tried),
             took_s=round(took_s, 3),
             first_s=None if course.first_s is None else round(course.first_s, 3),
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -194,7 +194,9 @@
         self.course.reply.owed.phase = Phase.DELIVERY
         # An answer that is there is delivered, also where its time ends just now: cut
         # here, the caller would see a closed connection instead of it.
-        with trio.move_on_after(DELIVERY_S, shield=True):
+        late_s = max(trio.current_time(), self.course.until_s) + DELIVERY_S
+        with trio.CancelScope(deadline=late_s, shield=True) as scope:
+            self.course.delivery = scope
             await self.course.reply.whole(head.status, headers, bytes(body))
         return Completed(head.status)
 
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -128,6 +128,10 @@
         When the first bytes went to the caller, from its arrival, in seconds.
     chosen : Candidate or None
         The last server that was asked, as it looked then.
+    delivery : trio.CancelScope or None
+        Of a whole answer on its way to the caller.
+    limit : trio.CancelScope or None
+        What ends it when its time is over.
     """
 
     request: GatewayRequest
@@ -147,6 +151,8 @@
     is_counted: bool = False
     first_s: float | None = None
     chosen: Candidate | None = None
+    delivery: trio.CancelScope | None = None
+    limit: trio.CancelScope | None = None
 
     @property
     def rank(self) -> int:
--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -8,8 +8,14 @@
 import trio
 
 from rosemaryknot.connection import gateway_server
+from rosemaryknot.connection.memory_network import MemoryStream
 from rosemaryknot.process import logs
-from rosemaryknot.standin.users.system import MODEL_HEADERS, document, platform_system
+from rosemaryknot.standin.users.system import (
+    CALLERS,
+    MODEL_HEADERS,
+    document,
+    platform_system,
+)
 
 # Longer than the grace of a planned stop, so that the stop cuts it.
 LONG = {
@@ -218,6 +224,24 @@
             assert cut["cause"] == "the caller stood still"
             assert (await fleet.ask("/stock/x", method="GET")).status == 200
 
+    async def test_reads_a_whole_answer_too_late(
+        self, autojump_clock, log, monkeypatch
+    ):
+        """A whole answer is given up a second after its time, and told as answered."""
+
+        async def send_late(stream, data):
+            if stream.far == CALLERS:
+                await trio.sleep(4)
+            await send_at_once(stream, data)
+
+        send_at_once = MemoryStream.send_all
+        monkeypatch.setattr(MemoryStream, "send_all", send_late)
+        async with platform_system() as fleet:
+            assert not (await fleet.ask("/stock/x", method="GET")).is_whole
+            [line] = log.lines("cut off", "answered", "broke off")
+            assert line["event"] == "broke off" and line["request"] == "r1"
+            assert line["reason"] == "the caller did not read it in time"
+
     async def test_whole_answer_names_nobody(self, autojump_clock, log):
         async with platform_system() as fleet:
             whole = await fleet.ask("/stock/x", method="GET")
