--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -5,21 +5,19 @@
 import h11
 import pytest
 import trio
+from tests.gateway.slow_callers import read_slowly
 
-from rosemaryknot.connection.memory_network import MemoryStream
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.logs import FLUSH_S
 from rosemaryknot.process.node import reload_settings
 from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.standin.users.system import (
-    CALLERS,
     HOST,
     KEY,
     document,
     platform_system,
 )
 
-NODE = "10.2.0.1"
 GRACE_S = 8.0
 
 
@@ -105,18 +103,6 @@
             assert trio.current_time() - began_s < 3.0
 
 
-def read_slowly(monkeypatch, write_s):
-    """Let each write from the first node to its callers take a time."""
-
-    async def send_all(stream, data):
-        if (stream.near, stream.far) == (NODE, CALLERS):
-            await trio.sleep(write_s)
-        await send_at_once(stream, data)
-
-    send_at_once = MemoryStream.send_all
-    monkeypatch.setattr(MemoryStream, "send_all", send_all)
-
-
 class TestSlowReader:
     async def test_whole_answer_has_the_requests_time(
         self, autojump_clock, monkeypatch
--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -6,10 +6,15 @@
 
 import pytest
 import trio
+from tests.gateway.slow_callers import read_slowly
 
 from rosemaryknot.connection import gateway_server
 from rosemaryknot.process import logs
-from rosemaryknot.standin.users.system import MODEL_HEADERS, document, platform_system
+from rosemaryknot.standin.users.system import (
+    MODEL_HEADERS,
+    document,
+    platform_system,
+)
 
 # Longer than the grace of a planned stop, so that the stop cuts it.
 LONG = {
@@ -218,6 +223,17 @@
             assert cut["cause"] == "the caller stood still"
             assert (await fleet.ask("/stock/x", method="GET")).status == 200
 
+    async def test_reads_a_whole_answer_too_late(
+        self, autojump_clock, log, monkeypatch
+    ):
+        """A whole answer is given up a second after its time, and told as answered."""
+        read_slowly(monkeypatch, 4)
+        async with platform_system() as fleet:
+            assert not (await fleet.ask("/stock/x", method="GET")).is_whole
+            [line] = log.lines("cut off", "answered", "broke off")
+            assert line["event"] == "broke off" and line["request"] == "r1"
+            assert line["reason"] == "the caller did not read it in time"
+
     async def test_whole_answer_names_nobody(self, autojump_clock, log):
         async with platform_system() as fleet:
             whole = await fleet.ask("/stock/x", method="GET")
