--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -161,8 +161,6 @@
     loads : dict
         By server's life: requests in flight, and prompt tokens that wait. A life is
         named by its text, so that sums keep the lives of one server apart.
-    places : list
-        Parts of prompts and the servers' lives that they went to since the last report.
     duties : list
         What only duties need, for the hub to pass on: of the `GatewayReport` that it
         stands for, the sequence, both times of day, runs and demand. Empty where it
@@ -182,7 +180,6 @@
     holds: bool = False
     spent: dict = field(default_factory=dict)
     loads: dict = field(default_factory=dict)
-    places: list = field(default_factory=list)
     duties: list = field(default_factory=list)
 
 
@@ -233,8 +230,6 @@
     loads : dict
         By server's life: requests in flight, and prompt tokens that wait. A life is
         named by its text, so that sums keep the lives of one server apart.
-    places : list
-        Parts of prompts and the servers' lives that they went to.
     counted : dict
         By gateway that reports to the hub: sequence of the report that is counted.
     """
@@ -252,5 +247,4 @@
     holders: list = field(default_factory=list)
     spent: dict = field(default_factory=dict)
     loads: dict = field(default_factory=dict)
-    places: list = field(default_factory=list)
     counted: dict = field(default_factory=dict)
