Slow the writes to callers also where they are tried at once

A connection takes at once what it can; the tests of slow readers slowed only the writes that wait, so that they would have tested nothing where the other way is used.

--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -108,8 +108,15 @@
             await trio.sleep(write_s)
         await send_at_once(stream, data)
 
+    def send_now(stream, data):
+        if (stream.near, stream.far) == (NODE, CALLERS):
+            return 0
+        return send_what_fits(stream, data)
+
     send_at_once = MemoryStream.send_all
+    send_what_fits = MemoryStream.send_now
     monkeypatch.setattr(MemoryStream, "send_all", send_all)
+    monkeypatch.setattr(MemoryStream, "send_now", send_now)
 
 
 class TestSlowReader:
--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -234,8 +234,13 @@
                 await trio.sleep(4)
             await send_at_once(stream, data)
 
+        def send_now(stream, data):
+            return 0 if stream.far == CALLERS else send_what_fits(stream, data)
+
         send_at_once = MemoryStream.send_all
+        send_what_fits = MemoryStream.send_now
         monkeypatch.setattr(MemoryStream, "send_all", send_late)
+        monkeypatch.setattr(MemoryStream, "send_now", send_now)
         async with platform_system() as fleet:
             assert not (await fleet.ask("/stock/x", method="GET")).is_whole
             [line] = log.lines("cut off", "answered", "broke off")
