--- a/tests/request/test_stop_admission.py
+++ b/tests/request/test_stop_admission.py
@@ -1,7 +1,7 @@
 """Tests of what is taken during a planned stop, as a decision by itself."""
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from rosemaryknot.request.gateway_entry import STOP_ADMISSION
@@ -43,6 +43,9 @@
 
 class TestBound:
     @given(inputs())
+    @example(StopInput(2.4, GRACE, 17.4, Likely(4.2, 27, 0.1)))
+    @example(StopInput(4.28, GRACE, 19.28, Likely(2.9, 30, 0.1)))
+    @example(StopInput(0.1, SHORT_GRACE, 15.1, Likely(0.2, 30, 0.1)))
     def test_nothing_outlasts_the_stop(self, given):
         outcome = decide(given)
         if isinstance(outcome, RefusedInStop):
