Part the planned stop and the watch of settings from the node

Ruled out: handing the whole node to the stop; it needs four parts of it.

Change: the steps of a stop with their times stand in process/planned_stop.py, the settings that are read again in process/settings_watch.py. A node stops while it has a planned stop; nothing else says so. ANSWER_S stands with the type of a stop, since both sides go by it.

No behaviour changes.

--- a/benchmarks/planned_stop.py
+++ b/benchmarks/planned_stop.py
@@ -16,7 +16,7 @@
 import trio
 from stop_deployment import KINDS, STOPS, ZONES, Deployment, Kind, start_deployment
 
-import rosemaryknot.process.node as node_module
+import rosemaryknot.process.planned_stop as stop_module
 from rosemaryknot.replay.virtual_time import DecisionLog, run_in_virtual_time
 from rosemaryknot.request.gateway_entry import STOP_ADMISSION
 from rosemaryknot.request.stop_admission import NOT_BOUND, STOP_ADMISSIONS
@@ -212,7 +212,7 @@
 
 def measure(seeds: list[int], way: str, reserve_s: float) -> dict[str, float]:
     """Return a way's figures over seeds, at a reserve of the grace."""
-    node_module.STOP_RESERVE_S = reserve_s
+    stop_module.STOP_RESERVE_S = reserve_s
     with DecisionLog().recording():
         runs = [run_in_virtual_time(seed, replay, seed, way) for seed in seeds]
     found = means(runs)
@@ -230,7 +230,7 @@
     parser.add_argument("--reserves", action="store_true")
     options = parser.parse_args()
     seeds = list(range(options.first, options.first + options.seeds))
-    reserve_s = node_module.STOP_RESERVE_S
+    reserve_s = stop_module.STOP_RESERVE_S
     found = {way: measure(seeds, way, reserve_s) for way in options.ways}
     reserves = {}
     if options.reserves:
--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -138,8 +138,6 @@
         Answers a request.
     limits : callable
         Returns the limits in force.
-    is_stopping : bool
-        Whether kept connections are told to close.
     is_closed : bool
         Whether new connections are closed unread.
     open : int
@@ -157,7 +155,6 @@
     wire: GatewayWire
     handler: Handler
     limits: Callable[[], CallerLimits]
-    is_stopping: bool = False
     is_closed: bool = False
     open: int = 0
     busy: int = 0
@@ -165,6 +162,11 @@
     idle: set[trio.CancelScope] = field(default_factory=set)
     owed: OwedAnswers = field(default_factory=OwedAnswers)
 
+    def begin_stop(self, stop: PlannedStop) -> None:
+        """Tell kept connections from now on to close, and go by a stop's times."""
+        self.stop = stop
+        self.owed.stop_began_s = stop.signalled_s
+
     def close_idle(self) -> None:
         """Close the connections that wait for a request.
 
@@ -214,7 +216,7 @@
 
     def is_closing(self) -> bool:
         """Tell whether the connection closes after this answer."""
-        return self.state.is_stopping
+        return self.state.stop is not None
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -1,7 +1,6 @@
 """A gateway node: all its parts as tasks of one process."""
 
 import random
-import signal
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,17 +28,18 @@
 from rosemaryknot.process.gateway_quota import QuotaBook
 from rosemaryknot.process.gateway_state import GatewayState
 from rosemaryknot.process.leases import Lease, lease_candidates
-from rosemaryknot.process.logs import FLUSH_S, hold_lines, logger
+from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import render_metrics
-from rosemaryknot.process.node_settings import Bounds, NodeSettings, load_node_settings
+from rosemaryknot.process.node_settings import Bounds, NodeSettings
 from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.planned_stop import NodeStop
+from rosemaryknot.process.settings_watch import watch_settings
 from rosemaryknot.process.store_follower import StoreFollower
 from rosemaryknot.process.true_time import TrueTime, running_time_s
 from rosemaryknot.process.usage_book import UsageBook
 from rosemaryknot.request.gateway import Gateway, GatewayParts
-from rosemaryknot.request.stop_admission import ANSWER_S
 from rosemaryknot.values.duties import DutyCalls
-from rosemaryknot.values.gateway_answers import GatewayWire, PlannedStop
+from rosemaryknot.values.gateway_answers import GatewayWire
 from rosemaryknot.values.nodes import Node
 
 __all__ = ["Adapter", "GatewayNode", "run_node"]
@@ -56,14 +56,7 @@
 # its return, if its server lives; what is still missing then is gone.
 RETURN_S = 2.0
 DRAIN_USED = 0.85
-# The balancer asks each second and leaves a node out after two misses.
-NOT_READY_S = 2.6
-# What is left of the grace for closing connections and giving the lease back.
-STOP_RESERVE_S = 0.6
-# How much of it whole answers may still use; the rest is for the last lines.
-LAST_DELIVERY_S = STOP_RESERVE_S - FLUSH_S - 0.1
 TIDY_S = 0.5
-SETTINGS_CHECK_S = 1.0
 # Descriptors that are not for callers: backend servers, store, peers, files.
 OTHER_FILES = 600
 READY = 200
@@ -148,7 +141,6 @@
         self.adapter = adapter
         self.network = network
         self.rng = rng
-        self.is_stopping = False
         self.clock = TrueTime() if clock is None else clock
         # From when it was started, so that a later life of the node is known as such.
         incarnation = int(self.clock.wall() * 1000)
@@ -311,7 +303,7 @@
 
     def is_candidate(self) -> bool:
         """Tell whether this node should take the duties where nobody does them."""
-        if self.is_stopping or not self.state.is_known():
+        if self.is_stopping() or not self.state.is_known():
             return False
         nodes = [*self.peers.nodes(), self.node]
         return self.node in lease_candidates(nodes, LEASE_NAME)
@@ -320,9 +312,13 @@
         """Tell whether no other node of the zone is known."""
         return all(node.zone != self.node.zone for node in self.peers.nodes())
 
+    def is_stopping(self) -> bool:
+        """Tell whether a planned stop goes on."""
+        return self.listener.state.stop is not None
+
     def is_ready(self) -> bool:
         """Tell whether this node should get new connections."""
-        return self.state.is_known() and not self.is_stopping
+        return self.state.is_known() and not self.is_stopping()
 
     async def serve(self, nursery: trio.Nursery) -> None:
         """Start all tasks."""
@@ -400,97 +396,8 @@
 
     async def end(self) -> None:
         """End a planned stop: what was read is answered first."""
-        began_s = trio.current_time()
-        until_s = began_s + self.settings.bounds.grace_s - STOP_RESERVE_S
-        self.is_stopping = True
-        self.listener.state.is_stopping = True
-        self.listener.state.owed.stop_began_s = began_s
-        log.info("not ready: planned stop", in_flight=self.listener.state.busy)
-        stop = PlannedStop(began_s, began_s + NOT_READY_S, until_s)
-        self.listener.state.stop = stop
-        try:
-            with trio.move_on_at(until_s):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self.end_unbegun, until_s - ANSWER_S)
-                    await self.end_requests(stop)
-                    nursery.cancel_scope.cancel()
-        finally:
-            # A second signal ends the wait; who asks for an answer that it cut finds
-            # a line all the same.
-            self.log_stopped(began_s)
-
-    async def end_unbegun(self, at_s: float) -> None:
-        """Answer in time those whose answer cannot begin any more."""
-        await trio.sleep_until(at_s)
-        self.gateway.end_unbegun(at_s + ANSWER_S + LAST_DELIVERY_S)
-
-    async def end_requests(self, stop: PlannedStop) -> None:
-        """Let callers go elsewhere, and wait until none is owed an answer."""
-        # A store that does not answer must not hold up the callers; a lease that is
-        # not given back lapses by itself.
-        with trio.move_on_at(stop.left_out_s):
-            await self.lease.release()
-        await trio.sleep_until(stop.left_out_s)
-        self.listener.state.close_idle()
-        await self.listener.state.close()
-        # Last, since the others take this node for gone from here on.
-        await self.peers.leave()
-
-    def log_stopped(self, began_s: float) -> None:
-        """Write what a stop cuts, and its last line."""
-        hold_lines()
-        cuts = self.listener.state.owed.cut()
-        log.info(
-            "stopped",
-            cut_off=cuts.cut_off,
-            delivering=cuts.delivering,
-            heads_unread=cuts.heads_unread,
-            took_s=round(trio.current_time() - began_s, 2),
-        )
-
-
-async def watch_settings(node: GatewayNode, path: Path) -> None:
-    """Read the settings again at SIGHUP and when the file has changed."""
-    changed = trio.Event()
-
-    async def wait_signal() -> None:
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                changed.set()
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(wait_signal)
-        known = stamp_of(path)
-        while True:
-            with trio.move_on_after(SETTINGS_CHECK_S):
-                await changed.wait()
-            is_asked = changed.is_set()
-            changed = trio.Event()
-            stamp = stamp_of(path)
-            if is_asked or stamp != known:
-                known = stamp
-                reload_settings(node, path)
-
-
-def stamp_of(path: Path) -> tuple[int, int]:
-    """Return what changes with a file."""
-    try:
-        found = path.stat()
-    except OSError:
-        return (0, 0)
-    return (found.st_mtime_ns, found.st_size)
-
-
-def reload_settings(node: GatewayNode, path: Path) -> None:
-    """Take over what may change while the process runs: seeds and bounds."""
-    settings = load_node_settings(path)
-    if not isinstance(settings, NodeSettings):
-        for error in settings:
-            log.error("settings not taken over", error=str(error))
-        return
-    node.take_bounds(settings.bounds)
-    node.peers.add_seeds(settings.seeds)
-    log.info("settings taken over", seeds=len(settings.seeds))
+        stop = NodeStop(self.listener.state, self.gateway, self.lease, self.peers)
+        await stop.run(self.settings.bounds.grace_s)
 
 
 async def run_node(
--- a/src/rosemaryknot/request/stop_admission.py
+++ b/src/rosemaryknot/request/stop_admission.py
@@ -14,10 +14,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from rosemaryknot.values.gateway_answers import PlannedStop
+from rosemaryknot.values.gateway_answers import ANSWER_S, PlannedStop
 
 __all__ = [
-    "ANSWER_S",
     "STOP_ADMISSIONS",
     "Likely",
     "RefusedInStop",
@@ -27,9 +26,6 @@
     "stop_admission",
 ]
 
-# Kept of the stop's end for an answer of our own to go out, in seconds: one write to a
-# caller who reads.
-ANSWER_S = 0.1
 OWN_LIMIT = "its own time limit"
 SHORTER_LIMIT = "a time limit cut to the stop's end"
 BY_ESTIMATE = "answers of late"
--- a/src/rosemaryknot/values/gateway_answers.py
+++ b/src/rosemaryknot/values/gateway_answers.py
@@ -6,6 +6,7 @@
 from rosemaryknot.values.gateway import GatewayRequest, Headers, RoutedServer
 
 __all__ = [
+    "ANSWER_S",
     "AnswerHead",
     "Broken",
     "Completed",
@@ -19,6 +20,11 @@
 ]
 
 
+# Kept of the stop's end for an answer of our own to go out, in seconds: one write to a
+# caller who reads.
+ANSWER_S = 0.1
+
+
 @dataclass(slots=True)
 class AnswerHead:
     """Status and headers of a backend server's answer.
--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -9,8 +9,8 @@
 
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.logs import FLUSH_S
-from rosemaryknot.process.node import reload_settings
 from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.process.settings_watch import reload_settings
 from rosemaryknot.standin.users.system import (
     HOST,
     KEY,
