--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -5,25 +5,20 @@
 h11 over the network's streams here.
 """
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-
 import h11
 import trio
 
-from rosemaryknot.connection.network import Network, receive_next, send_now
-from rosemaryknot.connection.owed_answers import Cause, OwedAnswer, OwedAnswers, Phase
+from rosemaryknot.connection.listener_state import ListenerState
+from rosemaryknot.connection.network import receive_next, send_now
+from rosemaryknot.connection.owed_answers import Cause, OwedAnswer, Phase
 from rosemaryknot.process.logs import logger
-from rosemaryknot.values.gateway import CallerLimits, GatewayRequest, Headers
+from rosemaryknot.values.gateway import GatewayRequest, Headers
 from rosemaryknot.values.gateway_answers import (
-    GatewayWire,
-    PlannedStop,
     Refusal,
     TargetFault,
 )
-from rosemaryknot.values.nodes import Address
 
-__all__ = ["CallerConnection", "GatewayListener", "Reply"]
+__all__ = ["CallerConnection", "Reply"]
 
 READ_BYTES = 65536
 # A caller that reads nothing for this long gets its connection closed; longer than
@@ -36,8 +31,6 @@
 LINGER_S = 0.5
 # How long a body may stand still before it counts as given up.
 BODY_IDLE_S = 5.0
-# How often a stop looks whether connections have ended.
-CLOSE_STEP_S = 0.05
 BAD_REQUEST = 400
 TIMEOUT_STATUS = 408
 TOO_LARGE = 413
@@ -123,74 +116,6 @@
         await self.end()
 
 
-Handler = Callable[[GatewayRequest, Reply], Awaitable[None]]
-
-
-@dataclass(slots=True)
-class ListenerState:
-    """What the connections of a listener share.
-
-    Attributes
-    ----------
-    wire : GatewayWire
-        Names of the headers.
-    handler : callable
-        Answers a request.
-    limits : callable
-        Returns the limits in force.
-    is_closed : bool
-        Whether new connections are closed unread.
-    open : int
-        Connections that are open.
-    busy : int
-        Those with a request that was read in part or whole.
-    stop : PlannedStop or None
-        The planned stop that goes on.
-    idle : set of trio.CancelScope
-        Of connections that wait for a request.
-    owed : OwedAnswers
-        What they owe their callers, to the last byte.
-    """
-
-    wire: GatewayWire
-    handler: Handler
-    limits: Callable[[], CallerLimits]
-    is_closed: bool = False
-    open: int = 0
-    busy: int = 0
-    stop: PlannedStop | None = None
-    idle: set[trio.CancelScope] = field(default_factory=set)
-    owed: OwedAnswers = field(default_factory=OwedAnswers)
-
-    def begin_stop(self, stop: PlannedStop) -> None:
-        """Tell kept connections from now on to close, and go by a stop's times."""
-        self.stop = stop
-        self.owed.stop_began_s = stop.signalled_s
-
-    def close_idle(self) -> None:
-        """Close the connections that wait for a request.
-
-        Their callers would send on them until the process ends, and the last ones
-        would be cut off; closed now, they go to another node.
-        """
-        for scope in self.idle:
-            scope.cancel()
-
-    async def close(self) -> None:
-        """Wait until no connection is open, then take no more.
-
-        A request may be read in the very moment in which none is in flight; sent on,
-        it would be cut by the end of the process. Without a connection none is read.
-        Shut before, one caller with half a head would keep all others out, unserved
-        and unrefused, for as long as the node waits for the rest.
-        """
-        while self.open:
-            if not self.busy:
-                self.close_idle()
-            await trio.sleep(CLOSE_STEP_S)
-        self.is_closed = True
-
-
 class CallerConnection:
     """One connection: reads a request, has it answered, goes on.
 
@@ -484,56 +409,3 @@
             await self.stream.send_eof()
             while await self.stream.receive_some(READ_BYTES):
                 pass
-
-
-class GatewayListener:
-    """Accepts callers.
-
-    Parameters
-    ----------
-    network : Network
-        Where to listen.
-    wire : GatewayWire
-        Names of the headers.
-    handler : callable
-        Answers a request.
-    limits : callable
-        Returns the limits in force.
-    max_connections : int
-        Open connections; more are closed unread, so that their callers may try
-        elsewhere.
-
-    Attributes
-    ----------
-    state : ListenerState
-        What the connections share.
-    """
-
-    def __init__(
-        self,
-        network: Network,
-        wire: GatewayWire,
-        handler: Handler,
-        limits: Callable[[], CallerLimits],
-        max_connections: int,
-    ) -> None:
-        self.network = network
-        self.state = ListenerState(wire, handler, limits)
-        self.max_connections = max_connections
-
-    async def run(
-        self,
-        address: Address,
-        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Accept until cancelled."""
-        await self.network.listen(address, self.handle, task_status=task_status)
-
-    async def handle(self, stream: trio.abc.HalfCloseableStream) -> None:
-        """Serve one connection."""
-        if self.state.is_closed:
-            return
-        if self.state.open >= self.max_connections:
-            log.warning("connection closed: too many", open=self.state.open)
-            return
-        await CallerConnection(stream, self.state).run()
--- /dev/null
+++ b/src/rosemaryknot/connection/gateway_listener.py
@@ -0,0 +1,70 @@
+"""Accepts the connections of callers."""
+
+from collections.abc import Callable
+
+import trio
+
+from rosemaryknot.connection.gateway_caller import CallerConnection
+from rosemaryknot.connection.listener_state import Handler, ListenerState
+from rosemaryknot.connection.network import Network
+from rosemaryknot.process.logs import logger
+from rosemaryknot.values.gateway import CallerLimits
+from rosemaryknot.values.gateway_answers import GatewayWire
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["GatewayListener"]
+
+log = logger("callers")
+
+
+class GatewayListener:
+    """Accepts callers.
+
+    Parameters
+    ----------
+    network : Network
+        Where to listen.
+    wire : GatewayWire
+        Names of the headers.
+    handler : callable
+        Answers a request.
+    limits : callable
+        Returns the limits in force.
+    max_connections : int
+        Open connections; more are closed unread, so that their callers may try
+        elsewhere.
+
+    Attributes
+    ----------
+    state : ListenerState
+        What the connections share.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        wire: GatewayWire,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        max_connections: int,
+    ) -> None:
+        self.network = network
+        self.state = ListenerState(wire, handler, limits)
+        self.max_connections = max_connections
+
+    async def run(
+        self,
+        address: Address,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept until cancelled."""
+        await self.network.listen(address, self.handle, task_status=task_status)
+
+    async def handle(self, stream: trio.abc.HalfCloseableStream) -> None:
+        """Serve one connection."""
+        if self.state.is_closed:
+            return
+        if self.state.open >= self.max_connections:
+            log.warning("connection closed: too many", open=self.state.open)
+            return
+        await CallerConnection(stream, self.state).run()
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from rosemaryknot.connection.gateway_caller import GatewayListener
+from rosemaryknot.connection.gateway_listener import GatewayListener
 from rosemaryknot.connection.gateway_server import ServerPool
 from rosemaryknot.connection.links import Handlers
 from rosemaryknot.connection.network import Network
--- a/src/rosemaryknot/process/planned_stop.py
+++ b/src/rosemaryknot/process/planned_stop.py
@@ -28,7 +28,7 @@
     ----------
     listener : object
         What the callers' connections share; see
-        `rosemaryknot.connection.gateway_caller.ListenerState`.
+        `rosemaryknot.connection.listener_state.ListenerState`.
     gateway : object
         Answers their requests; see `rosemaryknot.request.gateway.Gateway`.
     lease : Lease
