Name the ways to admit in a planned stop by what they wait for

Cause: two ways spoke of a moment that nothing defined, and one of them was in no table any more. The module's page also laid all to load; an answer's length outruns what was expected just as well.

Change: one way less, bound_once_left_out in place of two.

--- a/src/rosemaryknot/request/stop_admission.py
+++ b/src/rosemaryknot/request/stop_admission.py
@@ -3,12 +3,13 @@
 Load pattern: nodes of a zone stop one after the other. The balancer needs some seconds
 to leave one out, and while most of a zone's nodes are away it sends callers to all of
 them, also to those that stop. A zone that stops sends its load to the nodes that are
-left, the servers' queues grow, and answers take longer than any of late. Past the end
-of the stop a started answer would be cut; a refused request has not run, and its caller
-comes back to another node within half a second.
+left, and the servers' queues grow. Past the end of the stop a started answer would be
+cut; a refused request has not run, and its caller comes back to another node within
+half a second.
 
-What bounds an answer's end, whatever the load, is its request's own time limit, or a
-shorter one that is set here. An estimate bounds nothing.
+What bounds an answer's end, whatever its length and the load, is its request's own time
+limit, or a shorter one that is set here. What answers of late took bounds nothing: the
+next one may be longer than all of them, or slower.
 """
 
 from collections.abc import Callable
@@ -195,8 +196,8 @@
     return RefusedInStop(given.return_s)
 
 
-@stop_admission("bound_after_moment")
-def by_bound_after_moment(given: StopInput) -> Outcome:
+@stop_admission("bound_once_left_out")
+def by_bound_once_left_out(given: StopInput) -> Outcome:
     """Take by answers of late until the balancer has left the node out.
 
     Nearly all callers are still sent here until then, and most of the stop is left.
@@ -205,14 +206,14 @@
     Examples
     --------
     >>> stop = PlannedStop(0.0, 2.6, 7.4)
-    >>> by_bound_after_moment(StopInput(2.0, stop, 17.0, Likely(2.9, 30, 0.1))).bound
+    >>> by_bound_once_left_out(StopInput(2.0, stop, 17.0, Likely(2.9, 30, 0.1))).bound
     'answers of late'
-    >>> by_bound_after_moment(StopInput(2.0, stop, 17.0, Likely(1.0, 0, 0.0)))
+    >>> by_bound_once_left_out(StopInput(2.0, stop, 17.0, Likely(1.0, 0, 0.0)))
     RefusedInStop(return_s=0.0, reason='stops before the answer would end')
-    >>> by_bound_after_moment(StopInput(4.28, stop, 19.28, Likely(2.9, 30, 0.1)))
+    >>> by_bound_once_left_out(StopInput(4.28, stop, 19.28, Likely(2.9, 30, 0.1)))
     RefusedInStop(return_s=0.0, reason='stops before the answer would end')
     """
-    outcome = by_bound(given)
+    outcome = by_bound_and_estimate(given)
     if isinstance(outcome, TakenInStop) or given.now_s >= given.stop.left_out_s:
         return outcome
     if given.likely.answers and given.is_likely_whole:
@@ -238,11 +239,3 @@
     if given.likely.answers and not given.is_likely_whole:
         return RefusedInStop(given.return_s)
     return by_bound(given)
-
-
-@stop_admission("bound_and_estimate_after_moment")
-def by_bound_and_estimate_after_moment(given: StopInput) -> Outcome:
-    """Take by answers of late before the moment, and nothing that they rule out."""
-    if given.likely.answers and not given.is_likely_whole:
-        return RefusedInStop(given.return_s)
-    return by_bound_after_moment(given)
