Add two failing tests of planned stops that are not mended yet

Cause: a stop counts by the steady clock, so a machine that was suspended in it is killed before the node ends it; and a request that the stop will refuse is read whole first, since the decision is made with the body.

Tried and left: callers of the only node of a deployment told to come back when it has ended.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from rosemaryknot.process import node as node_module
 from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.request import gateway_entry
 from rosemaryknot.standin.users.system import (
@@ -264,6 +265,54 @@
             assert (await ahead.receive()).status == 200
 
 
+class TestSuspended:
+    async def test_stop_counts_suspended_time(self, autojump_clock, monkeypatch):
+        """A machine is suspended for 3 s while its node stops.
+
+        The steady clock does not count that time, the platform does: the node goes by
+        7.4 s of its own and is killed at 8 s of true time, before its own end of the
+        stop, and what it cuts is named nowhere.
+        """
+        passed_s = [0.0]
+        running_time_s = node_module.running_time_s
+        monkeypatch.setattr(
+            node_module, "running_time_s", lambda: running_time_s() + passed_s[0]
+        )
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            set_pace(fleet, 2.0)
+            await open_long(fleet, "long")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(4)
+            passed_s[0] = 3.0
+            # 7.9 s of true time after the signal.
+            await trio.sleep(0.9)
+            assert fleet.nodes["n0"].listener.state.open == 0
+
+
+class TestSlowBody:
+    async def test_is_refused_at_its_head(self, autojump_clock):
+        """A body comes slowly to a node that stops; its head tells its time limit.
+
+        Nothing in the body could change that it is refused, but the caller is told
+        only when all of it was sent, or is cut in the middle of sending.
+        """
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            set_pace(fleet, 2.0)
+            await open_long(fleet, "long")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(3)
+            slow = await fleet.caller().open()
+            await slow.stream.send_all(
+                b"POST /plan/x HTTP/1.1\r\nHost: %b\r\nAuthorization: Bearer %b\r\n"
+                b"Rosemaryknot-Attempt-Id: slow\r\nRosemaryknot-Deadline-Ms: 15000\r\n"
+                b"Content-Length: 50\r\n\r\nx" % (HOST.encode(), KEY.encode())
+            )
+            with trio.fail_after(1):
+                assert b" 503 " in await slow.stream.receive_some(100)
+
+
 class Lines:
     """Keeps lines of a log."""
 
