--- a/tests/process/test_gateway_quota.py
+++ b/tests/process/test_gateway_quota.py
@@ -132,7 +132,7 @@
 
         For the first second none has heard another one. Each counts the rate as taken
         before its start, so the whole burst is left to each of them. In one run of nine
-        a window held 682,462 units of 453,483; in another nothing was refused for 1.5 s.
+        a window held 682,462 units of 453,483; in another none was refused for 1.5 s.
         """
         gateways = Gateways(9)
         pace, units = 7.5 * LIMIT.rate, 260.0
