--- a/src/rosemaryknot/process/planned_stop.py
+++ b/src/rosemaryknot/process/planned_stop.py
@@ -55,7 +55,7 @@
         try:
             with trio.move_on_at(ends_s):
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self.end_unbegun, ends_s)
+                    nursery.start_soon(self.end_for_stop, ends_s)
                     await self.end_requests(stop)
                     nursery.cancel_scope.cancel()
         finally:
@@ -63,10 +63,10 @@
             # a line all the same.
             self.log_stopped(began_s)
 
-    async def end_unbegun(self, ends_s: float) -> None:
-        """Answer in time those whose answer cannot begin any more."""
+    async def end_for_stop(self, ends_s: float) -> None:
+        """Answer in time those whose answer cannot begin, and bound the rest."""
         await trio.sleep_until(ends_s - ANSWER_S)
-        self.gateway.end_unbegun(ends_s + LAST_DELIVERY_S)
+        self.gateway.end_for_stop(ends_s + LAST_DELIVERY_S)
 
     async def end_requests(self, stop: PlannedStop) -> None:
         """Let callers go elsewhere, and wait until none is owed an answer."""
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -91,8 +91,8 @@
         else:
             self.log_end(course, outcome)
 
-    def end_unbegun(self, last_s: float) -> None:
-        """End the requests of whose answer nothing has gone out; a stop ends soon.
+    def end_for_stop(self, last_s: float) -> None:
+        """End what cannot begin before a stop ends, and bound what is on its way.
 
         Their callers would see a connection closed without a word, also where nothing
         has run; an honest failure is still possible, and a started answer may yet end.
