Count time in suspension in a planned stop

Cause: a stop went by the steady clock, which a suspended machine does not count; the platform counts the grace in true time and killed the process before the stop's own end, so that what was cut was named nowhere. The limits of requests that the stop had taken in went by the same clock. Ruled out: a timer of the other clock (none wakes a task of trio); a stop that is begun anew. Change: a stop compares its clock each 0.1 s with one that goes on in suspension, ends earlier by the difference, and so do the running requests' limits. Where it is over by then, those without an answer still get one.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -396,7 +396,13 @@
 
     async def end(self) -> None:
         """End a planned stop: what was read is answered first."""
-        stop = NodeStop(self.listener.state, self.gateway, self.lease, self.peers)
+        stop = NodeStop(
+            self.listener.state,
+            self.gateway,
+            self.lease,
+            self.peers,
+            Suspension().passed_s,
+        )
         await stop.run(self.settings.bounds.grace_s)
 
 
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -91,6 +91,16 @@
         else:
             self.log_end(course, outcome)
 
+    def take_off(self, passed_s: float) -> None:
+        """Bring the limits of running requests nearer by a time in suspension.
+
+        Their callers did not stand still meanwhile, nor did the end of a planned
+        stop, which these limits have to come before.
+        """
+        for course in self.running.values():
+            course.until_s -= passed_s
+            course.limit.deadline -= passed_s
+
     def end_for_stop(self, last_s: float) -> None:
         """End what cannot begin before a stop ends, and bound what is on its way.
 
--- a/src/rosemaryknot/values/gateway_answers.py
+++ b/src/rosemaryknot/values/gateway_answers.py
@@ -77,6 +77,18 @@
     left_out_s: float
     ends_s: float
 
+    def earlier(self, by_s: float) -> "PlannedStop":
+        """Return it with all times earlier.
+
+        Examples
+        --------
+        >>> PlannedStop(0.0, 2.6, 7.5).earlier(0.5)
+        PlannedStop(signalled_s=-0.5, left_out_s=2.1, ends_s=7.0)
+        """
+        return PlannedStop(
+            self.signalled_s - by_s, self.left_out_s - by_s, self.ends_s - by_s
+        )
+
 
 @dataclass(slots=True)
 class NotSent:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -289,6 +289,58 @@
             await trio.sleep(0.9)
             assert fleet.nodes["n0"].listener.state.open == 0
 
+    async def test_time_limits_count_it_too(self, autojump_clock, monkeypatch):
+        """A machine is suspended for 1.5 s while a stream waits for its first event.
+
+        The stream was taken since its limit of 3 s ends before the stop. Its caller's
+        clock went on meanwhile, and the stop's end came nearer; the limit has to.
+        """
+        passed_s = [0.0]
+        running_time_s = node_module.running_time_s
+        monkeypatch.setattr(
+            node_module, "running_time_s", lambda: running_time_s() + passed_s[0]
+        )
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            for server in fleet.servers.values():
+                server.is_mute = True
+            await open_long(fleet, "in flight")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(3.9)
+            caller = await fleet.caller().open()
+            headers = MODEL_HEADERS | {"Rosemaryknot-Deadline-Ms": "3000"}
+            await caller.send("/ask/x", request_id="late", **headers)
+            await trio.sleep(0.1)
+            passed_s[0] = 1.5
+            answer = await caller.receive()
+            assert answer.is_whole
+            assert answer.status == 504
+            assert answer.took_s == pytest.approx(1.4, abs=0.15)
+
+    async def test_it_outlasts_the_stop(self, autojump_clock, monkeypatch):
+        """A machine is suspended until after the end of its node's stop.
+
+        Its process may be killed at any moment; callers without an answer still get
+        one at once.
+        """
+        passed_s = [0.0]
+        running_time_s = node_module.running_time_s
+        monkeypatch.setattr(
+            node_module, "running_time_s", lambda: running_time_s() + passed_s[0]
+        )
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            for server in fleet.servers.values():
+                server.is_mute = True
+            caller = await open_long(fleet, "silent")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(2)
+            passed_s[0] = 5.5
+            answer = await caller.receive()
+            assert answer.is_whole
+            assert answer.status == 504
+            assert answer.took_s < 0.25
+
 
 class TestSlowBody:
     async def test_is_refused_at_its_head(self, autojump_clock):
