Refuse by its head what a planned stop does not take

Cause: a request was refused only when its body was there. A slow body was sent to its end, or to the stop's, for a request that nobody took any more; at the stop's end it was cut unread. Ruled out: refusing by the head without a stop as well (callers keep their connections, and a key or route may come while a body does); a bound on the body alone (its caller still learns nothing until then). Change: where a body lets wait, its head is put to the stop's own decision, at once and again at the signal; the answer goes out and the rest of the body is read and dropped, since a connection closed with unread bytes is reset and may take the answer along. A caller that waits to be asked for its body is not asked, and its connection closes.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -140,8 +140,13 @@
         self.owed: OwedAnswer | None = None
 
     def is_closing(self) -> bool:
-        """Tell whether the connection closes after this answer."""
-        return self.state.stop is not None
+        """Tell whether the connection closes after this answer.
+
+        A caller that waits to be asked for its body may send it or the next request
+        behind a refusal; read as the other one, a body would become a request.
+        """
+        is_body_unasked = self.conn.they_are_waiting_for_100_continue
+        return self.state.stop is not None or is_body_unasked
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -197,26 +202,33 @@
         self.owed.phase = Phase.BODY
         self.owed.explain = lambda: self.explain(head, arrived_s)
         fault = self.fault_of(head)
-        body = b"" if fault is not None else await self.read_body()
-        if fault is None and body is None:
-            fault = Refusal(TOO_LARGE, "the body is too large")
+        request = None if fault is not None else self.decode(head, arrived_s)
+        if isinstance(request, TargetFault):
+            fault = Refusal(request.status, request.reason)
         if fault is not None:
             await self.refuse(fault)
             return False
-        request = self.state.wire.read_request(
-            head.method, head.target, head.headers.raw_items(), body, arrived_s
-        )
-        if isinstance(request, TargetFault):
-            await self.refuse(Refusal(request.status, request.reason))
+        reply = Reply(self, self.owed)
+        body = await self.read_body(request, reply)
+        if reply.is_done:
+            return self.may_follow(reply)
+        if body is None:
+            await self.refuse(Refusal(TOO_LARGE, "the body is too large"))
             return False
-        return await self.answer(request)
+        request.body = body
+        return await self.answer(request, reply)
+
+    def decode(
+        self, head: h11.Request, arrived_s: float
+    ) -> GatewayRequest | TargetFault:
+        """Return a request by its head, as yet without its body."""
+        return self.state.wire.read_request(
+            head.method, head.target, head.headers.raw_items(), b"", arrived_s
+        )
 
     def explain(self, head: h11.Request, arrived_s: float) -> dict[str, object]:
         """Return what a line tells of a request that is not read whole."""
-        request = self.state.wire.read_request(
-            head.method, head.target, head.headers.raw_items(), b"", arrived_s
-        )
-        return {"request": getattr(request, "id", "")}
+        return {"request": getattr(self.decode(head, arrived_s), "id", "")}
 
     def fault_of(self, head: h11.Request) -> Refusal | None:
         """Return why a head is refused, or None.
@@ -270,13 +282,17 @@
                 self.state.idle.discard(scope)
         return None
 
-    async def read_body(self) -> bytes | None:
-        """Return the body of a request, or None where it is too large."""
+    async def read_body(self, request: GatewayRequest, reply: Reply) -> bytes | None:
+        """Return the body of a request, or None where it is too large.
+
+        Where the head is enough to refuse a request, its caller is told while the body
+        still comes, and the rest is dropped. Told behind it only, a caller sends a slow
+        body for nothing, or is cut in it by the end of a stop.
+        """
         limit = self.state.limits().max_body_bytes
-        if self.conn.they_are_waiting_for_100_continue:
-            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         parts: list[bytes] = []
         size = 0
+        is_head_checked = False
         while True:
             event = self.conn.next_event()
             if isinstance(event, h11.Data):
@@ -286,20 +302,36 @@
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
-            elif event is h11.NEED_DATA:
-                await self.read_more(BODY_IDLE_S)
-            else:
+            elif event is not h11.NEED_DATA:
                 raise CallerGone
+            elif is_head_checked or reply.is_done:
+                is_head_checked = await self.read_more()
+            else:
+                await self.check_head(request, reply)
+                is_head_checked = True
+
+    async def check_head(self, request: GatewayRequest, reply: Reply) -> None:
+        """Refuse a request by its head where that is enough, or ask for its body."""
+        if await self.state.refuse_by_head(request, reply):
+            self.owed.is_told = True
+        elif self.conn.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
-    async def read_more(self, limit_s: float) -> None:
-        """Feed what the caller sends next."""
-        with trio.move_on_after(limit_s):
-            data = await self.receive()
+    async def read_more(self) -> bool:
+        """Feed what the caller sends next; return False where the stop comes first."""
+        with trio.move_on_after(BODY_IDLE_S) as scope:
+            self.state.bodies.add(scope)
+            try:
+                data = await self.receive()
+            finally:
+                self.state.bodies.discard(scope)
             if not data:
                 raise CallerGone
             self.conn.receive_data(data)
-            return
-        raise CallerGone(Cause.CALLER_STALLED)
+            return True
+        if trio.current_time() >= scope.deadline:
+            raise CallerGone(Cause.CALLER_STALLED)
+        return False
 
     async def receive(self) -> bytes:
         """Return what the caller sends next; empty at the end."""
@@ -308,11 +340,10 @@
             self.saw_end = True
         return data
 
-    async def answer(self, request: GatewayRequest) -> bool:
+    async def answer(self, request: GatewayRequest, reply: Reply) -> bool:
         """Have a request answered; stop when the caller leaves meanwhile."""
         owed = self.owed
         owed.phase = Phase.ANSWER
-        reply = Reply(self, owed)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch_caller, nursery.cancel_scope)
             try:
@@ -324,6 +355,10 @@
                 # group, which would end the listener and every other answer.
                 owed.cause = cause_of(group)
             nursery.cancel_scope.cancel()
+        return self.may_follow(reply)
+
+    def may_follow(self, reply: Reply) -> bool:
+        """Tell whether another request may follow an answer."""
         if not reply.is_done or self.saw_end:
             # An answer that ends early must not look whole: without its last chunk
             # or its full length, the closed connection shows that it broke off.
--- a/src/rosemaryknot/connection/gateway_listener.py
+++ b/src/rosemaryknot/connection/gateway_listener.py
@@ -5,7 +5,7 @@
 import trio
 
 from rosemaryknot.connection.gateway_caller import CallerConnection
-from rosemaryknot.connection.listener_state import Handler, ListenerState
+from rosemaryknot.connection.listener_state import Handler, HeadHandler, ListenerState
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.gateway import CallerLimits
@@ -28,6 +28,8 @@
         Names of the headers.
     handler : callable
         Answers a request.
+    refuse_by_head : callable
+        Refuses a request whose body is still to come, and tells whether it did.
     limits : callable
         Returns the limits in force.
     max_connections : int
@@ -45,11 +47,12 @@
         network: Network,
         wire: GatewayWire,
         handler: Handler,
+        refuse_by_head: HeadHandler,
         limits: Callable[[], CallerLimits],
         max_connections: int,
     ) -> None:
         self.network = network
-        self.state = ListenerState(wire, handler, limits)
+        self.state = ListenerState(wire, handler, refuse_by_head, limits)
         self.max_connections = max_connections
 
     async def run(
--- a/src/rosemaryknot/connection/listener_state.py
+++ b/src/rosemaryknot/connection/listener_state.py
@@ -13,12 +13,13 @@
 if TYPE_CHECKING:
     from rosemaryknot.connection.gateway_caller import Reply
 
-__all__ = ["Handler", "ListenerState"]
+__all__ = ["Handler", "HeadHandler", "ListenerState"]
 
 # How often a stop looks whether connections have ended.
 CLOSE_STEP_S = 0.05
 
 Handler = Callable[[GatewayRequest, "Reply"], Awaitable[None]]
+HeadHandler = Callable[[GatewayRequest, "Reply"], Awaitable[bool]]
 
 
 @dataclass(slots=True)
@@ -31,6 +32,8 @@
         Names of the headers.
     handler : callable
         Answers a request.
+    refuse_by_head : callable
+        Refuses a request whose body is still to come, and tells whether it did.
     limits : callable
         Returns the limits in force.
     is_closed : bool
@@ -43,24 +46,32 @@
         The planned stop that goes on.
     idle : set of trio.CancelScope
         Of connections that wait for a request.
+    bodies : set of trio.CancelScope
+        Of connections that wait for more of a body.
     owed : OwedAnswers
         What they owe their callers, to the last byte.
     """
 
     wire: GatewayWire
     handler: Handler
+    refuse_by_head: HeadHandler
     limits: Callable[[], CallerLimits]
     is_closed: bool = False
     open: int = 0
     busy: int = 0
     stop: PlannedStop | None = None
     idle: set[trio.CancelScope] = field(default_factory=set)
+    bodies: set[trio.CancelScope] = field(default_factory=set)
     owed: OwedAnswers = field(default_factory=OwedAnswers)
 
     def begin_stop(self, stop: PlannedStop) -> None:
         """Tell kept connections from now on to close, and go by a stop's times."""
         self.stop = stop
         self.owed.stop_began_s = stop.signalled_s
+        # Those that wait for a body look whether its head is still enough to go on: a
+        # slow one would be sent to its end for a request that nobody takes any more.
+        for scope in self.bodies:
+            scope.cancel()
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request.
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -202,6 +202,7 @@
             network,
             adapter.wire,
             self.gateway.handle,
+            self.gateway.refuse_by_head,
             self.state.limits,
             max(100, settings.machine.files - OTHER_FILES),
         )
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -91,6 +91,20 @@
         else:
             self.log_end(course, outcome)
 
+    async def refuse_by_head(self, request: GatewayRequest, reply: Reply) -> bool:
+        """Refuse a request whose body is still to come, where its head is enough.
+
+        Returns
+        -------
+        is_refused : bool
+            Whether it was; its answer is out then.
+        """
+        refused = self.entry.refuse_by_head(request)
+        if refused is None:
+            return False
+        await self.refuse(request, reply, refused)
+        return True
+
     def take_off(self, passed_s: float) -> None:
         """Bring the limits of running requests nearer by a time in suspension.
 
--- a/src/rosemaryknot/request/gateway_entry.py
+++ b/src/rosemaryknot/request/gateway_entry.py
@@ -1,5 +1,7 @@
 """What is decided about a request before a server is chosen: route, customer, time."""
 
+from dataclasses import dataclass
+
 import trio
 
 from rosemaryknot.connection.gateway_caller import Reply
@@ -41,6 +43,31 @@
 log = logger("gateway")
 
 
+@dataclass(slots=True, frozen=True)
+class Found:
+    """What a request's head leads to.
+
+    Attributes
+    ----------
+    configuration : GatewayConfiguration
+        The one in force.
+    route : GatewayRoute
+        Where it goes.
+    customer : CustomerLimit or None
+        Whose it is.
+    service : GatewayService
+        Drawn among the route's.
+    until_s : float
+        When its time limit ends it, in trio time.
+    """
+
+    configuration: GatewayConfiguration
+    route: GatewayRoute
+    customer: CustomerLimit | None
+    service: GatewayService
+    until_s: float
+
+
 class Entry:
     """Lets requests in.
 
@@ -65,34 +92,18 @@
     def admit(self, request: GatewayRequest, reply: Reply) -> Course | Refusal:
         """Return a request's course, or why it is refused."""
         parts = self.parts
-        configuration = parts.configuration()
-        if configuration is None:
-            return refusal(self.parts.rng, UNAVAILABLE, "no configuration is known yet")
-        route = configuration.route_of(request.host, request.path)
-        if route is None:
-            return Refusal(404, "no route matches")
-        customer = self.customer_of(configuration, route, request)
-        if isinstance(customer, Refusal):
-            return customer
-        patience_s = request.patience_s
-        patience_s = DEFAULT_PATIENCE_S if patience_s is None else patience_s
-        until_s = request.arrived_s + min(patience_s, route.timeout_s)
-        if until_s - trio.current_time() < LEAST_LEFT_S:
-            return refusal(self.parts.rng, UNAVAILABLE, "no time is left")
-        service = self.service_of(configuration, route)
-        if service is None:
-            return refusal(self.parts.rng, UNAVAILABLE, "the route has no service")
+        found = self.look_up(request)
+        if isinstance(found, Refusal):
+            return found
+        until_s = found.until_s
         stop = parts.stop()
         if stop is not None:
-            outcome = self.decide_in_stop(stop, route, request, until_s)
+            given = self.stop_input(stop, found, request)
+            outcome = self.decide_in_stop(given, found.route, request)
             if isinstance(outcome, RefusedInStop):
-                return refusal(
-                    parts.rng,
-                    UNAVAILABLE,
-                    outcome.reason,
-                    max(RETURN_LEAST_S, outcome.return_s),
-                )
+                return self.refused_in_stop(outcome)
             until_s = outcome.until_s
+        customer = found.customer
         units = units_of(customer, request)
         wait_s = parts.take_quota(customer, units) if units else 0.0
         if wait_s > 0:
@@ -105,44 +116,88 @@
             return refusal(
                 self.parts.rng, TOO_MANY, "over the customer's limit", wait_s
             )
-        parts.note_request(service.name)
+        parts.note_request(found.service.name)
         return Course(
             request=request,
             reply=reply,
-            route=route,
-            service=service,
+            route=found.route,
+            service=found.service,
             customer=customer,
             units=units,
             until_s=until_s,
-            version=configuration.version,
-            last_rank=configuration.last_rank_by_service[service.name],
+            version=found.configuration.version,
+            last_rank=found.configuration.last_rank_by_service[found.service.name],
         )
 
-    def decide_in_stop(
-        self,
-        stop: PlannedStop,
-        route: GatewayRoute,
-        request: GatewayRequest,
-        until_s: float,
-    ) -> TakenInStop | RefusedInStop:
-        """Decide on a request that was read during a planned stop, and log it."""
+    def refuse_by_head(self, request: GatewayRequest) -> Refusal | None:
+        """Return why a planned stop refuses a request whatever its body is, or None.
+
+        Other refusals wait for the body, as without a stop: they do not get worse
+        while it comes, and the connection goes on behind them.
+        """
+        stop = self.parts.stop()
+        found = None if stop is None else self.look_up(request)
+        if not isinstance(found, Found):
+            return None
+        given = self.stop_input(stop, found, request)
+        if isinstance(self.admit_in_stop(given), TakenInStop):
+            return None
+        return self.refused_in_stop(self.decide_in_stop(given, found.route, request))
+
+    def look_up(self, request: GatewayRequest) -> Found | Refusal:
+        """Return whose request it is and where it goes, or why it is refused."""
+        configuration = self.parts.configuration()
+        if configuration is None:
+            return refusal(self.parts.rng, UNAVAILABLE, "no configuration is known yet")
+        route = configuration.route_of(request.host, request.path)
+        if route is None:
+            return Refusal(404, "no route matches")
+        customer = self.customer_of(configuration, route, request)
+        if isinstance(customer, Refusal):
+            return customer
+        patience_s = request.patience_s
+        patience_s = DEFAULT_PATIENCE_S if patience_s is None else patience_s
+        until_s = request.arrived_s + min(patience_s, route.timeout_s)
+        if until_s - trio.current_time() < LEAST_LEFT_S:
+            return refusal(self.parts.rng, UNAVAILABLE, "no time is left")
+        service = self.service_of(configuration, route)
+        if service is None:
+            return refusal(self.parts.rng, UNAVAILABLE, "the route has no service")
+        return Found(configuration, route, customer, service, until_s)
+
+    def refused_in_stop(self, outcome: RefusedInStop) -> Refusal:
+        """Return the answer to a request that a planned stop does not take."""
+        return_s = max(RETURN_LEAST_S, outcome.return_s)
+        return refusal(self.parts.rng, UNAVAILABLE, outcome.reason, return_s)
+
+    def stop_input(
+        self, stop: PlannedStop, found: Found, request: GatewayRequest
+    ) -> StopInput:
+        """Return what a planned stop's decision is made from."""
         now_s = trio.current_time()
+        route = found.route
         likely = self.durations.likely(route.name, output_tokens(request), now_s)
         may_end_early = route.repeat == Repeat.ANY
         is_alone = self.parts.is_alone()
-        given = StopInput(now_s, stop, until_s, likely, may_end_early, is_alone)
+        return StopInput(now_s, stop, found.until_s, likely, may_end_early, is_alone)
+
+    def decide_in_stop(
+        self, given: StopInput, route: GatewayRoute, request: GatewayRequest
+    ) -> TakenInStop | RefusedInStop:
+        """Decide on a request that came during a planned stop, and log it."""
         # A stream started on an estimate was cut at the stop's end whenever the load
         # outran the estimate; what a time limit bounds ends before, whatever the load.
         outcome = self.admit_in_stop(given)
+        likely = given.likely
         log.info(
             "decided in a planned stop",
             request=request.id,
             route=route.name,
             taken=isinstance(outcome, TakenInStop),
             by=getattr(outcome, "bound", "no bound"),
-            since_signal_s=round(now_s - stop.signalled_s, 3),
-            stop_left_s=round(stop.ends_s - now_s, 3),
-            limit_left_s=round(until_s - now_s, 3),
+            since_signal_s=round(given.now_s - given.stop.signalled_s, 3),
+            stop_left_s=round(given.stop.ends_s - given.now_s, 3),
+            limit_left_s=round(given.limit_s - given.now_s, 3),
             likely_s=round(likely.within_s, 3),
             answers=likely.answers,
             answers_age_s=None if likely.age_s is None else round(likely.age_s, 1),
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -20,6 +20,18 @@
 CALM_EVENT_S = 0.13
 SLOWEST_EVENT_S = 0.29
 CROWDED_EVENT_S = 0.5
+SLOW_HEADERS = [
+    ("Host", HOST),
+    ("Authorization", f"Bearer {KEY}"),
+    ("Rosemaryknot-Attempt-Id", "slow"),
+    ("Rosemaryknot-Deadline-Ms", str(LONG_MS)),
+    ("Content-Length", "50"),
+]
+SLOW_HEAD = (
+    b"POST /plan/x HTTP/1.1\r\n"
+    + b"".join(f"{name}: {value}\r\n".encode() for name, value in SLOW_HEADERS)
+    + b"\r\n"
+)
 
 
 def with_long_streams():
@@ -364,6 +376,64 @@
             with trio.fail_after(1):
                 assert b" 503 " in await slow.stream.receive_some(100)
 
+    async def test_it_began_before_the_signal(self, autojump_clock):
+        """A body is on its way when the node gets the signal, and stands still.
+
+        From the signal on its request is not taken any more; its caller learned so
+        only behind the body, or by a closed connection.
+        """
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            slow = await fleet.caller().open()
+            await slow.stream.send_all(SLOW_HEAD + b"x")
+            await trio.sleep(1)
+            fleet.stops["n0"].set()
+            with trio.fail_after(0.5):
+                assert b" 503 " in await slow.stream.receive_some(100)
+
+    async def test_rest_of_the_body_is_read(self, autojump_clock):
+        """A caller goes on sending for two seconds behind its refusal.
+
+        A connection closed with unread bytes is reset, and the reset may destroy the
+        refusal before its caller reads it; the whole answer has to be there.
+        """
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            set_pace(fleet, 2.0)
+            await open_long(fleet, "long")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(3)
+            slow = await fleet.caller().open()
+            request = h11.Request(method="POST", target="/plan/x", headers=SLOW_HEADERS)
+            await slow.stream.send_all(slow.conn.send(request))
+            for _ in range(50):
+                await trio.sleep(0.04)
+                await slow.stream.send_all(slow.conn.send(h11.Data(data=b"x")))
+            slow.conn.send(h11.EndOfMessage())
+            answer = await slow.receive()
+            assert answer.is_whole
+            assert answer.status == 503
+            assert answer.headers["connection"] == "close"
+
+    async def test_caller_waits_to_be_asked(self, autojump_clock):
+        """A caller sends its head and waits to be asked for its body.
+
+        Refused, it is not asked, and its connection closes: what comes next could be
+        that body or another request.
+        """
+        async with platform_system(configuration=with_long_streams()) as fleet:
+            set_pace(fleet, 2.0)
+            await open_long(fleet, "long")
+            await trio.sleep(0.1)
+            fleet.stops["n0"].set()
+            await trio.sleep(3)
+            slow = await fleet.caller().open()
+            headers = [*SLOW_HEADERS, ("Expect", "100-continue")]
+            request = h11.Request(method="POST", target="/plan/x", headers=headers)
+            await slow.stream.send_all(slow.conn.send(request))
+            answer = await slow.receive()
+            assert answer.status == 503
+            assert answer.headers["connection"] == "close"
+
 
 class Lines:
     """Keeps lines of a log."""
