Let first connections wait for a node's first configuration

Cause: a node accepts callers before its first lists have come, some 0.03 to 0.1 s later; those who came in between were refused, and after a start of all nodes at once came back to the next one that had none either. Ruled out: listening only then (a closed port instead of a refusal). Change: a connection waits unread up to 0.25 s for the lists; without them it is refused. Before: TestFirstConnections failed with 503; after: 200 within 0.25 s, and 503 within 0.3 s where the store is away.

--- a/src/rosemaryknot/connection/gateway_listener.py
+++ b/src/rosemaryknot/connection/gateway_listener.py
@@ -1,6 +1,6 @@
 """Accepts the connections of callers."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -14,6 +14,11 @@
 
 __all__ = ["GatewayListener"]
 
+# How long a connection waits unread for a node that has just started and does not know
+# yet what to serve: the first answers of the store take some hundredths of a second.
+# Refused, its caller would come back later than it is served now.
+FIRST_WAIT_S = 0.25
+
 log = logger("callers")
 
 
@@ -35,6 +40,8 @@
     max_connections : int
         Open connections; more are closed unread, so that their callers may try
         elsewhere.
+    wait_known : callable
+        Of seconds; waits so long, or until the node knows what to serve.
 
     Attributes
     ----------
@@ -50,10 +57,12 @@
         refuse_by_head: HeadHandler,
         limits: Callable[[], CallerLimits],
         max_connections: int,
+        wait_known: Callable[[float], Awaitable[None]],
     ) -> None:
         self.network = network
         self.state = ListenerState(wire, handler, refuse_by_head, limits)
         self.max_connections = max_connections
+        self.wait_known = wait_known
 
     async def run(
         self,
@@ -70,4 +79,5 @@
         if self.state.open >= self.max_connections:
             log.warning("connection closed: too many", open=self.state.open)
             return
+        await self.wait_known(FIRST_WAIT_S)
         await CallerConnection(stream, self.state).run()
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -63,7 +63,7 @@
         self.servers = ServerTable()
         # By name: revision of the last entry that was left alone and said so.
         self.left_alone: dict[str, int] = {}
-        self.changed = trio.Event()
+        self.known = trio.Event()
 
     @property
     def version(self) -> int:
@@ -80,6 +80,16 @@
         """Tell whether requests can be served."""
         return self.configuration is not None and self.servers.is_listed
 
+    async def wait_known(self, limit_s: float) -> None:
+        """Wait until requests can be served, or for some seconds."""
+        with trio.move_on_after(limit_s):
+            await self.known.wait()
+
+    def note_known(self) -> None:
+        """Let those go on who wait until requests can be served."""
+        if self.is_known():
+            self.known.set()
+
     # Configuration.
 
     def list_configuration(self, listed: Listed) -> None:
@@ -117,6 +127,7 @@
         self.document = value
         self.document_revision = revision
         VERSION.set(configuration.version)
+        self.note_known()
 
     # Servers.
 
@@ -135,6 +146,7 @@
             self.note_left_alone(server_id, reason, revision)
         self.forget_left_alone(listed.objects)
         SERVERS.set(len(self.servers.by_id))
+        self.note_known()
 
     def change_server(self, change: ObjectChanged) -> None:
         """Take over a change of a server."""
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -205,6 +205,7 @@
             self.gateway.refuse_by_head,
             self.state.limits,
             max(100, settings.machine.files - OTHER_FILES),
+            self.state.wait_known,
         )
         self.lease = self.make_lease()
         self.take_bounds(settings.bounds)
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -34,6 +34,7 @@
     "MODEL",
     "MODEL_HEADERS",
     "PLAIN",
+    "STORE",
     "PlatformSystem",
     "document",
     "platform_system",
--- /dev/null
+++ b/tests/gateway/test_start.py
@@ -0,0 +1,40 @@
+"""Tests of a node's first moments, in virtual time."""
+
+import trio
+
+from rosemaryknot.standin.users.system import STORE, PlatformSystem
+
+
+class TestFirstConnections:
+    async def test_wait_for_the_first_configuration(self, autojump_clock):
+        """A caller connects to a node that has asked for its configuration just now.
+
+        The answer is there some hundredths of a second later. The caller was refused
+        and came back after up to half a second, as all callers of a deployment did
+        whose nodes had started at once.
+        """
+        async with trio.open_nursery() as nursery:
+            fleet = PlatformSystem(nursery)
+            await fleet.start(nodes=0)
+            hosts = frozenset((STORE.host, fleet.settings(0).listen.callers.host))
+            fleet.network.delays_s[hosts] = 0.02
+            await fleet.add_node(0)
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert answer.status == 200
+            assert answer.took_s < 0.25
+            nursery.cancel_scope.cancel()
+
+    async def test_no_configuration_comes(self, autojump_clock):
+        """The store is away when a node starts; its caller is refused soon.
+
+        Longer than the first answers take, waiting helps nobody.
+        """
+        async with trio.open_nursery() as nursery:
+            fleet = PlatformSystem(nursery)
+            await fleet.start(nodes=0)
+            fleet.store.faults.begin("busy")
+            await fleet.add_node(0)
+            answer = await fleet.ask("/stock/x", method="GET")
+            assert answer.status == 503
+            assert answer.took_s < 0.3
+            nursery.cancel_scope.cancel()
