--- a/tests/process/test_scaling_policy.py
+++ b/tests/process/test_scaling_policy.py
@@ -70,6 +70,33 @@
         zones = {z: ZoneServers() for z in PRICES}
         assert all(sum(pair) >= 1 for pair in sizes(0, zones, dry=PRICES).values())
 
+    def test_least_numbers_count_for_the_need(self):
+        """Two of five zones are reclaimed, and two more servers are needed.
+
+        These zones have to have one server each. Placed in the cheapest zones as well,
+        the two were four, for as long as the cloud had no reclaimable ones.
+        """
+        prices = {"a": 0.85, "b": 1.2, "c": 1.0, "d": 1.1, "e": 0.9}
+        limits = ScalingLimits(1, 4, 4.0, 0.18, prices)
+        zones = {z: ZoneServers(reclaimable=1) for z in "abc"}
+        zones |= {z: ZoneServers() for z in "de"}
+        found = sizes(4.5, zones, dry="de", limits=limits)
+        assert {z: pair[1] for z, pair in found.items() if pair[1]} == {"d": 1, "e": 1}
+
+    def test_least_number_while_orders_are_refused(self):
+        """A zone's on-demand server stands for its least number.
+
+        It stays until a reclaimable one has come: given up when that one was ordered,
+        it was ordered anew half a second later, each time that the order was refused.
+        """
+        zones = {z: ZoneServers(reclaimable=2) for z in "ac"}
+        zones["b"] = ZoneServers(on_demand=1, booting=1)
+        assert sizes(2, zones)["b"][1] == 1
+        zones["b"] = ZoneServers(on_demand_ordered=1)
+        assert sizes(2, zones)["b"][1] == 1
+        zones["b"] = ZoneServers(on_demand=1, reclaimable=1)
+        assert sizes(2, zones)["b"][1] == 0
+
     def test_none_to_be_had_as_reclaimable(self):
         limits = ScalingLimits(1, 8, 4.0, 0.0, PRICES)
         zones = {z: ZoneServers(on_demand=2) for z in PRICES}
