Replace lost servers at once, and count least numbers for the need

Cause: (1) a server whose entry vanished counted as there for two seconds; (2) one that was lost within eight seconds of its zone's last order was waited for like one that boots; (3) what takes the place of refused reclaimable servers was ordered a step later; (4) on-demand servers that a reclaimed zone must have came on top of those that the need asked for; (5) one that stood for a zone's least number was given up as soon as a reclaimable one was ordered, and ordered anew. Ruled out: dropping missing servers for requests too (an outage of the store removes entries of live servers). Entries that vanish in several zones at one moment still count as there.

--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -17,6 +17,7 @@
     ZoneServers,
     wanted_sizes,
 )
+from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.process.true_time import TrueTime
 from rosemaryknot.process.usage_book import UsageBook, counts_of
 from rosemaryknot.values.duties import (
@@ -27,6 +28,7 @@
     SizeOrder,
 )
 from rosemaryknot.values.gateway import GatewayService
+from rosemaryknot.values.incarnation import ServerIncarnation
 
 __all__ = ["KEPT_NOTE", "DutyParts", "ScalingDuty", "UsageDuty"]
 
@@ -63,6 +65,9 @@
 MISSING_S = 4.0
 # Servers that are ordered are expected within their boot and this.
 BOOT_MARGIN_S = 1.0
+# Entries whose deletions are heard within this time were told by one answer of the
+# store, or by two of its watches.
+SAME_MOMENT_S = 0.2
 
 CALLS = counter("duty_calls_total", "Calls for duties by duty and outcome.")
 
@@ -235,11 +240,14 @@
         When, in trio time.
     is_taken : bool
         Whether the platform has taken it.
+    has_come : bool
+        Whether so many were there since.
     """
 
     count: int
     at_s: float
     is_taken: bool
+    has_come: bool = False
 
 
 @dataclass(slots=True)
@@ -274,6 +282,27 @@
             self.highest = 0.0
 
 
+def lapsed_servers(states: list[ServerState]) -> set[ServerIncarnation]:
+    """Return missing servers whose entries have most likely lapsed in an outage.
+
+    While the store is away entries lapse everywhere, and a node hears of it at one
+    moment. A reclaim takes the servers of one zone; a crash takes one.
+
+    Parameters
+    ----------
+    states : list of ServerState
+        The servers of a service.
+    """
+    missing = [state for state in states if state.is_missing]
+    return {
+        one.incarnation
+        for one in missing
+        for other in missing
+        if one.entry.zone != other.entry.zone
+        and abs(one.gone_at_s - other.gone_at_s) < SAME_MOMENT_S
+    }
+
+
 class ScalingDuty:
     """Keeps the sizes of services at what their traffic needs.
 
@@ -324,6 +353,14 @@
 
     async def scale(self, service: GatewayService) -> None:
         """Order what one service lacks, or has too much of."""
+        refused = await self.order(service)
+        if refused:
+            # The zone has none to give: what takes their place is ordered at once, and
+            # not after the next step, half a second later.
+            await self.order(service)
+
+    async def order(self, service: GatewayService) -> bool:
+        """Give the orders that are due; tell whether reclaimable ones were refused."""
         demand = self.demand_of(service)
         async with trio.open_nursery() as nursery:
             # At once: a call whose answer is lost holds the others up for seconds.
@@ -333,6 +370,16 @@
                     continue
                 if self.is_due(order, service, demand):
                     nursery.start_soon(self.give, order, demand)
+        return bool(self.dry_zones(service.name) - demand.dry_zones)
+
+    def dry_zones(self, service: str) -> set[str]:
+        """Return the zones that have no reclaimable servers to give at the moment."""
+        now_s = self.now()
+        return {
+            zone
+            for (name, zone), until_s in self.dry_until_s.items()
+            if name == service and until_s > now_s
+        }
 
     def demand_of(self, service: GatewayService) -> ServiceDemand:
         """Return a service's need and what it has."""
@@ -341,14 +388,23 @@
             zone: ZoneServers() for zone in service.scaling.zone_prices
         }
         leaving = set()
-        for state in self.parts.state.servers.by_id.values():
+        states = [
+            state
+            for state in self.parts.state.servers.by_id.values()
+            if state.entry.service == service.name
+        ]
+        lapsed = lapsed_servers(states)
+        for state in states:
             entry = state.entry
-            if entry.service != service.name:
-                continue
             there = by_zone.setdefault(entry.zone, ZoneServers())
             if state.is_leaving:
                 if entry.is_reclaimable and entry.leaves_s is not None:
                     leaving.add(entry.zone)
+            elif state.is_missing and state.incarnation not in lapsed:
+                # Some never say that they leave; their entry is removed. Counted as
+                # there until it counted as gone, their place was filled two seconds
+                # later, which with its boot were six without.
+                continue
             elif entry.is_reclaimable:
                 there.reclaimable += 1
             else:
@@ -357,10 +413,11 @@
             self.dry_until_s[service.name, zone] = now_s + DRY_S
         for zone, there in by_zone.items():
             there.booting = self.booting(service, zone, there, now_s)
+            on_demand = self.ordered.get((service.name, zone, False))
+            there.on_demand_ordered = 0 if on_demand is None else on_demand.count
         need = self.need_of(service, by_zone, now_s)
-        dry = {zone for zone in by_zone if self.dry_until_s[service.name, zone] > now_s}
         work = max(0.0, need - SPARE_SERVERS) / HEADROOM
-        return ServiceDemand(work, need, by_zone, dry)
+        return ServiceDemand(work, need, by_zone, self.dry_zones(service.name))
 
     def booting(
         self, service: GatewayService, zone: str, there: ZoneServers, now_s: float
@@ -421,10 +478,15 @@
             return present != order.count
         if last.count != order.count:
             return last.is_taken or now_s - last.at_s > RETRY_S
+        if present == order.count:
+            last.has_come = True
+            return False
         wait_s = RETRY_S
-        if last.is_taken:
+        if last.is_taken and not last.has_come:
+            # They boot. One that was there and is not any more was lost: waited for
+            # like these, its place was empty for twice the time of a boot.
             wait_s = service.scaling.boot_s + MISSING_S
-        return present != order.count and now_s - last.at_s > wait_s
+        return now_s - last.at_s > wait_s
 
     async def give(self, order: SizeOrder, demand: ServiceDemand) -> None:
         """Give one order."""
--- a/src/rosemaryknot/process/scaling_policy.py
+++ b/src/rosemaryknot/process/scaling_policy.py
@@ -27,11 +27,14 @@
         That take work.
     booting : int
         Reclaimable ones that are ordered and have not had the time to boot.
+    on_demand_ordered : int
+        On-demand ones by the last order, whether they have come or not.
     """
 
     reclaimable: int = 0
     on_demand: int = 0
     booting: int = 0
+    on_demand_ordered: int = 0
 
 
 @dataclass(slots=True)
@@ -103,7 +106,7 @@
     there = sum(demand.by_zone[zone].on_demand for zone in zones)
     least = missing_servers(demand, each, with_booting=True)
     most = missing_servers(demand, each, with_booting=False)
-    on_demand = spread(zones, max(least, min(there, most)), limits, demand)
+    on_demand = spread(zones, max(least, min(there, most)), each, limits, demand)
     sizes = []
     for zone in zones:
         count = on_demand[zone]
@@ -113,7 +116,6 @@
         reclaimable = max(0, min(each, limits.max_servers - taken))
         if zone in demand.dry_zones:
             reclaimable = min(reclaimable, demand.by_zone[zone].reclaimable)
-        count = max(count, limits.min_servers - reclaimable)
         sizes.append(SizeOrder(service, zone, True, reclaimable))
         sizes.append(SizeOrder(service, zone, False, count))
     return sizes
@@ -134,15 +136,37 @@
     return max(0, math.ceil(missing - 1e-9))
 
 
+def least_on_demand(
+    zone: str, each: int, limits: ScalingLimits, demand: ServiceDemand
+) -> int:
+    """Return how many on-demand servers a zone needs to have its least number.
+
+    Where there is one, it stays until a reclaimable one has come. Given up when that
+    one is ordered, it went and was ordered anew each time that the order was refused.
+    """
+    there = demand.by_zone[zone]
+    reclaimable = min(each, limits.max_servers)
+    if zone in demand.dry_zones or there.on_demand or there.on_demand_ordered:
+        reclaimable = there.reclaimable
+    return max(0, limits.min_servers - reclaimable)
+
+
 def spread(
-    zones: list[str], count: int, limits: ScalingLimits, demand: ServiceDemand
+    zones: list[str],
+    count: int,
+    each: int,
+    limits: ScalingLimits,
+    demand: ServiceDemand,
 ) -> dict[str, int]:
-    """Spread on-demand servers over the zones, the cheapest first.
+    """Spread on-demand servers over the zones.
 
-    One after the other: a zone that is cut off must not take all of them along.
+    The zones that lack their least number come first, since they get theirs anyway:
+    counted besides, a zone that was reclaimed cost a server more than the need. Then
+    the cheapest ones, one after the other: a zone that is cut off must not take all of
+    them along.
     """
-    sizes = dict.fromkeys(zones, 0)
-    for _ in range(count):
+    sizes = {zone: least_on_demand(zone, each, limits, demand) for zone in zones}
+    for _ in range(count - sum(sizes.values())):
         room = [
             zone
             for zone in zones
