Keep reclaimable servers over the dip between two waves

Cause: sizes followed the need down after eight seconds, reclaimable servers like the others. Ruled out: a longer time for all (on-demand servers cost five times as much and can be had again). Change: they are kept for the highest need of the last eight seconds divided by their price, 44 s at 0.18: what costs a fraction is kept as many times longer.

--- a/src/rosemaryknot/process/duties.py
+++ b/src/rosemaryknot/process/duties.py
@@ -1,7 +1,7 @@
 """Duties that one gateway does for all, under a lease: usage and sizes of services."""
 
 import random
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -303,6 +303,32 @@
     }
 
 
+class HighestOfLate:
+    """The highest of what was measured in the last seconds.
+
+    Attributes
+    ----------
+    measured : collections.deque of tuple of (float, float)
+        When, in trio time, and what; falling, since one that is followed by a higher
+        one never is the highest again.
+    """
+
+    def __init__(self) -> None:
+        self.measured: deque[tuple[float, float]] = deque()
+
+    def note(self, value: float, now_s: float) -> None:
+        """Take a measurement in."""
+        while self.measured and self.measured[-1][1] <= value:
+            self.measured.pop()
+        self.measured.append((now_s, value))
+
+    def value(self, now_s: float, within_s: float) -> float:
+        """Return the highest of the last seconds, 0 without one."""
+        while self.measured and now_s - self.measured[0][0] > within_s:
+            self.measured.popleft()
+        return self.measured[0][1] if self.measured else 0.0
+
+
 class ScalingDuty:
     """Keeps the sizes of services at what their traffic needs.
 
@@ -327,6 +353,7 @@
         self.now = now
         self.ordered: dict[tuple[str, str, bool], Ordered] = {}
         self.needs: dict[str, Need] = {}
+        self.highest: dict[str, HighestOfLate] = defaultdict(HighestOfLate)
         self.dry_until_s: dict[tuple[str, str], float] = defaultdict(float)
         self.fencing = 0
         self.busy: set[str] = set()
@@ -417,7 +444,19 @@
             there.on_demand_ordered = 0 if on_demand is None else on_demand.count
         need = self.need_of(service, by_zone, now_s)
         work = max(0.0, need - SPARE_SERVERS) / HEADROOM
-        return ServiceDemand(work, need, by_zone, self.dry_zones(service.name))
+        held = max(need, self.held(service, now_s))
+        return ServiceDemand(work, need, held, by_zone, self.dry_zones(service.name))
+
+    def held(self, service: GatewayService, now_s: float) -> float:
+        """Return the need that reclaimable servers are kept for.
+
+        What costs a fraction is kept as many times longer: over the dip between two
+        waves, in which a zone may be reclaimed and the cloud have none for the next.
+        """
+        price = service.scaling.reclaimable_price
+        if not 0 < price < 1:
+            return 0.0
+        return self.highest[service.name].value(now_s, SHRINK_S / price)
 
     def booting(
         self, service: GatewayService, zone: str, there: ZoneServers, now_s: float
@@ -447,7 +486,9 @@
         if service.name in self.busy:
             slots = 1 if service.engine is None else service.engine.slots
             work = max(tokens / rate, requests / (slots * BUSY_SHARE * HEADROOM))
-            need.note(work * HEADROOM + SPARE_SERVERS, now_s)
+            wanted = work * HEADROOM + SPARE_SERVERS
+            need.note(wanted, now_s)
+            self.highest[service.name].note(wanted, now_s)
         return need.servers
 
     def measured(self, service: str) -> tuple[float, int, float]:
--- a/src/rosemaryknot/process/scaling_policy.py
+++ b/src/rosemaryknot/process/scaling_policy.py
@@ -5,7 +5,8 @@
 zone within seconds, while it has no others to give. A server takes seconds to boot.
 Reclaimable servers cost a fraction of the others, and a request that finds no room
 costs far more than a server. So there are reclaimable servers for the need with any one
-zone gone, and on-demand servers only for what they cannot cover.
+zone gone, kept from one wave to the next since the cloud may have none for it, and
+on-demand servers only for what they cannot cover.
 """
 
 import math
@@ -47,6 +48,8 @@
         Servers' worth of work as measured; what must be left when a zone is reclaimed.
     servers : float
         The same with room for bursts; what there should be.
+    held : float
+        The highest of late, which reclaimable servers are kept for.
     by_zone : dict of str to ZoneServers
         What there is.
     dry_zones : set of str
@@ -55,6 +58,7 @@
 
     work: float
     servers: float
+    held: float
     by_zone: dict[str, ZoneServers] = field(default_factory=dict)
     dry_zones: set[str] = field(default_factory=set)
 
@@ -102,7 +106,7 @@
     zones = sorted(demand.by_zone, key=lambda z: limits.zone_prices.get(z, 1.0))
     each = 0
     if 0 < limits.reclaimable_price < 1:
-        each = reclaimable_in_each(demand.servers, len(zones), limits.max_servers)
+        each = reclaimable_in_each(demand.held, len(zones), limits.max_servers)
     there = sum(demand.by_zone[zone].on_demand for zone in zones)
     least = missing_servers(demand, each, with_booting=True)
     most = missing_servers(demand, each, with_booting=False)
--- a/tests/process/test_scaling_policy.py
+++ b/tests/process/test_scaling_policy.py
@@ -1,6 +1,8 @@
 """Tests of the sizes of services, by the load patterns that they answer."""
 
-from rosemaryknot.process.duties import SHRINK_S, Need
+import math
+
+from rosemaryknot.process.duties import SHRINK_S, HighestOfLate, Need
 from rosemaryknot.process.scaling_policy import (
     ServiceDemand,
     ZoneServers,
@@ -12,10 +14,11 @@
 LIMITS = ScalingLimits(1, 4, 4.0, 0.18, PRICES)
 
 
-def sizes(need, zones, dry=(), work=None, limits=LIMITS):
+def sizes(need, zones, dry=(), work=None, limits=LIMITS, held=None):
     """Return (reclaimable, on-demand) by zone."""
     work = max(0.0, need - 1) / 1.5 if work is None else work
-    demand = ServiceDemand(work, need, zones, set(dry))
+    held = need if held is None else held
+    demand = ServiceDemand(work, need, held, zones, set(dry))
     found = {}
     for order in wanted_sizes("s", limits, demand):
         pair = found.setdefault(order.zone, [0, 0])
@@ -104,6 +107,35 @@
         assert all(pair[0] == 0 for pair in found.values())
         assert sum(pair[1] for pair in found.values()) == 5
 
+    def test_reclaimable_ones_of_the_last_wave_are_kept(self):
+        """The need has gone down between two waves, and a zone is reclaimed there.
+
+        The cloud had no reclaimable servers for the next wave; those that had been
+        given up in the dip were missing, or cost five times as much.
+        """
+        zones = {z: ZoneServers(reclaimable=2) for z in PRICES}
+        found = sizes(2, zones, held=4)
+        assert found == {"a": [2, 0], "b": [2, 0], "c": [2, 0]}
+        assert sizes(2, zones, held=2) == {"a": [1, 0], "b": [1, 0], "c": [1, 0]}
+
+
+class TestHighestOfLate:
+    def test_waves_of_forty_seconds(self):
+        """Load goes up and down in waves of 40 s, from two servers to six.
+
+        What costs 0.18 of an on-demand server is kept as many times longer: over a
+        dip, and no longer than the next wave would have come.
+        """
+        highest = HighestOfLate()
+        kept = []
+        for second in range(200):
+            wave = 4 + 2 * math.cos(2 * math.pi * min(second, 80) / 40)
+            need = wave if second < 100 else 2.0
+            highest.note(need, float(second))
+            kept.append(highest.value(float(second), SHRINK_S / 0.18))
+        assert min(kept[:100]) > 5.9
+        assert kept[150] == 2.0
+
 
 class TestNeed:
     def test_grows_at_once_and_shrinks_late(self):
