--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -55,6 +55,17 @@
     return caller
 
 
+@pytest.fixture
+def passed_s(monkeypatch):
+    """Return a list whose one item is the time that the machine was suspended for."""
+    passed = [0.0]
+    running_time_s = node_module.running_time_s
+    monkeypatch.setattr(
+        node_module, "running_time_s", lambda: running_time_s() + passed[0]
+    )
+    return passed
+
+
 class TestLoadOutrunsTheStop:
     async def test_started_answer_is_never_cut(self, autojump_clock):
         """A stream comes 4.28 s after the signal of a planned stop with a grace of 8 s.
@@ -301,17 +312,12 @@
             await trio.sleep(0.9)
             assert fleet.nodes["n0"].listener.state.open == 0
 
-    async def test_time_limits_count_it_too(self, autojump_clock, monkeypatch):
+    async def test_time_limits_count_it_too(self, autojump_clock, passed_s):
         """A machine is suspended for 1.5 s while a stream waits for its first event.
 
         The stream was taken since its limit of 3 s ends before the stop. Its caller's
         clock went on meanwhile, and the stop's end came nearer; the limit has to.
         """
-        passed_s = [0.0]
-        running_time_s = node_module.running_time_s
-        monkeypatch.setattr(
-            node_module, "running_time_s", lambda: running_time_s() + passed_s[0]
-        )
         async with platform_system(configuration=with_long_streams()) as fleet:
             for server in fleet.servers.values():
                 server.is_mute = True
@@ -329,17 +335,12 @@
             assert answer.status == 504
             assert answer.took_s == pytest.approx(1.4, abs=0.15)
 
-    async def test_it_outlasts_the_stop(self, autojump_clock, monkeypatch):
+    async def test_it_outlasts_the_stop(self, autojump_clock, passed_s):
         """A machine is suspended until after the end of its node's stop.
 
         Its process may be killed at any moment; callers without an answer still get
         one at once.
         """
-        passed_s = [0.0]
-        running_time_s = node_module.running_time_s
-        monkeypatch.setattr(
-            node_module, "running_time_s", lambda: running_time_s() + passed_s[0]
-        )
         async with platform_system(configuration=with_long_streams()) as fleet:
             for server in fleet.servers.values():
                 server.is_mute = True
