Part the duties of usage and sizes

A move: process/duties.py (571 lines) becomes usage_duty.py, scaling_duty.py and what they share, duty_parts.py. No statement changed; tests of control, scaling and layout passed.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -17,12 +17,7 @@
 from rosemaryknot.connection.pages import Page, PageServer
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.change_spread import ChangeSpread
-from rosemaryknot.process.duties import (
-    KEPT_NOTE,
-    DutyParts,
-    ScalingDuty,
-    UsageDuty,
-)
+from rosemaryknot.process.duty_parts import DutyParts
 from rosemaryknot.process.exchange_parts import Demand, ExchangeParts
 from rosemaryknot.process.gateway_exchange import GatewayExchange
 from rosemaryknot.process.gateway_quota import QuotaBook
@@ -33,10 +28,12 @@
 from rosemaryknot.process.node_settings import Bounds, NodeSettings
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.planned_stop import NodeStop
+from rosemaryknot.process.scaling_duty import ScalingDuty
 from rosemaryknot.process.settings_watch import watch_settings
 from rosemaryknot.process.store_follower import StoreFollower
 from rosemaryknot.process.true_time import TrueTime, running_time_s
 from rosemaryknot.process.usage_book import UsageBook
+from rosemaryknot.process.usage_duty import KEPT_NOTE, UsageDuty
 from rosemaryknot.request.gateway import Gateway, GatewayParts
 from rosemaryknot.values.duties import DutyCalls
 from rosemaryknot.values.gateway_answers import GatewayWire
--- a/tests/process/test_scaling_policy.py
+++ b/tests/process/test_scaling_policy.py
@@ -2,7 +2,7 @@
 
 import math
 
-from rosemaryknot.process.duties import SHRINK_S, HighestOfLate, Need
+from rosemaryknot.process.scaling_duty import SHRINK_S, HighestOfLate, Need
 from rosemaryknot.process.scaling_policy import (
     ServiceDemand,
     ZoneServers,
