--- a/src/rosemaryknot/process/scaling_duty.py
+++ b/src/rosemaryknot/process/scaling_duty.py
@@ -199,13 +199,13 @@
 
     async def scale(self, service: GatewayService) -> None:
         """Order what one service lacks, or has too much of."""
-        refused = await self.order(service)
+        refused = await self.give_due(service)
         if refused:
             # The zone has none to give: what takes their place is ordered at once, and
             # not after the next step, half a second later.
-            await self.order(service)
+            await self.give_due(service)
 
-    async def order(self, service: GatewayService) -> bool:
+    async def give_due(self, service: GatewayService) -> bool:
         """Give the orders that are due; tell whether reclaimable ones were refused."""
         demand = self.demand_of(service)
         async with trio.open_nursery() as nursery:
@@ -230,10 +230,23 @@
     def demand_of(self, service: GatewayService) -> ServiceDemand:
         """Return a service's need and what it has."""
         now_s = self.now()
+        by_zone = self.servers_there(service, now_s)
+        for zone, there in by_zone.items():
+            there.booting = self.booting(service, zone, there, now_s)
+            on_demand = self.ordered.get((service.name, zone, False))
+            there.on_demand_ordered = 0 if on_demand is None else on_demand.count
+        need = self.need_of(service, by_zone, now_s)
+        work = max(0.0, need - SPARE_SERVERS) / HEADROOM
+        held = max(need, self.held(service, now_s))
+        return ServiceDemand(work, need, held, by_zone, self.dry_zones(service.name))
+
+    def servers_there(
+        self, service: GatewayService, now_s: float
+    ) -> dict[str, ZoneServers]:
+        """Return a service's servers by zone, and note the zones that are reclaimed."""
         by_zone: dict[str, ZoneServers] = {
             zone: ZoneServers() for zone in service.scaling.zone_prices
         }
-        leaving = set()
         states = [
             state
             for state in self.parts.state.servers.by_id.values()
@@ -245,7 +258,7 @@
             there = by_zone.setdefault(entry.zone, ZoneServers())
             if state.is_leaving:
                 if entry.is_reclaimable and entry.leaves_s is not None:
-                    leaving.add(entry.zone)
+                    self.dry_until_s[service.name, entry.zone] = now_s + DRY_S
             elif state.is_missing and state.incarnation not in lapsed:
                 # Some never say that they leave; their entry is removed. Counted as
                 # there until it counted as gone, their place was filled two seconds
@@ -255,16 +268,7 @@
                 there.reclaimable += 1
             else:
                 there.on_demand += 1
-        for zone in leaving:
-            self.dry_until_s[service.name, zone] = now_s + DRY_S
-        for zone, there in by_zone.items():
-            there.booting = self.booting(service, zone, there, now_s)
-            on_demand = self.ordered.get((service.name, zone, False))
-            there.on_demand_ordered = 0 if on_demand is None else on_demand.count
-        need = self.need_of(service, by_zone, now_s)
-        work = max(0.0, need - SPARE_SERVERS) / HEADROOM
-        held = max(need, self.held(service, now_s))
-        return ServiceDemand(work, need, held, by_zone, self.dry_zones(service.name))
+        return by_zone
 
     def held(self, service: GatewayService, now_s: float) -> float:
         """Return the need that reclaimable servers are kept for.
