Count connections when they have waited, not before

Cause: connections that wait for a node's first configuration were let in by a count that did not hold them; all of them were served, more than descriptors are kept for. Change: the count, and whether the listener is closed, are looked at behind the wait. Before: test_more_connections_than_there_may_be had 3 open of 2; after: 2.

--- a/src/rosemaryknot/connection/gateway_listener.py
+++ b/src/rosemaryknot/connection/gateway_listener.py
@@ -74,10 +74,10 @@
 
     async def handle(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection."""
+        await self.wait_known(FIRST_WAIT_S)
         if self.state.is_closed:
             return
         if self.state.open >= self.max_connections:
             log.warning("connection closed: too many", open=self.state.open)
             return
-        await self.wait_known(FIRST_WAIT_S)
         await CallerConnection(stream, self.state).run()
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -38,3 +38,21 @@
             assert answer.status == 503
             assert answer.took_s < 0.3
             nursery.cancel_scope.cancel()
+
+    async def test_more_connections_than_there_may_be(self, autojump_clock):
+        """Callers open more connections than a node may have, before it knows anything.
+
+        Counted before they waited, all of them would be served.
+        """
+        async with trio.open_nursery() as nursery:
+            fleet = PlatformSystem(nursery)
+            await fleet.start(nodes=0)
+            fleet.store.faults.begin("busy")
+            node = await fleet.add_node(0)
+            node.listener.max_connections = 2
+            callers = [await fleet.caller().open() for _ in range(3)]
+            await trio.sleep(0.3)
+            assert node.listener.state.open == 2
+            for caller in callers:
+                await caller.close()
+            nursery.cancel_scope.cancel()
