--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -82,6 +82,8 @@
 
     async def wait_known(self, limit_s: float) -> None:
         """Wait until requests can be served, or for some seconds."""
+        if self.known.is_set():
+            return
         with trio.move_on_after(limit_s):
             await self.known.wait()
 
--- a/src/rosemaryknot/process/planned_stop.py
+++ b/src/rosemaryknot/process/planned_stop.py
@@ -46,8 +46,6 @@
 
     Attributes
     ----------
-    stop : PlannedStop or None
-        Its times; earlier ones once the machine was suspended.
     scope : trio.CancelScope
         Ends the wait for answers.
     """
@@ -65,16 +63,20 @@
         self.lease = lease
         self.peers = peers
         self.suspended_s = suspended_s
-        self.stop: PlannedStop | None = None
         self.scope = trio.CancelScope()
 
+    @property
+    def stop(self) -> PlannedStop:
+        """Its times, which those who admit go by; earlier after a suspension."""
+        return self.listener.stop
+
     async def run(self, grace_s: float) -> None:
         """End the node's work within a grace, and tell what was cut."""
         began_s = trio.current_time()
         ends_s = began_s + grace_s - STOP_RESERVE_S
         log.info("not ready: planned stop", in_flight=self.listener.busy)
-        self.stop = PlannedStop(began_s, began_s + NOT_READY_S, ends_s)
-        self.listener.begin_stop(self.stop)
+        stop = PlannedStop(began_s, began_s + NOT_READY_S, ends_s)
+        self.listener.begin_stop(stop)
         self.scope.deadline = ends_s
         try:
             with self.scope:
@@ -105,8 +107,7 @@
 
     def take_off(self, passed_s: float) -> None:
         """End the stop, and what it took in, earlier by a time in suspension."""
-        self.stop = self.stop.earlier(passed_s)
-        self.listener.stop = self.stop
+        self.listener.stop = self.stop.earlier(passed_s)
         self.gateway.take_off(passed_s)
         now_s = trio.current_time()
         # Those without an answer still get one where the stop is over by now.
--- a/src/rosemaryknot/request/gateway_entry.py
+++ b/src/rosemaryknot/request/gateway_entry.py
@@ -37,7 +37,9 @@
 # What is left must cover the way to the server and back, or nobody gains by sending.
 LEAST_LEFT_S = 0.01
 TOO_MANY = 429
-# The way in force; weighed in docs/design/platform.md.
+# The way in force; weighed in docs/design/platform.md. A stream started on an estimate
+# was cut at the stop's end whenever the load outran the estimate; what a time limit
+# bounds ends before, whatever the load.
 STOP_ADMISSION = "bound_and_estimate"
 
 log = logger("gateway")
@@ -99,7 +101,8 @@
         stop = parts.stop()
         if stop is not None:
             given = self.stop_input(stop, found, request)
-            outcome = self.decide_in_stop(given, found.route, request)
+            outcome = self.admit_in_stop(given)
+            self.log_in_stop(given, outcome, found.route, request)
             if isinstance(outcome, RefusedInStop):
                 return self.refused_in_stop(outcome)
             until_s = outcome.until_s
@@ -140,9 +143,11 @@
         if not isinstance(found, Found):
             return None
         given = self.stop_input(stop, found, request)
-        if isinstance(self.admit_in_stop(given), TakenInStop):
+        outcome = self.admit_in_stop(given)
+        if isinstance(outcome, TakenInStop):
             return None
-        return self.refused_in_stop(self.decide_in_stop(given, found.route, request))
+        self.log_in_stop(given, outcome, found.route, request)
+        return self.refused_in_stop(outcome)
 
     def look_up(self, request: GatewayRequest) -> Found | Refusal:
         """Return whose request it is and where it goes, or why it is refused."""
@@ -181,13 +186,14 @@
         is_alone = self.parts.is_alone()
         return StopInput(now_s, stop, found.until_s, likely, may_end_early, is_alone)
 
-    def decide_in_stop(
-        self, given: StopInput, route: GatewayRoute, request: GatewayRequest
-    ) -> TakenInStop | RefusedInStop:
-        """Decide on a request that came during a planned stop, and log it."""
-        # A stream started on an estimate was cut at the stop's end whenever the load
-        # outran the estimate; what a time limit bounds ends before, whatever the load.
-        outcome = self.admit_in_stop(given)
+    def log_in_stop(
+        self,
+        given: StopInput,
+        outcome: TakenInStop | RefusedInStop,
+        route: GatewayRoute,
+        request: GatewayRequest,
+    ) -> None:
+        """Log what was decided on a request during a planned stop, and from what."""
         likely = given.likely
         log.info(
             "decided in a planned stop",
@@ -202,7 +208,6 @@
             answers=likely.answers,
             answers_age_s=None if likely.age_s is None else round(likely.age_s, 1),
         )
-        return outcome
 
     def customer_of(
         self,
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -55,6 +55,16 @@
     return caller
 
 
+async def caller_late_in_a_stop(fleet):
+    """Open a connection 3 s after a signal; a stream keeps the stop up."""
+    set_pace(fleet, 2.0)
+    await open_long(fleet, "long")
+    await trio.sleep(0.1)
+    fleet.stops["n0"].set()
+    await trio.sleep(3)
+    return await fleet.caller().open()
+
+
 @pytest.fixture
 def passed_s(monkeypatch):
     """Return a list whose one item is the time that the machine was suspended for."""
@@ -398,12 +408,7 @@
         refusal before its caller reads it; the whole answer has to be there.
         """
         async with platform_system(configuration=with_long_streams()) as fleet:
-            set_pace(fleet, 2.0)
-            await open_long(fleet, "long")
-            await trio.sleep(0.1)
-            fleet.stops["n0"].set()
-            await trio.sleep(3)
-            slow = await fleet.caller().open()
+            slow = await caller_late_in_a_stop(fleet)
             request = h11.Request(method="POST", target="/plan/x", headers=SLOW_HEADERS)
             await slow.stream.send_all(slow.conn.send(request))
             for _ in range(50):
@@ -422,12 +427,7 @@
         that body or another request.
         """
         async with platform_system(configuration=with_long_streams()) as fleet:
-            set_pace(fleet, 2.0)
-            await open_long(fleet, "long")
-            await trio.sleep(0.1)
-            fleet.stops["n0"].set()
-            await trio.sleep(3)
-            slow = await fleet.caller().open()
+            slow = await caller_late_in_a_stop(fleet)
             headers = [*SLOW_HEADERS, ("Expect", "100-continue")]
             request = h11.Request(method="POST", target="/plan/x", headers=headers)
             await slow.stream.send_all(slow.conn.send(request))
