--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -17,6 +17,10 @@
 
 FIRST_PORT = 20000
 BUFFER_BYTES = 256 * 1024
+# Bytes under way in one direction of a connection between hosts with a bandwidth, and
+# the pieces in which they go out, between which other connections have their turn.
+WINDOW_BYTES = 64 * 1024
+SEGMENT_BYTES = 16 * 1024
 
 
 class PeerSocket:
@@ -57,6 +61,27 @@
         return self.chunks[0][0] if self.chunks else self.ends_s
 
 
+@dataclass(slots=True)
+class HostLink:
+    """One direction of a host's link, which all its connections share.
+
+    Attributes
+    ----------
+    bytes_per_s : float
+        Its bandwidth.
+    free_s : float
+        When all that was put on it so far has passed, in trio time.
+    """
+
+    bytes_per_s: float
+    free_s: float = 0.0
+
+    def pass_on(self, at_s: float, size: int) -> float:
+        """Return when bytes that are there at a time have passed the link."""
+        self.free_s = max(at_s, self.free_s) + size / self.bytes_per_s
+        return self.free_s
+
+
 class MemoryStream(trio.abc.HalfCloseableStream):
     """One end of an in-memory connection."""
 
@@ -73,10 +98,18 @@
     async def send_all(self, data: bytes) -> None:
         """Send bytes; they are dropped while the link is silent or cut."""
         await trio.lowlevel.checkpoint()
-        pipe = self.outgoing
         if self.closed:
             raise trio.ClosedResourceError
-        while pipe.size > BUFFER_BYTES and not pipe.reset and not self.closed:
+        if not self.network.is_limited(self.near, self.far):
+            await self.send_part(data, BUFFER_BYTES)
+            return
+        for start in range(0, len(data), SEGMENT_BYTES):
+            await self.send_part(data[start : start + SEGMENT_BYTES], WINDOW_BYTES)
+
+    async def send_part(self, data: bytes, window: int) -> None:
+        """Send bytes once no more than a window of them are under way."""
+        pipe = self.outgoing
+        while pipe.size > window and not pipe.reset and not self.closed:
             await pipe.changed.park()
         if self.closed:
             raise trio.ClosedResourceError
@@ -101,9 +134,9 @@
             # connection stays silent for good even when the cut heals.
             self.silent = True
             return
-        delay = self.network.delay_s(self.near, self.far)
         pipe = self.outgoing
-        pipe.chunks.append((trio.current_time() + delay, bytes(data)))
+        arrives_s = self.network.arrival_s(self.near, self.far, len(data))
+        pipe.chunks.append((arrives_s, bytes(data)))
         pipe.size += len(data)
         pipe.wake()
 
@@ -191,6 +224,8 @@
         Pairs of hosts that cannot reach each other.
     delays_s : dict of frozenset of str to float
         One-way delay between two hosts, in seconds.
+    outbound, inbound : dict of str to HostLink
+        Links of the hosts whose bandwidth is limited.
     """
 
     def __init__(
@@ -201,6 +236,8 @@
         self.streams = set() if shared is None else shared.streams
         self.cuts = set() if shared is None else shared.cuts
         self.delays_s = {} if shared is None else shared.delays_s
+        self.outbound = {} if shared is None else shared.outbound
+        self.inbound = {} if shared is None else shared.inbound
 
     def with_host(self, host: str) -> "MemoryNetwork":
         """Return the view of another host on the same network."""
@@ -214,6 +251,25 @@
         """Return the one-way delay between two hosts in seconds."""
         return self.delays_s.get(frozenset((one, other)), 0.0)
 
+    def limit_link(self, host: str, bytes_per_s: float) -> None:
+        """Give a host's link a bandwidth, the same in both directions."""
+        self.outbound[host] = HostLink(bytes_per_s)
+        self.inbound[host] = HostLink(bytes_per_s)
+
+    def is_limited(self, one: str, other: str) -> bool:
+        """Tell whether a host's link bounds what two hosts exchange."""
+        return one in self.outbound or other in self.outbound
+
+    def arrival_s(self, near: str, far: str, size: int) -> float:
+        """Return when bytes sent now arrive, behind what the links carry already."""
+        at_s = trio.current_time()
+        if near in self.outbound:
+            at_s = self.outbound[near].pass_on(at_s, size)
+        at_s += self.delay_s(near, far)
+        if far in self.inbound:
+            at_s = self.inbound[far].pass_on(at_s, size)
+        return at_s
+
     def cut(self, one: str, other: str) -> None:
         """Partition two hosts; open connections between them go silent."""
         self.cuts.add(frozenset((one, other)))
--- a/tests/connection/test_memory_network.py
+++ b/tests/connection/test_memory_network.py
@@ -88,3 +88,16 @@
         stream = await network.with_host(CALLER).dial(SERVER)
         assert await stream.receive_some() == b"answer"
         assert await stream.receive_some() == b""
+
+    async def test_connections_share_the_bandwidth_of_a_host(
+        self, network, autojump_clock
+    ):
+        network.limit_link(CALLER, 1000.0)
+        first = await network.with_host(CALLER).dial(SERVER)
+        second = await network.with_host(CALLER).dial(SERVER)
+        start = trio.current_time()
+        await first.send_all(bytes(2000))
+        await second.send_all(bytes(1000))
+        assert len(await second.receive_some()) == 1000
+        # They go out from 2 s to 3 s and come back behind the others, from 4 s to 5 s.
+        assert trio.current_time() - start == 5.0
