Show what fills a node's links, and by which version a request was refused

Gateways now serve bytes of their links by duty and direction and what is queued; a write that takes over half a second has a line; the line of a refusal names the version in force and the newest that any node was heard to have.

--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -27,6 +27,7 @@
     Unsupported,
 )
 from rosemaryknot.connection.link_traffic import Traffic
+from rosemaryknot.process.logs import logger
 from rosemaryknot.values.messages import (
     Message,
     MessageError,
@@ -51,9 +52,12 @@
 SEND_TIMEOUT_S = 5.0
 HEARTBEAT_S = 1.0
 SHORTEST_SLEEP_S = 0.001
+SLOW_WRITE_S = 0.5
 
 MessageType = TypeVar("MessageType", bound=Message)
 
+log = logger("links")
+
 REFUSALS = {Busy: "busy", Unsupported: "unsupported"}
 
 
@@ -215,11 +219,24 @@
             data, self.output = self.output, bytearray()
             self.is_writing = True
             self.output_changed.unpark_all()
+            began_s = trio.current_time()
             with trio.fail_after(SEND_TIMEOUT_S):
                 await self.stream.send_all(data)
+            self.note_write(len(data), trio.current_time() - began_s)
             self.is_writing = False
             self.output_changed.unpark_all()
 
+    def note_write(self, size: int, took_s: float) -> None:
+        """Log a write that the link held up."""
+        if took_s > SLOW_WRITE_S:
+            log.warning(
+                "slow write",
+                peer=self.hello.name,
+                bytes=size,
+                took_s=round(took_s, 3),
+                queued_bytes=len(self.output),
+            )
+
     async def send_heartbeats(self) -> None:
         """Send a heartbeat whenever nothing else was sent for a while."""
         while not self.is_closed:
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -247,6 +247,7 @@
         It does so too when another gateway found the store again: this one's watch
         may have been lost in the outage without a sign.
         """
+        self.parts.state.note_heard(report.version)
         is_same = last is not None and last.incarnation == report.incarnation
         has_returned = is_same and report.returns > last.returns
         for kind, follower in self.parts.followers.items():
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -41,6 +41,10 @@
         In force; None before the first one.
     document : object
         The value that it was decoded from, for nodes that cannot reach the store.
+    heard_version : int
+        Newest version that another gateway was heard to have; -1 before any.
+    heard_s : float
+        When it was heard last, in trio time.
     entries : dict of str to tuple of (int, object)
         Revisions and values of the servers' entries, for the same.
     servers : ServerTable
@@ -59,6 +63,8 @@
         self.configuration: GatewayConfiguration | None = None
         self.document: Any = None
         self.document_revision = 0
+        self.heard_version = -1
+        self.heard_s = float("-inf")
         self.entries: dict[str, tuple[int, Any]] = {}
         self.servers = ServerTable()
         # By name: revision of the last entry that was left alone and said so.
@@ -70,6 +76,17 @@
         """Version in force, -1 before the first."""
         return -1 if self.configuration is None else self.configuration.version
 
+    @property
+    def newest_version(self) -> int:
+        """Newest version that this or another gateway is known to have."""
+        return max(self.version, self.heard_version)
+
+    def note_heard(self, version: int) -> None:
+        """Note which version another gateway has."""
+        if version >= self.heard_version:
+            self.heard_version = version
+            self.heard_s = trio.current_time()
+
     def limits(self) -> CallerLimits:
         """Return the bounds on callers' connections."""
         if self.configuration is None:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -26,6 +26,7 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import render_metrics
 from rosemaryknot.process.node_settings import Bounds, NodeSettings
+from rosemaryknot.process.peer_metrics import PeerMetrics
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.planned_stop import NodeStop
 from rosemaryknot.process.scaling_duty import ScalingDuty
@@ -164,6 +165,7 @@
             handlers,
             rng=rng,
         )
+        self.peer_metrics = PeerMetrics(self.peers)
         self.budget = AttemptBudget(
             bounds.retry_ratio,
             bounds.retry_window_s,
@@ -241,6 +243,7 @@
             zone=self.settings.zone,
             wire=self.adapter.wire,
             configuration=lambda: self.state.configuration,
+            newest_version=lambda: self.state.newest_version,
             servers=self.state.servers,
             pool=self.pool,
             take_quota=take_quota,
@@ -380,6 +383,7 @@
     def metrics_page(self) -> Page:
         """Return what the collector is told."""
         OWED.set(len(self.listener.state.owed.all))
+        self.peer_metrics.update()
         body, content_type = render_metrics()
         return Page(READY, body, content_type)
 
--- a/src/rosemaryknot/process/peer_metrics.py
+++ b/src/rosemaryknot/process/peer_metrics.py
@@ -23,6 +23,11 @@
     "budget": "limits",
     "decisions": "operators",
     "drain": "operators",
+    "duty": "reports",
+    "gateway": "reports",
+    "gateway_state": "offers",
+    "hub": "reports",
+    "store": "changes",
 }
 FORWARDED = ("peer_forward", "peer_forwarded")
 
@@ -31,6 +36,7 @@
 BYTES = counter("link_bytes_total", "Bytes of message links by duty and direction.")
 MESSAGES = counter("link_messages_total", "Messages of links by duty and direction.")
 EVENTS = counter("peer_events_total", "Dials, refusals, suspicions and the like.")
+QUEUED = gauge("link_queued_bytes", "Bytes that wait to be written to message links.")
 
 
 def duty_of(kind: str) -> str:
@@ -42,13 +48,15 @@
     'configuration'
     >>> duty_of("beat")
     'heartbeat'
+    >>> duty_of("gateway_state")
+    'offers'
     >>> duty_of("peer_forward")
     'forwarding'
     """
     if kind in FORWARDED:
         return "forwarding"
     word = kind.partition("_")[0]
-    return DUTIES.get(word, word or "unknown")
+    return DUTIES.get(kind) or DUTIES.get(word, word or "unknown")
 
 
 def by_duty(kinds: dict[str, KindTraffic]) -> dict[str, KindTraffic]:
@@ -90,6 +98,7 @@
         """Add what was counted since the last time."""
         LIVE.set(len(self.peers.nodes()))
         LINKED.set(len(self.peers.linked()))
+        QUEUED.set(self.peers.queued_bytes())
         for direction, duties in traffic_by_duty(self.peers.traffic).items():
             for duty, total in duties.items():
                 labels = {"direction": direction, "duty": duty}
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -154,6 +154,11 @@
         end = None if peer is None else peer.best()
         return None if end is None else end.link
 
+    def queued_bytes(self) -> int:
+        """Return how many bytes wait to be written to all links."""
+        ends = [end for peer in self.peers.values() for end in peer.links]
+        return sum(len(end.link.output) for end in ends)
+
     async def call(
         self, name: str, value: Message, timeout_s: float
     ) -> Message | CallFailed:
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -261,12 +261,15 @@
     ) -> None:
         """Answer a request ourselves; the log tells the last choice of a server."""
         REQUESTS.add(outcome=str(refusal.status))
+        configuration = self.parts.configuration()
         log.info(
             "refused",
             request=request.id,
             status=refusal.status,
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
+            version=None if configuration is None else configuration.version,
+            newest_version=self.parts.newest_version(),
             took_s=round(trio.current_time() - request.arrived_s, 3),
             **(choice or {}),
         )
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -52,6 +52,8 @@
         Names of headers.
     configuration : callable
         Returns the configuration in force, or None.
+    newest_version : callable
+        Returns the newest version that any gateway was heard to have.
     servers : ServerTable
         The backend servers.
     pool : ServerPool
@@ -83,6 +85,7 @@
     zone: str
     wire: GatewayWire
     configuration: Callable[[], GatewayConfiguration | None]
+    newest_version: Callable[[], int]
     servers: ServerTable
     pool: ServerPool
     take_quota: Callable[[CustomerLimit, float], float]
