Compress large messages between nodes

Callers saw late configurations, and requests that ran at servers that had left.

A link now compresses frames from 1 KB on for peers whose hello says that they read it; an older release gets plain ones. What a frame unpacks to is bounded by the size that its head states before anything is unpacked.

Two tests of full queues sent text that compresses to nothing: they now send text that does not, of the same length.

--- a/src/rosemaryknot/connection/link_hello.py
+++ b/src/rosemaryknot/connection/link_hello.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from rosemaryknot.connection.link_compression import ZSTD
 from rosemaryknot.connection.link_messages import Hello, LinkClosed, Proof
 from rosemaryknot.values.messages import MessageError, decode_message, encode_message
 
@@ -87,7 +88,7 @@
 
 def is_well_formed(hello: Hello) -> bool:
     """Tell whether the fields of a hello have their types."""
-    texts = (hello.name, hello.zone, hello.role, hello.address)
+    texts = (hello.name, hello.zone, hello.role, hello.address, hello.compression)
     return (
         all(isinstance(text, str) for text in texts)
         and isinstance(hello.incarnation, int)
@@ -143,7 +144,8 @@
     LinkClosed
         If the other end does not prove that it holds the key.
     """
-    sent = encode_message(replace(hello, nonce=secrets.token_bytes(NONCE_BYTES)))
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    sent = encode_message(replace(hello, nonce=nonce, compression=ZSTD))
     with hello_bounds():
         if is_dialled:
             await send_raw(stream, sent)
--- a/src/rosemaryknot/connection/link_messages.py
+++ b/src/rosemaryknot/connection/link_messages.py
@@ -36,6 +36,8 @@
         Version of the link protocol.
     address : str
         Where the sender accepts links, or empty.
+    compression : str
+        Of frames that the sender can read besides plain ones, or empty.
     """
 
     kind: ClassVar[str]
@@ -46,6 +48,7 @@
     nonce: bytes
     protocol: int = PROTOCOL
     address: str = ""
+    compression: str = ""
 
     @property
     def node(self) -> Node:
--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -13,6 +13,11 @@
 
 import trio
 
+from rosemaryknot.connection.link_compression import (
+    ZSTD,
+    compressed,
+    decompressed,
+)
 from rosemaryknot.connection.link_hello import (
     MAX_FRAME_BYTES,
     FrameReader,
@@ -159,9 +164,10 @@
         it. Writing the stream from the senders would let a caller who hangs up
         leave half a frame behind, which costs every other user of the link.
         """
+        if len(payload) + 4 > MAX_FRAME_BYTES:
+            raise ValueError(f"{kind} message of {len(payload)} bytes is too large")
+        payload = self.packed(payload)
         size = len(payload) + 4
-        if size > MAX_FRAME_BYTES:
-            raise ValueError(f"{kind} message of {size} bytes is too large")
         if not self.has_room(size):
             await self.wait_for_room(size)
         if self.is_closed:
@@ -183,12 +189,18 @@
         queued : bool
             False where the link is closed or full.
         """
-        size = len(payload) + 4
-        if self.is_closed or size > MAX_FRAME_BYTES or not self.has_room(size):
+        if self.is_closed or len(payload) + 4 > MAX_FRAME_BYTES:
+            return False
+        payload = self.packed(payload)
+        if not self.has_room(len(payload) + 4):
             return False
         self.append_frame(kind, payload)
         return True
 
+    def packed(self, payload: bytes) -> bytes:
+        """Return a payload as it goes out on this link."""
+        return compressed(payload) if self.hello.compression == ZSTD else payload
+
     def append_frame(self, kind: str, payload: bytes) -> None:
         """Queue one frame, for which there is room."""
         size = len(payload) + 4
@@ -382,7 +394,8 @@
         while not self.is_closed:
             payload = await self.reader.read_frame()
             self.last_heard_s = trio.current_time()
-            value, call, reply_to = decode_message(payload)
+            message = decompressed(payload, MAX_FRAME_BYTES)
+            value, call, reply_to = decode_message(message)
             self.traffic.add_received(value.kind, len(payload) + 4)
             if isinstance(value, Beat):
                 continue
--- a/tests/connection/test_links.py
+++ b/tests/connection/test_links.py
@@ -3,12 +3,14 @@
 import hashlib
 import hmac
 import math
+import random
 from dataclasses import dataclass
 from typing import ClassVar
 
 import msgpack
 import pytest
 import trio
+import zstandard
 
 from rosemaryknot.connection.links import (
     CallFailed,
@@ -80,6 +82,11 @@
         return await self.network.with_host("127.0.0.1").dial(ADDRESS)
 
 
+def incompressible(size: int) -> str:
+    """Return a text that takes at least a byte a character on a link."""
+    return random.Random(1).randbytes(size).decode("latin-1")
+
+
 def raw_frame(payload: bytes) -> bytes:
     return len(payload).to_bytes(4, "big") + payload
 
@@ -156,6 +163,8 @@
             (raw_frame(b"\xc1 no msgpack"), "unreadable message", 1),
             (raw_frame(msgpack.packb(["test_question", 1, 0, {}])), None, 1),
             (raw_frame(msgpack.packb(["test_question", 1, 0, {"text": 7}])), None, 1),
+            (raw_frame(zstandard.FRAME_HEADER + b"\x00 no frame"), None, 1),
+            (raw_frame(zstandard.compress(bytes(9 * 1024 * 1024))), None, 1),
         ],
     )
     async def test_broken_frame_closes_the_link(
@@ -180,6 +189,30 @@
             assert acceptor.link.traffic.unreadable == unreadable
             nursery.cancel_scope.cancel()
 
+    async def test_large_message_is_compressed(self, autojump_clock):
+        """Guards against documents that go over slow links in full size."""
+        acceptor = Acceptor(answering())
+        async with trio.open_nursery() as nursery:
+            link = await opened(nursery, await acceptor.dial(nursery))
+            text = "a route of many " * 10_000
+            assert await link.call(Question(text), 1) == Question(text.upper())
+            traffic = acceptor.link.traffic
+            counts = (traffic.received, traffic.sent)
+            assert all(c["test_question"].bytes < 2000 for c in counts)
+            nursery.cancel_scope.cancel()
+
+    async def test_peer_of_an_older_release_gets_plain_frames(self, autojump_clock):
+        """Guards against frames that a peer cannot read during an upgrade."""
+        acceptor = Acceptor(answering())
+        async with trio.open_nursery() as nursery:
+            link = await opened(nursery, await acceptor.dial(nursery))
+            assert await link.call(Question("first"), 1) == Question("FIRST")
+            link.hello.compression = acceptor.link.hello.compression = ""
+            text = "a route of many " * 1000
+            assert await link.call(Question(text), 1) == Question(text.upper())
+            assert acceptor.link.traffic.received["test_question"].bytes > len(text)
+            nursery.cancel_scope.cancel()
+
     async def test_newer_peer(self, autojump_clock):
         """During an upgrade a newer peer sends kinds and fields of its release.
 
@@ -209,7 +242,7 @@
         acceptor = Acceptor(answering())
         async with trio.open_nursery() as nursery:
             link = await opened(nursery, await acceptor.dial(nursery))
-            large = "x" * (3 * 1024 * 1024)
+            large = incompressible(3 * 1024 * 1024)
             async with trio.open_nursery() as callers:
                 for _ in range(3):
                     callers.start_soon(link.call, Question(large), 60)
@@ -235,7 +268,7 @@
             await nursery.start(network.listen, ADDRESS, accept_and_freeze)
             stream = await network.with_host("127.0.0.1").dial(ADDRESS)
             link = await opened(nursery, stream)
-            text = "x" * 400_000
+            text = incompressible(400_000)
             sent = [await link.send(Question(text)) for _ in range(8)]
             assert sent[0] and not sent[-1]
             assert link.end_reason == "the other end does not read"
