Tell configurations as differences, and ask for what was missed

Callers saw 404 for confirmed routes, and answers that came late, while a configuration of 1,600 routes changed twice a second. Compressed whole, it is 25 KB: twice a second to 22 nodes that is 1.1 MB a second of a link that carries 625 KB. And a node that missed a version asked the store, which tells each version between in full, 430 KB each over the same link; while its own queue held back the acknowledgements, a hub received 16 to 130 KB a second.

A hub now tells a version as its difference to the one before, 84 bytes where a route changed in 1,664; the digest of the document that it refers to goes along. A node with another one, or one that hears for 0.6 s that others have a newer version, asks a gateway for it; hubs ask the hubs of other zones. The store is asked for the configuration only behind that, after 1.5 s. Offers to nodes without the store take the same way.

Tests: without differences, without the questions, and without the answer to another base, one or two of tests/gateway/test_configurations.py fail.

--- a/src/rosemaryknot/process/change_spread.py
+++ b/src/rosemaryknot/process/change_spread.py
@@ -13,12 +13,14 @@
 import trio
 
 from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.process.gateway_configurations import GatewayConfigurations
 from rosemaryknot.process.gateway_exchange import GatewayExchange
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer_links import relays_of
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.store_follower import StoreFollower
 from rosemaryknot.values.gateway_peers import StoreChanges
+from rosemaryknot.values.messages import Message
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.platform import ObjectChanged
 from rosemaryknot.values.store_changes import Changes
@@ -34,6 +36,8 @@
 # Sets of changes that wait to be told; beyond it they are dropped, and the others see
 # in the reports that they are behind.
 MAX_UNTOLD = 200
+# Kind of object, as the followers are named.
+CONFIGURATION = "configuration"
 
 log = logger("spread")
 
@@ -80,6 +84,8 @@
         By kind.
     exchange : GatewayExchange
         Tells which nodes are heard and reach the store.
+    configurations : GatewayConfigurations
+        Makes the messages that tell of configurations.
     handlers : Handlers
         Of the node's links.
     """
@@ -90,12 +96,14 @@
         peers: PeerSet,
         followers: dict[str, StoreFollower],
         exchange: GatewayExchange,
+        configurations: GatewayConfigurations,
         handlers: Handlers,
     ) -> None:
         self.node = node
         self.peers = peers
         self.followers = followers
         self.exchange = exchange
+        self.configurations = configurations
         self.choice = Choice(-1, set())
         self.untold, self.to_tell = trio.open_memory_channel(MAX_UNTOLD)
         for kind, follower in followers.items():
@@ -129,13 +137,24 @@
             return
         if self.node.name not in self.watching() and not self.exchange.hubs.is_on:
             return
-        events = [[e.name, e.version, e.value, e.deleted] for e in changes.events]
-        told = StoreChanges(kind, before, changes.revision, events)
+        told = self.message_of(kind, before, changes)
+        if told is None:
+            return
         try:
             self.untold.send_nowait(told)
         except trio.WouldBlock:
             log.warning("changes not told: too many wait", kind=kind)
 
+    def message_of(self, kind: str, before: int, changes: Changes) -> Message | None:
+        """Return what to tell the others of changes; None where it is nothing.
+
+        Of a configuration only the newest version matters, and it may be large.
+        """
+        if kind == CONFIGURATION:
+            return self.configurations.news()
+        events = [[e.name, e.version, e.value, e.deleted] for e in changes.events]
+        return StoreChanges(kind, before, changes.revision, events)
+
     async def run(self) -> None:
         """Tell the others of changes, until cancelled."""
         async for told in self.to_tell:
--- a/src/rosemaryknot/process/exchange_parts.py
+++ b/src/rosemaryknot/process/exchange_parts.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from rosemaryknot.process.gateway_configurations import GatewayConfigurations
 from rosemaryknot.process.gateway_quota import QuotaBook
 from rosemaryknot.process.gateway_state import GatewayState
 from rosemaryknot.process.peers import PeerSet
@@ -68,6 +69,8 @@
         By kind; ``configuration`` and ``servers``.
     demand : Demand
         What this node's callers ask for.
+    configurations : GatewayConfigurations
+        Tells and takes versions of the configuration.
     store : ChangeSource
         The store.
     """
@@ -80,4 +83,5 @@
     clock: TrueTime
     followers: dict[str, StoreFollower]
     demand: Demand
+    configurations: GatewayConfigurations
     store: ChangeSource
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -17,6 +17,7 @@
     LoadReport,
     StateOffer,
 )
+from rosemaryknot.values.messages import Message
 from rosemaryknot.values.platform import Listed, StoredObject
 
 __all__ = ["GatewayExchange"]
@@ -33,8 +34,9 @@
 # Gateways that pass newer state on to one that cannot reach the store.
 HELPERS = 2
 OFFER_PAUSE_S = 0.5
-# A difference that stays this long is no matter of the way any more.
-BEHIND_S = 0.6
+# A difference that stays this long is no matter of the way any more, by kind of object;
+# other gateways are asked for the configuration before the store is.
+BEHIND_S = {"configuration": 1.5, "servers": 0.6}
 
 log = logger("exchange")
 
@@ -157,6 +159,8 @@
             # counted twice.
             return
         self.take_spent(report, now_s)
+        parts = self.parts
+        parts.configurations.note_heard(report.version, report.node, now_s)
         self.compare(report, None if known is None else known[1], now_s)
         await self.help(report, now_s)
 
@@ -247,7 +251,6 @@
         It does so too when another gateway found the store again: this one's watch
         may have been lost in the outage without a sign.
         """
-        self.parts.state.note_heard(report.version)
         is_same = last is not None and last.incarnation == report.incarnation
         has_returned = is_same and report.returns > last.returns
         for kind, follower in self.parts.followers.items():
@@ -257,7 +260,7 @@
                 self.behind_since_s.pop(kind, None)
                 continue
             since_s = self.behind_since_s.setdefault(kind, now_s)
-            if now_s - since_s > BEHIND_S:
+            if now_s - since_s > BEHIND_S[kind]:
                 follower.look_again(f"{report.node} is ahead")
 
     async def help(self, report: GatewayReport, now_s: float) -> None:
@@ -286,15 +289,13 @@
         nodes = [other for other in parts.peers.nodes() if other.name != node]
         return parts.node in chosen_nodes([*nodes, parts.node], node, HELPERS)
 
-    def offers(self, report: GatewayReport | HubReport) -> list[StateOffer]:
+    def offers(self, report: GatewayReport | HubReport) -> list[Message]:
         """Return what a gateway lacks."""
         state = self.parts.state
-        found = []
-        if report.version < state.version:
-            objects = {
-                state.configuration_name: [state.document_revision, state.document]
-            }
-            found.append(StateOffer("configuration", state.document_revision, objects))
+        found: list[Message] = []
+        configuration = self.parts.configurations.newer_than(report.version)
+        if configuration is not None:
+            found.append(configuration)
         follower = self.parts.followers["servers"]
         theirs = report.revisions.get("servers", -1)
         if theirs < follower.revision and not follower.is_lost():
@@ -303,19 +304,16 @@
         return found
 
     async def handle_offer(self, offer: StateOffer, link: MessageLink) -> None:
-        """Take newer state over while the store cannot be reached."""
-        follower = self.parts.followers.get(offer.kind_name)
-        if follower is None or not follower.is_lost():
+        """Take newer servers over while the store cannot be reached."""
+        follower = self.parts.followers["servers"]
+        is_newer = offer.revision > follower.revision
+        if offer.kind_name != "servers" or not follower.is_lost() or not is_newer:
             return
         objects: dict[str, Any] = {
             name: StoredObject(int(entry[0]), entry[1])
             for name, entry in offer.objects.items()
         }
-        state = self.parts.state
-        if offer.kind_name == "configuration":
-            state.list_configuration(Listed(offer.revision, objects))
-        elif offer.revision > follower.revision:
-            log.info("servers taken over from another gateway", revision=offer.revision)
-            state.list_servers(Listed(offer.revision, objects))
-            follower.revision = offer.revision
-            follower.seen = max(follower.seen, offer.revision)
+        log.info("servers taken over from another gateway", revision=offer.revision)
+        self.parts.state.list_servers(Listed(offer.revision, objects))
+        follower.revision = offer.revision
+        follower.seen = max(follower.seen, offer.revision)
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from rosemaryknot.process.gateway_documents import Document
 from rosemaryknot.process.gateway_servers import ServerTable
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import gauge
@@ -39,8 +40,8 @@
     ----------
     configuration : GatewayConfiguration or None
         In force; None before the first one.
-    document : object
-        The value that it was decoded from, for nodes that cannot reach the store.
+    document : Document or None
+        What it was decoded from, for other nodes.
     heard_version : int
         Newest version that another gateway was heard to have; -1 before any.
     heard_s : float
@@ -61,8 +62,7 @@
         self.decode_server = decode_server
         self.configuration_name = configuration_name
         self.configuration: GatewayConfiguration | None = None
-        self.document: Any = None
-        self.document_revision = 0
+        self.document: Document | None = None
         self.heard_version = -1
         self.heard_s = float("-inf")
         self.entries: dict[str, tuple[int, Any]] = {}
@@ -135,16 +135,17 @@
             return
         if configuration.version <= self.version:
             return
+        document = Document.of(configuration.version, revision, value)
         log.info(
             "configuration in force",
             version=configuration.version,
             before=self.version,
             revision=revision,
             source=source,
+            bytes=len(document.packed),
         )
         self.configuration = configuration
-        self.document = value
-        self.document_revision = revision
+        self.document = document
         VERSION.set(configuration.version)
         self.note_known()
 
--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -220,6 +220,7 @@
         self.totals |= {name: total for name, (total, _) in told.spent.items()}
         self.take_loads(told, now_s)
         self.parts.clock.note_peer(OTHERS, told.clock_s)
+        self.parts.configurations.note_heard(told.version, told.hub, now_s)
         before = None if not is_same else newest_of(last)
         self.exchange.compare(newest_of(told), before, now_s)
 
@@ -303,7 +304,9 @@
         if told.is_region:
             self.take_region(told)
         else:
-            self.book.take_sum(told, trio.current_time())
+            now_s = trio.current_time()
+            self.book.take_sum(told, now_s)
+            self.parts.configurations.note_heard(told.version, told.hub, now_s)
 
     async def handle_for_duties(self, told: DutyReports, link: MessageLink) -> None:
         """Take over what duties need of a zone's gateways."""
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -19,6 +19,7 @@
 from rosemaryknot.process.change_spread import ChangeSpread
 from rosemaryknot.process.duty_parts import DutyParts
 from rosemaryknot.process.exchange_parts import Demand, ExchangeParts
+from rosemaryknot.process.gateway_configurations import GatewayConfigurations
 from rosemaryknot.process.gateway_exchange import GatewayExchange
 from rosemaryknot.process.gateway_quota import QuotaBook
 from rosemaryknot.process.gateway_state import GatewayState
@@ -173,6 +174,9 @@
             lambda: len(self.peers.nodes()) + 1,
         )
         self.followers = self.make_followers()
+        self.configurations = GatewayConfigurations(
+            self.peers, self.state, self.followers["configuration"], handlers
+        )
         self.exchange = GatewayExchange(
             ExchangeParts(
                 self.node,
@@ -183,6 +187,7 @@
                 self.clock,
                 self.followers,
                 self.demand,
+                self.configurations,
                 adapter.store,
             ),
             handlers,
@@ -194,6 +199,7 @@
             self.peers,
             self.followers,
             self.exchange,
+            self.configurations,
             handlers,
         )
         self.gateway = Gateway(self.gateway_parts())
@@ -334,6 +340,7 @@
         for follower in self.followers.values():
             start_soon(follower.run)
         start_soon(self.spread.run)
+        start_soon(self.configurations.run)
         start_soon(self.exchange.run)
         start_soon(self.exchange.run_loads)
         start_soon(self.tidy)
--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -146,6 +146,12 @@
             return
         self.apply(changes)
 
+    def pass_to(self, revision: int) -> None:
+        """Go on behind a revision up to which all that matters is known."""
+        if self.revision >= 0:
+            self.revision = max(self.revision, revision)
+            self.seen = max(self.seen, revision)
+
     def apply(self, changes: Changes) -> None:
         """Take over changes in their order, those that are known already left out.
 
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -6,6 +6,8 @@
 from rosemaryknot.values.messages import Message, message
 
 __all__ = [
+    "ConfigurationTold",
+    "ConfigurationWanted",
     "DutyReports",
     "GatewayReport",
     "HubReport",
@@ -111,6 +113,48 @@
     objects: dict = field(default_factory=dict)
 
 
+@message("configuration_told")
+@dataclass(slots=True)
+class ConfigurationTold(Message):
+    """A version of the configuration, whole or as a difference to another one.
+
+    Attributes
+    ----------
+    version : int
+        Its version; -1 where the sender has none.
+    revision : int
+        Of the store, at which it was written.
+    base : int
+        Digest of the document that ``packed`` refers to; 0 where it is whole.
+    packed : bytes
+        See `rosemaryknot.process.gateway_documents`.
+    """
+
+    kind: ClassVar[str]
+    version: int
+    revision: int
+    base: int = 0
+    packed: bytes = b""
+
+
+@message("configuration_wanted")
+@dataclass(slots=True)
+class ConfigurationWanted(Message):
+    """Asks a gateway for its configuration; answered by `ConfigurationTold`.
+
+    Attributes
+    ----------
+    version : int
+        What the sender goes by; -1 for none.
+    digest : int
+        Of its document, which the answer may refer to; 0 for none.
+    """
+
+    kind: ClassVar[str]
+    version: int
+    digest: int = 0
+
+
 @message("store_changes")
 @dataclass(slots=True)
 class StoreChanges(Message):
