Refuse with a return while a newer configuration is on its way

Callers got a final 404 or 401 from a node that knew that other nodes had a newer version; the recorded case came 8.5 s after the confirmation. A node that heard of a newer version within 2 s now answers 503 with Retry-After for a route or key that it does not know: nothing has run, and the newer version may allow it. Without such word, or behind it, 404 and 401 stay.

test_unknown_route_or_key_is_no_final_answer failed before (404).

--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -12,7 +12,7 @@
 from rosemaryknot.values.gateway import CallerLimits, GatewayConfiguration, RoutedServer
 from rosemaryknot.values.platform import Listed, ObjectChanged
 
-__all__ = ["GatewayState"]
+__all__ = ["HEARD_S", "GatewayState"]
 
 VERSION = gauge("configuration_version", "Version of the configuration in force.")
 SERVERS = gauge("known_servers", "Backend servers that may get work.")
@@ -20,6 +20,10 @@
 # Characters of an entry's name in a log line; other writers may choose any.
 MAX_NAME = 60
 
+# How long the word of another gateway's version counts, in seconds; it is told anew
+# four times a second while one has it.
+HEARD_S = 2.0
+
 log = logger("state")
 
 DecodeConfiguration = Callable[[Any], GatewayConfiguration]
@@ -87,6 +91,11 @@
             self.heard_version = version
             self.heard_s = trio.current_time()
 
+    def is_behind(self) -> bool:
+        """Tell whether another gateway was just heard to have a newer version."""
+        is_fresh = trio.current_time() - self.heard_s < HEARD_S
+        return is_fresh and self.heard_version > self.version
+
     def limits(self) -> CallerLimits:
         """Return the bounds on callers' connections."""
         if self.configuration is None:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -250,6 +250,7 @@
             wire=self.adapter.wire,
             configuration=lambda: self.state.configuration,
             newest_version=lambda: self.state.newest_version,
+            is_behind=self.state.is_behind,
             servers=self.state.servers,
             pool=self.pool,
             take_quota=take_quota,
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -54,6 +54,8 @@
         Returns the configuration in force, or None.
     newest_version : callable
         Returns the newest version that any gateway was heard to have.
+    is_behind : callable
+        Tells whether another gateway was just heard to have a newer version.
     servers : ServerTable
         The backend servers.
     pool : ServerPool
@@ -86,6 +88,7 @@
     wire: GatewayWire
     configuration: Callable[[], GatewayConfiguration | None]
     newest_version: Callable[[], int]
+    is_behind: Callable[[], bool]
     servers: ServerTable
     pool: ServerPool
     take_quota: Callable[[CustomerLimit, float], float]
--- a/src/rosemaryknot/request/gateway_entry.py
+++ b/src/rosemaryknot/request/gateway_entry.py
@@ -36,7 +36,11 @@
 DEFAULT_PATIENCE_S = 60.0
 # What is left must cover the way to the server and back, or nobody gains by sending.
 LEAST_LEFT_S = 0.01
+UNAUTHORIZED = 401
+NOT_FOUND = 404
 TOO_MANY = 429
+# When callers come back whose route or key this node may not know yet, in seconds.
+NEWER_VERSION_S = 0.3
 # The way in force; weighed in docs/design/platform.md. A stream started on an estimate
 # was cut at the stop's end whenever the load outran the estimate; what a time limit
 # bounds ends before, whatever the load.
@@ -156,7 +160,7 @@
             return refusal(self.parts.rng, UNAVAILABLE, "no configuration is known yet")
         route = configuration.route_of(request.host, request.path)
         if route is None:
-            return Refusal(404, "no route matches")
+            return self.not_allowed(NOT_FOUND, "no route matches")
         customer = self.customer_of(configuration, route, request)
         if isinstance(customer, Refusal):
             return customer
@@ -170,6 +174,16 @@
             return refusal(self.parts.rng, UNAVAILABLE, "the route has no service")
         return Found(configuration, route, customer, service, until_s)
 
+    def not_allowed(self, status: int, reason: str) -> Refusal:
+        """Return the refusal of a request that the configuration does not allow.
+
+        A newer version may allow it, and callers do not come back after a 404 or 401.
+        """
+        if self.parts.is_behind():
+            reason = f"{reason} yet; a newer configuration is on its way"
+            return refusal(self.parts.rng, UNAVAILABLE, reason, NEWER_VERSION_S)
+        return Refusal(status, reason)
+
     def refused_in_stop(self, outcome: RefusedInStop) -> Refusal:
         """Return the answer to a request that a planned stop does not take."""
         return_s = max(RETURN_LEAST_S, outcome.return_s)
@@ -220,7 +234,7 @@
             return None
         name = configuration.customer_by_key.get(request.key or "")
         if name is None:
-            return Refusal(401, "the key is not known")
+            return self.not_allowed(UNAUTHORIZED, "the key is not known")
         return configuration.customers[name]
 
     def service_of(
--- a/tests/gateway/test_configurations.py
+++ b/tests/gateway/test_configurations.py
@@ -3,7 +3,14 @@
 import trio
 
 from rosemaryknot.process.gateway_documents import Document, difference
-from rosemaryknot.standin.users.system import PLAIN, document, platform_system, route
+from rosemaryknot.process.gateway_state import HEARD_S
+from rosemaryknot.standin.users.system import (
+    KEY,
+    PLAIN,
+    document,
+    platform_system,
+    route,
+)
 from rosemaryknot.values.gateway_peers import ConfigurationTold
 
 NODES = 30
@@ -90,6 +97,23 @@
 
 
 class TestBehind:
+    async def test_unknown_route_or_key_is_no_final_answer(self, autojump_clock):
+        """Guards against 404 and 401 for what a newer version is heard to have."""
+        async with platform_system() as fleet:
+            state = fleet.nodes["n0"].state
+            state.note_heard(5)
+            for path, key in (("/new/x", KEY), ("/stock/x", "new key")):
+                answer = await fleet.ask(
+                    path, method="GET", Authorization=f"Bearer {key}"
+                )
+                assert answer.status == 503
+                assert 0 < float(answer.headers["retry-after"]) < 1
+            assert (await fleet.ask("/stock/x", method="GET")).status == 200
+            await trio.sleep(HEARD_S)
+            assert (await fleet.ask("/new/x", method="GET")).status == 404
+            state.note_heard(1)
+            assert (await fleet.ask("/new/x", method="GET")).status == 404
+
     async def test_lost_word_is_made_good(self, autojump_clock):
         """Guards against a node that misses a version and hears that others have it.
 
