Read the newest configuration where it changes faster than it can be read

A watch tells each version in full. At 5 Mbit/s one of 430 KB takes 0.7 s; with two changes a second each answer held more versions than the one before, and the nodes that watch fell behind without bound. An answer with more than one version is now followed by a list, which holds only the newest; so is the word of others that they are ahead. What a list brought is told on like a change.

test_store_is_read_slower_than_written (2,400 routes, 14 changes) failed before: all three nodes went by a version more than 3 s after the next one. Servers keep their watch: a list of them cannot be told on as changes (tried: test_reach_nodes_that_do_not_watch failed).

--- a/src/rosemaryknot/process/change_spread.py
+++ b/src/rosemaryknot/process/change_spread.py
@@ -109,6 +109,7 @@
         for kind, follower in followers.items():
             follower.watches = partial(self.watches, kind)
             follower.on_taken = partial(self.note_taken, kind)
+        followers[CONFIGURATION].on_listed = self.note_configuration
         handlers.on(StoreChanges)(self.handle)
 
     def watching(self) -> set[str]:
@@ -133,27 +134,30 @@
 
     def note_taken(self, kind: str, before: int, changes: Changes) -> None:
         """Have changes told to the others, where this node watches for them."""
+        if kind == CONFIGURATION:
+            self.note_configuration()
+        elif self.tells():
+            events = [[e.name, e.version, e.value, e.deleted] for e in changes.events]
+            self.tell(StoreChanges(kind, before, changes.revision, events))
+
+    def note_configuration(self) -> None:
+        """Have the configuration told, of which only the newest version matters."""
+        told = self.configurations.news() if self.tells() else None
+        if told is not None:
+            self.tell(told)
+
+    def tells(self) -> bool:
+        """Tell whether others rely on this node to pass changes on."""
         if len(self.peers.nodes()) + 1 <= WATCH_ALL_NODES:
-            return
-        if self.node.name not in self.watching() and not self.exchange.hubs.is_on:
-            return
-        told = self.message_of(kind, before, changes)
-        if told is None:
-            return
+            return False
+        return self.node.name in self.watching() or self.exchange.hubs.is_on
+
+    def tell(self, value: Message) -> None:
+        """Have a message told to the others, soon."""
         try:
-            self.untold.send_nowait(told)
+            self.untold.send_nowait(value)
         except trio.WouldBlock:
-            log.warning("changes not told: too many wait", kind=kind)
-
-    def message_of(self, kind: str, before: int, changes: Changes) -> Message | None:
-        """Return what to tell the others of changes; None where it is nothing.
-
-        Of a configuration only the newest version matters, and it may be large.
-        """
-        if kind == CONFIGURATION:
-            return self.configurations.news()
-        events = [[e.name, e.version, e.value, e.deleted] for e in changes.events]
-        return StoreChanges(kind, before, changes.revision, events)
+            log.warning("changes not told: too many wait", kind=value.kind)
 
     async def run(self) -> None:
         """Tell the others of changes, until cancelled."""
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -226,6 +226,7 @@
                 state.list_configuration,
                 state.change_configuration,
                 self.rng,
+                is_single=True,
             ),
             "servers": StoreFollower(
                 adapter.store,
--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -48,6 +48,8 @@
         Called with a change.
     rng : random.Random
         Spreads tries.
+    is_single : bool
+        Whether one object counts, whose list is never larger than its changes.
 
     Attributes
     ----------
@@ -61,6 +63,10 @@
         Tells whether this node watches the store itself; others tell it otherwise.
     on_taken : callable
         Called with the revision before and the changes, after the store told them.
+    on_listed : callable
+        Called after a list of the store was taken over.
+    lists_next : bool
+        Whether the next answer is to be a list.
     """
 
     def __init__(
@@ -70,12 +76,14 @@
         on_list: Callable[[Listed], None],
         on_change: Callable[[ObjectChanged], None],
         rng: random.Random,
+        is_single: bool = False,
     ) -> None:
         self.store = store
         self.kind = kind
         self.on_list = on_list
         self.on_change = on_change
         self.rng = rng
+        self.is_single = is_single
         self.revision = -1
         self.seen = -1
         self.nudged_s = float("-inf")
@@ -84,6 +92,8 @@
         self.own_until_s = float("-inf")
         self.watches: Callable[[], bool] = lambda: True
         self.on_taken: Callable[[int, Changes], None] = lambda before, changes: None
+        self.on_listed: Callable[[], None] = lambda: None
+        self.lists_next = False
         self.scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -106,12 +116,13 @@
             return
         self.nudged_s = now_s
         self.is_asked = True
+        self.lists_next = self.is_single
         log.info("looks again", kind=self.kind, reason=reason, revision=self.revision)
         self.scope.cancel()
 
     async def step(self) -> None:
         """List, or wait for changes; then take them over."""
-        if self.revision < 0:
+        if self.revision < 0 or self.lists_next:
             await self.list_all()
             return
         watches = self.watches() or trio.current_time() < self.own_until_s
@@ -136,6 +147,9 @@
         self.apply(changes)
         if changes.events:
             self.on_taken(before, changes)
+        # While an object is written faster than its versions can be read, each answer
+        # holds more of them than the one before; a list holds only the newest.
+        self.lists_next = self.is_single and len(changes.events) > 1
 
     def take_told(self, before: int, changes: Changes) -> None:
         """Take over what another node was told by the store, from a revision on."""
@@ -172,6 +186,7 @@
             await self.note_failure(listed)
             return
         self.note_success()
+        self.lists_next = False
         if listed.version < self.revision:
             log.warning("older list left alone", kind=self.kind, at=listed.version)
             return
@@ -179,6 +194,7 @@
         self.revision = listed.version
         found = [entry.version for entry in listed.objects.values()]
         self.seen = max([self.seen, *found])
+        self.on_listed()
 
     def is_lost(self) -> bool:
         """Tell whether the store does not answer at the moment."""
--- a/tests/gateway/test_slow_links.py
+++ b/tests/gateway/test_slow_links.py
@@ -18,11 +18,11 @@
 LOOK_S = 0.05
 
 
-def large_document(version):
+def large_document(version, routes=ROUTES):
     """Return a configuration of many routes, with one more in each version."""
     routes = [
         route(f"r-{n:05x}", f"/{n * 2654435761 % 2**32:08x}/", "idempotent", PLAIN)
-        for n in range(ROUTES + version)
+        for n in range(routes + version)
     ]
     routes.append(route("stock", "/stock/", "idempotent", PLAIN))
     return document(version, routes=routes)
@@ -36,10 +36,10 @@
         fleet.network.limit_link(host, LINK_BYTES_PER_S)
 
 
-async def change_in_series(fleet, written):
+async def change_in_series(fleet, written, changes=CHANGES, routes=ROUTES):
     """Write a large configuration, then changes of it; note when each was written."""
-    for version in range(2, CHANGES + 2):
-        fleet.store.put("config", "main", large_document(version))
+    for version in range(2, changes + 2):
+        fleet.store.put("config", "main", large_document(version, routes))
         written[version] = trio.current_time()
         await trio.sleep(CHANGE_PAUSE_S)
 
@@ -86,6 +86,20 @@
                 late |= {n for n, node in fleet.nodes.items() if is_late(node, written)}
             assert not late
 
+    async def test_store_is_read_slower_than_written(self, autojump_clock):
+        """Guards against a watch whose answers hold ever more replaced versions."""
+        changes, routes = 14, 2400
+        async with platform_system(nodes=3) as fleet:
+            await limit_links(fleet)
+            written = {}
+            late = set()
+            fleet.nursery.start_soon(change_in_series, fleet, written, changes, routes)
+            end_s = trio.current_time() + changes * CHANGE_PAUSE_S + IN_FORCE_S + 1
+            while trio.current_time() < end_s:
+                await trio.sleep(LOOK_S)
+                late |= {n for n, node in fleet.nodes.items() if is_late(node, written)}
+            assert not late
+
     async def test_leaving_servers_get_no_late_requests(self, autojump_clock):
         """Guards against requests that wait behind documents in a node's own link."""
         bounds = Bounds(drain_ms=1000 * DRAIN_S)
