--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
 import trio
 
@@ -18,6 +17,7 @@
     compressed,
     decompressed,
 )
+from rosemaryknot.connection.link_handlers import Handlers
 from rosemaryknot.connection.link_hello import (
     MAX_FRAME_BYTES,
     FrameReader,
@@ -59,52 +59,11 @@
 SHORTEST_SLEEP_S = 0.001
 SLOW_WRITE_S = 0.5
 
-MessageType = TypeVar("MessageType", bound=Message)
-
 log = logger("links")
 
 REFUSALS = {Busy: "busy", Unsupported: "unsupported"}
 
 
-class Handlers:
-    """Registry of what a process does with each kind of message.
-
-    Examples
-    --------
-    >>> handlers = Handlers()
-    >>> @handlers.on(Busy)
-    ... async def handle(message, link):
-    ...     return None
-    """
-
-    def __init__(self) -> None:
-        self.by_type: dict[type[Message], Callable] = {}
-
-    def on(
-        self, message_type: type[MessageType]
-    ) -> Callable[
-        [Callable[[MessageType, "MessageLink"], Awaitable[Message | None]]], Callable
-    ]:
-        """Register an async function of message and link that returns the reply.
-
-        Parameters
-        ----------
-        message_type : type
-            Kind of message that the function handles.
-
-        Returns
-        -------
-        decorator : callable
-            Returns the function unchanged.
-        """
-
-        def register(function: Callable) -> Callable:
-            self.by_type[message_type] = function
-            return function
-
-        return register
-
-
 class MessageLink:
     """One link, after both hellos.
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -1,7 +1,6 @@
 """A gateway node: all its parts as tasks of one process."""
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -33,7 +32,8 @@
 from rosemaryknot.process.scaling_duty import ScalingDuty
 from rosemaryknot.process.settings_watch import watch_settings
 from rosemaryknot.process.store_follower import StoreFollower
-from rosemaryknot.process.true_time import TrueTime, running_time_s
+from rosemaryknot.process.suspension import Suspension
+from rosemaryknot.process.true_time import TrueTime
 from rosemaryknot.process.usage_book import UsageBook
 from rosemaryknot.process.usage_duty import KEPT_NOTE, UsageDuty
 from rosemaryknot.request.gateway import Gateway, GatewayParts
@@ -96,21 +96,6 @@
     readiness_path: str
 
 
-class Suspension:
-    """Tells how long the machine was suspended since the start."""
-
-    def __init__(self) -> None:
-        self.first = self.difference()
-
-    def difference(self) -> float:
-        """Return how far the time that goes on is ahead of the steady one."""
-        return running_time_s() - time.monotonic()
-
-    def passed_s(self) -> float:
-        """Return the time in suspension, in seconds."""
-        return max(0.0, self.difference() - self.first)
-
-
 class GatewayNode:
     """The parts of one node.
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from rosemaryknot.process import node as node_module
+from rosemaryknot.process import suspension
 from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.request import gateway_entry
 from rosemaryknot.standin.users.system import (
@@ -69,9 +69,9 @@
 def passed_s(monkeypatch):
     """Return a list whose one item is the time that the machine was suspended for."""
     passed = [0.0]
-    running_time_s = node_module.running_time_s
+    running_time_s = suspension.running_time_s
     monkeypatch.setattr(
-        node_module, "running_time_s", lambda: running_time_s() + passed[0]
+        suspension, "running_time_s", lambda: running_time_s() + passed[0]
     )
     return passed
 
@@ -307,9 +307,9 @@
         stop, and what it cuts is named nowhere.
         """
         passed_s = [0.0]
-        running_time_s = node_module.running_time_s
+        running_time_s = suspension.running_time_s
         monkeypatch.setattr(
-            node_module, "running_time_s", lambda: running_time_s() + passed_s[0]
+            suspension, "running_time_s", lambda: running_time_s() + passed_s[0]
         )
         async with platform_system(configuration=with_long_streams()) as fleet:
             set_pace(fleet, 2.0)
