Reset the connection of a request that is given up

A close in order keeps sending what was not acknowledged; the same class as bytes that wait in a full link.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -11,7 +11,12 @@
 import trio
 
 from rosemaryknot.connection.http_client import is_readable
-from rosemaryknot.connection.network import Network, receive_next, send_now
+from rosemaryknot.connection.network import (
+    Network,
+    drop_undelivered,
+    receive_next,
+    send_now,
+)
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.gateway import Headers, RoutedServer
 from rosemaryknot.values.gateway_answers import AnswerHead, GatewayWire, Lost, NotSent
@@ -38,6 +43,8 @@
 # How long lives that are over are remembered; no request takes as long.
 OVER_S = 120.0
 HOST = (b"host", b"server")
+# States of the server's end in which a request is out and its answer not whole.
+UNANSWERED = (h11.SEND_RESPONSE, h11.SEND_BODY)
 
 CONNECTIONS = counter("server_connections_total", "Connections opened to servers.")
 STRAYS = counter("stray_answers_total", "Answers that belonged to another request.")
@@ -194,7 +201,13 @@
             self.conn.start_next_cycle()
 
     async def aclose(self) -> None:
-        """Close at once."""
+        """Close at once, with a reset where a request is given up.
+
+        What a partition or a full link holds up would otherwise reach the server when
+        the caller has its answer from elsewhere, and the server has left.
+        """
+        if self.conn.their_state in UNANSWERED:
+            drop_undelivered(self.stream)
         await trio.aclose_forcefully(self.stream)
 
 
--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -5,16 +5,29 @@
 """
 
 import os
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import trio
 
+from rosemaryknot.process.logs import logger
 from rosemaryknot.values.nodes import Address
 
-__all__ = ["Network", "SocketNetwork", "StreamHandler", "receive_next", "send_now"]
+__all__ = [
+    "Network",
+    "SocketNetwork",
+    "StreamHandler",
+    "drop_undelivered",
+    "receive_next",
+    "send_now",
+]
 
 CONNECT_TIMEOUT_S = 2.0
+# Of the socket's option: to linger, for no time.
+CLOSE_BY_RESET = struct.pack("ii", 1, 0)
+
+log = logger("network")
 
 StreamHandler = Callable[[trio.abc.HalfCloseableStream], Awaitable[None]]
 
@@ -117,6 +130,24 @@
         return 0
 
 
+def drop_undelivered(stream: trio.abc.HalfCloseableStream) -> None:
+    """Let the close of a stream reset the connection and drop what was not delivered.
+
+    Parameters
+    ----------
+    stream : trio.abc.HalfCloseableStream
+        A stream of a `Network`; those in memory deliver nothing late.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return
+    try:
+        options = trio.socket
+        stream.setsockopt(options.SOL_SOCKET, options.SO_LINGER, CLOSE_BY_RESET)
+    except OSError as error:
+        # Closed already, by either end.
+        log.debug("no reset", error=type(error).__name__)
+
+
 async def receive_next(stream: trio.abc.HalfCloseableStream, max_bytes: int) -> bytes:
     """Receive from a stream that has most likely nothing yet.
 
