--- a/src/rosemaryknot/process/gateway_configurations.py
+++ b/src/rosemaryknot/process/gateway_configurations.py
@@ -29,7 +29,7 @@
 ON_ITS_WAY_S = 0.6
 ASK_TIMEOUT_S = 1.0
 SOURCE = "gateway"
-# What comes of a version that another gateway tells, beside a failed call's reason.
+# Outcomes of taking a version over, beside the reasons of failed calls.
 TAKEN = "taken"
 NOT_NEWER = "not newer"
 OTHER_BASE = "another base"
@@ -85,7 +85,7 @@
         handlers.on(ConfigurationWanted)(self.handle_wanted)
 
     def news(self) -> ConfigurationTold | None:
-        """Return what to tell others since the last call; None where it is nothing."""
+        """Return what to tell others that is new since the last call, or None."""
         document, base = self.state.document, self.shared
         if document is None or document is base:
             return None
@@ -93,7 +93,7 @@
         return self.message(document, base)
 
     def message(self, document: Document, base: Document | None) -> ConfigurationTold:
-        """Return a document for a node that has another one, or none."""
+        """Return a document as a message for a node that has the base, if any."""
         return ConfigurationTold(
             version=document.version,
             revision=document.revision,
--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -167,7 +167,7 @@
         self.apply(changes)
 
     def pass_to(self, revision: int) -> None:
-        """Go on behind a revision up to which all that matters is known."""
+        """Continue from a revision up to which all that matters is known."""
         if self.revision >= 0:
             self.revision = max(self.revision, revision)
             self.seen = max(self.seen, revision)
--- a/src/rosemaryknot/request/gateway_entry.py
+++ b/src/rosemaryknot/request/gateway_entry.py
@@ -39,7 +39,7 @@
 UNAUTHORIZED = 401
 NOT_FOUND = 404
 TOO_MANY = 429
-# When callers come back whose route or key this node may not know yet, in seconds.
+# After how long a caller tries again whose route or key may be too new, in seconds.
 NEWER_VERSION_S = 0.3
 # The way in force; weighed in docs/design/platform.md. A stream started on an estimate
 # was cut at the stop's end whenever the load outran the estimate; what a time limit
