Unpack compressed frames in one place, and keep small ones out of the cache

links and gateway_documents each bounded and unpacked zstandard frames; both now call values/compression.unpacked and keep their own errors. Each small frame passed the cache that keeps the compressed form of a message sent on many links, and emptied it: while other frames were sent between two links, a document was compressed anew.

--- a/src/rosemaryknot/connection/link_compression.py
+++ b/src/rosemaryknot/connection/link_compression.py
@@ -4,6 +4,7 @@
 
 import zstandard
 
+from rosemaryknot.values.compression import CompressionError, unpacked
 from rosemaryknot.values.messages import MessageError
 
 __all__ = ["ZSTD", "compressed", "decompressed"]
@@ -14,14 +15,18 @@
 # A smaller frame takes one packet either way.
 LEAST_BYTES = 1024
 COMPRESSOR = zstandard.ZstdCompressor()
-DECOMPRESSOR = zstandard.ZstdDecompressor()
 
 
-# One message is often sent on many links in a row.
-@lru_cache(maxsize=1)
 def compressed(payload: bytes) -> bytes:
     """Return a frame's payload as it goes out, compressed where that is worth it."""
-    return payload if len(payload) < LEAST_BYTES else COMPRESSOR.compress(payload)
+    return payload if len(payload) < LEAST_BYTES else compressed_once(payload)
+
+
+# One message is often sent on many links in a row.
+@lru_cache(maxsize=1)
+def compressed_once(payload: bytes) -> bytes:
+    """Return a payload compressed."""
+    return COMPRESSOR.compress(payload)
 
 
 def decompressed(payload: bytes, limit: int) -> bytes:
@@ -57,10 +62,6 @@
     if not payload.startswith(zstandard.FRAME_HEADER):
         return payload
     try:
-        # Known before anything is unpacked: a small frame may claim any size.
-        size = zstandard.frame_content_size(payload)
-        if not 0 <= size <= limit:
-            raise MessageError(f"compressed message of {size} bytes")
-        return DECOMPRESSOR.decompress(payload)
-    except zstandard.ZstdError as error:
-        raise MessageError("cannot be decompressed") from error
+        return unpacked(payload, limit)
+    except CompressionError as error:
+        raise MessageError(str(error)) from error
--- a/src/rosemaryknot/process/gateway_documents.py
+++ b/src/rosemaryknot/process/gateway_documents.py
@@ -7,6 +7,8 @@
 import xxhash
 import zstandard
 
+from rosemaryknot.values.compression import CompressionError, unpacked
+
 __all__ = ["Document", "DocumentError", "difference", "rebuilt"]
 
 # As large as an object of the store may be, with room for the other encoding.
@@ -94,10 +96,6 @@
         If the bytes are none, or a document would be too large.
     """
     try:
-        size = zstandard.frame_content_size(packed)
-        if not 0 <= size <= MAX_BYTES:
-            raise DocumentError(f"a document of {size} bytes")
-        decompressor = zstandard.ZstdDecompressor(dict_data=dictionary_of(base))
-        return decompressor.decompress(packed)
-    except zstandard.ZstdError as error:
-        raise DocumentError("cannot be decompressed") from error
+        return unpacked(packed, MAX_BYTES, dictionary_of(base))
+    except CompressionError as error:
+        raise DocumentError(str(error)) from error
