--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -25,6 +25,8 @@
         What came.
     at_s : float
         When, in trio time.
+    server : str
+        Id of the server.
     has_run : bool
         Whether the server worked on it.
     ended : str
@@ -33,6 +35,7 @@
 
     request: RawRequest
     at_s: float
+    server: str = ""
     has_run: bool = False
     ended: str = "cut"
 
@@ -131,7 +134,7 @@
 
     async def handle(self, request: RawRequest, wire: RawWire) -> None:
         """Answer a request, or misbehave."""
-        arrival = Arrival(request, trio.current_time())
+        arrival = Arrival(request, trio.current_time(), self.id)
         self.arrivals.append(arrival)
         self.ledger.arrivals.append(arrival)
         expected = request.headers.get("rosemaryknot-expect-instance")
--- a/src/rosemaryknot/standin/users/store.py
+++ b/src/rosemaryknot/standin/users/store.py
@@ -8,7 +8,7 @@
 
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
-__all__ = ["RawValue", "StoreFaults", "StoreStandIn"]
+__all__ = ["RawValue", "StoreFaults", "StoreStandIn", "Written"]
 
 PREFIX = "/v1/objects/"
 PAGE = 50
@@ -86,6 +86,26 @@
     path: str
 
 
+@dataclass(slots=True, frozen=True)
+class Written:
+    """One change of an object.
+
+    Attributes
+    ----------
+    at_s : float
+        When the store confirmed it, in trio time.
+    kind, name : str
+        Which object.
+    spec : object
+        Its new value, None where it was removed.
+    """
+
+    at_s: float
+    kind: str
+    name: str
+    spec: Any
+
+
 class StoreStandIn:
     """The store.
 
@@ -97,6 +117,8 @@
         Of the last change.
     calls : list of Call
         All calls.
+    written : list of Written
+        All changes of objects; no fault makes the store forget them.
     strays : dict of str to list
         By kind: what stands among the objects and is none.
     """
@@ -109,6 +131,7 @@
         self.first_known = 0
         self.faults = StoreFaults()
         self.calls: list[Call] = []
+        self.written: list[Written] = []
         self.changed = trio.Event()
         self.server = RawServer(self.handle)
 
@@ -133,6 +156,7 @@
             "status": None,
         }
         self.objects[kind][name] = item
+        self.written.append(Written(trio.current_time(), kind, name, spec))
         self.note(kind, {"object": item, "deleted": False})
         return self.revision
 
@@ -142,6 +166,7 @@
         if item is None:
             return
         self.revision += 1
+        self.written.append(Written(trio.current_time(), kind, name, None))
         item = item | {"metadata": item["metadata"] | {"revision": self.revision}}
         self.note(kind, {"object": item, "deleted": True})
 
