Tell when the store was found again, not how often

What callers saw: requests refused by a replaced configuration for up to seven seconds after an outage of the store.

Cause, twice the same mechanism: an outage swallows a pending watch without a sign. Another call of some node fails, succeeds later, and counts one return; who hears of a higher count than its own asks the store again. - The node whose own call found the store did not ask again for its own watches. A node that is alone, or the only one that heard, waited for its watch to end (up to 7 s). - Counts of two nodes have nothing to do with each other, and hubs told the highest. One node that had lost and found the store three times (a cut link) hid an outage that all thirty met: the sum stayed at 3 while the holder of the lease went from 0 to 1, and none of the thirty had the change three seconds later.

Nodes now tell how long ago they last found the store; sums hold the smallest age. A follower asks again when its pending call was sent before that moment, its own node's calls included. Nodes that have no call pending no longer ask at all.

Evidence: test_own_watch_lost_in_an_outage and test_outage_after_one_node_has_met_others failed before (version 1 in force, 7 wanted; on all thirty nodes in the second).

--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -139,8 +139,8 @@
         Calls made; a watch counts once.
     is_lost : bool
         Whether the last call failed.
-    returns : int
-        How often a call succeeded after one that failed.
+    returned_s : float
+        When a call last succeeded after one that had failed, in trio time.
     """
 
     def __init__(
@@ -156,7 +156,7 @@
         self.idle_bound_s = idle_bound_s
         self.made = 0
         self.is_lost = False
-        self.returns = 0
+        self.returned_s = float("-inf")
         self.pool = self.new_pool()
 
     async def aclose(self) -> None:
@@ -232,7 +232,7 @@
             self.is_lost = True
         elif self.is_lost:
             self.is_lost = False
-            self.returns += 1
+            self.returned_s = trio.current_time()
         return outcome
 
     def retire(self, pool: Pool) -> None:
--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -79,9 +79,9 @@
         self.calls = PlatformCalls(network, address)
 
     @property
-    def returns(self) -> int:
-        """How often the store was there again after a call that failed."""
-        return self.calls.returns
+    def returned_s(self) -> float:
+        """When the store was last there again after a call that had failed."""
+        return self.calls.returned_s
 
     async def aclose(self) -> None:
         """Close the kept connections."""
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -94,6 +94,7 @@
         """Deal limits out anew and forget what is old."""
         parts = self.parts
         now_s = trio.current_time()
+        self.note_returned(parts.store.returned_s, parts.node.name)
         parts.quota.tick(now_s, len(parts.peers.nodes()) + 1)
         parts.quota.forget(now_s)
         parts.usage.forget(parts.clock.now())
@@ -116,7 +117,7 @@
             version=parts.state.version,
             revisions={kind: f.revision for kind, f in parts.followers.items()},
             seen={kind: f.seen for kind, f in parts.followers.items()},
-            returns=parts.store.returns,
+            returned_ago_s=trio.current_time() - parts.store.returned_s,
             spent=parts.quota.told(),
             runs=parts.usage.told(parts.clock.now()),
             demand=self.report_demand(),
@@ -153,7 +154,6 @@
     async def handle_report(self, report: GatewayReport, link: MessageLink) -> None:
         """Take in what another gateway tells."""
         now_s = trio.current_time()
-        known = self.reports.get(report.node)
         if not self.take_report(report, now_s) or self.hubs.is_on:
             # Beyond what duties use, the rest comes with the sums there, and would be
             # counted twice.
@@ -161,7 +161,7 @@
         self.take_spent(report, now_s)
         parts = self.parts
         parts.configurations.note_heard(report.version, report.node, now_s)
-        self.compare(report, None if known is None else known[1], now_s)
+        self.compare(report, now_s)
         await self.help(report, now_s)
 
     def take_report(self, report: GatewayReport, now_s: float) -> bool:
@@ -243,19 +243,10 @@
         for part_id, told_as in report.places:
             servers.note_place(part_id, told_as)
 
-    def compare(
-        self, report: GatewayReport, last: GatewayReport | None, now_s: float
-    ) -> None:
-        """Ask the store again when another gateway stays ahead of this one.
-
-        It does so too when another gateway found the store again: this one's watch
-        may have been lost in the outage without a sign.
-        """
-        is_same = last is not None and last.incarnation == report.incarnation
-        has_returned = is_same and report.returns > last.returns
+    def compare(self, report: GatewayReport, now_s: float) -> None:
+        """Ask the store again when another gateway stays ahead of this one."""
+        self.note_returned(now_s - report.returned_ago_s, report.node)
         for kind, follower in self.parts.followers.items():
-            if has_returned and report.returns > self.parts.store.returns:
-                follower.look_again(f"{report.node} found the store again")
             if follower.revision >= report.seen.get(kind, -1):
                 self.behind_since_s.pop(kind, None)
                 continue
@@ -263,6 +254,15 @@
             if now_s - since_s > BEHIND_S[kind]:
                 follower.look_again(f"{report.node} is ahead")
 
+    def note_returned(self, returned_s: float, node: str) -> None:
+        """Ask the store again where a node has found it since it was last asked.
+
+        An outage may have swallowed the call of this node without a sign.
+        """
+        for follower in self.parts.followers.values():
+            if follower.waits_since_before(returned_s):
+                follower.look_again(f"{node} found the store again")
+
     async def help(self, report: GatewayReport, now_s: float) -> None:
         """Pass newer state on to a gateway that is behind for lack of the store."""
         if report.lost and self.is_helper(report.node):
--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -150,6 +150,7 @@
     def report(self) -> HubReport:
         """Return this gateway's state."""
         parts = self.parts
+        now_s = trio.current_time()
         self.sequence += 1
         servers = parts.state.servers
         return HubReport(
@@ -159,7 +160,7 @@
             version=parts.state.version,
             revisions={kind: f.revision for kind, f in parts.followers.items()},
             seen={kind: f.seen for kind, f in parts.followers.items()},
-            returns=parts.store.returns,
+            returned_ago_s=now_s - parts.store.returned_s,
             lost=[kind for kind, f in parts.followers.items() if f.is_lost()],
             watches=self.is_hub(),
             holds=self.holds_lease(),
@@ -221,8 +222,7 @@
         self.take_loads(told, now_s)
         self.parts.clock.note_peer(OTHERS, told.clock_s)
         self.parts.configurations.note_heard(told.version, told.hub, now_s)
-        before = None if not is_same else newest_of(last)
-        self.exchange.compare(newest_of(told), before, now_s)
+        self.exchange.compare(newest_of(told), now_s)
 
     def take_spent(self, told: HubSum, own_taken: dict[str, float]) -> None:
         """Count what the other gateways have taken of customers' limits."""
@@ -322,5 +322,5 @@
         clock_s=told.clock_s,
         version=told.version,
         seen=told.seen,
-        returns=told.returns,
+        returned_ago_s=told.returned_ago_s,
     )
--- a/src/rosemaryknot/process/hub_sums.py
+++ b/src/rosemaryknot/process/hub_sums.py
@@ -128,7 +128,12 @@
 
     def fresh_reports(self, now_s: float) -> list[HubReport]:
         """Return the reports that count."""
-        return [r for at_s, r in self.reports.values() if now_s - at_s < FRESH_S]
+        return [report for _, report in self.fresh(now_s)]
+
+    def fresh(self, now_s: float) -> list[tuple[float, HubReport]]:
+        """Return the reports that count, each with its age in seconds."""
+        reports = [(now_s - at_s, report) for at_s, report in self.reports.values()]
+        return [(age_s, report) for age_s, report in reports if age_s < FRESH_S]
 
     def is_hub(self, now_s: float) -> bool:
         """Tell whether other gateways report to this one."""
@@ -136,30 +141,31 @@
 
     def here_sum(self, now_s: float, clock_s: float) -> HubSum:
         """Return the sum of the gateways that report here."""
-        reports = self.fresh_reports(now_s)
+        reports = self.fresh(now_s)
         total = HubSum(
             self.name, self.incarnation, False, clock_s, len(reports), version=-1
         )
-        for report in reports:
-            add_report(total, report)
-        set_spent(total, self.here, [r.spent for r in reports])
+        for age_s, report in reports:
+            add_report(total, report, age_s)
+        set_spent(total, self.here, [r.spent for _, r in reports])
         return total
 
     def region_sum(self, now_s: float, here: HubSum) -> HubSum:
         """Return the sum of all gateways, for those that report here."""
-        others = [s for at_s, s in self.sums.values() if now_s - at_s < FRESH_S]
+        sums = [(now_s - at_s, told) for at_s, told in self.sums.values()]
+        others = [(age_s, told) for age_s, told in sums if age_s < FRESH_S]
         total = HubSum(
             self.name,
             self.incarnation,
             True,
             here.clock_s,
-            sum([here.nodes, *[s.nodes for s in others]]),
+            sum([here.nodes, *[told.nodes for _, told in others]]),
             version=-1,
             counted=here.counted,
         )
-        for told in [here, *others]:
-            add_sum(total, told)
-        spent = [told.spent for told in [here, *others]]
+        for age_s, told in [(0.0, here), *others]:
+            add_sum(total, told, age_s)
+        spent = [here.spent, *[told.spent for _, told in others]]
         set_spent(total, self.everywhere, spent)
         return total
 
@@ -184,10 +190,10 @@
     }
 
 
-def add_report(total: HubSum, report: HubReport) -> None:
-    """Add one gateway to a sum."""
+def add_report(total: HubSum, report: HubReport, age_s: float) -> None:
+    """Add one gateway to a sum; its report came ``age_s`` ago."""
     total.counted[report.node] = report.sequence
-    add_newest(total, report.version, report.seen, report.returns)
+    add_newest(total, report, age_s)
     add_loads(total, report.loads)
     if report.holds:
         total.holders.append(report.node)
@@ -197,20 +203,21 @@
                 total.watching.setdefault(kind, []).append(report.node)
 
 
-def add_sum(total: HubSum, told: HubSum) -> None:
-    """Add one hub's sum to another."""
-    add_newest(total, told.version, told.seen, told.returns)
+def add_sum(total: HubSum, told: HubSum, age_s: float) -> None:
+    """Add one hub's sum to another; it came ``age_s`` ago."""
+    add_newest(total, told, age_s)
     add_loads(total, told.loads)
     total.holders += told.holders
     for kind, names in told.watching.items():
         total.watching[kind] = [*total.watching.get(kind, []), *names]
 
 
-def add_newest(total: HubSum, version: int, seen: dict, returns: int) -> None:
+def add_newest(total: HubSum, told: HubReport | HubSum, age_s: float) -> None:
     """Take over what is newer."""
-    total.version = max(total.version, version)
-    total.returns = max(total.returns, returns)
-    for kind, revision in seen.items():
+    total.version = max(total.version, told.version)
+    ago_s = told.returned_ago_s + age_s
+    total.returned_ago_s = min(total.returned_ago_s, ago_s)
+    for kind, revision in told.seen.items():
         total.seen[kind] = max(total.seen.get(kind, -1), revision)
 
 
--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -57,6 +57,8 @@
         Up to which changes are known; -1 before the first list.
     seen : int
         Revision of the newest change that was taken over.
+    asked_s : float
+        Since when the store has been waited for; infinite where it is not.
     own_until_s : float
         Until when this node watches the store itself whatever others tell.
     watches : callable
@@ -89,6 +91,7 @@
         self.nudged_s = float("-inf")
         self.failures = 0
         self.is_asked = False
+        self.asked_s = float("inf")
         self.own_until_s = float("-inf")
         self.watches: Callable[[], bool] = lambda: True
         self.on_taken: Callable[[int, Changes], None] = lambda before, changes: None
@@ -120,6 +123,10 @@
         log.info("looks again", kind=self.kind, reason=reason, revision=self.revision)
         self.scope.cancel()
 
+    def waits_since_before(self, at_s: float) -> bool:
+        """Tell whether the store was asked before a time and has not answered."""
+        return self.asked_s < at_s
+
     async def step(self) -> None:
         """List, or wait for changes; then take them over."""
         if self.revision < 0 or self.lists_next:
@@ -131,7 +138,11 @@
             return
         self.is_asked = False
         wait_s = WAIT_S if watches and not self.failures else NO_WAIT_S
-        outcome = await self.store.changes(self.kind, self.revision, wait_s)
+        self.asked_s = trio.current_time()
+        try:
+            outcome = await self.store.changes(self.kind, self.revision, wait_s)
+        finally:
+            self.asked_s = float("inf")
         if isinstance(outcome, PlatformFailed):
             await self.note_failure(outcome)
         elif isinstance(outcome, HistoryGone):
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -1,5 +1,6 @@
 """What gateways tell each other."""
 
+import math
 from dataclasses import dataclass, field
 from typing import ClassVar
 
@@ -39,8 +40,9 @@
         By kind of object: revision of the store up to which it knows them.
     seen : dict
         By kind of object: revision of the newest change that it has taken over.
-    returns : int
-        How often it found the store again after a call that failed.
+    returned_ago_s : float
+        How long ago it found the store again after a call that had failed, in
+        seconds; infinite where it never did.
     spent : dict
         By customer: units taken since its start, and units asked for in a second.
     runs : dict
@@ -62,7 +64,7 @@
     version: int
     revisions: dict = field(default_factory=dict)
     seen: dict = field(default_factory=dict)
-    returns: int = 0
+    returned_ago_s: float = math.inf
     spent: dict = field(default_factory=dict)
     runs: dict = field(default_factory=dict)
     demand: dict = field(default_factory=dict)
@@ -192,8 +194,8 @@
         Its configuration.
     revisions, seen : dict
         By kind of object, as in `GatewayReport`.
-    returns : int
-        How often it found the store again.
+    returned_ago_s : float
+        As in `GatewayReport`.
     lost : list of str
         Kinds of objects for which the store does not answer it.
     watches : bool
@@ -218,7 +220,7 @@
     version: int
     revisions: dict = field(default_factory=dict)
     seen: dict = field(default_factory=dict)
-    returns: int = 0
+    returned_ago_s: float = math.inf
     lost: list = field(default_factory=list)
     watches: bool = False
     holds: bool = False
@@ -263,8 +265,8 @@
         Newest configuration among them.
     seen : dict
         By kind of object: revision of the newest change that one of them knows.
-    returns : int
-        The most times that one of them found the store again.
+    returned_ago_s : float
+        How long ago the last of them found the store again, as in `GatewayReport`.
     watching : dict
         By kind of object: gateways that watch it for others and reach the store.
     holders : list of str
@@ -286,7 +288,7 @@
     nodes: int
     version: int
     seen: dict = field(default_factory=dict)
-    returns: int = 0
+    returned_ago_s: float = math.inf
     watching: dict = field(default_factory=dict)
     holders: list = field(default_factory=list)
     spent: dict = field(default_factory=dict)
--- a/src/rosemaryknot/values/store_changes.py
+++ b/src/rosemaryknot/values/store_changes.py
@@ -34,11 +34,11 @@
 
     Attributes
     ----------
-    returns : int
-        How often it was there again after a call that failed.
+    returned_s : float
+        When it was last there again after a call that had failed, in trio time.
     """
 
-    returns: int
+    returned_s: float
 
     async def list_objects(self, kind: str) -> Listed | PlatformFailed:
         """Read all objects of a kind."""
--- a/tests/gateway/test_control.py
+++ b/tests/gateway/test_control.py
@@ -3,9 +3,11 @@
 import trio
 
 from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.standin.users.contact import CONTACT_S
 from rosemaryknot.standin.users.system import (
     MODEL_HEADERS,
     PLAIN,
+    STORE,
     document,
     platform_system,
     route,
@@ -19,6 +21,11 @@
     return document(version, routes=[route("stock", prefix, "idempotent", PLAIN)])
 
 
+def is_hub(node):
+    """Tell whether a node watches the store for others."""
+    return node.exchange.hubs.is_hub()
+
+
 class TestConfiguration:
     async def test_change_is_in_force_soon(self, autojump_clock):
         async with platform_system(nodes=3) as fleet:
@@ -84,6 +91,35 @@
             versions = {node.state.version for node in fleet.nodes.values()}
             assert versions == {7}
 
+    async def test_own_watch_lost_in_an_outage(self, autojump_clock):
+        """Guards against a node that trusts its watch after its own calls failed."""
+        async with platform_system(nodes=1, duties=["usage"]) as fleet:
+            await trio.sleep(5)
+            fleet.store.faults.begin("silent")
+            await trio.sleep(0.7)
+            fleet.store.faults.end()
+            fleet.store.put("config", "main", with_stock(7, "/new/"))
+            await trio.sleep(CONTACT_S)
+            assert fleet.nodes["n0"].state.version == 7
+
+    async def test_outage_after_one_node_has_met_others(self, autojump_clock):
+        """Guards against a node whose earlier outages hide one that all nodes meet."""
+        async with platform_system(nodes=30, duties=["usage"]) as fleet:
+            nodes = fleet.nodes.values()
+            await trio.sleep(5)
+            watching = next(n for n in nodes if not n.lease.is_held() and is_hub(n))
+            for _ in range(3):
+                fleet.network.cut(STORE.host, watching.settings.listen.callers.host)
+                await trio.sleep(4)
+                fleet.network.heal(STORE.host, watching.settings.listen.callers.host)
+                await trio.sleep(4)
+            fleet.store.faults.begin("silent")
+            await trio.sleep(0.7)
+            fleet.store.faults.end()
+            fleet.store.put("config", "main", with_stock(7, "/new/"))
+            await trio.sleep(CONTACT_S)
+            assert {node.state.version for node in nodes} == {7}
+
     async def test_cut_off_from_the_store(self, autojump_clock):
         """The store refuses one node and serves the others; a key is taken away.
 
