List the configuration after a watch that timed out

The node stayed at version 19; 40 was in force.

Cause: after a timeout the node asked for all changes since the revision it knew. An object that is written whole comes whole with each version: 433 KB times nine over 625 KB/s is 6 s, a call may take 2 s, and each try made the next one larger.

A follower of a single object now lists after a timeout: a list holds one version. Many small objects are followed as before, their list is larger than their changes.

--- a/src/rosemaryknot/process/store_follower.py
+++ b/src/rosemaryknot/process/store_follower.py
@@ -7,7 +7,12 @@
 
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
-from rosemaryknot.values.platform import Listed, ObjectChanged, PlatformFailed
+from rosemaryknot.values.platform import (
+    TIMEOUT,
+    Listed,
+    ObjectChanged,
+    PlatformFailed,
+)
 from rosemaryknot.values.store_changes import Changes, ChangeSource, HistoryGone
 
 __all__ = ["StoreFollower"]
@@ -144,6 +149,9 @@
         finally:
             self.asked_s = float("inf")
         if isinstance(outcome, PlatformFailed):
+            # Changes that a slow link did not bring within the call's bound only
+            # become more; a list does not.
+            self.lists_next = self.is_single and outcome.reason == TIMEOUT
             await self.note_failure(outcome)
         elif isinstance(outcome, HistoryGone):
             log.info("history gone, listing again", kind=self.kind)
--- a/src/rosemaryknot/values/platform.py
+++ b/src/rosemaryknot/values/platform.py
@@ -25,9 +25,12 @@
     "Price",
     "StartRefused",
     "StoredObject",
+    "TIMEOUT",
     "Written",
 ]
 
+TIMEOUT = "timeout"
+
 
 @dataclass(slots=True)
 class StoredObject:
--- a/tests/gateway/test_slow_links.py
+++ b/tests/gateway/test_slow_links.py
@@ -5,6 +5,7 @@
 import trio
 
 from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.standin.users.changes import filler_routes
 from rosemaryknot.standin.users.system import PLAIN, document, platform_system, route
 
 NODES = 30
@@ -20,10 +21,7 @@
 
 def large_document(version, routes=ROUTES):
     """Return a configuration of many routes, with one more in each version."""
-    routes = [
-        route(f"r-{n:05x}", f"/{n * 2654435761 % 2**32:08x}/", "idempotent", PLAIN)
-        for n in range(routes + version)
-    ]
+    routes = filler_routes(routes + version)
     routes.append(route("stock", "/stock/", "idempotent", PLAIN))
     return document(version, routes=routes)
 
@@ -100,6 +98,18 @@
                 late |= {n for n, node in fleet.nodes.items() if is_late(node, written)}
             assert not late
 
+    async def test_store_is_silent_in_a_series(self, autojump_clock):
+        """Guards against a watch that asks for more versions than its bound allows."""
+        async with platform_system(nodes=1) as fleet:
+            await limit_links(fleet)
+            fleet.nursery.start_soon(change_in_series, fleet, {}, 2 * CHANGES)
+            await trio.sleep(CHANGES * CHANGE_PAUSE_S)
+            fleet.store.faults.begin("silent")
+            await trio.sleep(1.0)
+            fleet.store.faults.end()
+            await trio.sleep(CHANGES * CHANGE_PAUSE_S + IN_FORCE_S)
+            assert fleet.nodes["n0"].state.version == 2 * CHANGES + 1
+
     async def test_leaving_servers_get_no_late_requests(self, autojump_clock):
         """Guards against requests that wait behind documents in a node's own link."""
         bounds = Bounds(drain_ms=1000 * DRAIN_S)
