Do not give up a read of the platform whose answer goes on coming

A call of the platform was bounded as a whole, 2 s. A configuration near the store's limit of 1 MB takes 1.7 s of a link of 5 Mbit/s that carries nothing else; beside callers it takes longer, was given up near its end, and was read again from its beginning, which fills the link anew.

A read's deadline now moves with each part that arrives, up to four times the timeout. An answer that stops is given up after the timeout as before, one that comes in drops after 8 s, and writes keep their 2 s, since leases count on it.

Evidence: test_slow_link_brings_a_whole_answer (3 s of a link) failed before with a timeout; the other three tests hold the bounds that stay.

--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -11,15 +11,16 @@
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import Network
 from rosemaryknot.values.nodes import Address
-from rosemaryknot.values.platform import PlatformFailed
+from rosemaryknot.values.platform import TIMEOUT, PlatformFailed
 
 __all__ = ["BAD_ANSWER", "PlatformCalls", "Watch"]
 
 TIMEOUT_S = 2.0
 IDLE_BOUND_S = 3.0
+# Longest time of a read whose answer goes on coming, as a multiple of its timeout.
+LONGEST_READ = 4.0
 BAD_ANSWER = "bad_answer"
 BROKEN = "broken"
-TIMEOUT = "timeout"
 UNREACHABLE = "unreachable"
 SURELY_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
@@ -129,7 +130,8 @@
     address : Address
         Of the platform.
     timeout_s : float
-        Bound on each call but the watches, in seconds.
+        Bound on each call but the watches, in seconds. A read whose answer goes on
+        coming is not given up then: asked again, it would fill a slow link anew.
     idle_bound_s : float
         Longest silence of a watch, in seconds.
 
@@ -206,16 +208,15 @@
         pool.users += 1
         failed = PlatformFailed(TIMEOUT, maybe_done=True)
         timeout = httpx.Timeout(self.timeout_s + wait_s, connect=self.timeout_s / 2)
+        request = pool.client.build_request(
+            method, self.url + path, content=content, headers=headers, timeout=timeout
+        )
         try:
-            with trio.move_on_after(self.timeout_s + wait_s):
-                response = await pool.client.request(
-                    method,
-                    self.url + path,
-                    content=content,
-                    headers=headers,
-                    timeout=timeout,
-                )
-                return self.noted(checked(response))
+            with trio.move_on_after(self.timeout_s + wait_s) as scope:
+                response = await pool.client.send(request, stream=True)
+                body = await self.read_body(response, scope)
+                whole = httpx.Response(response.status_code, content=body)
+                return self.noted(checked(whole))
         except httpx.TransportError as error:
             failed = failure_of(error)
         finally:
@@ -224,6 +225,24 @@
             self.retire(pool)
         return self.noted(failed)
 
+    async def read_body(
+        self, response: httpx.Response, scope: trio.CancelScope
+    ) -> bytes:
+        """Return the body of an answer; each part of a read moves its deadline."""
+        is_read = response.request.method == "GET"
+        latest_s = scope.deadline + (LONGEST_READ - 1) * self.timeout_s
+        body = bytearray()
+        try:
+            async for part in response.aiter_bytes():
+                body += part
+                if is_read:
+                    due_s = trio.current_time() + self.timeout_s
+                    scope.deadline = min(latest_s, max(scope.deadline, due_s))
+        finally:
+            with trio.CancelScope(shield=True):
+                await response.aclose()
+        return bytes(body)
+
     def noted(
         self, outcome: httpx.Response | PlatformFailed
     ) -> httpx.Response | PlatformFailed:
