Hold plays and soak to the times for configurations and leaving servers

The audit that plays in virtual time and the soak share had no promise with a time: neither could find late configurations or requests that reach a leaving server, so the fault of the incident passed all our own runs. Two promises are added, from what callers, servers and the store saw: a request is handled by a configuration that may be in force (3 s after the store's confirmation), and a server that said it leaves gets nothing later than the drain time.

--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -7,11 +7,20 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["Asked", "Seen", "Violation", "audit"]
+from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.standin.users.contact import EVERYONE, Disturbances
+from rosemaryknot.standin.users.store import Written
+
+__all__ = ["Asked", "Reached", "Seen", "Violation", "audit"]
 
 # These say that the request has not run and never will.
 NOT_RUN = frozenset((408, 421, 429, 503))
+UNKNOWN = frozenset((401, 403, 404))
 OK = 200
+# From the store's confirmation on: until a configuration is in force, and until a
+# server that leaves gets no more requests.
+APPLY_S = 3.0
+DRAIN_S = Bounds().drain_ms / 1000
 
 
 @dataclass(slots=True)
@@ -34,6 +43,10 @@
         Whether the answer ended as it said it would.
     events : int
         Events that the whole stream has.
+    node, path : str
+        Whom it was sent to, and for what.
+    sent_s, ended_s : float
+        When it was sent, and when its answer ended, in trio time.
     """
 
     id: str
@@ -43,6 +56,27 @@
     body: bytes = b""
     is_whole: bool = False
     events: int = 0
+    node: str = ""
+    path: str = ""
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Reached:
+    """One request that reached a server and was not refused as another's.
+
+    Attributes
+    ----------
+    server, id : str
+        Ids of the server and of the request.
+    at_s : float
+        When, in trio time.
+    """
+
+    server: str
+    id: str
+    at_s: float
 
 
 @dataclass(slots=True)
@@ -63,6 +97,12 @@
         Holders and numbers of accepted calls.
     trapped : list of str
         Requests that came where only entries of another writer lead.
+    reached : list of Reached
+        Requests that reached servers, in order.
+    written : list of Written
+        Changes of the store's objects, in order.
+    disturbances : Disturbances
+        Whom a promise with a time does not bind, and when.
     """
 
     asked: list[Asked] = field(default_factory=list)
@@ -71,6 +111,9 @@
     fences: list[int] = field(default_factory=list)
     holders: list[tuple[str, int]] = field(default_factory=list)
     trapped: list[str] = field(default_factory=list)
+    reached: list[Reached] = field(default_factory=list)
+    written: list[Written] = field(default_factory=list)
+    disturbances: Disturbances = field(default_factory=Disturbances)
 
 
 @dataclass(slots=True)
@@ -197,3 +240,105 @@
     for holder, fence in seen.holders:
         if holder_of.setdefault(fence, holder) != holder:
             yield f"number {fence} of {holder_of[fence]} and {holder}"
+
+
+@dataclass(slots=True)
+class Version:
+    """A configuration that the store confirmed."""
+
+    at_s: float
+    number: int
+    prefixes: set[str]
+
+
+def versions_of(seen: Seen) -> list[Version]:
+    """Return the configurations in the order in which they were confirmed."""
+    return [
+        Version(
+            written.at_s,
+            written.spec["version"],
+            {route["pathPrefix"] for route in written.spec["routes"]},
+        )
+        for written in seen.written
+        if written.kind == "config"
+    ]
+
+
+def allowed_versions(versions: list[Version], asked: Asked) -> list[Version]:
+    """Return the configurations that a request may be handled by."""
+    newer = [v for v in versions if asked.sent_s - APPLY_S < v.at_s <= asked.ended_s]
+    due = [v for v in versions if v.at_s <= asked.sent_s - APPLY_S]
+    return due[-1:] + newer
+
+
+@promise("configuration_in_force")
+def configuration_in_force(seen: Seen) -> Iterable[str]:
+    """Find requests that were handled as only a replaced configuration allows."""
+    versions = versions_of(seen)
+    for asked in seen.asked:
+        if not seen.disturbances.is_calm(asked.node, asked.sent_s, asked.ended_s):
+            continue
+        allowed = allowed_versions(versions, asked)
+        prefix = f"/{asked.path.split('/')[1]}/" if asked.path else ""
+        if not prefix or not allowed:
+            continue
+        if asked.status in UNKNOWN and all(prefix in v.prefixes for v in allowed):
+            yield f"{asked.id} got {asked.status}, in {allowed[0].number}: {prefix}"
+        if seen.runs.get(asked.id) and not any(prefix in v.prefixes for v in allowed):
+            yield f"{asked.id} ran, not in {allowed[0].number}: {prefix}"
+
+
+def leaving_since(seen: Seen, reached: Reached) -> float | None:
+    """Return since when a server has been leaving when a request reached it."""
+    since_s = None
+    address = None
+    born_ms = 0
+    for written in seen.written:
+        if written.at_s > reached.at_s:
+            break
+        entry = written.spec
+        if (written.kind, written.name) != ("servers", reached.server):
+            continue
+        if not isinstance(entry, dict) or entry.get("address") != (
+            address or entry.get("address")
+        ):
+            # Removed, or of another writer.
+            continue
+        address = entry["address"]
+        if entry.get("born", 0) < born_ms:
+            # A late word of an earlier life.
+            continue
+        born_ms = entry.get("born", 0)
+        if entry["state"] != "draining":
+            since_s = None
+        elif since_s is None:
+            since_s = written.at_s
+    return since_s
+
+
+@promise("leaving_get_nothing")
+def leaving_get_nothing(seen: Seen) -> Iterable[str]:
+    """Find requests that reached a server too long after it said that it leaves."""
+    leaving = {
+        written.name
+        for written in seen.written
+        if written.kind == "servers"
+        and isinstance(written.spec, dict)
+        and written.spec.get("state") == "draining"
+    }
+    asked_of = {asked.id: asked for asked in seen.asked}
+    is_calm = seen.disturbances.is_calm
+    for reached in seen.reached:
+        if reached.server not in leaving or reached.id not in asked_of:
+            continue
+        since_s = leaving_since(seen, reached)
+        if since_s is None or reached.at_s - since_s <= DRAIN_S:
+            continue
+        asked = asked_of[reached.id]
+        if (
+            is_calm(asked.node, asked.sent_s, reached.at_s)
+            and is_calm(reached.server, since_s, reached.at_s)
+            and is_calm(EVERYONE, since_s, reached.at_s)
+        ):
+            late_s = reached.at_s - since_s
+            yield f"{reached.id} reached {reached.server} {late_s:.2f} s after"
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -3,15 +3,25 @@
 import json
 import random
 from collections import Counter
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import trio
 
-from rosemaryknot.standin.users.audit import Asked, Seen, Violation, audit
+from rosemaryknot.standin.users.audit import (
+    Asked,
+    Reached,
+    Seen,
+    Violation,
+    audit,
+)
+from rosemaryknot.standin.users.changes import added_path
 from rosemaryknot.standin.users.play_faults import (
     PLAY_FAULTS,
+    disturbed_by,
+    draw_changes,
     draw_fault,
     draw_server_life,
 )
@@ -24,10 +34,11 @@
 
 __all__ = ["Play", "PlayResult", "load_play", "random_play", "run_play"]
 
-REPEATABLE = frozenset(("ask", "stock"))
+REPEATABLE = frozenset(("ask", "stock", "added"))
 STREAMS = frozenset(("ask", "plan"))
 OK = 200
 EVENTS = 50 // EVENT_TOKENS
+SLOW_LINK_BYTES_PER_S = 5e6 / 8
 # After the last request, so that what is under way ends and usage is told.
 SETTLE_S = 14.0
 
@@ -44,6 +55,10 @@
         How long requests come.
     load : dict of str to float
         Requests in a second by route: plan, ask, book, stock.
+    added_per_s : float
+        Requests in a second on routes that changes add and drop.
+    link_bytes_per_s : float
+        Bandwidth of each node's link; 0 for links without a limit.
     faults : list of dict
         ``at``, ``kind`` (a name in `PLAY_FAULTS`), and what the kind takes.
     """
@@ -55,6 +70,8 @@
     load: dict[str, float] = field(
         default_factory=lambda: {"plan": 3.0, "ask": 5.0, "book": 5.0, "stock": 5.0}
     )
+    added_per_s: float = 4.0
+    link_bytes_per_s: float = 0.0
     faults: list[dict[str, Any]] = field(default_factory=list)
 
 
@@ -97,39 +114,71 @@
     system: PlatformSystem, play: Play, rng: random.Random, seen: Seen
 ) -> None:
     """Send requests to all nodes and note what each got."""
-    number = 0
-
-    async def ask(kind: str, node: str, name: str) -> None:
-        asked = Asked(
-            name,
-            "stream" if kind in STREAMS else "plain",
-            kind in REPEATABLE,
-            events=EVENTS,
-        )
-        seen.asked.append(asked)
-        headers = MODEL_HEADERS if kind in STREAMS else {}
-        method = "GET" if kind == "stock" else "POST"
-        try:
-            answer = await system.ask(
-                f"/{kind}/x", node, method=method, request_id=name, **headers
-            )
-        except (OSError, trio.BrokenResourceError):
-            return
-        asked.status = answer.status
-        asked.body = answer.body
-        asked.is_whole = answer.is_whole
-
     until_s = trio.current_time() + play.length_s
     kinds, rates = zip(*play.load.items(), strict=True)
+    number = 0
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask_added, system, play, rng.random(), seen, nursery)
         while trio.current_time() < until_s:
             await trio.sleep(rng.expovariate(sum(rates)))
             kind = rng.choices(kinds, rates)[0]
             node = rng.choice(list(system.nodes))
-            nursery.start_soon(ask, kind, node, f"{kind}-{number}")
+            asked = new_asked(kind, f"{kind}-{number}", node, f"/{kind}/x")
+            nursery.start_soon(ask, system, asked, seen)
             number += 1
 
 
+async def ask_added(
+    system: PlatformSystem,
+    play: Play,
+    seed: float,
+    seen: Seen,
+    nursery: trio.Nursery,
+) -> None:
+    """Send requests on the routes that changes of the configuration add and drop."""
+    rng = random.Random(seed)
+    until_s = trio.current_time() + play.length_s
+    number = 0
+    while play.added_per_s and trio.current_time() < until_s:
+        await trio.sleep(rng.expovariate(play.added_per_s))
+        node = rng.choice(list(system.nodes))
+        path = added_path(system.store, rng)
+        asked = new_asked("added", f"added-{number}", node, path)
+        nursery.start_soon(ask, system, asked, seen)
+        number += 1
+
+
+def new_asked(kind: str, name: str, node: str, path: str) -> Asked:
+    """Return a request that is about to be sent."""
+    return Asked(
+        name,
+        "stream" if kind in STREAMS else "plain",
+        kind in REPEATABLE,
+        events=EVENTS,
+        node=node,
+        path=path,
+    )
+
+
+async def ask(system: PlatformSystem, asked: Asked, seen: Seen) -> None:
+    """Send one request and note what it got."""
+    seen.asked.append(asked)
+    asked.sent_s = asked.ended_s = trio.current_time()
+    headers = MODEL_HEADERS if asked.kind == "stream" else {}
+    method = "GET" if asked.path.startswith("/stock/") else "POST"
+    try:
+        answer = await system.ask(
+            asked.path, asked.node, method=method, request_id=asked.id, **headers
+        )
+    except (OSError, trio.BrokenResourceError):
+        return
+    finally:
+        asked.ended_s = trio.current_time()
+    asked.status = answer.status
+    asked.body = answer.body
+    asked.is_whole = answer.is_whole
+
+
 async def run_play(play: Play, seed: int) -> PlayResult:
     """Play, and hold what was seen to the promises."""
     rng = random.Random(seed)
@@ -142,12 +191,19 @@
         models=play.models,
         duties=["usage"],
     ) as system:
+        if play.link_bytes_per_s:
+            for node in system.nodes.values():
+                host = node.settings.listen.callers.host
+                system.network.limit_link(host, play.link_bytes_per_s)
         await trio.sleep(3)
 
         async def happen(fault: dict[str, Any]) -> None:
             await trio.sleep(fault["at"])
             happened[fault["kind"]] += 1
-            await PLAY_FAULTS[fault["kind"]](system, fault)
+            with ExitStack() as stack:
+                for subject in disturbed_by(fault):
+                    stack.enter_context(seen.disturbances.disturb(subject))
+                await PLAY_FAULTS[fault["kind"]](system, fault)
 
         for fault in play.faults:
             system.nursery.start_soon(happen, fault)
@@ -163,6 +219,10 @@
     for arrival in system.ledger.arrivals:
         if arrival.has_run:
             seen.runs[arrival.id] = seen.runs.get(arrival.id, 0) + 1
+        if arrival.ended != "refused":
+            reached = Reached(arrival.server, arrival.id, arrival.at_s)
+            seen.reached.append(reached)
+    seen.written = system.store.written
     seen.trapped = [arrival.id for arrival in system.trap.arrivals]
     accepted = [call for call in system.cloud.calls if call.status == 200]
     seen.usage_doubled = system.cloud.doubled
@@ -178,6 +238,9 @@
         play.faults.append(draw_fault(rng, play.nodes))
     for _ in range(rng.randint(1, 4)):
         play.faults.append(draw_server_life(rng))
+    for _ in range(rng.choice((0, 1, 2))):
+        play.faults.append(draw_changes(rng))
+    play.link_bytes_per_s = rng.choice((0.0, SLOW_LINK_BYTES_PER_S))
     return play
 
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -6,11 +6,19 @@
 
 import trio
 
+from rosemaryknot.standin.users.changes import changed_document
+from rosemaryknot.standin.users.contact import EVERYONE
 from rosemaryknot.standin.users.foreign import FOREIGN, foreign_value
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
-from rosemaryknot.standin.users.system import STORE, PlatformSystem, document
+from rosemaryknot.standin.users.system import STORE, PlatformSystem
 
-__all__ = ["PLAY_FAULTS", "draw_fault", "draw_server_life"]
+__all__ = [
+    "PLAY_FAULTS",
+    "disturbed_by",
+    "draw_changes",
+    "draw_fault",
+    "draw_server_life",
+]
 
 RESTART_S = 0.5
 # After so long a server writes its entry again, as with its heartbeat.
@@ -138,9 +146,11 @@
 
 @play_fault("configure")
 async def configure(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Write a new version of the configuration."""
-    known = system.store.objects["config"]["main"]["spec"]
-    system.store.put("config", "main", document(known["version"] + 3))
+    """Write ``times`` new versions of the configuration, ``pause_s`` apart."""
+    for _ in range(fault.get("times", 1)):
+        document = changed_document(system.store, fault.get("routes", 0))
+        system.store.put("config", "main", document)
+        await trio.sleep(fault.get("pause_s", 0.0))
 
 
 @play_fault("restart")
@@ -191,6 +201,33 @@
         system.store.put("servers", server, system.servers[server].entry)
 
 
+def disturbed_by(fault: dict[str, Any]) -> list[str]:
+    """Return whom a fault takes the contact that promises with a time ask for."""
+    if fault["kind"] == "store":
+        return [node_of(fault["host"])] if "host" in fault else [EVERYONE]
+    if fault["kind"] in ("kill", "stop"):
+        return [fault["node"]]
+    if fault["kind"] == "cut":
+        return [node_of(fault["host"])]
+    return []
+
+
+def node_of(host: str) -> str:
+    """Return the name of the node on a host."""
+    return f"n{int(host.rpartition('.')[2]) - 1}"
+
+
+def draw_changes(rng: random.Random) -> dict[str, Any]:
+    """Draw a series of changes of the configuration, of a large one at times."""
+    return {
+        "kind": "configure",
+        "at": round(rng.uniform(0.5, 10.0), 2),
+        "times": rng.randint(2, 10),
+        "pause_s": round(rng.uniform(0.2, 1.5), 2),
+        "routes": rng.choice((0, 0, 400, 1600)),
+    }
+
+
 def draw_fault(rng: random.Random, nodes: int) -> dict[str, Any]:
     """Draw one fault of any kind."""
     node = rng.randrange(nodes)
