--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -7,6 +7,7 @@
 import json
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -21,7 +22,9 @@
 
 from rosemaryknot.connection.network import SocketNetwork
 from rosemaryknot.standin.users.audit import Seen, Violation, audit
+from rosemaryknot.standin.users.changes import changed_document
 from rosemaryknot.standin.users.cloud import CloudStandIn
+from rosemaryknot.standin.users.contact import Disturbances
 from rosemaryknot.standin.users.foreign import FOREIGN, foreign_value
 from rosemaryknot.standin.users.play import Play, note_seen, play_load
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
@@ -36,11 +39,15 @@
 GRACE_S = 4.0
 LENGTH_S = 14.0
 HEARTBEAT_S = 1.0
+STORE_OF = "store of "
 READY_S = 8.0
 # A node answers again so soon after the last fault.
 RECOVERY_S = 8.0
 MAX_MEMORY_MB = 200
 MAX_FILES = 400
+PORTS = range(21000, 29000, 20)
+PORTS_OF_NODE = 4
+SLOW_LINK_BYTES_PER_S = 5e6 / 8
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -59,14 +66,34 @@
     return register
 
 
+def is_free(port: int) -> bool:
+    """Tell whether a port of loopback can be listened on."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+def first_port(seed: int) -> int:
+    """Return the first of the ports of all nodes, which nothing else listens on."""
+    begin = seed % len(PORTS)
+    for base in [*PORTS[begin:], *PORTS[:begin]]:
+        if all(is_free(base + n) for n in range(NODES * PORTS_OF_NODE)):
+            return base
+    raise RuntimeError("no free ports")
+
+
 class SoakNode:
     """One node as a process."""
 
-    def __init__(self, name: str, settings: dict[str, Any]) -> None:
+    def __init__(self, folder: Path, name: str, settings: dict[str, Any]) -> None:
         self.name = name
         self.settings = settings
-        self.path = FOLDER / f"{name}.json"
-        self.log = FOLDER / f"{name}.log"
+        self.path = folder / f"{name}.json"
+        self.log = folder / f"{name}.log"
         self.process: subprocess.Popen | None = None
         self.is_busy = False
 
@@ -115,7 +142,9 @@
     def __init__(self, nursery: trio.Nursery, seed: int) -> None:
         self.nursery = nursery
         self.network = SocketNetwork()
-        self.base = 21000 + seed % 400 * 20
+        self.folder = FOLDER / str(seed)
+        self.base = first_port(seed)
+        self.link_bytes_per_s = random.Random(seed).choice((0, SLOW_LINK_BYTES_PER_S))
         self.store = StoreStandIn()
         self.cloud = CloudStandIn()
         self.ledger = Ledger()
@@ -124,10 +153,12 @@
         self.proxies: dict[str, SoakProxy] = {}
         self.nodes: dict[str, SoakNode] = {}
         self.problems: list[Violation] = []
+        self.disturbances = Disturbances()
 
     async def start(self) -> None:
         """Start everything and wait until the nodes are ready."""
         anywhere = Address(HOST, 0)
+        self.folder.mkdir(parents=True, exist_ok=True)
         start = self.nursery.start
         store = await start(self.store.server.serve, self.network, anywhere)
         cloud = await start(self.cloud.server.serve, self.network, anywhere)
@@ -138,11 +169,12 @@
             await self.add_server(f"s{number}", MODEL if number < 3 else PLAIN)
         for number in range(NODES):
             proxy = SoakProxy(store)
+            proxy.bytes_per_s = self.link_bytes_per_s
             address = await start(proxy.serve, anywhere)
-            self.proxies[f"store of n{number}"] = proxy
-            self.nodes[f"n{number}"] = SoakNode(
-                f"n{number}", self.node_settings(number, address, cloud)
-            )
+            self.proxies[f"{STORE_OF}n{number}"] = proxy
+            settings = self.node_settings(number, address, cloud)
+            name = settings["node"]
+            self.nodes[name] = SoakNode(self.folder, name, settings)
         for node in self.nodes.values():
             node.log.write_text("")
             node.start()
@@ -152,7 +184,8 @@
 
     def node_settings(self, number: int, store: Address, cloud: Address) -> dict:
         """Return a node's settings."""
-        ports = [self.base + number * 4 + offset for offset in range(4)]
+        first = self.base + number * PORTS_OF_NODE
+        ports = range(first, first + PORTS_OF_NODE)
         return {
             "node": f"n{number}",
             "zone": f"z{number % 3}",
@@ -188,7 +221,8 @@
         """Put something over a server's entry until its next heartbeat."""
         self.store.put("servers", name, value)
         await trio.sleep(HEARTBEAT_S)
-        self.store.put("servers", name, self.servers[name].entry)
+        if name in self.servers:
+            self.store.put("servers", name, self.servers[name].entry)
 
     async def ask(self, path: str, node: str, **options: Any) -> Answer:
         """Send one request on a connection of its own."""
@@ -235,6 +269,11 @@
                 node.process.wait()
 
 
+def behind(proxy: str) -> str:
+    """Return the name of the node or server that a proxy stands before."""
+    return proxy.removeprefix(STORE_OF)
+
+
 def idle_node(system: SoakSystem, rng: random.Random) -> SoakNode | None:
     """Return a node that no other fault has in hand."""
     idle = [node for node in system.nodes.values() if not node.is_busy]
@@ -247,13 +286,14 @@
     node = idle_node(system, rng)
     if node is None:
         return
-    node.is_busy = True
-    node.send(signal.SIGKILL)
-    await node.wait(2)
-    await trio.sleep(for_s / 3)
-    node.start()
-    await system.is_back(node.name, READY_S)
-    node.is_busy = False
+    with system.disturbances.disturb(node.name):
+        node.is_busy = True
+        node.send(signal.SIGKILL)
+        await node.wait(2)
+        await trio.sleep(for_s / 3)
+        node.start()
+        await system.is_back(node.name, READY_S)
+        node.is_busy = False
 
 
 @soak_fault("stop")
@@ -262,15 +302,16 @@
     node = idle_node(system, rng)
     if node is None:
         return
-    node.is_busy = True
-    node.send(signal.SIGTERM)
-    if await node.wait(GRACE_S + 1.5) != 0:
-        system.problems.append(Violation("planned_stop", node.name))
-        node.send(signal.SIGKILL)
-        await node.wait(2)
-    node.start()
-    await system.is_back(node.name, READY_S)
-    node.is_busy = False
+    with system.disturbances.disturb(node.name):
+        node.is_busy = True
+        node.send(signal.SIGTERM)
+        if await node.wait(GRACE_S + 1.5) != 0:
+            system.problems.append(Violation("planned_stop", node.name))
+            node.send(signal.SIGKILL)
+            await node.wait(2)
+        node.start()
+        await system.is_back(node.name, READY_S)
+        node.is_busy = False
 
 
 @soak_fault("pause")
@@ -279,11 +320,12 @@
     node = idle_node(system, rng)
     if node is None:
         return
-    node.is_busy = True
-    node.send(signal.SIGSTOP)
-    await trio.sleep(for_s)
-    node.send(signal.SIGCONT)
-    node.is_busy = False
+    with system.disturbances.disturb(node.name):
+        node.is_busy = True
+        node.send(signal.SIGSTOP)
+        await trio.sleep(for_s)
+        node.send(signal.SIGCONT)
+        node.is_busy = False
 
 
 @soak_fault("hangup")
@@ -298,17 +340,41 @@
 
 @soak_fault("configure")
 async def configure(system: SoakSystem, rng: random.Random, for_s: float) -> None:
-    """Write a new version of the configuration."""
-    known = system.store.objects["config"]["main"]["spec"]
-    system.store.put("config", "main", document(known["version"] + rng.randint(1, 5)))
+    """Write new versions of the configuration, at times of a large one."""
+    filler = rng.choice((0, 0, 800))
+    for _ in range(rng.randint(1, 4)):
+        system.store.put("config", "main", changed_document(system.store, filler))
+        await trio.sleep(for_s / 4)
+
+
+@soak_fault("leave")
+async def leave(system: SoakSystem, rng: random.Random, for_s: float) -> None:
+    """Let a server say that it leaves, and come back under another id."""
+    name = rng.choice(list(system.servers))
+    server = system.servers[name]
+    service = server.entry["service"]
+    staying = [
+        other
+        for other in system.servers.values()
+        if other.entry["service"] == service and other.entry["state"] == "ready"
+    ]
+    if len(staying) < 2 or server not in staying:
+        return
+    server.entry = server.entry | {"state": "draining"}
+    system.store.put("servers", name, server.entry)
+    await trio.sleep(for_s)
+    del system.servers[name]
+    system.store.remove("servers", name)
+    await system.add_server(f"{name}-{len(system.proxies)}", service)
 
 
 @soak_fault("store")
 async def store_fault(system: SoakSystem, rng: random.Random, for_s: float) -> None:
     """Let the store refuse, reset or say nothing."""
-    system.store.faults.begin(rng.choice(("busy", "many", "reset", "silent")))
-    await trio.sleep(for_s)
-    system.store.faults.end()
+    with system.disturbances.disturb():
+        system.store.faults.begin(rng.choice(("busy", "many", "reset", "silent")))
+        await trio.sleep(for_s)
+        system.store.faults.end()
 
 
 @soak_fault("lost_writes")
@@ -380,25 +446,29 @@
 @soak_fault("delay")
 async def delay(system: SoakSystem, rng: random.Random, for_s: float) -> None:
     """Delay what goes through a proxy."""
-    proxy = rng.choice(list(system.proxies.values()))
-    proxy.delay_s = rng.uniform(0.02, 0.3)
-    await trio.sleep(for_s)
-    proxy.delay_s = 0.0
+    name, proxy = rng.choice(list(system.proxies.items()))
+    with system.disturbances.disturb(behind(name)):
+        proxy.delay_s = rng.uniform(0.02, 0.3)
+        await trio.sleep(for_s)
+        proxy.delay_s = 0.0
 
 
 @soak_fault("silence")
 async def silence(system: SoakSystem, rng: random.Random, for_s: float) -> None:
     """Cut one or both directions of a proxy without a sign."""
-    proxy = rng.choice(list(system.proxies.values()))
-    proxy.silent = set(rng.choice((("to",), ("from",), ("to", "from"))))
-    await trio.sleep(for_s)
-    proxy.silent = set()
+    name, proxy = rng.choice(list(system.proxies.items()))
+    with system.disturbances.disturb(behind(name)):
+        proxy.silent = set(rng.choice((("to",), ("from",), ("to", "from"))))
+        await trio.sleep(for_s)
+        proxy.silent = set()
 
 
 @soak_fault("reset")
 async def reset(system: SoakSystem, rng: random.Random, for_s: float) -> None:
     """Reset all connections through a proxy."""
-    rng.choice(list(system.proxies.values())).reset_all()
+    name, proxy = rng.choice(list(system.proxies.items()))
+    with system.disturbances.disturb(behind(name)):
+        proxy.reset_all()
 
 
 async def run_seed(seed: int) -> tuple[list[Violation], Counter]:
@@ -408,6 +478,7 @@
     happened: Counter = Counter()
     async with trio.open_nursery() as nursery:
         system = SoakSystem(nursery, seed)
+        seen.disturbances = system.disturbances
         await system.start()
 
         async def cause_trouble() -> None:
@@ -442,7 +513,6 @@
     minutes: Annotated[float, typer.Option(help="No new seed after this.")] = 60.0,
 ) -> None:
     """Run the soak and print a line for each seed, then one of JSON."""
-    FOLDER.mkdir(parents=True, exist_ok=True)
     first = int(time.time()) % 1_000_000 if seed is None else seed
     faults: Counter = Counter()
     by_kind: Counter = Counter()
--- a/scripts/soak_proxy.py
+++ b/scripts/soak_proxy.py
@@ -20,6 +20,8 @@
     ----------
     delay_s : float
         How long each piece is held.
+    bytes_per_s : float
+        Bandwidth of each direction of a connection; 0 for no limit.
     silent : set of str
         Directions that drop what comes: ``to`` the target, ``from`` it. What was open
         meanwhile stays silent for good.
@@ -28,6 +30,7 @@
     def __init__(self, target: Address) -> None:
         self.target = target
         self.delay_s = 0.0
+        self.bytes_per_s = 0.0
         self.silent: set[str] = set()
         self.streams: set[trio.SocketStream] = set()
         self.deaf: set[trio.SocketStream] = set()
@@ -78,6 +81,8 @@
                     continue
                 if self.delay_s:
                     await trio.sleep(self.delay_s)
+                if self.bytes_per_s:
+                    await trio.sleep(len(data) / self.bytes_per_s)
                 await sink.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # Passed on as a reset: a plain end would make a broken answer without a
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -5,7 +5,8 @@
 import pytest
 
 from rosemaryknot.replay.virtual_time import run_in_virtual_time
-from rosemaryknot.standin.users.audit import Asked, Seen, audit
+from rosemaryknot.standin.users.audit import Asked, Reached, Seen, audit
+from rosemaryknot.standin.users.contact import Disturbance
 from rosemaryknot.standin.users.play import (
     PLAY_FAULTS,
     Play,
@@ -13,11 +14,29 @@
     random_play,
     run_play,
 )
+from rosemaryknot.standin.users.store import Written
 
 # Drawn faults that meet: a kill in a silent store, a lapse during a stop, cuts.
 SEEDS = (100, 101, 102, 103, 104, 105)
 
 
+def seen_at(status, path, server=""):
+    """Return one request, sent 9 s after a change of routes and a server's leaving."""
+    routes = [{"pathPrefix": "/new/"}]
+    leaving = {"address": "a:1", "state": "draining", "born": 5}
+    asked = Asked("a", "plain", True, status, b"x answers a", True)
+    asked.node, asked.path, asked.sent_s, asked.ended_s = "n0", path, 10.0, 10.1
+    return Seen(
+        [asked],
+        {"a": 1} if status == 200 else {},
+        reached=[Reached(server, "a", 10.1)] if server else [],
+        written=[
+            Written(1.0, "config", "main", {"version": 7, "routes": routes}),
+            Written(1.0, "servers", "p0", leaving),
+        ],
+    )
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_drawn_faults(self, seed):
@@ -64,7 +83,27 @@
             ("one_usage_report", Seen(usage_doubled=[7])),
             ("fences_rise", Seen(fences=[2, 1])),
             ("fences_rise", Seen(holders=[("n1", 3), ("n2", 3)])),
+            ("configuration_in_force", seen_at(404, "/new/x")),
+            ("configuration_in_force", seen_at(401, "/new/x")),
+            ("configuration_in_force", seen_at(200, "/old/x")),
+            ("leaving_get_nothing", seen_at(200, "/new/x", "p0")),
         ],
     )
     def test_breach_is_found(self, promise, seen):
         assert [violation.promise for violation in audit(seen)] == [promise]
+
+    @pytest.mark.parametrize("way", ["in_time", "disturbed_node", "earlier_life"])
+    def test_what_no_promise_binds(self, way):
+        seen = seen_at(404, "/new/x", "p0")
+        if way == "in_time":
+            seen.asked[0].sent_s = seen.asked[0].ended_s = 3.9
+            seen.reached[0].at_s = 2.9
+            before = {"version": 4, "routes": []}
+            seen.written.insert(0, Written(0.0, "config", "main", before))
+        elif way == "disturbed_node":
+            seen.disturbances.spans.append(Disturbance("n0", 6.0, 7.5))
+        else:
+            seen.asked[0].status = 200
+            newer = {"address": "a:1", "state": "ready", "born": 9}
+            seen.written.insert(0, Written(0.5, "servers", "p0", newer))
+        assert not audit(seen)
