--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -21,7 +21,7 @@
 from soak_proxy import SoakProxy
 
 from rosemaryknot.connection.network import SocketNetwork
-from rosemaryknot.standin.users.audit import Seen, Violation, audit
+from rosemaryknot.standin.users.audit import DRAIN_S, Seen, Violation, audit
 from rosemaryknot.standin.users.changes import changed_document
 from rosemaryknot.standin.users.cloud import CloudStandIn
 from rosemaryknot.standin.users.contact import Disturbances
@@ -362,7 +362,7 @@
         return
     server.entry = server.entry | {"state": "draining"}
     system.store.put("servers", name, server.entry)
-    await trio.sleep(for_s)
+    await trio.sleep(DRAIN_S + for_s)
     del system.servers[name]
     system.store.remove("servers", name)
     await system.add_server(f"{name}-{len(system.proxies)}", service)
--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -11,7 +11,7 @@
 from rosemaryknot.standin.users.contact import EVERYONE, Disturbances
 from rosemaryknot.standin.users.store import Written
 
-__all__ = ["Asked", "Reached", "Seen", "Violation", "audit"]
+__all__ = ["DRAIN_S", "Asked", "Reached", "Seen", "Violation", "audit"]
 
 # These say that the request has not run and never will.
 NOT_RUN = frozenset((408, 421, 429, 503))
