Part the worst load into its loads, its gateways and its play

Loads, deployments and tallies are in peak_load.py, tables and choices in peak_gateway.py; peak_hubs.py imports the gateway, and peak.py plays.

--- a/benchmarks/peak.py
+++ b/benchmarks/peak.py
@@ -9,14 +9,14 @@
 from dataclasses import replace
 
 from rosemaryknot.standin import peak
-from rosemaryknot.standin.peak import (
+from rosemaryknot.standin.peak import play_peak
+from rosemaryknot.standin.peak_load import (
     LARGE,
     LOADS,
     SMALL,
     Deployment,
     Load,
     Way,
-    play_peak,
 )
 
 WAYS = {
--- /dev/null
+++ b/src/rosemaryknot/standin/peak_gateway.py
@@ -0,0 +1,184 @@
+"""Gateways and engines of the worst load: their tables and choices, without network."""
+
+import heapq
+import random
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+import trio
+
+from rosemaryknot.process.gateway_servers import ServerTable
+from rosemaryknot.process.server_state import PeerLoad
+from rosemaryknot.request.gateway_admission import (
+    ADMISSIONS,
+    AdmissionInput,
+    return_after_s,
+)
+from rosemaryknot.request.gateway_placement import (
+    POLICIES,
+    Candidate,
+    PlacementInput,
+    placement_policy,
+    usable,
+)
+from rosemaryknot.standin.peak_load import SMALL, Deployment, Kind, Tally, Way
+from rosemaryknot.values.gateway import ModelInput, RoutedServer
+from rosemaryknot.values.incarnation import ServerIncarnation
+from rosemaryknot.values.nodes import Address
+
+__all__ = ["Engine", "Gateway", "Prompt"]
+
+KEPT_S = 20.0
+# How often a gateway that holds requests back looks whether one may go.
+LOOK_S = 0.01
+# Such a gateway sends a request to a server that has less than this to read: enough
+# for the server to go on until the next one arrives.
+HELD_TOKENS = 12_000
+RETURN_SPREAD_S = 0.4
+
+
+@placement_policy("any_server")
+def any_server(given: PlacementInput) -> Candidate | None:
+    """Draw a server: first come, first served, without a choice."""
+    return given.rng.choice(given.candidates) if given.candidates else None
+
+
+@placement_policy("unread_tokens_of_3")
+def unread_tokens_of_3(given: PlacementInput) -> Candidate | None:
+    """Choose among three drawn servers."""
+    few = given.rng.sample(given.candidates, min(3, len(given.candidates)))
+    return POLICIES["unread_tokens"](replace(given, candidates=few))
+
+
+@placement_policy("unread_tokens_of_2_and_kept")
+def unread_tokens_of_2_and_kept(given: PlacementInput) -> Candidate | None:
+    """Choose among two drawn servers and the one that keeps most of the prompt."""
+    few = given.rng.sample(given.candidates, min(2, len(given.candidates)))
+    kept = max(given.candidates, key=lambda candidate: candidate.kept_tokens)
+    if kept.kept_tokens and kept not in few:
+        few.append(kept)
+    return POLICIES["unread_tokens"](replace(given, candidates=few))
+
+
+@dataclass(slots=True, eq=False)
+class Prompt:
+    """A prompt that waits at a server."""
+
+    size: ModelInput
+    is_left: bool = False
+    is_read: trio.Event = field(default_factory=trio.Event)
+
+
+class Engine:
+    """A model server that reads one prompt after the other while places are free."""
+
+    def __init__(self, tally: Tally, deployment: Deployment) -> None:
+        self.tally = tally
+        self.rate = deployment.read_rate
+        self.places = trio.CapacityLimiter(deployment.places)
+        self.kept: dict[str, float] = {}
+        self.waiting: deque[Prompt] = deque()
+        self.has_work = trio.Event()
+
+    def unread(self, size: ModelInput) -> int:
+        """Return the tokens that it does not keep."""
+        now_s = trio.current_time()
+        unread = size.prompt_tokens
+        for part in size.parts[:-1]:
+            if now_s - self.kept.get(part.id, -KEPT_S) >= KEPT_S:
+                break
+            unread -= part.tokens
+        return unread
+
+    def put(self, prompt: Prompt) -> None:
+        """Take a prompt in."""
+        self.waiting.append(prompt)
+        self.has_work.set()
+
+    async def run(self) -> None:
+        """Read prompts."""
+        while True:
+            while not self.waiting:
+                self.has_work = trio.Event()
+                await self.has_work.wait()
+            prompt = self.waiting.popleft()
+            if prompt.is_left:
+                continue
+            await self.places.acquire_on_behalf_of(prompt)
+            unread = self.unread(prompt.size)
+            self.tally.tokens_read += unread
+            await trio.sleep(unread / self.rate)
+            for part in prompt.size.parts[:-1]:
+                self.kept[part.id] = trio.current_time()
+            prompt.is_read.set()
+            if prompt.is_left:
+                self.end(prompt)
+
+    def end(self, prompt: Prompt) -> None:
+        """Free a prompt's place."""
+        if prompt.is_read.is_set():
+            self.places.release_on_behalf_of(prompt)
+
+
+class Gateway:
+    """One gateway's table and choices."""
+
+    def __init__(
+        self, number: int, way: Way, seed: int, deployment: Deployment = SMALL
+    ) -> None:
+        zones = deployment.zones
+        self.name = f"n{number}"
+        self.zone = zones[number % len(zones)]
+        self.way = way
+        self.rng = random.Random(seed + number)
+        self.held: list[tuple[int, float, int]] = []
+        self.table = ServerTable()
+        self.table.is_told_late = deployment.has_hubs
+        for server in range(deployment.servers):
+            zone = zones[server % len(zones)]
+            address = Address("10.0.0.1", 80 + server)
+            life = ServerIncarnation(f"s{server}")
+            self.table.put(RoutedServer(life, "model", zone, address, 128))
+
+    def place(self, size: ModelInput) -> Candidate:
+        """Choose a server."""
+        states = [s for s in self.table.by_id.values() if not s.entry.is_leaving]
+        candidates = []
+        for state in usable(states, trio.current_time(), set(), True):
+            requests, tokens = state.load()
+            kept = self.table.kept.tokens(state, size)
+            candidates.append(Candidate(state, requests, tokens, kept))
+        given = PlacementInput(self.zone, size, candidates, self.rng)
+        return POLICIES[self.way.placement](given)
+
+    def refusal_s(
+        self, kind: Kind, size: ModelInput, chosen: Candidate, left_s: float
+    ) -> float | None:
+        """Return when to come back, or None where the request is let in."""
+        rate = self.table.rate
+        own_s = (size.prompt_tokens - chosen.kept_tokens) / rate
+        given = AdmissionInput(
+            kind.rank > 0, chosen.tokens / rate, own_s, kind.target_s, left_s
+        )
+        if not ADMISSIONS[self.way.admission](given):
+            return None
+        return return_after_s(given) + self.rng.uniform(0, RETURN_SPREAD_S)
+
+    async def hold(self, kind: Kind, number: int, size: ModelInput) -> None:
+        """Return when the request's turn has come and a server has little to read."""
+        mine = (kind.rank, trio.current_time() + kind.patience_s, number)
+        heapq.heappush(self.held, mine)
+        try:
+            while self.held[0] != mine or self.place(size).tokens >= HELD_TOKENS:
+                await trio.sleep(LOOK_S)
+        finally:
+            self.held.remove(mine)
+            heapq.heapify(self.held)
+
+    def hear(self, other: "Gateway") -> None:
+        """Take over what another gateway has in flight."""
+        now_s = trio.current_time()
+        for name, state in self.table.by_id.items():
+            there = other.table.by_id[name]
+            told = PeerLoad(there.in_flight, there.waiting_tokens, now_s)
+            state.peers[other.name] = told
--- a/src/rosemaryknot/standin/peak_hubs.py
+++ b/src/rosemaryknot/standin/peak_hubs.py
@@ -7,14 +7,11 @@
 
 import random
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
 import trio
 
 from rosemaryknot.process.server_state import PeerLoad
-
-if TYPE_CHECKING:
-    from rosemaryknot.standin.peak import Gateway
+from rosemaryknot.standin.peak_gateway import Gateway
 
 __all__ = ["Hubs"]
 
@@ -39,7 +36,7 @@
     """
 
     def __init__(
-        self, gateways: Sequence["Gateway"], zones: Sequence[str], report_s: float
+        self, gateways: Sequence[Gateway], zones: Sequence[str], report_s: float
     ) -> None:
         self.gateways = gateways
         self.report_s = report_s
@@ -59,7 +56,7 @@
         """Wait for the next turn."""
         await trio.sleep(self.report_s * self.rng.uniform(0.9, 1.1))
 
-    async def report(self, gateway: "Gateway") -> None:
+    async def report(self, gateway: Gateway) -> None:
         """Tell the hub what a gateway has in flight."""
         await trio.sleep(self.report_s * self.rng.random())
         while True:
@@ -82,7 +79,7 @@
                     self.tell(gateway, region)
             await self.pause()
 
-    def tell(self, gateway: "Gateway", region: Loads) -> None:
+    def tell(self, gateway: Gateway, region: Loads) -> None:
         """Let a gateway take over the sum, without its own part."""
         now_s = trio.current_time()
         own = self.reports[gateway.zone].get(gateway.name, {})
--- a/tests/request/test_gateway_admission.py
+++ b/tests/request/test_gateway_admission.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from rosemaryknot.standin.peak import LOADS, Way, play_peak
+from rosemaryknot.standin.peak import play_peak
+from rosemaryknot.standin.peak_load import LOADS, Way
 
 SEED = 1
 
