Hold nodes to their times while only other nodes are cut off from them

A cut between two nodes leaves both their way to the store, so the promises with a time bind them; plays left such nodes out. The bandwidth of a slow link stands once for plays and soak.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -26,7 +26,12 @@
 from rosemaryknot.standin.users.cloud import CloudStandIn
 from rosemaryknot.standin.users.contact import Disturbances
 from rosemaryknot.standin.users.foreign import FOREIGN, foreign_value
-from rosemaryknot.standin.users.play import Play, note_seen, play_load
+from rosemaryknot.standin.users.play import (
+    SLOW_LINK_BYTES_PER_S,
+    Play,
+    note_seen,
+    play_load,
+)
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
 from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
@@ -47,7 +52,6 @@
 MAX_FILES = 400
 PORTS = range(21000, 29000, 20)
 PORTS_OF_NODE = 4
-SLOW_LINK_BYTES_PER_S = 5e6 / 8
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -32,7 +32,14 @@
     platform_system,
 )
 
-__all__ = ["Play", "PlayResult", "load_play", "random_play", "run_play"]
+__all__ = [
+    "SLOW_LINK_BYTES_PER_S",
+    "Play",
+    "PlayResult",
+    "load_play",
+    "random_play",
+    "run_play",
+]
 
 REPEATABLE = frozenset(("ask", "stock", "added"))
 STREAMS = frozenset(("ask", "plan"))
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -23,6 +23,8 @@
 RESTART_S = 0.5
 # After so long a server writes its entry again, as with its heartbeat.
 HEARTBEAT_S = 1.0
+NODES_NETWORK = "10.2.0"
+NO_NODE = ""
 SERVERS = ("p0", "p1", "p2", "m0", "m1", "m2")
 
 PlayFault = Callable[[PlatformSystem, dict[str, Any]], Awaitable[None]]
@@ -207,14 +209,15 @@
         return [node_of(fault["host"])] if "host" in fault else [EVERYONE]
     if fault["kind"] in ("kill", "stop"):
         return [fault["node"]]
-    if fault["kind"] == "cut":
+    if fault["kind"] == "cut" and node_of(fault["from"]) == NO_NODE:
         return [node_of(fault["host"])]
     return []
 
 
 def node_of(host: str) -> str:
-    """Return the name of the node on a host."""
-    return f"n{int(host.rpartition('.')[2]) - 1}"
+    """Return the name of the node on a host; `NO_NODE` for another host."""
+    network, _, number = host.rpartition(".")
+    return f"n{int(number) - 1}" if network == NODES_NETWORK else NO_NODE
 
 
 def draw_changes(rng: random.Random) -> dict[str, Any]:
