Use one reset and one record of disturbances in plays and soak

The close by reset stood three times (network, stand-ins, proxy of the soak); the stand-ins and the proxy call drop_undelivered now, which logs a socket that is closed already. Which nodes a fault disturbs was a table by kind beside the faults of plays, while the soak noted it in each fault: plays do so too. A kill of a node that is down already, which does nothing, no longer excuses it. Bandwidth is given to all nodes in one place.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -482,7 +482,6 @@
     happened: Counter = Counter()
     async with trio.open_nursery() as nursery:
         system = SoakSystem(nursery, seed)
-        seen.disturbances = system.disturbances
         await system.start()
 
         async def cause_trouble() -> None:
--- a/scripts/soak_proxy.py
+++ b/scripts/soak_proxy.py
@@ -1,16 +1,13 @@
 """A loopback proxy that delays, silences, cuts and resets what goes through it."""
 
-import struct
-from socket import SO_LINGER, SOL_SOCKET
-
 import trio
 
+from rosemaryknot.connection.network import drop_undelivered
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["SoakProxy"]
 
 READ_BYTES = 65536
-NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class SoakProxy:
@@ -92,10 +89,7 @@
 
     def reset(self, stream: trio.SocketStream) -> None:
         """Reset one connection."""
-        try:
-            stream.socket.setsockopt(SOL_SOCKET, SO_LINGER, NO_LINGER)
-        except OSError:
-            return
+        drop_undelivered(stream)
         stream.socket.close()
 
     def reset_all(self) -> None:
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -3,7 +3,6 @@
 import json
 import random
 from collections import Counter
-from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -20,7 +19,6 @@
 from rosemaryknot.standin.users.changes import added_path
 from rosemaryknot.standin.users.play_faults import (
     PLAY_FAULTS,
-    disturbed_by,
     draw_changes,
     draw_fault,
     draw_server_life,
@@ -199,18 +197,13 @@
         duties=["usage"],
     ) as system:
         if play.link_bytes_per_s:
-            for node in system.nodes.values():
-                host = node.settings.listen.callers.host
-                system.network.limit_link(host, play.link_bytes_per_s)
+            system.limit_links(play.link_bytes_per_s)
         await trio.sleep(3)
 
         async def happen(fault: dict[str, Any]) -> None:
             await trio.sleep(fault["at"])
             happened[fault["kind"]] += 1
-            with ExitStack() as stack:
-                for subject in disturbed_by(fault):
-                    stack.enter_context(seen.disturbances.disturb(subject))
-                await PLAY_FAULTS[fault["kind"]](system, fault)
+            await PLAY_FAULTS[fault["kind"]](system, fault)
 
         for fault in play.faults:
             system.nursery.start_soon(happen, fault)
@@ -230,6 +223,7 @@
             reached = Reached(arrival.server, arrival.id, arrival.at_s)
             seen.reached.append(reached)
     seen.written = system.store.written
+    seen.disturbances = system.disturbances
     seen.trapped = [arrival.id for arrival in system.trap.arrivals]
     accepted = [call for call in system.cloud.calls if call.status == 200]
     seen.usage_doubled = system.cloud.doubled
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from typing import Any
 
 import trio
@@ -14,7 +15,6 @@
 
 __all__ = [
     "PLAY_FAULTS",
-    "disturbed_by",
     "draw_changes",
     "draw_fault",
     "draw_server_life",
@@ -23,8 +23,7 @@
 RESTART_S = 0.5
 # After so long a server writes its entry again, as with its heartbeat.
 HEARTBEAT_S = 1.0
-NODES_NETWORK = "10.2.0"
-NO_NODE = ""
+NODES_NETWORK = "10.2.0."
 SERVERS = ("p0", "p1", "p2", "m0", "m1", "m2")
 
 PlayFault = Callable[[PlatformSystem, dict[str, Any]], Awaitable[None]]
@@ -45,9 +44,11 @@
 async def store_fault(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Let the store be ``mode`` for ``for_s``, for one node or all."""
     hosts = [fault["host"]] if "host" in fault else []
-    system.store.faults.begin(fault["mode"], *hosts)
-    await trio.sleep(fault["for_s"])
-    system.store.faults.end()
+    subject = node_of(hosts[0]) if hosts else EVERYONE
+    with system.disturbances.disturb(subject):
+        system.store.faults.begin(fault["mode"], *hosts)
+        await trio.sleep(fault["for_s"])
+        system.store.faults.end()
 
 
 @play_fault("lost_writes")
@@ -86,9 +87,10 @@
     if name in system.down:
         return
     system.down.add(name)
-    system.kill(name)
-    await trio.sleep(fault["for_s"])
-    await start_again(system, name)
+    with system.disturbances.disturb(name):
+        system.kill(name)
+        await trio.sleep(fault["for_s"])
+        await start_again(system, name)
 
 
 @play_fault("stop")
@@ -98,11 +100,12 @@
     if name in system.down:
         return
     system.down.add(name)
-    system.stops[name].set()
-    await trio.sleep(system.nodes[name].settings.bounds.grace_s)
-    system.kill(name)
-    await trio.sleep(RESTART_S)
-    await start_again(system, name)
+    with system.disturbances.disturb(name):
+        system.stops[name].set()
+        await trio.sleep(system.nodes[name].settings.bounds.grace_s)
+        system.kill(name)
+        await trio.sleep(RESTART_S)
+        await start_again(system, name)
 
 
 async def start_again(system: PlatformSystem, name: str) -> None:
@@ -141,9 +144,14 @@
 @play_fault("cut")
 async def cut(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Cut a node off from another host for ``for_s``."""
-    system.network.cut(fault["host"], fault["from"])
-    await trio.sleep(fault["for_s"])
-    system.network.heal(fault["host"], fault["from"])
+    with ExitStack() as stack:
+        # Nodes that are cut off from each other only reach the store all the same.
+        if not fault["from"].startswith(NODES_NETWORK):
+            disturbed = system.disturbances.disturb(node_of(fault["host"]))
+            stack.enter_context(disturbed)
+        system.network.cut(fault["host"], fault["from"])
+        await trio.sleep(fault["for_s"])
+        system.network.heal(fault["host"], fault["from"])
 
 
 @play_fault("configure")
@@ -203,21 +211,9 @@
         system.store.put("servers", server, system.servers[server].entry)
 
 
-def disturbed_by(fault: dict[str, Any]) -> list[str]:
-    """Return whom a fault takes the contact that promises with a time ask for."""
-    if fault["kind"] == "store":
-        return [node_of(fault["host"])] if "host" in fault else [EVERYONE]
-    if fault["kind"] in ("kill", "stop"):
-        return [fault["node"]]
-    if fault["kind"] == "cut" and node_of(fault["from"]) == NO_NODE:
-        return [node_of(fault["host"])]
-    return []
-
-
 def node_of(host: str) -> str:
-    """Return the name of the node on a host; `NO_NODE` for another host."""
-    network, _, number = host.rpartition(".")
-    return f"n{int(number) - 1}" if network == NODES_NETWORK else NO_NODE
+    """Return the name of the node on a host."""
+    return f"n{int(host.rpartition('.')[2]) - 1}"
 
 
 def draw_changes(rng: random.Random) -> dict[str, Any]:
--- a/src/rosemaryknot/standin/users/raw_http.py
+++ b/src/rosemaryknot/standin/users/raw_http.py
@@ -1,21 +1,18 @@
 """An HTTP server that can also misbehave: cut, reset, add and withhold bytes."""
 
-import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from socket import SO_LINGER, SOL_SOCKET
 from urllib.parse import parse_qsl
 
 import h11
 import trio
 
-from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.network import Network, drop_undelivered
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["RawRequest", "RawServer", "RawWire"]
 
 READ_BYTES = 65536
-NO_LINGER = struct.pack("ii", 1, 0)
 
 
 @dataclass(slots=True)
@@ -88,7 +85,7 @@
         """Reset the connection."""
         self.is_open = False
         if isinstance(self.stream, trio.SocketStream):
-            self.stream.socket.setsockopt(SOL_SOCKET, SO_LINGER, NO_LINGER)
+            drop_undelivered(self.stream)
         else:
             self.stream.kill()
 
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -22,6 +22,7 @@
 )
 from rosemaryknot.process.true_time import TrueTime
 from rosemaryknot.standin.users.cloud import CloudStandIn
+from rosemaryknot.standin.users.contact import Disturbances
 from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.values.nodes import Address
@@ -229,6 +230,8 @@
         Nodes and servers that a fault has ended and will start again.
     trap : ServerStandIn
         Where entries of another writer lead; no server writes its address.
+    disturbances : Disturbances
+        Whom faults have disturbed, and when.
     """
 
     def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
@@ -244,6 +247,7 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.down: set[str] = set()
         self.trap = ServerStandIn("trap")
+        self.disturbances = Disturbances()
 
     async def start(
         self,
@@ -365,6 +369,12 @@
         self.stops[settings.node] = stop
         return node
 
+    def limit_links(self, bytes_per_s: float) -> None:
+        """Give the links of all nodes a bandwidth."""
+        for node in self.nodes.values():
+            host = node.settings.listen.callers.host
+            self.network.limit_link(host, bytes_per_s)
+
     def kill(self, name: str) -> None:
         """End a node at once, as SIGKILL does."""
         self.scopes[name].cancel()
--- a/tests/gateway/test_slow_links.py
+++ b/tests/gateway/test_slow_links.py
@@ -29,9 +29,7 @@
 async def limit_links(fleet):
     """Wait until the nodes have met, then limit their links."""
     await trio.sleep(4)
-    for node in fleet.nodes.values():
-        host = node.settings.listen.callers.host
-        fleet.network.limit_link(host, LINK_BYTES_PER_S)
+    fleet.limit_links(LINK_BYTES_PER_S)
 
 
 async def change_in_series(fleet, written, changes=CHANGES, routes=ROUTES):
