Count what gateways take that are not heard by the shares of the demand

Cause: from 11.3 s on a customer sends seven times its usual, and at 13.4 s temple-c is cut off. In a large deployment the hubs' sums went on without the zones that were not heard, so each side took what the limit had left as if it were alone; nothing was counted for the other side. In a small one the pace before the cut was counted, which is nothing where the window was used up before. Ruled out: a switch between reports to all and through hubs (none in the logs), restarts (none in the window), the lower limit at 12.3 s (binds later).

Now a side counts for each unit of its own what the unheard side takes by the shares of the demand that both knew last, from the last word on. The shares of both sides add up to one, so they keep to the limit together however the demand grows in the cut. A hub most of whose gateways are heard through another one is gone and counts for nothing. A deployment that has just become small keeps its hubs for twenty seconds: what they know of the other side would be forgotten.

--- a/src/rosemaryknot/process/gateway_quota.py
+++ b/src/rosemaryknot/process/gateway_quota.py
@@ -6,7 +6,8 @@
 window: its own takings and what the others tell. Between two reports it does not see
 what the others take; so while the demand of all could use up what is left meanwhile,
 each gateway lets as large a part of its requests pass as what is left covers. The part
-is the same for all sizes and gateways.
+is the same for all sizes and gateways. What gateways that are not heard take meanwhile
+is counted by their shares.
 
 Dealt out in shares, what is left of a small customer's limit is less than one long
 prompt at each of twenty gateways, and lies unused there.
@@ -16,6 +17,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from rosemaryknot.process.limit_takings import LimitTakings
 from rosemaryknot.values.gateway import CustomerLimit
 
 __all__ = ["QuotaBook"]
@@ -24,11 +26,6 @@
 SLOT_S = 0.25
 # Of the measured demand; long against a report, short against a window of limits.
 DEMAND_S = 2.0
-# After this long without a report a gateway is taken to go on as before: it may be
-# cut off and take its share unseen. Four reports.
-UNHEARD_S = 1.0
-# After this long it is taken to be gone.
-FORGET_S = 20.0
 # What is left must cover the demand of all for this long before all requests pass, in
 # seconds: reports come each quarter second, and a demand that jumps is seen with the
 # next ones.
@@ -42,37 +39,6 @@
 MAX_WAIT_S = 2.0
 
 
-@dataclass(slots=True)
-class PeerTakings:
-    """What another gateway has taken of a limit.
-
-    Attributes
-    ----------
-    incarnation : int
-        Its life.
-    total : float
-        Units since its start.
-    demand : float
-        Units asked for in a second.
-    heard_s : float
-        When it last told.
-    assumed : float
-        Units that were counted for it since.
-    pace : float
-        Units that it took in a second, between its last reports.
-    nodes : int
-        Gateways that it stands for.
-    """
-
-    incarnation: int
-    total: float
-    demand: float
-    heard_s: float
-    assumed: float = 0.0
-    pace: float = 0.0
-    nodes: int = 1
-
-
 @dataclass(slots=True)
 class Account:
     """One customer's limit as this gateway sees it.
@@ -87,8 +53,8 @@
         Units in the window.
     total : float
         Units that it has taken since its start.
-    demand : float
-        Units that its callers ask for in a second.
+    takings : LimitTakings
+        What the other gateways have taken.
     """
 
     limit: CustomerLimit
@@ -96,13 +62,7 @@
     slots: deque = field(default_factory=deque)
     taken: float = 0.0
     total: float = 0.0
-    demand: float = 0.0
-    peers: dict[str, PeerTakings] = field(default_factory=dict)
-
-    @property
-    def demand_of_all(self) -> float:
-        """Units that the callers of all gateways ask for in a second."""
-        return self.demand + sum(peer.demand for peer in self.peers.values())
+    takings: LimitTakings = field(default_factory=lambda: LimitTakings(own_nodes=1))
 
     def count(self, units: float, now_s: float) -> None:
         """Count takings in the window; fewer than nothing takes some back."""
@@ -198,8 +158,8 @@
             return 0.0
         # Gateways that have not told of this customer yet may ask just as much: at
         # its first requests, each one would take all for itself.
-        known = 1 + sum(peer.nodes for peer in account.peers.values())
-        demand = account.demand_of_all * max(self.nodes, known) / known
+        known = 1 + account.takings.nodes
+        demand = account.takings.demand_of_all * max(self.nodes, known) / known
         return left / max(COVER_S * demand, units)
 
     def refresh(self, account: Account, now_s: float) -> None:
@@ -208,24 +168,9 @@
         if passed_s <= 0:
             return
         account.at_s = now_s
-        account.demand *= max(0.0, 1 - passed_s / DEMAND_S)
+        account.takings.own_demand *= max(0.0, 1 - passed_s / DEMAND_S)
         account.expire(now_s - self.window_s)
-        for peer in account.peers.values():
-            self.assume(account, peer, now_s, passed_s)
-
-    def assume(
-        self, account: Account, peer: PeerTakings, now_s: float, passed_s: float
-    ) -> None:
-        """Count what a gateway that is not heard may go on taking.
-
-        Cut off from the others it still serves its callers within its share. If
-        nobody counted that, both sides together would go over the limit.
-        """
-        silent_s = now_s - peer.heard_s
-        if UNHEARD_S < silent_s < FORGET_S:
-            units = min(peer.pace, account.limit.rate) * passed_s
-            peer.assumed += units
-            account.count(units, now_s)
+        account.count(account.takings.assume(now_s), now_s)
 
     def take(self, limit: CustomerLimit, units: float, now_s: float) -> float:
         """Take units from a customer's limit.
@@ -237,12 +182,14 @@
         """
         account = self.account(limit, now_s)
         self.refresh(account, now_s)
-        account.demand += units / DEMAND_S
+        takings = account.takings
+        takings.own_demand += units / DEMAND_S
         if self.rng.random() < self.chance(account, units):
             account.count(units, now_s)
             account.total += units
+            takings.heard += units
             return 0.0
-        pace = limit.rate * account.demand / account.demand_of_all
+        pace = limit.rate * takings.own_demand / takings.demand_of_all
         return min(max(units / pace, LEAST_WAIT_S), MAX_WAIT_S)
 
     def give_back(self, limit: CustomerLimit, units: float, now_s: float) -> None:
@@ -272,21 +219,12 @@
     ) -> None:
         """Count what another gateway tells that it has taken."""
         account = self.account(limit, now_s)
-        peer = account.peers.get(node)
-        if peer is None or peer.incarnation != incarnation:
-            # A gateway that starts later has assumed what was taken before its time.
-            is_new_here = peer is None and not self.is_first_start
-            seen = total if is_new_here else 0.0
-            peer = PeerTakings(incarnation, seen, demand, now_s)
-            account.peers[node] = peer
-        taken = max(0.0, total - peer.total)
-        passed_s = max(now_s - peer.heard_s, 0.05)
-        account.count(max(0.0, taken - peer.assumed), now_s)
-        peer.pace = 0.7 * peer.pace + 0.3 * taken / passed_s
-        peer.assumed = 0.0
-        peer.total = max(peer.total, total)
-        peer.demand = demand
-        peer.heard_s = now_s
+        # A gateway that starts later has assumed what was taken before its time.
+        is_new_here = node not in account.takings.sources and not self.is_first_start
+        seen = total if is_new_here else 0.0
+        takings = account.takings
+        units = takings.note(node, incarnation, total, demand, now_s, seen=seen)
+        account.count(units, now_s)
 
     def note_others(
         self,
@@ -298,29 +236,30 @@
         now_s: float,
     ) -> None:
         """Count what several other gateways, told of as one, have newly taken."""
-        peers = self.account(limit, now_s).peers
-        if name not in peers:
-            peers[name] = PeerTakings(0, 0.0, demand, now_s)
-        peers[name].nodes = nodes
-        total = peers[name].total + taken
-        self.note_peer(limit, name, 0, total, demand, now_s)
+        account = self.account(limit, now_s)
+        known = account.takings.sources.get(name)
+        total = taken if known is None else known.total + taken
+        units = account.takings.note(name, 0, total, demand, now_s, nodes)
+        account.count(units, now_s)
 
     def drop_peers(self) -> None:
         """Forget the other gateways, whose takings are told in another way from now."""
         for account in self.accounts.values():
-            account.peers.clear()
+            for name in list(account.takings.sources):
+                account.takings.drop(name)
 
     def explain(self, limit: CustomerLimit) -> dict[str, float]:
         """Return what a customer's answers rest on, for the log."""
         account = self.accounts[limit.name]
-        heard = [peer.heard_s for peer in account.peers.values()]
+        takings = account.takings
+        heard = [source.heard_s for source in takings.sources.values()]
         return {
             "rate": limit.rate,
             "burst": limit.burst,
             "left": round(self.left(account)),
             "chance": round(self.chance(account, 1.0), 3),
-            "demand": round(account.demand),
-            "demand_all": round(account.demand_of_all),
+            "demand": round(takings.own_demand),
+            "demand_all": round(takings.demand_of_all),
             "nodes": self.nodes,
             "oldest_report_s": round(
                 account.at_s - min(heard, default=account.at_s), 2
@@ -330,15 +269,11 @@
     def told(self) -> dict[str, list[float]]:
         """Return what the others are told."""
         return {
-            name: [round(account.total, 1), round(account.demand, 1)]
+            name: [round(account.total, 1), round(account.takings.own_demand, 1)]
             for name, account in self.accounts.items()
         }
 
     def forget(self, now_s: float) -> None:
         """Drop gateways that have not been heard for long."""
         for account in self.accounts.values():
-            account.peers = {
-                name: peer
-                for name, peer in account.peers.items()
-                if now_s - peer.heard_s < FORGET_S
-            }
+            account.takings.forget(now_s)
--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -14,8 +14,10 @@
 
 from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.process.exchange_parts import ExchangeParts
+from rosemaryknot.process.highest_of_late import HighestOfLate
 from rosemaryknot.process.hub_sums import HubBook, OwnReports
 from rosemaryknot.process.leases import lease_candidates
+from rosemaryknot.process.limit_takings import FORGET_S
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer_links import relays_of
 from rosemaryknot.process.server_state import PeerLoad
@@ -67,6 +69,8 @@
         When a sum came last, or this node turned to another relay.
     heard_s : float
         When a sum came last.
+    nodes : HighestOfLate
+        How many nodes seem to live, this one included.
     holds_lease : callable
         Tells whether this node holds the lease of the duties.
     """
@@ -83,6 +87,7 @@
         self.turned_s = 0.0
         self.heard_s = 0.0
         self.is_on = False
+        self.nodes = HighestOfLate()
         self.last: HubSum | None = None
         self.totals: dict[str, float] = {}
         self.holds_lease: Callable[[], bool] = lambda: False
@@ -91,8 +96,14 @@
         handlers.on(DutyReports)(self.handle_for_duties)
 
     def is_large(self) -> bool:
-        """Tell whether the deployment has too many nodes to tell everybody."""
-        is_large = len(self.parts.peers.nodes()) + 1 > DIRECT_NODES
+        """Tell whether the deployment has too many nodes to tell everybody.
+
+        One that has just become small may be cut in two: what the hubs know of the
+        other side's takings must not be forgotten then.
+        """
+        now_s = trio.current_time()
+        self.nodes.note(len(self.parts.peers.nodes()) + 1, now_s)
+        is_large = self.nodes.value(now_s, FORGET_S) > DIRECT_NODES
         if is_large != self.is_on:
             self.is_on = is_large
             self.parts.state.servers.is_told_late = is_large
@@ -266,6 +277,8 @@
     async def serve(self) -> None:
         """Tell the other hubs this one's sum, and those that report here all sums."""
         now_s = trio.current_time()
+        members = int(self.nodes.value(now_s, FORGET_S))
+        self.book.assume_unheard(now_s, members)
         here = self.book.here_sum(now_s, self.parts.clock.now())
         region = self.book.region_sum(now_s, here)
         self.book.forget(now_s)
--- a/src/rosemaryknot/process/hub_sums.py
+++ b/src/rosemaryknot/process/hub_sums.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from rosemaryknot.process.limit_takings import LimitTakings
 from rosemaryknot.values.gateway_peers import HubReport, HubSum
 
 __all__ = ["HubBook", "OwnReports", "Totals"]
@@ -20,29 +21,57 @@
     A source that is met later, or in a new life, counts from then on: what it took
     before was counted by another hub, or is long over.
 
+    Attributes
+    ----------
+    sums : dict of str to float
+        Units by customer.
+    takings : dict of str to LimitTakings
+        What the sums are made of, by customer.
+    lives : dict of str to int
+        By source.
+
     Examples
     --------
     >>> totals = Totals()
-    >>> totals.add("n1", 1, {"ada": 5.0})
-    >>> totals.add("n1", 1, {"ada": 7.0})
-    >>> totals.add("n1", 2, {"ada": 1.0})
+    >>> totals.add("n1", 1, {"ada": (5.0, 0.0)}, 0.0)
+    >>> totals.add("n1", 1, {"ada": (7.0, 0.0)}, 0.3)
+    >>> totals.add("n1", 2, {"ada": (1.0, 0.0)}, 0.6)
     >>> totals.sums["ada"]
     2.0
     """
 
     sums: dict[str, float] = field(default_factory=lambda: defaultdict(float))
-    known: dict[str, tuple[int, dict[str, float]]] = field(default_factory=dict)
+    takings: dict[str, LimitTakings] = field(
+        default_factory=lambda: defaultdict(LimitTakings)
+    )
+    lives: dict[str, int] = field(default_factory=dict)
+
+    def add(
+        self,
+        source: str,
+        incarnation: int,
+        spent: dict[str, tuple[float, float]],
+        now_s: float,
+        nodes: int = 1,
+    ) -> None:
+        """Count what a source tells: units taken, and asked for in a second."""
+        is_known = self.lives.get(source) == incarnation
+        self.lives[source] = incarnation
+        for name, (total, demand) in spent.items():
+            seen = 0.0 if is_known else total
+            self.sums[name] += self.takings[name].note(
+                source, incarnation, total, demand, now_s, nodes, seen
+            )
+
+    def assume(self, now_s: float, missing: int) -> None:
+        """Count what sources may take that are not heard."""
+        for name, takings in self.takings.items():
+            self.sums[name] += takings.assume(now_s, missing)
 
-    def add(self, source: str, incarnation: int, totals: dict[str, float]) -> None:
-        """Count what a source tells."""
-        life, before = self.known.get(source, (incarnation, {}))
-        is_known = source in self.known and life == incarnation
-        after = dict(before) if is_known else {}
-        for name, total in totals.items():
-            if is_known:
-                self.sums[name] += max(0.0, total - before.get(name, 0.0))
-            after[name] = max(total, after.get(name, 0.0))
-        self.known[source] = (incarnation, after)
+    def forget(self, now_s: float) -> None:
+        """Drop the sources that have not been heard for long."""
+        for takings in self.takings.values():
+            takings.forget(now_s)
 
 
 class OwnReports:
@@ -88,6 +117,8 @@
         By other hub, the same.
     for_duties : dict of str to list
         By gateway: what it told for duties and was not passed on yet.
+    here, everywhere : Totals
+        Units taken at the gateways that report here, and at all.
     """
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -111,15 +142,15 @@
         if report.duties:
             told = [report.node, report.incarnation, *report.duties]
             self.for_duties[report.node] = told
-        totals = {name: total for name, (total, _) in report.spent.items()}
-        self.here.add(report.node, report.incarnation, totals)
-        self.everywhere.add(report.node, report.incarnation, totals)
+        for totals in (self.here, self.everywhere):
+            totals.add(report.node, report.incarnation, report.spent, now_s)
 
     def take_sum(self, told: HubSum, now_s: float) -> None:
         """Count another hub's sum."""
         self.sums[told.hub] = (now_s, told)
-        totals = {name: total for name, (total, _) in told.spent.items()}
-        self.everywhere.add(f"hub {told.hub}", told.incarnation, totals)
+        self.everywhere.add(
+            f"hub {told.hub}", told.incarnation, told.spent, now_s, told.nodes
+        )
 
     def take_for_duties(self) -> list[list]:
         """Return what is to be passed on for duties, once."""
@@ -139,6 +170,25 @@
         """Tell whether other gateways report to this one."""
         return any(r.node != self.name for r in self.fresh_reports(now_s))
 
+    def fresh_sums(self, now_s: float) -> list[tuple[float, HubSum]]:
+        """Return the other hubs' sums that count, each with its age in seconds."""
+        sums = [(now_s - at_s, told) for at_s, told in self.sums.values()]
+        return [(age_s, told) for age_s, told in sums if age_s < FRESH_S]
+
+    def assume_unheard(self, now_s: float, members: int) -> None:
+        """Count what gateways may take that are not heard, as in a cut of a zone.
+
+        Parameters
+        ----------
+        members : int
+            Gateways that there are, those that are not heard included.
+        """
+        counted = len(self.fresh(now_s))
+        counted += sum(told.nodes for _, told in self.fresh_sums(now_s))
+        missing = max(0, members - counted)
+        self.here.assume(now_s, missing)
+        self.everywhere.assume(now_s, missing)
+
     def here_sum(self, now_s: float, clock_s: float) -> HubSum:
         """Return the sum of the gateways that report here."""
         reports = self.fresh(now_s)
@@ -152,8 +202,7 @@
 
     def region_sum(self, now_s: float, here: HubSum) -> HubSum:
         """Return the sum of all gateways, for those that report here."""
-        sums = [(now_s - at_s, told) for at_s, told in self.sums.values()]
-        others = [(age_s, told) for age_s, told in sums if age_s < FRESH_S]
+        others = self.fresh_sums(now_s)
         total = HubSum(
             self.name,
             self.incarnation,
@@ -176,6 +225,8 @@
             for name, entry in self.reports.items()
             if now_s - entry[0] < FRESH_S
         }
+        self.here.forget(now_s)
+        self.everywhere.forget(now_s)
 
 
 def set_spent(total: HubSum, totals: Totals, spent: list[dict]) -> None:
--- a/src/rosemaryknot/process/scaling_duty.py
+++ b/src/rosemaryknot/process/scaling_duty.py
@@ -1,13 +1,14 @@
 """Ordering the sizes of services, under the lease of the duties."""
 
 import random
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
 
 from rosemaryknot.process.duty_parts import CALLS, RETRY_S, STEP_S, DutyParts
+from rosemaryknot.process.highest_of_late import HighestOfLate
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.scaling_policy import (
     ServiceDemand,
@@ -19,7 +20,7 @@
 from rosemaryknot.values.gateway import GatewayService
 from rosemaryknot.values.incarnation import ServerIncarnation
 
-__all__ = ["HighestOfLate", "Need", "ScalingDuty"]
+__all__ = ["Need", "ScalingDuty"]
 
 # A zone that refused reclaimable servers, or lost them, is not asked for this long.
 DRY_S = 4.0
@@ -122,32 +123,6 @@
     }
 
 
-class HighestOfLate:
-    """The highest of what was measured in the last seconds.
-
-    Attributes
-    ----------
-    measured : collections.deque of tuple of (float, float)
-        When, in trio time, and what; falling, since one that is followed by a higher
-        one never is the highest again.
-    """
-
-    def __init__(self) -> None:
-        self.measured: deque[tuple[float, float]] = deque()
-
-    def note(self, value: float, now_s: float) -> None:
-        """Take a measurement in."""
-        while self.measured and self.measured[-1][1] <= value:
-            self.measured.pop()
-        self.measured.append((now_s, value))
-
-    def value(self, now_s: float, within_s: float) -> float:
-        """Return the highest of the last seconds, 0 without one."""
-        while self.measured and now_s - self.measured[0][0] > within_s:
-            self.measured.popleft()
-        return self.measured[0][1] if self.measured else 0.0
-
-
 class ScalingDuty:
     """Keeps the sizes of services at what their traffic needs.
 
--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -1,5 +1,8 @@
 """Tests of what thirty gateways tell each other through the hubs of their zones."""
 
+import itertools
+import random
+from bisect import bisect_left
 from collections import Counter
 from functools import partial
 
@@ -92,6 +95,63 @@
             assert seen == {(2, 1400)}
 
 
+class TestLimitInACut:
+    """A customer asks thirty-nine gateways for many times its limit."""
+
+    rate = 250_000
+    burst = 250_000
+    window_s = 8.0
+    units = 4000
+
+    @property
+    def allowed(self):
+        """Units in a window, with what the deployment's rule adds to the limit."""
+        return 1.1 * (self.rate * self.window_s + self.burst) + 140_000
+
+    def fleet(self):
+        limited = LIMITED | {"ratePerS": self.rate, "burst": self.burst}
+        document = configuration() | {"tenants": [limited]}
+        bounds = Bounds(limit_window_s=self.window_s)
+        return platform_system(nodes=39, configuration=document, bounds=bounds)
+
+    async def ask(self, fleet, length_s, times, taken):
+        rng = random.Random(3)
+        until_s = trio.current_time() + length_s
+        while trio.current_time() < until_s:
+            await trio.sleep(self.units / (self.rate * times))
+            node = fleet.nodes[rng.choice(list(fleet.nodes))]
+            now_s = trio.current_time()
+            if node.quota.take(limit_of(node), self.units, now_s) == 0:
+                taken.append(now_s)
+
+    def most_in_a_window(self, taken):
+        counts = [
+            bisect_left(taken, begin + self.window_s) - number
+            for number, begin in enumerate(taken)
+        ]
+        return max(counts) * self.units
+
+    async def test_zone_is_cut_off(self, autojump_clock):
+        """Both sides of a cut zone took the whole limit, for none heard the other."""
+        taken = []
+        async with self.fleet() as fleet:
+            await trio.sleep(4)
+            await self.ask(fleet, 8, 4, taken)
+            hosts = {
+                node.settings.listen.callers.host: node.node.zone
+                for node in fleet.nodes.values()
+            }
+            inside = [host for host, zone in hosts.items() if zone == "z0"]
+            outside = [host for host, zone in hosts.items() if zone != "z0"]
+            for pair in itertools.product(inside, outside):
+                fleet.network.cut(*pair)
+            await self.ask(fleet, 4, 4, taken)
+            for pair in itertools.product(inside, outside):
+                fleet.network.heal(*pair)
+            await self.ask(fleet, 4, 4, taken)
+        assert self.most_in_a_window(taken) < self.allowed
+
+
 class TestDuties:
     async def test_holder_hears_all(self, autojump_clock):
         """The lease was taken by the first node that was there.
--- a/tests/process/test_gateway_quota.py
+++ b/tests/process/test_gateway_quota.py
@@ -114,6 +114,21 @@
         gateways.run(10, 3 * LIMIT.rate, [1] * 6)
         assert gateways.most_in_a_window() < ALLOWED * 1.25
 
+    def test_demand_returns_during_a_cut(self):
+        """A used-up window frees room during a cut, and each side took all of it."""
+        gateways = Gateways(9)
+        gateways.run(8.2, 4 * LIMIT.rate, [1] * 9, units=20.0)
+        gateways.cut = {0, 1, 2}
+        gateways.run(4, 4 * LIMIT.rate, [1] * 9, units=20.0)
+        assert gateways.most_in_a_window() < ALLOWED * 1.1
+
+    def test_callers_go_on_at_one_side_of_a_cut(self):
+        """A customer within its limit comes to one side of a cut only."""
+        gateways = Gateways(6)
+        gateways.run(10, 0.7 * LIMIT.rate, [1, 1, 0, 0, 0, 0])
+        gateways.cut = {0, 1}
+        assert gateways.run(5, 0.7 * LIMIT.rate, [1, 1, 0, 0, 0, 0]) > 0.99
+
     def test_restarted_gateway(self):
         """All gateways are killed and start again while a customer sends too much.
 
