--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -302,6 +302,7 @@
             servers=len(course.tried),
             took_s=round(took_s, 3),
             first_s=None if course.first_s is None else round(course.first_s, 3),
+            pause_s=round(course.pause_s, 3),
             sent_bytes=course.reply.owed.sent_bytes,
             **choice_of(course),
         )
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -231,6 +231,7 @@
         if not reply.is_started:
             self.note_first()
             await reply.start(head.status, stream_headers(head))
+        self.course.note_events(trio.current_time())
         await reply.data(events)
 
     def note_first(self) -> None:
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -137,6 +137,10 @@
         The least urgent rank among the routes to its service.
     first_s : float or None
         When the first bytes went to the caller, from its arrival, in seconds.
+    events_s : float or None
+        When the last events of a stream came, in trio time.
+    pause_s : float
+        The longest pause between events of a stream, in seconds.
     chosen : Candidate or None
         The last server that was asked, as it looked then.
     delivery : trio.CancelScope or None
@@ -161,6 +165,8 @@
     last_event_id: bytes | None = None
     is_counted: bool = False
     first_s: float | None = None
+    events_s: float | None = None
+    pause_s: float = 0.0
     chosen: Candidate | None = None
     delivery: trio.CancelScope | None = None
     limit: trio.CancelScope | None = None
@@ -182,6 +188,12 @@
         """Return how long is left, in seconds."""
         return self.until_s - trio.current_time()
 
+    def note_events(self, now_s: float) -> None:
+        """Count the pause before events of a stream."""
+        if self.events_s is not None:
+            self.pause_s = max(self.pause_s, now_s - self.events_s)
+        self.events_s = now_s
+
 
 def output_tokens(request: GatewayRequest) -> int:
     """Return the most tokens that an answer may have, 0 for a plain one."""
