Keep the reclaimable servers of the first guess over the first dip

Hypothesis: reclaimable servers are kept for the highest need of late, 8 s divided by their price; the first guess did not count as one. Now it does, from when traffic begins.

The new test fails without the change.

--- a/src/rosemaryknot/process/scaling_duty.py
+++ b/src/rosemaryknot/process/scaling_duty.py
@@ -281,6 +281,7 @@
             # What was ordered for traffic to come is not given up as it begins.
             self.busy.add(service.name)
             need.since_s = now_s
+            self.highest[service.name].note(need.servers, now_s)
         if service.name in self.busy:
             slots = 1 if service.engine is None else service.engine.slots
             work = max(tokens / rate, requests / (slots * BUSY_SHARE * HEADROOM))
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -3,7 +3,12 @@
 import pytest
 import trio
 
-from rosemaryknot.standin.users.system import MODEL, document, platform_system
+from rosemaryknot.standin.users.system import (
+    MODEL,
+    MODEL_HEADERS,
+    document,
+    platform_system,
+)
 
 ZONES = ("z0", "z1", "z2")
 BOOT_S = 4.0
@@ -96,3 +101,18 @@
             fleet.store.put("servers", name, entry)
         await trio.sleep(1.5)
         assert not orders_since(fleet, began_s)
+
+
+class TestFirstTraffic:
+    async def test_servers_are_kept_for_the_first_wave(self, autojump_clock, fleet):
+        """Servers were given up in the first dip, and the cloud had none for the wave.
+
+        Traffic begins low. What was ordered for it costs a fraction of others and is
+        kept as many times longer.
+        """
+        began_s = trio.current_time()
+        for number in range(24):
+            await fleet.ask("/plan/x", request_id=f"r{number}", **MODEL_HEADERS)
+            await trio.sleep(0.5)
+        given_up = [order for order in orders_since(fleet, began_s) if order[3] < 2]
+        assert not given_up
--- a/tests/scripts/test_compare_variants.py
+++ b/tests/scripts/test_compare_variants.py
@@ -1,4 +1,4 @@
-"""Tests of the comparison of variants by paired plays, with a bench that is a script."""
+"""Tests of the comparison of variants, with a script in the place of the bench."""
 
 import importlib
 import json
