Give long prompts servers of their own

Cause: a server reads a prompt in chunks, one with each step of the answers that it runs. An event is six steps, and six chunks of a long prompt in a row take longer than the wanted pause, so each such prompt makes all answers late that its server runs. Placement looked at what waits and not at what runs, and the replay of the worst load (make bench-peak) knew no pauses, so that it could not show them.

Hypothesis: long prompts on servers of their own pause few. The routes' gapAimMs is decoded; a prompt that takes over 0.6 of the shortest wanted pause is long; twice the part of the reading that long prompts bring, at most half of the servers, take them, by a hash that all gateways share; going to the other kind counts 0.3 of the pause, and a long prompt counts what it does to each answer that runs.

--- a/benchmarks/peak.py
+++ b/benchmarks/peak.py
@@ -1,7 +1,8 @@
 """Admission, waiting and placement at the worst load, without network.
 
 First seven gateways that tell each other everything, then 91 that know of each other
-by the sums of hubs, on 56 engines and on 32.
+by the sums of hubs, on 56 engines and on 32, then nine whose engines read prompts
+between the tokens of answers, which pause meanwhile.
 """
 
 import json
@@ -13,6 +14,7 @@
 from rosemaryknot.standin.peak_load import (
     LARGE,
     LOADS,
+    PAUSING,
     SMALL,
     Deployment,
     Load,
@@ -40,6 +42,15 @@
     "all, each 100 ms": Way("by_rank", "unread_tokens", report_s=0.1),
     "two, each 100 ms": Way("by_rank", "unread_tokens_of_drawn", report_s=0.1),
 }
+PAUSING_SERVERS = (4, 5, 7, 9)
+PAUSING_LOAD = Load(strength=1.4, until_s=28.0)
+PAUSING_WAYS = {
+    "what waits": Way("by_rank", "unread_tokens_alone"),
+    "and what runs": Way("by_rank", "unread_tokens_beside_few"),
+    "servers for long": Way("by_rank", "unread_tokens"),
+    "nothing refused": Way("all", "unread_tokens"),
+    "least busy": Way("by_rank", "least_busy"),
+}
 
 
 def measure(
@@ -63,6 +74,7 @@
         summary[load_name] = {"before": figures[BEFORE], "after": figures[AFTER]}
     print(json.dumps({**summary, "seeds": seeds}))
     show_large(seeds)
+    show_pausing(seeds)
 
 
 def show_large(seeds: list[int]) -> None:
@@ -83,5 +95,15 @@
                 print(f"  {name:18}", figures, flush=True)
 
 
+def show_pausing(seeds: list[int]) -> None:
+    """Print how ways of placement do where long prompts make answers pause."""
+    for servers in PAUSING_SERVERS:
+        print(f"{servers} engines that read between tokens")
+        for name, way in PAUSING_WAYS.items():
+            deployment = replace(PAUSING, servers=servers)
+            figures = measure(way, PAUSING_LOAD, seeds, deployment)
+            print(f"  {name:18}", figures, flush=True)
+
+
 if __name__ == "__main__":
     main()
--- a/src/rosemaryknot/platform/documents.py
+++ b/src/rosemaryknot/platform/documents.py
@@ -96,9 +96,16 @@
         is_public=bool(data.get("public")),
         is_resumable=bool(data.get("resumable")),
         is_model=bool(data.get("sessionAffinity")),
+        pause_s=pause_of(data),
     )
 
 
+def pause_of(data: dict[str, Any]) -> float:
+    """Return the longest pause between events that a route allows, in seconds."""
+    pause_s = finite(data.get("gapAimMs") or 0) / 1000
+    return pause_s if pause_s > 0 else math.inf
+
+
 def service_of(data: dict[str, Any]) -> GatewayService:
     """Return a service."""
     engine = data.get("engine")
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -1,13 +1,14 @@
 """The backend servers, what this node has in flight there, and how they behave."""
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
 
 import trio
 
 from rosemaryknot.process.kept_parts import KeptParts
 from rosemaryknot.process.logs import logger
+from rosemaryknot.process.prompt_mix import PromptMix
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.values.gateway import ModelInput, PromptPart, RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation, id_of
@@ -48,6 +49,8 @@
         Servers that may still have work.
     kept : KeptParts
         Which parts of prompts they keep.
+    mixes : collections.defaultdict of str to PromptMix
+        By service, how much of the reading long prompts bring.
     rate : float
         Prompt tokens that a model server reads in a second, as measured.
     rate_samples : int
@@ -71,6 +74,7 @@
         self.is_listed = False
         self.return_s = 1.4
         self.kept = KeptParts()
+        self.mixes: defaultdict[str, PromptMix] = defaultdict(PromptMix)
         self.recent: list[tuple[str, str]] = []
         self.has_changed = False
         self.ended: OrderedDict[str, ServerState] = OrderedDict()
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -50,7 +50,14 @@
     policy = "least_busy" if size is None else "unread_tokens"
     if parts.servers.is_told_late:
         policy += "_of_drawn"
-    return POLICIES[policy](PlacementInput(parts.zone, size, candidates, parts.rng))
+    pause_tokens = course.shortest_pause_s * parts.servers.rate
+    mix = parts.servers.mixes[course.service.name]
+    given = PlacementInput(
+        parts.zone, size, candidates, parts.rng, pause_tokens, mix.long_share
+    )
+    if size is not None and not course.tried:
+        mix.note(given.unread_tokens, given.is_long)
+    return POLICIES[policy](given)
 
 
 def refuse_overload(
--- a/src/rosemaryknot/request/gateway_course.py
+++ b/src/rosemaryknot/request/gateway_course.py
@@ -1,5 +1,6 @@
 """What a request works with on its way through a gateway."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -135,6 +136,8 @@
         Of the configuration.
     last_rank : int
         The least urgent rank among the routes to its service.
+    shortest_pause_s : float
+        The shortest pause between events that the routes to its service allow.
     first_s : float or None
         When the first bytes went to the caller, from its arrival, in seconds.
     events_s : float or None
@@ -158,6 +161,7 @@
     until_s: float
     version: int
     last_rank: int
+    shortest_pause_s: float = math.inf
     tried: set[ServerIncarnation] = field(default_factory=set)
     sent: int = 0
     unsent: int = 0
--- a/src/rosemaryknot/request/gateway_entry.py
+++ b/src/rosemaryknot/request/gateway_entry.py
@@ -134,6 +134,7 @@
             until_s=until_s,
             version=found.configuration.version,
             last_rank=found.configuration.last_rank_by_service[found.service.name],
+            shortest_pause_s=found.configuration.pause_s_by_service[found.service.name],
         )
 
     def refuse_by_head(self, request: GatewayRequest) -> Refusal | None:
--- a/src/rosemaryknot/standin/peak.py
+++ b/src/rosemaryknot/standin/peak.py
@@ -7,14 +7,17 @@
 refused comes back once.
 """
 
+import itertools
 import random
 from collections.abc import Iterator
+from functools import partial
 
 import trio
 from trio.testing import MockClock
 
 from rosemaryknot.process.server_state import ServerState
-from rosemaryknot.standin.peak_gateway import Engine, Gateway, Prompt
+from rosemaryknot.standin.peak_engine import Engine, Prompt
+from rosemaryknot.standin.peak_gateway import Gateway
 from rosemaryknot.standin.peak_hubs import Hubs
 from rosemaryknot.standin.peak_load import (
     SMALL,
@@ -31,7 +34,6 @@
 # From the end of reading to the first event.
 FIRST_S = 0.026
 LENGTH_S = 30.0
-CLUMP = 3
 LATE_PART = 0.1
 
 
@@ -50,16 +52,17 @@
         self.gateways = [
             Gateway(n, way, seed, deployment) for n in range(deployment.gateways)
         ]
+        speeds = itertools.cycle(deployment.speeds)
         self.engines = {
-            f"s{n}": Engine(self.tally, deployment) for n in range(deployment.servers)
+            f"s{n}": Engine(self.tally, deployment, next(speeds))
+            for n in range(deployment.servers)
         }
         self.numbers = iter(range(1_000_000_000))
-        self.rest: trio.Nursery | None = None
+        self.answers: trio.Nursery | None = None
 
     async def run(self) -> Tally:
         """Play it to the last answer."""
         async with trio.open_nursery() as nursery:
-            self.rest = nursery
             if self.deployment.has_hubs:
                 hubs = Hubs(self.gateways, self.deployment.zones, self.report_s)
                 nursery.start_soon(hubs.run)
@@ -69,6 +72,7 @@
             for engine in self.engines.values():
                 nursery.start_soon(engine.run)
             async with trio.open_nursery() as requests:
+                self.answers = requests
                 async for kind in self.arrivals():
                     size = draw_size(kind, self.rng)
                     gateways = self.rng.sample(self.gateways, 2)
@@ -83,8 +87,9 @@
         while trio.current_time() < LENGTH_S:
             is_worst = self.load.from_s <= trio.current_time() < self.load.until_s
             strength = self.load.strength if is_worst else 1.0
-            await trio.sleep(self.rng.expovariate(usual * strength / CLUMP))
-            for _ in range(CLUMP):
+            clump = self.deployment.clump
+            await trio.sleep(self.rng.expovariate(usual * strength / clump))
+            for _ in range(clump):
                 yield long if self.rng.random() < long.per_s / usual else short
 
     async def take_back(self) -> None:
@@ -118,30 +123,39 @@
     ) -> None:
         """Ask as a caller does: once more after a refusal, at another gateway."""
         began_s = trio.current_time()
-        self.tally.owed += kind.worth
-        is_served = False
+        self.tally.owed += kind.worth_of(size)
         with trio.move_on_after(kind.patience_s):
             for gateway in gateways:
-                left_s = began_s + kind.patience_s - trio.current_time()
-                is_served = await self.attempt(kind, size, gateway, left_s)
-                if is_served:
-                    break
-        if not is_served:
-            self.tally.unserved += 1
-            return
-        wait_s = trio.current_time() - began_s
+                if await self.attempt(kind, size, gateway, began_s):
+                    return
+        self.tally.unserved += 1
+        self.note_earned(kind, size, 0.0)
+
+    def note_answer(
+        self, kind: Kind, size: ModelInput, wait_s: float, pause_s: float
+    ) -> None:
+        """Count an answer."""
         self.tally.waits_s.append(wait_s)
-        if wait_s <= kind.target_s:
-            self.tally.in_time += kind.worth
-            self.tally.earned += kind.worth
+        if wait_s <= kind.target_s and pause_s <= kind.pause_s:
+            self.tally.in_time += kind.worth_of(size)
+            self.note_earned(kind, size, 1.0)
         else:
-            self.tally.earned += kind.worth * LATE_PART
+            self.tally.paused += wait_s <= kind.target_s
+            self.note_earned(kind, size, LATE_PART)
+
+    def note_earned(self, kind: Kind, size: ModelInput, part: float) -> None:
+        """Count what a request has earned of its worth."""
+        worth = kind.worth_of(size)
+        self.tally.earned += part * worth
+        if kind is self.deployment.long:
+            self.tally.long_ones.append((size.prompt_tokens, worth, part * worth))
 
     async def attempt(
-        self, kind: Kind, size: ModelInput, gateway: Gateway, left_s: float
+        self, kind: Kind, size: ModelInput, gateway: Gateway, asked_s: float
     ) -> bool:
         """Return whether one gateway answered."""
         number = next(self.numbers)
+        left_s = asked_s + kind.patience_s - trio.current_time()
         if self.way.holds:
             await gateway.hold(kind, number, size)
         chosen = gateway.place(size)
@@ -167,16 +181,25 @@
             raise
         took_s = trio.current_time() - began_s
         gateway.table.first_event(state, tokens, chosen.tokens, took_s)
-        self.rest.start_soon(self.answer, gateway, state, engine, prompt)
+        wait_s = trio.current_time() - asked_s
+        answer = partial(self.answer, kind, gateway, state, engine, prompt, wait_s)
+        self.answers.start_soon(answer)
         return True
 
     async def answer(
-        self, gateway: Gateway, state: ServerState, engine: Engine, prompt: Prompt
+        self,
+        kind: Kind,
+        gateway: Gateway,
+        state: ServerState,
+        engine: Engine,
+        prompt: Prompt,
+        wait_s: float,
     ) -> None:
         """Run a request from its first event to its end."""
-        await trio.sleep(prompt.size.max_output_tokens * self.deployment.event_s)
+        await engine.answer(prompt, self.deployment.event_s)
         engine.end(prompt)
         gateway.table.end(state, 0)
+        self.note_answer(kind, prompt.size, wait_s, prompt.pause_s)
 
 
 def draw_size(kind: Kind, rng: random.Random) -> ModelInput:
--- a/src/rosemaryknot/standin/peak_gateway.py
+++ b/src/rosemaryknot/standin/peak_gateway.py
@@ -1,9 +1,9 @@
 """Gateways and engines of the worst load: their tables and choices, without network."""
 
 import heapq
+import math
 import random
-from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import trio
 
@@ -18,17 +18,17 @@
     POLICIES,
     Candidate,
     PlacementInput,
+    least_costly,
     placement_policy,
     usable,
 )
-from rosemaryknot.standin.peak_load import SMALL, Deployment, Kind, Tally, Way
+from rosemaryknot.standin.peak_load import SMALL, Deployment, Kind, Way
 from rosemaryknot.values.gateway import ModelInput, RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
 
-__all__ = ["Engine", "Gateway", "Prompt"]
+__all__ = ["Gateway"]
 
-KEPT_S = 20.0
 # How often a gateway that holds requests back looks whether one may go.
 LOOK_S = 0.01
 # Such a gateway sends a request to a server that has less than this to read: enough
@@ -43,6 +43,19 @@
     return given.rng.choice(given.candidates) if given.candidates else None
 
 
+@placement_policy("unread_tokens_alone")
+def unread_tokens_alone(given: PlacementInput) -> Candidate | None:
+    """Choose by what waits, whatever answers run there."""
+    return POLICIES["unread_tokens"](replace(given, pause_tokens=math.inf))
+
+
+@placement_policy("unread_tokens_beside_few")
+def unread_tokens_beside_few(given: PlacementInput) -> Candidate | None:
+    """Choose by what waits and runs, without servers for long prompts."""
+    every = {candidate.state for candidate in given.candidates}
+    return least_costly(given, given.candidates, every)
+
+
 @placement_policy("unread_tokens_of_3")
 def unread_tokens_of_3(given: PlacementInput) -> Candidate | None:
     """Choose among three drawn servers."""
@@ -60,66 +73,6 @@
     return POLICIES["unread_tokens"](replace(given, candidates=few))
 
 
-@dataclass(slots=True, eq=False)
-class Prompt:
-    """A prompt that waits at a server."""
-
-    size: ModelInput
-    is_left: bool = False
-    is_read: trio.Event = field(default_factory=trio.Event)
-
-
-class Engine:
-    """A model server that reads one prompt after the other while places are free."""
-
-    def __init__(self, tally: Tally, deployment: Deployment) -> None:
-        self.tally = tally
-        self.rate = deployment.read_rate
-        self.places = trio.CapacityLimiter(deployment.places)
-        self.kept: dict[str, float] = {}
-        self.waiting: deque[Prompt] = deque()
-        self.has_work = trio.Event()
-
-    def unread(self, size: ModelInput) -> int:
-        """Return the tokens that it does not keep."""
-        now_s = trio.current_time()
-        unread = size.prompt_tokens
-        for part in size.parts[:-1]:
-            if now_s - self.kept.get(part.id, -KEPT_S) >= KEPT_S:
-                break
-            unread -= part.tokens
-        return unread
-
-    def put(self, prompt: Prompt) -> None:
-        """Take a prompt in."""
-        self.waiting.append(prompt)
-        self.has_work.set()
-
-    async def run(self) -> None:
-        """Read prompts."""
-        while True:
-            while not self.waiting:
-                self.has_work = trio.Event()
-                await self.has_work.wait()
-            prompt = self.waiting.popleft()
-            if prompt.is_left:
-                continue
-            await self.places.acquire_on_behalf_of(prompt)
-            unread = self.unread(prompt.size)
-            self.tally.tokens_read += unread
-            await trio.sleep(unread / self.rate)
-            for part in prompt.size.parts[:-1]:
-                self.kept[part.id] = trio.current_time()
-            prompt.is_read.set()
-            if prompt.is_left:
-                self.end(prompt)
-
-    def end(self, prompt: Prompt) -> None:
-        """Free a prompt's place."""
-        if prompt.is_read.is_set():
-            self.places.release_on_behalf_of(prompt)
-
-
 class Gateway:
     """One gateway's table and choices."""
 
@@ -131,6 +84,7 @@
         self.zone = zones[number % len(zones)]
         self.way = way
         self.rng = random.Random(seed + number)
+        self.pause_s = min(deployment.long.pause_s, deployment.short.pause_s)
         self.held: list[tuple[int, float, int]] = []
         self.table = ServerTable()
         self.table.is_told_late = deployment.has_hubs
@@ -148,7 +102,12 @@
             requests, tokens = state.load()
             kept = self.table.kept.tokens(state, size)
             candidates.append(Candidate(state, requests, tokens, kept))
-        given = PlacementInput(self.zone, size, candidates, self.rng)
+        pause_tokens = self.pause_s * self.table.rate
+        mix = self.table.mixes["model"]
+        given = PlacementInput(
+            self.zone, size, candidates, self.rng, pause_tokens, mix.long_share
+        )
+        mix.note(given.unread_tokens, given.is_long)
         return POLICIES[self.way.placement](given)
 
     def refusal_s(
--- a/src/rosemaryknot/values/gateway.py
+++ b/src/rosemaryknot/values/gateway.py
@@ -4,6 +4,7 @@
 that their fields name.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -50,6 +51,8 @@
         Longest that a request is kept waiting.
     target_s : float
         Time to the answer, or to a stream's first event, that is wanted.
+    pause_s : float
+        Longest pause between a stream's events with which it is in time.
     priority : int
         Rank; 0 is the most urgent.
     backends : list of tuple of (str, float)
@@ -76,6 +79,7 @@
     is_public: bool = False
     is_resumable: bool = False
     is_model: bool = False
+    pause_s: float = math.inf
 
     @property
     def may_repeat(self) -> bool:
@@ -214,6 +218,8 @@
         Of callers' connections.
     last_rank_by_service : dict of str to int
         The least urgent rank among the routes to a service.
+    pause_s_by_service : dict of str to float
+        The shortest pause that the routes to a service allow.
     """
 
     version: int
@@ -223,14 +229,17 @@
     customer_by_key: dict[str, str] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
     last_rank_by_service: dict[str, int] = field(init=False, default_factory=dict)
+    pause_s_by_service: dict[str, float] = field(init=False, default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Find the ranks of all services."""
+        """Find what the routes to each service have in common."""
         ranks = self.last_rank_by_service
+        pauses = self.pause_s_by_service
         for routes in self.routes_by_host.values():
             for route in routes:
                 for service, _ in route.backends:
                     ranks[service] = max(ranks.get(service, 0), route.priority)
+                    pauses[service] = min(pauses.get(service, math.inf), route.pause_s)
 
     def route_of(self, host: str, path: str) -> GatewayRoute | None:
         """Return the route with the longest prefix of the path, or None.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,5 +1,7 @@
 """Tests of the store's objects, decoded."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -43,6 +45,17 @@
         known = configuration_of(data)
         assert not known.route_of("a.example", "/stock/").may_repeat
 
+    @pytest.mark.parametrize(
+        ("value", "pause_s"),
+        [(600, 0.6), (None, math.inf), (0, math.inf), (-1, math.inf)],
+    )
+    def test_pause_between_events(self, value, pause_s):
+        data = document()
+        data["routes"][0]["gapAimMs"] = value
+        known = configuration_of(data)
+        assert known.route_of("a.example", "/plan/x").pause_s == pause_s
+        assert known.pause_s_by_service["writer"] == pause_s
+
     @given(VALUES)
     def test_any_value(self, value):
         """What is no configuration gives a `DocumentError` and nothing else."""
