Leave those who are heard their even share of a limit

Cause: the shares of unheard sources are those of their last words, which lie up to a second apart, and were more than one together; what was left for the heard ones was taken as a thousandth, so that for each unit of theirs a thousand were counted. Now the heard ones have at least a fifth of their part by the number of gateways, and the unheard ones divide the rest by their shares.

--- a/src/rosemaryknot/process/limit_takings.py
+++ b/src/rosemaryknot/process/limit_takings.py
@@ -18,7 +18,8 @@
 # Part of the limit that is shared by the number of gateways and not by their demand, so
 # that no side is left without any: callers may come to another zone during a cut.
 EVEN_SHARE = 0.2
-LEAST_SHARE = 1e-3
+# Of a gateway that stands for itself only.
+LEAST_NODES = 1
 
 
 @dataclass(slots=True)
@@ -166,15 +167,29 @@
             if source.is_unheard(now_s)
             and (missing is None or source.nodes <= 2 * missing)
         ]
-        heard_share = 1 - sum(source.share for source in unheard)
+        unheard_share = sum(source.share for source in unheard)
+        if unheard_share <= 0:
+            return 0.0
+        heard_share = max(1 - unheard_share, self.least_share(unheard))
+        ratio = (1 - heard_share) / heard_share
         newly = 0.0
         for source in unheard:
-            ratio = source.share / max(LEAST_SHARE, heard_share)
-            units = (self.heard - source.heard_then) * ratio - source.assumed
+            part = ratio * source.share / unheard_share
+            units = (self.heard - source.heard_then) * part - source.assumed
             source.assumed += max(0.0, units)
             newly += max(0.0, units)
         return newly
 
+    def least_share(self, unheard: list[Source]) -> float:
+        """Return the part of the limit that those who are heard have at least.
+
+        Sources told their demand at different times, and their shares may be more than
+        one together.
+        """
+        nodes = self.own_nodes + self.nodes
+        silent = sum(source.nodes for source in unheard)
+        return EVEN_SHARE * max(LEAST_NODES, nodes - silent) / max(1, nodes)
+
     def drop(self, name: str) -> None:
         """Forget a source."""
         source = self.sources.pop(name, None)
