Cover a short time only while no other gateway has told of a customer

A gateway that has heard nobody takes its own demand times all gateways; covered for the time of reports through hubs, a single request counts for more than what is left.

The effect on the refusals is not measured yet.

--- a/src/rosemaryknot/process/gateway_quota.py
+++ b/src/rosemaryknot/process/gateway_quota.py
@@ -163,7 +163,10 @@
         # its first requests, each one would take all for itself.
         known = 1 + account.takings.nodes
         demand = account.takings.demand_of_all * max(self.nodes, known) / known
-        return left / max(self.cover_s * demand, units)
+        # While nobody else has told, the demand of all is this gateway's times all
+        # gateways, which a single request makes many times too large.
+        cover_s = self.cover_s if account.takings.nodes else COVER_S
+        return left / max(cover_s * demand, units)
 
     def refresh(self, account: Account, now_s: float) -> None:
         """Bring an account up to now."""
