--- a/src/rosemaryknot/standin/peak_engine.py
+++ b/src/rosemaryknot/standin/peak_engine.py
@@ -123,7 +123,6 @@
     def __init__(self, steps: Steps, speed: float) -> None:
         self.steps = steps
         self.step_s = steps.step_s * speed
-        self.speed = speed
         self.late: deque[float] = deque(maxlen=steps.event_steps)
         self.made = 0.0
         self.until_s = 0.0
