Choose servers of plain services without the measures of prompts

A choice for a plain service made an entry in the mix of prompts that nothing reads. The least share of those who are heard is counted without a constant of its own.

--- a/src/rosemaryknot/process/limit_takings.py
+++ b/src/rosemaryknot/process/limit_takings.py
@@ -18,8 +18,6 @@
 # Part of the limit that is shared by the number of gateways and not by their demand, so
 # that no side is left without any: callers may come to another zone during a cut.
 EVEN_SHARE = 0.2
-# Of a gateway that stands for itself only.
-LEAST_NODES = 1
 
 
 @dataclass(slots=True)
@@ -66,12 +64,12 @@
 
     Attributes
     ----------
-    sources : dict of str to Source
-        By name.
     own_nodes : int
         1 where it is kept by a gateway that takes units itself, 0 by a hub.
     own_demand : float
         Units that are asked for at this gateway in a second.
+    sources : dict of str to Source
+        By name.
     heard : float
         Units that sources have told of since the start, and units of one's own.
     demand : float
@@ -186,9 +184,9 @@
         Sources told their demand at different times, and their shares may be more than
         one together.
         """
-        nodes = self.own_nodes + self.nodes
-        silent = sum(source.nodes for source in unheard)
-        return EVEN_SHARE * max(LEAST_NODES, nodes - silent) / max(1, nodes)
+        nodes = max(1, self.own_nodes + self.nodes)
+        heard_nodes = nodes - sum(source.nodes for source in unheard)
+        return EVEN_SHARE * max(1, heard_nodes) / nodes
 
     def drop(self, name: str) -> None:
         """Forget a source."""
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -50,14 +50,19 @@
     policy = "least_busy" if size is None else "unread_tokens"
     if parts.servers.is_told_late:
         policy += "_of_drawn"
-    pause_tokens = course.shortest_pause_s * parts.servers.rate
+    given = PlacementInput(parts.zone, size, candidates, parts.rng)
+    if size is not None:
+        note_prompt(parts, course, given)
+    return POLICIES[policy](given)
+
+
+def note_prompt(parts: GatewayParts, course: Course, given: PlacementInput) -> None:
+    """Tell a choice what long prompts are here, and count this one, once."""
     mix = parts.servers.mixes[course.service.name]
-    given = PlacementInput(
-        parts.zone, size, candidates, parts.rng, pause_tokens, mix.long_share
-    )
-    if size is not None and not course.tried:
+    given.pause_tokens = course.shortest_pause_s * parts.servers.rate
+    given.long_share = mix.long_share
+    if not course.tried:
         mix.note(given.unread_tokens, given.is_long)
-    return POLICIES[policy](given)
 
 
 def refuse_overload(
