Log which request servers closed their connections on

Cause: a line of a failed request names the id of one attempt. The caller's repeat has another id, so neither lines nor metrics show that servers fail under one request, sent again and again, rather than under many.

Change: a failed attempt whose connection the server closed adds request_digest, which is the same for each repeat (customer, method, host, target and body), and closed_by, the servers. The digest is computed for these lines only. No decision changes.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -69,6 +69,8 @@
         Time from which the connection must not be reused, in trio time.
     is_reusable : bool
         Whether the last exchange ended exactly.
+    is_closed_by_server : bool
+        Whether the server closed or reset the connection.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.last_received_s = trio.current_time()
         self.is_reusable = False
         self.is_sent = False
+        self.is_closed_by_server = False
         self.wants_close = False
         self.request: h11.Request | None = None
         self.unsent = b""
@@ -173,7 +176,9 @@
             try:
                 data = await receive_next(self.stream, READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.is_closed_by_server = True
                 return Lost("the connection was reset")
+            self.is_closed_by_server = not data
             self.last_received_s = trio.current_time()
             self.conn.receive_data(data)
 
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -15,6 +15,7 @@
     GatewayComponents,
     RequestContext,
     abort_log_fields,
+    closed_log_fields,
     output_tokens,
     placement_log_fields,
     refusal,
@@ -90,7 +91,7 @@
         if outcome is None:
             outcome = self.timeout_outcome(context)
         if isinstance(outcome, Refusal) and not reply.is_started:
-            await self.refuse(request, reply, outcome, placement_log_fields(context))
+            await self.refuse(request, reply, outcome, failure_log_fields(context))
         else:
             self.log_outcome(context, outcome)
 
@@ -162,7 +163,7 @@
                 after=type(outcome).__name__,
                 reason=getattr(outcome, "reason", ""),
                 left_s=round(context.remaining_s(), 3),
-                **placement_log_fields(context),
+                **failure_log_fields(context),
             )
 
     def no_server_outcome(self, context: RequestContext) -> Refusal:
@@ -318,5 +319,10 @@
             else round(context.first_byte_s, 3),
             pause_s=round(context.max_event_gap_s, 3),
             sent_bytes=context.reply.pending.sent_bytes,
-            **placement_log_fields(context),
+            **failure_log_fields(context),
         )
+
+
+def failure_log_fields(context: RequestContext) -> dict[str, object]:
+    """Return log fields on the last choice and on connections that servers closed."""
+    return {**placement_log_fields(context), **closed_log_fields(context)}
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -97,8 +97,10 @@
             raise
         if isinstance(outcome, Completed):
             await self.components.pool.release(connection)
-        else:
-            await connection.aclose()
+            return outcome
+        if connection.is_closed_by_server and not isinstance(outcome, NotRunThere):
+            context.closed_by.append(self.state.entry.id)
+        await connection.aclose()
         return outcome
 
     async def exchange(
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -20,6 +20,7 @@
 )
 from rosemaryknot.values.gateway_responses import GatewayWire, Refusal, ShutdownSchedule
 from rosemaryknot.values.incarnation import ServerIncarnation
+from rosemaryknot.values.request_identity import request_digest
 
 __all__ = [
     "MIN_RETRY_AFTER_S",
@@ -27,6 +28,7 @@
     "GatewayComponents",
     "RequestContext",
     "abort_log_fields",
+    "closed_log_fields",
     "output_tokens",
     "placement_log_fields",
     "refusal",
@@ -158,6 +160,8 @@
         Scope in which a buffered response is delivered to the caller.
     deadline_scope : trio.CancelScope or None
         Scope that aborts the request at its deadline.
+    closed_by : list of str
+        Servers that closed the connection of an attempt before the response ended.
     """
 
     request: GatewayRequest
@@ -182,6 +186,12 @@
     chosen: Candidate | None = None
     delivery_scope: trio.CancelScope | None = None
     deadline_scope: trio.CancelScope | None = None
+    closed_by: list[str] = field(default_factory=list)
+
+    @property
+    def customer_name(self) -> str:
+        """Name of the customer; empty without one."""
+        return "" if self.customer is None else self.customer.name
 
     @property
     def priority(self) -> int:
@@ -235,6 +245,17 @@
     }
 
 
+def closed_log_fields(context: RequestContext) -> dict[str, object]:
+    """Return log fields that identify a request whose connections servers closed.
+
+    The digest is the same for each repeat of the request, whose id is not.
+    """
+    if not context.closed_by:
+        return {}
+    digest = request_digest(context.customer_name, context.request)
+    return {"request_digest": digest.hex(), "closed_by": list(context.closed_by)}
+
+
 def abort_log_fields(context: RequestContext) -> dict[str, object]:
     """Return log fields of a request that is aborted in progress."""
     timeout_s = context.deadline_s - context.request.arrived_s
--- a/tests/gateway/test_server_restarts.py
+++ b/tests/gateway/test_server_restarts.py
@@ -1,6 +1,5 @@
 """Tests of servers that restart with the same id."""
 
-import os
 from functools import partial
 
 import pytest
@@ -9,7 +8,6 @@
 
 from rosemaryknot.process.gateway_servers import ServerTable
 from rosemaryknot.process.hub_aggregates import HubAggregator
-from rosemaryknot.process.logs import configure_logs
 from rosemaryknot.standin.users.system import MODEL_HEADERS, PLAIN, platform_system
 from rosemaryknot.values.gateway import ModelInput, PromptSegment, RoutedServer
 from rosemaryknot.values.gateway_peers import HubReport, LoadReport
@@ -457,17 +455,6 @@
             assert (await request_stock(fleet, "s1")).status == 200
 
 
-@pytest.fixture
-def info_lines():
-    """Capture log lines of level info, and restore the usual level afterwards."""
-    null = os.open(os.devnull, os.O_WRONLY)
-    configure_logs(level="info", fd=null)
-    with structlog.testing.capture_logs() as lines:
-        yield lines
-    configure_logs(level="warning")
-    os.close(null)
-
-
 class TestLogs:
     async def test_failed_request_logs_the_incarnation(
         self, autojump_clock, info_lines
