Reproduce requests that crash each server that runs them

Change: a stand-in server crashes when it runs a request with a marked body, and is back after 2 s. The audit of plays and soak checks that such a request reaches servers at most three times more, later than 3 s after its third crash, from undisturbed nodes.

--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -4,6 +4,7 @@
 virtual time and to processes on loopback.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -28,6 +29,11 @@
 # active, and until a draining server receives no more requests.
 APPLY_S = 3.0
 DRAIN_S = Bounds().drain_ms / 1000
+# A request that has crashed this many servers may reach servers only a few times more
+# once all undisturbed nodes have had time to learn of it.
+MAX_CRASHES = 3
+CRASH_NOTICE_S = 3.0
+MAX_RUNS_AFTER_NOTICE = 3
 
 
 @dataclass(slots=True)
@@ -79,11 +85,17 @@
         Ids of the server and of the request.
     timestamp_s : float
         When the request arrived, in trio time.
+    content : str
+        Path and body, which are the same for each repeat of a request.
+    crashed_s : float or None
+        When the request crashed the server, in trio time.
     """
 
     server: str
     id: str
     timestamp_s: float
+    content: str = ""
+    crashed_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -366,3 +378,27 @@
                 f"{arrival.id} reached {arrival.server} {late_s:.2f} s after "
                 "it began to drain"
             )
+
+
+@invariant("crashing_requests_are_refused")
+def crashing_requests_are_refused(observations: Observations) -> Iterable[str]:
+    """Find requests that reach servers although they have crashed several."""
+    arrivals_by_content = defaultdict(list)
+    for arrival in observations.server_requests:
+        arrivals_by_content[arrival.content].append(arrival)
+    request_by_id = {request.id: request for request in observations.caller_requests}
+    for content, arrivals in arrivals_by_content.items():
+        crashes = sorted(a.crashed_s for a in arrivals if a.crashed_s is not None)
+        if len(crashes) < MAX_CRASHES:
+            continue
+        known_s = crashes[MAX_CRASHES - 1] + CRASH_NOTICE_S
+        late = [
+            a
+            for a in arrivals
+            if a.timestamp_s > known_s
+            and observations.disturbances.is_undisturbed(
+                request_by_id[a.id].node, known_s, a.timestamp_s
+            )
+        ]
+        if len(late) > MAX_RUNS_AFTER_NOTICE:
+            yield f"{content} reached servers {len(late)} times after {known_s:.2f} s"
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -229,8 +229,15 @@
         if arrival.has_run:
             observations.runs[arrival.id] = observations.runs.get(arrival.id, 0) + 1
         if arrival.ended != "refused":
-            arrival = ServerRequest(arrival.server, arrival.id, arrival.timestamp_s)
-            observations.server_requests.append(arrival)
+            observations.server_requests.append(
+                ServerRequest(
+                    arrival.server,
+                    arrival.id,
+                    arrival.timestamp_s,
+                    f"{arrival.request.path} {arrival.request.body.decode('latin-1')}",
+                    arrival.crashed_s,
+                )
+            )
     observations.object_changes = system.store.object_changes
     observations.disturbances = system.disturbances
     observations.misrouted = [arrival.id for arrival in system.trap.arrivals]
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -9,7 +9,10 @@
 
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
-__all__ = ["Arrival", "ServerStandIn", "server_entry"]
+__all__ = ["CRASHING_BODY", "Arrival", "ServerStandIn", "server_entry"]
+
+# Body of a request that crashes each server that runs it.
+CRASHING_BODY = b"crash"
 
 EVENT_TOKENS = 5
 ATTEMPT = "rosemaryknot-attempt-id"
@@ -31,6 +34,8 @@
         Whether the server executed the request.
     ended : str
         ``whole`` (response complete), ``cut`` (response incomplete) or ``refused``.
+    crashed_s : float or None
+        When the request crashed the server, in trio time.
     """
 
     request: RawRequest
@@ -38,6 +43,7 @@
     server: str = ""
     has_run: bool = False
     ended: str = "cut"
+    crashed_s: float | None = None
 
     @property
     def id(self) -> str:
@@ -107,6 +113,8 @@
         Its entry in the store.
     faults : collections.deque of str
         Names in `FAULTS`, one for each of the next requests; empty text for no fault.
+    crash : callable
+        Crashes the server; set by the system that runs it.
     """
 
     def __init__(
@@ -124,6 +132,7 @@
         self.arrivals: list[Arrival] = []
         self.faults: deque[str] = deque()
         self.is_mute = False
+        self.crash: Callable[[], None] = lambda: None
         self.server = RawServer(self.handle)
 
     def start_incarnation(self, born_ms: int) -> None:
@@ -144,12 +153,23 @@
             return
         if self.is_mute:
             await trio.sleep_forever()
+        if arrival.request.body.startswith(CRASHING_BODY):
+            await self.run_until_crash(arrival)
+            return
         fault = self.faults.popleft() if self.faults else ""
         if fault:
             await FAULTS[fault](self, arrival, wire)
             return
         await self.serve(arrival, wire)
 
+    async def run_until_crash(self, arrival: Arrival) -> None:
+        """Run a request that crashes the server."""
+        arrival.has_run = True
+        await trio.sleep(self.work_s)
+        arrival.crashed_s = trio.current_time()
+        self.crash()
+        await trio.sleep_forever()
+
     async def serve(self, arrival: Arrival, wire: RawWire) -> None:
         """Respond without a fault."""
         arrival.has_run = True
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import h11
@@ -51,6 +52,8 @@
 PLAIN = "booking"
 KEY = "key-of-ada"
 EPOCH_S = 1_000_000.0
+# How long a server that a request crashed stays down.
+CRASH_DOWN_S = 2.0
 READ_BYTES = 65536
 
 MODEL_HEADERS = {
@@ -301,6 +304,9 @@
                 self.scopes[server.id] = scope
                 await server.server.serve(network, address, task_status=task_status)
 
+        server.crash = partial(
+            self.nursery.start_soon, self.restart_server, server.id, CRASH_DOWN_S
+        )
         self.servers[server.id] = server
         await self.nursery.start(run)
         self.store.put("servers", server.id, server.entry)
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -43,6 +43,18 @@
     )
 
 
+def crashes(count, pause_s=1.5):
+    """Return repeats of one request, each of which crashes a server."""
+    times = [1.0 + pause_s * number for number in range(count)]
+    return Observations(
+        [CallerRequest(f"a{at_s}", "stream", True, node="n0") for at_s in times],
+        server_requests=[
+            ServerRequest(f"s{at_s}", f"a{at_s}", at_s, "/ask/x crash", at_s + 0.1)
+            for at_s in times
+        ],
+    )
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_random_faults(self, seed):
@@ -109,11 +121,16 @@
             ("configuration_in_force", seen_at(401, "/new/x")),
             ("configuration_in_force", seen_at(200, "/old/x")),
             ("leaving_get_nothing", seen_at(200, "/new/x", "p0")),
+            ("crashing_requests_are_refused", crashes(9)),
         ],
     )
     def test_violation_is_found(self, invariant, observations):
         assert [violation.invariant for violation in audit(observations)] == [invariant]
 
+    @pytest.mark.parametrize("observations", [crashes(8), crashes(20, 0.1)])
+    def test_few_crashes_or_before_notice(self, observations):
+        assert not audit(observations)
+
     @pytest.mark.parametrize(
         "case", ["in_time", "disturbed_node", "earlier_incarnation"]
     )
