Play requests that crash servers in random plays and in the soak

Change: a play and a soak may repeat, at any node, a request that crashes each model server that runs it, beside all other faults; the audit checks that it is refused in time, and that no request is refused for it that had completed before.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -13,6 +13,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -35,7 +36,14 @@
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
 from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
-from rosemaryknot.standin.users.system import MODEL, PLAIN, Answer, Caller, document
+from rosemaryknot.standin.users.system import (
+    CRASH_DOWN_S,
+    MODEL,
+    PLAIN,
+    Answer,
+    Caller,
+    document,
+)
 from rosemaryknot.values.nodes import Address
 
 FOLDER = Path(".demo/soak")
@@ -52,6 +60,7 @@
 MAX_FILES = 400
 PORTS = range(21000, 29000, 20)
 PORTS_OF_NODE = 4
+CRASHING_RATES = (0.0, 0.5, 3.0)
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -216,11 +225,21 @@
         address = await self.nursery.start(proxy.serve, anywhere)
         self.servers[name] = server
         self.proxies[name] = proxy
+        server.crash = partial(self.nursery.start_soon, self.crash_server, server)
         zone = f"z{len(self.servers) % 3}"
         born_ms = int(time.time() * 1000)
         server.entry = server_entry(service, address, zone, born_ms)
         self.store.put("servers", name, server.entry)
 
+    async def crash_server(self, server: ServerStandIn) -> None:
+        """Crash a server and restart it under the same id."""
+        self.proxies[server.id].crash(CRASH_DOWN_S)
+        await trio.sleep(CRASH_DOWN_S)
+        server.start_incarnation(int(time.time() * 1000))
+        server.crash = partial(self.nursery.start_soon, self.crash_server, server)
+        if server.id in self.servers:
+            self.store.put("servers", server.id, server.entry)
+
     async def overwrite(self, name: str, value: Any) -> None:
         """Replace a server's entry by another value until its next heartbeat."""
         self.store.put("servers", name, value)
@@ -475,6 +494,11 @@
         proxy.reset_all()
 
 
+def crashing_rate(seed: int) -> float:
+    """Return how often a request is repeated that crashes servers, per second."""
+    return CRASHING_RATES[seed // 2 % len(CRASHING_RATES)]
+
+
 async def run_seed(seed: int) -> tuple[list[Violation], Counter]:
     """Run one seed; return the violations, and the number of faults by kind."""
     rng = random.Random(seed)
@@ -496,7 +520,11 @@
 
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(inject_faults)
-            play = Play(length_s=LOAD_DURATION_S, load=LOAD)
+            play = Play(
+                length_s=LOAD_DURATION_S,
+                load=LOAD,
+                crashing_per_s=crashing_rate(seed),
+            )
             await play_load(system, play, rng, observations)
         for name in system.nodes:
             if not await system.wait_until_responding(name, RECOVERY_S):
--- a/scripts/soak_proxy.py
+++ b/scripts/soak_proxy.py
@@ -31,17 +31,29 @@
         self.silent: set[str] = set()
         self.streams: set[trio.SocketStream] = set()
         self.muted_streams: set[trio.SocketStream] = set()
+        self.down_s = 0.0
+        self.listening = trio.CancelScope()
 
     async def serve(
         self,
         address: Address,
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled; after `crash` begin again at the same port."""
         listeners = await trio.open_tcp_listeners(address.port, host=address.host)
         port = listeners[0].socket.getsockname()[1]
         task_status.started(Address(address.host, port))
-        await trio.serve_listeners(self.handle, listeners)
+        while True:
+            with trio.CancelScope() as self.listening:
+                await trio.serve_listeners(self.handle, listeners)
+            await trio.sleep(self.down_s)
+            listeners = await trio.open_tcp_listeners(port, host=address.host)
+
+    def crash(self, down_s: float) -> None:
+        """Reset all connections and refuse new ones for a while, as a crash does."""
+        self.down_s = down_s
+        self.reset_all()
+        self.listening.cancel()
 
     async def handle(self, near: trio.SocketStream) -> None:
         """Forward one connection."""
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -30,6 +30,7 @@
 
 __all__ = [
     "Answer",
+    "CRASH_DOWN_S",
     "Caller",
     "HOST",
     "KEY",
@@ -304,13 +305,19 @@
                 self.scopes[server.id] = scope
                 await server.server.serve(network, address, task_status=task_status)
 
-        server.crash = partial(
-            self.nursery.start_soon, self.restart_server, server.id, CRASH_DOWN_S
-        )
+        server.crash = partial(self.nursery.start_soon, self.crash_server, server.id)
         self.servers[server.id] = server
         await self.nursery.start(run)
         self.store.put("servers", server.id, server.entry)
 
+    async def crash_server(self, server_id: str) -> None:
+        """Crash a server and restart it, unless it is being restarted already."""
+        if server_id in self.down:
+            return
+        self.down.add(server_id)
+        await self.restart_server(server_id, CRASH_DOWN_S)
+        self.down.discard(server_id)
+
     async def restart_server(self, server_id: str, down_s: float = 0.0) -> None:
         """Crash a server and restart it under the same id, without its former state.
 
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -24,6 +24,9 @@
 # Random faults that overlap: a node killed while the store is silent, an expired entry
 # during a graceful shutdown, network partitions.
 SEEDS = (100, 101, 102, 103, 104, 105)
+# Popular requests were refused in 1020, 1021 and 1130 after servers had crashed under
+# them; in 1100 a request is present at three crashes before it ever completes.
+SEEDS_WITH_CRASHES = (1020, 1021, 1100, 1130)
 
 
 def seen_at(status, path, server=""):
@@ -71,6 +74,14 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_CRASHES)
+    @pytest.mark.parametrize("crashing_per_s", [0.5, 3.0])
+    def test_random_faults_and_crashing_request(self, seed, crashing_per_s):
+        play = random_play(seed, crashing_per_s)
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     def test_same_seed_same_outcomes(self):
         play = Play(length_s=4, faults=[{"at": 1, "kind": "compact"}])
         first, second = (
