End a message or a connection by an exception, not the node

What callers would see: all responses of a node end at once, and of the next node, when a message or a request that makes a handler raise an exception is repeated there.

Cause: an exception in the handler of a link, or of a caller's connection, ended the nursery of the whole process. Gossip and reports are repeated to node after node, and so are the requests of callers.

Change: an exception ends the one message (no reply; the call fails by its timeout) or the one connection, with a line that has its type and place, never its text, and a count.

--- a/src/rosemaryknot/connection/gateway_listener.py
+++ b/src/rosemaryknot/connection/gateway_listener.py
@@ -7,7 +7,8 @@
 from rosemaryknot.connection.gateway_caller import CallerConnection
 from rosemaryknot.connection.listener_state import Handler, HeadHandler, ListenerState
 from rosemaryknot.connection.network import Network
-from rosemaryknot.process.logs import logger
+from rosemaryknot.process.logs import fault_fields, logger
+from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.gateway import CallerLimits
 from rosemaryknot.values.gateway_responses import GatewayWire
 from rosemaryknot.values.nodes import Address
@@ -19,6 +20,8 @@
 # refused caller would retry later than it is served after this wait.
 STARTUP_WAIT_S = 0.25
 
+FAULTS = counter("faults_total", "Exceptions that ended one request or message.")
+
 log = logger("callers")
 
 
@@ -82,4 +85,12 @@
                 "connection closed: connection limit reached", open=self.state.open
             )
             return
-        await CallerConnection(stream, self.state).run()
+        try:
+            await CallerConnection(stream, self.state).run()
+        except Exception as error:
+            # It would end the process with all other responses, and then the next node
+            # at which the caller repeats the request.
+            FAULTS.add(where="caller")
+            log.error(
+                "connection aborted by a fault of this node", **fault_fields(error)
+            )
--- a/src/rosemaryknot/connection/links.py
+++ b/src/rosemaryknot/connection/links.py
@@ -32,7 +32,7 @@
     Unsupported,
 )
 from rosemaryknot.connection.link_traffic import Traffic
-from rosemaryknot.process.logs import logger
+from rosemaryknot.process.logs import fault_fields, logger
 from rosemaryknot.values.messages import (
     Message,
     MessageError,
@@ -379,10 +379,31 @@
             self.traffic.unsupported += 1
             reply = Unsupported()
         else:
-            reply = await handler(value, self)
+            reply = await self.run_handler(handler, value)
         if call and reply is not None:
             await self.reply(reply, call)
 
+    async def run_handler(
+        self, handler: Callable[..., Awaitable[Message | None]], value: Message
+    ) -> Message | None:
+        """Return the reply of a handler; None if it fails.
+
+        An exception would end the process, and then each node to which the message is
+        sent or repeated.
+        """
+        try:
+            return await handler(value, self)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, LinkClosed):
+            raise
+        except Exception as error:
+            log.error(
+                "message handler failed",
+                kind=value.kind,
+                peer=self.hello.name,
+                **fault_fields(error),
+            )
+            return None
+
     async def reply(self, value: Message, call: int) -> None:
         """Send the reply to a call, if the link is still open."""
         payload = encode_message(value, reply_to=call)
--- a/src/rosemaryknot/process/logs.py
+++ b/src/rosemaryknot/process/logs.py
@@ -11,9 +11,11 @@
 import os
 import select
 import time
+import traceback
 from collections import OrderedDict, deque
 from collections.abc import Callable, MutableMapping
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import structlog
@@ -24,6 +26,7 @@
     "LineWriter",
     "RepeatLimit",
     "configure_logs",
+    "fault_fields",
     "flush_lines",
     "buffer_lines",
     "logger",
@@ -360,6 +363,26 @@
     return structlog.get_logger(part=part)
 
 
+def fault_fields(error: BaseException) -> dict[str, str]:
+    """Return log fields that tell which fault of this program an exception shows.
+
+    The message of the exception is left out, as it may contain text of a caller.
+
+    Examples
+    --------
+    >>> try:
+    ...     {}["x"]
+    ... except KeyError as error:
+    ...     fault_fields(error)["error"]
+    'KeyError'
+    """
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
+    return {"error": type(error).__name__, "place": place}
+
+
 def buffer_lines() -> None:
     """Buffer lines that cannot be written; see `LineWriter.enable_buffering`."""
     current_line_writer().enable_buffering()
--- a/tests/connection/test_links.py
+++ b/tests/connection/test_links.py
@@ -107,6 +107,23 @@
     return link
 
 
+class TestHandlers:
+    async def test_exception_ends_neither_link_nor_process(self, autojump_clock):
+        """A message that a handler fails on would end each node that receives it."""
+        handlers = handlers_with_reply()
+
+        @handlers.on(UnhandledCall)
+        async def fail(value: UnhandledCall, link: MessageLink) -> None:
+            raise KeyError("field")
+
+        acceptor = Acceptor(handlers)
+        async with trio.open_nursery() as nursery:
+            link = await open_running_link(nursery, await acceptor.dial(nursery))
+            assert isinstance(await link.call(UnhandledCall(), 1.0), CallFailed)
+            assert await link.call(Question("a"), 1.0) == Question("A")
+            nursery.cancel_scope.cancel()
+
+
 class TestHello:
     async def test_newer_release_with_an_unknown_field(self, autojump_clock):
         """An upgraded node connects to a node that is not upgraded yet.
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -77,6 +77,22 @@
         async with platform_system() as fleet:
             assert (await fleet.ask("/book/x", body=b"x" * 30000)).status == 200
 
+    async def test_fault_of_the_node_ends_one_connection(self, autojump_clock):
+        """A request that ends each node at which it is repeated would end them all."""
+        async with platform_system(plain=1) as fleet:
+            gateway = fleet.nodes["n0"].gateway
+            admit = gateway.entry.admit
+
+            def fail(request, reply):
+                if request.id == "r1":
+                    raise KeyError(request.id)
+                return admit(request, reply)
+
+            gateway.entry.admit = fail
+            failed = await fleet.ask("/stock/x", method="GET", request_id="r1")
+            other = await fleet.ask("/stock/x", method="GET", request_id="r2")
+            assert (failed.status, other.status) == (0, 200)
+
     async def test_smuggled_request(self, autojump_clock):
         """A caller sends a request with Content-Length and chunked encoding.
 
