Refuse requests that crash servers on the own interface too

Cause: the same as for gateways. A generation goes to the next engine as often as its deadline allows, and nothing is remembered of it afterwards.

Change: entries use the same records, check of servers and rule. What an entry sees goes to its agent, which forwards it to its peers and to its other entries, and to an entry that connects. A generation that has lost engines goes on until the limit of its request; then its outcome is unknown, or not_run before its first attempt, with server_failed. An identity no longer needs a gateway's request; a server is checked through a protocol.

Further: after a crash only one node of those that reach each other reads the stored records, not each node that saw it; at 195 nodes that would have been most calls.

--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -23,6 +23,8 @@
     keep_entry_current,
     register_configuration_handlers,
 )
+from rosemaryknot.process.crash_exchange import CrashExchange, DirectDelivery
+from rosemaryknot.process.crash_records import CrashRecords
 from rosemaryknot.process.limits.live_limits import LiveLimits
 from rosemaryknot.process.limits.owner import LimitOwner
 from rosemaryknot.process.limits.stopped_nodes import StoppedNodes
@@ -144,6 +146,7 @@
         self.create_standby_components()
         self.create_limit_components()
         self.create_placement_components()
+        self.create_crash_components()
         app = operators_app(self.holder, self.store, bootstrap_key)
         app.register_blueprint(StatusApi(self).blueprint())
         app.register_blueprint(ShardsApi(self.shards).blueprint())
@@ -214,6 +217,19 @@
         )
         self.limits = LimitOwner(self.node, self.peers, source, self.handlers)
 
+    def create_crash_components(self) -> None:
+        """Create the components for requests during which servers crashed."""
+        self.crash_records = CrashRecords()
+        self.crash_exchange = CrashExchange(
+            self.node,
+            self.peers,
+            DirectDelivery(),
+            self.crash_records,
+            self.handlers,
+            self.rng,
+        )
+        self.peers.on_entry_link.append(self.crash_exchange.send_to_entry)
+
     def create_placement_components(self) -> None:
         """Create the components for placement."""
         self.placement = PlacementManager(
@@ -248,6 +264,8 @@
         nursery.start_soon(self.limits.run)
         nursery.start_soon(self.ended_nodes.run)
         nursery.start_soon(self.placement.run)
+        nursery.start_soon(self.crash_exchange.run)
+        nursery.start_soon(self.crash_exchange.run_repeats)
         nursery.start_soon(self.watch_own_reclaim)
         address = await nursery.start(self.server.serve, self.settings.listen.operators)
         log.info(f"serving operators at {address}, links at {self.peers.listen}")
--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import trio
 
@@ -11,11 +12,10 @@
 from rosemaryknot.process.crash_records import Crash, CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
-from rosemaryknot.process.server_state import ServerState
-from rosemaryknot.values.incarnation import ServerIncarnation
+from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.request_identity import RequestIdentity
 
-__all__ = ["CrashDetector"]
+__all__ = ["CheckedServer", "CrashDetector"]
 
 # How long opening a connection to a server may take; see `ServerPool`.
 CONNECT_TIMEOUT_S = 0.6
@@ -34,13 +34,44 @@
 log = logger("crashes")
 
 
+class CheckedServer(Protocol):
+    """One incarnation of a server, as the detector needs it.
+
+    Attributes
+    ----------
+    incarnation_key : str
+        Text that identifies the incarnation.
+    service : str
+        Service that it runs.
+    address : Address
+        Address that it listens on.
+    has_announced_drain : bool
+        Whether it is draining.
+    is_missing : bool
+        Whether its entry is missing and may still return.
+    is_removed : bool
+        Whether it is known to have ended.
+    last_answered_s : float
+        When the latest of the attempts began that received the head of a response, in
+        trio time.
+    """
+
+    incarnation_key: str
+    service: str
+    address: Address
+    has_announced_drain: bool
+    is_missing: bool
+    is_removed: bool
+    last_answered_s: float
+
+
 @dataclass(slots=True)
 class Check:
     """Check whether a server crashed, and the requests whose connections it closed.
 
     Attributes
     ----------
-    state : ServerState
+    state : CheckedServer
         The server.
     closed_s : float
         When the server closed the first of the connections, in trio time.
@@ -52,7 +83,7 @@
         Whether the check has shown that the server crashed.
     """
 
-    state: ServerState
+    state: CheckedServer
     closed_s: float
     requests: list[RequestIdentity] = field(default_factory=list)
     is_accepting: bool = False
@@ -75,7 +106,7 @@
 
     Attributes
     ----------
-    checks : dict of ServerIncarnation to Check
+    checks : dict of str to Check
         Checks in progress, and of servers that crashed recently.
     abandoned : collections.deque of tuple
         Attempts that callers left recently: time, server incarnation and request.
@@ -88,10 +119,8 @@
     def __init__(self, network: Network, records: CrashRecords) -> None:
         self.network = network
         self.records = records
-        self.checks: dict[ServerIncarnation, Check] = {}
-        self.abandoned: deque[tuple[float, ServerIncarnation, RequestIdentity]] = (
-            deque()
-        )
+        self.checks: dict[str, Check] = {}
+        self.abandoned: deque[tuple[float, str, RequestIdentity]] = deque()
         self.on_recorded: Callable[[CrashRecord], None] = lambda record: None
         self.on_crashed: Callable[[], None] = lambda: None
         self.pending_send, self.pending_receive = trio.open_memory_channel[Check](
@@ -104,7 +133,7 @@
             async for check in self.pending_receive:
                 nursery.start_soon(self.check, check)
 
-    def record_closed(self, state: ServerState, request: RequestIdentity) -> None:
+    def record_closed(self, state: CheckedServer, request: RequestIdentity) -> None:
         """Record that a server closed the connection of a request.
 
         A server that drains ends its remaining requests when it stops, which is no
@@ -112,21 +141,22 @@
         """
         if state.has_announced_drain or state.is_missing:
             return
-        check = self.checks.get(state.incarnation)
+        check = self.checks.get(state.incarnation_key)
         if check is None:
-            check = self.checks[state.incarnation] = Check(state, trio.current_time())
+            check = Check(state, trio.current_time())
+            self.checks[state.incarnation_key] = check
             self.pending_send.send_nowait(check)
         if check.is_crashed:
             self.record_crash(check, request)
         else:
             check.requests.append(request)
 
-    def may_have_crashed(self, state: ServerState) -> bool:
+    def may_have_crashed(self, state: CheckedServer) -> bool:
         """Return whether a server that closed a connection seems to have ended."""
-        check = self.checks.get(state.incarnation)
+        check = self.checks.get(state.incarnation_key)
         return check is not None and (check.is_crashed or not check.is_accepting)
 
-    def record_abandoned(self, state: ServerState, request: RequestIdentity) -> None:
+    def record_abandoned(self, state: CheckedServer, request: RequestIdentity) -> None:
         """Record that an attempt was cancelled while the server was running it.
 
         The caller left, or the time was over; the attempt does not see the server
@@ -135,7 +165,7 @@
         now_s = trio.current_time()
         while self.abandoned and now_s - self.abandoned[0][0] > ABANDONED_S:
             self.abandoned.popleft()
-        self.abandoned.append((now_s, state.incarnation, request))
+        self.abandoned.append((now_s, state.incarnation_key, request))
 
     async def check(self, check: Check) -> None:
         """Find out whether a server crashed and record the requests that it ran."""
@@ -144,9 +174,8 @@
             check.is_crashed = True
             CRASHES.add()
             log.warning(
-                f"server {check.state.entry.id} crashed",
-                born=check.state.entry.born,
-                service=check.state.entry.service,
+                f"server {check.state.incarnation_key} crashed",
+                service=check.state.service,
                 requests=len(check.requests),
                 request_digests=[
                     request.digest.hex()
@@ -159,13 +188,13 @@
             check.requests.clear()
             self.on_crashed()
             await trio.sleep(CRASHED_TTL_S)
-        del self.checks[check.state.incarnation]
+        del self.checks[check.state.incarnation_key]
 
     async def has_crashed(self, check: Check) -> bool:
         """Return whether a server that closed a connection has ended."""
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
-                stream = await self.network.dial(check.state.entry.address)
+                stream = await self.network.dial(check.state.address)
             except OSError:
                 return True
             await trio.aclose_forcefully(stream)
@@ -184,15 +213,15 @@
 
     def record_abandoned_there(self, check: Check) -> None:
         """Add the requests whose callers left shortly before a server crashed."""
-        for left_s, incarnation, request in self.abandoned:
+        for left_s, server, request in self.abandoned:
             is_recent = abs(check.closed_s - left_s) <= ABANDONED_S
-            if is_recent and incarnation == check.state.incarnation:
+            if is_recent and server == check.state.incarnation_key:
                 check.requests.append(request)
 
     def record_crash(self, check: Check, request: RequestIdentity) -> None:
         """Record a crash against a request that was running on the server."""
-        entry = check.state.entry
-        crash = Crash(check.state.incarnation_key, entry.service, check.closed_s)
+        state = check.state
+        crash = Crash(state.incarnation_key, state.service, check.closed_s)
         record = self.records.record(request.digest, request.customer, crash)
         if record is not None:
             record.is_own = True
--- a/src/rosemaryknot/process/crash_exchange.py
+++ b/src/rosemaryknot/process/crash_exchange.py
@@ -7,19 +7,24 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Callable
+from typing import Protocol
 
 import trio
 
 from rosemaryknot.connection.links import Handlers, MessageLink
-from rosemaryknot.process.crash_notices import decode_notice, encode_notice
+from rosemaryknot.process.crash_notices import (
+    DecodedNotice,
+    decode_notice,
+    encode_notice,
+)
 from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
-from rosemaryknot.process.hub_exchange import HubExchange
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.values.gateway_peers import CrashNotice
 from rosemaryknot.values.nodes import Node
 
-__all__ = ["CrashExchange"]
+__all__ = ["CrashExchange", "DirectDelivery", "Relays", "apply_notice"]
 
 # Minimum time between two notices; changes are collected meanwhile.
 COLLECT_S = 0.02
@@ -34,6 +39,31 @@
 log = logger("crashes")
 
 
+class Relays(Protocol):
+    """Relays of the zones of a large deployment; see `HubExchange`.
+
+    Attributes
+    ----------
+    is_enabled : bool
+        Whether messages go through relays.
+    """
+
+    is_enabled: bool
+
+    def relays(self, zone: str) -> list[str]:
+        """Return the names of a zone's relays."""
+
+
+class DirectDelivery:
+    """Relays of a deployment whose nodes send to each other directly."""
+
+    is_enabled = False
+
+    def relays(self, zone: str) -> list[str]:
+        """Return no relays."""
+        return []
+
+
 class CrashExchange:
     """Sender of this gateway's crash records and receiver of those of the others.
 
@@ -43,7 +73,7 @@
         This gateway.
     peers : PeerSet
         The other gateways.
-    hubs : HubExchange
+    hubs : Relays
         Determines the relays of a large deployment.
     records : CrashRecords
         The records.
@@ -58,13 +88,15 @@
         Changed records that wait to be sent, by digest.
     cleared : dict of bytes to set of str
         Cleared crashes that wait to be sent.
+    on_received : callable
+        Called after a notice that contained something new.
     """
 
     def __init__(
         self,
         node: Node,
         peers: PeerSet,
-        hubs: HubExchange,
+        hubs: Relays,
         records: CrashRecords,
         handlers: Handlers,
         rng: random.Random,
@@ -79,6 +111,7 @@
         self.has_changes = trio.Event()
         self.last_change_s = float("-inf")
         self.last_peer_changes = 0
+        self.on_received: Callable[[], None] = lambda: None
         handlers.on(CrashNotice)(self.handle_notice)
 
     def enqueue(self, record: CrashRecord) -> None:
@@ -166,22 +199,34 @@
             await self.peers.send(name, notice)
 
     async def handle_notice(self, notice: CrashNotice, link: MessageLink) -> None:
-        """Apply another gateway's records; forward them within the zone as a relay."""
-        now_s = trio.current_time()
-        decoded = decode_notice(notice, now_s)
+        """Apply the records of another gateway or of an entry, and forward them."""
+        decoded = apply_notice(self.records, notice)
         if decoded is None:
-            log.error("crash notice ignored: malformed", peer=link.hello.node.name)
             return
-        for digest, servers in decoded.cleared:
-            self.records.clear_servers(digest, servers)
         for record in decoded.records:
-            if self.records.merge(record):
-                self.last_change_s = now_s
             self.share_completion(record)
-        if self.hubs.is_enabled and not notice.is_forwarded:
+        if decoded.is_new:
+            self.last_change_s = trio.current_time()
+            self.on_received()
+            for entry in self.peers.entries:
+                if entry is not link:
+                    await entry.send(notice)
+        if link in self.peers.entries:
+            await self.send(notice)
+        elif self.hubs.is_enabled and not notice.is_forwarded:
             notice.is_forwarded = True
             await self.peers.broadcast(notice, self.node.zone)
 
+    async def send_to_entry(self, link: MessageLink) -> None:
+        """Send all records to an entry that has connected."""
+        if self.records.by_digest or self.records.cleared:
+            notice = encode_notice(
+                self.records.by_digest.values(),
+                self.records.cleared.items(),
+                trio.current_time(),
+            )
+            await link.send(notice)
+
     def share_completion(self, received: CrashRecord) -> None:
         """Tell the other gateways if a request has completed here before."""
         record = self.records.by_digest.get(received.digest)
@@ -193,6 +238,19 @@
             self.enqueue(record)
 
 
+def apply_notice(records: CrashRecords, notice: CrashNotice) -> DecodedNotice | None:
+    """Apply a notice to records; return None if it is malformed."""
+    decoded = decode_notice(notice, trio.current_time())
+    if decoded is None:
+        log.error("crash notice ignored: malformed")
+        return None
+    for digest, servers in decoded.cleared:
+        decoded.is_new |= records.clear_servers(digest, servers)
+    for record in decoded.records:
+        decoded.is_new |= records.merge(record)
+    return decoded
+
+
 def newest_items(
     items: OrderedDict[bytes, set[str]], count: int
 ) -> list[tuple[bytes, set[str]]]:
--- a/src/rosemaryknot/process/crash_notices.py
+++ b/src/rosemaryknot/process/crash_notices.py
@@ -30,10 +30,13 @@
         Records of the sender.
     cleared : list of tuple of (bytes, set of str)
         Digests of cleared requests, and the servers whose crashes no longer count.
+    is_new : bool
+        Whether anything in it was not known yet.
     """
 
     records: list[CrashRecord] = field(default_factory=list)
     cleared: list[tuple[bytes, set[str]]] = field(default_factory=list)
+    is_new: bool = False
 
 
 def encode_notice(
--- a/src/rosemaryknot/process/crash_records.py
+++ b/src/rosemaryknot/process/crash_records.py
@@ -242,23 +242,24 @@
         self.clear_servers(digest, servers)
         return servers
 
-    def clear_servers(self, digest: bytes, servers: set[str]) -> None:
-        """Drop the crashes of some servers from the record of a request."""
+    def clear_servers(self, digest: bytes, servers: set[str]) -> bool:
+        """Drop crashes from the record of a request; return whether any was there."""
         if not servers:
-            return
+            return False
         self.cleared.setdefault(digest, set()).update(servers)
         self.cleared.move_to_end(digest)
         while len(self.cleared) > MAX_CLEARED:
             self.cleared.popitem(last=False)
         record = self.by_digest.get(digest)
         if record is None or not servers & record.crashes.keys():
-            return
+            return False
         for server in servers & record.crashes.keys():
             del record.crashes[server]
         record.is_tried = record.is_stored = False
         if not record.crashes:
             self.remove(record)
         self.signal_change()
+        return True
 
     def refused(self) -> list[CrashRecord]:
         """Return the records of requests that are refused."""
--- a/src/rosemaryknot/process/crash_store.py
+++ b/src/rosemaryknot/process/crash_store.py
@@ -38,6 +38,7 @@
 # How often one node on each side of a network partition reads the records: the nodes
 # of the other side may have refused a request and reach this side only by the store.
 PARTITION_CHECK_INTERVAL_S = 1.5
+MIN_READ_INTERVAL_S = 0.5
 POLL_INTERVAL_S = 0.25
 
 REFUSED_REQUESTS = gauge(
@@ -107,6 +108,7 @@
         self.retry_delay_s = MIN_RETRY_S
         self.retry_s = float("-inf")
         records.on_refused = self.record_refused
+        exchange.on_received = self.request_read
 
     def record_refused(self, record: CrashRecord) -> None:
         """Log that a request is refused from now on, and wake the writer."""
@@ -125,6 +127,10 @@
         """Return whether this node reads the store on behalf of others."""
         return self.name in self.watching()
 
+    def is_first_reader(self) -> bool:
+        """Return whether this node reads for all nodes that it reaches."""
+        return self.name == min(self.watching(), default="")
+
     async def run(self) -> None:
         """Read and write the records until cancelled."""
         await trio.sleep(LOAD_DELAY_S)
@@ -232,24 +238,24 @@
     def request_read(self) -> None:
         """Read the records soon, since a server has crashed.
 
-        Nodes that this one does not reach may have stored a record of its request.
+        Nodes that cannot be reached may have stored a record of its request. One node
+        reads for all that it reaches: at 195 nodes, a read by each would be most of
+        the calls to the store.
         """
-        self.is_read_needed = True
-        self.has_work.set()
+        if self.is_first_reader():
+            self.is_read_needed = True
+            self.has_work.set()
 
     def should_read(self) -> bool:
-        """Return whether to read the records now.
-
-        Besides reads on request, one node reads for all that it reaches.
-        """
+        """Return whether to read the records now."""
         now_s = trio.current_time()
-        if now_s < self.retry_s:
+        since_s = now_s - self.last_read_s
+        if now_s < self.retry_s or since_s < MIN_READ_INTERVAL_S:
             return False
         if self.is_read_needed:
             return True
-        if self.name != min(self.watching(), default=""):
+        if not self.is_first_reader():
             return False
-        since_s = now_s - self.last_read_s
         if self.is_partitioned() and since_s >= PARTITION_CHECK_INTERVAL_S:
             return True
         return bool(self.stored()) and since_s >= RELEASE_CHECK_INTERVAL_S
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -16,8 +16,11 @@
     register_configuration_handlers,
 )
 from rosemaryknot.process.control_handlers import register_control_handlers
+from rosemaryknot.process.crash_detector import CrashDetector
+from rosemaryknot.process.crash_records import CrashRecords
 from rosemaryknot.process.detached import Detached
 from rosemaryknot.process.drain import Drain
+from rosemaryknot.process.entry_crashes import EntryCrashes
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_health import ServerHealth
@@ -27,6 +30,7 @@
 from rosemaryknot.request.adoption import GenerationAdopter
 from rosemaryknot.request.at_most_once import AtMostOnce, ClaimPolicy
 from rosemaryknot.request.budget import EntryBudgets
+from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.generation_table import GenerationTable
 from rosemaryknot.request.http_api import CallerApi, create_app
 from rosemaryknot.request.model_admission import ModelAdmission
@@ -151,6 +155,7 @@
             str(settings.listen.callers),
             safeguards is None or safeguards.standby_copy,
         )
+        self.create_crash_components()
         self.adopter = GenerationAdopter(
             self.relay, self.standby, self.drain, nursery, self.handlers
         )
@@ -162,6 +167,7 @@
         self.plain = PlainRelay(
             self.plain_client, self.servers, settings.zone, rng, self.health
         )
+        self.plain.crashes = self.relay.crashes
         self.models = ModelApi(
             self.admission,
             self.drain,
@@ -175,6 +181,22 @@
         app = create_app(self.new_api(nursery, unix_time))
         self.server = HttpServer(app, network, limits.max_connections)
 
+    def create_crash_components(self) -> None:
+        """Create the components for requests during which servers crashed."""
+        self.crash_records = CrashRecords()
+        self.crash_detector = CrashDetector(self.network, self.crash_records)
+        self.crashes = EntryCrashes(self.link, self.crash_records, self.handlers)
+        self.crash_detector.on_recorded = self.crashes.enqueue
+        # An entry knows no other nodes, so each may make the trial. Those that begin
+        # it in the same moment make one each.
+        self.relay.crashes = CrashGuard(
+            self.crash_records,
+            self.crash_detector,
+            self.crashes.clear,
+            lambda digest: True,
+            self.crashes.enqueue,
+        )
+
     def new_api(
         self, nursery: trio.Nursery, unix_time: Callable[[], float]
     ) -> CallerApi:
@@ -287,6 +309,8 @@
         nursery.start_soon(self.link.run)
         nursery.start_soon(self.at_most_once.run_reports)
         nursery.start_soon(self.standby.run)
+        nursery.start_soon(self.crash_detector.run)
+        nursery.start_soon(self.crashes.run)
         nursery.start_soon(self.budgets.run)
         nursery.start_soon(self.model_admission.queue.run)
         nursery.start_soon(self.report_draining_servers)
--- /dev/null
+++ b/src/rosemaryknot/process/entry_crashes.py
@@ -0,0 +1,104 @@
+"""Exchange of records of crashes between an entry and its agent.
+
+The entries of a node have no links to other nodes. Their agent forwards what one of
+them reports to its peers and to the other entries.
+"""
+
+import trio
+
+from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.process.agent_link import AgentLink
+from rosemaryknot.process.crash_exchange import apply_notice
+from rosemaryknot.process.crash_notices import encode_notice
+from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
+from rosemaryknot.process.logs import logger
+from rosemaryknot.values.gateway_peers import CrashNotice
+
+__all__ = ["EntryCrashes"]
+
+# How often a new link to the agent is looked for.
+CHECK_INTERVAL_S = 0.25
+
+log = logger("crashes")
+
+
+class EntryCrashes:
+    """Sender of an entry's crash records, and receiver of those of its agent.
+
+    Parameters
+    ----------
+    link : AgentLink
+        Link to the agent.
+    records : CrashRecords
+        Records of this entry.
+    handlers : Handlers
+        Handlers of messages from the agent.
+
+    Attributes
+    ----------
+    unsent : dict of bytes to CrashRecord
+        Records that the agent does not know yet, by digest.
+    cleared : dict of bytes to set of str
+        Cleared crashes that the agent does not know yet.
+    """
+
+    def __init__(
+        self, link: AgentLink, records: CrashRecords, handlers: Handlers
+    ) -> None:
+        self.link = link
+        self.records = records
+        self.unsent: dict[bytes, CrashRecord] = {}
+        self.cleared: dict[bytes, set[str]] = {}
+        self.has_changes = trio.Event()
+        records.on_refused = log_refused
+        handlers.on(CrashNotice)(self.handle_notice)
+
+    def enqueue(self, record: CrashRecord) -> None:
+        """Queue a record that has changed."""
+        self.unsent[record.digest] = record
+        self.has_changes.set()
+
+    def clear(self, digest: bytes, service: str) -> None:
+        """Clear a request that a server of a service has completed."""
+        servers = self.records.clear(digest, service)
+        if servers:
+            self.unsent.pop(digest, None)
+            self.cleared.setdefault(digest, set()).update(servers)
+            self.has_changes.set()
+
+    async def run(self) -> None:
+        """Send changes until cancelled; all records if the link is a new one."""
+        link = None
+        while True:
+            with trio.move_on_after(CHECK_INTERVAL_S):
+                await self.has_changes.wait()
+            self.has_changes = trio.Event()
+            if self.link.link is not link:
+                link = self.link.link
+                self.unsent.update(self.records.by_digest)
+            if self.unsent or self.cleared:
+                await self.send()
+
+    async def send(self) -> None:
+        """Send the queued changes; keep them if the agent is not connected."""
+        notice = encode_notice(
+            self.unsent.values(), self.cleared.items(), trio.current_time()
+        )
+        if await self.link.send(notice):
+            self.unsent.clear()
+            self.cleared.clear()
+
+    async def handle_notice(self, notice: CrashNotice, link: MessageLink) -> None:
+        """Apply the records that the agent forwards."""
+        apply_notice(self.records, notice)
+
+
+def log_refused(record: CrashRecord) -> None:
+    """Log that a request is refused from now on."""
+    log.error(
+        "refusing a request since servers crashed while running it",
+        request_digest=record.digest.hex(),
+        customer=record.customer,
+        servers=list(record.crashes),
+        simultaneous=record.is_simultaneous,
+    )
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -5,6 +5,7 @@
 
 from rosemaryknot.values.gateway import RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation
+from rosemaryknot.values.nodes import Address
 
 __all__ = ["PeerLoad", "ServerState"]
 
@@ -100,6 +101,16 @@
         """Incarnation of the server that this state belongs to."""
         return self.entry.incarnation
 
+    @property
+    def service(self) -> str:
+        """Service that the server runs."""
+        return self.entry.service
+
+    @property
+    def address(self) -> Address:
+        """Address that the server listens on."""
+        return self.entry.address
+
     @property
     def is_draining(self) -> bool:
         """Whether the server accepts no new requests."""
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -5,10 +5,9 @@
 
 import trio
 
-from rosemaryknot.process.crash_detector import CrashDetector
+from rosemaryknot.process.crash_detector import CheckedServer, CrashDetector
 from rosemaryknot.process.crash_records import MAX_CRASHES, CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
-from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.crash_rules import CRASH_RULES, Allowed, Barred, CrashInput
 from rosemaryknot.values.request_identity import RequestIdentity
 
@@ -71,7 +70,7 @@
     def check(
         self,
         identity: RequestIdentity,
-        closed_by: list[ServerState],
+        closed_by: list[CheckedServer],
         has_run: bool,
         has_waited: bool = False,
     ) -> Allowed | Barred:
@@ -81,7 +80,7 @@
         ----------
         identity : RequestIdentity
             The request.
-        closed_by : list of ServerState
+        closed_by : list of CheckedServer
             Servers that closed the connections of its previous attempts. Until the
             check of such a server has ended, it counts as crashed.
         has_run : bool
@@ -114,7 +113,7 @@
     async def wait(
         self,
         identity: RequestIdentity,
-        closed_by: list[ServerState],
+        closed_by: list[CheckedServer],
         has_run: bool,
         timeout_s: float,
     ) -> Allowed | Barred:
@@ -126,6 +125,8 @@
             The decision when the time is over, at the latest.
         """
         decision = self.check(identity, closed_by, has_run)
+        if isinstance(decision, Allowed) or not decision.is_temporary:
+            return decision
         with trio.move_on_after(min(timeout_s, MAX_WAIT_S)):
             while isinstance(decision, Barred) and decision.is_temporary:
                 await self.records.changed.wait()
@@ -154,22 +155,22 @@
             del self.running[record.digest]
         self.records.signal_change()
 
-    def record_closed(self, state: ServerState, identity: RequestIdentity) -> None:
+    def record_closed(self, state: CheckedServer, identity: RequestIdentity) -> None:
         """Record that a server closed the connection of an attempt."""
         self.detector.record_closed(state, identity)
 
-    def record_abandoned(self, state: ServerState, identity: RequestIdentity) -> None:
+    def record_abandoned(self, state: CheckedServer, identity: RequestIdentity) -> None:
         """Record that an attempt was cancelled while the server was running it."""
         if self.record_of(identity) is None:
             self.detector.record_abandoned(state, identity)
         else:
             self.detector.record_closed(state, identity)
 
-    def record_complete(self, state: ServerState, identity: RequestIdentity) -> None:
+    def record_complete(self, state: CheckedServer, identity: RequestIdentity) -> None:
         """Clear a request that a server has completed: it does not crash them."""
         record = self.record_of(identity)
         if record is not None:
-            self.clear(record.digest, state.entry.service)
+            self.clear(record.digest, state.service)
         if not identity.has_long_body:
             self.records.record_completed(identity.digest)
 
@@ -185,7 +186,7 @@
         "trial of a refused request"
         if isinstance(decision, Allowed)
         else "request barred after server crashes",
-        request=identity.request.id,
+        request=identity.request_id,
         request_digest=identity.digest.hex(),
         customer=identity.customer,
         crashes=inputs.crashes,
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -203,7 +203,9 @@
     def __post_init__(self) -> None:
         """Identify the request."""
         customer = "" if self.customer is None else self.customer.name
-        self.identity = RequestIdentity(customer, self.request)
+        request = self.request
+        head = (request.method, request.host.encode(), request.target)
+        self.identity = RequestIdentity(request.id, customer, head, request.body)
 
     @property
     def priority(self) -> int:
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -1,16 +1,20 @@
 """Processing of one accepted model request: attempts until there is an outcome."""
 
+import json
 from dataclasses import dataclass
 
 import trio
 
 from rosemaryknot.connection.engine_client import EngineClient
 from rosemaryknot.connection.engine_frames import Broken, Crossed, Finished, Refused
+from rosemaryknot.process.listed_server import ListedServer
 from rosemaryknot.process.prefix_estimate import Guess
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.process.server_load import LoadTable
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.request.attempts import Attempt, AttemptEnd, Leave, Moved, Silent
+from rosemaryknot.request.crash_guard import CrashGuard
+from rosemaryknot.request.crash_rules import TRIAL_DELAY_S, Allowed, Barred
 from rosemaryknot.request.generations import Generation
 from rosemaryknot.request.moves import Mover
 from rosemaryknot.request.relay_records import record_attempt_end
@@ -18,11 +22,15 @@
 from rosemaryknot.request.router import Router
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.outcomes import Answered, NotRun, Reason, Unknown
+from rosemaryknot.values.request_identity import RequestIdentity
 
 __all__ = ["GenerationRun", "RelayComponents"]
 
 NO_SERVER_RETRY_AFTER_S = 2.0
 NO_SERVER_TIMEOUT_S = 60.0
+# Retry-After of a request that may not run since servers crashed under it: the time
+# after which a request that is not the cause has its trial.
+BARRED_RETRY_AFTER_S = TRIAL_DELAY_S
 RECOVERED_PRIORITY = -1
 CALLER_ERROR_STATUSES = frozenset({400, 413, 422})
 
@@ -47,6 +55,8 @@
         Moves streams off draining servers.
     nursery : trio.Nursery
         Runs background calls.
+    crashes : CrashGuard or None
+        Decides on requests during which servers crashed; None for no limit.
     """
 
     servers: ServerTable
@@ -56,6 +66,7 @@
     router: Router
     mover: Mover
     nursery: trio.Nursery
+    crashes: CrashGuard | None = None
 
 
 def may_have_run(end: AttemptEnd) -> bool:
@@ -87,6 +98,8 @@
         self.generation = generation
         self.request_context = request_context
         self.components = components
+        self.closed_by: list[ListedServer] = []
+        self.identity = identity_of(generation)
 
     async def run(self) -> None:
         """Run attempts until there is an outcome or the deadline passes."""
@@ -100,6 +113,10 @@
     async def run_attempt(self) -> None:
         """Make one attempt and handle its end."""
         generation, request_context = self.generation, self.request_context
+        decision = await self.decide_after_crashes()
+        if isinstance(decision, Barred):
+            self.finish_barred(decision)
+            return
         server = request_context.next_server
         if server is None:
             server = await self.choose_server()
@@ -114,7 +131,7 @@
             request_context.prompt.blocks, trio.current_time()
         )
         request_context.start_attempt(server)
-        end = await self.stream(attempt)
+        end = await self.stream_guarded(attempt, decision)
         record_attempt_end(attempt, end)
         self.handle_attempt_end(attempt, guess, end)
 
@@ -128,6 +145,36 @@
         finally:
             del self.components.mover.running[request_id]
 
+    async def decide_after_crashes(self) -> Allowed | Barred:
+        """Decide whether the request may be attempted although servers crashed."""
+        crashes = self.components.crashes
+        if crashes is None:
+            return Allowed()
+        remaining_s = self.generation.request.deadline_s - trio.current_time()
+        # An accepted generation goes on after it has lost a server, so that earlier
+        # attempts do not bar the next one until the limit is reached.
+        return await crashes.wait(
+            self.identity, self.closed_by, has_run=False, timeout_s=remaining_s
+        )
+
+    async def stream_guarded(self, attempt: Attempt, decision: Allowed) -> AttemptEnd:
+        """Run an attempt, and record how its server ended it."""
+        crashes = self.components.crashes
+        if crashes is None:
+            return await self.stream(attempt)
+        record = crashes.begin(self.identity, decision)
+        try:
+            end = await self.stream(attempt)
+        finally:
+            crashes.end(record)
+        listed = ListedServer(attempt.server, self.components.servers)
+        if isinstance(end, Finished):
+            crashes.record_complete(listed, self.identity)
+        elif isinstance(end, Broken) and end.sent:
+            self.closed_by.append(listed)
+            crashes.record_closed(listed, self.identity)
+        return end
+
     async def choose_server(self) -> BackendServer | None:
         """Choose a server; wait for one up to `NO_SERVER_TIMEOUT_S`, else None."""
         servers, router, request_context = (
@@ -265,6 +312,16 @@
         else:
             generation.finish(NotRun(Reason.BAD_REQUEST, 0.0, detail))
 
+    def finish_barred(self, barred: Barred) -> None:
+        """Finish a generation that may not run since servers crashed under it."""
+        generation = self.generation
+        if self.request_context.was_sent:
+            generation.finish(Unknown(Reason.SERVER_FAILED, barred.reason))
+        else:
+            generation.finish(
+                NotRun(Reason.SERVER_FAILED, BARRED_RETRY_AFTER_S, barred.reason)
+            )
+
     def finish_without_server(self) -> None:
         """Finish a generation for which no server became available."""
         generation = self.generation
@@ -284,3 +341,14 @@
             generation.finish(Unknown(Reason.TIMED_OUT, detail))
         else:
             generation.finish(NotRun(Reason.TIMED_OUT, 1.0, detail))
+
+
+def identity_of(generation: Generation) -> RequestIdentity:
+    """Return what is the same for each repeat of a generation's request."""
+    request = generation.request
+    return RequestIdentity(
+        request.request_id,
+        request.customer,
+        (request.service.encode(),),
+        json.dumps(request.body, sort_keys=True, default=str).encode(),
+    )
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -8,19 +8,26 @@
 import trio
 
 from rosemaryknot.connection.plain_client import PlainClient, is_draining
+from rosemaryknot.process.listed_server import ListedServer
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.retry_budget import RetryBudgets
 from rosemaryknot.process.server_health import ServerHealth
+from rosemaryknot.request.crash_guard import CrashGuard
+from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.plain_route import PlainCandidate, choose_plain_server
 from rosemaryknot.request.routes import scores_text
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from rosemaryknot.values.request_identity import RequestIdentity
 from rosemaryknot.values.requests import NotSent, PlainRequest, SendResult
 
 __all__ = ["PlainRelay", "ServerSource"]
 
 MAX_ATTEMPTS = 3
+# Share of the remaining time for which a request waits for another attempt of the same
+# request under which servers have crashed.
+MAX_WAIT_SHARE = 0.3
 SILENCE_TIMEOUT_S = 3.0
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
@@ -55,12 +62,15 @@
     ----------
     instances : set of str
         Servers that were tried.
+    closed_by : list of ListedServer
+        Servers that closed the connection before the response ended.
     last : SendResult
         Result to report if there is no further attempt. The result of an attempt that
         may have run is never replaced by that of one that was not sent.
     """
 
     instances: set[str] = field(default_factory=set)
+    closed_by: list[ListedServer] = field(default_factory=list)
     last: SendResult = field(default_factory=lambda: NotSent(Reason.NO_SERVER))
 
     def record(self, result: SendResult) -> None:
@@ -93,6 +103,8 @@
         Failures of the servers.
     budgets : RetryBudgets
         Available retries, by service.
+    crashes : CrashGuard or None
+        Decides on requests during which servers crashed; None for no limit.
     """
 
     def __init__(
@@ -110,6 +122,7 @@
         self.in_flight: Counter[str] = Counter()
         self.health = ServerHealth() if health is None else health
         self.budgets = RetryBudgets()
+        self.crashes: CrashGuard | None = None
 
     async def run_idempotent(self, request: PlainRequest) -> Outcome:
         """Run a request that may be retried, on a different server each time.
@@ -168,6 +181,10 @@
         self, request: PlainRequest, attempts: RequestAttempts, reuse: bool
     ) -> SendResult | None:
         """Try the next server; None if no server or attempt is left."""
+        decision = await self.decide_after_crashes(request, attempts)
+        if isinstance(decision, Barred):
+            attempts.record(NotSent(Reason.SERVER_FAILED))
+            return None
         server = self.choose(request, attempts)
         if server is None:
             return None
@@ -177,17 +194,54 @@
             attempt_deadline_s = half_deadline_s(request)
         started_s = trio.current_time()
         self.in_flight[server.instance] += 1
+        record = None
+        if self.crashes is not None:
+            record = self.crashes.begin(identity_of(request), decision)
         try:
             result = await self.client.send(server, request, reuse, attempt_deadline_s)
         finally:
+            if self.crashes is not None:
+                self.crashes.end(record)
             self.in_flight[server.instance] -= 1
             if not self.in_flight[server.instance]:
                 del self.in_flight[server.instance]
         took_s = trio.current_time() - started_s
+        self.record_crash(server, request, attempts, result)
         result = self.record_result(server, request, result, took_s)
         attempts.record(result)
         return result
 
+    async def decide_after_crashes(
+        self, request: PlainRequest, attempts: RequestAttempts
+    ) -> Allowed | Barred:
+        """Decide whether the request may be attempted although servers crashed."""
+        if self.crashes is None:
+            return Allowed()
+        remaining_s = request.deadline_s - trio.current_time()
+        return await self.crashes.wait(
+            identity_of(request),
+            attempts.closed_by,
+            bool(attempts.closed_by),
+            remaining_s * MAX_WAIT_SHARE,
+        )
+
+    def record_crash(
+        self,
+        server: BackendServer,
+        request: PlainRequest,
+        attempts: RequestAttempts,
+        result: SendResult,
+    ) -> None:
+        """Record whether a server completed a request or closed its connection."""
+        if self.crashes is None:
+            return
+        listed = ListedServer(server, self.servers)
+        if isinstance(result, Answered) and result.status < FAILED_STATUS:
+            self.crashes.record_complete(listed, identity_of(request))
+        elif isinstance(result, Unknown) and result.reason == Reason.ANSWER_LOST:
+            attempts.closed_by.append(listed)
+            self.crashes.record_closed(listed, identity_of(request))
+
     def untried_servers(
         self, request: PlainRequest, attempts: RequestAttempts
     ) -> list[BackendServer]:
@@ -258,6 +312,12 @@
         return True
 
 
+def identity_of(request: PlainRequest) -> RequestIdentity:
+    """Return what is the same for each repeat of a request."""
+    head = (request.service.encode(), request.method.encode(), request.path.encode())
+    return RequestIdentity(request.request_id, request.customer, head, request.body)
+
+
 def half_deadline_s(request: PlainRequest) -> float:
     """Return the time halfway to the deadline, in trio time.
 
--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -15,6 +15,7 @@
 from rosemaryknot.process.server_load import LoadTable
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.request.attempts import Silent
+from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.generation_run import (
     NO_SERVER_RETRY_AFTER_S,
     GenerationRun,
@@ -77,6 +78,8 @@
         Chooses servers.
     mover : Mover
         Moves streams off draining servers.
+    crashes : CrashGuard or None
+        Decides on requests during which servers crashed; None for no limit.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         self.mover = Mover(servers, self.engines, self.router, move_policy, unix_time)
         self.new_lineage = new_lineage or (lambda: secrets.token_hex(LINEAGE_BYTES))
         self.table = GenerationTable()
+        self.crashes: CrashGuard | None = None
         self.nursery: trio.Nursery | None = None
 
     async def run(
@@ -235,4 +239,5 @@
             self.router,
             self.mover,
             self.nursery,
+            self.crashes,
         )
--- a/src/rosemaryknot/values/request_identity.py
+++ b/src/rosemaryknot/values/request_identity.py
@@ -4,8 +4,6 @@
 
 import xxhash
 
-from rosemaryknot.values.gateway import GatewayRequest
-
 __all__ = ["LONG_BODY_BYTES", "RequestIdentity"]
 
 # Hashing a longer body takes more than 40 us, so it is done only if it is needed.
@@ -16,32 +14,38 @@
 class RequestIdentity:
     """Digest that is the same for each repeat of a request.
 
-    It covers customer, method, host, target and body, not the request id or headers.
     The part of the customer is cryptographic, so that no customer can send a request
     with the digest of another customer's request. The rest is fast.
 
     Parameters
     ----------
+    request_id : str
+        Id of this request, which differs from that of a repeat; for the log.
     customer : str
         Name of the customer; empty without one.
-    request : GatewayRequest
-        Request of the caller.
+    head : tuple of bytes
+        What the request asks for, such as its method, host and target.
+    body : bytes
+        Its body.
 
     Examples
     --------
-    >>> first = GatewayRequest("1", b"POST", b"/x", "h", "/x", [], b"b", None, None, 0)
-    >>> again = GatewayRequest("2", b"POST", b"/x", "h", "/x", [], b"b", None, None, 9)
-    >>> RequestIdentity("ada", first).digest == RequestIdentity("ada", again).digest
+    >>> first = RequestIdentity("1", "ada", (b"POST", b"/x"), b"body")
+    >>> RequestIdentity("2", "ada", (b"POST", b"/x"), b"body").digest == first.digest
     True
-    >>> RequestIdentity("ada", first).digest == RequestIdentity("bob", first).digest
+    >>> RequestIdentity("2", "bob", (b"POST", b"/x"), b"body").digest == first.digest
     False
     """
 
-    __slots__ = ("customer", "known_digest", "request")
+    __slots__ = ("body", "customer", "head", "known_digest", "request_id")
 
-    def __init__(self, customer: str, request: GatewayRequest) -> None:
+    def __init__(
+        self, request_id: str, customer: str, head: tuple[bytes, ...], body: bytes
+    ) -> None:
+        self.request_id = request_id
         self.customer = customer
-        self.request = request
+        self.head = head
+        self.body = body
         self.known_digest: bytes | None = None
 
     @property
@@ -54,16 +58,15 @@
     @property
     def has_long_body(self) -> bool:
         """Whether the digest takes long to compute."""
-        return len(self.request.body) > LONG_BODY_BYTES
+        return len(self.body) > LONG_BODY_BYTES
 
     def compute_digest(self) -> bytes:
         """Return the digest of the customer, followed by that of the request."""
-        request = self.request
         content = xxhash.xxh3_128()
-        for part in (request.method, request.host.encode(), request.target):
+        for part in self.head:
             # The length keeps parts apart that could otherwise run into each other.
             content.update(len(part).to_bytes(4, "big"))
             content.update(part)
-        content.update(request.body)
+        content.update(self.body)
         customer = blake2b(self.customer.encode(), digest_size=CUSTOMER_DIGEST_BYTES)
         return customer.digest() + content.digest()
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -364,6 +364,18 @@
             ]
             assert len(writes) <= 2
 
+    async def test_one_node_reads_after_a_crash(self, autojump_clock):
+        """A read by each node would be most of the calls of a large deployment."""
+        async with platform_system(nodes=7, models=6) as fleet:
+            await trio.sleep(1)
+            before = len([call for call in fleet.store.calls if KIND in call.path])
+            for number in range(7):
+                await request_stream(fleet, f"c{number}", f"n{number}")
+            await trio.sleep(5)
+            calls = [call for call in fleet.store.calls if KIND in call.path]
+            reads = [call for call in calls[before:] if call.method == "GET"]
+            assert len(reads) <= MAX_CRASHES
+
     async def test_node_joins(self, autojump_clock):
         async with platform_system(nodes=2, models=6) as fleet:
             await crash_servers(fleet)
