Identify a request only when its identity is needed

A context needs it only once a server has closed a connection or a crash is on record, and when the request has completed.

Change: the identity is made on its first use. The line of a refused request is written by one function for gateways and entries.

--- a/src/rosemaryknot/process/crash_exchange.py
+++ b/src/rosemaryknot/process/crash_exchange.py
@@ -24,7 +24,13 @@
 from rosemaryknot.values.gateway_peers import CrashNotice
 from rosemaryknot.values.nodes import Node
 
-__all__ = ["CrashExchange", "DirectDelivery", "Relays", "apply_notice"]
+__all__ = [
+    "CrashExchange",
+    "DirectDelivery",
+    "Relays",
+    "apply_notice",
+    "log_refused",
+]
 
 # Minimum time between two notices; changes are collected meanwhile.
 COLLECT_S = 0.02
@@ -251,6 +257,18 @@
     return decoded
 
 
+def log_refused(record: CrashRecord) -> None:
+    """Log that a request is refused from now on."""
+    log.error(
+        "refusing a request since servers crashed while running it",
+        request_digest=record.digest.hex(),
+        customer=record.customer,
+        servers=list(record.crashes),
+        simultaneous=record.is_simultaneous,
+        stored=record.is_stored,
+    )
+
+
 def newest_items(
     items: OrderedDict[bytes, set[str]], count: int
 ) -> list[tuple[bytes, set[str]]]:
--- a/src/rosemaryknot/process/crash_store.py
+++ b/src/rosemaryknot/process/crash_store.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from rosemaryknot.process.crash_exchange import CrashExchange
+from rosemaryknot.process.crash_exchange import CrashExchange, log_refused
 from rosemaryknot.process.crash_notices import record_from_value, record_to_value
 from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
@@ -114,14 +114,7 @@
         """Log that a request is refused from now on, and wake the writer."""
         self.refused[record.digest] = trio.current_time()
         self.has_work.set()
-        log.error(
-            "refusing a request since servers crashed while running it",
-            request_digest=record.digest.hex(),
-            customer=record.customer,
-            servers=list(record.crashes),
-            simultaneous=record.is_simultaneous,
-            stored=record.is_stored,
-        )
+        log_refused(record)
 
     def is_reader(self) -> bool:
         """Return whether this node reads the store on behalf of others."""
--- a/src/rosemaryknot/process/entry_crashes.py
+++ b/src/rosemaryknot/process/entry_crashes.py
@@ -8,10 +8,9 @@
 
 from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.process.agent_link import AgentLink
-from rosemaryknot.process.crash_exchange import apply_notice
+from rosemaryknot.process.crash_exchange import apply_notice, log_refused
 from rosemaryknot.process.crash_notices import encode_notice
 from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
-from rosemaryknot.process.logs import logger
 from rosemaryknot.values.gateway_peers import CrashNotice
 
 __all__ = ["EntryCrashes"]
@@ -19,8 +18,6 @@
 # How often a new link to the agent is looked for.
 CHECK_INTERVAL_S = 0.25
 
-log = logger("crashes")
-
 
 class EntryCrashes:
     """Sender of an entry's crash records, and receiver of those of its agent.
@@ -91,14 +88,3 @@
     async def handle_notice(self, notice: CrashNotice, link: MessageLink) -> None:
         """Apply the records that the agent forwards."""
         apply_notice(self.records, notice)
-
-
-def log_refused(record: CrashRecord) -> None:
-    """Log that a request is refused from now on."""
-    log.error(
-        "refusing a request since servers crashed while running it",
-        request_digest=record.digest.hex(),
-        customer=record.customer,
-        servers=list(record.crashes),
-        simultaneous=record.is_simultaneous,
-    )
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -168,8 +168,8 @@
         Scope that aborts the request at its deadline.
     closed_by : list of ServerState
         Servers that closed the connection of an attempt before the response ended.
-    identity : RequestIdentity
-        What is the same for each repeat of the request.
+    known_identity : RequestIdentity or None
+        Result of `identity`, once it was needed.
     crash_decision : Allowed or Barred
         Latest decision on the request because of servers that crashed.
     """
@@ -197,15 +197,20 @@
     delivery_scope: trio.CancelScope | None = None
     deadline_scope: trio.CancelScope | None = None
     closed_by: list[ServerState] = field(default_factory=list)
-    identity: RequestIdentity = field(init=False)
+    known_identity: RequestIdentity | None = None
     crash_decision: Allowed | Barred = field(default_factory=Allowed)
 
-    def __post_init__(self) -> None:
-        """Identify the request."""
-        customer = "" if self.customer is None else self.customer.name
-        request = self.request
-        head = (request.method, request.host.encode(), request.target)
-        self.identity = RequestIdentity(request.id, customer, head, request.body)
+    @property
+    def identity(self) -> RequestIdentity:
+        """What is the same for each repeat of the request."""
+        if self.known_identity is None:
+            customer = "" if self.customer is None else self.customer.name
+            request = self.request
+            head = (request.method, request.host.encode(), request.target)
+            self.known_identity = RequestIdentity(
+                request.id, customer, head, request.body
+            )
+        return self.known_identity
 
     @property
     def priority(self) -> int:
