Log the rate limits that servers state in their responses

The header is decoded in the adapter, and a change of what a server states is logged with the request, the response's status and its time. No decision uses it yet.

--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -6,6 +6,7 @@
 from rosemaryknot.values.gateway import RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
+from rosemaryknot.values.server_limits import InvalidLimit
 
 __all__ = ["PeerLoad", "ServerState"]
 
@@ -74,6 +75,8 @@
     removal_deadline_s : float
         When the server is treated as removed because its entry is missing although
         it never announced a drain, in trio time; infinite while there is an entry.
+    stated_limit : float or InvalidLimit or None
+        Rate limit in the latest response that this node received.
     """
 
     entry: RoutedServer
@@ -91,6 +94,7 @@
     has_announced_drain: bool = False
     is_removed: bool = False
     removal_deadline_s: float = math.inf
+    stated_limit: float | InvalidLimit | None = None
     incarnation_key: str = field(init=False)
 
     def __post_init__(self) -> None:
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -6,6 +6,7 @@
 
 from rosemaryknot.connection.gateway_server import ServerConnection
 from rosemaryknot.connection.pending_responses import Phase
+from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import histogram
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.event_stream import EventSplitter
@@ -33,6 +34,7 @@
 OK = 200
 SERVER_ERROR = 500
 
+log = logger("gateway")
 FIRST_BYTE = histogram("gateway_first_byte_seconds", "Time to the first byte.")
 
 
@@ -168,6 +170,7 @@
             return head
         self.state.last_received_s = trio.current_time()
         self.state.last_answered_s = max(self.state.last_answered_s, self.started_s)
+        self.log_limit(head)
         if head.not_run:
             return NotRunThere(head.status)
         if self.context.reply.is_started and head.status != OK:
@@ -180,6 +183,22 @@
             return Lost(f"the server answered {head.status}")
         return await self.relay(connection, head)
 
+    def log_limit(self, head: ResponseHead) -> None:
+        """Log a rate limit that differs from that in the last response."""
+        if head.limit == self.state.stated_limit:
+            return
+        log.info(
+            "server stated a rate limit",
+            request=self.context.request.id,
+            server=self.state.entry.id,
+            server_born=self.state.entry.born,
+            limit=head.limit,
+            before=self.state.stated_limit,
+            status=head.status,
+            after_s=round(trio.current_time() - self.started_s, 3),
+        )
+        self.state.stated_limit = head.limit
+
     def may_retry_failure(self) -> bool:
         """Return whether the request may be attempted again after a server error."""
         context = self.context
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -113,6 +113,10 @@
         Its entry in the store.
     faults : collections.deque of str
         Names in `FAULTS`, one for each of the next requests; empty text for no fault.
+    limit : str or None
+        Rate limit that its responses state, in requests per second.
+    limit_changes : list of tuple of (float, str or None)
+        When the stated limit changed, in trio time, and to what.
     crash : callable
         Crashes the server; set by the system that runs it.
     """
@@ -132,6 +136,8 @@
         self.arrivals: list[Arrival] = []
         self.faults: deque[str] = deque()
         self.is_mute = False
+        self.limit: str | None = None
+        self.limit_changes: list[tuple[float, str | None]] = []
         self.crash: Callable[[], None] = lambda: None
         self.server = RawServer(self.handle)
 
@@ -139,8 +145,15 @@
         """Clear the faults and set a later birth time, as after a restart."""
         self.faults.clear()
         self.is_mute = False
+        self.state_limit(None)
         self.entry = self.entry | {"born": max(born_ms, self.entry["born"] + 1)}
 
+    def state_limit(self, limit: str | None) -> None:
+        """State a rate limit in the next responses, or none."""
+        if limit != self.limit:
+            self.limit = limit
+            self.limit_changes.append((trio.current_time(), limit))
+
     async def handle(self, request: RawRequest, wire: RawWire) -> None:
         """Respond to a request, or apply the next fault."""
         arrival = Arrival(request, trio.current_time(), self.id)
@@ -199,7 +212,11 @@
         }
         if self.is_model:
             headers["Content-Type"] = "text/event-stream"
-        return headers
+        return headers | self.limit_headers()
+
+    def limit_headers(self) -> dict[str, str]:
+        """Return the headers that state the rate limit."""
+        return {} if self.limit is None else {"Server-Limit": self.limit}
 
     def body(self, arrival: Arrival) -> bytes:
         """Return the body of a plain response, which names the server and request."""
@@ -225,7 +242,7 @@
     """Refuse the request as overloaded, without running it."""
     arrival.ended = "refused"
     headers = {"Rosemaryknot-Not-Executed": "1", "Rosemaryknot-Attempt-Id": arrival.id}
-    await wire.answer(503, headers)
+    await wire.answer(503, headers | server.limit_headers())
 
 
 @server_fault("error")
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 from rosemaryknot.values.gateway import GatewayRequest, Headers, RoutedServer
+from rosemaryknot.values.server_limits import InvalidLimit
 
 __all__ = [
     "RESPONSE_RESERVE_S",
@@ -49,6 +50,9 @@
         end of the connection.
     headers : list of tuple of (bytes, bytes)
         Headers that are forwarded to the caller.
+    limit : float or InvalidLimit or None
+        Requests per second that the server accepts from all gateways together; None if
+        it states no limit.
     """
 
     status: int
@@ -59,6 +63,7 @@
     keep_alive_s: float | None
     has_length: bool
     headers: Headers = field(default_factory=list)
+    limit: float | InvalidLimit | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,6 @@
 """Tests of the headers of requests and responses."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -8,6 +9,7 @@
 from rosemaryknot.values.gateway_responses import TargetFault
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
+from rosemaryknot.values.server_limits import InvalidLimit
 
 SERVER = RoutedServer(ServerIncarnation("i-1"), "s", "z", Address("10.0.0.1", 80))
 HEAD = [
@@ -80,3 +82,42 @@
 
     def test_misdirected_has_not_run(self):
         assert PlatformWire().read_response(421, []).not_run
+
+
+def limit_of(*values):
+    headers = [(b"Server-Limit", value) for value in values]
+    return PlatformWire().read_response(200, headers).limit
+
+
+class TestLimits:
+    @pytest.mark.parametrize(
+        ("values", "limit"),
+        [
+            ((), None),
+            ((b"2",), 2.0),
+            ((b" 1.80 ",), 1.8),
+            ((b"0",), 0.0),
+            ((b"3", b"2.5"), 2.5),
+            ((b"rubbish", b"4"), 4.0),
+        ],
+    )
+    def test_decimal_numbers(self, values, limit):
+        assert limit_of(*values) == limit
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"-1",
+            b"nan",
+            b"inf",
+            b"",
+            b"1e9",
+            b"two",
+            b"1,8",
+            b"1.8, 2",
+            b"0x1",
+            b"9" * 20,
+        ],
+    )
+    def test_anything_else_is_invalid(self, value):
+        assert isinstance(limit_of(value), InvalidLimit)
