Reproduce the exceeded limits of servers

A server that states Server-Limit: 1.8 under 24 requests a second to its service gets up to 121 of them in 4 s, on one node as on thirty; 15 are allowed. The stand-ins state, change and omit such a limit, random plays may draw one, and the audit of plays and soak compares what each server got with what it stated.

--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -11,6 +11,13 @@
 
 from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.standin.users.disturbances import ALL_SUBJECTS, Disturbances
+from rosemaryknot.standin.users.limit_windows import (
+    CONTACT_S,
+    LimitStatement,
+    allowed_requests,
+    limited_periods,
+    most_in_window,
+)
 from rosemaryknot.standin.users.store import ObjectChange
 
 __all__ = [
@@ -124,6 +131,10 @@
         Requests that reached servers, in order.
     object_changes : list of ObjectChange
         Changes of the store's objects, in order.
+    limit_statements : list of LimitStatement
+        Rate limits that servers stated or omitted in their responses, in order.
+    arrivals : dict of str to list of tuple of (float, str)
+        Times and ids of all requests that reached a server, by its incarnation.
     disturbances : Disturbances
         Subjects and periods for which invariants with a time limit do not hold.
     """
@@ -136,6 +147,8 @@
     misrouted: list[str] = field(default_factory=list)
     server_requests: list[ServerRequest] = field(default_factory=list)
     object_changes: list[ObjectChange] = field(default_factory=list)
+    limit_statements: list[LimitStatement] = field(default_factory=list)
+    arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
     disturbances: Disturbances = field(default_factory=Disturbances)
 
 
@@ -420,3 +433,23 @@
         ]
         if len(late) > MAX_RUNS_AFTER_NOTICE:
             yield f"{content} reached servers {len(late)} times after {known_s:.2f} s"
+
+
+@invariant("server_limits_are_kept")
+def server_limits_are_kept(observations: Observations) -> Iterable[str]:
+    """Find servers that got more requests than the rate limit that they stated."""
+    request_by_id = {request.id: request for request in observations.caller_requests}
+    is_undisturbed = observations.disturbances.is_undisturbed
+    for period in limited_periods(observations.limit_statements):
+        start_s = period.started_s + CONTACT_S
+        times = [
+            time_s
+            for time_s, request_id in observations.arrivals.get(period.server, ())
+            if request_id in request_by_id
+            and is_undisturbed(
+                request_by_id[request_id].node, time_s - CONTACT_S, time_s
+            )
+        ]
+        most = most_in_window(times, start_s, period.ended_s)
+        if most > allowed_requests(period.rate):
+            yield f"{period.server} stated {period.rate} a second and got {most}"
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -24,6 +24,7 @@
     PLAY_FAULTS,
     draw_changes,
     draw_fault,
+    draw_limits,
     draw_server_entry_fault,
 )
 from rosemaryknot.standin.users.servers import CRASHING_BODY, EVENT_TOKENS
@@ -257,7 +258,10 @@
 
 def record_observations(system: PlatformSystem, observations: Observations) -> None:
     """Add the records of the servers, the store and the cloud."""
+    observations.limit_statements = system.ledger.statements
     for arrival in system.ledger.arrivals:
+        times = observations.arrivals.setdefault(arrival.incarnation, [])
+        times.append((arrival.timestamp_s, arrival.id))
         if arrival.has_run:
             observations.runs[arrival.id] = observations.runs.get(arrival.id, 0) + 1
         if arrival.ended != "refused":
@@ -279,7 +283,9 @@
     observations.holders = [(call.holder, call.fencing) for call in accepted]
 
 
-def random_play(seed: int, crashing_per_s: float = 0.0) -> Play:
+def random_play(
+    seed: int, crashing_per_s: float = 0.0, has_limits: bool = False
+) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
     play = Play(nodes=rng.choice((1, 2, 3, 4)))
@@ -291,6 +297,8 @@
         play.faults.append(draw_changes(rng))
     play.link_bytes_per_s = rng.choice((0.0, SLOW_LINK_BYTES_PER_S))
     play.crashing_per_s = crashing_per_s
+    if has_limits:
+        play.faults += draw_limits(random.Random(f"limits {seed}"))
     return play
 
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -20,6 +20,7 @@
     "PLAY_FAULTS",
     "draw_changes",
     "draw_fault",
+    "draw_limits",
     "draw_server_entry_fault",
 ]
 
@@ -211,6 +212,15 @@
     system.store.remove("servers", name)
 
 
+@play_fault("limit")
+async def limit(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let servers state rate limits, the next one each ``pause_s``, and then none."""
+    for text in [*fault["limits"], None]:
+        for name in fault["servers"]:
+            system.servers[name].limit = text
+        await trio.sleep(fault["pause_s"])
+
+
 async def write_again(system: PlatformSystem, server: str) -> None:
     """Write a server's entry after a heartbeat interval, if it still has one."""
     await trio.sleep(HEARTBEAT_S)
@@ -223,6 +233,26 @@
     return f"n{int(host.rpartition('.')[2]) - 1}"
 
 
+def draw_limits(rng: random.Random) -> list[dict[str, Any]]:
+    """Draw servers that state rate limits, in some plays all servers of a service."""
+    faults = []
+    for _ in range(rng.randint(1, 3)):
+        services = (SERVERS[:3], SERVERS[3:])
+        servers = rng.choice((*services, *[[name] for name in SERVERS]))
+        first = round(rng.uniform(0.3, 4.0), 2)
+        second = rng.choice((first, first / 2, first * 2, first + 0.01, "rubbish"))
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 8.0), 2),
+                "kind": "limit",
+                "servers": list(servers),
+                "limits": [str(first), str(second), str(first)],
+                "pause_s": round(rng.uniform(1.0, 6.0), 2),
+            }
+        )
+    return faults
+
+
 def draw_changes(rng: random.Random) -> dict[str, Any]:
     """Draw a series of configuration changes, some with a large configuration."""
     return {
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
 __all__ = ["CRASHING_BODY", "Arrival", "ServerStandIn", "server_entry"]
@@ -36,6 +37,8 @@
         ``whole`` (response complete), ``cut`` (response incomplete) or ``refused``.
     crashed_s : float or None
         When the request crashed the server, in trio time.
+    incarnation : str
+        Incarnation of the server.
     """
 
     request: RawRequest
@@ -44,6 +47,7 @@
     has_run: bool = False
     ended: str = "cut"
     crashed_s: float | None = None
+    incarnation: str = ""
 
     @property
     def id(self) -> str:
@@ -84,9 +88,18 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """Requests that reached the servers of a test."""
+    """Requests that reached the servers of a test.
+
+    Attributes
+    ----------
+    arrivals : list of Arrival
+        The requests, in order.
+    statements : list of LimitStatement
+        Rate limits that responses stated or omitted, in order.
+    """
 
     arrivals: list[Arrival] = field(default_factory=list)
+    statements: list[LimitStatement] = field(default_factory=list)
 
     def runs_of(self, request_id: str) -> int:
         """Return the number of times that a request ran."""
@@ -115,8 +128,6 @@
         Names in `FAULTS`, one for each of the next requests; empty text for no fault.
     limit : str or None
         Rate limit that its responses state, in requests per second.
-    limit_changes : list of tuple of (float, str or None)
-        When the stated limit changed, in trio time, and to what.
     crash : callable
         Crashes the server; set by the system that runs it.
     """
@@ -137,7 +148,6 @@
         self.faults: deque[str] = deque()
         self.is_mute = False
         self.limit: str | None = None
-        self.limit_changes: list[tuple[float, str | None]] = []
         self.crash: Callable[[], None] = lambda: None
         self.server = RawServer(self.handle)
 
@@ -145,18 +155,18 @@
         """Clear the faults and set a later birth time, as after a restart."""
         self.faults.clear()
         self.is_mute = False
-        self.state_limit(None)
+        self.limit = None
         self.entry = self.entry | {"born": max(born_ms, self.entry["born"] + 1)}
 
-    def state_limit(self, limit: str | None) -> None:
-        """State a rate limit in the next responses, or none."""
-        if limit != self.limit:
-            self.limit = limit
-            self.limit_changes.append((trio.current_time(), limit))
+    @property
+    def incarnation(self) -> str:
+        """Text that identifies the incarnation."""
+        return f"{self.id}/{self.entry.get('born')}"
 
     async def handle(self, request: RawRequest, wire: RawWire) -> None:
         """Respond to a request, or apply the next fault."""
         arrival = Arrival(request, trio.current_time(), self.id)
+        arrival.incarnation = self.incarnation
         self.arrivals.append(arrival)
         self.ledger.arrivals.append(arrival)
         expected = request.headers.get("rosemaryknot-expect-instance")
@@ -215,7 +225,10 @@
         return headers | self.limit_headers()
 
     def limit_headers(self) -> dict[str, str]:
-        """Return the headers that state the rate limit."""
+        """Return the headers that state the rate limit, and record the statement."""
+        self.ledger.statements.append(
+            LimitStatement(self.incarnation, trio.current_time(), self.limit)
+        )
         return {} if self.limit is None else {"Server-Limit": self.limit}
 
     def body(self, arrival: Arrival) -> bytes:
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -12,6 +12,7 @@
     audit,
 )
 from rosemaryknot.standin.users.disturbances import Disturbance
+from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.play import (
     PLAY_FAULTS,
     Play,
@@ -67,6 +68,19 @@
     )
 
 
+def limited(per_s, limit="2"):
+    """Return requests that reach a server which states a limit from 1 s on."""
+    times = [1.0 + number / per_s for number in range(round(10 * per_s))]
+    return Observations(
+        [CallerRequest(f"a{time_s}", "plain", True, node="n0") for time_s in times],
+        limit_statements=[
+            LimitStatement("s", 1.0, limit),
+            LimitStatement("s", 11.0, limit),
+        ],
+        arrivals={"s": [(time_s, f"a{time_s}") for time_s in times]},
+    )
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_random_faults(self, seed):
@@ -90,7 +104,8 @@
         assert first == second
 
     def test_each_fault_kind_is_generated(self):
-        generated = {f["kind"] for seed in range(200) for f in random_play(seed).faults}
+        plays = [random_play(seed, has_limits=True) for seed in range(200)]
+        generated = {fault["kind"] for play in plays for fault in play.faults}
         assert generated == set(PLAY_FAULTS)
 
     def test_load_from_file(self, tmp_path):
@@ -143,6 +158,7 @@
             ("leaving_get_nothing", seen_at(200, "/new/x", "p0")),
             ("crashing_requests_are_refused", crashes(9)),
             ("others_are_served", refused_after_completion()),
+            ("server_limits_are_kept", limited(per_s=4.5)),
         ],
     )
     def test_violation_is_found(self, invariant, observations):
@@ -152,6 +168,12 @@
     def test_few_crashes_or_before_notice(self, observations):
         assert not audit(observations)
 
+    @pytest.mark.parametrize(
+        "observations", [limited(per_s=4.0), limited(6.0, "4"), limited(9.0, "rubbish")]
+    )
+    def test_requests_within_a_limit(self, observations):
+        assert not audit(observations)
+
     @pytest.mark.parametrize(
         "case", ["in_time", "disturbed_node", "earlier_incarnation"]
     )
