Send to a limited server only with a permit of its owner

Callers saw nothing; a server that named a limit of 3.6 requests a second got 30 in 4 s, and one with 1.8 in the users' record 22 (16 allowed): it got the share of the load that it got before. Cause: what a server states for all nodes together was an ordinary header, which no node read, and no node can keep a limit of two a second by itself.

A limit is now a record that all nodes learn of at once. While it lasts, each request to the server needs a permit. All nodes select the same owner of the server by hash; it issues single permits from a bucket at the stated rate, to the node that asks. Requests go to other servers while there are any; otherwise they wait at the owner by priority and fairly by customer, or are refused at once with the time until the queue has room. Owners of two sides of a partition share the limit by the nodes that they reach. A version orders what responses state, so that a late response neither brings a limit back nor lifts a newer one.

Ruled out: a share for each node (less than one request in 4 s at 16 nodes), and the reports of usage of the customers' limits, whose unit is many requests a second.

The sending through relays moves out of the exchange of crash records, which used it alone.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -287,6 +287,11 @@
         else:
             await connection.aclose()
 
+    async def release_unused(self, connection: ServerConnection) -> None:
+        """Return a connection on which nothing was sent since it was acquired."""
+        connection.is_reusable = connection.reuse_deadline_s > trio.current_time()
+        await self.release(connection)
+
     async def close_all(self, incarnation: ServerIncarnation) -> None:
         """Close the idle connections to an incarnation that has ended."""
         for connection in self.idle.pop(incarnation, []):
--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -23,7 +23,7 @@
     keep_entry_current,
     register_configuration_handlers,
 )
-from rosemaryknot.process.crash_exchange import CrashExchange, DirectDelivery
+from rosemaryknot.process.crash_exchange import CrashExchange
 from rosemaryknot.process.crash_records import CrashRecords
 from rosemaryknot.process.limits.live_limits import LiveLimits
 from rosemaryknot.process.limits.owner import LimitOwner
@@ -33,6 +33,7 @@
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.placement.manager import PlacementManager
 from rosemaryknot.process.platform_watch import PlatformWatch
+from rosemaryknot.process.relay_broadcast import DirectDelivery
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_distributor import ServerDistributor
 from rosemaryknot.process.servers import ServerTable
--- a/src/rosemaryknot/process/crash_exchange.py
+++ b/src/rosemaryknot/process/crash_exchange.py
@@ -8,7 +8,6 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Protocol
 
 import trio
 
@@ -21,13 +20,12 @@
 from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.relay_broadcast import RelayBroadcast, Relays
 from rosemaryknot.values.gateway_peers import CrashNotice
 from rosemaryknot.values.nodes import Node
 
 __all__ = [
     "CrashExchange",
-    "DirectDelivery",
-    "Relays",
     "apply_notice",
     "log_refused",
 ]
@@ -45,31 +43,6 @@
 log = logger("crashes")
 
 
-class Relays(Protocol):
-    """Relays of the zones of a large deployment; see `HubExchange`.
-
-    Attributes
-    ----------
-    is_enabled : bool
-        Whether messages go through relays.
-    """
-
-    is_enabled: bool
-
-    def relays(self, zone: str) -> list[str]:
-        """Return the names of a zone's relays."""
-
-
-class DirectDelivery:
-    """Relays of a deployment whose nodes send to each other directly."""
-
-    is_enabled = False
-
-    def relays(self, zone: str) -> list[str]:
-        """Return no relays."""
-        return []
-
-
 class CrashExchange:
     """Sender of this gateway's crash records and receiver of those of the others.
 
@@ -109,7 +82,7 @@
     ) -> None:
         self.node = node
         self.peers = peers
-        self.hubs = hubs
+        self.broadcast = RelayBroadcast(peers, hubs)
         self.records = records
         self.rng = rng
         self.queue: dict[bytes, CrashRecord] = {}
@@ -158,7 +131,7 @@
             await self.has_changes.wait()
             self.has_changes = trio.Event()
             while self.queue or self.cleared:
-                await self.send(self.next_notice())
+                await self.broadcast.send(self.next_notice())
                 await trio.sleep(COLLECT_S)
 
     def next_notice(self) -> CrashNotice:
@@ -172,16 +145,6 @@
             del self.cleared[digest]
         return encode_notice(first, cleared, trio.current_time())
 
-    async def send(self, notice: CrashNotice) -> None:
-        """Send a notice to all gateways, through the relays of other zones if many."""
-        if not self.hubs.is_enabled:
-            await self.peers.broadcast(notice)
-            return
-        await self.peers.broadcast(notice, self.node.zone)
-        zones = {node.zone for node in self.peers.nodes()} - {self.node.zone}
-        relays = [name for zone in zones for name in self.hubs.relays(zone)]
-        await self.peers.send_all(relays, notice)
-
     async def run_repeats(self) -> None:
         """Repeat records to random gateways for a while after changes."""
         while True:
@@ -218,10 +181,9 @@
                 if entry is not link:
                     await entry.send(notice)
         if link in self.peers.entries:
-            await self.send(notice)
-        elif self.hubs.is_enabled and not notice.is_forwarded:
-            notice.is_forwarded = True
-            await self.peers.broadcast(notice, self.node.zone)
+            await self.broadcast.send(notice)
+        else:
+            await self.broadcast.forward(notice)
 
     async def send_to_entry(self, link: MessageLink) -> None:
         """Send all records to an entry that has connected."""
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -232,6 +232,11 @@
         replaced, self.replaced_incarnations = self.replaced_incarnations, []
         return replaced
 
+    def has_incarnation(self, incarnation_key: str) -> bool:
+        """Return whether an incarnation is in the table, by its text form."""
+        state = self.by_id.get(server_id_from_text(incarnation_key))
+        return state is not None and state.incarnation_key == incarnation_key
+
     # Results of attempts.
 
     def begin(self, state: ServerState, size: ModelInput | None, tokens: int) -> None:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -35,6 +35,9 @@
 from rosemaryknot.process.peer_metrics import PeerMetrics
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.scaling_duty import ScalingDuty
+from rosemaryknot.process.server_limits.exchange import LimitExchange
+from rosemaryknot.process.server_limits.owner import PermitOwner
+from rosemaryknot.process.server_limits.records import LimitRecords
 from rosemaryknot.process.settings_watch import watch_settings
 from rosemaryknot.process.store_watcher import StoreWatcher
 from rosemaryknot.process.suspension import Suspension
@@ -43,6 +46,7 @@
 from rosemaryknot.process.usage_tracker import UsageTracker
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.gateway import Gateway, GatewayComponents
+from rosemaryknot.request.limit_guard import LimitGuard
 from rosemaryknot.values.duties import DutyCalls
 from rosemaryknot.values.gateway_responses import GatewayWire
 from rosemaryknot.values.nodes import Node
@@ -216,6 +220,7 @@
             rng,
         )
         self.crash_detector.on_crashed = self.crash_store.request_read
+        self.create_limit_components(handlers)
         self.gateway = Gateway(self.gateway_components())
         self.listener = GatewayListener(
             network,
@@ -230,6 +235,22 @@
         self.apply_bounds(settings.bounds)
         self.exchange.hubs.holds_lease = self.lease.is_held
 
+    def create_limit_components(self, handlers: Handlers) -> None:
+        """Create the components for the rate limits that servers state."""
+        servers = self.state.servers
+        self.server_limits = LimitRecords(servers.has_incarnation)
+        other_seeds = set(self.settings.seeds) - {self.settings.listen.peers}
+        self.permit_owner = PermitOwner(
+            self.node, self.peers, self.server_limits, handlers, len(other_seeds) + 1
+        )
+        self.limit_exchange = LimitExchange(
+            self.peers,
+            self.exchange.hubs,
+            self.server_limits,
+            self.permit_owner,
+            handlers,
+        )
+
     def make_watchers(self) -> dict[str, StoreWatcher]:
         """Return the watchers of the configuration and the servers."""
         adapter, state = self.adapter, self.state
@@ -275,6 +296,14 @@
                 self.is_trial_node,
                 self.crash_store.record_trial,
             ),
+            limits=LimitGuard(
+                self.node.name,
+                self.server_limits,
+                self.permit_owner.acquire,
+                self.limit_exchange.publish,
+                self.limit_exchange.report,
+                self.rng,
+            ),
             acquire_quota=acquire_quota,
             release_quota=release_quota,
             explain_quota=self.quota.explain,
@@ -377,6 +406,9 @@
         start_soon(self.crash_exchange.run)
         start_soon(self.crash_exchange.run_repeats)
         start_soon(self.crash_store.run)
+        start_soon(self.permit_owner.run)
+        start_soon(self.limit_exchange.run)
+        start_soon(self.limit_exchange.run_newcomers)
         start_soon(self.clean_up)
         if self.adapter.duties is not None:
             self.start_duties(nursery)
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -11,7 +11,7 @@
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.gateway_attempt import Attempt
-from rosemaryknot.request.gateway_choice import choose_server, refuse_overload
+from rosemaryknot.request.gateway_choice import release_quota, select_server
 from rosemaryknot.request.gateway_context import (
     UNAVAILABLE,
     GatewayComponents,
@@ -158,12 +158,11 @@
         if not await self.allowed_after_crashes(context):
             return self.barred_outcome(context)
         while True:
-            candidate = choose_server(self.components, context)
+            candidate = await select_server(self.components, context)
             if candidate is None:
                 return self.no_server_outcome(context)
-            refused = refuse_overload(self.components, context, candidate)
-            if refused is not None:
-                return refused
+            if isinstance(candidate, Refusal):
+                return candidate
             outcome = await self.attempt(context, candidate)
             ATTEMPTS.add(outcome=type(outcome).__name__)
             if isinstance(outcome, Completed):
@@ -202,8 +201,7 @@
         barred = context.crash_decision
         if context.may_have_run:
             return Refusal(BAD_GATEWAY, barred.reason)
-        if context.customer is not None and context.units:
-            self.components.release_quota(context.customer, context.units)
+        release_quota(self.components, context)
         BARRED.add(temporary=str(barred.is_temporary))
         retry_after_s = RELEASE_CHECK_INTERVAL_S
         if barred.is_temporary:
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -32,6 +32,7 @@
 # How long a buffered response may still be delivered after the request's deadline.
 DELIVERY_GRACE_S = 1.0
 OK = 200
+MISDIRECTED = 421
 SERVER_ERROR = 500
 
 log = logger("gateway")
@@ -59,6 +60,8 @@
     pending_prefill_tokens : int
         Prompt tokens of this request that the server has not prefilled yet, as far as
         is known.
+    limit_version : int
+        Version of the server's rate limit when the request was sent.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         self.pending_prefill_tokens = tokens
         self.tokens_ahead = tokens_ahead
         self.started_s = trio.current_time()
+        self.limit_version = 0
 
     async def run(self) -> Completed | Broken | Lost | NotRunThere | NotSent:
         """Send the request, read the response head and relay the body."""
@@ -91,6 +95,13 @@
             # take most of the time for which a draining server still serves requests.
             await connection.aclose()
             return NotSent("the server leaves")
+        if not self.components.limits.may_send(
+            self.state.incarnation_key, context.permit
+        ):
+            await self.components.pool.release_unused(connection)
+            # The server may be chosen again, with a permit.
+            context.tried.discard(self.state.incarnation)
+            return NotSent("the server states a rate limit")
         try:
             outcome = await self.exchange(connection)
         except BaseException:
@@ -118,6 +129,9 @@
         context = self.context
         request = context.request
         context.sent += 1
+        self.limit_version = self.components.limits.records.version(
+            self.state.incarnation_key
+        )
         await connection.send(
             request.method,
             request.target,
@@ -170,7 +184,7 @@
             return head
         self.state.last_received_s = trio.current_time()
         self.state.last_answered_s = max(self.state.last_answered_s, self.started_s)
-        self.log_limit(head)
+        self.record_limit(head)
         if head.not_run:
             return NotRunThere(head.status)
         if self.context.reply.is_started and head.status != OK:
@@ -183,6 +197,25 @@
             return Lost(f"the server answered {head.status}")
         return await self.relay(connection, head)
 
+    def record_limit(self, head: ResponseHead) -> None:
+        """Record the rate limit that the server states, or that it states none.
+
+        A response to a request for another server says nothing about this one, and an
+        unsigned or failed one that states no limit does not lift it.
+        """
+        is_own = head.is_signed or head.not_run
+        is_success = head.is_signed and head.status < SERVER_ERROR
+        if head.status == MISDIRECTED or not is_own:
+            return
+        self.log_limit(head)
+        if head.limit is not None or is_success:
+            self.components.limits.record_statement(
+                self.state.incarnation_key,
+                self.limit_version,
+                self.context.permit,
+                head.limit,
+            )
+
     def log_limit(self, head: ResponseHead) -> None:
         """Log a rate limit that differs from that in the last response."""
         if head.limit == self.state.stated_limit:
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -1,5 +1,7 @@
 """Inputs for placement and admission, collected from the server table."""
 
+from collections.abc import Collection
+
 import trio
 
 from rosemaryknot.process.logs import logger
@@ -21,9 +23,15 @@
     PlacementInput,
     eligible_servers,
 )
+from rosemaryknot.request.limit_guard import LimitsReached, PermitNeed
 from rosemaryknot.values.gateway_responses import Refusal
 
-__all__ = ["choose_server", "refuse_overload", "usable_servers"]
+__all__ = ["choose_server", "refuse_overload", "select_server", "usable_servers"]
+
+BAD_GATEWAY = 502
+# Share of the remaining time for which a request waits for a limited server; the rest
+# is for its own run.
+MAX_WAIT_SHARE = 0.3
 
 log = logger("gateway")
 
@@ -38,14 +46,82 @@
     return eligible_servers(states, trio.current_time(), context.tried, is_model)
 
 
-def choose_server(
+async def select_server(
     components: GatewayComponents, context: RequestContext
+) -> Candidate | Refusal | None:
+    """Select the backend server for a request under the limits that servers state.
+
+    Returns
+    -------
+    selected : Candidate or Refusal or None
+        The server, whose permit is set in the context if it is limited; a refusal if
+        the servers are overloaded or their limits are reached; None if no server is
+        eligible.
+    """
+    states = {s.incarnation_key: s for s in usable_servers(components, context)}
+
+    def choose(servers: Collection[str]) -> Candidate | Refusal | None:
+        candidate = choose_server(components, context, [states[s] for s in servers])
+        if candidate is None:
+            return None
+        return refuse_overload(components, context, candidate) or candidate
+
+    selected = await components.limits.select(
+        states, choose, server_of, permit_need(context)
+    )
+    if isinstance(selected, LimitsReached):
+        return limits_reached(components, context, selected)
+    if selected is None:
+        return None
+    if isinstance(selected.choice, Refusal):
+        release_quota(components, context)
+    context.permit = selected.permit
+    return selected.choice
+
+
+def server_of(choice: Candidate | Refusal) -> str | None:
+    """Return the incarnation of a chosen server, None for a refusal."""
+    if isinstance(choice, Refusal):
+        return None
+    return choice.state.incarnation_key
+
+
+def permit_need(context: RequestContext) -> PermitNeed:
+    """Return the properties of a request that decide on permits."""
+    return PermitNeed(
+        context.request.id,
+        "" if context.customer is None else context.customer.name,
+        context.priority,
+        context.remaining_s() * MAX_WAIT_SHARE,
+        context.route.allows_retry,
+    )
+
+
+def limits_reached(
+    components: GatewayComponents, context: RequestContext, reached: LimitsReached
+) -> Refusal:
+    """Return the refusal of a request that no limited server takes in time."""
+    reason = "the servers take no more requests per second"
+    if context.may_have_run:
+        return Refusal(BAD_GATEWAY, reason)
+    release_quota(components, context)
+    return refusal(components.rng, UNAVAILABLE, reason, reached.retry_after_s)
+
+
+def release_quota(components: GatewayComponents, context: RequestContext) -> None:
+    """Release the units of a request that has not run and will not."""
+    if context.customer is not None and context.units:
+        components.release_quota(context.customer, context.units)
+
+
+def choose_server(
+    components: GatewayComponents, context: RequestContext, states: list[ServerState]
 ) -> Candidate | None:
-    """Return the backend server for a request, or None if no server is eligible."""
+    """Return the best of some backend servers for a request, or None without any."""
     is_model = context.service.engine is not None
     size = context.request.size if is_model else None
     candidates = []
-    for state in usable_servers(components, context):
+    for state in states:
         requests, tokens = state.load()
         cached_tokens = 0
         if size is not None:
@@ -113,6 +189,4 @@
         left_s=round(inputs.remaining_s, 3),
         rank=context.priority,
     )
-    if context.customer is not None and context.units:
-        components.release_quota(context.customer, context.units)
     return refusal(components.rng, UNAVAILABLE, reason, admission_retry_after_s(inputs))
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -14,6 +14,7 @@
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.gateway_placement import Candidate
+from rosemaryknot.request.limit_guard import LimitGuard, Permit
 from rosemaryknot.values.gateway import (
     CustomerLimit,
     GatewayConfiguration,
@@ -69,6 +70,8 @@
         Connections to the backend servers.
     crashes : CrashGuard
         Decides on requests during which servers crashed.
+    limits : LimitGuard
+        Selects servers under the rate limits that they state.
     acquire_quota : callable
         Acquires units of a customer's limit. Takes the customer and the units; returns
         0 if they were acquired, otherwise the seconds until they are available.
@@ -103,6 +106,7 @@
     servers: ServerTable
     pool: ServerPool
     crashes: CrashGuard
+    limits: LimitGuard
     acquire_quota: Callable[[CustomerLimit, float], float]
     release_quota: Callable[[CustomerLimit, float], None]
     explain_quota: Callable[[CustomerLimit], dict[str, float]]
@@ -172,6 +176,8 @@
         Result of `identity`, once it was needed.
     crash_decision : Allowed or Barred
         Latest decision on the request because of servers that crashed.
+    permit : Permit or None
+        Permit of the current attempt, at a server with a rate limit.
     """
 
     request: GatewayRequest
@@ -199,6 +205,7 @@
     closed_by: list[ServerState] = field(default_factory=list)
     known_identity: RequestIdentity | None = None
     crash_decision: Allowed | Barred = field(default_factory=Allowed)
+    permit: Permit | None = None
 
     @property
     def identity(self) -> RequestIdentity:
