--- a/src/rosemaryknot/process/server_limits/owner.py
+++ b/src/rosemaryknot/process/server_limits/owner.py
@@ -73,6 +73,8 @@
     ----------
     issuers : dict of str to PermitIssuer
         Issuers by incarnation of the server.
+    owners_changed_s : float
+        When the owners were last selected anew, in trio time.
     on_changed : callable
         Called with a record that begins a version.
     """
@@ -93,6 +95,7 @@
         self.known_nodes.record(expected_nodes, trio.current_time())
         self.owners: dict[str, str] = {}
         self.owners_revision = -1
+        self.owners_changed_s = trio.current_time()
         self.on_changed: Callable[[LimitRecord], None] = lambda record: None
         handlers.on(PermitRequest)(self.handle_request)
         handlers.on(ServerStatement)(self.handle_statement)
@@ -101,15 +104,20 @@
 
     def owner(self, server: str) -> str:
         """Return the name of the node that issues the permits for a server."""
-        if self.owners_revision != self.peers.changes:
-            self.owners_revision = self.peers.changes
-            self.owners.clear()
+        self.refresh_owners()
         name = self.owners.get(server)
         if name is None:
             nodes = [*self.peers.nodes(), self.node]
             name = self.owners[server] = select_nodes(nodes, server, 1)[0].name
         return name
 
+    def refresh_owners(self) -> None:
+        """Select the owners anew if nodes came or went."""
+        if self.owners_revision != self.peers.changes:
+            self.owners_revision = self.peers.changes
+            self.owners_changed_s = trio.current_time()
+            self.owners.clear()
+
     def is_owner(self, server: str) -> bool:
         """Return whether this node issues the permits for a server."""
         return self.owner(server) == self.node.name
@@ -180,7 +188,7 @@
             )
             outcome = await self.wait(issuer, waiter)
         else:
-            outcome = issuer.request(request.node, now_s)
+            outcome = issuer.request(request.node, request.priority, now_s)
         ISSUED.add(outcome=type(outcome).__name__)
         return self.reply(known, issuer, outcome)
 
@@ -189,7 +197,9 @@
         issuer = self.issuers.get(record.server)
         share = self.share(now_s)
         if issuer is None:
-            issuer = PermitIssuer(record.limit, share, now_s)
+            # Another node may have issued the permits that accrued before.
+            started_s = max(record.changed_s, self.owners_changed_s)
+            issuer = PermitIssuer(record.limit, share, started_s)
             self.issuers[record.server] = issuer
         issuer.update(record.limit, share, now_s)
         return issuer
@@ -280,6 +290,7 @@
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             now_s = trio.current_time()
+            self.refresh_owners()
             share = self.share(now_s)
             self.records.remove_unused(now_s)
             for server in list(self.issuers):
--- a/src/rosemaryknot/process/server_limits/permits.py
+++ b/src/rosemaryknot/process/server_limits/permits.py
@@ -79,7 +79,7 @@
     pause_s : float
         Time before the node requests one again, in seconds.
     queue_s : float
-        Time until a request that comes now would get one, in seconds.
+        Time until a request of the same priority would get one, in seconds.
     retry_s : float
         The same time if all requests that were refused of late come back, in seconds.
     """
@@ -135,8 +135,8 @@
     share : float
         Share of the limit that this owner may issue; less than 1 if other nodes exist
         that this node does not reach, since they may have an owner of their own.
-    now_s : float
-        Current trio time.
+    started_s : float
+        Since when permits accrue, in trio time.
 
     Attributes
     ----------
@@ -156,16 +156,16 @@
     The bucket is empty at first; half a second later there is one permit.
 
     >>> issuer = PermitIssuer(2.0, 1.0, 0.0)
-    >>> issuer.request("n0", 0.0)
+    >>> issuer.request("n0", 0, 0.0)
     NotIssued(pause_s=0.5, queue_s=0.5, retry_s=0.5)
-    >>> issuer.request("n0", 0.5)
+    >>> issuer.request("n0", 0, 0.5)
     Issued(first=1, count=1)
     """
 
-    def __init__(self, limit: float, share: float, now_s: float) -> None:
+    def __init__(self, limit: float, share: float, started_s: float) -> None:
         self.limit = limit
         self.share = share
-        self.bucket = Bucket(1.0, 1.0, 0.0, now_s)
+        self.bucket = Bucket(1.0, 1.0, 0.0, started_s)
         self.last_number = 0
         self.waiters: list[Waiter] = []
         self.nodes: dict[str, float] = {}
@@ -178,7 +178,7 @@
         self.confirmed_after = 0
         self.confirmed_limit = math.inf
         self.raised_s = -math.inf
-        self.set_rate(now_s)
+        self.set_rate(started_s)
 
     # Rate.
 
@@ -253,12 +253,12 @@
 
     # Permits.
 
-    def request(self, node: str, now_s: float) -> Issued | NotIssued:
+    def request(self, node: str, priority: int, now_s: float) -> Issued | NotIssued:
         """Issue permits if there are any and nobody waits for them."""
         self.record_node(node, now_s)
         self.advance(now_s)
         if self.waiters or self.bucket.balance < 1:
-            return self.not_issued(now_s)
+            return self.not_issued(priority, now_s)
         return self.issue(node)
 
     def enqueue(
@@ -291,7 +291,7 @@
         self.waiters = kept
         for waiter in refused:
             self.refused.append(now_s)
-            waiter.finish(self.not_issued(now_s))
+            waiter.finish(self.not_issued(waiter.priority, now_s))
         if not kept:
             self.tags.clear()
             self.virtual_time = 0.0
@@ -316,14 +316,15 @@
         self.issued_to[node] = self.issued_to.get(node, 0) + count
         return Issued(first, count)
 
-    def not_issued(self, now_s: float) -> NotIssued:
+    def not_issued(self, priority: int, now_s: float) -> NotIssued:
         """Return when to request a permit again, and how long the queue is."""
         while self.refused and now_s - self.refused[0] > REFUSED_WINDOW_S:
             self.refused.popleft()
         rate = self.bucket.rate
         pause_s = len(self.nodes) / (REQUESTS_PER_PERMIT * rate)
         pause_s = max(pause_s, self.bucket.wait_s(1), MIN_PAUSE_S)
-        queue_s = max(0.0, (len(self.waiters) + 1 - self.bucket.balance) / rate)
+        ahead = sum(waiter.priority <= priority for waiter in self.waiters)
+        queue_s = max(0.0, (ahead + 1 - self.bucket.balance) / rate)
         retry_s = queue_s + len(self.refused) / rate
         return NotIssued(min(pause_s, MAX_PAUSE_S), queue_s, retry_s)
 
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -21,6 +21,7 @@
     NotSent,
     ResponseHead,
 )
+from rosemaryknot.values.server_limits import InvalidLimit
 
 __all__ = ["Attempt"]
 
@@ -62,6 +63,8 @@
         is known.
     limit_version : int
         Version of the server's rate limit when the request was sent.
+    states_limit : bool
+        Whether the response states a rate limit.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         self.tokens_ahead = tokens_ahead
         self.started_s = trio.current_time()
         self.limit_version = 0
+        self.states_limit = False
 
     async def run(self) -> Completed | Broken | Lost | NotRunThere | NotSent:
         """Send the request, read the response head and relay the body."""
@@ -110,6 +114,7 @@
                 await connection.aclose()
             raise
         if isinstance(outcome, Completed):
+            self.record_limit_end(outcome)
             # A response without a length ends with its connection, so it may be that
             # of a server that crashed.
             if outcome.status < SERVER_ERROR and not connection.is_closed_by_server:
@@ -198,23 +203,28 @@
         return await self.relay(connection, head)
 
     def record_limit(self, head: ResponseHead) -> None:
-        """Record the rate limit that the server states, or that it states none.
+        """Record the rate limit that the server states.
 
-        A response to a request for another server says nothing about this one, and an
-        unsigned or failed one that states no limit does not lift it.
+        A response of another server, or of none, says nothing about this one.
         """
         is_own = head.is_signed or head.not_run
-        is_success = head.is_signed and head.status < SERVER_ERROR
         if head.status == MISDIRECTED or not is_own:
             return
         self.log_limit(head)
-        if head.limit is not None or is_success:
-            self.components.limits.record_statement(
-                self.state.incarnation_key,
-                self.limit_version,
-                self.context.permit,
-                head.limit,
-            )
+        self.states_limit = head.limit is not None
+        if self.states_limit:
+            self.record_statement(head.limit)
+
+    def record_limit_end(self, outcome: Completed) -> None:
+        """Record that the server states no limit; only a complete response shows it."""
+        if outcome.status < SERVER_ERROR and not self.states_limit:
+            self.record_statement(None)
+
+    def record_statement(self, limit: float | InvalidLimit | None) -> None:
+        """Record what the response states."""
+        self.components.limits.record_statement(
+            self.state.incarnation_key, self.limit_version, self.context.permit, limit
+        )
 
     def log_limit(self, head: ResponseHead) -> None:
         """Log a rate limit that differs from that in the last response."""
