Do not count a server's limit as its failure

A request that finds a limit between the choice of a server and the send ended as NotSent, which recorded a failure and a backoff of the server; it is a type of its own now. A server that failed, and states no limit, is tried before a request is refused for limits, and an attempt is not given up early for a server that is limited.

--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -30,6 +30,7 @@
     Broken,
     Completed,
     Lost,
+    NotPermitted,
     NotRunThere,
     NotSent,
     Refusal,
@@ -270,7 +271,11 @@
                 self.record_timeout(context, attempt)
             self.components.servers.end(state, attempt.pending_prefill_tokens)
             crashes.end(record)
-        self.record_outcome(state, outcome)
+        if isinstance(outcome, NotPermitted):
+            # The server did not fail, and may be chosen again with a permit.
+            context.tried.discard(state.incarnation)
+        else:
+            self.record_outcome(state, outcome)
         return outcome
 
     def record_timeout(self, context: RequestContext, attempt: Attempt) -> None:
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -17,6 +17,7 @@
     Broken,
     Completed,
     Lost,
+    NotPermitted,
     NotRunThere,
     NotSent,
     ResponseHead,
@@ -103,9 +104,7 @@
             self.state.incarnation_key, context.permit
         ):
             await self.components.pool.release_unused(connection)
-            # The server may be chosen again, with a permit.
-            context.tried.discard(self.state.incarnation)
-            return NotSent("the server states a rate limit")
+            return NotPermitted("the server states a rate limit")
         try:
             outcome = await self.exchange(connection)
         except BaseException:
@@ -173,7 +172,10 @@
         route = context.route
         if not route.allows_retry or context.sent >= route.max_attempts:
             return math.inf
-        if not usable_servers(self.components, context):
+        # A limited server is needed for requests that have no other, not for this one.
+        limited = self.components.limits.records.limited
+        others = usable_servers(self.components, context)
+        if all(state.incarnation_key in limited for state in others):
             return math.inf
         return max(route.target_s * FIRST_BYTE_TIMEOUT_FACTOR, MIN_FIRST_BYTE_TIMEOUT_S)
 
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -21,6 +21,7 @@
     POLICIES,
     Candidate,
     PlacementInput,
+    accepting_servers,
     eligible_servers,
 )
 from rosemaryknot.request.limit_guard import LimitsReached, PermitNeed
@@ -40,12 +41,19 @@
     components: GatewayComponents, context: RequestContext
 ) -> list[ServerState]:
     """Return the servers that are eligible for the next attempt of a request."""
-    name = context.service.name
-    states = [s for s in components.servers.by_id.values() if s.entry.service == name]
     is_model = context.service.engine is not None
+    states = servers_of(components, context)
     return eligible_servers(states, trio.current_time(), context.tried, is_model)
 
 
+def servers_of(
+    components: GatewayComponents, context: RequestContext
+) -> list[ServerState]:
+    """Return the servers of a request's service."""
+    name = context.service.name
+    return [s for s in components.servers.by_id.values() if s.entry.service == name]
+
+
 async def select_server(
     components: GatewayComponents, context: RequestContext
 ) -> Candidate | Refusal | None:
@@ -59,6 +67,7 @@
         eligible.
     """
     states = {s.incarnation_key: s for s in usable_servers(components, context)}
+    context.permit = None
 
     def choose(servers: Collection[str]) -> Candidate | Refusal | None:
         candidate = choose_server(components, context, [states[s] for s in servers])
@@ -70,7 +79,8 @@
         states, choose, server_of, permit_need(context)
     )
     if isinstance(selected, LimitsReached):
-        return limits_reached(components, context, selected)
+        last_resort = choose_failing_server(components, context)
+        return last_resort or limits_reached(components, context, selected)
     if selected is None:
         return None
     if isinstance(selected.choice, Refusal):
@@ -79,6 +89,18 @@
     return selected.choice
 
 
+def choose_failing_server(
+    components: GatewayComponents, context: RequestContext
+) -> Candidate | None:
+    """Return a server that is not eligible because it failed, and has no limit."""
+    limited = components.limits.records.limited
+    states = accepting_servers(
+        servers_of(components, context), trio.current_time(), context.tried
+    )
+    states = [state for state in states if state.incarnation_key not in limited]
+    return choose_server(components, context, states)
+
+
 def server_of(choice: Candidate | Refusal) -> str | None:
     """Return the incarnation of a chosen server, None for a refusal."""
     if isinstance(choice, Refusal):
--- a/src/rosemaryknot/request/gateway_placement.py
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -38,6 +38,7 @@
     "Candidate",
     "Placement",
     "PlacementInput",
+    "accepting_servers",
     "eligible_servers",
     "lowest_cost",
     "placement_policy",
@@ -257,6 +258,16 @@
     return rng.sample(candidates, min(count, len(candidates)))
 
 
+def accepting_servers(
+    states: Sequence[ServerState], now_s: float, tried: set[ServerIncarnation]
+) -> list[ServerState]:
+    """Return the servers that accept requests and were not tried."""
+    accepting = [s for s in states if s.accepts_requests(now_s)]
+    if tried:
+        accepting = [s for s in accepting if s.incarnation not in tried]
+    return accepting
+
+
 def eligible_servers(
     states: Sequence[ServerState],
     now_s: float,
@@ -274,9 +285,7 @@
     []
     """
     silence_timeout_s = MODEL_SILENCE_TIMEOUT_S if is_model else PLAIN_SILENCE_TIMEOUT_S
-    accepting = [s for s in states if s.accepts_requests(now_s)]
-    if tried:
-        accepting = [s for s in accepting if s.incarnation not in tried]
+    accepting = accepting_servers(states, now_s, tried)
     available = [s for s in accepting if now_s >= s.backoff_until_s]
     available = [s for s in available if not s.is_silent(now_s, silence_timeout_s)]
     # A missing entry may have expired because the store was unreachable. Servers that
--- a/src/rosemaryknot/request/limit_guard.py
+++ b/src/rosemaryknot/request/limit_guard.py
@@ -203,7 +203,8 @@
         selected : Selected or LimitsReached or None
             None if no server may be chosen, whatever its limit.
         """
-        limited = self.records.limited.intersection(servers)
+        limited = self.records.limited
+        limited = limited.intersection(servers) if limited else limited
         if not limited:
             choice = choose(servers)
             return None if choice is None else Selected(choice)
@@ -266,7 +267,8 @@
                 return selected
         if choose(limited) is None:
             return None
-        retry_after_s = min(self.records.by_server[s].retry_s for s in limited)
+        records = [self.records.get_limited(server) for server in limited]
+        retry_after_s = min((r.retry_s for r in records if r), default=0.0)
         self.log_held(need, min(limited, key=self.queue_s), started_s, "refused")
         return LimitsReached(retry_after_s)
 
@@ -310,8 +312,8 @@
 
     def is_queue_too_long(self, server: str, need: PermitNeed, wait_s: float) -> bool:
         """Return whether a request of this priority is known to wait too long."""
-        record = self.records.by_server[server]
-        is_first = need.priority < record.refused_priority
+        record = self.records.get_limited(server)
+        is_first = record is not None and need.priority < record.refused_priority
         return not is_first and self.queue_s(server) > wait_s
 
     # Permits.
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -13,6 +13,7 @@
     "Completed",
     "GatewayWire",
     "Lost",
+    "NotPermitted",
     "NotRunThere",
     "NotSent",
     "ShutdownSchedule",
@@ -104,6 +105,11 @@
     reason: str
 
 
+@dataclass(slots=True)
+class NotPermitted(NotSent):
+    """The server stated a rate limit after it was chosen, or the permit expired."""
+
+
 @dataclass(slots=True)
 class NotRunThere:
     """The server states that it did not run the request.
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -133,6 +133,24 @@
             assert [a.status for a in answers] == [OK] * 3
             assert max(a.took_s for a in answers) > SOON_S
 
+    async def test_limited_servers_do_not_count_as_failed(self, autojump_clock):
+        """A request that finds the limit just before it is sent is no failure."""
+        async with platform_system(nodes=2, plain=2) as fleet:
+            fleet.servers["p0"].limit = "2"
+            await send_load(fleet, 8.0, per_s=80.0)
+            tables = [node.state.servers for node in fleet.nodes.values()]
+            assert {table.by_id["p0"].failures for table in tables} == {0}
+
+    async def test_other_server_has_failed(self, autojump_clock):
+        """A server that failed is tried before a request is refused for limits."""
+        async with platform_system(nodes=1, plain=2) as fleet:
+            fleet.servers["p0"].limit = "0.2"
+            await send_load(fleet, 2.0)
+            state = fleet.nodes["n0"].state.servers.by_id["p1"]
+            fleet.nodes["n0"].state.servers.record_failure(state, "test")
+            answers = [await request_stock(fleet, f"r{n}") for n in range(3)]
+            assert [answer.status for answer in answers] == [OK] * 3
+
     async def test_limit_of_zero_is_lifted(self, autojump_clock):
         """A server that takes nothing still shows when it takes requests again."""
         async with platform_system(nodes=3, plain=2) as fleet:
