--- a/tests/scripts/test_own_days.py
+++ b/tests/scripts/test_own_days.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-DAYS = sorted((Path(__file__).parents[2] / "deploy" / "days").glob("*.toml"))
+FOLDER = Path(__file__).parents[2] / "deploy" / "days"
+# Saved as the users wrote it, for one of their deployments.
+USERS_DAY = FOLDER / "deadly.toml"
+DAYS = sorted(set(FOLDER.glob("*.toml")) - {USERS_DAY})
 # Fields that name a part of one deployment, which another one does not have.
 PLACES = ("zone", "to_zone", "service", "class")
 
@@ -27,3 +30,20 @@
         day = tomllib.loads(path.read_text())
         for entry in day["plan"] + day["faults"]:
             assert all(entry[key].startswith("@") for key in PLACES if key in entry)
+
+
+class TestUsersDay:
+    def test_is_as_they_wrote_it(self):
+        assert tomllib.loads(USERS_DAY.read_text()) == {
+            "name": "deadly",
+            "faults": [
+                {
+                    "at": 5.0,
+                    "kind": "poison",
+                    "how": "deadly",
+                    "class": "plan-takeoff",
+                    "share": 0.03,
+                    "for_s": 20.0,
+                }
+            ],
+        }
