--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -61,6 +61,8 @@
 PORTS = range(21000, 29000, 20)
 PORTS_OF_NODE = 4
 CRASHING_RATES = (0.0, 0.5, 3.0)
+# Share of the seeds in which no server states a rate limit.
+UNLIMITED_SHARE = 0.3
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -494,6 +496,27 @@
         proxy.reset_all()
 
 
+async def limit_servers(system: SoakSystem, seed: int) -> None:
+    """Let servers state rate limits, change them and omit them again."""
+    # A generator of its own: the other faults of a seed stay the same.
+    rng = random.Random(f"limits {seed}")
+    if rng.random() < UNLIMITED_SHARE:
+        return
+    end_s = trio.current_time() + LOAD_DURATION_S - 5
+    while trio.current_time() < end_s:
+        servers = list(system.servers.values())
+        if rng.random() < 0.6:
+            servers = [rng.choice(servers)]
+        else:
+            is_model = rng.random() < 0.5
+            servers = [s for s in servers if s.is_model == is_model]
+        first = rng.uniform(0.3, 4.0)
+        for limit in (first, first * rng.choice((0.5, 1.01, 2.0)), None):
+            for server in servers:
+                server.limit = None if limit is None else f"{limit:.3f}"
+            await trio.sleep(rng.uniform(1.0, 5.0))
+
+
 def crashing_rate(seed: int) -> float:
     """Return how often a request is repeated that crashes servers, per second."""
     return CRASHING_RATES[seed // 2 % len(CRASHING_RATES)]
@@ -520,6 +543,7 @@
 
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(inject_faults)
+            load_nursery.start_soon(limit_servers, system, seed)
             play = Play(
                 length_s=LOAD_DURATION_S,
                 load=LOAD,
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -28,6 +28,7 @@
 # Popular requests were refused in 1020, 1021 and 1130 after servers had crashed under
 # them; in 1100 a request is present at three crashes before it ever completes.
 SEEDS_WITH_CRASHES = (1020, 1021, 1100, 1130)
+SEEDS_WITH_LIMITS = (3000, 3001, 3002, 3003)
 
 
 def seen_at(status, path, server=""):
@@ -96,6 +97,13 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_LIMITS)
+    def test_random_faults_and_limited_servers(self, seed):
+        play = random_play(seed, crashing_per_s=seed % 2, has_limits=True)
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     def test_same_seed_same_outcomes(self):
         play = Play(length_s=4, faults=[{"at": 1, "kind": "compact"}])
         first, second = (
