--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -92,11 +92,11 @@
     return True
 
 
-def first_port(seed: int) -> int:
+def first_port(seed: int, nodes: int) -> int:
     """Return the first port of a range that is free for all nodes."""
     begin = seed % len(PORTS)
     for base in [*PORTS[begin:], *PORTS[:begin]]:
-        if all(is_free(base + n) for n in range(NODES * PORTS_OF_NODE)):
+        if all(is_free(base + n) for n in range(nodes * PORTS_OF_NODE)):
             return base
     raise RuntimeError("no range of free ports for the nodes")
 
@@ -154,11 +154,12 @@
 class SoakSystem:
     """Node processes, stand-ins and proxies."""
 
-    def __init__(self, nursery: trio.Nursery, seed: int) -> None:
+    def __init__(self, nursery: trio.Nursery, seed: int, nodes: int = NODES) -> None:
         self.nursery = nursery
+        self.node_count = nodes
         self.network = SocketNetwork()
         self.folder = FOLDER / str(seed)
-        self.base = first_port(seed)
+        self.base = first_port(seed, nodes)
         self.link_bytes_per_s = random.Random(seed).choice((0, SLOW_LINK_BYTES_PER_S))
         self.store = StoreStandIn()
         self.cloud = CloudStandIn()
@@ -182,7 +183,7 @@
         self.store.put("config", "main", document())
         for number in range(6):
             await self.add_server(f"s{number}", MODEL if number < 3 else PLAIN)
-        for number in range(NODES):
+        for number in range(self.node_count):
             proxy = SoakProxy(store)
             proxy.bytes_per_s = self.link_bytes_per_s
             address = await start(proxy.serve, anywhere)
@@ -522,13 +523,13 @@
     return CRASHING_RATES[seed // 2 % len(CRASHING_RATES)]
 
 
-async def run_seed(seed: int) -> tuple[list[Violation], Counter]:
+async def run_seed(seed: int, nodes: int = NODES) -> tuple[list[Violation], Counter]:
     """Run one seed; return the violations, and the number of faults by kind."""
     rng = random.Random(seed)
     observations = Observations()
     fault_counts: Counter = Counter()
     async with trio.open_nursery() as nursery:
-        system = SoakSystem(nursery, seed)
+        system = SoakSystem(nursery, seed, nodes)
         await system.start()
 
         async def inject_faults() -> None:
@@ -570,6 +571,7 @@
     minutes: Annotated[
         float, typer.Option(help="Start no seed after this time.")
     ] = 60.0,
+    nodes: Annotated[int, typer.Option(help="Number of nodes.")] = NODES,
 ) -> None:
     """Run the soak test; print a line for each seed, then one line of JSON."""
     first = int(time.time()) % 1_000_000 if seed is None else seed
@@ -581,7 +583,7 @@
     for number in range(first, first + (seeds if seed is None else 1)):
         if time.monotonic() - started_s > minutes * 60:
             break
-        violations, fault_counts = trio.run(run_seed, number)
+        violations, fault_counts = trio.run(run_seed, number, nodes)
         done += 1
         faults += fault_counts
         by_kind.update(violation.invariant for violation in violations)
