Choose a server as before while none is limited

The choice made a table of the servers and a description of the request for each request, also without any limit.

--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -66,14 +66,25 @@
         the servers are overloaded or their limits are reached; None if no server is
         eligible.
     """
-    states = {s.incarnation_key: s for s in usable_servers(components, context)}
+    usable = usable_servers(components, context)
     context.permit = None
+    if components.limits.records.limited:
+        selected = await select_limited(components, context, usable)
+    else:
+        selected = choose_or_refuse(components, context, usable)
+    if isinstance(selected, Refusal) and not context.may_have_run:
+        release_quota(components, context)
+    return selected
+
+
+async def select_limited(
+    components: GatewayComponents, context: RequestContext, usable: list[ServerState]
+) -> Candidate | Refusal | None:
+    """Select a server while some servers state limits; see `select_server`."""
+    states = {state.incarnation_key: state for state in usable}
 
     def choose(servers: Collection[str]) -> Candidate | Refusal | None:
-        candidate = choose_server(components, context, [states[s] for s in servers])
-        if candidate is None:
-            return None
-        return refuse_overload(components, context, candidate) or candidate
+        return choose_or_refuse(components, context, [states[s] for s in servers])
 
     selected = await components.limits.select(
         states, choose, server_of, permit_need(context)
@@ -83,12 +94,20 @@
         return last_resort or limits_reached(components, context, selected)
     if selected is None:
         return None
-    if isinstance(selected.choice, Refusal):
-        release_quota(components, context)
     context.permit = selected.permit
     return selected.choice
 
 
+def choose_or_refuse(
+    components: GatewayComponents, context: RequestContext, states: list[ServerState]
+) -> Candidate | Refusal | None:
+    """Return the best of some servers, or a refusal if it is overloaded."""
+    candidate = choose_server(components, context, states)
+    if candidate is None:
+        return None
+    return refuse_overload(components, context, candidate) or candidate
+
+
 def choose_failing_server(
     components: GatewayComponents, context: RequestContext
 ) -> Candidate | None:
@@ -126,7 +145,6 @@
     reason = "the servers take no more requests per second"
     if context.may_have_run:
         return Refusal(BAD_GATEWAY, reason)
-    release_quota(components, context)
     return refusal(components.rng, UNAVAILABLE, reason, reached.retry_after_s)
 
 
