--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -38,6 +38,7 @@
 from rosemaryknot.request.limit_guard import LimitGuard
 from rosemaryknot.request.model_admission import ModelAdmission
 from rosemaryknot.request.model_api import ModelApi
+from rosemaryknot.request.permit_client import PermitClient
 from rosemaryknot.request.plain import PlainRelay
 from rosemaryknot.request.plain_api import PlainApi
 from rosemaryknot.request.relay import ModelRelay
@@ -209,12 +210,11 @@
         )
         self.entry_limits = EntryLimits(self.link, self.server_limits, self.handlers)
         self.relay.limits = LimitGuard(
-            self.node.name,
-            self.server_limits,
-            self.entry_limits.acquire,
+            PermitClient(
+                self.node.name, self.server_limits, self.entry_limits.acquire, self.rng
+            ),
             self.entry_limits.publish,
             self.entry_limits.report,
-            self.rng,
         )
 
     def new_api(
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -47,6 +47,7 @@
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.gateway import Gateway, GatewayComponents
 from rosemaryknot.request.limit_guard import LimitGuard
+from rosemaryknot.request.permit_client import PermitClient
 from rosemaryknot.values.duties import DutyCalls
 from rosemaryknot.values.gateway_responses import GatewayWire
 from rosemaryknot.values.nodes import Node
@@ -297,12 +298,14 @@
                 self.crash_store.record_trial,
             ),
             limits=LimitGuard(
-                self.node.name,
-                self.server_limits,
-                self.permit_owner.acquire,
+                PermitClient(
+                    self.node.name,
+                    self.server_limits,
+                    self.permit_owner.acquire,
+                    self.rng,
+                ),
                 self.limit_exchange.publish,
                 self.limit_exchange.report,
-                self.rng,
             ),
             acquire_quota=acquire_quota,
             release_quota=release_quota,
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -100,7 +100,7 @@
             # take most of the time for which a draining server still serves requests.
             await connection.aclose()
             return NotSent("the server leaves")
-        if not self.components.limits.may_send(
+        if not self.components.limits.permits.may_send(
             self.state.incarnation_key, context.permit
         ):
             await self.components.pool.release_unused(connection)
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -24,7 +24,8 @@
     accepting_servers,
     eligible_servers,
 )
-from rosemaryknot.request.limit_guard import LimitsReached, PermitNeed
+from rosemaryknot.request.limit_guard import LimitsReached, SelectionInput
+from rosemaryknot.request.permit_client import PermitNeed
 from rosemaryknot.values.gateway_responses import Refusal
 
 __all__ = ["choose_server", "refuse_overload", "select_server", "usable_servers"]
@@ -87,7 +88,7 @@
         return choose_or_refuse(components, context, [states[s] for s in servers])
 
     selected = await components.limits.select(
-        states, choose, server_of, permit_need(context)
+        SelectionInput(states, choose, server_of, permit_need(context))
     )
     if isinstance(selected, LimitsReached):
         last_resort = choose_failing_server(components, context)
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -14,7 +14,8 @@
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.gateway_placement import Candidate
-from rosemaryknot.request.limit_guard import LimitGuard, Permit
+from rosemaryknot.request.limit_guard import LimitGuard
+from rosemaryknot.request.permit_client import Permit
 from rosemaryknot.values.gateway import (
     CustomerLimit,
     GatewayConfiguration,
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -22,11 +22,11 @@
 from rosemaryknot.request.limit_guard import (
     LimitGuard,
     LimitsReached,
-    Permit,
-    PermitNeed,
     Selected,
+    SelectionInput,
 )
 from rosemaryknot.request.moves import Mover
+from rosemaryknot.request.permit_client import Permit, PermitNeed
 from rosemaryknot.request.relay_records import record_attempt_end
 from rosemaryknot.request.request_context import RequestContext
 from rosemaryknot.request.router import Router
@@ -220,10 +220,9 @@
             return server
         if server.instance not in limits.records.limited:
             return server
-        self.permit = await limits.request_permit(
-            server.instance, self.permit_need(), self.permit_need().wait_s
-        )
-        if limits.may_send(server.instance, self.permit):
+        need = self.permit_need()
+        self.permit = await limits.permits.request(server.instance, need, need.wait_s)
+        if limits.permits.may_send(server.instance, self.permit):
             return server
         context.next_server, context.moved_tokens = None, -1
         context.joins_running_attempt = False
@@ -258,9 +257,10 @@
             choice = choose(())
             return None if choice is None else Selected(choice)
         usable.update(router.usable_instances(self.generation.service, excluded))
-        return await limits.select(
+        inputs = SelectionInput(
             usable, choose, attrgetter("instance"), self.permit_need()
         )
+        return await limits.select(inputs)
 
     async def handle_limits_reached(self, reached: LimitsReached) -> None:
         """Refuse a generation that no server takes, or wait if one has run it."""
--- a/src/rosemaryknot/request/limit_guard.py
+++ b/src/rosemaryknot/request/limit_guard.py
@@ -1,27 +1,18 @@
 """Selection of servers under the rate limits that they state."""
 
-import random
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 import trio
 
-from rosemaryknot.connection.links import CallFailed
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
-from rosemaryknot.process.server_limits.permits import PERMIT_TTL_S
-from rosemaryknot.process.server_limits.records import LimitRecord, LimitRecords
-from rosemaryknot.values.messages import Message
-from rosemaryknot.values.server_limits import (
-    NO_LIMIT,
-    InvalidLimit,
-    PermitReply,
-    PermitRequest,
-    ServerStatement,
-)
+from rosemaryknot.process.server_limits.records import LimitRecord
+from rosemaryknot.request.permit_client import Permit, PermitClient, PermitNeed
+from rosemaryknot.values.server_limits import NO_LIMIT, InvalidLimit, ServerStatement
 
-__all__ = ["LimitGuard", "LimitsReached", "Permit", "PermitNeed", "Selected"]
+__all__ = ["LimitGuard", "LimitsReached", "Selected", "SelectionInput"]
 
 Choice = TypeVar("Choice")
 
@@ -31,12 +22,6 @@
 # A server that was sent nothing for this long is preferred for the next request, since
 # only a response can lift its limit.
 PROBE_INTERVAL_S = 5.0
-# No permit is requested for this long after the owner did not reply.
-NO_REPLY_PAUSE_S = 1.0
-# Share by which pauses differ, so that nodes do not ask in the same moment.
-PAUSE_JITTER = 0.5
-# Length of a pause if the owner names none: other nodes disagree about the owner.
-MIN_PAUSE_S = 0.05
 
 MOVED = counter(
     "server_limit_moved_total",
@@ -50,59 +35,26 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Permit:
-    """Permission to send one request to a limited server.
+class SelectionInput(Generic[Choice]):
+    """The servers among which one is selected for a request.
 
     Attributes
     ----------
-    server : str
-        Incarnation of the server.
-    version : int
-        Version of its limit.
-    owner : str
-        Node that issued the permit.
-    incarnation : int
-        Incarnation of that node.
-    number : int
-        Number of the permit.
-    reports_all : bool
-        Whether the owner has to know what the server states even if it knows it.
-    expires_s : float
-        Until when the request may be sent, in trio time.
+    servers : collection of str
+        Incarnations of the usable servers.
+    choose : callable
+        Takes the incarnations that may be chosen; returns a choice, or None.
+    server_of : callable
+        Returns the incarnation of a choice; None if it is not a server, but a reason to
+        select none.
+    need : PermitNeed
+        The request.
     """
 
-    server: str
-    version: int
-    owner: str
-    incarnation: int
-    number: int
-    reports_all: bool
-    expires_s: float
-
-
-@dataclass(slots=True, frozen=True)
-class PermitNeed:
-    """The request for which a server is selected.
-
-    Attributes
-    ----------
-    request : str
-        Id of the request.
-    customer : str
-        Customer that sent it.
-    priority : int
-        Priority; 0 is the highest.
-    wait_s : float
-        How long it may wait for a limited server, in seconds.
-    may_repeat : bool
-        Whether it may run more than once, so that it may serve as a probe.
-    """
-
-    request: str
-    customer: str
-    priority: int
-    wait_s: float
-    may_repeat: bool
+    servers: Collection[str]
+    choose: Callable[[Collection[str]], Choice | None]
+    server_of: Callable[[Choice], str | None]
+    need: PermitNeed
 
 
 @dataclass(slots=True)
@@ -139,262 +91,120 @@
 
     Parameters
     ----------
-    node : str
-        Name of this node.
-    records : LimitRecords
-        Limits of the servers.
-    acquire : callable
-        Requests permits from the owner of a server.
+    permits : PermitClient
+        Requests permits.
     publish : callable
         Sends a record that begins a version to all nodes.
     report : callable
         Sends a statement to the node that issued the permit.
-    rng : random.Random
-        Jitter of the pauses.
 
     Attributes
     ----------
-    spare : dict of str to list of Permit
-        Permits that were issued together with another one, by server.
+    records : LimitRecords
+        Limits of the servers.
     """
 
     def __init__(
         self,
-        node: str,
-        records: LimitRecords,
-        acquire: Callable[[PermitRequest], Awaitable[Message | CallFailed]],
+        permits: PermitClient,
         publish: Callable[[LimitRecord], object],
         report: Callable[[ServerStatement], object],
-        rng: random.Random,
     ) -> None:
-        self.node = node
-        self.records = records
-        self.acquire = acquire
+        self.permits = permits
+        self.records = permits.records
         self.publish = publish
         self.report = report
-        self.rng = rng
-        self.spare: dict[str, list[Permit]] = {}
 
     # Selection.
 
     async def select(
-        self,
-        servers: Collection[str],
-        choose: Callable[[Collection[str]], Choice | None],
-        server_of: Callable[[Choice], str | None],
-        need: PermitNeed,
+        self, inputs: SelectionInput[Choice]
     ) -> Selected[Choice] | LimitsReached | None:
         """Select a server, with a permit if it is limited.
 
-        Parameters
-        ----------
-        servers : collection of str
-            Incarnations of the usable servers.
-        choose : callable
-            Takes the incarnations that may be chosen; returns a choice, or None.
-        server_of : callable
-            Returns the incarnation of a choice; None if it is not a server, but a
-            reason to select none.
-        need : PermitNeed
-            The request.
-
         Returns
         -------
         selected : Selected or LimitsReached or None
             None if no server may be chosen, whatever its limit.
         """
-        limited = self.records.limited
-        limited = limited.intersection(servers) if limited else limited
+        limited = self.records.limited.intersection(inputs.servers)
         if not limited:
-            choice = choose(servers)
+            choice = inputs.choose(inputs.servers)
             return None if choice is None else Selected(choice)
-        unavailable = {s for s in limited if self.is_blocked(s)}
-        for server in self.due_probes(limited - unavailable, need):
-            selected = await self.try_server(server, choose, server_of, need, 0.0)
+        unavailable = {s for s in limited if self.permits.is_blocked(s)}
+        probed = self.due_probe(limited - unavailable, inputs.need)
+        if probed is not None:
+            selected = await self.try_server(inputs, probed, 0.0)
             if selected is not None:
                 return selected
-            unavailable.add(server)
-        selected = await self.select_without_waiting(
-            servers, limited, unavailable, choose, server_of, need
-        )
+            unavailable.add(probed)
+        selected = await self.select_without_waiting(inputs, limited, unavailable)
         if selected is not None:
             return selected
-        return await self.select_by_waiting(limited, choose, server_of, need)
+        return await self.select_by_waiting(inputs, limited)
 
     async def select_without_waiting(
-        self,
-        servers: Collection[str],
-        limited: set[str],
-        unavailable: set[str],
-        choose: Callable[[Collection[str]], Choice | None],
-        server_of: Callable[[Choice], str | None],
-        need: PermitNeed,
+        self, inputs: SelectionInput[Choice], limited: set[str], unavailable: set[str]
     ) -> Selected[Choice] | None:
         """Select the best server that takes the request at once."""
         for asked in range(MAX_ASKED + 1):
             if asked == MAX_ASKED:
                 unavailable = limited
-            choice = choose([s for s in servers if s not in unavailable])
+            allowed = [s for s in inputs.servers if s not in unavailable]
+            choice = inputs.choose(allowed)
             if choice is None:
                 return None
-            server = server_of(choice)
+            server = inputs.server_of(choice)
             if server is None or server not in self.records.limited:
                 if unavailable:
-                    self.log_moved(need, server, unavailable)
+                    self.log_moved(inputs.need, server, unavailable)
                 return Selected(choice)
-            permit = await self.request_permit(server, need, 0.0)
+            permit = await self.permits.request(server, inputs.need, 0.0)
             if permit is not None or server not in self.records.limited:
                 return Selected(choice, permit)
             unavailable = unavailable | {server}
         return None
 
     async def select_by_waiting(
-        self,
-        limited: set[str],
-        choose: Callable[[Collection[str]], Choice | None],
-        server_of: Callable[[Choice], str | None],
-        need: PermitNeed,
+        self, inputs: SelectionInput[Choice], limited: set[str]
     ) -> Selected[Choice] | LimitsReached | None:
         """Wait for the limited server with the shortest queue."""
+        need, permits = inputs.need, self.permits
         started_s = trio.current_time()
-        for server in sorted(limited, key=self.queue_s)[:MAX_ASKED]:
+        for server in sorted(limited, key=permits.queue_s)[:MAX_ASKED]:
             left_s = need.wait_s - (trio.current_time() - started_s)
-            if left_s <= 0 or self.is_queue_too_long(server, need, left_s):
+            if left_s <= 0 or permits.is_queue_too_long(server, need, left_s):
                 break
-            selected = await self.try_server(server, choose, server_of, need, left_s)
+            selected = await self.try_server(inputs, server, left_s)
             if selected is not None:
                 self.log_held(need, server, started_s, "sent")
                 return selected
-        if choose(limited) is None:
+        if inputs.choose(limited) is None:
             return None
         records = [self.records.get_limited(server) for server in limited]
         retry_after_s = min((r.retry_s for r in records if r), default=0.0)
-        self.log_held(need, min(limited, key=self.queue_s), started_s, "refused")
+        self.log_held(need, min(limited, key=permits.queue_s), started_s, "refused")
         return LimitsReached(retry_after_s)
 
     async def try_server(
-        self,
-        server: str,
-        choose: Callable[[Collection[str]], Choice | None],
-        server_of: Callable[[Choice], str | None],
-        need: PermitNeed,
-        wait_s: float,
+        self, inputs: SelectionInput[Choice], server: str, wait_s: float
     ) -> Selected[Choice] | None:
         """Select one server if it may be chosen and there is a permit."""
-        choice = choose([server])
-        if choice is None or server_of(choice) is None:
+        choice = inputs.choose([server])
+        if choice is None or inputs.server_of(choice) is None:
             return None
-        permit = await self.request_permit(server, need, wait_s)
+        permit = await self.permits.request(server, inputs.need, wait_s)
         if permit is None and server in self.records.limited:
             return None
         return Selected(choice, permit)
 
-    def is_blocked(self, server: str) -> bool:
-        """Return whether no permit is requested at the moment."""
-        if self.spare.get(server):
-            return False
-        return trio.current_time() < self.records.by_server[server].blocked_until_s
-
-    def due_probes(self, servers: Collection[str], need: PermitNeed) -> list[str]:
+    def due_probe(self, servers: Collection[str], need: PermitNeed) -> str | None:
         """Return a server that was sent nothing for long, if the request suits it."""
         if not need.may_repeat:
-            return []
-        due_s = trio.current_time() - PROBE_INTERVAL_S
-        due = [s for s in servers if self.records.by_server[s].used_s < due_s]
-        return due[:1]
-
-    def queue_s(self, server: str) -> float:
-        """Return the expected wait for a permit, in seconds, as far as it is known."""
-        record = self.records.get_limited(server)
-        if record is None or record.blocked_until_s < trio.current_time():
-            return 0.0
-        return record.queue_s
-
-    def is_queue_too_long(self, server: str, need: PermitNeed, wait_s: float) -> bool:
-        """Return whether a request of this priority is known to wait too long."""
-        record = self.records.get_limited(server)
-        is_first = record is not None and need.priority < record.refused_priority
-        return not is_first and self.queue_s(server) > wait_s
-
-    # Permits.
-
-    async def request_permit(
-        self, server: str, need: PermitNeed, wait_s: float
-    ) -> Permit | None:
-        """Return a permit; None if there is none, or the server is not limited."""
-        now_s = trio.current_time()
-        spare = self.spare.get(server, [])
-        while spare:
-            permit = spare.pop()
-            if now_s < permit.expires_s:
-                return permit
-        record = self.records.get_limited(server)
-        if record is None:
             return None
-        record.used_s = now_s
-        request = PermitRequest(
-            record.to_list(), self.node, need.customer, need.priority, wait_s
-        )
-        reply = await self.acquire(request)
-        if not isinstance(reply, PermitReply):
-            self.block(server, PermitReply([], pause_s=NO_REPLY_PAUSE_S), need.priority)
-            log.warning(
-                "no permit: owner did not reply",
-                request=need.request,
-                server=server,
-                reason=getattr(reply, "reason", "unexpected reply"),
-            )
-            return None
-        return self.apply_reply(server, reply, need.priority)
-
-    def apply_reply(
-        self, server: str, reply: PermitReply, priority: int
-    ) -> Permit | None:
-        """Apply the reply of the owner; return the first permit."""
-        now_s = trio.current_time()
-        received = LimitRecord.from_list(reply.record)
-        if received is not None and received.server == server:
-            self.records.merge(received, now_s)
-        if reply.permits <= 0:
-            self.block(server, reply, priority)
-            return None
-        version = self.records.version(server)
-        permits = [
-            Permit(
-                server,
-                version,
-                reply.owner,
-                reply.incarnation,
-                reply.number + index,
-                reply.reports_all,
-                now_s + PERMIT_TTL_S,
-            )
-            for index in range(reply.permits)
-        ]
-        if len(permits) > 1:
-            self.spare[server] = permits[:0:-1]
-        return permits[0]
-
-    def block(self, server: str, reply: PermitReply, priority: int) -> None:
-        """Request no permit for a server for a while."""
-        record = self.records.get_limited(server)
-        if record is None:
-            return
-        jitter = self.rng.uniform(1 - PAUSE_JITTER, 1 + PAUSE_JITTER)
-        pause_s = max(MIN_PAUSE_S, reply.pause_s * jitter)
-        record.blocked_until_s = trio.current_time() + pause_s
-        record.queue_s, record.retry_s = reply.queue_s, max(reply.retry_s, pause_s)
-        record.refused_priority = priority
-
-    def may_send(self, server: str, permit: Permit | None) -> bool:
-        """Return whether a request may be sent now.
-
-        The server may have stated a limit after it was selected, and opening the
-        connection may have taken longer than the permit holds.
-        """
-        if server not in self.records.limited:
-            return True
-        return permit is not None and trio.current_time() < permit.expires_s
+        due_s = trio.current_time() - PROBE_INTERVAL_S
+        due = (s for s in servers if self.records.by_server[s].used_s < due_s)
+        return next(due, None)
 
     # Statements.
 
@@ -469,7 +279,7 @@
             outcome=outcome,
             waited_s=round(trio.current_time() - started_s, 3),
             may_wait_s=round(need.wait_s, 3),
-            queue_s=round(self.queue_s(server), 3),
+            queue_s=round(self.permits.queue_s(server), 3),
             customer=need.customer,
             priority=need.priority,
         )
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -24,10 +24,10 @@
 from rosemaryknot.request.limit_guard import (
     LimitGuard,
     LimitsReached,
-    Permit,
-    PermitNeed,
     Selected,
+    SelectionInput,
 )
+from rosemaryknot.request.permit_client import Permit, PermitNeed
 from rosemaryknot.request.plain_route import PlainCandidate, choose_plain_server
 from rosemaryknot.request.routes import scores_text
 from rosemaryknot.values.nodes import BackendServer
@@ -297,7 +297,8 @@
             remaining_s * MAX_WAIT_SHARE,
             may_repeat,
         )
-        return await self.limits.select(servers, choose, attrgetter("instance"), need)
+        inputs = SelectionInput(servers, choose, attrgetter("instance"), need)
+        return await self.limits.select(inputs)
 
     def record_limit(
         self,
