End a server's limit at the first event of a stream without it

A response without a limit counted from its end. Streams last for seconds, so that a server with a limit of one a second stayed limited for several seconds after it had stopped stating it.

--- a/src/rosemaryknot/request/attempts.py
+++ b/src/rosemaryknot/request/attempts.py
@@ -118,7 +118,8 @@
     stated_limit : float or InvalidLimit or None
         Rate limit of the server that the response states, in requests per second.
     on_limit : callable
-        Called with a stated limit, as soon as the head of the response arrives.
+        Called with a stated limit as soon as the head of the response arrives, and with
+        None at the first token of a response that states none.
     """
 
     def __init__(
@@ -150,7 +151,9 @@
         self.ended = trio.Event()
         self.planned_deadline_s: float | None = None
         self.stated_limit: float | InvalidLimit | None = None
-        self.on_limit: Callable[[float | InvalidLimit], None] = lambda limit: None
+        self.on_limit: Callable[[float | InvalidLimit | None], None] = lambda limit: (
+            None
+        )
         self.scope = trio.CancelScope()
 
     async def run(self) -> AttemptEnd:
@@ -195,6 +198,8 @@
             self.load.prefilled(self.pending)
             self.pending = 0
             self.first_token_s = trio.current_time() - self.started_s
+            if self.stated_limit is None:
+                self.on_limit(None)
         self.generation.emit(tokens)
 
     def receive_limit(self, limit: float | InvalidLimit | None) -> None:
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -64,8 +64,8 @@
         is known.
     limit_version : int
         Version of the server's rate limit when the request was sent.
-    states_limit : bool
-        Whether the response states a rate limit.
+    is_limit_recorded : bool
+        Whether what the response states of the rate limit was recorded.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         self.tokens_ahead = tokens_ahead
         self.started_s = trio.current_time()
         self.limit_version = 0
-        self.states_limit = False
+        self.is_limit_recorded = False
 
     async def run(self) -> Completed | Broken | Lost | NotRunThere | NotSent:
         """Send the request, read the response head and relay the body."""
@@ -113,7 +113,7 @@
                 await connection.aclose()
             raise
         if isinstance(outcome, Completed):
-            self.record_limit_end(outcome)
+            self.record_absent_limit(outcome.status)
             # A response without a length ends with its connection, so it may be that
             # of a server that crashed.
             if outcome.status < SERVER_ERROR and not connection.is_closed_by_server:
@@ -213,17 +213,21 @@
         if head.status == MISDIRECTED or not is_own:
             return
         self.log_limit(head)
-        self.states_limit = head.limit is not None
-        if self.states_limit:
+        if head.limit is not None:
             self.record_statement(head.limit)
 
-    def record_limit_end(self, outcome: Completed) -> None:
-        """Record that the server states no limit; only a complete response shows it."""
-        if outcome.status < SERVER_ERROR and not self.states_limit:
+    def record_absent_limit(self, status: int) -> None:
+        """Record that the server states no limit, once the response proves to be sound.
+
+        That is the end of a response, or the first event of a stream, which may last
+        for seconds while the server could take more.
+        """
+        if status < SERVER_ERROR and not self.is_limit_recorded:
             self.record_statement(None)
 
     def record_statement(self, limit: float | InvalidLimit | None) -> None:
         """Record what the response states."""
+        self.is_limit_recorded = True
         self.components.limits.record_statement(
             self.state.incarnation_key, self.limit_version, self.context.permit, limit
         )
@@ -303,6 +307,7 @@
             self.state.last_received_s = trio.current_time()
             events = splitter.feed(chunk)
             if events:
+                self.record_absent_limit(head.status)
                 await self.forward_events(head, events)
         if splitter.buffer:
             await self.forward_events(head, bytes(splitter.buffer))
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -160,15 +160,11 @@
         request_id = attempt.generation.request_id
         self.components.mover.running[request_id] = attempt
         self.components.mover.check()
-        record_limit = self.limit_recorder(attempt.server)
-        attempt.on_limit = record_limit
+        attempt.on_limit = self.limit_recorder(attempt.server)
         try:
-            end = await attempt.run()
+            return await attempt.run()
         finally:
             del self.components.mover.running[request_id]
-        if isinstance(end, Finished) and attempt.stated_limit is None:
-            record_limit(None)
-        return end
 
     def limit_recorder(
         self, server: BackendServer
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -198,6 +198,20 @@
             recent = [t for t in arrival_times(fleet, "p0") if t > end_s - 4]
             assert len(recent) > 0.3 * 4 * LOAD_PER_S
 
+    async def test_long_streams(self, autojump_clock):
+        """The first event of a stream shows that the server has no limit any more."""
+        async with platform_system(nodes=3, models=2) as fleet:
+            for server in fleet.servers.values():
+                server.work_s = 0.18
+            fleet.servers["m0"].limit = "1"
+            await send_load(fleet, 8.0, "/ask/x", 10.0)
+            fleet.servers["m0"].limit = None
+            ended_s = trio.current_time()
+            await send_load(fleet, 8.0, "/ask/x", 10.0)
+            assert not any(node.server_limits.limited for node in fleet.nodes.values())
+            times = [t for t in arrival_times(fleet, "m0") if t > ended_s]
+            assert len([t for t in times if t < ended_s + 6]) > 3 * 6
+
     async def test_restarted_server_has_no_limit(self, autojump_clock):
         async with platform_system(nodes=3, plain=2) as fleet:
             fleet.servers["p0"].limit = "2"
