Keep the queue for a limited server as short as the target latency while it is overloaded

Callers waited up to 0.3 of their time for a permit. With more requests than the server takes, the queue stays that long, and all that are served are late.

While requests of a priority are refused, others of it wait only as long as their target latency allows; without refusals, a burst waits as before. test_short_queue_while_overloaded: failed before (all that are served are late).

--- a/src/rosemaryknot/process/server_limits/owner.py
+++ b/src/rosemaryknot/process/server_limits/owner.py
@@ -184,7 +184,14 @@
         if request.wait_s > 0:
             wait_s = min(request.wait_s, MAX_WAIT_S)
             waiter = issuer.enqueue(
-                request.node, request.priority, request.customer, now_s + wait_s, now_s
+                Waiter(
+                    request.node,
+                    request.priority,
+                    request.customer,
+                    now_s + wait_s,
+                    now_s + (request.target_wait_s or wait_s),
+                ),
+                now_s,
             )
             outcome = await self.wait(issuer, waiter)
         else:
--- a/src/rosemaryknot/process/server_limits/permits.py
+++ b/src/rosemaryknot/process/server_limits/permits.py
@@ -6,7 +6,8 @@
 permits are issued, to the node that requests one. With other servers left, a request
 that gets no permit goes there at once. Without them, requests wait here in the order of
 priority, and within it fairly by customer; one that cannot get a permit in time is
-refused at once, with the time until the queue has room.
+refused at once, with the time until the queue has room. In time is before its deadline,
+or, while requests have to be refused, before its target latency.
 
 Bound: with a rate of r, any four seconds contain at most 4 r permits and the capacity
 of 1 + r / 2. Those issued up to `PERMIT_TTL_S` earlier may arrive within the same four
@@ -45,6 +46,7 @@
 NODE_TTL_S = 10.0
 # Refused requests of this time come back and are added to the queue.
 REFUSED_WINDOW_S = 2.0
+MAX_REFUSED = 1024
 MAX_WAITERS = 256
 # Responses in a row that have to state a higher limit, or none, before it is applied:
 # a server may omit its limit in single responses. Doubled each time that the server
@@ -103,6 +105,8 @@
         Customer that sent the request.
     deadline_s : float
         Until when it may wait, in trio time.
+    target_s : float
+        Until when it may wait and still meet its target latency, in trio time.
     tag : float
         Start tag within its priority, as in start-time fair queueing.
     outcome : Issued or NotIssued or None
@@ -115,7 +119,8 @@
     priority: int
     customer: str
     deadline_s: float
-    tag: float
+    target_s: float = math.inf
+    tag: float = 0.0
     outcome: Issued | NotIssued | None = None
     done: trio.Event = field(default_factory=trio.Event)
 
@@ -148,6 +153,8 @@
         Waiting requests, in the order in which they get permits.
     nodes : dict of str to float
         When each node last requested a permit, in trio time.
+    refused : collections.deque of tuple of (float, int)
+        Times and priorities of the requests that were refused of late.
     issued_to : dict of str to int
         Issued permits by node since `pop_issued` was last called.
 
@@ -170,7 +177,7 @@
         self.waiters: list[Waiter] = []
         self.nodes: dict[str, float] = {}
         self.issued_to: dict[str, int] = {}
-        self.refused: deque[float] = deque()
+        self.refused: deque[tuple[float, int]] = deque(maxlen=MAX_REFUSED)
         self.tags: dict[str, float] = {}
         self.virtual_time = 0.0
         self.confirmations = 0
@@ -261,14 +268,11 @@
             return self.not_issued(priority, now_s)
         return self.issue(node)
 
-    def enqueue(
-        self, node: str, priority: int, customer: str, deadline_s: float, now_s: float
-    ) -> Waiter:
+    def enqueue(self, waiter: Waiter, now_s: float) -> Waiter:
         """Let a request wait for a permit; its outcome may be set already."""
-        self.record_node(node, now_s)
-        tag = max(self.virtual_time, self.tags.get(customer, 0.0)) + 1.0
-        self.tags[customer] = tag
-        waiter = Waiter(node, priority, customer, deadline_s, tag)
+        self.record_node(waiter.node, now_s)
+        tag = max(self.virtual_time, self.tags.get(waiter.customer, 0.0)) + 1.0
+        waiter.tag = self.tags[waiter.customer] = tag
         self.waiters.append(waiter)
         self.waiters.sort(key=lambda w: (w.priority, w.tag))
         self.advance(now_s)
@@ -282,15 +286,19 @@
             waiter = self.waiters.pop(0)
             self.virtual_time = max(self.virtual_time, waiter.tag)
             waiter.finish(self.issue(waiter.node, 1))
+        self.expire_refused(now_s)
         kept: list[Waiter] = []
         refused: list[Waiter] = []
         for waiter in self.waiters:
             issued_s = now_s + (len(kept) + 1 - bucket.balance) / bucket.rate
-            is_late = issued_s > waiter.deadline_s or len(kept) >= MAX_WAITERS
+            latest_s = waiter.deadline_s
+            if self.is_overloaded(waiter.priority):
+                latest_s = min(latest_s, waiter.target_s)
+            is_late = issued_s > latest_s or len(kept) >= MAX_WAITERS
             (refused if is_late else kept).append(waiter)
         self.waiters = kept
         for waiter in refused:
-            self.refused.append(now_s)
+            self.refused.append((now_s, waiter.priority))
             waiter.finish(self.not_issued(waiter.priority, now_s))
         if not kept:
             self.tags.clear()
@@ -316,10 +324,23 @@
         self.issued_to[node] = self.issued_to.get(node, 0) + count
         return Issued(first, count)
 
+    def is_overloaded(self, priority: int) -> bool:
+        """Return whether requests of this priority had to be refused of late.
+
+        While more requests come than the server takes, a queue that is as long as their
+        deadlines allow makes all of them late. A queue that is as long as their target
+        latency allows serves as many, and in time.
+        """
+        return any(refused <= priority for _, refused in self.refused)
+
+    def expire_refused(self, now_s: float) -> None:
+        """Forget the requests that were refused before the window."""
+        while self.refused and now_s - self.refused[0][0] > REFUSED_WINDOW_S:
+            self.refused.popleft()
+
     def not_issued(self, priority: int, now_s: float) -> NotIssued:
         """Return when to request a permit again, and how long the queue is."""
-        while self.refused and now_s - self.refused[0] > REFUSED_WINDOW_S:
-            self.refused.popleft()
+        self.expire_refused(now_s)
         rate = self.bucket.rate
         pause_s = len(self.nodes) / (REQUESTS_PER_PERMIT * rate)
         pause_s = max(pause_s, self.bucket.wait_s(1), MIN_PAUSE_S)
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -34,6 +34,8 @@
 # Share of the remaining time for which a request waits for a limited server; the rest
 # is for its own run.
 MAX_WAIT_SHARE = 0.3
+# Share of the target latency for which it may wait and still meet the target.
+MAX_TARGET_SHARE = 0.5
 
 log = logger("gateway")
 
@@ -136,6 +138,7 @@
         context.priority,
         context.remaining_s() * MAX_WAIT_SHARE,
         context.route.allows_retry,
+        context.route.target_s * MAX_TARGET_SHARE,
     )
 
 
--- a/src/rosemaryknot/request/permit_client.py
+++ b/src/rosemaryknot/request/permit_client.py
@@ -72,6 +72,9 @@
         How long it may wait for a limited server, in seconds.
     may_repeat : bool
         Whether it may run more than once, so that it may serve as a probe.
+    target_wait_s : float
+        How long it may wait and still meet its target latency, in seconds; 0 if it has
+        none.
     """
 
     request: str
@@ -79,6 +82,7 @@
     priority: int
     wait_s: float
     may_repeat: bool
+    target_wait_s: float = 0.0
 
 
 class PermitClient:
@@ -129,7 +133,12 @@
             return None
         record.used_s = now_s
         request = PermitRequest(
-            record.to_list(), self.node, need.customer, need.priority, wait_s
+            record.to_list(),
+            self.node,
+            need.customer,
+            need.priority,
+            wait_s,
+            min(need.target_wait_s, wait_s),
         )
         reply = await self.acquire(request)
         if not isinstance(reply, PermitReply):
--- a/src/rosemaryknot/values/server_limits.py
+++ b/src/rosemaryknot/values/server_limits.py
@@ -107,6 +107,9 @@
     wait_s : float
         How long the request may wait for the permit, in seconds; 0 if there are other
         servers for it.
+    target_wait_s : float
+        How long it may wait and still meet its target latency, in seconds; 0 if it has
+        none.
     """
 
     kind: ClassVar[str]
@@ -115,6 +118,7 @@
     customer: str = ""
     priority: int = 0
     wait_s: float = 0.0
+    target_wait_s: float = 0.0
 
 
 @message("server_permit_reply")
--- a/tests/process/test_server_permits.py
+++ b/tests/process/test_server_permits.py
@@ -13,6 +13,7 @@
     Issued,
     NotIssued,
     PermitIssuer,
+    Waiter,
 )
 from rosemaryknot.process.server_limits.records import LimitRecord, LimitRecords
 from rosemaryknot.standin.users.limit_windows import allowed_requests, most_in_window
@@ -82,9 +83,9 @@
 class TestQueue:
     def test_by_priority_then_fairly_by_customer(self):
         issuer = PermitIssuer(1.0, 1.0, 0.0)
-        flood = [issuer.enqueue("n0", 1, "ada", 99.0, 0.0) for _ in range(3)]
-        other = issuer.enqueue("n1", 1, "bob", 99.0, 0.0)
-        urgent = issuer.enqueue("n2", 0, "ada", 99.0, 0.0)
+        flood = [issuer.enqueue(Waiter("n0", 1, "ada", 99.0), 0.0) for _ in range(3)]
+        other = issuer.enqueue(Waiter("n1", 1, "bob", 99.0), 0.0)
+        urgent = issuer.enqueue(Waiter("n2", 0, "ada", 99.0), 0.0)
         order = []
         for now_s in range(1, 7):
             issuer.advance(float(now_s))
@@ -94,30 +95,46 @@
 
     def test_hopeless_request_is_refused_at_once(self):
         issuer = PermitIssuer(2.0, 1.0, 0.0)
-        waiters = [issuer.enqueue("n0", 0, "ada", 1.1, 0.0) for _ in range(4)]
+        waiters = [issuer.enqueue(Waiter("n0", 0, "ada", 1.1), 0.0) for _ in range(4)]
         assert outcomes(waiters) == ["NoneType"] * 2 + ["NotIssued"] * 2
         assert waiters[3].outcome.queue_s == 1.5
 
     def test_urgent_request_displaces_one_that_would_be_late(self):
         issuer = PermitIssuer(2.0, 1.0, 0.0)
-        first = issuer.enqueue("n0", 1, "ada", 0.6, 0.0)
-        urgent = issuer.enqueue("n0", 0, "bob", 0.6, 0.0)
+        first = issuer.enqueue(Waiter("n0", 1, "ada", 0.6), 0.0)
+        urgent = issuer.enqueue(Waiter("n0", 0, "bob", 0.6), 0.0)
         assert isinstance(first.outcome, NotIssued) and urgent.outcome is None
 
     def test_refused_requests_count_for_retry_after(self):
         issuer = PermitIssuer(2.0, 1.0, 0.0)
-        waiters = [issuer.enqueue("n0", 0, "ada", 0.6, 0.0) for _ in range(9)]
+        waiters = [issuer.enqueue(Waiter("n0", 0, "ada", 0.6), 0.0) for _ in range(9)]
         assert waiters[8].outcome.retry_s >= 8 / 2.0
 
+    def test_short_queue_while_overloaded(self):
+        """Ten times as many requests as the server takes: those served are in time."""
+        issuer = PermitIssuer(2.0, 1.0, 0.0)
+        served, late = 0, 0
+        waiting = []
+        for number in range(400):
+            now_s = number * 0.05
+            waiter = Waiter("n0", 0, "ada", now_s + 3.0, now_s + 0.3)
+            waiting.append(issuer.enqueue(waiter, now_s))
+            issued = [w for w in waiting if isinstance(w.outcome, Issued)]
+            waiting = [w for w in waiting if w.outcome is None]
+            served += len(issued)
+            late += sum(now_s > waiter.target_s for waiter in issued)
+        assert served >= 0.9 * 2.0 * 20
+        assert late <= 0.2 * served
+
     def test_waiting_requests_come_before_others(self):
         issuer = PermitIssuer(1.0, 1.0, 0.0)
-        waiter = issuer.enqueue("n0", 9, "ada", 9.0, 0.0)
+        waiter = issuer.enqueue(Waiter("n0", 9, "ada", 9.0), 0.0)
         assert isinstance(issuer.request("n1", 0, 1.0), NotIssued)
         assert isinstance(waiter.outcome, Issued)
 
     def test_abandoned_request_gets_no_permit(self):
         issuer = PermitIssuer(1.0, 1.0, 0.0)
-        issuer.abandon(issuer.enqueue("n0", 0, "ada", 9.0, 0.0))
+        issuer.abandon(issuer.enqueue(Waiter("n0", 0, "ada", 9.0), 0.0))
         assert isinstance(issuer.request("n1", 0, 1.0), Issued)
 
 
