Choose among the same groups of servers while some have no permit

With a server left out for a moment, the groups for long and short prompts were formed anew from the others, so that long prompts went to servers that run short ones; and each choice of one request was recorded as a prompt of its own, as if few servers had much cached. Evidence: 686 records for 216 prompts before (test_prompts_are_recorded_once), one each now; test_unavailable_servers_count_for_the_groups has no counterpart before.

--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -1,6 +1,7 @@
 """Inputs for placement and admission, collected from the server table."""
 
 from collections.abc import Collection
+from dataclasses import replace
 
 import trio
 
@@ -70,27 +71,29 @@
         eligible.
     """
     usable = usable_servers(components, context)
+    inputs = placement_input(components, context, usable)
+    record_prompt(components, context, inputs)
     context.permit = None
     if components.limits.records.limited:
-        selected = await select_limited(components, context, usable)
+        selected = await select_limited(components, context, inputs)
     else:
-        selected = choose_or_refuse(components, context, usable)
+        selected = choose_or_refuse(components, context, inputs)
     if isinstance(selected, Refusal) and not context.may_have_run:
         release_quota(components, context)
     return selected
 
 
 async def select_limited(
-    components: GatewayComponents, context: RequestContext, usable: list[ServerState]
+    components: GatewayComponents, context: RequestContext, inputs: PlacementInput
 ) -> Candidate | Refusal | None:
     """Select a server while some servers state limits; see `select_server`."""
-    states = {state.incarnation_key: state for state in usable}
+    servers = [candidate.state.incarnation_key for candidate in inputs.candidates]
 
-    def choose(servers: Collection[str]) -> Candidate | Refusal | None:
-        return choose_or_refuse(components, context, [states[s] for s in servers])
+    def choose(allowed: Collection[str]) -> Candidate | Refusal | None:
+        return choose_or_refuse(components, context, restricted(inputs, allowed))
 
     selected = await components.limits.select(
-        SelectionInput(states, choose, server_of, permit_need(context))
+        SelectionInput(servers, choose, server_of, permit_need(context))
     )
     if isinstance(selected, LimitsReached):
         last_resort = choose_failing_server(components, context)
@@ -101,11 +104,19 @@
     return selected.choice
 
 
+def restricted(inputs: PlacementInput, allowed: Collection[str]) -> PlacementInput:
+    """Return the input in which only some servers may be chosen."""
+    names = set(allowed)
+    candidates = [c for c in inputs.servers if c.state.incarnation_key in names]
+    others = [c for c in inputs.servers if c.state.incarnation_key not in names]
+    return replace(inputs, candidates=candidates, unavailable=others)
+
+
 def choose_or_refuse(
-    components: GatewayComponents, context: RequestContext, states: list[ServerState]
+    components: GatewayComponents, context: RequestContext, inputs: PlacementInput
 ) -> Candidate | Refusal | None:
     """Return the best of some servers, or a refusal if it is overloaded."""
-    candidate = choose_server(components, context, states)
+    candidate = choose_server(components, inputs)
     if candidate is None:
         return None
     return refuse_overload(components, context, candidate) or candidate
@@ -120,7 +131,7 @@
         servers_of(components, context), trio.current_time(), context.tried
     )
     states = [state for state in states if state.incarnation_key not in limited]
-    return choose_server(components, context, states)
+    return choose_server(components, placement_input(components, context, states))
 
 
 def server_of(choice: Candidate | Refusal) -> str | None:
@@ -159,9 +170,19 @@
 
 
 def choose_server(
-    components: GatewayComponents, context: RequestContext, states: list[ServerState]
+    components: GatewayComponents, inputs: PlacementInput
 ) -> Candidate | None:
-    """Return the best of some backend servers for a request, or None without any."""
+    """Return the best of the candidates, or None without any."""
+    policy = "least_busy" if inputs.size is None else "unread_tokens"
+    if components.servers.uses_hub_loads:
+        policy += "_of_drawn"
+    return POLICIES[policy](inputs)
+
+
+def placement_input(
+    components: GatewayComponents, context: RequestContext, states: list[ServerState]
+) -> PlacementInput:
+    """Return the input of the placement policy for some servers."""
     is_model = context.service.engine is not None
     size = context.request.size if is_model else None
     candidates = []
@@ -173,26 +194,20 @@
         candidates.append(
             Candidate(state, requests, tokens, cached_tokens, state.failures)
         )
-    policy = "least_busy" if size is None else "unread_tokens"
-    if components.servers.uses_hub_loads:
-        policy += "_of_drawn"
     inputs = PlacementInput(components.zone, size, candidates, components.rng)
     if size is not None:
-        record_prompt(components, context, inputs)
-    return POLICIES[policy](inputs)
+        mix = components.servers.mixes[context.service.name]
+        inputs.event_gap_tokens = context.min_event_gap_s * components.servers.rate
+        inputs.long_share = mix.long_share
+    return inputs
 
 
 def record_prompt(
     components: GatewayComponents, context: RequestContext, inputs: PlacementInput
 ) -> None:
-    """Set the inputs that classify long prompts and record this prompt once.
-
-    Only the first attempt of a request is recorded in the prompt mix.
-    """
-    mix = components.servers.mixes[context.service.name]
-    inputs.event_gap_tokens = context.min_event_gap_s * components.servers.rate
-    inputs.long_share = mix.long_share
-    if not context.tried:
+    """Record a prompt in the mix, at the first attempt of its request only."""
+    if inputs.size is not None and not context.tried:
+        mix = components.servers.mixes[context.service.name]
         mix.record(inputs.prefill_tokens, inputs.is_long)
 
 
--- a/src/rosemaryknot/request/gateway_placement.py
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -22,7 +22,7 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -122,6 +122,9 @@
         its running responses do not count as late.
     long_share : float
         Share of the prefill work that is caused by long prompts.
+    unavailable : list of Candidate
+        Servers that may not be chosen now and count for the groups, so that a server
+        without a permit for a moment does not move the others to another group.
     """
 
     zone: str
@@ -130,11 +133,17 @@
     rng: random.Random
     event_gap_tokens: float = math.inf
     long_share: float = 0.0
+    unavailable: list[Candidate] = field(default_factory=list)
+
+    @property
+    def servers(self) -> list[Candidate]:
+        """All servers, also those that may not be chosen now."""
+        return self.candidates + self.unavailable
 
     @property
     def prefill_tokens(self) -> int:
-        """Prompt tokens to prefill at the candidate with the most cached tokens."""
-        uncached = [self.size.prompt_tokens - c.cached_tokens for c in self.candidates]
+        """Prompt tokens to prefill at the server with the most cached tokens."""
+        uncached = [self.size.prompt_tokens - c.cached_tokens for c in self.servers]
         return max(0, min(uncached, default=0))
 
     @property
@@ -205,7 +214,7 @@
 
     All gateways order the servers by the same hash, so their groups mostly agree.
     """
-    states = [candidate.state for candidate in inputs.candidates]
+    states = [candidate.state for candidate in inputs.servers]
     if math.isinf(inputs.event_gap_tokens) or len(states) < MIN_SERVERS_FOR_SPLIT:
         return set(states)
     states.sort(
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 from contextlib import suppress
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -15,6 +16,7 @@
     most_in_window,
 )
 from rosemaryknot.standin.users.system import (
+    MODEL,
     MODEL_HEADERS,
     PLAIN,
     document,
@@ -163,6 +165,19 @@
             end_s = trio.current_time()
             assert len([t for t in arrival_times(fleet, "p0") if t > end_s - 5]) > 30
 
+    async def test_prompts_are_recorded_once(self, autojump_clock):
+        """A request that asks several limited servers is one prompt of the mix."""
+        async with platform_system(nodes=1, models=3) as fleet:
+            for server in ("m0", "m1", "m2"):
+                fleet.servers[server].limit = "2"
+            recorded = []
+            mix = SimpleNamespace(
+                long_share=0.0, record=lambda tokens, is_long: recorded.append(tokens)
+            )
+            fleet.nodes["n0"].state.servers.mixes[MODEL] = mix
+            answers = await send_load(fleet, 8.0, "/ask/x")
+            assert len(recorded) == len(answers)
+
     async def test_urgent_requests_first(self, autojump_clock):
         """Requests of a higher priority get the permits that others wait for."""
         urgent = route("urgent", "/urgent/", "idempotent", PLAIN)
--- a/tests/request/test_gateway_placement.py
+++ b/tests/request/test_gateway_placement.py
@@ -117,6 +117,17 @@
         assert len(short) == 6
         assert not long & short
 
+    def test_unavailable_servers_count_for_the_groups(self):
+        """A server without a permit for a moment moved the others to other groups."""
+        candidates = [candidate(n) for n in range(9)]
+        group = servers_chosen(9, 20_000, 1 / 6)
+        size = ModelInput(20_000, 100, (PromptSegment("own", 20_000),))
+        for missing in range(9):
+            left = [c for c in candidates if c is not candidates[missing]]
+            given = PlacementInput("a", size, left, random.Random(1), 30_000, 1 / 6)
+            given.unavailable = [candidates[missing]]
+            assert POLICIES["unread_tokens"](given).state.entry.id in group
+
     @pytest.mark.parametrize(("long_share", "count"), [(0.0, 1), (1.0, 3)])
     def test_each_group_has_a_server(self, long_share, count):
         long = servers_chosen(5, 20_000, long_share)
