--- a/src/rosemaryknot/process/server_limits/owner.py
+++ b/src/rosemaryknot/process/server_limits/owner.py
@@ -190,6 +190,7 @@
                     request.customer,
                     now_s + wait_s,
                     now_s + (request.target_wait_s or wait_s),
+                    request.is_first,
                 ),
                 now_s,
             )
--- a/src/rosemaryknot/process/server_limits/permits.py
+++ b/src/rosemaryknot/process/server_limits/permits.py
@@ -107,6 +107,8 @@
         Until when it may wait, in trio time.
     target_s : float
         Until when it may wait and still meet its target latency, in trio time.
+    is_first : bool
+        Whether no other owner has refused the request.
     tag : float
         Start tag within its priority, as in start-time fair queueing.
     outcome : Issued or NotIssued or None
@@ -120,6 +122,7 @@
     customer: str
     deadline_s: float
     target_s: float = math.inf
+    is_first: bool = True
     tag: float = 0.0
     outcome: Issued | NotIssued | None = None
     done: trio.Event = field(default_factory=trio.Event)
@@ -153,8 +156,9 @@
         Waiting requests, in the order in which they get permits.
     nodes : dict of str to float
         When each node last requested a permit, in trio time.
-    refused : collections.deque of tuple of (float, int)
-        Times and priorities of the requests that were refused of late.
+    refused : collections.deque of tuple of (float, int, bool)
+        Requests that were refused of late: time, priority, and whether no other owner
+        has refused them.
     issued_to : dict of str to int
         Issued permits by node since `pop_issued` was last called.
 
@@ -177,7 +181,7 @@
         self.waiters: list[Waiter] = []
         self.nodes: dict[str, float] = {}
         self.issued_to: dict[str, int] = {}
-        self.refused: deque[tuple[float, int]] = deque(maxlen=MAX_REFUSED)
+        self.refused: deque[tuple[float, int, bool]] = deque(maxlen=MAX_REFUSED)
         self.tags: dict[str, float] = {}
         self.virtual_time = 0.0
         self.confirmations = 0
@@ -298,7 +302,7 @@
             (refused if is_late else kept).append(waiter)
         self.waiters = kept
         for waiter in refused:
-            self.refused.append((now_s, waiter.priority))
+            self.refused.append((now_s, waiter.priority, waiter.is_first))
             waiter.finish(self.not_issued(waiter.priority, now_s))
         if not kept:
             self.tags.clear()
@@ -331,7 +335,7 @@
         deadlines allow makes all of them late. A queue that is as long as their target
         latency allows serves as many, and in time.
         """
-        return any(refused <= priority for _, refused in self.refused)
+        return any(refused <= priority for _, refused, _ in self.refused)
 
     def expire_refused(self, now_s: float) -> None:
         """Forget the requests that were refused before the window."""
@@ -346,7 +350,7 @@
         pause_s = max(pause_s, self.bucket.wait_s(1), MIN_PAUSE_S)
         ahead = sum(waiter.priority <= priority for waiter in self.waiters)
         queue_s = max(0.0, (ahead + 1 - self.bucket.balance) / rate)
-        retry_s = queue_s + len(self.refused) / rate
+        retry_s = queue_s + sum(is_first for _, _, is_first in self.refused) / rate
         return NotIssued(min(pause_s, MAX_PAUSE_S), queue_s, retry_s)
 
     def record_node(self, node: str, now_s: float) -> None:
--- a/src/rosemaryknot/request/limit_guard.py
+++ b/src/rosemaryknot/request/limit_guard.py
@@ -171,11 +171,12 @@
         """Wait for the limited server with the shortest queue."""
         need, permits = inputs.need, self.permits
         started_s = trio.current_time()
-        for server in sorted(limited, key=permits.queue_s)[:MAX_ASKED]:
+        nearest = sorted(limited, key=permits.queue_s)[:MAX_ASKED]
+        for number, server in enumerate(nearest):
             left_s = need.wait_s - (trio.current_time() - started_s)
             if left_s <= 0 or permits.is_queue_too_long(server, need, left_s):
                 break
-            selected = await self.try_server(inputs, server, left_s)
+            selected = await self.try_server(inputs, server, left_s, number == 0)
             if selected is not None:
                 self.log_held(need, server, started_s, "sent")
                 return selected
@@ -187,13 +188,17 @@
         return LimitsReached(retry_after_s)
 
     async def try_server(
-        self, inputs: SelectionInput[Choice], server: str, wait_s: float
+        self,
+        inputs: SelectionInput[Choice],
+        server: str,
+        wait_s: float,
+        is_first: bool = True,
     ) -> Selected[Choice] | None:
         """Select one server if it may be chosen and there is a permit."""
         choice = inputs.choose([server])
         if choice is None or inputs.server_of(choice) is None:
             return None
-        permit = await self.permits.request(server, inputs.need, wait_s)
+        permit = await self.permits.request(server, inputs.need, wait_s, is_first)
         if permit is None and server in self.records.limited:
             return None
         return Selected(choice, permit)
--- a/src/rosemaryknot/request/permit_client.py
+++ b/src/rosemaryknot/request/permit_client.py
@@ -119,9 +119,21 @@
         self.spare: dict[str, list[Permit]] = {}
 
     async def request(
-        self, server: str, need: PermitNeed, wait_s: float
+        self, server: str, need: PermitNeed, wait_s: float, is_first: bool = True
     ) -> Permit | None:
-        """Return a permit; None if there is none, or the server is not limited."""
+        """Return a permit; None if there is none, or the server is not limited.
+
+        Parameters
+        ----------
+        server : str
+            Incarnation of the server.
+        need : PermitNeed
+            The request that needs a permit.
+        wait_s : float
+            How long it may wait, in seconds; 0 if there are other servers.
+        is_first : bool
+            Whether no other owner has refused it.
+        """
         now_s = trio.current_time()
         spare = [p for p in self.spare.pop(server, []) if now_s < p.expires_s]
         if len(spare) > 1:
@@ -139,6 +151,7 @@
             need.priority,
             wait_s,
             min(need.target_wait_s, wait_s),
+            is_first,
         )
         reply = await self.acquire(request)
         if not isinstance(reply, PermitReply):
--- a/src/rosemaryknot/values/server_limits.py
+++ b/src/rosemaryknot/values/server_limits.py
@@ -110,6 +110,9 @@
     target_wait_s : float
         How long it may wait and still meet its target latency, in seconds; 0 if it has
         none.
+    is_first : bool
+        Whether no other owner has refused the request, so that those that come back are
+        counted once.
     """
 
     kind: ClassVar[str]
@@ -119,6 +122,7 @@
     priority: int = 0
     wait_s: float = 0.0
     target_wait_s: float = 0.0
+    is_first: bool = True
 
 
 @message("server_permit_reply")
--- a/tests/process/test_server_permits.py
+++ b/tests/process/test_server_permits.py
@@ -110,6 +110,12 @@
         waiters = [issuer.enqueue(Waiter("n0", 0, "ada", 0.6), 0.0) for _ in range(9)]
         assert waiters[8].outcome.retry_s >= 8 / 2.0
 
+    def test_refused_by_several_owners_counts_once(self):
+        issuer = PermitIssuer(2.0, 1.0, 0.0)
+        for _ in range(9):
+            issuer.enqueue(Waiter("n0", 0, "ada", 0.6, is_first=False), 0.0)
+        assert issuer.request("n0", 0, 0.0).retry_s <= 2.0
+
     def test_short_queue_while_overloaded(self):
         """Ten times as many requests as the server takes: those served are in time."""
         issuer = PermitIssuer(2.0, 1.0, 0.0)
