--- a/src/rosemaryknot/process/settings_watch.py
+++ b/src/rosemaryknot/process/settings_watch.py
@@ -30,7 +30,8 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(wait_signal)
-        last_version = file_version(path)
+        # The file may have changed since it was read, before the signal was handled.
+        last_version = (0, 0)
         while True:
             with trio.move_on_after(SETTINGS_CHECK_INTERVAL_S):
                 await changed.wait()
--- a/tests/process/test_command_line.py
+++ b/tests/process/test_command_line.py
@@ -3,6 +3,8 @@
 import json
 import os
 import signal
+import subprocess
+import sys
 
 import pytest
 import trio
@@ -171,3 +173,18 @@
         assert (
             await self.request_exit_code("GET", send_other_response) == ExitCode.FAILED
         )
+
+
+class TestSignalsWhileLoading:
+    def test_hangup_does_not_end_a_node(self):
+        """Settings change while the process is loading its modules."""
+        program = """
+import os, signal, sys, types
+loading = types.ModuleType("rosemaryknot.process.node_program_main")
+loading.application = lambda: os.kill(os.getpid(), signal.SIGHUP)
+sys.modules[loading.__name__] = loading
+from rosemaryknot.process.node_main import main
+main()
+"""
+        done = subprocess.run([sys.executable, "-c", program], timeout=20)
+        assert done.returncode == 0
