--- a/src/rosemaryknot/values/server_limits.py
+++ b/src/rosemaryknot/values/server_limits.py
@@ -116,8 +116,8 @@
     """
 
     kind: ClassVar[str]
-    record: list
-    node: str
+    record: list = field(default_factory=list)
+    node: str = ""
     customer: str = ""
     priority: int = 0
     wait_s: float = 0.0
@@ -153,7 +153,7 @@
     """
 
     kind: ClassVar[str]
-    record: list
+    record: list = field(default_factory=list)
     permits: int = 0
     owner: str = ""
     incarnation: int = 0
@@ -186,9 +186,9 @@
     """
 
     kind: ClassVar[str]
-    server: str
-    version: int
-    owner: str
-    incarnation: int
-    number: int
-    limit: float
+    server: str = ""
+    version: int = 0
+    owner: str = ""
+    incarnation: int = 0
+    number: int = 0
+    limit: float = NO_LIMIT
