--- a/src/rosemaryknot/process/server_limits/records.py
+++ b/src/rosemaryknot/process/server_limits/records.py
@@ -12,12 +12,12 @@
 
 __all__ = ["LimitRecord", "LimitRecords"]
 
-# Servers of which a limit is remembered, at 0.3 KB each: three times as many as the
-# largest service has in one zone.
+# Servers of which a limit is remembered, at 0.3 KB each: more than twice the servers of
+# the largest region.
 MAX_RECORDS = 4096
-# A record is kept for this long without use if its server is not known here: its entry
-# may arrive later than the notice, and a lifted limit may still be stated by responses
-# that are on their way.
+# An unused record is kept for this long. The entry of a server that is not known here
+# may arrive later than the notice, and responses that are on their way may still state
+# a limit that was lifted.
 UNUSED_TTL_S = 120.0
 # Higher values are no limit for one server, and invalid in a message.
 MAX_LIMIT = 1e9
