Log how a connection failed, and a crash decision once for each request

The error of the system call and the time are logged now.

One node logged 225 lines in a second, the same decision on the same waiting request for each change of any record; they displaced the lines of the first second of the cut. A waiting request logs its first and its last decision.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -14,6 +14,7 @@
 from rosemaryknot.connection.http_client import is_readable
 from rosemaryknot.connection.network import (
     Network,
+    dial_failure,
     receive_next,
     reset_on_close,
     send_now,
@@ -267,11 +268,15 @@
     async def dial(self, server: RoutedServer) -> ServerConnection | NotSent:
         """Open a connection."""
         CONNECTIONS.add()
+        started_s = trio.current_time()
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 stream = await self.network.dial(server.address)
             except OSError as error:
-                return NotSent(f"no connection: {type(error).__name__}")
+                took_s = trio.current_time() - started_s
+                return NotSent(
+                    f"no connection: {dial_failure(error)} after {took_s:.3f} s"
+                )
             connection = ServerConnection(stream, server)
             self.busy.add(connection)
             return connection
--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -19,6 +19,7 @@
     "Network",
     "SocketNetwork",
     "StreamHandler",
+    "dial_failure",
     "reset_on_close",
     "receive_next",
     "send_now",
@@ -108,6 +109,22 @@
         await trio.serve_listeners(handle, listeners)
 
 
+def dial_failure(error: OSError) -> str:
+    """Return the name of the error because of which a connection was not opened.
+
+    Trio wraps the error of the system call in another one.
+
+    Examples
+    --------
+    >>> dial_failure(ConnectionRefusedError())
+    'ConnectionRefusedError'
+    """
+    cause = error.__cause__
+    if isinstance(cause, BaseExceptionGroup):
+        cause = cause.exceptions[0]
+    return type(error if cause is None else cause).__name__
+
+
 def send_now(stream: trio.abc.HalfCloseableStream, data: bytes) -> int:
     """Write as many bytes to a stream as possible without waiting.
 
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -73,6 +73,7 @@
         closed_by: list[CheckedServer],
         has_run: bool,
         has_waited: bool = False,
+        is_logged: bool = True,
     ) -> Allowed | Barred:
         """Decide whether a request may be attempted.
 
@@ -87,6 +88,8 @@
             Whether an earlier attempt may have run.
         has_waited : bool
             Whether the request has waited for other attempts as long as it may.
+        is_logged : bool
+            Whether to log the decision if it differs from that on other requests.
         """
         record = self.record_of(identity)
         suspects = [s for s in closed_by if self.detector.may_have_crashed(s)]
@@ -106,7 +109,7 @@
             inputs.refused_for_s = trio.current_time() - record.last_crash_s
         inputs.crashes = len(servers)
         decision = self.decide(inputs)
-        if isinstance(decision, Barred) or decision.is_trial:
+        if is_logged and (isinstance(decision, Barred) or decision.is_trial):
             log_decision(identity, servers, inputs, decision)
         return decision
 
@@ -130,10 +133,11 @@
         with trio.move_on_after(min(timeout_s, MAX_WAIT_S)):
             while isinstance(decision, Barred) and decision.is_temporary:
                 await self.records.changed.wait()
-                decision = self.check(identity, closed_by, has_run)
-        if isinstance(decision, Barred) and decision.is_temporary:
-            decision = self.check(identity, closed_by, has_run, has_waited=True)
-        return decision
+                # The same decision on each change of any record would displace all
+                # other lines.
+                decision = self.check(identity, closed_by, has_run, is_logged=False)
+        has_waited = isinstance(decision, Barred) and decision.is_temporary
+        return self.check(identity, closed_by, has_run, has_waited)
 
     def begin(self, identity: RequestIdentity, decision: Allowed) -> CrashRecord | None:
         """Record that an attempt begins; return the record to pass to `end`."""
