Reproduce nodes that lose their links to all servers

Stand-ins cut nodes off from servers: packets vanish, in one direction or both, connections are reset and new ones refused, or live on while new ones are refused, or packets are lost in part.

--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import random
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -22,6 +23,10 @@
 # connections can send between two segments.
 WINDOW_BYTES = 64 * 1024
 SEGMENT_BYTES = 16 * 1024
+# First retransmission timeouts of TCP, for the handshake and for data; each doubles
+# with every further loss of the same packet.
+HANDSHAKE_TIMEOUT_S = 1.0
+DATA_TIMEOUT_S = 0.2
 
 
 class PeerSocket:
@@ -129,7 +134,7 @@
 
     def put(self, data: bytes) -> None:
         """Put bytes in transit."""
-        if self.silent or self.network.is_partitioned(self.near, self.far):
+        if self.silent or self.network.is_blocked(self.near, self.far):
             # During a partition, a TCP sender waits for acknowledgements and nothing
             # is delivered. In this model, bytes sent during a partition are lost, so
             # the connection stays silent even after the partition heals.
@@ -137,6 +142,9 @@
             return
         pipe = self.outgoing
         arrives_s = self.network.arrival_s(self.near, self.far, len(data))
+        arrives_s += self.network.retransmission_s(self.near, self.far, DATA_TIMEOUT_S)
+        if pipe.chunks:
+            arrives_s = max(arrives_s, pipe.chunks[-1][0])
         pipe.chunks.append((arrives_s, bytes(data)))
         pipe.size += len(data)
         pipe.wake()
@@ -152,7 +160,7 @@
 
     def end(self) -> None:
         """Put the end of the stream in transit, with the same delay as bytes."""
-        if self.silent or self.network.is_partitioned(self.near, self.far):
+        if self.silent or self.network.is_blocked(self.near, self.far):
             return
         delay = self.network.delay_s(self.near, self.far)
         self.outgoing.eof_arrival_s = min(
@@ -225,6 +233,12 @@
     ----------
     partitions : set of frozenset of str
         Pairs of hosts that cannot reach each other.
+    one_way_partitions : set of tuple of (str, str)
+        Pairs of hosts of which nothing from the first reaches the second.
+    refusing : set of frozenset of str
+        Pairs of hosts between which new connections are refused.
+    losses : dict of frozenset of str to float
+        Share of packets lost between two hosts, each retransmitted after a timeout.
     delays_s : dict of frozenset of str to float
         One-way delay between two hosts, in seconds.
     outbound, inbound : dict of str to HostLink
@@ -238,6 +252,10 @@
         self.listeners = {} if shared is None else shared.listeners
         self.streams = set() if shared is None else shared.streams
         self.partitions = set() if shared is None else shared.partitions
+        self.one_way_partitions = set() if shared is None else shared.one_way_partitions
+        self.refusing = set() if shared is None else shared.refusing
+        self.losses = {} if shared is None else shared.losses
+        self.rng = random.Random(0) if shared is None else shared.rng
         self.delays_s = {} if shared is None else shared.delays_s
         self.outbound = {} if shared is None else shared.outbound
         self.inbound = {} if shared is None else shared.inbound
@@ -250,6 +268,19 @@
         """Return whether two hosts are partitioned."""
         return frozenset((one, other)) in self.partitions
 
+    def is_blocked(self, near: str, far: str) -> bool:
+        """Return whether nothing from a host reaches another one."""
+        return self.is_partitioned(near, far) or (near, far) in self.one_way_partitions
+
+    def retransmission_s(self, one: str, other: str, timeout_s: float) -> float:
+        """Return the delay of a packet that is lost until it gets through."""
+        share = self.losses.get(frozenset((one, other)), 0.0)
+        delay_s = 0.0
+        while share and self.rng.random() < share:
+            delay_s += timeout_s
+            timeout_s *= 2
+        return delay_s
+
     def delay_s(self, one: str, other: str) -> float:
         """Return the one-way delay between two hosts in seconds."""
         return self.delays_s.get(frozenset((one, other)), 0.0)
@@ -279,7 +310,30 @@
 
     def heal(self, one: str, other: str) -> None:
         """End a partition; new connections work, old ones stay silent."""
-        self.partitions.discard(frozenset((one, other)))
+        pair = frozenset((one, other))
+        self.partitions.discard(pair)
+        self.refusing.discard(pair)
+        self.losses.pop(pair, None)
+        self.one_way_partitions.discard((one, other))
+        self.one_way_partitions.discard((other, one))
+
+    def cut_one_way(self, near: str, far: str) -> None:
+        """Drop all that a host sends to another one."""
+        self.one_way_partitions.add((near, far))
+
+    def refuse(self, one: str, other: str) -> None:
+        """Refuse new connections between two hosts; open ones work."""
+        self.refusing.add(frozenset((one, other)))
+
+    def reset(self, one: str, other: str) -> None:
+        """Reset the connections between two hosts and refuse new ones."""
+        self.refuse(one, other)
+        for stream in [s for s in self.streams if {s.near, s.far} == {one, other}]:
+            stream.kill()
+
+    def lose(self, one: str, other: str, share: float) -> None:
+        """Lose a share of the packets between two hosts."""
+        self.losses[frozenset((one, other))] = share
 
     def silence(self, one: str, other: str) -> int:
         """Make the open connections between two hosts silent permanently.
@@ -309,10 +363,14 @@
 
     async def dial(self, address: Address) -> MemoryStream:
         """Connect to a listener; see `Network.dial`."""
-        if self.is_partitioned(self.host, address.host):
+        host = address.host
+        if self.is_blocked(self.host, host) or self.is_blocked(host, self.host):
             await trio.sleep(2.0)
             raise TimeoutError(f"connecting to {address} timed out")
-        await trio.sleep(2 * self.delay_s(self.host, address.host))
+        retransmission_s = self.retransmission_s(self.host, host, HANDSHAKE_TIMEOUT_S)
+        await trio.sleep(2 * self.delay_s(self.host, host) + retransmission_s)
+        if frozenset((self.host, host)) in self.refusing:
+            raise ConnectionRefusedError(f"{address} refused the connection")
         accept = self.listeners.get(address)
         if accept is None:
             raise ConnectionRefusedError(f"no listener at {address}")
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
@@ -31,6 +31,7 @@
 __all__ = [
     "Answer",
     "CRASH_DOWN_S",
+    "CUTS",
     "Caller",
     "HOST",
     "KEY",
@@ -56,6 +57,20 @@
 # How long a server that a request crashed stays down.
 CRASH_DOWN_S = 2.0
 READ_BYTES = 65536
+SERVERS_NETWORK = "10.1.0."
+MAX_SERVERS = 100
+LOST_SHARE = 0.3
+
+Cut = Callable[[MemoryNetwork, str, str], None]
+# Ways in which a node and a server may be cut off from each other.
+CUTS: dict[str, Cut] = {
+    "silent": lambda network, node, server: network.cut(node, server),
+    "reset": lambda network, node, server: network.reset(node, server),
+    "refuse": lambda network, node, server: network.refuse(node, server),
+    "requests": lambda network, node, server: network.cut_one_way(node, server),
+    "responses": lambda network, node, server: network.cut_one_way(server, node),
+    "lossy": lambda network, node, server: network.lose(node, server, LOST_SHARE),
+}
 
 MODEL_HEADERS = {
     "Rosemaryknot-Model": "m",
@@ -288,7 +303,7 @@
         **entry: Any,
     ) -> ServerStandIn:
         """Start a new server and write its entry."""
-        address = Address(f"10.1.0.{len(self.servers) + 1}", 8000)
+        address = Address(f"{SERVERS_NETWORK}{len(self.servers) + 1}", 8000)
         server = ServerStandIn(server_id, service == MODEL, work_s, self.ledger)
         born = entry.pop("born", now_ms())
         server.entry = server_entry(service, address, zone, born) | entry
@@ -391,6 +406,35 @@
             host = node.settings.listen.callers.host
             self.network.limit_link(host, bytes_per_s)
 
+    def cut_off(self, node: str, how: str, servers: Iterable[str] = ()) -> None:
+        """Cut a node off from some servers, or from all present and later ones.
+
+        Parameters
+        ----------
+        node : str
+            Name of the node.
+        how : str
+            A name in `CUTS`.
+        servers : iterable of str, optional
+            Ids of the servers.
+        """
+        host = self.nodes[node].settings.listen.callers.host
+        for server_host in self.server_hosts(servers):
+            CUTS[how](self.network, host, server_host)
+
+    def end_cut(self, node: str, servers: Iterable[str] = ()) -> None:
+        """End a cut of a node; parameters as for `cut_off`."""
+        host = self.nodes[node].settings.listen.callers.host
+        for server_host in self.server_hosts(servers):
+            self.network.heal(host, server_host)
+
+    def server_hosts(self, servers: Iterable[str]) -> list[str]:
+        """Return the hosts of some servers, or of all present and later ones."""
+        found = [self.servers[name].entry["address"] for name in servers]
+        if not found:
+            return [f"{SERVERS_NETWORK}{number}" for number in range(1, MAX_SERVERS)]
+        return [Address.from_text(address).host for address in found]
+
     def kill(self, name: str) -> None:
         """Stop a node immediately, as SIGKILL does."""
         self.scopes[name].cancel()
