Cut nodes off under load in the test of crash records

The load ended before the cut began, so that no request was under way and the test passed on the code that it has to fail on. It fails now for connections that are reset: the node that is cut off logs its servers as crashed.

--- a/tests/gateway/test_cut_off_nodes.py
+++ b/tests/gateway/test_cut_off_nodes.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 import trio
@@ -65,20 +66,17 @@
 
 
 async def serve_during_cut(fleet, cut_off, how, **options):
-    """Return the load of the part of a cut in which callers must be served."""
-    await Load(fleet).run(2.0)
-    for node in cut_off:
-        fleet.cut_off(node, how)
-    await Load(fleet).run(CONTACT_S, **options)
+    """Cut nodes off under load; return the load from `CONTACT_S` after that."""
     load = Load(fleet)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(partial(Load(fleet).run, 2.0 + CONTACT_S, **options))
+        await trio.sleep(2.0)
+        for node in cut_off:
+            fleet.cut_off(node, how)
     await load.run(CUT_S - CONTACT_S, **options)
     return load
 
 
-def crash_records(fleet):
-    return sum(len(node.crash_records.by_digest) for node in fleet.nodes.values())
-
-
 class TestServed:
     """Callers of nodes that are cut off from all servers are served by way of peers."""
 
@@ -117,11 +115,11 @@
 
     @pytest.mark.parametrize("how", KINDS)
     @pytest.mark.parametrize("cut_off", [("n1",), ("n0", "n3")], ids=len)
-    async def test_no_request_is_recorded(self, autojump_clock, how, cut_off):
+    async def test_no_server_crashed(self, autojump_clock, info_lines, how, cut_off):
         async with platform_system(nodes=6, plain=3, models=3) as fleet:
             for server in fleet.servers.values():
                 server.work_s = 0.06 if server.is_model else 0.6
-            load = await serve_during_cut(fleet, cut_off, how, same_body_share=0.3)
-            others = set(fleet.nodes) - set(cut_off)
-            assert load.failed_share(others) <= MAX_FAILED_SHARE
-            assert crash_records(fleet) == 0
+            await serve_during_cut(fleet, cut_off, how, same_body_share=0.3)
+        events = [line["event"] for line in info_lines]
+        assert not [event for event in events if event.endswith(" crashed")]
+        assert "request barred after server crashes" not in events
