Reach servers through peers when a node's own path is lost

Cause: a node sends to servers by its own connections only, and takes what it sees on them for the state of the servers.

A connection that is refused, or not open after 0.15 s, is opened through a peer too, by a connection of its own beside the links. Only the path changes: the node decides everything as ever, so that a request is admitted, limited and counted once. Responses come in frames, so that a killed peer is not taken for a server that has ended its response. Requests under way are repeated by another path where that is allowed. A path is lost only if a peer reaches the server, or the node reaches no other server either, and such attempts are no failures of the server. On the own interface the same dialler stands below the clients of the servers, and agents tell entries their peers.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -13,12 +13,13 @@
 
 from rosemaryknot.connection.http_client import is_readable
 from rosemaryknot.connection.network import (
-    Network,
     dial_failure,
     receive_next,
     reset_on_close,
     send_now,
 )
+from rosemaryknot.connection.relayed_stream import RelayedStream, RelayEnded
+from rosemaryknot.connection.server_dialler import NoPath, ServerDialler
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.gateway import Headers, RoutedServer
 from rosemaryknot.values.gateway_responses import (
@@ -47,6 +48,9 @@
 # A connection to a replaced incarnation that has received nothing for this long will
 # receive nothing more.
 REPLACED_IDLE_TIMEOUT_S = 0.5
+# An idle connection that was used no longer ago than this is reused although the paths
+# to other servers were lost.
+RECENT_USE_S = 0.2
 # How long replaced incarnations are remembered; longer than any request takes.
 REPLACED_TTL_S = 120.0
 HOST = (b"host", b"server")
@@ -72,6 +76,14 @@
         Whether the last exchange ended exactly.
     is_closed_by_server : bool
         Whether the server closed or reset the connection.
+    started_s : float
+        When the current exchange began, in trio time.
+    peer : str
+        Name of the peer that relays the connection; empty for a direct one.
+    may_abandon_path : bool
+        Whether the current request may be sent again by another path.
+    is_path_lost : bool
+        Whether the connection ended because of its path, not of the server.
     """
 
     def __init__(
@@ -88,6 +100,21 @@
         self.wants_close = False
         self.request: h11.Request | None = None
         self.unsent = b""
+        self.started_s = self.last_received_s
+        self.peer = stream.peer if isinstance(stream, RelayedStream) else ""
+        self.may_abandon_path = False
+        self.is_path_lost = False
+
+    @property
+    def active_s(self) -> float:
+        """When the current exchange began or last received bytes, in trio time."""
+        return max(self.started_s, self.last_received_s)
+
+    async def abandon_path(self) -> None:
+        """Close the connection, as its path is lost, if the request may be repeated."""
+        if self.may_abandon_path:
+            self.is_path_lost = True
+            await self.aclose()
 
     async def send(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
@@ -95,6 +122,7 @@
         """Write as much of a request as possible without waiting; keep the rest."""
         self.is_sent = False
         self.is_reusable = False
+        self.started_s = trio.current_time()
         self.request = h11.Request(method=method, target=target, headers=headers)
         data = self.conn.send(self.request)
         if body:
@@ -176,7 +204,12 @@
                 return event
             try:
                 data = await receive_next(self.stream, READ_BYTES)
+            except RelayEnded as error:
+                self.is_path_lost = True
+                return Lost(str(error))
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                if self.is_path_lost:
+                    return Lost("the path to the server was lost")
                 self.is_closed_by_server = True
                 return Lost("the connection was reset")
             self.is_closed_by_server = not data
@@ -203,8 +236,10 @@
         or an announced close, since the next request on it would fail.
         """
         rest, is_closed = self.conn.trailing_data
+        # A peer keeps no idle connections for others: they would outlive its shutdown.
         self.is_reusable = (
             self.is_sent
+            and not self.peer
             and not rest
             and not is_closed
             and not self.wants_close
@@ -231,8 +266,8 @@
 
     Parameters
     ----------
-    network : Network
-        Network that opens the connections.
+    dialler : ServerDialler
+        Opens the connections.
 
     Attributes
     ----------
@@ -246,8 +281,8 @@
         When each incarnation was replaced by its successor, in trio time.
     """
 
-    def __init__(self, network: Network) -> None:
-        self.network = network
+    def __init__(self, dialler: ServerDialler) -> None:
+        self.dialler = dialler
         self.idle: dict[ServerIncarnation, list[ServerConnection]] = {}
         self.busy: WeakSet[ServerConnection] = WeakSet()
         self.replaced_times: dict[ServerIncarnation, float] = {}
@@ -258,24 +293,34 @@
         """Return an idle connection to a server, or a new one."""
         while may_reuse and self.idle.get(server.incarnation):
             connection = self.idle[server.incarnation].pop()
-            is_current = trio.current_time() < connection.reuse_deadline_s
-            if is_current and not is_readable(connection.stream):
+            if self.is_usable(connection):
                 self.busy.add(connection)
+                connection.may_abandon_path = False
                 return connection
             await connection.aclose()
         return await self.dial(server)
 
+    def is_usable(self, connection: ServerConnection) -> bool:
+        """Return whether an idle connection may be reused."""
+        now_s = trio.current_time()
+        if now_s >= connection.reuse_deadline_s or is_readable(connection.stream):
+            return False
+        is_recent = now_s - connection.last_received_s < RECENT_USE_S
+        address = connection.server.address
+        return is_recent or not self.dialler.paths.may_be_silent(address)
+
     async def dial(self, server: RoutedServer) -> ServerConnection | NotSent:
         """Open a connection."""
         CONNECTIONS.add()
         started_s = trio.current_time()
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
-                stream = await self.network.dial(server.address)
+                stream = await self.dialler.dial(server.address)
             except OSError as error:
                 took_s = trio.current_time() - started_s
                 return NotSent(
-                    f"no connection: {dial_failure(error)} after {took_s:.3f} s"
+                    f"no connection: {dial_failure(error)} after {took_s:.3f} s",
+                    is_path_failure=isinstance(error, NoPath),
                 )
             connection = ServerConnection(stream, server)
             self.busy.add(connection)
--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -100,6 +100,7 @@
         self.socket = PeerSocket()
         self.closed = False
         self.silent = False
+        self.resets = False
 
     async def send_all(self, data: bytes) -> None:
         """Send bytes; they are dropped if the stream is silent or partitioned."""
@@ -207,11 +208,18 @@
             pipe.reset = True
             pipe.wake()
 
+    def reset_on_close(self) -> None:
+        """Make closing reset the connection."""
+        self.resets = True
+
     async def aclose(self) -> None:
         """Close both directions."""
         if not self.closed:
             self.closed = True
             self.network.streams.discard(self)
+            is_blocked = self.network.is_blocked(self.near, self.far)
+            if self.resets and not self.silent and not is_blocked:
+                self.outgoing.reset = True
             self.end()
             self.incoming.reset = True
             self.incoming.wake()
--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -155,10 +155,10 @@
     Parameters
     ----------
     stream : trio.abc.HalfCloseableStream
-        Stream of a `Network`. In-memory streams need no change, since they deliver
-        nothing late.
+        Stream of a `Network`.
     """
     if not isinstance(stream, trio.SocketStream):
+        stream.reset_on_close()
         return
     try:
         options = trio.socket
--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -12,6 +12,9 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.order_client import HttpOrderClient
 from rosemaryknot.connection.platform import PlatformClient
+from rosemaryknot.connection.server_dialler import RelayPeers, ServerDialler
+from rosemaryknot.connection.server_network import ServerNetwork
+from rosemaryknot.connection.server_relay import ServerRelay
 from rosemaryknot.process.claims.forms import ClaimForm
 from rosemaryknot.process.claims.handlers import register_claim_handlers
 from rosemaryknot.process.claims.objects import ObjectClaims
@@ -34,11 +37,13 @@
 from rosemaryknot.process.placement.manager import PlacementManager
 from rosemaryknot.process.platform_watch import PlatformWatch
 from rosemaryknot.process.relay_broadcast import DirectDelivery
+from rosemaryknot.process.relay_nodes import RelayNodesSender
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_distributor import ServerDistributor
 from rosemaryknot.process.server_limits.exchange import LimitExchange
 from rosemaryknot.process.server_limits.owner import PermitOwner
 from rosemaryknot.process.server_limits.records import LimitRecords
+from rosemaryknot.process.server_paths import ServerPaths
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.process.settings import Settings
 from rosemaryknot.process.standby import StandbyManager
@@ -166,6 +171,29 @@
         self.platform_watch = PlatformWatch(
             self.platform, self.servers, self.rng, self.server_distributor.is_watcher
         )
+        self.create_path_components()
+
+    def create_path_components(self) -> None:
+        """Create the components that open connections to servers, also for peers."""
+        paths = ServerPaths(self.settings.zone, self.rng)
+        peers = RelayPeers(
+            self.peers.nodes,
+            self.peers.address_of,
+            self.settings.cluster_key,
+            self.peers.dialler.relay_hello,
+        )
+        self.dialler = ServerDialler(
+            self.network, paths, peers, self.servers.addresses, self.rng
+        )
+        self.relay = ServerRelay(
+            self.network,
+            paths,
+            self.servers.has_address,
+            self.dialler.reaches_others,
+        )
+        self.peers.on_relay = self.relay.serve
+        sender = RelayNodesSender(self.node, self.peers)
+        self.peers.on_entry_link.append(sender.keep_entry_current)
 
     def create_configuration_components(self) -> None:
         """Create the components for the configuration."""
@@ -261,7 +289,7 @@
             lambda: placement_targets(self.holder.view),
             self.platform,
             self.platform,
-            HttpOrderClient(self.network),
+            HttpOrderClient(ServerNetwork(self.dialler)),
             self.servers,
             lambda: self.is_draining or self.stop.is_set(),
             self.rng,
@@ -279,6 +307,7 @@
         await nursery.start(self.peers.run)
         nursery.start_soon(self.server_distributor.run)
         nursery.start_soon(self.platform_watch.run)
+        nursery.start_soon(self.dialler.run_rechecks)
         nursery.start_soon(self.distributor.run)
         nursery.start_soon(self.watcher.run)
         nursery.start_soon(self.objects.run)
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -7,9 +7,11 @@
 import trio
 
 from rosemaryknot.connection.http_server import HttpServer
-from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.connection.links import Handlers, Hello, MessageLink
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.plain_client import PlainClient
+from rosemaryknot.connection.server_dialler import RelayPeers, ServerDialler
+from rosemaryknot.connection.server_network import ServerNetwork
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.configuration_distributor import (
@@ -22,10 +24,13 @@
 from rosemaryknot.process.drain import Drain
 from rosemaryknot.process.entry_crashes import EntryCrashes
 from rosemaryknot.process.logs import logger
+from rosemaryknot.process.peer_dialler import RELAY_ROLE
+from rosemaryknot.process.relay_nodes import KnownRelayNodes
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.process.server_limits.entry_limits import EntryLimits
 from rosemaryknot.process.server_limits.records import LimitRecords
+from rosemaryknot.process.server_paths import ServerPaths
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.process.settings import Settings
 from rosemaryknot.request.admission import Admission, AdmissionLimits
@@ -137,8 +142,9 @@
         self.admission = Admission(AdmissionLimits(limits.max_requests_in_flight))
         self.at_most_once = AtMostOnce(self.link, self.claim_policy, safeguards)
         self.budgets = EntryBudgets(self.node, self.link)
+        self.create_path_components()
         self.relay = ModelRelay(
-            network,
+            self.server_network,
             self.servers,
             self.holder,
             settings.zone,
@@ -168,7 +174,7 @@
             self.budgets, self.relay.router, self.drain
         )
         register_retrieval_handlers(self.handlers, self.relay.table)
-        self.plain_client = PlainClient(network)
+        self.plain_client = PlainClient(self.server_network)
         self.plain = PlainRelay(
             self.plain_client, self.servers, settings.zone, rng, self.health
         )
@@ -187,6 +193,28 @@
         app = create_app(self.new_api(nursery, unix_time))
         self.server = HttpServer(app, network, limits.max_connections)
 
+    def create_path_components(self) -> None:
+        """Create the components that open connections to servers."""
+        self.relay_nodes = KnownRelayNodes(self.handlers)
+        self.dialler = ServerDialler(
+            self.network,
+            ServerPaths(self.settings.zone, self.rng),
+            RelayPeers(
+                self.relay_nodes.nodes,
+                self.relay_nodes.address_of,
+                self.settings.cluster_key,
+                self.relay_hello,
+            ),
+            self.servers.addresses,
+            self.rng,
+        )
+        self.server_network = ServerNetwork(self.dialler)
+
+    def relay_hello(self) -> Hello:
+        """Return the hello of a connection that another node is to relay."""
+        node = self.node
+        return Hello(node.name, node.zone, node.incarnation, RELAY_ROLE, b"")
+
     def create_crash_components(self) -> None:
         """Create the components for requests during which servers crashed."""
         self.crash_records = CrashRecords()
@@ -329,6 +357,7 @@
         nursery.start_soon(self.link.run)
         nursery.start_soon(self.at_most_once.run_reports)
         nursery.start_soon(self.standby.run)
+        nursery.start_soon(self.dialler.run_rechecks)
         nursery.start_soon(self.crash_detector.run)
         nursery.start_soon(self.crashes.run)
         nursery.start_soon(self.entry_limits.run)
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -12,6 +12,7 @@
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.values.gateway import ModelInput, PromptSegment, RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation, server_id_from_text
+from rosemaryknot.values.nodes import Address
 
 __all__ = ["ServerTable"]
 
@@ -237,6 +238,15 @@
         state = self.by_id.get(server_id_from_text(incarnation_key))
         return state is not None and state.incarnation_key == incarnation_key
 
+    def addresses(self) -> list[Address]:
+        """Return the addresses of the servers that accept requests."""
+        now_s = trio.current_time()
+        return [s.address for s in self.by_id.values() if s.accepts_requests(now_s)]
+
+    def has_address(self, address: Address) -> bool:
+        """Return whether a server that accepts requests has an address."""
+        return address in self.addresses()
+
     # Results of attempts.
 
     def begin(self, state: ServerState, size: ModelInput | None, tokens: int) -> None:
--- a/src/rosemaryknot/process/graceful_shutdown.py
+++ b/src/rosemaryknot/process/graceful_shutdown.py
@@ -42,6 +42,9 @@
         Lease of the duties, which the shutdown releases.
     peers : PeerSet
         The other nodes, which are notified last.
+    relay : object
+        Relays connections to servers for peers; see
+        `rosemaryknot.connection.server_relay.ServerRelay`.
     suspended_s : callable
         Returns how long the machine was suspended since the shutdown began, in
         seconds.
@@ -58,12 +61,14 @@
         gateway: Any,
         lease: Lease,
         peers: PeerSet,
+        relay: Any,
         suspended_s: Callable[[], float],
     ) -> None:
         self.listener = listener
         self.gateway = gateway
         self.lease = lease
         self.peers = peers
+        self.relay = relay
         self.suspended_s = suspended_s
         self.scope = trio.CancelScope()
 
@@ -79,6 +84,7 @@
         log.info("not ready: graceful shutdown", in_flight=self.listener.busy)
         stop = ShutdownSchedule(began_s, began_s + NOT_READY_S, ends_s)
         self.listener.start_shutdown(stop)
+        self.relay.is_stopping = True
         self.scope.deadline = ends_s
         try:
             with self.scope:
@@ -139,6 +145,7 @@
         await self.wait_until(lambda: self.stop.deregistered_s)
         self.listener.close_idle()
         await self.listener.close()
+        await self.relay.wait_ended()
         # Last, because the other nodes treat this node as removed from now on.
         await self.peers.leave()
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -13,7 +13,10 @@
 from rosemaryknot.connection.links import Handlers
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.pages import Page, PageServer
+from rosemaryknot.connection.path_monitor import PathMonitor
 from rosemaryknot.connection.pending_responses import PENDING_RESPONSES
+from rosemaryknot.connection.server_dialler import RelayPeers, ServerDialler
+from rosemaryknot.connection.server_relay import ServerRelay
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.change_distributor import ChangeDistributor
 from rosemaryknot.process.configuration_distributor import select_nodes
@@ -38,6 +41,7 @@
 from rosemaryknot.process.server_limits.exchange import LimitExchange
 from rosemaryknot.process.server_limits.owner import PermitOwner
 from rosemaryknot.process.server_limits.records import LimitRecords
+from rosemaryknot.process.server_paths import ServerPaths
 from rosemaryknot.process.settings_watch import watch_settings
 from rosemaryknot.process.store_watcher import StoreWatcher
 from rosemaryknot.process.suspension import Suspension
@@ -147,7 +151,6 @@
             adapter.decode_server,
             adapter.configuration_name,
         )
-        self.pool = ServerPool(network)
         self.demand = Demand()
         bounds = settings.bounds
         self.quota = QuotaTracker(bounds.limit_window_s, settings.is_first_start, rng)
@@ -165,6 +168,7 @@
             rng=rng,
         )
         self.peer_metrics = PeerMetrics(self.peers)
+        self.create_path_components()
         self.budget = AttemptBudget(
             bounds.retry_ratio,
             bounds.retry_window_s,
@@ -201,7 +205,7 @@
             handlers,
         )
         self.crash_records = CrashRecords()
-        self.crash_detector = CrashDetector(network, self.crash_records)
+        self.crash_detector = CrashDetector(self.network, self.crash_records)
         self.crash_exchange = CrashExchange(
             self.node,
             self.peers,
@@ -252,6 +256,26 @@
             handlers,
         )
 
+    def create_path_components(self) -> None:
+        """Create the components that open connections to servers."""
+        servers = self.state.servers
+        paths = ServerPaths(self.node.zone, self.rng)
+        peers = RelayPeers(
+            self.peers.nodes,
+            self.peers.address_of,
+            LINK_KEY,
+            self.peers.dialler.relay_hello,
+        )
+        self.dialler = ServerDialler(
+            self.network, paths, peers, servers.addresses, self.rng
+        )
+        self.pool = ServerPool(self.dialler)
+        self.path_monitor = PathMonitor(self.pool, self.dialler)
+        self.relay = ServerRelay(
+            self.network, paths, servers.has_address, self.dialler.reaches_others
+        )
+        self.peers.on_relay = self.relay.serve
+
     def make_watchers(self) -> dict[str, StoreWatcher]:
         """Return the watchers of the configuration and the servers."""
         adapter, state = self.adapter, self.state
@@ -405,6 +429,8 @@
         start_soon(self.configurations.run)
         start_soon(self.exchange.run)
         start_soon(self.exchange.run_loads)
+        start_soon(self.path_monitor.run)
+        start_soon(self.dialler.run_rechecks)
         start_soon(self.crash_detector.run)
         start_soon(self.crash_exchange.run)
         start_soon(self.crash_exchange.run_repeats)
@@ -480,6 +506,7 @@
             self.gateway,
             self.lease,
             self.peers,
+            self.relay,
             Suspension().elapsed_s,
         )
         await shutdown.run(self.settings.bounds.grace_s)
--- a/src/rosemaryknot/process/peer_dialler.py
+++ b/src/rosemaryknot/process/peer_dialler.py
@@ -1,6 +1,7 @@
 """Opening and accepting of links between agents and from entries."""
 
 from collections import Counter
+from dataclasses import replace
 
 import trio
 
@@ -18,10 +19,12 @@
 from rosemaryknot.process.peer_table import PeerTable
 from rosemaryknot.values.nodes import Address
 
-__all__ = ["PeerDialler"]
+__all__ = ["ENTRY_ROLE", "RELAY_ROLE", "PeerDialler"]
 
 ROLE = "agent"
 ENTRY_ROLE = "entry"
+# Role of a connection that the accepting node is to relay to a backend server.
+RELAY_ROLE = "relay"
 
 log = logger("peers")
 
@@ -65,6 +68,10 @@
             own.name, own.zone, own.incarnation, ROLE, b"", address=own.address
         )
 
+    def relay_hello(self) -> Hello:
+        """Return the hello of a connection that another node is to relay."""
+        return replace(self.hello(), role=RELAY_ROLE)
+
     async def dial(self, address: Address) -> MessageLink | None:
         """Open a link to another agent; return None on failure."""
         self.counters["dials"] += 1
@@ -80,9 +87,9 @@
         return None
 
     async def accept(self, stream: trio.abc.HalfCloseableStream) -> MessageLink | None:
-        """Accept a link from an agent or an entry; return None if it is rejected."""
+        """Accept a link, or a connection to relay; return None if it is rejected."""
         link = await self.establish_link(stream, is_dialled=False)
-        if link is None or link.hello.role == ENTRY_ROLE:
+        if link is None or link.hello.role in (ENTRY_ROLE, RELAY_ROLE):
             return link
         if link.hello.role != ROLE:
             self.record_refused_link("unknown role")
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -20,7 +20,7 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer import SILENCE_TIMEOUT_S, LinkEnd, Peer, full_jitter
-from rosemaryknot.process.peer_dialler import ENTRY_ROLE, PeerDialler
+from rosemaryknot.process.peer_dialler import ENTRY_ROLE, RELAY_ROLE, PeerDialler
 from rosemaryknot.process.peer_forwarding import Forwarder
 from rosemaryknot.process.peer_gossip import PeerGossip
 from rosemaryknot.process.peer_links import LinkPlan, select_link_targets
@@ -50,7 +50,7 @@
 LEAVE_LINGER_S = 0.1
 ENTRY_SILENCE_TIMEOUT_S = 5.0
 
-EntryLinkHandler = Callable[[MessageLink], Awaitable[None]]
+LinkHandler = Callable[[MessageLink], Awaitable[None]]
 
 
 class PeerSet:
@@ -82,6 +82,9 @@
     on_entry_link : list of callable
         Async functions called with each new link of an entry, each in a task that
         is cancelled when the link closes.
+    on_relay : callable or None
+        Async function called with each connection that another node wants to be
+        relayed to a backend server.
     traffic : Traffic
         Messages and bytes of all links by message kind.
     counters : Counter
@@ -112,7 +115,8 @@
         self.peers: dict[str, Peer] = {}
         self.targets: set[str] = set()
         self.entries: list[MessageLink] = []
-        self.on_entry_link: list[EntryLinkHandler] = []
+        self.on_entry_link: list[LinkHandler] = []
+        self.on_relay: LinkHandler | None = None
         self.dialler = PeerDialler(network, key, self.table, handlers)
         self.traffic = self.dialler.traffic
         self.counters = self.dialler.counters
@@ -164,6 +168,13 @@
         ends = [end for peer in self.peers.values() for end in peer.links]
         return sum(len(end.link.output) for end in ends)
 
+    def address_of(self, name: str) -> Address | None:
+        """Return the address at which a node accepts links, or None if unknown."""
+        record = self.table.records.get(name)
+        if record is None or not record.address:
+            return None
+        return Address.from_text(record.address)
+
     async def call(
         self, name: str, value: Message, timeout_s: float
     ) -> Message | CallFailed:
@@ -453,6 +464,9 @@
             return
         if link.hello.role == ENTRY_ROLE:
             await self.run_entry_link(link)
+        elif link.hello.role == RELAY_ROLE:
+            if self.on_relay is not None:
+                await self.on_relay(link)
         else:
             await self.run_link(self.add_link(link, is_dialled=False))
 
--- a/src/rosemaryknot/process/servers.py
+++ b/src/rosemaryknot/process/servers.py
@@ -7,7 +7,7 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_marks import ServerMarks
-from rosemaryknot.values.nodes import BackendServer, ServerState
+from rosemaryknot.values.nodes import Address, BackendServer, ServerState
 from rosemaryknot.values.servers import (
     LeavingMark,
     ServersPush,
@@ -85,6 +85,15 @@
         """
         return self.by_service.get(service, [])
 
+    def addresses(self) -> list[Address]:
+        """Return the addresses of the servers that accept requests."""
+        live = (server for servers in self.by_service.values() for server in servers)
+        return [Address.from_text(server.address) for server in live]
+
+    def has_address(self, address: Address) -> bool:
+        """Return whether a server that accepts requests has an address."""
+        return address in self.addresses()
+
     def leaving_of(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that are draining."""
         return [
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -41,6 +41,9 @@
 # Limit of attempts per request that sent no byte to a server. They cost little, so they
 # do not count towards the route's limit of attempts.
 MAX_UNSENT = 3
+# The same while neither this node's link to the servers works nor a peer helps: another
+# server would only delay the refusal.
+MAX_WITHOUT_PATH = 1
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 SERVER_ERROR = 500
@@ -215,7 +218,8 @@
             return False
         if isinstance(outcome, NotSent):
             context.unsent += 1
-            return context.unsent <= MAX_UNSENT
+            limit = MAX_WITHOUT_PATH if outcome.is_path_failure else MAX_UNSENT
+            return context.unsent <= limit
         if context.sent >= context.route.max_attempts:
             return False
         if not isinstance(outcome, NotRunThere) and not context.route.allows_retry:
@@ -234,7 +238,12 @@
             return self.barred_outcome(context)
         if isinstance(outcome, Lost) or context.may_have_run:
             return Refusal(BAD_GATEWAY, getattr(outcome, "reason", "server failed"))
-        return refusal(self.components.rng, UNAVAILABLE, "the servers are full")
+        reason = "the servers are full"
+        if isinstance(outcome, NotSent):
+            reason = "no server accepts a connection"
+            if outcome.is_path_failure:
+                reason = "neither this node nor its peers reach the servers"
+        return refusal(self.components.rng, UNAVAILABLE, reason)
 
     def timeout_outcome(self, context: RequestContext) -> Refusal | Broken | Completed:
         """Return the outcome of a request aborted at its deadline or by a shutdown."""
@@ -307,7 +316,8 @@
                 born=state.entry.born,
             )
             return
-        servers.record_failure(state, getattr(outcome, "reason", "not run"))
+        if not getattr(outcome, "is_path_failure", False):
+            servers.record_failure(state, getattr(outcome, "reason", "not run"))
 
     # Responses and outcomes.
 
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -33,6 +33,9 @@
 MIN_FIRST_BYTE_TIMEOUT_S = 0.3
 # How long a buffered response may still be delivered after the request's deadline.
 DELIVERY_GRACE_S = 1.0
+# Attempts of a request that may end because of a lost path and are repeated.
+MAX_LOST_PATHS = 2
+DIRECT_PATH = "direct"
 OK = 200
 MISDIRECTED = 421
 SERVER_ERROR = 500
@@ -95,6 +98,7 @@
         )
         if isinstance(connection, NotSent):
             return connection
+        context.path = connection.peer or DIRECT_PATH
         if not self.state.accepts_requests(trio.current_time()):
             # The server was chosen before the connection was opened, and opening it may
             # take most of the time for which a draining server still serves requests.
@@ -120,12 +124,36 @@
                 self.components.crashes.record_complete(self.state, context.identity)
             await self.components.pool.release(connection)
             return outcome
-        if connection.is_closed_by_server and not isinstance(outcome, NotRunThere):
+        if connection.is_path_lost and isinstance(outcome, Lost | Broken):
+            outcome.is_path_failure = True
+            self.record_path_loss(outcome)
+        elif connection.is_closed_by_server and not isinstance(outcome, NotRunThere):
             context.closed_by.append(self.state)
             self.components.crashes.record_closed(self.state, context.identity)
         await connection.aclose()
         return outcome
 
+    def record_path_loss(self, outcome: Lost | Broken) -> None:
+        """Record that the path to the server was lost during the attempt.
+
+        The server did not fail: it may be attempted again by another path, and the
+        attempt does not count towards the route's limit.
+        """
+        context = self.context
+        context.lost_paths += 1
+        log.info(
+            "path lost during an attempt",
+            request=context.request.id,
+            server=self.state.entry.id,
+            path=context.path,
+            reason=outcome.reason,
+            lost_paths=context.lost_paths,
+            after_s=round(trio.current_time() - self.started_s, 3),
+        )
+        if context.lost_paths <= MAX_LOST_PATHS:
+            context.sent -= 1
+            context.tried.discard(self.state.incarnation)
+
     async def exchange(
         self, connection: ServerConnection
     ) -> Completed | Broken | Lost | NotRunThere:
@@ -133,6 +161,7 @@
         context = self.context
         request = context.request
         context.sent += 1
+        connection.may_abandon_path = context.route.allows_retry
         self.limit_version = self.components.limits.records.version(
             self.state.incarnation_key
         )
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -177,6 +177,11 @@
         Result of `identity`, once it was needed.
     crash_decision : Allowed or Barred
         Latest decision on the request because of servers that crashed.
+    path : str
+        Path of the last connection: empty if none was opened, ``direct``, or the name
+        of the peer that relays it.
+    lost_paths : int
+        Number of attempts that ended because of the path to the server.
     permit : Permit or None
         Permit of the current attempt, at a server with a rate limit.
     """
@@ -206,6 +211,8 @@
     closed_by: list[ServerState] = field(default_factory=list)
     known_identity: RequestIdentity | None = None
     crash_decision: Allowed | Barred = field(default_factory=Allowed)
+    path: str = ""
+    lost_paths: int = 0
     permit: Permit | None = None
 
     @property
@@ -262,6 +269,7 @@
         "server_entry_s": round(now_s - chosen.state.entry_updated_s, 3),
         "server_failures": chosen.failures,
         "server_zone": chosen.state.entry.zone,
+        "path": context.path,
         "requests_there": chosen.requests,
         "tokens_there": chosen.tokens,
         "tokens_kept": chosen.cached_tokens,
--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -42,6 +42,11 @@
 MAX_CRASHES = 3
 CRASH_NOTICE_S = 3.0
 MAX_RUNS_AFTER_NOTICE = 3
+# First attempts at nodes that are cut off from all servers may be served this share as
+# often as those at the others, or fail up to the number and share.
+MIN_CUT_OFF_SHARE = 2 / 3
+MAX_CUT_OFF_FAILED = 10
+MAX_CUT_OFF_FAILED_SHARE = 1 / 50
 # Part of the response to a request that is refused for crashes.
 CRASHED = b"servers crashed"
 REFUSED = 503
@@ -453,3 +458,37 @@
         most = most_in_window(times, start_s, period.ended_s)
         if most > allowed_requests(period.rate):
             yield f"{period.server} stated {period.rate} a second and got {most}"
+
+
+@invariant("cut_off_nodes_serve")
+def cut_off_nodes_serve(observations: Observations) -> Iterable[str]:
+    """Find nodes that are cut off from the servers and serve worse than the others."""
+    disturbances = observations.disturbances
+    for cut in disturbances.cuts:
+        start_s = cut.start_s + CONTACT_S
+        sent = [
+            request
+            for request in observations.caller_requests
+            if start_s <= request.sent_s
+            and request.ended_s <= cut.end_s
+            and disturbances.is_undisturbed(
+                request.node, request.sent_s, request.ended_s
+            )
+        ]
+        cut_off = {name for other in disturbances.cuts for name in other.nodes}
+        near = [is_served(r) for r in sent if r.node in cut.nodes]
+        far = [is_served(r) for r in sent if r.node not in cut_off]
+        if not near or not far:
+            continue
+        is_worse = sum(near) / len(near) < MIN_CUT_OFF_SHARE * sum(far) / len(far)
+        allowed = MAX_CUT_OFF_FAILED + MAX_CUT_OFF_FAILED_SHARE * len(near)
+        if is_worse and len(near) - sum(near) > allowed:
+            yield (
+                f"{cut.nodes} served {sum(near)} of {len(near)} from {start_s:.2f} s, "
+                f"the others {sum(far)} of {len(far)}"
+            )
+
+
+def is_served(request: CallerRequest) -> bool:
+    """Return whether a request got its complete response."""
+    return request.status == OK and request.is_whole
--- a/src/rosemaryknot/standin/users/disturbances.py
+++ b/src/rosemaryknot/standin/users/disturbances.py
@@ -10,7 +10,7 @@
 
 import trio
 
-__all__ = ["RECOVERY_S", "ALL_SUBJECTS", "Disturbance", "Disturbances"]
+__all__ = ["RECOVERY_S", "ALL_SUBJECTS", "CutPeriod", "Disturbance", "Disturbances"]
 
 # Time after the end of a disturbance until invariants with a time limit hold again.
 RECOVERY_S = 3.0
@@ -34,6 +34,25 @@
     end_s: float = math.inf
 
 
+@dataclass(slots=True)
+class CutPeriod:
+    """A period in which some nodes are cut off from all servers.
+
+    It is no disturbance: their callers, the store and the other nodes reach them.
+
+    Attributes
+    ----------
+    nodes : list of str
+        Names of the nodes.
+    start_s, end_s : float
+        When it began and ended, in trio time.
+    """
+
+    nodes: list[str]
+    start_s: float
+    end_s: float = math.inf
+
+
 class Disturbances:
     """Disturbances during a play or a soak.
 
@@ -51,6 +70,17 @@
 
     def __init__(self) -> None:
         self.spans: list[Disturbance] = []
+        self.cuts: list[CutPeriod] = []
+
+    @contextmanager
+    def cut_off(self, nodes: list[str]) -> Iterator[None]:
+        """Record nodes as cut off from all servers while the block runs."""
+        period = CutPeriod(nodes, trio.current_time())
+        self.cuts.append(period)
+        try:
+            yield
+        finally:
+            period.end_s = trio.current_time()
 
     @contextmanager
     def disturb(self, subject: str = ALL_SUBJECTS) -> Iterator[None]:
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -23,6 +23,7 @@
 from rosemaryknot.standin.users.play_faults import (
     PLAY_FAULTS,
     draw_changes,
+    draw_cuts,
     draw_fault,
     draw_limits,
     draw_server_entry_fault,
@@ -284,7 +285,10 @@
 
 
 def random_play(
-    seed: int, crashing_per_s: float = 0.0, has_limits: bool = False
+    seed: int,
+    crashing_per_s: float = 0.0,
+    has_limits: bool = False,
+    has_cuts: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -299,6 +303,8 @@
     play.crashing_per_s = crashing_per_s
     if has_limits:
         play.faults += draw_limits(random.Random(f"limits {seed}"))
+    if has_cuts:
+        play.faults += draw_cuts(random.Random(f"cuts {seed}"), play.nodes)
     return play
 
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -14,11 +14,12 @@
 from rosemaryknot.standin.users.disturbances import ALL_SUBJECTS
 from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
-from rosemaryknot.standin.users.system import STORE, PlatformSystem
+from rosemaryknot.standin.users.system import CUTS, STORE, PlatformSystem
 
 __all__ = [
     "PLAY_FAULTS",
     "draw_changes",
+    "draw_cuts",
     "draw_fault",
     "draw_limits",
     "draw_server_entry_fault",
@@ -161,6 +162,29 @@
         system.network.heal(fault["host"], fault["from"])
 
 
+@play_fault("cut_off")
+async def cut_off(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Cut ``nodes`` off from ``servers``, or from all, for ``for_s``."""
+    nodes = [name for name in fault["nodes"] if name in system.nodes]
+    servers = [name for name in fault.get("servers", ()) if name in system.servers]
+    with ExitStack() as stack:
+        if not servers and fault["how"] != "lossy":
+            stack.enter_context(system.disturbances.cut_off(nodes))
+        for name in nodes:
+            system.cut_off(name, fault["how"], servers)
+        await trio.sleep(fault["for_s"])
+        for name in nodes:
+            system.end_cut(name, servers)
+
+
+@play_fault("silence")
+async def silence(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let ``servers`` send nothing for ``for_s`` and go on, ``pause_s`` apart."""
+    for name in fault["servers"]:
+        system.servers[name].pause(fault["for_s"])
+        await trio.sleep(fault["pause_s"])
+
+
 @play_fault("configure")
 async def configure(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Write ``times`` new versions of the configuration, ``pause_s`` apart."""
@@ -253,6 +277,34 @@
     return faults
 
 
+def draw_cuts(rng: random.Random, nodes: int) -> list[dict[str, Any]]:
+    """Draw cuts of nodes from servers, and sound servers that fall silent."""
+    faults = []
+    for _ in range(rng.randint(1, 3)):
+        names = [f"n{number}" for number in range(nodes)]
+        fault = {
+            "at": round(rng.uniform(0.5, 8.0), 2),
+            "kind": "cut_off",
+            "nodes": rng.sample(names, rng.randint(1, max(1, nodes - 1))),
+            "how": rng.choice(sorted(CUTS)),
+            "for_s": round(rng.uniform(1.0, 10.0), 2),
+        }
+        if rng.random() < 0.3:
+            fault["servers"] = rng.choice([list(SERVERS[:3]), [rng.choice(SERVERS)]])
+        faults.append(fault)
+    if rng.random() < 0.5:
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 12.0), 2),
+                "kind": "silence",
+                "servers": rng.choice([list(SERVERS), list(SERVERS[3:])]),
+                "for_s": round(rng.uniform(0.5, 1.3), 2),
+                "pause_s": rng.choice([0.0, 1.5]),
+            }
+        )
+    return faults
+
+
 def draw_changes(rng: random.Random) -> dict[str, Any]:
     """Draw a series of configuration changes, some with a large configuration."""
     return {
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -128,6 +128,8 @@
         Names in `FAULTS`, one for each of the next requests; empty text for no fault.
     limit : str or None
         Rate limit that its responses state, in requests per second.
+    silent_until_s : float
+        Until when it sends nothing and then goes on, in trio time.
     crash : callable
         Crashes the server; set by the system that runs it.
     """
@@ -147,6 +149,7 @@
         self.arrivals: list[Arrival] = []
         self.faults: deque[str] = deque()
         self.is_mute = False
+        self.silent_until_s = 0.0
         self.limit: str | None = None
         self.crash: Callable[[], None] = lambda: None
         self.server = RawServer(self.handle)
@@ -158,6 +161,16 @@
         self.limit = None
         self.entry = self.entry | {"born": max(born_ms, self.entry["born"] + 1)}
 
+    def pause(self, for_s: float) -> None:
+        """Send nothing for some time, and then go on."""
+        self.silent_until_s = trio.current_time() + for_s
+
+    async def work(self) -> None:
+        """Wait as long as a plain request or the next event takes."""
+        await trio.sleep(self.work_s)
+        while trio.current_time() < self.silent_until_s:
+            await trio.sleep_until(self.silent_until_s)
+
     @property
     def incarnation(self) -> str:
         """Text that identifies the incarnation."""
@@ -206,11 +219,11 @@
                 200, self.headers(arrival) | {"Transfer-Encoding": "chunked"}
             )
             for event in self.events(arrival):
-                await trio.sleep(self.work_s)
+                await self.work()
                 await wire.chunk(event)
             await wire.last_chunk()
         else:
-            await trio.sleep(self.work_s)
+            await self.work()
             await wire.answer(200, self.headers(arrival), self.body(arrival))
         arrival.ended = "whole"
 
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -100,9 +100,18 @@
 
 @dataclass(slots=True)
 class NotSent:
-    """No byte of the request can have been sent to the server."""
+    """No byte of the request can have been sent to the server.
+
+    Attributes
+    ----------
+    reason : str
+        Cause of the failure.
+    is_path_failure : bool
+        Whether it shows nothing of the server's state.
+    """
 
     reason: str
+    is_path_failure: bool = False
 
 
 @dataclass(slots=True)
@@ -131,9 +140,12 @@
     ----------
     reason : str
         Cause of the failure.
+    is_path_failure : bool
+        Whether it shows nothing of the server's state.
     """
 
     reason: str
+    is_path_failure: bool = False
 
 
 @dataclass(slots=True)
@@ -146,10 +158,13 @@
         Cause of the failure.
     last_event_id : bytes or None
         Id of the last complete event that was sent.
+    is_path_failure : bool
+        Whether it shows nothing of the server's state.
     """
 
     reason: str
     last_event_id: bytes | None = None
+    is_path_failure: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -11,7 +11,7 @@
     ServerRequest,
     audit,
 )
-from rosemaryknot.standin.users.disturbances import Disturbance
+from rosemaryknot.standin.users.disturbances import CutPeriod, Disturbance
 from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.play import (
     PLAY_FAULTS,
@@ -29,6 +29,7 @@
 # them; in 1100 a request is present at three crashes before it ever completes.
 SEEDS_WITH_CRASHES = (1020, 1021, 1100, 1130)
 SEEDS_WITH_LIMITS = (3000, 3001, 3002, 3003)
+SEEDS_WITH_CUTS = (4000, 4001, 4002, 4003)
 
 
 def seen_at(status, path, server=""):
@@ -82,6 +83,20 @@
     )
 
 
+def cut_off(failed):
+    """Return requests at a node that is cut off, some failed, and at another one."""
+    observations = Observations()
+    for number in range(100):
+        for node in ("n0", "n1"):
+            status = 503 if node == "n0" and number < failed else 200
+            request = CallerRequest(f"{node}-{number}", "stream", True, status)
+            request.node, request.is_whole = node, True
+            request.sent_s = request.ended_s = 10.0 + number / 100
+            observations.caller_requests.append(request)
+    observations.disturbances.cuts.append(CutPeriod(["n0"], 5.0, 12.0))
+    return observations
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_random_faults(self, seed):
@@ -104,6 +119,13 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_CUTS)
+    def test_random_faults_and_cuts(self, seed):
+        play = random_play(seed, seed % 2, has_limits=seed % 3 == 0, has_cuts=True)
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     def test_same_seed_same_outcomes(self):
         play = Play(length_s=4, faults=[{"at": 1, "kind": "compact"}])
         first, second = (
@@ -112,7 +134,9 @@
         assert first == second
 
     def test_each_fault_kind_is_generated(self):
-        plays = [random_play(seed, has_limits=True) for seed in range(200)]
+        plays = [
+            random_play(seed, has_limits=True, has_cuts=True) for seed in range(200)
+        ]
         generated = {fault["kind"] for play in plays for fault in play.faults}
         assert generated == set(PLAY_FAULTS)
 
@@ -167,6 +191,7 @@
             ("crashing_requests_are_refused", crashes(9)),
             ("others_are_served", refused_after_completion()),
             ("server_limits_are_kept", limited(per_s=4.5)),
+            ("cut_off_nodes_serve", cut_off(failed=40)),
         ],
     )
     def test_violation_is_found(self, invariant, observations):
@@ -182,6 +207,10 @@
     def test_requests_within_a_limit(self, observations):
         assert not audit(observations)
 
+    @pytest.mark.parametrize("failed", [0, 12, 30])
+    def test_cut_off_nodes_that_serve(self, failed):
+        assert not audit(cut_off(failed))
+
     @pytest.mark.parametrize(
         "case", ["in_time", "disturbed_node", "earlier_incarnation"]
     )
