Do not take a lost path for crashes of the servers

Cause: the check after a closed connection believed a refused connection of its own node. Now a crash needs a peer that reaches other servers and not this one, or the next incarnation; a node that has no such peer believes itself only if it reaches another server after the failure. A peer that was cut off in the same moment still held connections that it had opened before, and confirmed the crash; so only what is reached after the failure counts.

--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -2,23 +2,21 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 import trio
 
-from rosemaryknot.connection.network import Network
 from rosemaryknot.process.crash_records import Crash, CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.request_identity import RequestIdentity
+from rosemaryknot.values.server_evidence import ServerEvidence
 
 __all__ = ["CheckedServer", "CrashDetector"]
 
-# How long opening a connection to a server may take; see `ServerPool`.
-CONNECT_TIMEOUT_S = 0.6
 # How long a server that accepts connections again, or does not respond, is observed: a
 # server that was restarted immediately has written its entry by then.
 OBSERVATION_S = 2.0
@@ -95,12 +93,13 @@
 
     A server may also close a connection because it truncates a response, has too many
     connections or is reset by the network. Only a server that has ended counts: it
-    refuses connections, or its next incarnation appears.
+    refuses the connections of peers too, or its next incarnation appears. A node whose
+    own link is cut sees all servers refuse.
 
     Parameters
     ----------
-    network : Network
-        Network that opens connections.
+    check_server : callable
+        Returns what this node and its peers see of the server with an address.
     records : CrashRecords
         Receives the crashes.
 
@@ -116,8 +115,12 @@
         Called after a server has crashed and the requests there were recorded.
     """
 
-    def __init__(self, network: Network, records: CrashRecords) -> None:
-        self.network = network
+    def __init__(
+        self,
+        check_server: Callable[[Address], Awaitable[ServerEvidence]],
+        records: CrashRecords,
+    ) -> None:
+        self.check_server = check_server
         self.records = records
         self.checks: dict[str, Check] = {}
         self.abandoned: deque[tuple[float, str, RequestIdentity]] = deque()
@@ -192,12 +195,10 @@
 
     async def has_crashed(self, check: Check) -> bool:
         """Return whether a server that closed a connection has ended."""
-        with trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                stream = await self.network.dial(check.state.address)
-            except OSError:
-                return True
-            await trio.aclose_forcefully(stream)
+        evidence = await self.check_server(check.state.address)
+        if evidence == ServerEvidence.REFUSES:
+            return True
+        if evidence == ServerEvidence.ACCEPTS:
             check.is_accepting = True
             self.records.signal_change()
         end_s = check.closed_s + OBSERVATION_S
@@ -209,7 +210,7 @@
                 return True
             if check.state.last_answered_s > check.closed_s:
                 return False
-        return not check.is_accepting
+        return evidence == ServerEvidence.SILENT
 
     def record_abandoned_there(self, check: Check) -> None:
         """Add the requests whose callers left shortly before a server crashed."""
