Send to a brittle server only what it has room for

A server that states Server-Brittle: N crashes if it turns away more than N requests in a second for want of room, from all instances together, and nobody read the header. The class is that of the rate limits: a statement that holds for all instances together, which each node takes for its own.

Such a server needs permits of its owner as a limited one does, but a permit is a place that is taken until the request has ended, not a share of a second. The owner begins with the places in the server's entry, counts what nodes report in flight without permits, lowers the room when a request is turned away, raises it as requests complete, and issues nothing for the rest of a second once half of N were turned away. A new server of the service counts as brittle until it responds.

--- a/src/rosemaryknot/platform/headers.py
+++ b/src/rosemaryknot/platform/headers.py
@@ -25,6 +25,7 @@
 PRIORITY = b"rosemaryknot-request-priority"
 LAST_EVENT_ID = b"last-event-id"
 LIMIT = b"server-limit"
+BRITTLE = b"server-brittle"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 MISDIRECTED = 421
@@ -233,6 +234,7 @@
             keep_alive_s=decode_keep_alive_s(pairs),
             has_length=b"content-length" in names or b"transfer-encoding" in names,
             limit=decode_limit(all_values(pairs, LIMIT)),
+            brittle=decode_limit(all_values(pairs, BRITTLE)),
             headers=[pair for pair in pairs if pair[0] not in dropped],
         )
 
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -247,6 +247,13 @@
         """Return whether a server that accepts requests has an address."""
         return address in self.addresses()
 
+    def in_flight(self, incarnation_key: str) -> int:
+        """Return the requests of all nodes at an incarnation, 0 if it is unknown."""
+        state = self.by_id.get(server_id_from_text(incarnation_key))
+        if state is None or state.incarnation_key != incarnation_key:
+            return 0
+        return state.load()[0]
+
     # Results of attempts.
 
     def begin(self, state: ServerState, size: ModelInput | None, tokens: int) -> None:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -246,7 +246,12 @@
         self.server_limits = LimitRecords(servers.has_incarnation)
         other_seeds = set(self.settings.seeds) - {self.settings.listen.peers}
         self.permit_owner = PermitOwner(
-            self.node, self.peers, self.server_limits, handlers, len(other_seeds) + 1
+            self.node,
+            self.peers,
+            self.server_limits,
+            handlers,
+            len(other_seeds) + 1,
+            servers.in_flight,
         )
         self.limit_exchange = LimitExchange(
             self.peers,
@@ -330,6 +335,7 @@
                 ),
                 self.limit_exchange.publish,
                 self.limit_exchange.report,
+                self.limit_exchange.give_back,
             ),
             acquire_quota=acquire_quota,
             release_quota=release_quota,
--- a/src/rosemaryknot/process/server_limits/exchange.py
+++ b/src/rosemaryknot/process/server_limits/exchange.py
@@ -14,7 +14,11 @@
 from rosemaryknot.process.relay_broadcast import RelayBroadcast, Relays
 from rosemaryknot.process.server_limits.owner import PermitOwner
 from rosemaryknot.process.server_limits.records import LimitRecord, LimitRecords
-from rosemaryknot.values.server_limits import ServerLimitNotice, ServerStatement
+from rosemaryknot.values.server_limits import (
+    PermitReturn,
+    ServerLimitNotice,
+    ServerStatement,
+)
 
 __all__ = ["LimitExchange", "apply_notice"]
 
@@ -44,8 +48,8 @@
     ----------
     changed : dict of str to LimitRecord
         Records that wait to be sent, by server.
-    statements : list of ServerStatement
-        Statements that wait to be sent to the owners.
+    statements : list of ServerStatement or PermitReturn
+        Messages that wait to be sent to the owners.
     """
 
     def __init__(
@@ -61,7 +65,7 @@
         self.records = records
         self.owner = owner
         self.changed: dict[str, LimitRecord] = {}
-        self.statements: list[ServerStatement] = []
+        self.statements: list[ServerStatement | PermitReturn] = []
         self.has_messages = trio.Event()
         owner.on_changed = self.publish
         handlers.on(ServerLimitNotice)(self.handle_notice)
@@ -79,6 +83,14 @@
             self.statements.append(statement)
             self.has_messages.set()
 
+    def give_back(self, returned: PermitReturn) -> None:
+        """Tell the node that issued a permit that its request has ended."""
+        if returned.owner == self.peers.node.name:
+            self.owner.give_back(returned)
+        else:
+            self.statements.append(returned)
+            self.has_messages.set()
+
     async def run(self) -> None:
         """Send changes and statements until cancelled."""
         while True:
--- a/src/rosemaryknot/process/server_limits/owner.py
+++ b/src/rosemaryknot/process/server_limits/owner.py
@@ -22,12 +22,14 @@
     Waiter,
 )
 from rosemaryknot.process.server_limits.records import LimitRecord, LimitRecords
+from rosemaryknot.process.server_limits.rooms import RoomIssuer
 from rosemaryknot.process.sliding_maximum import SlidingMaximum
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.server_limits import (
     NO_LIMIT,
     PermitReply,
     PermitRequest,
+    PermitReturn,
     ServerStatement,
 )
 
@@ -68,6 +70,8 @@
         Handlers of messages from other nodes and entries.
     expected_nodes : int
         Number of nodes that exist as far as the settings tell, this one included.
+    in_flight : callable, optional
+        Returns the requests at a server as the nodes report them, by its incarnation.
 
     Attributes
     ----------
@@ -86,10 +90,12 @@
         records: LimitRecords,
         handlers: Handlers,
         expected_nodes: int = 1,
+        in_flight: Callable[[str], int] = lambda server: 0,
     ) -> None:
         self.node = node
         self.peers = peers
         self.records = records
+        self.in_flight = in_flight
         self.issuers: dict[str, PermitIssuer] = {}
         self.known_nodes = SlidingMaximum()
         self.known_nodes.record(expected_nodes, trio.current_time())
@@ -99,6 +105,7 @@
         self.on_changed: Callable[[LimitRecord], None] = lambda record: None
         handlers.on(PermitRequest)(self.handle_request)
         handlers.on(ServerStatement)(self.handle_statement)
+        handlers.on(PermitReturn)(self.handle_return)
 
     # Selection of the owner.
 
@@ -204,14 +211,33 @@
         """Return the issuer for a server, with its current limit and share."""
         issuer = self.issuers.get(record.server)
         share = self.share(now_s)
+        is_brittle = record.turned_away is not None
+        if issuer is not None and isinstance(issuer, RoomIssuer) != is_brittle:
+            self.drop(record.server)
+            issuer = None
         if issuer is None:
             # Another node may have issued the permits that accrued before.
             started_s = max(record.changed_s, self.owners_changed_s)
-            issuer = PermitIssuer(record.limit, share, started_s)
+            issuer = self.new_issuer(record, share, started_s)
             self.issuers[record.server] = issuer
         issuer.update(record.limit, share, now_s)
         return issuer
 
+    def new_issuer(
+        self, record: LimitRecord, share: float, started_s: float
+    ) -> PermitIssuer:
+        """Return an issuer for the kind of limit that a server states."""
+        if record.turned_away is None:
+            return PermitIssuer(record.limit, share, started_s)
+        return RoomIssuer(
+            record.limit,
+            share,
+            started_s,
+            record.turned_away,
+            lambda: self.in_flight(record.server),
+            lambda name: name == self.node.name or self.peers.is_live(name),
+        )
+
     async def wait(self, issuer: PermitIssuer, waiter: Waiter) -> Issued | NotIssued:
         """Wait until a queued request gets a permit or is refused."""
         try:
@@ -277,6 +303,22 @@
             self.records.change_limit(record, changed, now_s)
             self.issuer(record, now_s)
 
+    async def handle_return(self, returned: PermitReturn, link: MessageLink) -> None:
+        """Apply the end of a request that had a permit of this node."""
+        self.give_back(returned)
+
+    def give_back(self, returned: PermitReturn) -> None:
+        """Make the place of a request that has ended free again."""
+        issuer = self.issuers.get(returned.server)
+        is_own = (returned.owner, returned.incarnation) == (
+            self.node.name,
+            self.node.incarnation,
+        )
+        if is_own and isinstance(issuer, RoomIssuer):
+            issuer.give_back(
+                returned.number, returned.was_turned_away, trio.current_time()
+            )
+
     # Maintenance.
 
     def drop(self, server: str) -> None:
--- a/src/rosemaryknot/process/server_limits/records.py
+++ b/src/rosemaryknot/process/server_limits/records.py
@@ -45,7 +45,10 @@
     revision : int
         Number of changes of the limit within the version, at the owner.
     limit : float or None
-        Requests per second; None if the server states no limit.
+        Requests per second, or the places of a brittle server; None if the server
+        states no limit.
+    turned_away : float or None
+        Requests a second that a brittle server may turn away; None for a rate limit.
     changed_s : float
         When the version began here, in trio time.
     used_s : float
@@ -62,6 +65,7 @@
     version: int = 0
     revision: int = 0
     limit: float | None = None
+    turned_away: float | None = None
     changed_s: float = -math.inf
     used_s: float = -math.inf
     blocked_until_s: float = -math.inf
@@ -72,7 +76,8 @@
     def to_list(self) -> list:
         """Return the form in messages."""
         limit = NO_LIMIT if self.limit is None else self.limit
-        return [self.server, self.version, self.revision, limit]
+        brittle = [] if self.turned_away is None else [self.turned_away]
+        return [self.server, self.version, self.revision, limit, *brittle]
 
     @classmethod
     def from_list(cls, item: Any) -> "LimitRecord | None":
@@ -87,8 +92,9 @@
         >>> LimitRecord.from_list(["s@1", 1, 0, float("nan")])
         """
         try:
-            server, version, revision, limit = item
+            server, version, revision, limit, *brittle = item
             record = cls(str(server), int(version), int(revision), float(limit))
+            record.turned_away = float(brittle[0]) if brittle else None
         except (TypeError, ValueError, OverflowError):
             return None
         if record.limit == NO_LIMIT:
@@ -138,7 +144,12 @@
         return self.by_server[server] if server in self.limited else None
 
     def begin(
-        self, server: str, limit: float | None, sent_version: int, now_s: float
+        self,
+        server: str,
+        limit: float | None,
+        sent_version: int,
+        now_s: float,
+        turned_away: float | None = None,
     ) -> LimitRecord | None:
         """Begin a version, if a response to a request of the current one shows it.
 
@@ -152,6 +163,8 @@
             Version when the request was sent.
         now_s : float
             Current trio time.
+        turned_away : float or None
+            Requests a second that the server may turn away if it is brittle.
 
         Returns
         -------
@@ -162,7 +175,7 @@
             return None
         if (server in self.limited) == (limit is not None):
             return None
-        record = LimitRecord(server, sent_version + 1, 0, limit)
+        record = LimitRecord(server, sent_version + 1, 0, limit, turned_away)
         self.put(record, now_s, by="response")
         return record
 
@@ -187,6 +200,7 @@
         is_revision = known is not None and known.version == received.version
         if is_revision and None not in (known.limit, received.limit):
             known.revision, known.limit = received.revision, received.limit
+            known.turned_away = received.turned_away
             known.used_s = now_s
             return True
         self.put(received, now_s, by="notice")
@@ -208,6 +222,7 @@
             "server limited" if record.limit is not None else "server limit lifted",
             server=record.server,
             limit=record.limit,
+            turned_away=record.turned_away,
             before=None if before is None else before.limit,
             version=record.version,
             by=by,
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -280,6 +280,9 @@
                 self.record_timeout(context, attempt)
             self.components.servers.end(state, attempt.pending_prefill_tokens)
             crashes.end(record)
+            self.components.limits.give_back(
+                context.permit, isinstance(outcome, NotRunThere)
+            )
         if isinstance(outcome, NotPermitted):
             # The server did not fail, and may be chosen again with a permit.
             context.tried.discard(state.incarnation)
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -244,6 +244,21 @@
         self.log_limit(head)
         if head.limit is not None:
             self.record_statement(head.limit)
+        elif isinstance(head.brittle, float):
+            self.record_brittle(head.brittle)
+
+    def record_brittle(self, turned_away: float) -> None:
+        """Record that the server states that it is brittle."""
+        self.is_limit_recorded = True
+        state, limits = self.state, self.components.limits
+        server = state.incarnation_key
+        room = float(max(1, state.entry.slots or state.load()[0]))
+        limits.record_brittle(
+            state.service, server, self.limit_version, turned_away, room
+        )
+        record = limits.records.get_limited(server)
+        if record is not None and record.turned_away is not None:
+            self.record_statement(record.limit)
 
     def record_absent_limit(self, status: int) -> None:
         """Record that the server states no limit, once the response proves to be sound.
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -74,7 +74,7 @@
     inputs = placement_input(components, context, usable)
     record_prompt(components, context, inputs)
     context.permit = None
-    if components.limits.records.limited:
+    if components.limits.has_limits:
         selected = await select_limited(components, context, inputs)
     else:
         selected = choose_or_refuse(components, context, inputs)
@@ -93,7 +93,9 @@
         return choose_or_refuse(components, context, restricted(inputs, allowed))
 
     selected = await components.limits.select(
-        SelectionInput(servers, choose, server_of, permit_need(context))
+        SelectionInput(
+            servers, choose, server_of, permit_need(context), context.service.name
+        )
     )
     if isinstance(selected, LimitsReached):
         last_resort = choose_failing_server(components, context)
--- a/src/rosemaryknot/request/limit_guard.py
+++ b/src/rosemaryknot/request/limit_guard.py
@@ -10,7 +10,12 @@
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.server_limits.records import LimitRecord
 from rosemaryknot.request.permit_client import Permit, PermitClient, PermitNeed
-from rosemaryknot.values.server_limits import NO_LIMIT, InvalidLimit, ServerStatement
+from rosemaryknot.values.server_limits import (
+    NO_LIMIT,
+    InvalidLimit,
+    PermitReturn,
+    ServerStatement,
+)
 
 __all__ = ["LimitGuard", "LimitsReached", "Selected", "SelectionInput"]
 
@@ -22,6 +27,9 @@
 # A server that was sent nothing for this long is preferred for the next request, since
 # only a response can lift its limit.
 PROBE_INTERVAL_S = 5.0
+# New servers of a service are treated as brittle for this long after one of its servers
+# stated that it is.
+BRITTLE_TTL_S = 30.0
 
 MOVED = counter(
     "server_limit_moved_total",
@@ -49,12 +57,34 @@
         select none.
     need : PermitNeed
         The request.
+    service : str
+        Service of the servers.
     """
 
     servers: Collection[str]
     choose: Callable[[Collection[str]], Choice | None]
     server_of: Callable[[Choice], str | None]
     need: PermitNeed
+    service: str = ""
+
+
+@dataclass(slots=True)
+class Brittleness:
+    """What the servers of a service stated last of how brittle they are.
+
+    Attributes
+    ----------
+    turned_away : float
+        Requests a second that one may turn away.
+    room : float
+        Places of a server.
+    stated_s : float
+        When one stated it last, in trio time.
+    """
+
+    turned_away: float
+    room: float
+    stated_s: float
 
 
 @dataclass(slots=True)
@@ -97,6 +127,8 @@
         Sends a record that begins a version to all nodes.
     report : callable
         Sends a statement to the node that issued the permit.
+    give_back_permit : callable
+        Tells the node that issued a permit that its request has ended.
 
     Attributes
     ----------
@@ -109,14 +141,22 @@
         permits: PermitClient,
         publish: Callable[[LimitRecord], object],
         report: Callable[[ServerStatement], object],
+        give_back_permit: Callable[[PermitReturn], object] = lambda returned: None,
     ) -> None:
         self.permits = permits
         self.records = permits.records
         self.publish = publish
         self.report = report
+        self.give_back_permit = give_back_permit
+        self.brittle: dict[str, Brittleness] = {}
 
     # Selection.
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any server is limited, or may be treated as brittle."""
+        return bool(self.records.limited or self.brittle)
+
     async def select(
         self, inputs: SelectionInput[Choice]
     ) -> Selected[Choice] | LimitsReached | None:
@@ -127,6 +167,7 @@
         selected : Selected or LimitsReached or None
             None if no server may be chosen, whatever its limit.
         """
+        self.assume_brittle(inputs)
         limited = self.records.limited.intersection(inputs.servers)
         if not limited:
             choice = inputs.choose(inputs.servers)
@@ -213,6 +254,66 @@
 
     # Statements.
 
+    def assume_brittle(self, inputs: SelectionInput[Choice]) -> None:
+        """Treat new servers of a brittle service as brittle until they respond.
+
+        A server that crashed is back without any request, and all nodes would send it
+        theirs before its first response states that it is brittle.
+        """
+        known = self.brittle.get(inputs.service)
+        now_s = trio.current_time()
+        if known is None or now_s - known.stated_s > BRITTLE_TTL_S:
+            return
+        for server in inputs.servers:
+            if server not in self.records.by_server:
+                begun = self.records.begin(
+                    server, known.room, 0, now_s, known.turned_away
+                )
+                if begun is not None:
+                    self.publish(begun)
+
+    def record_brittle(
+        self,
+        service: str,
+        server: str,
+        sent_version: int,
+        turned_away: float,
+        room: float,
+    ) -> None:
+        """Record that a server states that it is brittle.
+
+        Parameters
+        ----------
+        service, server : str
+            Service and incarnation of the server.
+        sent_version : int
+            Version of its limit when the request was sent.
+        turned_away : float
+            Requests a second that it may turn away.
+        room : float
+            Places that it has.
+        """
+        now_s = trio.current_time()
+        self.brittle[service] = Brittleness(turned_away, room, now_s)
+        if server in self.records.limited:
+            return
+        begun = self.records.begin(server, room, sent_version, now_s, turned_away)
+        if begun is not None:
+            self.publish(begun)
+
+    def give_back(self, permit: Permit | None, was_turned_away: bool) -> None:
+        """Record that the request of a permit has ended."""
+        if permit is not None and permit.is_place:
+            self.give_back_permit(
+                PermitReturn(
+                    permit.server,
+                    permit.owner,
+                    permit.incarnation,
+                    permit.number,
+                    was_turned_away,
+                )
+            )
+
     def record_statement(
         self,
         server: str,
--- a/src/rosemaryknot/request/permit_client.py
+++ b/src/rosemaryknot/request/permit_client.py
@@ -45,6 +45,8 @@
         Whether the owner has to know what the server states even if it knows it.
     expires_s : float
         Until when the request may be sent, in trio time.
+    is_place : bool
+        Whether it takes a place of a brittle server until the request has ended.
     """
 
     server: str
@@ -54,6 +56,7 @@
     number: int
     reports_all: bool
     expires_s: float
+    is_place: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -186,6 +189,7 @@
                 reply.number + index,
                 reply.reports_all,
                 now_s + PERMIT_TTL_S,
+                self.is_brittle(server),
             )
             for index in range(reply.permits)
         ]
@@ -214,6 +218,11 @@
             return True
         return permit is not None and trio.current_time() < permit.expires_s
 
+    def is_brittle(self, server: str) -> bool:
+        """Return whether a server states that it is brittle."""
+        record = self.records.get_limited(server)
+        return record is not None and record.turned_away is not None
+
     def is_blocked(self, server: str) -> bool:
         """Return whether no permit is requested at the moment."""
         if self.spare.get(server):
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -54,6 +54,9 @@
     limit : float or InvalidLimit or None
         Requests per second that the server accepts from all gateways together; None if
         it states no limit.
+    brittle : float or InvalidLimit or None
+        Requests a second that the server may turn away for want of room before it
+        crashes; None if it does not state that it is brittle.
     """
 
     status: int
@@ -65,6 +68,7 @@
     has_length: bool
     headers: Headers = field(default_factory=list)
     limit: float | InvalidLimit | None = None
+    brittle: float | InvalidLimit | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/rosemaryknot/values/server_limits.py
+++ b/src/rosemaryknot/values/server_limits.py
@@ -16,6 +16,7 @@
     "NO_LIMIT",
     "PermitReply",
     "PermitRequest",
+    "PermitReturn",
     "ServerLimitNotice",
     "ServerStatement",
     "decode_limit",
@@ -79,7 +80,9 @@
     ----------
     records : list of list
         For each server: its incarnation, the version and revision of its limit, and
-        the limit in requests per second, or `NO_LIMIT`.
+        the limit in requests per second, or `NO_LIMIT`. A brittle server has its places
+        instead of a rate, and a fifth value: the requests a second that it may turn
+        away.
     is_forwarded : bool
         Whether a relay has forwarded the notice to the nodes of its zone.
     """
@@ -192,3 +195,30 @@
     incarnation: int = 0
     number: int = 0
     limit: float = NO_LIMIT
+
+
+@message("server_permit_return")
+@dataclass(slots=True)
+class PermitReturn(Message):
+    """End of a request that had a permit to send to a brittle server.
+
+    Attributes
+    ----------
+    server : str
+        Incarnation of the server.
+    owner : str
+        Name of the node that issued the permit.
+    incarnation : int
+        Incarnation of that node.
+    number : int
+        Number of the permit.
+    was_turned_away : bool
+        Whether the server had no room for the request.
+    """
+
+    kind: ClassVar[str]
+    server: str = ""
+    owner: str = ""
+    incarnation: int = 0
+    number: int = 0
+    was_turned_away: bool = False
