Draw brittle servers in random plays and audit their crashes

Plays let servers be brittle with less and less room, beside cuts and the other faults. A crash counts against the nodes if most of what the server had turned away in its last second came from nodes that no fault disturbed; two are tolerated, and a tenth of the servers.

--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -18,6 +18,7 @@
     limited_periods,
     most_in_window,
 )
+from rosemaryknot.standin.users.servers import Fall
 from rosemaryknot.standin.users.store import ObjectChange
 
 __all__ = [
@@ -47,6 +48,9 @@
 MIN_CUT_OFF_SHARE = 2 / 3
 MAX_CUT_OFF_FAILED = 10
 MAX_CUT_OFF_FAILED_SHARE = 1 / 50
+# Crashes of brittle servers in one period: a number, and a share of the servers.
+MAX_FALLS = 2
+MAX_FALLS_SHARE = 1 / 10
 # Part of the response to a request that is refused for crashes.
 CRASHED = b"servers crashed"
 REFUSED = 503
@@ -140,6 +144,8 @@
         Rate limits that servers stated or omitted in their responses, in order.
     arrivals : dict of str to list of tuple of (float, str)
         Times and ids of all requests that reached a server, by its incarnation.
+    falls : list of Fall
+        Crashes of brittle servers, in order.
     disturbances : Disturbances
         Subjects and periods for which invariants with a time limit do not hold.
     """
@@ -154,6 +160,7 @@
     object_changes: list[ObjectChange] = field(default_factory=list)
     limit_statements: list[LimitStatement] = field(default_factory=list)
     arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    falls: list[Fall] = field(default_factory=list)
     disturbances: Disturbances = field(default_factory=Disturbances)
 
 
@@ -507,3 +514,26 @@
 def is_served(request: CallerRequest) -> bool:
     """Return whether a request got its complete response."""
     return request.status == OK and request.is_whole
+
+
+@invariant("brittle_servers_stand")
+def brittle_servers_stand(observations: Observations) -> Iterable[str]:
+    """Find brittle servers that undisturbed nodes made crash too often."""
+    node_of = {request.id: request.node for request in observations.caller_requests}
+    is_undisturbed = observations.disturbances.is_undisturbed
+    for period in observations.disturbances.brittle:
+        start_s = period.start_s + CONTACT_S
+        falls = 0
+        for fall in observations.falls:
+            if fall.server not in period.servers:
+                continue
+            if not start_s <= fall.timestamp_s <= period.end_s:
+                continue
+            calm = sum(
+                is_undisturbed(node_of[request], fall.timestamp_s, fall.timestamp_s)
+                for request in fall.requests
+                if request in node_of
+            )
+            falls += calm > len(fall.requests) / 2
+        if falls > MAX_FALLS + MAX_FALLS_SHARE * len(period.servers):
+            yield f"{period.servers} crashed {falls} times from {start_s:.2f} s"
--- a/src/rosemaryknot/standin/users/disturbances.py
+++ b/src/rosemaryknot/standin/users/disturbances.py
@@ -10,7 +10,14 @@
 
 import trio
 
-__all__ = ["RECOVERY_S", "ALL_SUBJECTS", "CutPeriod", "Disturbance", "Disturbances"]
+__all__ = [
+    "ALL_SUBJECTS",
+    "RECOVERY_S",
+    "BrittlePeriod",
+    "CutPeriod",
+    "Disturbance",
+    "Disturbances",
+]
 
 # Time after the end of a disturbance until invariants with a time limit hold again.
 RECOVERY_S = 3.0
@@ -53,6 +60,23 @@
     end_s: float = math.inf
 
 
+@dataclass(slots=True)
+class BrittlePeriod:
+    """A period in which servers state that they are brittle.
+
+    Attributes
+    ----------
+    servers : list of str
+        Ids of the servers.
+    start_s, end_s : float
+        When it began and ended, in trio time.
+    """
+
+    servers: list[str]
+    start_s: float
+    end_s: float = math.inf
+
+
 class Disturbances:
     """Disturbances during a play or a soak.
 
@@ -71,6 +95,17 @@
     def __init__(self) -> None:
         self.spans: list[Disturbance] = []
         self.cuts: list[CutPeriod] = []
+        self.brittle: list[BrittlePeriod] = []
+
+    @contextmanager
+    def make_brittle(self, servers: list[str]) -> Iterator[None]:
+        """Record servers as brittle while the block runs."""
+        period = BrittlePeriod(servers, trio.current_time())
+        self.brittle.append(period)
+        try:
+            yield
+        finally:
+            period.end_s = trio.current_time()
 
     @contextmanager
     def cut_off(self, nodes: list[str]) -> Iterator[None]:
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -260,6 +260,7 @@
 def record_observations(system: PlatformSystem, observations: Observations) -> None:
     """Add the records of the servers, the store and the cloud."""
     observations.limit_statements = system.ledger.statements
+    observations.falls = system.ledger.falls
     for arrival in system.ledger.arrivals:
         times = observations.arrivals.setdefault(arrival.incarnation, [])
         times.append((arrival.timestamp_s, arrival.id))
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -3,6 +3,7 @@
 Each fault is a coroutine that starts the fault and returns when it is over.
 """
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
@@ -177,6 +178,20 @@
             system.end_cut(name, servers)
 
 
+@play_fault("brittle")
+async def brittle(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let ``servers`` be brittle for ``for_s``, with less room for a part of it."""
+    servers = [system.servers[name] for name in fault["servers"]]
+    with system.disturbances.make_brittle(fault["servers"]):
+        for room in fault["rooms"]:
+            for server in servers:
+                server.brittle, server.room = fault["turned_away"], room
+            await trio.sleep(fault["for_s"] / len(fault["rooms"]))
+        for name in fault["servers"]:
+            server = system.servers[name]
+            server.brittle, server.room = None, math.inf
+
+
 @play_fault("silence")
 async def silence(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Let ``servers`` send nothing for ``for_s`` and go on, ``pause_s`` apart."""
@@ -278,7 +293,7 @@
 
 
 def draw_cuts(rng: random.Random, nodes: int) -> list[dict[str, Any]]:
-    """Draw cuts of nodes from servers, and sound servers that fall silent."""
+    """Draw cuts of nodes from servers, and silent and brittle servers."""
     faults = []
     for _ in range(rng.randint(1, 3)):
         names = [f"n{number}" for number in range(nodes)]
@@ -302,6 +317,18 @@
                 "pause_s": rng.choice([0.0, 1.5]),
             }
         )
+    if rng.random() < 0.5:
+        room = rng.randint(2, 12)
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 6.0), 2),
+                "kind": "brittle",
+                "servers": rng.choice([list(SERVERS[:3]), list(SERVERS[3:])]),
+                "rooms": [16, room, 1 + room // 2],
+                "turned_away": rng.randint(2, 8),
+                "for_s": round(rng.uniform(6.0, 14.0), 2),
+            }
+        )
     return faults
 
 
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -11,7 +11,7 @@
 from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
-__all__ = ["CRASHING_BODY", "Arrival", "ServerStandIn", "server_entry"]
+__all__ = ["CRASHING_BODY", "Arrival", "Fall", "ServerStandIn", "server_entry"]
 
 # Body of a request that crashes each server that runs it.
 CRASHING_BODY = b"crash"
@@ -87,6 +87,25 @@
     return register
 
 
+@dataclass(slots=True)
+class Fall:
+    """A crash of a brittle server that turned away too many requests.
+
+    Attributes
+    ----------
+    server : str
+        Id of the server.
+    timestamp_s : float
+        When it crashed, in trio time.
+    requests : list of str
+        Ids of the requests that it had turned away in the last second.
+    """
+
+    server: str
+    timestamp_s: float
+    requests: list[str]
+
+
 @dataclass(slots=True)
 class Ledger:
     """Requests that reached the servers of a test.
@@ -97,10 +116,13 @@
         The requests, in order.
     statements : list of LimitStatement
         Rate limits that responses stated or omitted, in order.
+    falls : list of Fall
+        Crashes of brittle servers, in order.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
     statements: list[LimitStatement] = field(default_factory=list)
+    falls: list[Fall] = field(default_factory=list)
 
     def runs_of(self, request_id: str) -> int:
         """Return the number of times that a request ran."""
@@ -136,8 +158,6 @@
         which its responses state.
     room : float
         Requests that it accepts at once.
-    falls : int
-        Number of times that it crashed because it turned away too many.
     crash : callable
         Crashes the server; set by the system that runs it.
     """
@@ -162,8 +182,7 @@
         self.brittle: int | None = None
         self.room = math.inf
         self.active = 0
-        self.turned_away_s: deque[float] = deque()
-        self.falls = 0
+        self.turned_away: deque[tuple[float, str]] = deque()
         self.crash: Callable[[], None] = lambda: None
         self.server = RawServer(self.handle)
 
@@ -214,12 +233,13 @@
     async def turn_away(self, arrival: Arrival, wire: RawWire) -> None:
         """Refuse a request for want of room; crash if there were too many of them."""
         now_s = trio.current_time()
-        self.turned_away_s.append(now_s)
-        while now_s - self.turned_away_s[0] > 1.0:
-            self.turned_away_s.popleft()
-        if self.brittle is not None and len(self.turned_away_s) > self.brittle:
-            self.falls += 1
-            self.turned_away_s.clear()
+        self.turned_away.append((now_s, arrival.id))
+        while now_s - self.turned_away[0][0] > 1.0:
+            self.turned_away.popleft()
+        if self.brittle is not None and len(self.turned_away) > self.brittle:
+            requests = [request_id for _, request_id in self.turned_away]
+            self.ledger.falls.append(Fall(self.id, now_s, requests))
+            self.turned_away.clear()
             self.crash()
         await shed(self, arrival, wire)
 
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -346,7 +346,6 @@
         server = ServerStandIn(server_id, old.is_model, old.work_s, self.ledger)
         server.entry = old.entry | {"state": "ready", "sequence": 1}
         server.brittle, server.room = old.brittle, old.room
-        server.falls = old.falls
         if "born" in old.entry:
             server.entry["born"] = max(now_ms(), old.entry["born"] + 1)
         await self.serve_server(server)
--- a/tests/gateway/test_brittle_servers.py
+++ b/tests/gateway/test_brittle_servers.py
@@ -55,7 +55,7 @@
 
 
 def falls(fleet):
-    return sum(server.falls for server in fleet.servers.values())
+    return len(fleet.ledger.falls)
 
 
 class TestFalls:
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -11,7 +11,11 @@
     ServerRequest,
     audit,
 )
-from rosemaryknot.standin.users.disturbances import CutPeriod, Disturbance
+from rosemaryknot.standin.users.disturbances import (
+    BrittlePeriod,
+    CutPeriod,
+    Disturbance,
+)
 from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.play import (
     PLAY_FAULTS,
@@ -20,6 +24,7 @@
     random_play,
     run_play,
 )
+from rosemaryknot.standin.users.servers import Fall
 from rosemaryknot.standin.users.store import ObjectChange
 
 # Random faults that overlap: a node killed while the store is silent, an expired entry
@@ -97,6 +102,16 @@
     return observations
 
 
+def fallen(count, node="n0"):
+    """Return crashes of brittle servers that turned requests of a node away."""
+    observations = Observations()
+    observations.caller_requests.append(CallerRequest("a", "plain", True, node=node))
+    observations.falls = [Fall("p0", 9.0 + n, ["a"]) for n in range(count)]
+    observations.disturbances.brittle.append(BrittlePeriod(["p0", "p1"], 5.0, 20.0))
+    observations.disturbances.spans.append(Disturbance("n1", 5.0, 20.0))
+    return observations
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_random_faults(self, seed):
@@ -192,6 +207,7 @@
             ("others_are_served", refused_after_completion()),
             ("server_limits_are_kept", limited(per_s=4.5)),
             ("cut_off_nodes_serve", cut_off(failed=40)),
+            ("brittle_servers_stand", fallen(3)),
         ],
     )
     def test_violation_is_found(self, invariant, observations):
@@ -207,6 +223,10 @@
     def test_requests_within_a_limit(self, observations):
         assert not audit(observations)
 
+    @pytest.mark.parametrize("observations", [fallen(2), fallen(5, "n1")])
+    def test_few_falls_or_by_disturbed_nodes(self, observations):
+        assert not audit(observations)
+
     @pytest.mark.parametrize("failed", [0, 12, 30])
     def test_cut_off_nodes_that_serve(self, failed):
         assert not audit(cut_off(failed))
