Cut nodes off from servers in the soak, with silent and brittle servers

A loopback proxy cannot refuse the connections of one node only, so the soak starts the nodes by a program that makes the cut in the class which opens sockets: new connections hang or are refused, and open ones are closed or live on. A service falls silent for 1.2 s, at once or one server after the other, and may then be brittle with less and less room.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import random
 import signal
 import socket
@@ -47,6 +48,7 @@
 from rosemaryknot.values.nodes import Address
 
 FOLDER = Path(".demo/soak")
+NODE_PROGRAM = Path(__file__).parent / "soak_node.py"
 HOST = "127.0.0.1"
 NODES = 3
 GRACE_S = 4.0
@@ -63,6 +65,9 @@
 CRASHING_RATES = (0.0, 0.5, 3.0)
 # Share of the seeds in which no server states a rate limit.
 UNLIMITED_SHARE = 0.3
+# Share of the seeds in which no node is cut off from the servers.
+UNCUT_SHARE = 0.3
+CUTS = ("hang", "refuse", "reset")
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -120,15 +125,14 @@
         """Start the process."""
         self.write()
         with open(self.log, "a") as log:
-            command = [
-                sys.executable,
-                "-m",
-                "rosemaryknot.process.node_main",
-                self.path,
-            ]
+            command = [sys.executable, NODE_PROGRAM, self.path]
             self.process = subprocess.Popen(command, stdout=log, stderr=log)
         self.settings["is_first_start"] = False
 
+    def cut_off(self, how: str, ports: list[int]) -> None:
+        """Cut the process off from some ports; with an empty ``how``, end that."""
+        self.path.with_suffix(".cut").write_text(json.dumps([how, ports]))
+
     def send(self, number: int) -> None:
         """Send a signal to the process."""
         if self.process.poll() is None:
@@ -518,6 +522,47 @@
             await trio.sleep(rng.uniform(1.0, 5.0))
 
 
+async def cut_nodes(system: SoakSystem, seed: int) -> None:
+    """Cut nodes off from all servers, one to all but one of them, again and again."""
+    rng = random.Random(f"cuts {seed}")
+    end_s = trio.current_time() + LOAD_DURATION_S - 4
+    if rng.random() < UNCUT_SHARE:
+        return
+    while trio.current_time() < end_s:
+        await trio.sleep(rng.uniform(0.5, 3.0))
+        count = rng.randint(1, max(1, len(system.nodes) - 1))
+        names = rng.sample(sorted(system.nodes), count)
+        addresses = [server.entry["address"] for server in system.servers.values()]
+        ports = [Address.from_text(address).port for address in addresses]
+        how = rng.choice(CUTS)
+        with system.disturbances.cut_off(names):
+            for name in names:
+                system.nodes[name].cut_off(how, ports)
+            await trio.sleep(rng.uniform(1.0, 6.0))
+            for name in names:
+                system.nodes[name].cut_off("", [])
+
+
+async def trouble_servers(system: SoakSystem, seed: int) -> None:
+    """Let sound servers fall silent for a second, and a service be brittle."""
+    rng = random.Random(f"servers {seed}")
+    await trio.sleep(rng.uniform(0.5, 4.0))
+    is_model = rng.random() < 0.5
+    servers = [s for s in system.servers.values() if s.is_model == is_model]
+    for server in servers:
+        server.pause(1.2)
+        await trio.sleep(rng.choice((0.0, 1.3)))
+    if rng.random() < 0.5:
+        return
+    with system.disturbances.make_brittle([server.id for server in servers]):
+        for room in (16, rng.randint(2, 8), 2):
+            for server in servers:
+                server.brittle, server.room = rng.randint(2, 6), room
+            await trio.sleep(2.5)
+    for server in servers:
+        server.brittle, server.room = None, math.inf
+
+
 def crashing_rate(seed: int) -> float:
     """Return how often a request is repeated that crashes servers, per second."""
     return CRASHING_RATES[seed // 2 % len(CRASHING_RATES)]
@@ -545,6 +590,8 @@
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(inject_faults)
             load_nursery.start_soon(limit_servers, system, seed)
+            load_nursery.start_soon(cut_nodes, system, seed)
+            load_nursery.start_soon(trouble_servers, system, seed)
             play = Play(
                 length_s=LOAD_DURATION_S,
                 load=LOAD,
