Count the requests at a brittle server that have no permit

The owner took the larger of the places that it had issued and the requests that nodes report, so that permits issued before the next report were not added to requests without one: eight places were issued at a server that held five requests (test_requests_without_a_permit_count, which failed). Such requests are now counted when the owner begins, and until reports show that they have ended. What is turned away lowers the room to what the server held then, instead of by a fifth for each request of one burst. A number of turned-away requests that is not finite is malformed (test_malformed[nan] failed).

--- a/src/rosemaryknot/process/server_limits/records.py
+++ b/src/rosemaryknot/process/server_limits/records.py
@@ -101,6 +101,8 @@
             record.limit = None
         elif not 0 <= record.limit <= MAX_LIMIT:
             return None
+        if record.turned_away is not None and not 0 <= record.turned_away <= MAX_LIMIT:
+            return None
         return record
 
     @property
--- a/src/rosemaryknot/process/server_limits/rooms.py
+++ b/src/rosemaryknot/process/server_limits/rooms.py
@@ -25,9 +25,9 @@
 
 __all__ = ["RoomIssuer"]
 
-# Share of the places that were taken when the server turned a request away that it is
-# expected to have.
-LOWERED_SHARE = 0.8
+# Share of the requests that the server held when it turned one away which it is sent
+# from then on.
+LOWERED_SHARE = 0.9
 # The room grows by one place for as many completed requests as there are places, but
 # not for this long after a request was turned away.
 RAISE_PAUSE_S = 2.0
@@ -37,6 +37,8 @@
 # A permit whose end was not reported is taken back after this time; no request to a
 # server takes longer on the platforms.
 MAX_HOLD_S = 30.0
+# How old the reports of requests in flight may be in a large deployment.
+REPORT_AGE_S = 0.5
 # Completed requests of this time give the rate at which places become free.
 RATE_WINDOW_S = 2.0
 MIN_RATE = 1.0
@@ -50,12 +52,12 @@
     ----------
     node : str
         Node that sends the request.
-    expires_s : float
-        When it is taken back, in trio time.
+    issued_s : float
+        When it was issued, in trio time.
     """
 
     node: str
-    expires_s: float
+    issued_s: float
 
 
 class RoomBucket:
@@ -106,11 +108,16 @@
     turned_away : float
         Requests a second that the server may turn away.
     in_flight : callable
-        Returns the requests at the server as the nodes report them; those that were
-        sent before it was known to be brittle have no permit.
+        Returns the requests at the server as the nodes report them.
     is_live : callable
         Returns whether a node is alive, by its name.
 
+    Attributes
+    ----------
+    unpermitted : int
+        Requests at the server that may have no permit of this owner: they were sent
+        before the server was known to be brittle, or another node issued theirs.
+
     Examples
     --------
     >>> issuer = RoomIssuer(1.0, 1.0, 0.0, 4.0, lambda: 0, lambda node: True)
@@ -138,6 +145,7 @@
         self.is_live = is_live
         self.turned_away_s: deque[float] = deque()
         self.counted_s = started_s
+        self.unpermitted = in_flight()
         self.bucket = RoomBucket(max(1.0, limit * share))
         self.bucket.refill = self.count_free
         self.count_free(started_s)
@@ -157,10 +165,16 @@
         self.counted_s = now_s
         places = self.bucket.places
         for number, place in list(places.items()):
-            if now_s >= place.expires_s or not self.is_live(place.node):
+            is_expired = now_s - place.issued_s >= MAX_HOLD_S
+            if is_expired or not self.is_live(place.node):
                 del places[number]
-        taken = max(len(places), self.in_flight() * self.share)
-        self.bucket.balance = self.bucket.room - taken
+        if self.unpermitted:
+            reported = sum(
+                now_s - place.issued_s > REPORT_AGE_S for place in places.values()
+            )
+            others = max(0, self.in_flight() - reported)
+            self.unpermitted = min(self.unpermitted, others)
+        self.bucket.balance = self.bucket.room - len(places) - self.unpermitted
         while self.turned_away_s and (
             now_s - self.turned_away_s[0] > TURNED_AWAY_WINDOW_S
         ):
@@ -180,8 +194,7 @@
     def issue(self, node: str, count: int | None = None) -> Issued:
         """Issue one permit."""
         issued = super().issue(node, 1)
-        expires_s = self.counted_s + MAX_HOLD_S
-        self.bucket.places[issued.first] = Place(node, expires_s)
+        self.bucket.places[issued.first] = Place(node, self.counted_s)
         return issued
 
     def give_back(self, number: int, was_turned_away: bool, now_s: float) -> None:
@@ -197,13 +210,12 @@
             Current trio time.
         """
         bucket = self.bucket
-        taken = len(bucket.places)
         if bucket.places.pop(number, None) is None:
             return
         if was_turned_away:
             self.turned_away_s.append(now_s)
-            room = LOWERED_SHARE * min(bucket.room, taken)
-            bucket.room = max(1.0, room)
+            held = len(bucket.places) + self.unpermitted
+            bucket.room = max(1.0, min(bucket.room, LOWERED_SHARE * held))
         else:
             bucket.record_completed(now_s)
             last_s = self.turned_away_s[-1] if self.turned_away_s else float("-inf")
