Split the requests to peers and their budget from the dialler

A relayed connection that a peer opened in the same moment as the node's own attempt succeeded is closed in each case; it could be left open when the race ended between the two.

--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -19,6 +19,7 @@
     "Network",
     "SocketNetwork",
     "StreamHandler",
+    "close_shielded",
     "dial_failure",
     "reset_on_close",
     "receive_next",
@@ -207,3 +208,10 @@
             continue
         except OSError as error:
             raise trio.BrokenResourceError(str(error)) from error
+
+
+async def close_shielded(stream: trio.abc.AsyncResource | None) -> None:
+    """Close a stream, if there is one, even if the task is cancelled."""
+    if stream is not None:
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(stream)
--- a/src/rosemaryknot/connection/server_dialler.py
+++ b/src/rosemaryknot/connection/server_dialler.py
@@ -10,37 +10,22 @@
 
 import trio
 
-from rosemaryknot.connection.link_hello import MAX_FRAME_BYTES, send_raw
-from rosemaryknot.connection.links import Handlers, Hello, LinkClosed, open_link
-from rosemaryknot.connection.network import Network, dial_failure
-from rosemaryknot.connection.relayed_stream import RelayedStream
-from rosemaryknot.process.logs import logger
-from rosemaryknot.process.server_paths import (
-    BUSY_PAUSE_S,
-    SLOW_PAUSE_S,
-    UNREACHABLE_PAUSE_S,
-    ServerPaths,
+from rosemaryknot.connection.network import Network, close_shielded
+from rosemaryknot.connection.relay_client import (
+    PEER_HEDGE_S,
+    RelayClient,
+    RelayPeers,
 )
-from rosemaryknot.values.messages import MessageError, decode_message, encode_message
-from rosemaryknot.values.nodes import Address, Node
+from rosemaryknot.process.hedge_budget import HedgeBudget
+from rosemaryknot.process.server_paths import ServerPaths
+from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.server_evidence import ServerEvidence
-from rosemaryknot.values.server_relays import RelayOpen, RelayOpened, RelayResult
 
-__all__ = ["NoPath", "RelayPeers", "ServerDialler"]
+__all__ = ["NoPath", "ServerDialler"]
 
 # A connection that is not open after this time is opened through a peer too. It takes a
 # few milliseconds if the server reads and no packet is lost.
 HEDGE_S = 0.15
-# The next peer is asked if one has not replied after this time. It may be cut off
-# itself, and know nothing of it.
-PEER_HEDGE_S = 0.15
-MAX_PEERS = 4
-# Connections that may be tried through peers in vain: at once, for each second, and for
-# each connection that the node opens by itself.
-MAX_HEDGES = 20.0
-HEDGES_PER_S = 1.0
-HEDGES_PER_CONNECTION = 0.1
-PEER_TIMEOUT_S = 0.8
 # How long a check of a server or of the node's own link may take.
 CHECK_TIMEOUT_S = 0.3
 # Servers to which the node's own link is checked at once, after another one failed.
@@ -56,86 +41,11 @@
 # After one was restored, the others are tried with this pause.
 RESTORED_RECHECK_S = 0.02
 
-log = logger("paths")
-
-
-async def close_shielded(stream: trio.abc.AsyncResource | None) -> None:
-    """Close a stream, if there is one, even if the task is cancelled."""
-    if stream is not None:
-        with trio.CancelScope(shield=True):
-            await trio.aclose_forcefully(stream)
-
 
 class NoPath(OSError):
     """Raised if neither this node nor a peer reaches a server, for no fault of its."""
 
 
-@dataclass(slots=True)
-class RelayPeers:
-    """The peers that may relay connections.
-
-    Attributes
-    ----------
-    nodes : callable
-        Returns the other nodes that are believed to be alive.
-    address_of : callable
-        Returns the address of a node by its name, or None.
-    key : bytes
-        Key that proves a node's membership.
-    hello : callable
-        Returns the hello of this node.
-    """
-
-    nodes: Callable[[], Collection[Node]]
-    address_of: Callable[[str], Address | None]
-    key: bytes
-    hello: Callable[[], Hello]
-
-
-@dataclass(slots=True)
-class PeerCall:
-    """Request to one peer for a connection.
-
-    Attributes
-    ----------
-    node : Node
-        The peer.
-    is_reached : bool
-        Whether the peer itself has responded. Its own connection to the server may take
-        longer, which says nothing of its others.
-    ended : trio.Event
-        Set once the call has ended.
-    """
-
-    node: Node
-    is_reached: bool = False
-    ended: trio.Event = field(default_factory=trio.Event)
-
-
-@dataclass(slots=True)
-class PeerAnswer:
-    """What the peers that were asked for a connection have shown.
-
-    Attributes
-    ----------
-    stream : RelayedStream or None
-        Connection through a peer.
-    is_refused : bool
-        Whether the server refused the connection of a peer that reaches others.
-    is_silent : bool
-        Whether the server did not answer a peer that reaches others.
-    """
-
-    stream: RelayedStream | None = None
-    is_refused: bool = False
-    is_silent: bool = False
-
-    @property
-    def is_final(self) -> bool:
-        """Whether no further peer has to be asked."""
-        return self.stream is not None or self.is_refused or self.is_silent
-
-
 @dataclass(slots=True)
 class Race:
     """Outcome of opening a connection by several paths at once.
@@ -158,45 +68,6 @@
     direct_ended: trio.Event = field(default_factory=trio.Event)
 
 
-class HedgeBudget:
-    """Limit of the connections that are tried through a peer in vain.
-
-    While all servers are overloaded, they accept connections late. If each node tried
-    them through peers too, they would get several times as many. A connection that a
-    peer opens costs nothing, so that a node that is cut off is not limited.
-
-    Attributes
-    ----------
-    balance : float
-        Attempts that are left.
-    refilled_s : float
-        Until when the balance was refilled, in trio time.
-    """
-
-    def __init__(self) -> None:
-        self.balance = MAX_HEDGES
-        self.refilled_s = trio.current_time()
-
-    def acquire(self) -> bool:
-        """Return whether an attempt may be made, and count it."""
-        now_s = trio.current_time()
-        accrued = (now_s - self.refilled_s) * HEDGES_PER_S
-        self.balance = min(MAX_HEDGES, self.balance + accrued)
-        self.refilled_s = now_s
-        if self.balance < 1:
-            return False
-        self.balance -= 1
-        return True
-
-    def give_back(self) -> None:
-        """Record that a peer opened the connection."""
-        self.balance += 1
-
-    def record_opened(self) -> None:
-        """Record a connection that this node opened by itself."""
-        self.balance = min(MAX_HEDGES, self.balance + HEDGES_PER_CONNECTION)
-
-
 class ServerDialler:
     """Opens connections to servers by the path that works.
 
@@ -232,6 +103,7 @@
         self.network = network
         self.paths = paths
         self.peers = peers
+        self.relay_client = RelayClient(network, paths, peers)
         self.servers = servers
         self.rng = rng
         self.unreached_s = float("-inf")
@@ -295,7 +167,11 @@
     ) -> None:
         """Open a connection through a peer; end the race if that shows a result."""
         started_s = trio.current_time()
-        answer = await self.ask_peers(address, race)
+        answer = await self.relay_client.open(address, lambda: race.stream is None)
+        if race.stream is not None:
+            await close_shielded(answer.stream)
+            return
+        race.stream = answer.stream
         if answer.stream is not None and not is_doubtful:
             self.hedges.give_back()
         if answer.stream is not None:
@@ -317,100 +193,6 @@
         self.hedges.record_opened()
         return stream
 
-    # Peers.
-
-    async def ask_peers(self, address: Address, race: Race) -> PeerAnswer:
-        """Ask peers for a connection, one after the other, until one opens it."""
-        answer = PeerAnswer()
-        calls: dict[str, PeerCall] = {}
-        async with trio.open_nursery() as nursery:
-            nursery.cancel_scope.deadline = trio.current_time() + PEER_TIMEOUT_S
-            for _ in range(MAX_PEERS):
-                node = self.paths.select(self.peers.nodes(), calls)
-                if node is None:
-                    break
-                call = calls[node.name] = PeerCall(node)
-                nursery.start_soon(self.ask, call, address, answer, race)
-                with trio.move_on_after(PEER_HEDGE_S):
-                    await call.ended.wait()
-                if not call.is_reached:
-                    self.paths.pause(node.name, UNREACHABLE_PAUSE_S)
-                if answer.is_final:
-                    break
-            if answer.is_final:
-                nursery.cancel_scope.cancel()
-        if answer.stream is not None:
-            for name, call in calls.items():
-                if not call.ended.is_set():
-                    # Probably it is cut off as well, and would delay the next request.
-                    self.paths.pause(name, SLOW_PAUSE_S)
-        return answer
-
-    async def ask(
-        self,
-        call: PeerCall,
-        address: Address,
-        answer: PeerAnswer,
-        race: Race,
-    ) -> None:
-        """Ask one peer for a connection and record its reply."""
-        node = call.node
-        reply = await self.open_relay(call, address)
-        call.ended.set()
-        if isinstance(reply, RelayedStream):
-            if race.stream is not None:
-                await trio.aclose_forcefully(reply)
-                return
-            answer.stream = race.stream = reply
-            return
-        log.info(
-            "no relay",
-            peer=node.name,
-            address=str(address),
-            result=str(reply.result),
-            reaches_others=reply.reaches_others,
-        )
-        if reply.result == RelayResult.BUSY:
-            self.paths.pause(node.name, BUSY_PAUSE_S)
-        elif reply.result == RelayResult.NO_CONNECTION:
-            answer.is_refused = True
-        elif reply.result == RelayResult.SILENT:
-            answer.is_silent = True
-        elif reply.result == RelayResult.CUT_OFF and not reply.reaches_others:
-            self.paths.record_cut_off(node.name)
-
-    async def open_relay(
-        self, call: PeerCall, address: Address
-    ) -> RelayedStream | RelayOpened:
-        """Open a connection through a peer; return its reply if it does not."""
-        node = call.node
-        stream = relayed = None
-        try:
-            peer_address = self.peers.address_of(node.name)
-            if peer_address is None:
-                return RelayOpened(RelayResult.CUT_OFF, True)
-            stream = await self.network.dial(peer_address)
-            link = await open_link(
-                stream, self.peers.key, self.peers.hello(), Handlers()
-            )
-            call.is_reached = True
-            await send_raw(stream, encode_message(RelayOpen(str(address))))
-            payload = await link.reader.read_frame(MAX_FRAME_BYTES)
-            reply = decode_message(payload)[0]
-            if not isinstance(reply, RelayOpened):
-                raise MessageError("expected server_relay_opened")
-            if reply.result != RelayResult.OPEN:
-                return reply
-            relayed = RelayedStream(stream, link.reader, node.name)
-            return relayed
-        except (OSError, LinkClosed, ValueError, trio.BrokenResourceError) as error:
-            reason = dial_failure(error) if isinstance(error, OSError) else str(error)
-            log.info("peer not reached for a relay", peer=node.name, reason=reason)
-            return RelayOpened(RelayResult.CUT_OFF, True)
-        finally:
-            if relayed is None:
-                await close_shielded(stream)
-
     # Evidence.
 
     async def check(self, address: Address) -> ServerEvidence:
@@ -425,7 +207,7 @@
             else:
                 await trio.aclose_forcefully(stream)
                 return ServerEvidence.ACCEPTS
-        answer = await self.ask_peers(address, Race())
+        answer = await self.relay_client.open(address)
         if answer.stream is not None:
             await trio.aclose_forcefully(answer.stream)
             is_silent = failed == ServerEvidence.SILENT
--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -12,7 +12,8 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.order_client import HttpOrderClient
 from rosemaryknot.connection.platform import PlatformClient
-from rosemaryknot.connection.server_dialler import RelayPeers, ServerDialler
+from rosemaryknot.connection.relay_client import RelayPeers
+from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.connection.server_network import ServerNetwork
 from rosemaryknot.connection.server_relay import ServerRelay
 from rosemaryknot.process.claims.forms import ClaimForm
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -10,7 +10,8 @@
 from rosemaryknot.connection.links import Handlers, Hello, MessageLink
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.plain_client import PlainClient
-from rosemaryknot.connection.server_dialler import RelayPeers, ServerDialler
+from rosemaryknot.connection.relay_client import RelayPeers
+from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.connection.server_network import ServerNetwork
 from rosemaryknot.process.agent_link import AgentLink
 from rosemaryknot.process.configuration import ConfigurationHolder
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -15,7 +15,8 @@
 from rosemaryknot.connection.pages import Page, PageServer
 from rosemaryknot.connection.path_monitor import PathMonitor
 from rosemaryknot.connection.pending_responses import PENDING_RESPONSES
-from rosemaryknot.connection.server_dialler import RelayPeers, ServerDialler
+from rosemaryknot.connection.relay_client import RelayPeers
+from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.connection.server_relay import ServerRelay
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.change_distributor import ChangeDistributor
--- a/tests/gateway/test_cut_off_nodes.py
+++ b/tests/gateway/test_cut_off_nodes.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from rosemaryknot.connection.server_dialler import PeerCall
+from rosemaryknot.connection.relay_client import PeerCall
 from rosemaryknot.connection.server_relay import MAX_RELAYS
 from rosemaryknot.process.server_paths import SLOW_PAUSE_S
 from rosemaryknot.standin.users.system import (
@@ -483,5 +483,5 @@
         async with platform_system(nodes=2) as fleet:
             dialler = fleet.nodes["n1"].dialler
             node = fleet.nodes["n0"].node
-            reply = await dialler.open_relay(PeerCall(node), STORE)
+            reply = await dialler.relay_client.open_relay(PeerCall(node), STORE)
             assert reply.result == "unknown_server"
