--- a/src/rosemaryknot/process/server_limits/rooms.py
+++ b/src/rosemaryknot/process/server_limits/rooms.py
@@ -39,9 +39,11 @@
 MAX_HOLD_S = 30.0
 # How old the reports of requests in flight may be in a large deployment.
 REPORT_AGE_S = 0.5
-# Completed requests of this time give the rate at which places become free.
-RATE_WINDOW_S = 2.0
-MIN_RATE = 1.0
+# How long a request is expected to take its place before one has completed, and the
+# weight of the newest one in the moving average.
+INITIAL_HOLD_S = 1.0
+HOLD_WEIGHT = 0.1
+MIN_HOLD_S = 0.001
 
 
 @dataclass(slots=True)
@@ -71,27 +73,29 @@
         Places that are taken, by the number of the permit.
     balance : float
         Free places when they were last counted.
-    rate : float
-        Places that become free per second.
+    hold_s : float or None
+        Mean time for which requests took their places; None before the first.
     """
 
     def __init__(self, room: float) -> None:
         self.room = room
         self.places: dict[int, Place] = {}
         self.balance = 0.0
-        self.rate = MIN_RATE
-        self.completed: deque[float] = deque()
+        self.hold_s: float | None = None
 
     def wait_s(self, amount: float) -> float:
         """Return the expected time until places are free, in seconds."""
         return max(0.0, amount - self.balance) / self.rate
 
-    def record_completed(self, now_s: float) -> None:
-        """Record that a request has completed."""
-        self.completed.append(now_s)
-        while now_s - self.completed[0] > RATE_WINDOW_S:
-            self.completed.popleft()
-        self.rate = max(MIN_RATE, len(self.completed) / RATE_WINDOW_S)
+    @property
+    def rate(self) -> float:
+        """Places that become free per second while all are taken."""
+        return self.room / (self.hold_s or INITIAL_HOLD_S)
+
+    def record_completed(self, hold_s: float) -> None:
+        """Record for how long a request took its place."""
+        before_s = hold_s if self.hold_s is None else self.hold_s
+        self.hold_s = max(MIN_HOLD_S, before_s + HOLD_WEIGHT * (hold_s - before_s))
 
 
 class RoomIssuer(PermitIssuer):
@@ -210,14 +214,15 @@
             Current trio time.
         """
         bucket = self.bucket
-        if bucket.places.pop(number, None) is None:
+        place = bucket.places.pop(number, None)
+        if place is None:
             return
         if was_turned_away:
             self.turned_away_s.append(now_s)
             held = len(bucket.places) + self.unpermitted
             bucket.room = max(1.0, min(bucket.room, LOWERED_SHARE * held))
         else:
-            bucket.record_completed(now_s)
+            bucket.record_completed(now_s - place.issued_s)
             last_s = self.turned_away_s[-1] if self.turned_away_s else float("-inf")
             if now_s - last_s > RAISE_PAUSE_S:
                 raised = bucket.room + 1 / max(1.0, bucket.room)
--- a/tests/process/test_server_rooms.py
+++ b/tests/process/test_server_rooms.py
@@ -89,6 +89,27 @@
         assert len(issuer.bucket.places) == ROOM
 
 
+class TestWaiting:
+    """How long the queue is follows from the requests, also after a pause."""
+
+    def test_expected_wait(self):
+        issuer = new_issuer()
+        for start_s in (0.0, 100.0):
+            for number in issue_all(issuer, start_s):
+                issuer.give_back(number, False, start_s + 0.2)
+            issue_all(issuer, start_s + 0.3)
+            refused = issuer.request("n0", 0, start_s + 0.3)
+            assert refused.queue_s < 2 * 0.2 / ROOM
+            for number in list(issuer.bucket.places):
+                issuer.give_back(number, False, start_s + 0.5)
+
+    def test_first_requests_wait(self):
+        """Nothing is refused before the first request has shown how long one takes."""
+        issuer = new_issuer()
+        issue_all(issuer, 0.0)
+        assert issuer.request("n0", 0, 0.1).queue_s <= 1 / ROOM
+
+
 class TestLostReturns:
     """A place whose end nobody reports is free again."""
 
