Reword what a newcomer reads twice, and forget that a service was brittle

Read as a newcomer: comments on constants that referred to "the first time" and "the second one", and docstrings with "for no fault of", say what they mean.

--- a/src/rosemaryknot/connection/path_monitor.py
+++ b/src/rosemaryknot/connection/path_monitor.py
@@ -16,10 +16,11 @@
 __all__ = ["PathMonitor"]
 
 CHECK_INTERVAL_S = 0.1
-# A server is checked if none that this node waits for has sent anything for the first
-# time, or this one for the second one. Servers with running streams send every few tens
-# of milliseconds, and it is unlikely that all are silent at once.
+# All servers with pending responses are checked if none of them has sent anything for
+# this long. A running stream sends every few tens of milliseconds, and it is unlikely
+# that all servers are silent at once.
 NODE_SILENCE_S = 0.4
+# A single server is checked after this silence, while others are sending.
 SERVER_SILENCE_S = 1.0
 # Pause between two checks of a server that stays silent.
 VERIFY_INTERVAL_S = 2.0
@@ -82,7 +83,10 @@
         ]
 
     def is_check_due(self, address: Address, last_s: float, now_s: float) -> bool:
-        """Return whether a silent server was not checked since it became silent."""
+        """Return whether the last check of a silent server was long enough ago.
+
+        The first one is due as soon as the server counts as silent.
+        """
         verified_s = self.verified_s.get(address, float("-inf"))
         return verified_s < last_s or now_s - verified_s >= VERIFY_INTERVAL_S
 
--- a/src/rosemaryknot/connection/server_dialler.py
+++ b/src/rosemaryknot/connection/server_dialler.py
@@ -31,9 +31,9 @@
 # Servers to which the node's own link is checked at once, after another one failed.
 MAX_CHECKED = 2
 
-# A lost path is tried again after the first time, which grows by the factor up to the
-# second one while it stays lost. One path of a node is tried at a time, so that a node
-# that is cut off from 10,000 servers tries no more often than one cut off from one.
+# Pause before a lost path is tried again. It grows by the factor up to the maximum
+# while paths stay lost. A node tries one path at a time, so that one that is cut off from
+# 10,000 servers tries no more often than one that is cut off from a single one.
 RECHECK_S = 0.5
 RECHECK_FACTOR = 1.5
 MAX_RECHECK_S = 2.0
@@ -43,7 +43,7 @@
 
 
 class NoPath(OSError):
-    """Raised if neither this node nor a peer reaches a server, for no fault of its."""
+    """Raised if no path to a server works; the server itself may be sound."""
 
 
 @dataclass(slots=True)
--- a/src/rosemaryknot/process/relay_nodes.py
+++ b/src/rosemaryknot/process/relay_nodes.py
@@ -40,7 +40,7 @@
         self.peers = peers
 
     def nodes(self) -> RelayNodes:
-        """Return the nodes for the entries; for each node other ones."""
+        """Return the nodes for the entries; each agent selects different ones."""
         live = self.peers.nodes()
         near = [node for node in live if node.zone == self.node.zone]
         far = [node for node in live if node.zone != self.node.zone]
--- a/src/rosemaryknot/process/server_limits/rooms.py
+++ b/src/rosemaryknot/process/server_limits/rooms.py
@@ -25,8 +25,8 @@
 
 __all__ = ["RoomIssuer"]
 
-# Share of the requests that the server held when it turned one away which it is sent
-# from then on.
+# After a server has turned a request away, its room is this share of the requests that
+# it held then.
 LOWERED_SHARE = 0.9
 # The room grows by one place for as many completed requests as there are places, but
 # not for this long after a request was turned away.
--- a/src/rosemaryknot/process/server_paths.py
+++ b/src/rosemaryknot/process/server_paths.py
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True)
 class LostPath:
-    """A server that this node does not reach, for no fault of the server.
+    """The path to a server that this node does not reach although it may be sound.
 
     Attributes
     ----------
--- a/src/rosemaryknot/request/limit_guard.py
+++ b/src/rosemaryknot/request/limit_guard.py
@@ -262,7 +262,10 @@
         """
         known = self.brittle.get(inputs.service)
         now_s = trio.current_time()
-        if known is None or now_s - known.stated_s > BRITTLE_TTL_S:
+        if known is None:
+            return
+        if now_s - known.stated_s > BRITTLE_TTL_S:
+            del self.brittle[inputs.service]
             return
         for server in inputs.servers:
             if server not in self.records.by_server:
--- a/tests/gateway/test_brittle_servers.py
+++ b/tests/gateway/test_brittle_servers.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from rosemaryknot.request.limit_guard import BRITTLE_TTL_S
 from rosemaryknot.standin.users.system import platform_system
 
 OK, REFUSED = 200, 503
@@ -116,6 +117,10 @@
                 server.brittle, server.room = None, 100
             await brittle_fleet_load(fleet, 0.5 * TAKEN_PER_S, 2.0)
             assert not any(n.server_limits.limited for n in fleet.nodes.values())
+            await trio.sleep(BRITTLE_TTL_S)
+            await brittle_fleet_load(fleet, 0.5 * TAKEN_PER_S, 1.0)
+            guards = [n.gateway.components.limits for n in fleet.nodes.values()]
+            assert not any(guard.has_limits for guard in guards)
 
     async def test_node_with_places_is_killed(self, autojump_clock):
         async with platform_system(nodes=3, plain=1, models=0) as fleet:
