--- a/src/rosemaryknot/connection/server_dialler.py
+++ b/src/rosemaryknot/connection/server_dialler.py
@@ -32,8 +32,8 @@
 MAX_CHECKED = 2
 
 # Pause before a lost path is tried again. It grows by the factor up to the maximum
-# while paths stay lost. A node tries one path at a time, so that one that is cut off from
-# 10,000 servers tries no more often than one that is cut off from a single one.
+# while paths stay lost. A node tries one path at a time, so that one that is cut off
+# from 10,000 servers tries no more often than one that is cut off from a single one.
 RECHECK_S = 0.5
 RECHECK_FACTOR = 1.5
 MAX_RECHECK_S = 2.0
