Log how a response ended whose framing does not show that it is complete

The log of an answered request named neither how its response was framed, nor how the connection ended, nor whether bytes of an event were left.

One line for each attempt whose response ended by the end of the connection, inside an event, or broken off: framing, bytes of the body, id of the last whole event, bytes of the incomplete one, and the outcome. Responses that end by length or chunks after a whole event get none, so the volume stays bounded by the faults. No logic changes.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -23,6 +23,7 @@
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.gateway import Headers, RoutedServer
 from rosemaryknot.values.gateway_responses import (
+    Framing,
     GatewayWire,
     Lost,
     NotSent,
@@ -76,6 +77,10 @@
         Whether the last exchange ended exactly.
     is_closed_by_server : bool
         Whether the server closed or reset the connection.
+    framing : Framing or None
+        What marks the end of the current response; None before its head.
+    body_bytes : int
+        Bytes of its body that were received.
     started_s : float
         When the current exchange began, in trio time.
     peer : str
@@ -97,6 +102,8 @@
         self.is_reusable = False
         self.is_sent = False
         self.is_closed_by_server = False
+        self.framing: Framing | None = None
+        self.body_bytes = 0
         self.wants_close = False
         self.request: h11.Request | None = None
         self.unsent = b""
@@ -122,6 +129,8 @@
         """Write as much of a request as possible without waiting; keep the rest."""
         self.is_sent = False
         self.is_reusable = False
+        self.framing = None
+        self.body_bytes = 0
         self.started_s = trio.current_time()
         self.request = h11.Request(method=method, target=target, headers=headers)
         data = self.conn.send(self.request)
@@ -154,6 +163,7 @@
                 return Lost("closed without an answer")
             head = wire.read_response(event.status_code, event.headers.raw_items())
             if not request_id or head.request_id in ("", request_id):
+                self.framing = head.framing
                 self.record_keep_alive(head)
                 return head
             STRAY_RESPONSES.add()
@@ -167,7 +177,7 @@
         keep_alive_s = DEFAULT_KEEP_ALIVE_S if keep_alive_s is None else keep_alive_s
         keep_alive_s = min(keep_alive_s, MAX_KEEP_ALIVE_S) - KEEP_ALIVE_MARGIN_S
         self.reuse_deadline_s = trio.current_time() + keep_alive_s
-        self.wants_close = head.is_closing or not head.has_length
+        self.wants_close = head.is_closing or head.framing is Framing.CLOSE
 
     async def skip_stray(self) -> bool:
         """Read a stray response to its end and prepare to read the next one."""
@@ -221,6 +231,7 @@
         while True:
             event = await self.next_event()
             if isinstance(event, h11.Data):
+                self.body_bytes += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.update_reusable()
--- a/src/rosemaryknot/platform/headers.py
+++ b/src/rosemaryknot/platform/headers.py
@@ -1,6 +1,6 @@
 """Conversion between HTTP headers and the gateway's own types."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from rosemaryknot.values.gateway import (
     GatewayRequest,
@@ -9,7 +9,7 @@
     PromptSegment,
     RoutedServer,
 )
-from rosemaryknot.values.gateway_responses import ResponseHead, TargetFault
+from rosemaryknot.values.gateway_responses import Framing, ResponseHead, TargetFault
 from rosemaryknot.values.server_limits import decode_limit
 
 __all__ = ["PlatformWire"]
@@ -143,6 +143,19 @@
     return value[len(BEARER) :].strip()
 
 
+def framing_of(names: Container[bytes]) -> Framing:
+    """Return what marks the end of a response, from the names of its headers.
+
+    Examples
+    --------
+    >>> str(framing_of({b"content-type"}))
+    'close'
+    """
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
+
+
 def decode_keep_alive_s(headers: Headers) -> float | None:
     """Return how long a server keeps an idle connection open, in seconds.
 
@@ -232,7 +245,7 @@
             is_signed=SIGNATURE in names,
             is_closing=b"close" in named,
             keep_alive_s=decode_keep_alive_s(pairs),
-            has_length=b"content-length" in names or b"transfer-encoding" in names,
+            framing=framing_of(names),
             limit=decode_limit(all_values(pairs, LIMIT)),
             brittle=decode_limit(all_values(pairs, BRITTLE)),
             headers=[pair for pair in pairs if pair[0] not in dropped],
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -16,6 +16,7 @@
 from rosemaryknot.values.gateway_responses import (
     Broken,
     Completed,
+    Framing,
     Lost,
     NotPermitted,
     NotRunThere,
@@ -69,6 +70,8 @@
         Version of the server's rate limit when the request was sent.
     is_limit_recorded : bool
         Whether what the response states of the rate limit was recorded.
+    splitter : EventSplitter
+        Splits the response into events, if it is a stream.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         self.started_s = trio.current_time()
         self.limit_version = 0
         self.is_limit_recorded = False
+        self.splitter = EventSplitter()
 
     async def run(self) -> Completed | Broken | Lost | NotRunThere | NotSent:
         """Send the request, read the response head and relay the body."""
@@ -116,6 +120,7 @@
             with trio.CancelScope(shield=True):
                 await connection.aclose()
             raise
+        self.log_response_end(connection, outcome)
         if isinstance(outcome, Completed):
             self.record_absent_limit(outcome.status)
             # A response without a length ends with its connection, so it may be that
@@ -133,6 +138,33 @@
         await connection.aclose()
         return outcome
 
+    def log_response_end(self, connection: ServerConnection, outcome: object) -> None:
+        """Log how a response ended, unless its framing and its content were complete.
+
+        Callers see only whether their own response is complete; an end by close, an end
+        inside an event and a reset can be told apart here.
+        """
+        if connection.framing is None:
+            return
+        is_sound = isinstance(outcome, Completed) and not self.splitter.buffer
+        if is_sound and connection.framing is not Framing.CLOSE:
+            return
+        log.info(
+            "response ended",
+            request=self.context.request.id,
+            server=self.state.entry.id,
+            server_born=self.state.entry.born,
+            path=self.context.path,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", None),
+            framing=connection.framing,
+            is_closed_by_server=connection.is_closed_by_server,
+            body_bytes=connection.body_bytes,
+            last_event_id=decode_event_id(self.splitter.last_id),
+            incomplete_event_bytes=len(self.splitter.buffer),
+            after_s=round(trio.current_time() - self.started_s, 3),
+        )
+
     def record_path_loss(self, outcome: Lost | Broken) -> None:
         """Record that the path to the server was lost during the attempt.
 
@@ -340,7 +372,7 @@
     ) -> Completed | Broken | Lost:
         """Relay the events of a stream as they arrive, only complete ones."""
         context = self.context
-        splitter = EventSplitter()
+        splitter = self.splitter
         async for chunk in connection.chunks():
             if isinstance(chunk, Lost):
                 self.record_run()
@@ -397,6 +429,11 @@
             self.components.record_run(context.customer.name)
 
 
+def decode_event_id(event_id: bytes | None) -> str | None:
+    """Return an event id as text for a log line."""
+    return None if event_id is None else event_id.decode("latin-1")
+
+
 def stream_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of a stream without its length.
 
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -1,6 +1,7 @@
 """Outcomes of attempts at a backend server, and the header codec of the platform."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any, Protocol
 
 from rosemaryknot.values.gateway import GatewayRequest, Headers, RoutedServer
@@ -11,6 +12,7 @@
     "ResponseHead",
     "Broken",
     "Completed",
+    "Framing",
     "GatewayWire",
     "Lost",
     "NotPermitted",
@@ -27,6 +29,14 @@
 RESPONSE_RESERVE_S = 0.1
 
 
+class Framing(StrEnum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """Status and headers of a backend server's response.
@@ -46,9 +56,8 @@
         Whether the server closes the connection after the response.
     keep_alive_s : float or None
         How long the server keeps an idle connection open, if stated.
-    has_length : bool
-        Whether the end of the body is marked by length or chunks rather than by the
-        end of the connection.
+    framing : Framing
+        What marks the end of the body.
     headers : list of tuple of (bytes, bytes)
         Headers that are forwarded to the caller.
     limit : float or InvalidLimit or None
@@ -65,7 +74,7 @@
     is_signed: bool
     is_closing: bool
     keep_alive_s: float | None
-    has_length: bool
+    framing: Framing
     headers: Headers = field(default_factory=list)
     limit: float | InvalidLimit | None = None
     brittle: float | InvalidLimit | None = None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -6,7 +6,7 @@
 
 from rosemaryknot.platform.headers import PlatformWire
 from rosemaryknot.values.gateway import GatewayRequest, RoutedServer
-from rosemaryknot.values.gateway_responses import TargetFault
+from rosemaryknot.values.gateway_responses import Framing, TargetFault
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.server_limits import InvalidLimit
@@ -76,7 +76,8 @@
                 (b"Content-Length", b"0"),
             ],
         )
-        assert head.not_run and head.is_closing and head.has_length
+        assert head.not_run and head.is_closing
+        assert head.framing is Framing.LENGTH
         assert (head.request_id, head.keep_alive_s) == ("r1", 7.0)
         assert not head.is_signed
 
