Reproduce responses that servers break off, in each way at each place

Stand-ins for servers end a response in six ways (connection closed; reset; last chunk; full length; chunks and then closed; the process ends and its connections are closed) at six places (head, inside the first event, inside a later one, between the two ends of line, between events, after the last event). A caller of HTTP/1.1 or HTTP/1.0 asks on each kind of route; a second, sound server is there.

--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -11,7 +11,15 @@
 from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
-__all__ = ["CRASHING_BODY", "Arrival", "Fall", "ServerStandIn", "server_entry"]
+__all__ = [
+    "CRASHING_BODY",
+    "FAULTS",
+    "RESPONSE_ENDS",
+    "Arrival",
+    "Fall",
+    "ServerStandIn",
+    "server_entry",
+]
 
 # Body of a request that crashes each server that runs it.
 CRASHING_BODY = b"crash"
@@ -75,6 +83,8 @@
 
 Fault = Callable[["ServerStandIn", Arrival, RawWire], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
+# Faults that end responses in a way at a place, apart from those drawn one by one.
+RESPONSE_ENDS: dict[str, Fault] = {}
 
 
 def server_fault(name: str) -> Callable[[Fault], Fault]:
@@ -148,7 +158,8 @@
     entry : dict
         Its entry in the store.
     faults : collections.deque of str
-        Names in `FAULTS`, one for each of the next requests; empty text for no fault.
+        Names in `FAULTS` or `RESPONSE_ENDS`, one for each of the next requests; empty
+        text for no fault.
     limit : str or None
         Rate limit that its responses state, in requests per second.
     silent_until_s : float
@@ -159,7 +170,10 @@
     room : float
         Requests that it accepts at once.
     crash : callable
-        Crashes the server; set by the system that runs it.
+        Crashes the server; set by the system that runs it. Its connections are reset.
+    end_process : callable
+        Ends the server, so that its connections are closed and not reset; set by the
+        system that runs it.
     """
 
     def __init__(
@@ -184,6 +198,7 @@
         self.active = 0
         self.turned_away: deque[tuple[float, str]] = deque()
         self.crash: Callable[[], None] = lambda: None
+        self.end_process: Callable[[], None] = lambda: None
         self.server = RawServer(self.handle)
 
     def start_incarnation(self, born_ms: int) -> None:
@@ -250,7 +265,7 @@
             return
         fault = self.faults.popleft() if self.faults else ""
         if fault:
-            await FAULTS[fault](self, arrival, wire)
+            await (FAULTS | RESPONSE_ENDS)[fault](self, arrival, wire)
             return
         await self.serve(arrival, wire)
 
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -183,6 +183,7 @@
         method: str = "POST",
         request_id: str = "r1",
         body: bytes = b"",
+        version: str = "1.1",
         **headers: str | None,
     ) -> None:
         """Send a request; headers whose value is None are omitted."""
@@ -201,6 +202,8 @@
         if body:
             data += self.conn.send(h11.Data(data=body))
         data += self.conn.send(h11.EndOfMessage())
+        if version != "1.1":
+            data = data.replace(b"HTTP/1.1", f"HTTP/{version}".encode(), 1)
         await self.stream.send_all(data)
 
     async def receive(self) -> Answer:
@@ -321,27 +324,34 @@
                 await server.server.serve(network, address, task_status=task_status)
 
         server.crash = partial(self.nursery.start_soon, self.crash_server, server.id)
+        server.end_process = partial(
+            self.nursery.start_soon, self.crash_server, server.id, False
+        )
         self.servers[server.id] = server
         await self.nursery.start(run)
         self.store.put("servers", server.id, server.entry)
 
-    async def crash_server(self, server_id: str) -> None:
+    async def crash_server(self, server_id: str, has_resets: bool = True) -> None:
         """Crash a server and restart it, unless it is being restarted already."""
         if server_id in self.down:
             return
         self.down.add(server_id)
-        await self.restart_server(server_id, CRASH_DOWN_S)
+        await self.restart_server(server_id, CRASH_DOWN_S, has_resets)
         self.down.discard(server_id)
 
-    async def restart_server(self, server_id: str, down_s: float = 0.0) -> None:
+    async def restart_server(
+        self, server_id: str, down_s: float = 0.0, has_resets: bool = True
+    ) -> None:
         """Crash a server and restart it under the same id, without its former state.
 
         Its address stays and its birth time increases; a server whose entry has no
-        birth time still has none.
+        birth time still has none. The system closes the connections of a process that
+        has read everything; otherwise it resets them.
         """
         old = self.servers[server_id]
         self.scopes[server_id].cancel()
-        self.network.kill_host(Address.from_text(old.entry["address"]).host)
+        if has_resets:
+            self.network.kill_host(Address.from_text(old.entry["address"]).host)
         await trio.sleep(down_s)
         server = ServerStandIn(server_id, old.is_model, old.work_s, self.ledger)
         server.entry = old.entry | {"state": "ready", "sequence": 1}
