Reset the connection of a caller of HTTP/1.0 whose response broke off

Cause: such a response has neither a length nor chunks, so the end of the connection is its only end, and the node closed the connection in order in each case.

The connection is set to be reset on close (SO_LINGER) when the head of such a response is sent, and set back once the response is complete. So each way out resets it, an exception, a cancelled listener and the end of the process included, without a case for any of them. Plain responses have a length and were not affected.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -9,7 +9,13 @@
 import trio
 
 from rosemaryknot.connection.listener_state import ListenerState
-from rosemaryknot.connection.network import receive_next, send_now
+from rosemaryknot.connection.network import (
+    close_in_order,
+    receive_next,
+    reset_on_close,
+    send_now,
+    wait_delivered,
+)
 from rosemaryknot.connection.pending_responses import Cause, PendingResponse, Phase
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.gateway import GatewayRequest, Headers
@@ -77,6 +83,8 @@
         Whether any part of the response may have been sent.
     is_done : bool
         Whether the complete response was sent.
+    is_ended_by_close : bool
+        Whether only the end of the connection shows the caller that of the response.
     status : int
         Status code that was sent; 0 before.
     """
@@ -88,6 +96,7 @@
         self.pending = pending
         self.is_started = False
         self.is_done = False
+        self.is_ended_by_close = False
         self.status = 0
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -97,6 +106,11 @@
         headers = list(headers)
         if self.connection.is_closing():
             headers.append((b"connection", b"close"))
+        if self.connection.ends_by_close(headers):
+            # However the connection ends from here on, with the process too, it is
+            # reset, and the caller does not take the part for the whole.
+            self.is_ended_by_close = True
+            reset_on_close(self.connection.stream)
         await self.connection.send(h11.Response(status_code=status, headers=headers))
 
     async def data(self, data: bytes) -> None:
@@ -107,6 +121,8 @@
     async def end(self) -> None:
         """Complete the response."""
         await self.connection.send(h11.EndOfMessage())
+        if self.is_ended_by_close:
+            close_in_order(self.connection.stream)
         self.is_done = True
         self.pending.is_whole = True
 
@@ -362,13 +378,24 @@
                 # the listener and abort every other response.
                 pending.cause = cause_of(group)
             nursery.cancel_scope.cancel()
+        if reply.is_ended_by_close and not reply.is_done and not self.saw_eof:
+            await wait_delivered(self.stream, LINGER_S)
         return self.can_keep_alive(reply)
 
+    def ends_by_close(self, headers: Headers) -> bool:
+        """Return whether a response with a body ends with the connection.
+
+        So it does for a caller of HTTP/1.0, which knows no chunks, without a length.
+        """
+        is_older = self.conn.their_http_version < b"1.1"
+        return is_older and all(name != b"content-length" for name, _ in headers)
+
     def can_keep_alive(self, reply: Reply) -> bool:
         """Return whether the connection may carry another request."""
         if not reply.is_done or self.saw_eof:
             # A truncated response must not look complete: closing the connection
-            # before its last chunk or full length shows the caller that it is not.
+            # before its last chunk or full length shows the caller that it is not, and
+            # one that has neither is reset.
             return False
         if self.conn.our_state is not h11.DONE:
             return False
--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -212,6 +212,14 @@
         """Make closing reset the connection."""
         self.resets = True
 
+    def close_in_order(self) -> None:
+        """Undo `reset_on_close`."""
+        self.resets = False
+
+    def has_undelivered(self) -> bool:
+        """Return whether bytes are in transit."""
+        return bool(self.outgoing.chunks) and not self.outgoing.reset
+
     async def aclose(self) -> None:
         """Close both directions."""
         if not self.closed:
@@ -366,6 +374,10 @@
     def kill_host(self, host: str) -> None:
         """Reset the connections of a host and stop its listeners."""
         self.kill_streams(host)
+        self.stop_listening(host)
+
+    def stop_listening(self, host: str) -> None:
+        """Refuse new connections to a host; open ones work."""
         for address in [a for a in self.listeners if a.host == host]:
             del self.listeners[address]
 
--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -5,8 +5,10 @@
 time.
 """
 
+import fcntl
 import os
 import struct
+import termios
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -19,16 +21,21 @@
     "Network",
     "SocketNetwork",
     "StreamHandler",
+    "close_in_order",
     "close_shielded",
     "dial_failure",
     "reset_on_close",
     "receive_next",
     "send_now",
+    "wait_delivered",
 ]
 
 CONNECT_TIMEOUT_S = 2.0
 # Value of SO_LINGER: linger enabled with a timeout of zero, so that closing resets.
 LINGER_ZERO = struct.pack("ii", 1, 0)
+# Value of SO_LINGER: linger disabled, so that closing sends what is left in order.
+LINGER_OFF = struct.pack("ii", 0, 0)
+DELIVERY_CHECK_INTERVAL_S = 0.005
 
 log = logger("network")
 
@@ -158,17 +165,67 @@
     stream : trio.abc.HalfCloseableStream
         Stream of a `Network`.
     """
-    if not isinstance(stream, trio.SocketStream):
+    if isinstance(stream, trio.SocketStream):
+        set_linger(stream, LINGER_ZERO)
+    else:
         stream.reset_on_close()
-        return
+
+
+def close_in_order(stream: trio.abc.HalfCloseableStream) -> None:
+    """Undo `reset_on_close`.
+
+    Parameters
+    ----------
+    stream : trio.abc.HalfCloseableStream
+        Stream of a `Network`.
+    """
+    if isinstance(stream, trio.SocketStream):
+        set_linger(stream, LINGER_OFF)
+    else:
+        stream.close_in_order()
+
+
+def set_linger(stream: trio.SocketStream, value: bytes) -> None:
+    """Set the socket option that decides how the connection is closed."""
     try:
         options = trio.socket
-        stream.setsockopt(options.SOL_SOCKET, options.SO_LINGER, LINGER_ZERO)
+        stream.setsockopt(options.SOL_SOCKET, options.SO_LINGER, value)
     except OSError as error:
         # The connection was already closed by one of its ends.
         log.debug("setting SO_LINGER failed", error=type(error).__name__)
 
 
+async def wait_delivered(
+    stream: trio.abc.HalfCloseableStream, timeout_s: float
+) -> None:
+    """Wait until the system of the other end has received all that was sent.
+
+    A reset discards what has not been received by then.
+
+    Parameters
+    ----------
+    stream : trio.abc.HalfCloseableStream
+        Stream of a `Network`.
+    timeout_s : float
+        Longest wait, in seconds.
+    """
+    with trio.move_on_after(timeout_s):
+        while has_undelivered(stream):
+            await trio.sleep(DELIVERY_CHECK_INTERVAL_S)
+
+
+def has_undelivered(stream: trio.abc.HalfCloseableStream) -> bool:
+    """Return whether bytes were sent that the other end has not acknowledged."""
+    if not isinstance(stream, trio.SocketStream):
+        return stream.has_undelivered()
+    try:
+        unsent = fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        # The connection is closed.
+        return False
+    return any(unsent)
+
+
 async def receive_next(stream: trio.abc.HalfCloseableStream, max_bytes: int) -> bytes:
     """Receive from a stream on which most likely no data has arrived yet.
 
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -97,6 +97,12 @@
             assert answer.body.endswith(b"answers r1")
 
 
+async def end_node(system, after_s):
+    """End the process of a node."""
+    await trio.sleep(after_s)
+    system.scopes["n0"].cancel()
+
+
 class TestCallerVersions:
     async def test_node_ends_within_stream_to_http_1_0(self, autojump_clock):
         """A caller of HTTP/1.0 takes the end of a node's process for its stream's."""
@@ -105,10 +111,10 @@
                 server.work_s = 0.3
             caller = await system.caller().open()
             await caller.send("/plan/x", version="1.0", **MODEL_HEADERS)
-            await trio.sleep(1.0)
-            system.scopes["n0"].cancel()
+            system.nursery.start_soon(end_node, system, 1.0)
             answer = await caller.receive()
             assert answer.status == 200 and not answer.is_whole
+            assert answer.body and WHOLE.startswith(answer.body)
 
     async def test_deadline_within_stream_to_http_1_0(self, autojump_clock):
         """A stream that is aborted at its deadline looks complete to HTTP/1.0."""
