End a stream only after whole events, whatever its transport says

One that may be resumed was not resumed; one without any event was a success.

Cause: relay_events took h11's end of the message for the end of the content, sent the incomplete event on and completed the response. h11 reports that end for a connection that is closed without a length, for a last chunk and for a full length alike. The class: a layer takes an end that another layer reports for the end of what it carries itself.

Now a stream that ends inside an event, or without one, is broken off: resumed after its last whole event where that is allowed, otherwise the caller gets no last chunk; the server gets a failure. The rule applies in each framing. A first stream needs an event; the rest of a resumed one may be empty; HEAD, 204, 205 and other media types need none.

Ids that do not rise after a resume end the stream, as the caller would get an event twice.

TestStreamContent fails without this change.

--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -9,7 +9,7 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import histogram
 from rosemaryknot.process.server_state import ServerState
-from rosemaryknot.request.event_stream import EventSplitter
+from rosemaryknot.request.event_stream import EventSplitter, is_event_stream
 from rosemaryknot.request.gateway_choice import usable_servers
 from rosemaryknot.request.gateway_context import GatewayComponents, RequestContext
 from rosemaryknot.values.gateway import RetryPolicy
@@ -40,6 +40,7 @@
 OK = 200
 MISDIRECTED = 421
 SERVER_ERROR = 500
+NO_CONTENT = frozenset((204, 205))
 
 log = logger("gateway")
 FIRST_BYTE = histogram("gateway_first_byte_seconds", "Time to the first byte.")
@@ -90,7 +91,7 @@
         self.started_s = trio.current_time()
         self.limit_version = 0
         self.is_limit_recorded = False
-        self.splitter = EventSplitter()
+        self.splitter = EventSplitter(context.last_event_id)
 
     async def run(self) -> Completed | Broken | Lost | NotRunThere | NotSent:
         """Send the request, read the response head and relay the body."""
@@ -146,8 +147,8 @@
         """
         if connection.framing is None:
             return
-        is_sound = isinstance(outcome, Completed) and not self.splitter.buffer
-        if is_sound and connection.framing is not Framing.CLOSE:
+        is_complete = isinstance(outcome, Completed)
+        if is_complete and connection.framing is not Framing.CLOSE:
             return
         log.info(
             "response ended",
@@ -337,7 +338,8 @@
         self, connection: ServerConnection, head: ResponseHead
     ) -> Completed | Broken | Lost:
         """Relay the response to the caller."""
-        if self.context.route.retry_policy == RetryPolicy.STREAM and head.status < 300:
+        is_stream = self.context.route.retry_policy == RetryPolicy.STREAM
+        if is_stream and head.status < 300 and may_be_event_stream(head):
             return await self.relay_events(connection, head)
         self.record_run()
         return await self.relay_buffered(connection, head)
@@ -370,21 +372,28 @@
     async def relay_events(
         self, connection: ServerConnection, head: ResponseHead
     ) -> Completed | Broken | Lost:
-        """Relay the events of a stream as they arrive, only complete ones."""
-        context = self.context
-        splitter = self.splitter
+        """Relay the events of a stream as they arrive, only complete ones.
+
+        The end of the transport is not that of the content: a server that fails may
+        end the response in order at any byte.
+        """
+        context, splitter = self.context, self.splitter
         async for chunk in connection.chunks():
             if isinstance(chunk, Lost):
-                self.record_run()
-                context.last_event_id = splitter.last_id or context.last_event_id
-                if context.reply.is_started:
-                    return Broken(chunk.reason, context.last_event_id)
-                return chunk
+                return self.break_off(chunk.reason)
             self.state.last_received_s = trio.current_time()
             events = splitter.feed(chunk)
+            if splitter.is_out_of_order:
+                return self.break_off("an event came twice after the stream resumed")
+            if splitter.is_too_large:
+                return self.break_off("an event is too large")
             if events:
                 self.record_absent_limit(head.status)
                 await self.forward_events(head, events)
+        if splitter.is_inside_event:
+            return self.break_off("the stream ended inside an event")
+        if self.needs_event(head) and not splitter.has_events:
+            return self.break_off("the stream ended without an event")
         if splitter.buffer:
             await self.forward_events(head, bytes(splitter.buffer))
         if not context.reply.is_started:
@@ -392,6 +401,26 @@
         await context.reply.end()
         return Completed(head.status)
 
+    def needs_event(self, head: ResponseHead) -> bool:
+        """Return whether a stream without an event cannot be complete.
+
+        After the last event, the rest of a resumed stream is empty.
+        """
+        request = self.context.request
+        is_resumed = self.context.last_event_id or request.last_event_id
+        has_body = request.method != b"HEAD" and head.status not in NO_CONTENT
+        return has_body and not is_resumed
+
+    def break_off(self, reason: str) -> Broken | Lost:
+        """Return the outcome of a stream that its server did not complete."""
+        context = self.context
+        self.record_run()
+        if self.splitter.last_id is not None:
+            context.last_event_id = self.splitter.last_id
+        if context.reply.is_started:
+            return Broken(reason, context.last_event_id)
+        return Lost(reason)
+
     async def forward_events(self, head: ResponseHead, events: bytes) -> None:
         """Send complete events to the caller."""
         reply = self.context.reply
@@ -429,6 +458,17 @@
             self.components.record_run(context.customer.name)
 
 
+def may_be_event_stream(head: ResponseHead) -> bool:
+    """Return whether a successful response on a streaming route is an event stream.
+
+    It is one unless the server states another type.
+    """
+    for name, value in head.headers:
+        if name == b"content-type":
+            return is_event_stream(value.decode("latin-1"))
+    return True
+
+
 def decode_event_id(event_id: bytes | None) -> str | None:
     """Return an event id as text for a log line."""
     return None if event_id is None else event_id.decode("latin-1")
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -1,13 +1,16 @@
 """Tests of responses that servers end in each way, at each place of their content."""
 
 from contextlib import asynccontextmanager
+from functools import partial
 
 import pytest
 import trio
 
+from rosemaryknot.request.event_stream import MAX_EVENT_BYTES
 from rosemaryknot.standin.users.response_ends import (
     EndPlace,
     EndWay,
+    ResponseEnd,
     detectable_ends,
 )
 from rosemaryknot.standin.users.servers import EVENT_TOKENS
@@ -124,3 +127,98 @@
             answer = await system.ask("/plan/x", version="1.0", **MODEL_HEADERS)
             assert answer.status == 200 and not answer.is_whole
             assert answer.body and WHOLE.startswith(answer.body)
+
+
+def respond(system, head, body, *, status=200):
+    """Let the model servers send a response with these headers, and close."""
+
+    async def serve(server, arrival, wire):
+        arrival.has_run = True
+        headers = server.headers(arrival) | head
+        headers = {name: value for name, value in headers.items() if value is not None}
+        await wire.head(status, headers)
+        await wire.send(body)
+        wire.close()
+
+    for server in system.servers.values():
+        server.serve = partial(serve, server)
+
+
+class TestStreamContent:
+    """What counts as the complete content of a stream."""
+
+    async def test_other_type_needs_no_event(self, autojump_clock):
+        async with platform_system() as system:
+            respond(system, {"Content-Type": "application/json"}, b'{"pieces": []}')
+            answer = await system.ask("/plan/x", **MODEL_HEADERS)
+            assert (answer.status, answer.is_whole) == (200, True)
+            assert answer.body == b'{"pieces": []}'
+
+    async def test_stream_without_type_needs_events(self, autojump_clock):
+        async with platform_system() as system:
+            respond(system, {"Content-Type": None}, b"id: 1\ndata: a")
+            assert (await system.ask("/plan/x", **MODEL_HEADERS)).status == 502
+
+    @pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("POST", 204)])
+    async def test_response_without_body(self, autojump_clock, method, status):
+        async with platform_system() as system:
+            respond(system, {}, b"", status=status)
+            answer = await system.ask("/plan/x", method=method, **MODEL_HEADERS)
+            assert (answer.status, answer.body) == (status, b"")
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"id: 0\rdata: a\r\r",
+            b"id: 0\r\ndata: a\n\r\n",
+            b"\xef\xbb\xbfid: 0\ndata: a\n\n",
+            b"id: 0\ndata: a\n\n: keep-alive\n\n",
+            b"id: 0\ndata: a\n\n: bye\n",
+            b": keep-alive\r\n\r\nid: 0\r\ndata: a\r\n\r\n",
+        ],
+    )
+    async def test_all_forms_of_events_pass(self, autojump_clock, body):
+        async with platform_system() as system:
+            respond(system, {}, body)
+            answer = await system.ask("/plan/x", **MODEL_HEADERS)
+            assert (answer.status, answer.is_whole) == (200, True)
+            assert answer.body == body
+
+    async def test_endless_event_is_broken_off(self, autojump_clock):
+        """A server that never ends an event fills the memory of the node."""
+        async with platform_system() as system:
+            respond(system, {}, b"data: " + b"x" * 2 * MAX_EVENT_BYTES)
+            assert (await system.ask("/plan/x", **MODEL_HEADERS)).status == 502
+
+    async def test_empty_rest_completes_resumed_stream(self, autojump_clock):
+        """A stream that breaks off after its last event is complete when resumed."""
+        end = ResponseEnd(EndWay.RESET, EndPlace.LAST_EVENT)
+        async with system_with_end(end) as system:
+            answer = await system.ask("/ask/x", **MODEL_HEADERS)
+            assert answer.is_whole and answer.body == WHOLE
+            resumed = system.ledger.arrivals[-1].request.headers
+            assert resumed["last-event-id"] == str(EVENTS - 1)
+
+    async def test_repeated_events_end_resumed_stream(self, autojump_clock):
+        """The second server starts over; the caller must not get an event twice."""
+        end = ResponseEnd(EndWay.RESET, EndPlace.INSIDE_EVENT)
+        async with system_with_end(end) as system:
+            respond(system, {}, WHOLE)
+            answer = await system.ask("/ask/x", **MODEL_HEADERS)
+            assert answer.status == 200 and not answer.is_whole
+            assert answer.body == WHOLE[: len(b"id: 0\ndata: piece 0\n\n")]
+
+
+class TestServers:
+    """What the end of a response shows of its server."""
+
+    async def test_broken_off_stream_is_failure(self, autojump_clock, info_lines):
+        end = ResponseEnd(EndWay.LAST_CHUNK, EndPlace.INSIDE_EVENT)
+        async with system_with_end(end, models=1) as system:
+            await system.ask("/plan/x", **MODEL_HEADERS)
+            state = system.nodes["n0"].state.servers.by_id["m0"]
+            assert state.failures == 1
+        (line,) = [li for li in info_lines if li["event"] == "response ended"]
+        assert line["framing"] == "chunks" and line["last_event_id"] == "0"
+        assert line["incomplete_event_bytes"] == 7
+        assert line["reason"] == "the stream ended inside an event"
