Check that a server goes on whose connection alone ends its response

What callers saw: a response without a length or chunks, from a server whose process ended in the middle, looked complete: streams between two events and plain bodies at any byte. The system closes the connections of a process that has read everything in order, as it does after a whole response, so nothing that was received tells them apart.

When such a response seems complete, the node opens a connection to the server (with the witnesses of a crash check: a peer, or another server reached since) before it ends its own response. If the server refuses, the response is broken off: resumed or repeated where that is allowed, otherwise a failure, and the server gets a crash check.

Weighed: a server that ends right after its last byte counts as broken off though its response was whole. The window is one connection's time, a stream that may be resumed completes with an empty rest, and a caller that takes half for the whole does not notice. A server that drains may refuse connections while it completes its requests, so for it a refusal shows nothing. A silent server shows nothing either: its close has arrived.

The same wrong end on the other side: a service that ends each response with its connection never cleared a request of crashes beside which it ran. Its requests are now cleared once the server has proved not to have crashed.

--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -75,6 +75,8 @@
         When the server closed the first of the connections, in trio time.
     requests : list of RequestIdentity
         Requests that were running on it.
+    completed : list of RequestIdentity
+        Requests whose responses it had completed when it closed their connections.
     is_accepting : bool
         Whether the server still accepts connections.
     is_crashed : bool
@@ -84,6 +86,7 @@
     state: CheckedServer
     closed_s: float
     requests: list[RequestIdentity] = field(default_factory=list)
+    completed: list[RequestIdentity] = field(default_factory=list)
     is_accepting: bool = False
     is_crashed: bool = False
 
@@ -111,6 +114,8 @@
         Attempts that callers left recently: time, server incarnation and request.
     on_recorded : callable
         Called with each record to which a crash was added.
+    on_completed : callable
+        Called with a server that did not crash and each request that it completed.
     on_crashed : callable
         Called after a server has crashed and the requests there were recorded.
     """
@@ -125,6 +130,9 @@
         self.checks: dict[str, Check] = {}
         self.abandoned: deque[tuple[float, str, RequestIdentity]] = deque()
         self.on_recorded: Callable[[CrashRecord], None] = lambda record: None
+        self.on_completed: Callable[[CheckedServer, RequestIdentity], None] = (
+            lambda state, request: None
+        )
         self.on_crashed: Callable[[], None] = lambda: None
         self.pending_send, self.pending_receive = trio.open_memory_channel[Check](
             math.inf
@@ -136,11 +144,32 @@
             async for check in self.pending_receive:
                 nursery.start_soon(self.check, check)
 
-    def record_closed(self, state: CheckedServer, request: RequestIdentity) -> None:
+    async def has_ended(self, state: CheckedServer) -> bool:
+        """Return whether a server that has just closed a connection has ended.
+
+        A server that drains may refuse connections while it completes its requests, so
+        for it a refusal shows nothing.
+        """
+        if state.has_announced_drain or state.is_missing or state.is_removed:
+            return False
+        return await self.check_server(state.address) == ServerEvidence.REFUSES
+
+    def record_closed(
+        self, state: CheckedServer, request: RequestIdentity, is_complete: bool = False
+    ) -> None:
         """Record that a server closed the connection of a request.
 
         A server that drains ends its remaining requests when it stops, which is no
         crash. One that does not announce a drain removes its entry.
+
+        Parameters
+        ----------
+        state : CheckedServer
+            The server.
+        request : RequestIdentity
+            The request.
+        is_complete : bool
+            Whether its response was complete.
         """
         if state.has_announced_drain or state.is_missing:
             return
@@ -149,7 +178,9 @@
             check = Check(state, trio.current_time())
             self.checks[state.incarnation_key] = check
             self.pending_send.send_nowait(check)
-        if check.is_crashed:
+        if is_complete:
+            check.completed.append(request)
+        elif check.is_crashed:
             self.record_crash(check, request)
         else:
             check.requests.append(request)
@@ -191,6 +222,9 @@
             check.requests.clear()
             self.on_crashed()
             await trio.sleep(CRASHED_TTL_S)
+        else:
+            for request in check.completed:
+                self.on_completed(check.state, request)
         del self.checks[check.state.incarnation_key]
 
     async def has_crashed(self, check: Check) -> bool:
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -59,6 +59,7 @@
         self.is_trial_node = is_trial_node
         self.record_trial = record_trial
         self.running: Counter[bytes] = Counter()
+        detector.on_completed = self.record_complete
         self.decide = CRASH_RULES[CRASH_RULE]
 
     def record_of(self, identity: RequestIdentity) -> CrashRecord | None:
@@ -159,9 +160,26 @@
             del self.running[record.digest]
         self.records.signal_change()
 
-    def record_closed(self, state: CheckedServer, identity: RequestIdentity) -> None:
-        """Record that a server closed the connection of an attempt."""
-        self.detector.record_closed(state, identity)
+    async def has_ended(self, state: CheckedServer) -> bool:
+        """Return whether a server that has just closed a connection has ended."""
+        return await self.detector.has_ended(state)
+
+    def record_closed(
+        self, state: CheckedServer, identity: RequestIdentity, is_complete: bool = False
+    ) -> None:
+        """Record that a server closed the connection of an attempt.
+
+        Parameters
+        ----------
+        state : CheckedServer
+            The server.
+        identity : RequestIdentity
+            The request.
+        is_complete : bool
+            Whether the response was complete by then, as far as is known. The request
+            is cleared once the server has proved not to have crashed.
+        """
+        self.detector.record_closed(state, identity, is_complete)
 
     def record_abandoned(self, state: CheckedServer, identity: RequestIdentity) -> None:
         """Record that an attempt was cancelled while the server was running it."""
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -41,6 +41,7 @@
 MISDIRECTED = 421
 SERVER_ERROR = 500
 NO_CONTENT = frozenset((204, 205))
+SERVER_ENDED = "the server ended as it closed the connection"
 
 log = logger("gateway")
 FIRST_BYTE = histogram("gateway_first_byte_seconds", "Time to the first byte.")
@@ -124,10 +125,8 @@
         self.log_response_end(connection, outcome)
         if isinstance(outcome, Completed):
             self.record_absent_limit(outcome.status)
-            # A response without a length ends with its connection, so it may be that
-            # of a server that crashed.
-            if outcome.status < SERVER_ERROR and not connection.is_closed_by_server:
-                self.components.crashes.record_complete(self.state, context.identity)
+            if outcome.status < SERVER_ERROR:
+                self.record_complete(connection)
             await self.components.pool.release(connection)
             return outcome
         if connection.is_path_lost and isinstance(outcome, Lost | Broken):
@@ -139,6 +138,14 @@
         await connection.aclose()
         return outcome
 
+    def record_complete(self, connection: ServerConnection) -> None:
+        """Record that the request does not crash the server."""
+        crashes, identity = self.components.crashes, self.context.identity
+        if connection.is_closed_by_server:
+            crashes.record_closed(self.state, identity, is_complete=True)
+        else:
+            crashes.record_complete(self.state, identity)
+
     def log_response_end(self, connection: ServerConnection, outcome: object) -> None:
         """Log how a response ended, unless its framing and its content were complete.
 
@@ -357,6 +364,8 @@
             if isinstance(chunk, Lost):
                 return chunk
             body += chunk
+        if head.status < SERVER_ERROR and await self.has_server_ended(connection):
+            return Lost(SERVER_ENDED)
         headers = [pair for pair in head.headers if pair[0] != b"content-length"]
         headers.append((b"content-length", str(len(body)).encode()))
         self.record_first_byte()
@@ -394,6 +403,8 @@
             return self.break_off("the stream ended inside an event")
         if self.needs_event(head) and not splitter.has_events:
             return self.break_off("the stream ended without an event")
+        if await self.has_server_ended(connection):
+            return self.break_off(SERVER_ENDED)
         if splitter.buffer:
             await self.forward_events(head, bytes(splitter.buffer))
         if not context.reply.is_started:
@@ -411,6 +422,17 @@
         has_body = request.method != b"HEAD" and head.status not in NO_CONTENT
         return has_body and not is_resumed
 
+    async def has_server_ended(self, connection: ServerConnection) -> bool:
+        """Return whether the server ended as it closed the connection.
+
+        The system closes the connections of a process that has ended in the same way as
+        those of one that has sent everything. A response whose end is marked by that of
+        its connection is complete only if the server goes on.
+        """
+        if not connection.is_closed_by_server:
+            return False
+        return await self.components.crashes.has_ended(self.state)
+
     def break_off(self, reason: str) -> Broken | Lost:
         """Return the outcome of a stream that its server did not complete."""
         context = self.context
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -349,9 +349,11 @@
         has read everything; otherwise it resets them.
         """
         old = self.servers[server_id]
+        host = Address.from_text(old.entry["address"]).host
+        self.network.stop_listening(host)
         self.scopes[server_id].cancel()
         if has_resets:
-            self.network.kill_host(Address.from_text(old.entry["address"]).host)
+            self.network.kill_streams(host)
         await trio.sleep(down_s)
         server = ServerStandIn(server_id, old.is_model, old.work_s, self.ledger)
         server.entry = old.entry | {"state": "ready", "sequence": 1}
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -222,3 +222,31 @@
         assert line["framing"] == "chunks" and line["last_event_id"] == "0"
         assert line["incomplete_event_bytes"] == 7
         assert line["reason"] == "the stream ended inside an event"
+
+    async def test_draining_server_refuses(self, autojump_clock):
+        """A server that drains refuses connections while it completes its requests."""
+        end = ResponseEnd(EndWay.CLOSED, EndPlace.LAST_EVENT)
+        async with system_with_end(end, models=1) as system:
+            server = system.servers["m0"]
+            server.work_s = 1.0
+            with_drain = server.entry | {"state": "draining"}
+
+            async def drain():
+                await trio.sleep(0.5)
+                system.store.put("servers", "m0", with_drain)
+                system.network.stop_listening("10.1.0.3")
+
+            system.nursery.start_soon(drain)
+            answer = await system.ask("/plan/x", **MODEL_HEADERS)
+            assert answer.is_whole and answer.body == WHOLE
+
+    async def test_request_is_cleared_by_response_without_length(self, autojump_clock):
+        """Responses that all end with their connections clear requests of crashes."""
+        end = ResponseEnd(EndWay.CLOSED, EndPlace.LAST_EVENT)
+        async with platform_system(plain=1) as system:
+            records = system.nodes["n0"].crash_records
+            system.servers["p0"].faults.append(end.name)
+            assert (await system.ask("/stock/x", method="GET")).is_whole
+            assert not records.completed
+            await trio.sleep(3)
+            assert len(records.completed) == 1
