Observe servers that end complete responses by close apart from crash checks

A service that ends each response with its connection would have kept one check of each of its servers running all the time, and a crash of a server that accepts connections again at once would have been observed for the rest of that check only, not for its two seconds. Completed requests have checks of their own.

The delay of a response that ends by close is bounded by 0.3 s and not cut by the deadline: the response is ready, and is delivered late rather than replaced by an error.

test_request_is_cleared_by_response_without_length fails with record_completed off.

--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -75,20 +75,20 @@
         When the server closed the first of the connections, in trio time.
     requests : list of RequestIdentity
         Requests that were running on it.
-    completed : list of RequestIdentity
-        Requests whose responses it had completed when it closed their connections.
     is_accepting : bool
         Whether the server still accepts connections.
     is_crashed : bool
         Whether the check has shown that the server crashed.
+    is_completion : bool
+        Whether the server had completed the requests.
     """
 
     state: CheckedServer
     closed_s: float
     requests: list[RequestIdentity] = field(default_factory=list)
-    completed: list[RequestIdentity] = field(default_factory=list)
     is_accepting: bool = False
     is_crashed: bool = False
+    is_completion: bool = False
 
 
 class CrashDetector:
@@ -110,6 +110,8 @@
     ----------
     checks : dict of str to Check
         Checks in progress, and of servers that crashed recently.
+    completions : dict of str to Check
+        Checks in progress of servers that closed connections after their responses.
     abandoned : collections.deque of tuple
         Attempts that callers left recently: time, server incarnation and request.
     on_recorded : callable
@@ -128,6 +130,7 @@
         self.check_server = check_server
         self.records = records
         self.checks: dict[str, Check] = {}
+        self.completions: dict[str, Check] = {}
         self.abandoned: deque[tuple[float, str, RequestIdentity]] = deque()
         self.on_recorded: Callable[[CrashRecord], None] = lambda record: None
         self.on_completed: Callable[[CheckedServer, RequestIdentity], None] = (
@@ -142,7 +145,8 @@
         """Check servers until cancelled."""
         async with trio.open_nursery() as nursery:
             async for check in self.pending_receive:
-                nursery.start_soon(self.check, check)
+                run = self.check_completion if check.is_completion else self.check
+                nursery.start_soon(run, check)
 
     async def has_ended(self, state: CheckedServer) -> bool:
         """Return whether a server that has just closed a connection has ended.
@@ -154,22 +158,11 @@
             return False
         return await self.check_server(state.address) == ServerEvidence.REFUSES
 
-    def record_closed(
-        self, state: CheckedServer, request: RequestIdentity, is_complete: bool = False
-    ) -> None:
+    def record_closed(self, state: CheckedServer, request: RequestIdentity) -> None:
         """Record that a server closed the connection of a request.
 
         A server that drains ends its remaining requests when it stops, which is no
         crash. One that does not announce a drain removes its entry.
-
-        Parameters
-        ----------
-        state : CheckedServer
-            The server.
-        request : RequestIdentity
-            The request.
-        is_complete : bool
-            Whether its response was complete.
         """
         if state.has_announced_drain or state.is_missing:
             return
@@ -178,13 +171,25 @@
             check = Check(state, trio.current_time())
             self.checks[state.incarnation_key] = check
             self.pending_send.send_nowait(check)
-        if is_complete:
-            check.completed.append(request)
-        elif check.is_crashed:
+        if check.is_crashed:
             self.record_crash(check, request)
         else:
             check.requests.append(request)
 
+    def record_completed(self, state: CheckedServer, request: RequestIdentity) -> None:
+        """Record that a server closed the connection of a request it had completed.
+
+        The request is passed to `on_completed` once the server has proved not to have
+        crashed. These checks stand apart from the others: a service may end each
+        response so, and a crash is observed for its whole time.
+        """
+        check = self.completions.get(state.incarnation_key)
+        if check is None:
+            check = Check(state, trio.current_time(), is_completion=True)
+            self.completions[state.incarnation_key] = check
+            self.pending_send.send_nowait(check)
+        check.requests.append(request)
+
     def may_have_crashed(self, state: CheckedServer) -> bool:
         """Return whether a server that closed a connection seems to have ended."""
         check = self.checks.get(state.incarnation_key)
@@ -222,11 +227,16 @@
             check.requests.clear()
             self.on_crashed()
             await trio.sleep(CRASHED_TTL_S)
-        else:
-            for request in check.completed:
-                self.on_completed(check.state, request)
         del self.checks[check.state.incarnation_key]
 
+    async def check_completion(self, check: Check) -> None:
+        """Pass the completed requests on if their server did not crash."""
+        has_crashed = await self.has_crashed(check)
+        del self.completions[check.state.incarnation_key]
+        if not has_crashed:
+            for request in check.requests:
+                self.on_completed(check.state, request)
+
     async def has_crashed(self, check: Check) -> bool:
         """Return whether a server that closed a connection has ended."""
         evidence = await self.check_server(check.state.address)
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -164,10 +164,24 @@
         """Return whether a server that has just closed a connection has ended."""
         return await self.detector.has_ended(state)
 
-    def record_closed(
-        self, state: CheckedServer, identity: RequestIdentity, is_complete: bool = False
+    def record_closed(self, state: CheckedServer, identity: RequestIdentity) -> None:
+        """Record that a server closed the connection of an attempt."""
+        self.detector.record_closed(state, identity)
+
+    def record_abandoned(self, state: CheckedServer, identity: RequestIdentity) -> None:
+        """Record that an attempt was cancelled while the server was running it."""
+        if self.record_of(identity) is None:
+            self.detector.record_abandoned(state, identity)
+        else:
+            self.detector.record_closed(state, identity)
+
+    def record_complete(
+        self,
+        state: CheckedServer,
+        identity: RequestIdentity,
+        is_closed_by_server: bool = False,
     ) -> None:
-        """Record that a server closed the connection of an attempt.
+        """Clear a request that a server has completed: it does not crash them.
 
         Parameters
         ----------
@@ -175,21 +189,13 @@
             The server.
         identity : RequestIdentity
             The request.
-        is_complete : bool
-            Whether the response was complete by then, as far as is known. The request
-            is cleared once the server has proved not to have crashed.
+        is_closed_by_server : bool
+            Whether the server ended the response with its connection. It may have
+            crashed then, so the request is cleared once it has proved not to have.
         """
-        self.detector.record_closed(state, identity, is_complete)
-
-    def record_abandoned(self, state: CheckedServer, identity: RequestIdentity) -> None:
-        """Record that an attempt was cancelled while the server was running it."""
-        if self.record_of(identity) is None:
-            self.detector.record_abandoned(state, identity)
-        else:
-            self.detector.record_closed(state, identity)
-
-    def record_complete(self, state: CheckedServer, identity: RequestIdentity) -> None:
-        """Clear a request that a server has completed: it does not crash them."""
+        if is_closed_by_server:
+            self.detector.record_completed(state, identity)
+            return
         record = self.record_of(identity)
         if record is not None:
             self.clear(record.digest, state.service)
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -40,6 +40,9 @@
 OK = 200
 MISDIRECTED = 421
 SERVER_ERROR = 500
+# Longest delay of a response that ends with its connection. A server that refuses does
+# so within milliseconds, and so do the peers that are asked then.
+END_CHECK_TIMEOUT_S = 0.3
 NO_CONTENT = frozenset((204, 205))
 SERVER_ENDED = "the server ended as it closed the connection"
 
@@ -126,7 +129,9 @@
         if isinstance(outcome, Completed):
             self.record_absent_limit(outcome.status)
             if outcome.status < SERVER_ERROR:
-                self.record_complete(connection)
+                self.components.crashes.record_complete(
+                    self.state, context.identity, connection.is_closed_by_server
+                )
             await self.components.pool.release(connection)
             return outcome
         if connection.is_path_lost and isinstance(outcome, Lost | Broken):
@@ -138,14 +143,6 @@
         await connection.aclose()
         return outcome
 
-    def record_complete(self, connection: ServerConnection) -> None:
-        """Record that the request does not crash the server."""
-        crashes, identity = self.components.crashes, self.context.identity
-        if connection.is_closed_by_server:
-            crashes.record_closed(self.state, identity, is_complete=True)
-        else:
-            crashes.record_complete(self.state, identity)
-
     def log_response_end(self, connection: ServerConnection, outcome: object) -> None:
         """Log how a response ended, unless its framing and its content were complete.
 
@@ -431,7 +428,11 @@
         """
         if not connection.is_closed_by_server:
             return False
-        return await self.components.crashes.has_ended(self.state)
+        with trio.move_on_after(END_CHECK_TIMEOUT_S) as scope:
+            # The response is ready: it is delivered even if the deadline passes now.
+            scope.shield = True
+            return await self.components.crashes.has_ended(self.state)
+        return False
 
     def break_off(self, reason: str) -> Broken | Lost:
         """Return the outcome of a stream that its server did not complete."""
