Check the ends of plain services' responses on the product's interface too

What callers saw: a response without a length from a plain service whose process ended in the middle was "answered", and so was an event stream that ended inside an event in any framing; a repeatable request was not repeated, and the request was cleared of the crash that had just happened.

PlainClient took the end of httpcore's body for the end of the content.

The relay returns "unknown" for such a response, or repeats the request where that is allowed: an event stream must end after a whole event, and a server whose connection alone ended its response must still accept connections. A plain service's event stream may have no event: nothing says that it generates one. Engine streams, KV cache calls, watches and pages of the store were looked at: each checks its own end in the content (a final frame with the count of tokens, a whole JSON value).

--- a/src/rosemaryknot/connection/plain_client.py
+++ b/src/rosemaryknot/connection/plain_client.py
@@ -204,13 +204,24 @@
         headers = forwarded_response_headers(
             request.method, response.headers.multi_items()
         )
-        return Answered(response.status_code, headers, bytes(body))
+        return Answered(
+            response.status_code, headers, bytes(body), is_ended_by_close(response)
+        )
 
     async def aclose(self) -> None:
         """Close all connections."""
         await self.transport.aclose()
 
 
+def is_ended_by_close(response: httpx.Response) -> bool:
+    """Return whether only the end of the connection marks that of a body.
+
+    A response without a body has no mark either, and the server need not close.
+    """
+    names = response.headers
+    return "content-length" not in names and "transfer-encoding" not in names
+
+
 def build_request(
     server: BackendServer, request: PlainRequest, reuse: bool, trace: SendTrace
 ) -> httpx.Request:
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -21,6 +21,7 @@
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.crash_rules import Allowed, Barred
+from rosemaryknot.request.event_stream import EventSplitter, is_event_stream
 from rosemaryknot.request.limit_guard import (
     LimitGuard,
     LimitsReached,
@@ -50,6 +51,7 @@
 # The server, or a proxy in front of it, is temporarily unable to do the work.
 RETRIED_STATUS = frozenset((502, 503, 504))
 FAILED_STATUS = 500
+NO_CONTENT = frozenset((204, 205, 304))
 
 log = logger("route")
 attempts_counter = counter(
@@ -229,6 +231,7 @@
             self.in_flight[server.instance] -= 1
             if not self.in_flight[server.instance]:
                 del self.in_flight[server.instance]
+        result = await self.check_end(server, request, result)
         took_s = trio.current_time() - started_s
         self.record_crash(server, request, attempts, result)
         if self.limits is not None and isinstance(result, Answered):
@@ -237,6 +240,25 @@
         attempts.record(result)
         return result
 
+    async def check_end(
+        self, server: BackendServer, request: PlainRequest, result: SendResult
+    ) -> SendResult:
+        """Return `Unknown` in place of a response that its server broke off.
+
+        The end of the connection is that of the content only if the server goes on,
+        and that of an event stream only after a whole event.
+        """
+        if not isinstance(result, Answered) or result.status >= FAILED_STATUS:
+            return result
+        if ends_inside_event(result):
+            return Unknown(Reason.ANSWER_LOST, "the event stream ended inside an event")
+        if self.crashes is None or not may_be_cut(request, result):
+            return result
+        if not await self.crashes.has_ended(ListedServer(server, self.servers)):
+            return result
+        detail = "the server ended as it closed the connection of the response"
+        return Unknown(Reason.ANSWER_LOST, detail)
+
     async def decide_after_crashes(
         self, request: PlainRequest, attempts: RequestAttempts
     ) -> Allowed | Barred:
@@ -263,7 +285,9 @@
             return
         listed = ListedServer(server, self.servers)
         if isinstance(result, Answered) and result.status < FAILED_STATUS:
-            self.crashes.record_complete(listed, identity_of(request))
+            self.crashes.record_complete(
+                listed, identity_of(request), may_be_cut(request, result)
+            )
         elif isinstance(result, Unknown) and result.reason == Reason.ANSWER_LOST:
             attempts.closed_by.append(listed)
             self.crashes.record_closed(listed, identity_of(request))
@@ -378,6 +402,22 @@
         return True
 
 
+def ends_inside_event(response: Answered) -> bool:
+    """Return whether a response is an event stream that ends inside an event."""
+    for name, value in response.headers:
+        if name.lower() == "content-type" and is_event_stream(value):
+            splitter = EventSplitter()
+            splitter.feed(response.body)
+            return splitter.is_inside_event
+    return False
+
+
+def may_be_cut(request: PlainRequest, response: Answered) -> bool:
+    """Return whether nothing but the end of its connection ended a response."""
+    has_body = request.method != "HEAD" and response.status not in NO_CONTENT
+    return response.is_ended_by_close and has_body
+
+
 def identity_of(request: PlainRequest) -> RequestIdentity:
     """Return what is the same for each repeat of a request."""
     head = (request.service.encode(), request.method.encode(), request.path.encode())
--- a/src/rosemaryknot/values/outcomes.py
+++ b/src/rosemaryknot/values/outcomes.py
@@ -58,11 +58,14 @@
         Headers that are forwarded.
     body : bytes
         The whole body.
+    is_ended_by_close : bool
+        Whether only the end of the connection marked that of the body.
     """
 
     status: int
     headers: list[tuple[str, str]]
     body: bytes
+    is_ended_by_close: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -1,5 +1,6 @@
 """Tests of responses that servers end in each way, at each place of their content."""
 
+from collections import deque
 from contextlib import asynccontextmanager
 from functools import partial
 
@@ -33,29 +34,12 @@
 async def system_with_end(end, **options):
     """Run a system whose first server of each service ends a response in a way."""
     async with platform_system(**options) as system:
-        queue = [end.name]
+        queue = deque([end.name])
         for server in system.servers.values():
-            server.faults = Faults(queue)
+            server.faults = queue
         yield system
 
 
-class Faults:
-    """Faults that the servers of a system share, so that one of them shows each."""
-
-    def __init__(self, names):
-        self.names = names
-
-    def __bool__(self):
-        return bool(self.names)
-
-    def popleft(self):
-        """Return the next fault."""
-        return self.names.pop(0)
-
-    def clear(self):
-        """Forget the faults of a server that restarts; the others keep theirs."""
-
-
 @pytest.mark.parametrize("version", VERSIONS)
 class TestBrokenOff:
     """A server breaks a response off; its caller must not take it for complete."""
