Check a server that ends a response by close also while its entry is missing

A missing entry counted as a drain, so the server was not checked and the caller got 21 of 210 bytes as complete. Only an announced drain excuses a refusal now; test_crash_without_entry fails without the change.

--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -152,9 +152,10 @@
         """Return whether a server that has just closed a connection has ended.
 
         A server that drains may refuse connections while it completes its requests, so
-        for it a refusal shows nothing.
+        for it a refusal shows nothing. An entry that is missing announces no drain: a
+        server loses it also while the store is away.
         """
-        if state.has_announced_drain or state.is_missing or state.is_removed:
+        if state.has_announced_drain:
             return False
         return await self.check_server(state.address) == ServerEvidence.REFUSES
 
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -234,3 +234,17 @@
             assert not records.completed
             await trio.sleep(3)
             assert len(records.completed) == 1
+
+    async def test_crash_without_entry(self, autojump_clock):
+        """A server ends within a response while the store has lost its entry."""
+        end = ResponseEnd(EndWay.CRASHED, EndPlace.BETWEEN_EVENTS)
+        async with system_with_end(end, models=1) as system:
+            system.servers["m0"].work_s = 1.0
+
+            async def lapse():
+                await trio.sleep(0.5)
+                system.store.remove("servers", "m0")
+
+            system.nursery.start_soon(lapse)
+            answer = await system.ask("/plan/x", **MODEL_HEADERS)
+            assert answer.status == 200 and not answer.is_whole
