Break responses off in random plays and in the soak, and judge bodies in the audit

The stand-ins sent responses without a length only whole or reset, and no play combined them with servers that end; the audit's checks of service went by framing alone, so a short body that looked complete counted as served.

The soak does the same with real processes: its proxy can end a server's connections in order, as the system does for a process that has read everything. Service counts by the body.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -34,6 +34,7 @@
     play_load,
     record_observations,
 )
+from rosemaryknot.standin.users.response_ends import detectable_ends
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
 from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
@@ -68,6 +69,8 @@
 # Share of the seeds in which no node is cut off from the servers.
 UNCUT_SHARE = 0.3
 CUTS = ("hang", "refuse", "reset")
+# Share of the requests that callers send in HTTP/1.0.
+OLDER_SHARE = 0.2
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -232,18 +235,27 @@
         address = await self.nursery.start(proxy.serve, anywhere)
         self.servers[name] = server
         self.proxies[name] = proxy
-        server.crash = partial(self.nursery.start_soon, self.crash_server, server)
+        self.set_crashes(server)
         zone = f"z{len(self.servers) % 3}"
         born_ms = int(time.time() * 1000)
         server.entry = server_entry(service, address, zone, born_ms)
         self.store.put("servers", name, server.entry)
 
-    async def crash_server(self, server: ServerStandIn) -> None:
+    def set_crashes(self, server: ServerStandIn) -> None:
+        """Let a server crash by its own requests, once in each incarnation."""
+        start_soon = self.nursery.start_soon
+        server.crash = partial(start_soon, self.crash_server, server)
+        server.end_process = partial(start_soon, self.crash_server, server, False)
+
+    async def crash_server(
+        self, server: ServerStandIn, has_resets: bool = True
+    ) -> None:
         """Crash a server and restart it under the same id."""
-        self.proxies[server.id].crash(CRASH_DOWN_S)
+        server.crash = server.end_process = lambda: None
+        self.proxies[server.id].crash(CRASH_DOWN_S, has_resets)
         await trio.sleep(CRASH_DOWN_S)
         server.start_incarnation(int(time.time() * 1000))
-        server.crash = partial(self.nursery.start_soon, self.crash_server, server)
+        self.set_crashes(server)
         if server.id in self.servers:
             self.store.put("servers", server.id, server.entry)
 
@@ -563,6 +575,17 @@
         server.brittle, server.room = None, math.inf
 
 
+async def end_responses(system: SoakSystem, seed: int) -> None:
+    """Let servers end responses in any way at any place that can be detected."""
+    rng = random.Random(f"ends {seed}")
+    end_s = trio.current_time() + LOAD_DURATION_S - 4
+    while trio.current_time() < end_s:
+        server = rng.choice(list(system.servers.values()))
+        ends = detectable_ends(server.is_model)
+        server.faults.extend(end.name for end in rng.sample(ends, rng.randint(1, 3)))
+        await trio.sleep(rng.uniform(0.2, 1.5))
+
+
 def crashing_rate(seed: int) -> float:
     """Return how often a request is repeated that crashes servers, per second."""
     return CRASHING_RATES[seed // 2 % len(CRASHING_RATES)]
@@ -592,10 +615,12 @@
             load_nursery.start_soon(limit_servers, system, seed)
             load_nursery.start_soon(cut_nodes, system, seed)
             load_nursery.start_soon(trouble_servers, system, seed)
+            load_nursery.start_soon(end_responses, system, seed)
             play = Play(
                 length_s=LOAD_DURATION_S,
                 load=LOAD,
                 crashing_per_s=crashing_rate(seed),
+                older_share=OLDER_SHARE,
             )
             await play_load(system, play, rng, observations)
         for name in system.nodes:
--- a/scripts/soak_proxy.py
+++ b/scripts/soak_proxy.py
@@ -33,6 +33,7 @@
         self.muted_streams: set[trio.SocketStream] = set()
         self.down_s = 0.0
         self.listening = trio.CancelScope()
+        self.listeners: list[trio.SocketListener] = []
 
     async def serve(
         self,
@@ -41,6 +42,7 @@
     ) -> None:
         """Serve until cancelled; after `crash` begin again at the same port."""
         listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        self.listeners = listeners
         port = listeners[0].socket.getsockname()[1]
         task_status.started(Address(address.host, port))
         while True:
@@ -48,11 +50,24 @@
                 await trio.serve_listeners(self.handle, listeners)
             await trio.sleep(self.down_s)
             listeners = await trio.open_tcp_listeners(port, host=address.host)
+            self.listeners = listeners
 
-    def crash(self, down_s: float) -> None:
-        """Reset all connections and refuse new ones for a while, as a crash does."""
+    def crash(self, down_s: float, has_resets: bool = True) -> None:
+        """End all connections and refuse new ones for a while, as a crash does.
+
+        Parameters
+        ----------
+        down_s : float
+            How long new connections are refused, in seconds.
+        has_resets : bool
+            Whether connections are reset; otherwise they are closed, like those of a
+            process that has read everything.
+        """
         self.down_s = down_s
-        self.reset_all()
+        for listener in self.listeners:
+            listener.socket.close()
+        if has_resets:
+            self.reset_all()
         self.listening.cancel()
 
     async def handle(self, near: trio.SocketStream) -> None:
--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -80,6 +80,8 @@
         Gateway node that the request was sent to, and the request path.
     sent_s, ended_s : float
         When the request was sent and when its response ended, in trio time.
+    version : str
+        HTTP version that the caller uses.
     """
 
     id: str
@@ -93,6 +95,7 @@
     path: str = ""
     sent_s: float = 0.0
     ended_s: float = 0.0
+    version: str = "1.1"
 
 
 @dataclass(slots=True)
@@ -244,21 +247,31 @@
     for request in observations.caller_requests:
         if request.kind != "plain" or request.status != OK or not request.is_whole:
             continue
-        if not request.body.endswith(f"answers {request.id}".encode()):
+        if not request.body.endswith(own_body_end(request)):
             yield f"{request.id} got {request.body[:60]!r}"
 
 
+def own_body_end(request: CallerRequest) -> bytes:
+    """Return the end of each complete plain response to a request."""
+    return f"answers {request.id}".encode()
+
+
+def whole_stream(request: CallerRequest) -> bytes:
+    """Return the complete stream in response to a request."""
+    events = [
+        b"id: %d\ndata: piece %d\n\n" % (number, number)
+        for number in range(request.events)
+    ]
+    return b"".join(events)
+
+
 @invariant("in_order")
 def in_order(observations: Observations) -> Iterable[str]:
     """Find streams that are truncated or not a prefix of the expected stream."""
     for request in observations.caller_requests:
         if request.kind != "stream" or request.status != OK:
             continue
-        events = [
-            b"id: %d\ndata: piece %d\n\n" % (number, number)
-            for number in range(request.events)
-        ]
-        whole = b"".join(events)
+        whole = whole_stream(request)
         if request.is_whole and request.body != whole:
             yield f"{request.id} ended after {len(request.body)} of {len(whole)} bytes"
         elif not whole.startswith(request.body):
@@ -414,7 +427,7 @@
     """Find requests refused for crashes although the same request had completed."""
     completed_s: dict[str, float] = {}
     for request in observations.caller_requests:
-        if request.status == OK and request.is_whole:
+        if is_served(request):
             ended_s = min(completed_s.get(request.path, math.inf), request.ended_s)
             completed_s[request.path] = ended_s
     for request in observations.caller_requests:
@@ -512,8 +525,12 @@
 
 
 def is_served(request: CallerRequest) -> bool:
-    """Return whether a request got its complete response."""
-    return request.status == OK and request.is_whole
+    """Return whether a request got its complete response, by framing and body."""
+    if request.status != OK or not request.is_whole:
+        return False
+    if request.kind == "stream":
+        return request.body == whole_stream(request)
+    return request.body.endswith(own_body_end(request))
 
 
 @invariant("brittle_servers_stand")
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -24,6 +24,7 @@
     PLAY_FAULTS,
     draw_changes,
     draw_cuts,
+    draw_ends,
     draw_fault,
     draw_limits,
     draw_server_entry_fault,
@@ -49,6 +50,8 @@
 OK = 200
 EVENTS = 50 // EVENT_TOKENS
 SLOW_LINK_BYTES_PER_S = 5e6 / 8
+# Share of HTTP/1.0 in plays in which servers break responses off.
+OLDER_SHARE = 0.2
 # Time after the last request in which pending requests end and usage is reported.
 SETTLE_S = 14.0
 
@@ -71,6 +74,8 @@
         Repeats per second of a request that crashes each model server that runs it.
     link_bytes_per_s : float
         Bandwidth of each node's link; 0 for no limit.
+    older_share : float
+        Share of the requests that callers send in HTTP/1.0.
     faults : list of dict
         ``at``, ``kind`` (a name in `PLAY_FAULTS`), and the parameters of that kind.
     """
@@ -85,6 +90,7 @@
     added_per_s: float = 4.0
     crashing_per_s: float = 0.0
     link_bytes_per_s: float = 0.0
+    older_share: float = 0.0
     faults: list[dict[str, Any]] = field(default_factory=list)
 
 
@@ -129,6 +135,8 @@
     """Send requests to all nodes and record their responses."""
     end_s = trio.current_time() + play.length_s
     kinds, rates = zip(*play.load.items(), strict=True)
+    # A generator of its own: the other requests of a seed stay the same.
+    version_rng = random.Random(play.older_share)
     number = 0
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
@@ -141,6 +149,8 @@
             kind = rng.choices(kinds, rates)[0]
             node = rng.choice(list(system.nodes))
             request = new_request(kind, f"{kind}-{number}", node, f"/{kind}/x")
+            if version_rng.random() < play.older_share:
+                request.version = "1.0"
             nursery.start_soon(ask, system, request, observations)
             number += 1
 
@@ -214,6 +224,7 @@
             method=method,
             request_id=request.id,
             body=body,
+            version=request.version,
             **headers,
         )
     except (OSError, trio.BrokenResourceError):
@@ -290,6 +301,7 @@
     crashing_per_s: float = 0.0,
     has_limits: bool = False,
     has_cuts: bool = False,
+    has_ends: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -306,6 +318,9 @@
         play.faults += draw_limits(random.Random(f"limits {seed}"))
     if has_cuts:
         play.faults += draw_cuts(random.Random(f"cuts {seed}"), play.nodes)
+    if has_ends:
+        play.faults += draw_ends(random.Random(f"ends {seed}"))
+        play.older_share = OLDER_SHARE
     return play
 
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -14,6 +14,7 @@
 from rosemaryknot.standin.users.configuration_changes import changed_document
 from rosemaryknot.standin.users.disturbances import ALL_SUBJECTS
 from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
+from rosemaryknot.standin.users.response_ends import detectable_ends
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
 from rosemaryknot.standin.users.system import CUTS, STORE, PlatformSystem
 
@@ -21,6 +22,7 @@
     "PLAY_FAULTS",
     "draw_changes",
     "draw_cuts",
+    "draw_ends",
     "draw_fault",
     "draw_limits",
     "draw_server_entry_fault",
@@ -130,6 +132,13 @@
     server.faults.extend([fault["fault"]] * fault["count"])
 
 
+@play_fault("ends")
+async def ends(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let a server end its next responses in given ways at given places."""
+    system.servers[fault["server"]].faults.extend(fault["ends"])
+    await trio.lowlevel.checkpoint()
+
+
 @play_fault("mute")
 async def mute(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Keep a server from responding for ``for_s``."""
@@ -332,6 +341,24 @@
     return faults
 
 
+def draw_ends(rng: random.Random) -> list[dict[str, Any]]:
+    """Draw ends of responses that a gateway can detect, of all servers in turn."""
+    faults = []
+    for _ in range(rng.randint(10, 30)):
+        server = rng.choice(SERVERS)
+        possible = detectable_ends(is_stream=server in SERVERS[3:])
+        drawn = rng.sample(possible, rng.randint(1, 4))
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 18.0), 2),
+                "kind": "ends",
+                "server": server,
+                "ends": [end.name for end in drawn],
+            }
+        )
+    return faults
+
+
 def draw_changes(rng: random.Random) -> dict[str, Any]:
     """Draw a series of configuration changes, some with a large configuration."""
     return {
--- a/src/rosemaryknot/standin/users/response_ends.py
+++ b/src/rosemaryknot/standin/users/response_ends.py
@@ -152,7 +152,6 @@
             await trio.sleep(RESET_DELAY_S)
             wire.reset()
         elif self.way is EndWay.CRASHED:
-            arrival.crashed_s = trio.current_time()
             server.end_process()
             await trio.sleep_forever()
         elif self.way is not EndWay.FULL_LENGTH:
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -35,6 +35,7 @@
 SEEDS_WITH_CRASHES = (1020, 1021, 1100, 1130)
 SEEDS_WITH_LIMITS = (3000, 3001, 3002, 3003)
 SEEDS_WITH_CUTS = (4000, 4001, 4002, 4003)
+SEEDS_WITH_ENDS = (5000, 5001, 5002, 5003)
 
 
 def seen_at(status, path, server=""):
@@ -102,6 +103,15 @@
     return observations
 
 
+def short_bodies():
+    """Return requests whose bodies are short although their framing is complete."""
+    observations = cut_off(0)
+    for request in observations.caller_requests:
+        if request.node == "n0":
+            request.events = 2
+    return observations
+
+
 def fallen(count, node="n0"):
     """Return crashes of brittle servers that turned requests of a node away."""
     observations = Observations()
@@ -141,6 +151,19 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_ENDS)
+    def test_random_faults_and_broken_off_responses(self, seed):
+        play = random_play(
+            seed,
+            seed % 2,
+            has_limits=seed % 3 == 0,
+            has_cuts=seed % 3 == 1,
+            has_ends=True,
+        )
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     def test_same_seed_same_outcomes(self):
         play = Play(length_s=4, faults=[{"at": 1, "kind": "compact"}])
         first, second = (
@@ -150,7 +173,8 @@
 
     def test_each_fault_kind_is_generated(self):
         plays = [
-            random_play(seed, has_limits=True, has_cuts=True) for seed in range(200)
+            random_play(seed, has_limits=True, has_cuts=True, has_ends=True)
+            for seed in range(200)
         ]
         generated = {fault["kind"] for play in plays for fault in play.faults}
         assert generated == set(PLAY_FAULTS)
@@ -213,6 +237,10 @@
     def test_violation_is_found(self, invariant, observations):
         assert [violation.invariant for violation in audit(observations)] == [invariant]
 
+    def test_short_bodies_are_not_service(self):
+        violations = audit(short_bodies())
+        assert {v.invariant for v in violations} == {"in_order", "cut_off_nodes_serve"}
+
     @pytest.mark.parametrize("observations", [crashes(8), crashes(20, 0.1)])
     def test_few_crashes_or_before_notice(self, observations):
         assert not audit(observations)
