Complete a response that ends by close only if its server is seen to go on

The check had asked for a witness that the server refuses, as crash records do, and took "no evidence in 0.3 s" for complete: with a lossy link, with a path through a peer, or with other servers down too, no witness was found in time.

The question is turned round. The response is complete if a connection to the server opens within 0.5 s, by the own path or through a peer, and broken off otherwise: what cannot be shown to be whole is not called whole. One rule, no witness, and the race of paths that opens connections for requests. It costs a response without a length during link trouble its completeness; requests that may be repeated are repeated.

--- a/src/rosemaryknot/connection/server_dialler.py
+++ b/src/rosemaryknot/connection/server_dialler.py
@@ -28,6 +28,9 @@
 HEDGE_S = 0.15
 # How long a check of a server or of the node's own link may take.
 CHECK_TIMEOUT_S = 0.3
+# How long the end of a response waits for whether its server accepts connections. It
+# does so within milliseconds, and through a peer within `HEDGE_S` and some more.
+END_CHECK_TIMEOUT_S = 0.5
 # Servers to which the node's own link is checked at once, after another one failed.
 MAX_CHECKED = 2
 
@@ -218,6 +221,16 @@
             return failed
         return ServerEvidence.UNKNOWN
 
+    async def accepts(self, address: Address) -> bool:
+        """Return whether a server accepts a connection, by any path."""
+        race = Race()
+        try:
+            with trio.move_on_after(END_CHECK_TIMEOUT_S):
+                await self.run_race(address, race)
+        finally:
+            await close_shielded(race.stream)
+        return race.stream is not None
+
     async def reaches_others(self, address: Address, since_s: float) -> bool:
         """Return whether this node reaches servers by its own path.
 
--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -103,6 +103,8 @@
     ----------
     check_server : callable
         Returns what this node and its peers see of the server with an address.
+    accepts : callable
+        Returns whether the server with an address accepts a connection.
     records : CrashRecords
         Receives the crashes.
 
@@ -125,9 +127,11 @@
     def __init__(
         self,
         check_server: Callable[[Address], Awaitable[ServerEvidence]],
+        accepts: Callable[[Address], Awaitable[bool]],
         records: CrashRecords,
     ) -> None:
         self.check_server = check_server
+        self.accepts = accepts
         self.records = records
         self.checks: dict[str, Check] = {}
         self.completions: dict[str, Check] = {}
@@ -148,16 +152,18 @@
                 run = self.check_completion if check.is_completion else self.check
                 nursery.start_soon(run, check)
 
-    async def has_ended(self, state: CheckedServer) -> bool:
-        """Return whether a server that has just closed a connection has ended.
+    async def confirms_end(self, state: CheckedServer) -> bool:
+        """Return whether the close of a connection shows the end of its response.
+
+        The system closes the connections of a process that has ended in the same way as
+        those of one that has sent everything. So a response whose end is marked by that
+        of its connection is complete only if its server is seen to go on.
 
         A server that drains may refuse connections while it completes its requests, so
-        for it a refusal shows nothing. An entry that is missing announces no drain: a
-        server loses it also while the store is away.
+        its refusal shows nothing. An entry that is missing announces no drain: a server
+        loses it also while the store is away.
         """
-        if state.has_announced_drain:
-            return False
-        return await self.check_server(state.address) == ServerEvidence.REFUSES
+        return state.has_announced_drain or await self.accepts(state.address)
 
     def record_closed(self, state: CheckedServer, request: RequestIdentity) -> None:
         """Record that a server closed the connection of a request.
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -219,7 +219,9 @@
     def create_crash_components(self) -> None:
         """Create the components for requests during which servers crashed."""
         self.crash_records = CrashRecords()
-        self.crash_detector = CrashDetector(self.dialler.check, self.crash_records)
+        self.crash_detector = CrashDetector(
+            self.dialler.check, self.dialler.accepts, self.crash_records
+        )
         self.crashes = EntryCrashes(self.link, self.crash_records, self.handlers)
         self.crash_detector.on_recorded = self.crashes.enqueue
         # An entry knows no other nodes, so each may make the trial. Those that begin
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -206,7 +206,9 @@
             handlers,
         )
         self.crash_records = CrashRecords()
-        self.crash_detector = CrashDetector(self.dialler.check, self.crash_records)
+        self.crash_detector = CrashDetector(
+            self.dialler.check, self.dialler.accepts, self.crash_records
+        )
         self.crash_exchange = CrashExchange(
             self.node,
             self.peers,
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -160,9 +160,9 @@
             del self.running[record.digest]
         self.records.signal_change()
 
-    async def has_ended(self, state: CheckedServer) -> bool:
-        """Return whether a server that has just closed a connection has ended."""
-        return await self.detector.has_ended(state)
+    async def confirms_end(self, state: CheckedServer) -> bool:
+        """Return whether the close of a connection shows the end of its response."""
+        return await self.detector.confirms_end(state)
 
     def record_closed(self, state: CheckedServer, identity: RequestIdentity) -> None:
         """Record that a server closed the connection of an attempt."""
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -40,11 +40,8 @@
 OK = 200
 MISDIRECTED = 421
 SERVER_ERROR = 500
-# Longest delay of a response that ends with its connection. A server that refuses does
-# so within milliseconds, and so do the peers that are asked then.
-END_CHECK_TIMEOUT_S = 0.3
 NO_CONTENT = frozenset((204, 205))
-SERVER_ENDED = "the server ended as it closed the connection"
+UNCONFIRMED_END = "closed without a length by a server that accepts no connection"
 
 log = logger("gateway")
 FIRST_BYTE = histogram("gateway_first_byte_seconds", "Time to the first byte.")
@@ -361,8 +358,8 @@
             if isinstance(chunk, Lost):
                 return chunk
             body += chunk
-        if head.status < SERVER_ERROR and await self.has_server_ended(connection):
-            return Lost(SERVER_ENDED)
+        if head.status < SERVER_ERROR and not await self.is_end_confirmed(connection):
+            return Lost(UNCONFIRMED_END)
         headers = [pair for pair in head.headers if pair[0] != b"content-length"]
         headers.append((b"content-length", str(len(body)).encode()))
         self.record_first_byte()
@@ -400,8 +397,8 @@
             return self.break_off("the stream ended inside an event")
         if self.needs_event(head) and not splitter.has_events:
             return self.break_off("the stream ended without an event")
-        if await self.has_server_ended(connection):
-            return self.break_off(SERVER_ENDED)
+        if not await self.is_end_confirmed(connection):
+            return self.break_off(UNCONFIRMED_END)
         if splitter.buffer:
             await self.forward_events(head, bytes(splitter.buffer))
         if not context.reply.is_started:
@@ -419,20 +416,13 @@
         has_body = request.method != b"HEAD" and head.status not in NO_CONTENT
         return has_body and not is_resumed
 
-    async def has_server_ended(self, connection: ServerConnection) -> bool:
-        """Return whether the server ended as it closed the connection.
-
-        The system closes the connections of a process that has ended in the same way as
-        those of one that has sent everything. A response whose end is marked by that of
-        its connection is complete only if the server goes on.
-        """
+    async def is_end_confirmed(self, connection: ServerConnection) -> bool:
+        """Return whether the end of the transport is that of the response."""
         if not connection.is_closed_by_server:
-            return False
-        with trio.move_on_after(END_CHECK_TIMEOUT_S) as scope:
-            # The response is ready: it is delivered even if the deadline passes now.
-            scope.shield = True
-            return await self.components.crashes.has_ended(self.state)
-        return False
+            return True
+        # The response is ready: it is delivered even if the deadline passes now.
+        with trio.CancelScope(shield=True):
+            return await self.components.crashes.confirms_end(self.state)
 
     def break_off(self, reason: str) -> Broken | Lost:
         """Return the outcome of a stream that its server did not complete."""
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -245,8 +245,8 @@
     ) -> SendResult:
         """Return `Unknown` in place of a response that its server broke off.
 
-        The end of the connection is that of the content only if the server goes on,
-        and that of an event stream only after a whole event.
+        An event stream is complete only after a whole event, and a response that ends
+        with its connection only if the server is seen to go on.
         """
         if not isinstance(result, Answered) or result.status >= FAILED_STATUS:
             return result
@@ -254,9 +254,9 @@
             return Unknown(Reason.ANSWER_LOST, "the event stream ended inside an event")
         if self.crashes is None or not may_be_cut(request, result):
             return result
-        if not await self.crashes.has_ended(ListedServer(server, self.servers)):
+        if await self.crashes.confirms_end(ListedServer(server, self.servers)):
             return result
-        detail = "the server ended as it closed the connection of the response"
+        detail = "closed without a length by a server that accepts no connection"
         return Unknown(Reason.ANSWER_LOST, detail)
 
     async def decide_after_crashes(
--- a/src/rosemaryknot/standin/users/response_ends.py
+++ b/src/rosemaryknot/standin/users/response_ends.py
@@ -120,7 +120,11 @@
         """Run the request and end its response."""
         arrival.has_run = True
         body = server.payload(arrival)
-        body = body[: PLACES[self.place](body)]
+        place = self.place
+        if place is EndPlace.HEAD and "last-event-id" in arrival.request.headers:
+            # An empty rest completes a stream that was resumed after its last event.
+            place = EndPlace.FIRST_EVENT
+        body = body[: PLACES[place](body)]
         if self.place is EndPlace.LAST_EVENT and self.way is not EndWay.RESET:
             arrival.ended = "whole"
         await wire.head(200, server.headers(arrival) | self.framing_headers(body))
--- a/tests/request/test_plain_ends.py
+++ b/tests/request/test_plain_ends.py
@@ -58,6 +58,11 @@
     return ServerEvidence.ACCEPTS
 
 
+async def accepts(network, address):
+    """Return whether a server accepts a connection."""
+    return await check_server(network, address) == ServerEvidence.ACCEPTS
+
+
 class PlainFleet:
     """Two servers of a service and the relay to them."""
 
@@ -68,7 +73,9 @@
         }
         self.nursery = nursery
         self.detector = CrashDetector(
-            partial(check_server, self.network), CrashRecords()
+            partial(check_server, self.network),
+            partial(accepts, self.network),
+            CrashRecords(),
         )
         self.relay = PlainRelay(
             PlainClient(self.network), Servers(), "z", random.Random(1)
