--- a/src/rosemaryknot/request/event_stream.py
+++ b/src/rosemaryknot/request/event_stream.py
@@ -11,6 +11,9 @@
 # The longest part of an event end that can be received before the rest of it.
 MAX_PARTIAL_END_BYTES = 3
 ID_LINE = re.compile(rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id:([^\r\n]*)(?=[\r\n])")
+MARK = b"\xef\xbb\xbf"
+LF_EVENT_END = b"\n\n"
+LF_ID_LINE = b"\nid:"
 # Comments, empty lines and the byte order mark, which belong to no event.
 NO_EVENT = re.compile(rb"(?:\xef\xbb\xbf)?(?::[^\r\n]*[\r\n]|[\r\n])*")
 # An event carries a few tokens, so one that reaches this size never ends.
@@ -78,16 +81,14 @@
         """Add a chunk and return the events that are complete now."""
         searched = max(0, len(self.buffer) - MAX_PARTIAL_END_BYTES)
         self.buffer += chunk
-        size = 0
-        for end in EVENT_END.finditer(self.buffer, searched):
-            size = end.end()
+        size = complete_size(self.buffer, searched)
         if not size:
             return b""
         events = bytes(self.buffer[:size])
         del self.buffer[:size]
         self.has_events = self.has_events or NO_EVENT.fullmatch(events) is None
-        for event_id in ID_LINE.findall(events):
-            self.record_id(event_id.strip())
+        for event_id in ids_of(events, all_ids=self.after is not None):
+            self.record_id(event_id)
         return events
 
     def record_id(self, event_id: bytes) -> None:
@@ -98,6 +99,32 @@
         self.last_id = event_id
 
 
+def complete_size(data: bytearray, start: int) -> int:
+    """Return the size of the complete events at the begin of a buffer.
+
+    No event ends before ``start``. Nearly all streams have no CR, and then the search
+    needs no regular expression.
+    """
+    if b"\r" not in data:
+        at = data.rfind(LF_EVENT_END, start)
+        return 0 if at < 0 else at + len(LF_EVENT_END)
+    size = 0
+    for end in EVENT_END.finditer(data, start):
+        size = end.end()
+    return size
+
+
+def ids_of(events: bytes, all_ids: bool) -> list[bytes]:
+    """Return the ids of events in order, or the last one only."""
+    if all_ids or b"\r" in events or events.startswith(MARK):
+        return [event_id.strip() for event_id in ID_LINE.findall(events)]
+    at = events.rfind(LF_ID_LINE)
+    if at < 0 and not events.startswith(LF_ID_LINE[1:]):
+        return []
+    start = at + len(LF_ID_LINE)
+    return [events[start : events.index(b"\n", start)].strip()]
+
+
 def is_higher(event_id: bytes, before: bytes) -> bool:
     """Return whether an event id is higher than another one, as far as is known.
 
