Test ends of streams through a peer, and of a response at its deadline

A response without a length whose confirmation lasts beyond the deadline is delivered late; without the shield in is_end_confirmed the caller gets 504.

--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -248,3 +248,36 @@
             system.nursery.start_soon(lapse)
             answer = await system.ask("/plan/x", **MODEL_HEADERS)
             assert answer.status == 200 and not answer.is_whole
+
+
+class TestPaths:
+    """Ends of responses while the link between node and servers is in trouble."""
+
+    @pytest.mark.parametrize("end", STREAM_ENDS, ids=lambda end: end.name)
+    async def test_stream_through_peer(self, autojump_clock, end):
+        """A node that is cut off from the servers gets their streams through a peer."""
+        async with system_with_end(end, nodes=2) as system:
+            system.cut_off("n0", "silent")
+            await trio.sleep(1.0)
+            answer = await system.ask("/plan/x", **MODEL_HEADERS)
+            if is_whole_end(end):
+                assert answer.is_whole and answer.body == WHOLE
+            else:
+                assert answer.status == 502 or not answer.is_whole
+                assert WHOLE.startswith(answer.body) or answer.status == 502
+
+    async def test_ready_response_is_delivered_after_deadline(self, autojump_clock):
+        """The link to the server is cut just after its response without a length."""
+        end = ResponseEnd(EndWay.CLOSED, EndPlace.LAST_EVENT)
+        async with system_with_end(end, nodes=2, plain=1) as system:
+            system.servers["p0"].work_s = 0.25
+            system.network.delays_s[frozenset(("10.2.0.1", "10.1.0.1"))] = 0.01
+
+            async def cut():
+                await trio.sleep(0.285)
+                system.cut_off("n0", "silent")
+
+            system.nursery.start_soon(cut)
+            answer = await system.ask("/book/x", Rosemaryknot_Deadline_Ms="300")
+            assert (answer.status, answer.is_whole) == (200, True)
+            assert 0.35 < answer.took_s < 0.8
