Do not resume a stream whose last event is not known

Found while reading the change: after a resumed stream sent an event again, the id of that event was kept, and the next server went on from there; a caller could have got events twice (with four attempts, the request ran at four servers). An event with an empty id resets the last one, and the next attempt then began at the first event. Both end the stream now. test_repeated_events_end_resumed_stream and test_stream_that_resets_its_ids_is_not_resumed fail without their parts.

The log line of a response's end and two functions on its head are in a module of their own, as the module of attempts had grown.

--- a/src/rosemaryknot/request/event_stream.py
+++ b/src/rosemaryknot/request/event_stream.py
@@ -100,7 +100,7 @@
 
 
 def complete_size(data: bytearray, start: int) -> int:
-    """Return the size of the complete events at the begin of a buffer.
+    """Return the size of the complete events at the start of a buffer.
 
     No event ends before ``start``. Nearly all streams have no CR, and then the search
     needs no regular expression.
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -224,7 +224,7 @@
             return False
         if not isinstance(outcome, NotRunThere) and not context.route.allows_retry:
             return False
-        if isinstance(outcome, Broken) and context.last_event_id is None:
+        if isinstance(outcome, Broken) and not context.last_event_id:
             return False
         return self.components.may_retry(context.service.name)
 
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -9,14 +9,18 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import histogram
 from rosemaryknot.process.server_state import ServerState
-from rosemaryknot.request.event_stream import EventSplitter, is_event_stream
+from rosemaryknot.request.event_stream import EventSplitter
 from rosemaryknot.request.gateway_choice import usable_servers
 from rosemaryknot.request.gateway_context import GatewayComponents, RequestContext
+from rosemaryknot.request.gateway_response import (
+    log_response_end,
+    may_be_event_stream,
+    stream_headers,
+)
 from rosemaryknot.values.gateway import RetryPolicy
 from rosemaryknot.values.gateway_responses import (
     Broken,
     Completed,
-    Framing,
     Lost,
     NotPermitted,
     NotRunThere,
@@ -122,7 +126,13 @@
             with trio.CancelScope(shield=True):
                 await connection.aclose()
             raise
-        self.log_response_end(connection, outcome)
+        log_response_end(
+            context.request.id,
+            connection,
+            self.splitter,
+            outcome,
+            trio.current_time() - self.started_s,
+        )
         if isinstance(outcome, Completed):
             self.record_absent_limit(outcome.status)
             if outcome.status < SERVER_ERROR:
@@ -140,33 +150,6 @@
         await connection.aclose()
         return outcome
 
-    def log_response_end(self, connection: ServerConnection, outcome: object) -> None:
-        """Log how a response ended, unless its framing and its content were complete.
-
-        Callers see only whether their own response is complete; an end by close, an end
-        inside an event and a reset can be told apart here.
-        """
-        if connection.framing is None:
-            return
-        is_complete = isinstance(outcome, Completed)
-        if is_complete and connection.framing is not Framing.CLOSE:
-            return
-        log.info(
-            "response ended",
-            request=self.context.request.id,
-            server=self.state.entry.id,
-            server_born=self.state.entry.born,
-            path=self.context.path,
-            outcome=type(outcome).__name__,
-            reason=getattr(outcome, "reason", None),
-            framing=connection.framing,
-            is_closed_by_server=connection.is_closed_by_server,
-            body_bytes=connection.body_bytes,
-            last_event_id=decode_event_id(self.splitter.last_id),
-            incomplete_event_bytes=len(self.splitter.buffer),
-            after_s=round(trio.current_time() - self.started_s, 3),
-        )
-
     def record_path_loss(self, outcome: Lost | Broken) -> None:
         """Record that the path to the server was lost during the attempt.
 
@@ -387,7 +370,9 @@
             self.state.last_received_s = trio.current_time()
             events = splitter.feed(chunk)
             if splitter.is_out_of_order:
-                return self.break_off("an event came twice after the stream resumed")
+                # Where the servers agree is not known, so no other one may go on.
+                context.last_event_id = None
+                return Broken("an event came twice after the stream resumed")
             if splitter.is_too_large:
                 return self.break_off("an event is too large")
             if events:
@@ -469,27 +454,3 @@
         context.is_run_recorded = True
         if context.customer is not None:
             self.components.record_run(context.customer.name)
-
-
-def may_be_event_stream(head: ResponseHead) -> bool:
-    """Return whether a successful response on a streaming route is an event stream.
-
-    It is one unless the server states another type.
-    """
-    for name, value in head.headers:
-        if name == b"content-type":
-            return is_event_stream(value.decode("latin-1"))
-    return True
-
-
-def decode_event_id(event_id: bytes | None) -> str | None:
-    """Return an event id as text for a log line."""
-    return None if event_id is None else event_id.decode("latin-1")
-
-
-def stream_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
-    """Return the headers of a stream without its length.
-
-    A stream may be resumed at another server, so the first one cannot know the length.
-    """
-    return [pair for pair in head.headers if pair[0] != b"content-length"]
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -15,7 +15,11 @@
     detectable_ends,
 )
 from rosemaryknot.standin.users.servers import EVENT_TOKENS
-from rosemaryknot.standin.users.system import MODEL_HEADERS, platform_system
+from rosemaryknot.standin.users.system import (
+    MODEL_HEADERS,
+    document,
+    platform_system,
+)
 
 EVENTS = 50 // EVENT_TOKENS
 WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(EVENTS))
@@ -186,11 +190,23 @@
     async def test_repeated_events_end_resumed_stream(self, autojump_clock):
         """The second server starts over; the caller must not get an event twice."""
         end = ResponseEnd(EndWay.RESET, EndPlace.INSIDE_EVENT)
-        async with system_with_end(end) as system:
+        patient = document()
+        patient["routes"][1]["maxAttempts"] = 4
+        async with system_with_end(end, models=4, configuration=patient) as system:
             respond(system, {}, WHOLE)
             answer = await system.ask("/ask/x", **MODEL_HEADERS)
             assert answer.status == 200 and not answer.is_whole
             assert answer.body == WHOLE[: len(b"id: 0\ndata: piece 0\n\n")]
+            assert system.ledger.runs_of("r1") == 2
+
+    async def test_stream_that_resets_its_ids_is_not_resumed(self, autojump_clock):
+        """After an empty id, no id says where another server would have to go on."""
+        async with platform_system() as system:
+            respond(system, {}, b"id: 0\ndata: a\n\nid:\ndata: b\n\nda")
+            answer = await system.ask("/ask/x", **MODEL_HEADERS)
+            assert answer.status == 200 and not answer.is_whole
+            assert answer.body == b"id: 0\ndata: a\n\nid:\ndata: b\n\n"
+            assert system.ledger.runs_of("r1") == 1
 
 
 class TestServers:
