--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -7,6 +7,7 @@
 import trio
 
 from rosemaryknot.process.crash_store import KIND, RELEASE_CHECK_INTERVAL_S
+from rosemaryknot.standin.users.response_ends import EndPlace, EndWay, ResponseEnd
 from rosemaryknot.standin.users.servers import CRASHING_BODY
 from rosemaryknot.standin.users.system import (
     CRASH_DOWN_S,
@@ -383,6 +384,23 @@
             await trio.sleep(NOTICE_S)
             assert (await request_stream(fleet, "third", "n2")).status == REFUSED
 
+    async def test_restarted_node_completes_a_refused_request(self, autojump_clock):
+        """A node that knows no crashes yet completes a request that others refuse."""
+        end = ResponseEnd(EndWay.CRASHED, EndPlace.INSIDE_EVENT)
+        async with platform_system(nodes=2, models=3) as fleet:
+            for server in fleet.servers.values():
+                if server.is_model:
+                    server.faults.append(end.name)
+            await request_stream(fleet, "first", "n0", POPULAR)
+            await request_stream(fleet, "second", "n0", POPULAR)
+            await trio.sleep(CRASH_DOWN_S + SOON_S)
+            assert (await request_stream(fleet, "x", "n0", POPULAR)).status == REFUSED
+            fleet.kill("n1")
+            await fleet.add_node(1, is_first_start=False)
+            answer = await request_stream(fleet, "completed", "n1", POPULAR)
+            assert answer.status == OK and answer.is_whole
+            assert (await request_stream(fleet, "y", "n0", POPULAR)).status == OK
+
     async def test_node_that_was_partitioned(self, autojump_clock):
         """A node is cut off from the others, but not from the servers and the store."""
         async with platform_system(nodes=3, models=6) as fleet:
