--- a/src/rosemaryknot/standin/users/response_ends.py
+++ b/src/rosemaryknot/standin/users/response_ends.py
@@ -23,8 +23,8 @@
     LAST_CHUNK = "last_chunk"
     FULL_LENGTH = "full_length"
     CHUNKS_CLOSED = "chunks_closed"
+    # The process ends: its connections are closed and new ones are refused.
     CRASHED = "crashed"
-    """The process ends: its connections are closed and new ones are refused."""
 
 
 class EndPlace(StrEnum):
@@ -122,7 +122,7 @@
         body = server.payload(arrival)
         place = self.place
         if place is EndPlace.HEAD and "last-event-id" in arrival.request.headers:
-            # An empty rest completes a stream that was resumed after its last event.
+            # Without an event it would be the complete rest after the last event.
             place = EndPlace.FIRST_EVENT
         body = body[: PLACES[place](body)]
         if self.place is EndPlace.LAST_EVENT and self.way is not EndWay.RESET:
