Reword what a newcomer reads twice in the ends of responses

BYTE_ORDER_MARK was MARK. "direct", the path of a connection that no peer relays, stood twice and is one constant. No behaviour changes.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -84,7 +84,7 @@
     is_done : bool
         Whether the complete response was sent.
     is_ended_by_close : bool
-        Whether only the end of the connection shows the caller that of the response.
+        Whether only the close of the connection marks the end of the response.
     status : int
         Status code that was sent; 0 before.
     """
@@ -107,8 +107,8 @@
         if self.connection.is_closing():
             headers.append((b"connection", b"close"))
         if self.connection.ends_by_close(headers):
-            # However the connection ends from here on, with the process too, it is
-            # reset, and the caller does not take the part for the whole.
+            # If the response breaks off, or the process ends, the connection is reset,
+            # so that the caller does not take the part for the whole.
             self.is_ended_by_close = True
             reset_on_close(self.connection.stream)
         await self.connection.send(h11.Response(status_code=status, headers=headers))
@@ -383,9 +383,10 @@
         return self.can_keep_alive(reply)
 
     def ends_by_close(self, headers: Headers) -> bool:
-        """Return whether a response with a body ends with the connection.
+        """Return whether only the close of the connection marks the end of a body.
 
-        So it does for a caller of HTTP/1.0, which knows no chunks, without a length.
+        A caller of HTTP/1.0 does not support chunks, so that is the case for it if the
+        response has no length.
         """
         is_older = self.conn.their_http_version < b"1.1"
         return is_older and all(name != b"content-length" for name, _ in headers)
--- a/src/rosemaryknot/connection/server_dialler.py
+++ b/src/rosemaryknot/connection/server_dialler.py
@@ -28,8 +28,8 @@
 HEDGE_S = 0.15
 # How long a check of a server or of the node's own link may take.
 CHECK_TIMEOUT_S = 0.3
-# How long the end of a response waits for whether its server accepts connections. It
-# does so within milliseconds, and through a peer within `HEDGE_S` and some more.
+# How long a check whether a server accepts connections may delay the end of a response.
+# A server accepts within milliseconds, and through a peer soon after `HEDGE_S`.
 END_CHECK_TIMEOUT_S = 0.5
 # Servers to which the node's own link is checked at once, after another one failed. Two
 # of them may have crashed in the same moment.
--- a/src/rosemaryknot/request/event_stream.py
+++ b/src/rosemaryknot/request/event_stream.py
@@ -11,10 +11,10 @@
 # The longest part of an event end that can be received before the rest of it.
 MAX_PARTIAL_END_BYTES = 3
 ID_LINE = re.compile(rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id:([^\r\n]*)(?=[\r\n])")
-MARK = b"\xef\xbb\xbf"
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 LF_EVENT_END = b"\n\n"
 LF_ID_LINE = b"\nid:"
-# Comments, empty lines and the byte order mark, which belong to no event.
+# Comments, empty lines and the byte order mark do not belong to any event.
 NO_EVENT = re.compile(rb"(?:\xef\xbb\xbf)?(?::[^\r\n]*[\r\n]|[\r\n])*")
 # An event carries a few tokens, so one that reaches this size never ends.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -116,7 +116,7 @@
 
 def ids_of(events: bytes, all_ids: bool) -> list[bytes]:
     """Return the ids of events in order, or the last one only."""
-    if all_ids or b"\r" in events or events.startswith(MARK):
+    if all_ids or b"\r" in events or events.startswith(BYTE_ORDER_MARK):
         return [event_id.strip() for event_id in ID_LINE.findall(events)]
     at = events.rfind(LF_ID_LINE)
     if at < 0 and not events.startswith(LF_ID_LINE[1:]):
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -13,6 +13,7 @@
 from rosemaryknot.request.gateway_choice import usable_servers
 from rosemaryknot.request.gateway_context import GatewayComponents, RequestContext
 from rosemaryknot.request.gateway_response import (
+    DIRECT_PATH,
     log_response_end,
     may_be_event_stream,
     stream_headers,
@@ -40,7 +41,6 @@
 DELIVERY_GRACE_S = 1.0
 # Attempts of a request that may end because of a lost path and are repeated.
 MAX_LOST_PATHS = 2
-DIRECT_PATH = "direct"
 OK = 200
 MISDIRECTED = 421
 SERVER_ERROR = 500
@@ -370,7 +370,7 @@
             self.state.last_received_s = trio.current_time()
             events = splitter.feed(chunk)
             if splitter.is_out_of_order:
-                # Where the servers agree is not known, so no other one may go on.
+                # It is not known after which event another server could resume.
                 context.last_event_id = None
                 return Broken("an event came twice after the stream resumed")
             if splitter.is_too_large:
--- a/src/rosemaryknot/request/gateway_response.py
+++ b/src/rosemaryknot/request/gateway_response.py
@@ -6,7 +6,10 @@
 from rosemaryknot.values.gateway import Headers
 from rosemaryknot.values.gateway_responses import Completed, Framing, ResponseHead
 
-__all__ = ["log_response_end", "may_be_event_stream", "stream_headers"]
+__all__ = ["DIRECT_PATH", "log_response_end", "may_be_event_stream", "stream_headers"]
+
+# Path of a connection that no peer relays, in log lines.
+DIRECT_PATH = "direct"
 
 log = logger("gateway")
 
@@ -66,7 +69,7 @@
         request=request_id,
         server=connection.server.id,
         server_born=connection.server.born,
-        path=connection.peer or "direct",
+        path=connection.peer or DIRECT_PATH,
         outcome=type(outcome).__name__,
         reason=getattr(outcome, "reason", None),
         framing=connection.framing,
--- a/src/rosemaryknot/values/outcomes.py
+++ b/src/rosemaryknot/values/outcomes.py
@@ -59,7 +59,7 @@
     body : bytes
         The whole body.
     is_ended_by_close : bool
-        Whether only the end of the connection marked that of the body.
+        Whether only the close of the connection marked the end of the body.
     """
 
     status: int
