Log software versions of servers, and callers that take a stream up

The record of streams that hold events of two software versions cannot tell whether a node resumed them at another server within one response, or a caller took them up at a node that did not know who began them: no line named a server's version or the Resumes header. Both are decoded now and logged: the version when a server is added or restarts, and with each choice of a server; the header with a request that takes a stream up. No decision changes.

--- a/src/rosemaryknot/platform/documents.py
+++ b/src/rosemaryknot/platform/documents.py
@@ -248,7 +248,6 @@
 
 def validate_unused_fields(data: dict[str, Any]) -> None:
     """Validate the fields of a server's entry that are not used otherwise."""
-    required_text(data, "version")
     required_int(data, "sequence")
     cold_ms = data["coldRemainingMs"]
     if isinstance(cold_ms, bool) or finite_float(cold_ms) < 0:
@@ -279,6 +278,7 @@
             is_draining=decode_is_draining(value),
             is_reclaimable=bool(value.get("spot")),
             shutdown_after_s=decode_shutdown_after_s(value),
+            software_version=required_text(value, "version"),
         )
     except DECODE_ERRORS as error:
         raise DocumentError(error_reason(error)) from error
--- a/src/rosemaryknot/platform/headers.py
+++ b/src/rosemaryknot/platform/headers.py
@@ -24,6 +24,7 @@
 PROMPT_SEGMENTS = b"rosemaryknot-prefix-hash"
 PRIORITY = b"rosemaryknot-request-priority"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
 AUTHORIZATION = b"authorization"
@@ -205,6 +206,7 @@
             arrived_s=arrived_s,
             size=decode_size(pairs),
             last_event_id=last_event_id.encode("latin-1") if last_event_id else None,
+            resumes=first_value(pairs, RESUMES) or None,
         )
 
     def server_headers(
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -139,6 +139,7 @@
             service=entry.service,
             zone=entry.zone,
             born=entry.born,
+            software_version=entry.software_version,
             again=known is not None,
         )
         self.removed_states.pop(entry.id, None)
@@ -155,6 +156,8 @@
             f"server {entry.id} restarted",
             born=entry.born,
             before=old.entry.born,
+            software_version=entry.software_version,
+            software_version_before=old.entry.software_version,
             in_flight=old.in_flight,
             drained=old.has_announced_drain,
             failures=old.failures,
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -265,6 +265,7 @@
     return {
         "server": chosen.state.entry.id,
         "server_born": chosen.state.entry.born,
+        "software_version": chosen.state.entry.software_version,
         "server_known_s": round(now_s - chosen.state.first_seen_s, 3),
         "server_entry_s": round(now_s - chosen.state.entry_updated_s, 3),
         "server_failures": chosen.failures,
--- a/src/rosemaryknot/request/gateway_request_admission.py
+++ b/src/rosemaryknot/request/gateway_request_admission.py
@@ -42,6 +42,7 @@
 TOO_MANY = 429
 # Retry-After if the route or key may belong to a configuration that has not arrived.
 NEWER_VERSION_RETRY_S = 0.3
+MAX_LOGGED_CHARS = 40
 # The rule in use; docs/design/platform.md compares the rules. A stream admitted on an
 # estimate was aborted at the end of the shutdown whenever the load exceeded the
 # estimate. A request whose own time limit ends earlier finishes under any load.
@@ -128,6 +129,8 @@
                 self.components.rng, TOO_MANY, "over the customer's limit", wait_s
             )
         components.record_request(resolved.service.name)
+        if request.resumes is not None or request.last_event_id is not None:
+            log_resumption(request, resolved.service)
         return RequestContext(
             request=request,
             reply=reply,
@@ -269,6 +272,18 @@
         return self.components.rng.choices(services, weights)[0]
 
 
+def log_resumption(request: GatewayRequest, service: GatewayService) -> None:
+    """Log that a caller takes a stream up."""
+    last_id = (request.last_event_id or b"").decode("latin-1")
+    log.info(
+        "caller takes up a stream",
+        request=request.id,
+        resumes=(request.resumes or "")[:MAX_LOGGED_CHARS],
+        last_event_id=last_id[:MAX_LOGGED_CHARS],
+        service=service.name,
+    )
+
+
 def limit_units(customer: CustomerLimit | None, request: GatewayRequest) -> float:
     """Return the units a request needs of its customer's limit, 0 without one."""
     if customer is None or customer.rate <= 0:
--- a/src/rosemaryknot/values/gateway.py
+++ b/src/rosemaryknot/values/gateway.py
@@ -290,6 +290,8 @@
         Whether the cloud may reclaim it.
     shutdown_after_s : float or None
         Time from the writing of the entry to the end of the server; None if unknown.
+    software_version : str
+        Version of the server's software; versions have no order. Empty if unknown.
     """
 
     incarnation: ServerIncarnation
@@ -300,6 +302,7 @@
     is_draining: bool = False
     is_reclaimable: bool = False
     shutdown_after_s: float | None = None
+    software_version: str = ""
 
     @property
     def id(self) -> str:
@@ -372,6 +375,9 @@
         Tokens of a model request; None for other requests.
     last_event_id : bytes or None
         Id of the last event received; the stream resumes after it.
+    resumes : str or None
+        Id of the caller's attempt that brought the first event of the stream which this
+        request takes up.
     """
 
     id: str
@@ -386,3 +392,4 @@
     arrived_s: float
     size: ModelInput | None = None
     last_event_id: bytes | None = None
+    resumes: str | None = None
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -120,6 +120,7 @@
         assert server.is_draining and server.is_reclaimable
         assert server.shutdown_after_s == 1.5
         assert server.incarnation == ServerIncarnation("i-1", 1764722000123)
+        assert server.software_version == ENTRY["version"]
 
     @pytest.mark.parametrize("name", sorted(set(ENTRY) - set(OPTIONAL_FIELDS)))
     def test_field_is_missing(self, name):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -45,8 +45,18 @@
         assert names[b"rosemaryknot-attempt-id"] == b"r1"
         assert names[b"content-length"] == b"4"
         assert names[b"x-kept"] == b"1"
+        assert b"resumes" not in names
         assert b"x-once" not in names and b"authorization" not in names
 
+    def test_stream_that_is_taken_up(self):
+        request = read([*HEAD, (b"Last-Event-Id", b"6"), (b"Resumes", b"r0")])
+        assert (request.last_event_id, request.resumes) == (b"6", "r0")
+        names = dict(
+            PlatformWire().server_headers(request, SERVER, "ada", 1.2, 3, b"7")
+        )
+        assert names[b"resumes"] == b"r0"
+        assert read().resumes is None
+
     def test_target_is_not_a_path(self):
         assert isinstance(read(target=b"http://a.example/"), TargetFault)
         assert isinstance(read(headers=[]), TargetFault)
