Reproduce streams that go on at servers of another software version

Stand-in servers name their version in their events unless it is the default one, so that a test sees which one wrote each event.

--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "CRASHING_BODY",
+    "DEFAULT_VERSION",
     "FAULTS",
     "RESPONSE_ENDS",
     "Arrival",
@@ -26,6 +27,8 @@
 
 EVENT_TOKENS = 5
 ATTEMPT = "rosemaryknot-attempt-id"
+# Software version of servers that are given no other.
+DEFAULT_VERSION = "v1"
 
 
 @dataclass(slots=True)
@@ -73,7 +76,7 @@
         "service": service,
         "address": str(address),
         "zone": zone,
-        "version": "v1",
+        "version": DEFAULT_VERSION,
         "slots": 16,
         "state": "ready",
         "coldRemainingMs": 0,
@@ -329,12 +332,21 @@
         return self.body(arrival)
 
     def events(self, arrival: Arrival) -> list[bytes]:
-        """Return the remaining events of a stream; they are the same on all servers."""
+        """Return the remaining events of a stream.
+
+        They are the same on all servers of the default software version; those of other
+        versions name theirs.
+        """
         headers = arrival.request.headers
         tokens = int(headers.get("rosemaryknot-token-usage", "0,20").split(",")[1])
         count = max(1, tokens // EVENT_TOKENS)
         last = int(headers.get("last-event-id", "-1"))
-        return [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(last + 1, count)]
+        version = self.entry.get("version", DEFAULT_VERSION)
+        writer = b"" if version == DEFAULT_VERSION else f" by {version}".encode()
+        return [
+            b"id: %d\ndata: piece %d%b\n\n" % (n, n, writer)
+            for n in range(last + 1, count)
+        ]
 
 
 @server_fault("shed")
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -206,8 +206,14 @@
             data = data.replace(b"HTTP/1.1", f"HTTP/{version}".encode(), 1)
         await self.stream.send_all(data)
 
-    async def receive(self) -> Answer:
-        """Return the response, or the part of it that was received."""
+    async def receive(self, max_events: int | None = None) -> Answer:
+        """Return the response, or the part of it that was received.
+
+        Parameters
+        ----------
+        max_events : int, optional
+            Number of events of a stream after which no more is read.
+        """
         answer = Answer()
         started_s = trio.current_time()
         while True:
@@ -224,6 +230,8 @@
             elif isinstance(event, h11.Data):
                 answer.first_s = min(answer.first_s, trio.current_time() - started_s)
                 answer.body += bytes(event.data)
+                if max_events is not None and answer.body.count(b"\n\n") >= max_events:
+                    break
             else:
                 answer.is_whole = isinstance(event, h11.EndOfMessage)
                 break
@@ -313,7 +321,9 @@
         await self.serve_server(server)
         return server
 
-    async def serve_server(self, server: ServerStandIn) -> None:
+    async def serve_server(
+        self, server: ServerStandIn, entry_delay_s: float = 0.0
+    ) -> None:
         """Start listening for a server and write its entry."""
         address = Address.from_text(server.entry["address"])
         network = self.network.with_host(address.host)
@@ -329,6 +339,7 @@
         )
         self.servers[server.id] = server
         await self.nursery.start(run)
+        await trio.sleep(entry_delay_s)
         self.store.put("servers", server.id, server.entry)
 
     async def crash_server(self, server_id: str, has_resets: bool = True) -> None:
@@ -340,13 +351,31 @@
         self.down.discard(server_id)
 
     async def restart_server(
-        self, server_id: str, down_s: float = 0.0, has_resets: bool = True
+        self,
+        server_id: str,
+        down_s: float = 0.0,
+        has_resets: bool = True,
+        version: str | None = None,
+        entry_delay_s: float = 0.0,
     ) -> None:
         """Crash a server and restart it under the same id, without its former state.
 
         Its address stays and its birth time increases; a server whose entry has no
         birth time still has none. The system closes the connections of a process that
         has read everything; otherwise it resets them.
+
+        Parameters
+        ----------
+        server_id : str
+            Id of the server.
+        down_s : float
+            How long it is down, in seconds.
+        has_resets : bool
+            Whether its connections are reset rather than closed.
+        version : str, optional
+            Its software version from now on.
+        entry_delay_s : float
+            How long its new entry follows its start, in seconds.
         """
         old = self.servers[server_id]
         host = Address.from_text(old.entry["address"]).host
@@ -360,7 +389,9 @@
         server.brittle, server.room = old.brittle, old.room
         if "born" in old.entry:
             server.entry["born"] = max(now_ms(), old.entry["born"] + 1)
-        await self.serve_server(server)
+        if version is not None:
+            server.entry["version"] = version
+        await self.serve_server(server, entry_delay_s)
 
     def settings(
         self,
