Start the node once in the test of a node that has just started

Six callers started it at once, and the second start failed for its address: the six cases failed for that, not for the fault.

--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -110,8 +110,11 @@
 
     async def test_at_a_node_that_has_just_started(self, autojump_clock, fleet, seed):
         async def start_another(system):
-            if "n3" not in system.nodes:
+            if "n3" not in system.down:
+                system.down.add("n3")
                 await system.add_node(3, is_first_start=False)
+            while "n3" not in system.nodes:
+                await trio.sleep(0.01)
 
         callers = await self.play(fleet, seed, ["n3"], prepare=start_another)
         assert all(len(caller.events) == EVENTS for caller in callers)
