Keep a stream at the software version that began it

Two faults of one class, work that one party began is continued at another as if both were interchangeable:

- Within a response, a node resumed a stream at any server of the service.
The entry's version was checked and thrown away.
- Over a caller's attempts, no node knew what another one had begun; the Resumes header was forwarded and read by nobody.

The origin of a stream is the service and software version of the incarnation that sent its first event. Only servers of that version are candidates for each further attempt: for placement, permits, timeouts and the last resort alike. Servers that may have started again since their last entry are not used for it.

--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -52,6 +52,8 @@
     last_answered_s : float
         When the latest of the attempts began that received the head of a response, in
         trio time.
+    process_lost_s : float
+        When its process was last seen to have ended, in trio time; set by the detector.
     """
 
     incarnation_key: str
@@ -61,6 +63,7 @@
     is_missing: bool
     is_removed: bool
     last_answered_s: float
+    process_lost_s: float
 
 
 @dataclass(slots=True)
@@ -218,6 +221,7 @@
         if await self.has_crashed(check):
             self.record_abandoned_there(check)
             check.is_crashed = True
+            check.state.process_lost_s = check.closed_s
             CRASHES.add()
             log.warning(
                 f"server {check.state.incarnation_key} crashed",
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -10,6 +10,7 @@
 from rosemaryknot.process.prefix_locations import PrefixLocations
 from rosemaryknot.process.prompt_mix import PromptMix
 from rosemaryknot.process.server_state import ServerState
+from rosemaryknot.process.software_versions import VersionHistory
 from rosemaryknot.values.gateway import ModelInput, PromptSegment, RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation, server_id_from_text
 from rosemaryknot.values.nodes import Address
@@ -59,6 +60,8 @@
         Measured prefill rate of a model server, in tokens per second.
     rate_samples : int
         Number of first events from which the rate was measured.
+    versions : VersionHistory
+        Software versions of the servers over time.
     is_listed : bool
         Whether the servers were listed at least once.
     has_unreported_load : bool
@@ -75,6 +78,7 @@
         self.by_id: dict[str, ServerState] = {}
         self.rate = INITIAL_PREFILL_RATE
         self.rate_samples = 0
+        self.versions = VersionHistory()
         self.is_listed = False
         self.missing_timeout_s = 1.4
         self.cached = PrefixLocations()
@@ -104,6 +108,8 @@
                 return f"no newer incarnation than {known.incarnation.born_ms}"
             self.replace_incarnation(known, entry)
             state = known = None
+        if known is not None:
+            self.record_version(known, entry)
         if state is None:
             state = self.by_id[entry.id] = self.state_of_entry(entry, known)
         elif state.is_removed or state.is_missing:
@@ -164,11 +170,31 @@
             known_s=round(trio.current_time() - old.first_seen_s, 3),
         )
         old.is_removed = True
+        self.versions.record_end(old)
+        self.versions.record_change(old, entry)
         self.by_id.pop(entry.id, None)
         self.removed_states.pop(entry.id, None)
         self.unused_incarnations.append(old.incarnation)
         self.replaced_incarnations.append(old.incarnation)
 
+    def record_version(self, state: ServerState, entry: RoutedServer) -> None:
+        """Record a software version that changed in the entry of one incarnation.
+
+        A server without a birth time may have started again; with one, its entries
+        contradict each other. Streams that began there before are of either version.
+        """
+        before = state.entry.software_version
+        if before == entry.software_version:
+            return
+        log.warning(
+            f"server {entry.id} changed its software version",
+            software_version=entry.software_version,
+            software_version_before=before,
+            born=entry.born,
+        )
+        self.versions.record_end(state)
+        self.versions.record_change(state, entry)
+
     def remove(self, server_id: str) -> None:
         """Record that an entry was removed.
 
@@ -204,6 +230,7 @@
             log.info(f"server {state.entry.id} removed", born=state.entry.born)
         state.is_removed = True
         if state.in_flight == 0 and self.by_id.pop(state.entry.id, None):
+            self.versions.record_end(state)
             self.unused_incarnations.append(state.incarnation)
             self.remember_removed(state)
 
--- a/src/rosemaryknot/process/graceful_shutdown.py
+++ b/src/rosemaryknot/process/graceful_shutdown.py
@@ -45,6 +45,9 @@
     relay : object
         Relays connections to servers for peers; see
         `rosemaryknot.connection.server_relay.ServerRelay`.
+    origins : object
+        Records of streams that this node holds for others; see
+        `rosemaryknot.process.origin_exchange.OriginExchange`.
     suspended_s : callable
         Returns how long the machine was suspended since the shutdown began, in
         seconds.
@@ -62,6 +65,7 @@
         lease: Lease,
         peers: PeerSet,
         relay: Any,
+        origins: Any,
         suspended_s: Callable[[], float],
     ) -> None:
         self.listener = listener
@@ -69,6 +73,7 @@
         self.lease = lease
         self.peers = peers
         self.relay = relay
+        self.origins = origins
         self.suspended_s = suspended_s
         self.scope = trio.CancelScope()
 
@@ -146,6 +151,7 @@
         self.listener.close_idle()
         await self.listener.close()
         await self.relay.wait_ended()
+        await self.origins.hand_over()
         # Last, because the other nodes treat this node as removed from now on.
         await self.peers.leave()
 
--- a/src/rosemaryknot/process/listed_server.py
+++ b/src/rosemaryknot/process/listed_server.py
@@ -22,14 +22,17 @@
     ----------
     last_answered_s : float
         Always before any attempt: an entry does not track it.
+    process_lost_s : float
+        When its process was seen to have ended, in trio time.
     """
 
-    __slots__ = ("last_answered_s", "server", "table")
+    __slots__ = ("last_answered_s", "process_lost_s", "server", "table")
 
     def __init__(self, server: BackendServer, table: ServerTable) -> None:
         self.server = server
         self.table = table
         self.last_answered_s = float("-inf")
+        self.process_lost_s = float("-inf")
 
     @property
     def incarnation_key(self) -> str:
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -36,6 +36,8 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import render_metrics
 from rosemaryknot.process.node_settings import Bounds, NodeSettings
+from rosemaryknot.process.origin_exchange import OriginExchange
+from rosemaryknot.process.origin_records import OriginRecords
 from rosemaryknot.process.peer_metrics import PeerMetrics
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.scaling_duty import ScalingDuty
@@ -52,6 +54,7 @@
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.gateway import Gateway, GatewayComponents
 from rosemaryknot.request.limit_guard import LimitGuard
+from rosemaryknot.request.origin_guard import OriginGuard
 from rosemaryknot.request.permit_client import PermitClient
 from rosemaryknot.values.duties import DutyCalls
 from rosemaryknot.values.gateway_responses import GatewayWire
@@ -229,6 +232,7 @@
         )
         self.crash_detector.on_crashed = self.crash_store.request_read
         self.create_limit_components(handlers)
+        self.create_origin_components(handlers)
         self.gateway = Gateway(self.gateway_components())
         self.listener = GatewayListener(
             network,
@@ -264,6 +268,16 @@
             handlers,
         )
 
+    def create_origin_components(self, handlers: Handlers) -> None:
+        """Create the components that keep streams at the version that began them."""
+        versions = self.state.servers.versions
+        watcher = self.watchers["servers"]
+        versions.entries_current_since_s = lambda: watcher.reached_since_s
+        versions.unix_time = self.clock.now
+        self.origin_exchange = OriginExchange(
+            self.node, self.peers, OriginRecords(), handlers
+        )
+
     def create_path_components(self) -> None:
         """Create the components that open connections to servers."""
         servers = self.state.servers
@@ -340,6 +354,12 @@
                 self.limit_exchange.report,
                 self.limit_exchange.give_back,
             ),
+            origins=OriginGuard(
+                f"{self.node.name}/{self.node.incarnation}",
+                self.state.servers,
+                self.origin_exchange,
+                self.rng,
+            ),
             acquire_quota=acquire_quota,
             release_quota=release_quota,
             explain_quota=self.quota.explain,
@@ -444,6 +464,7 @@
         start_soon(self.crash_exchange.run)
         start_soon(self.crash_exchange.run_repeats)
         start_soon(self.crash_store.run)
+        await nursery.start(self.origin_exchange.run)
         start_soon(self.permit_owner.run)
         start_soon(self.limit_exchange.run)
         start_soon(self.limit_exchange.run_newcomers)
@@ -516,6 +537,7 @@
             self.lease,
             self.peers,
             self.relay,
+            self.origin_exchange,
             Suspension().elapsed_s,
         )
         await shutdown.run(self.settings.bounds.grace_s)
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass, field
 
+import trio
+
 from rosemaryknot.values.gateway import RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
@@ -77,6 +79,9 @@
         it never announced a drain, in trio time; infinite while there is an entry.
     stated_limit : float or InvalidLimit or None
         Rate limit in the latest response that this node received.
+    process_lost_s : float
+        When its process was last seen to have ended, in trio time; minus infinity if
+        that never happened.
     """
 
     entry: RoutedServer
@@ -95,6 +100,7 @@
     is_removed: bool = False
     removal_deadline_s: float = math.inf
     stated_limit: float | InvalidLimit | None = None
+    process_lost_s: float = float("-inf")
     incarnation_key: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -129,6 +135,21 @@
         """Return whether the server may get new requests."""
         return not self.is_draining and now_s < self.removal_deadline_s
 
+    def record_received(self, sent_s: float) -> None:
+        """Record that bytes were received in response to a request.
+
+        A process whose end was seen after the request was sent would have lost its
+        connections, so it goes on: it only refuses new ones.
+
+        Parameters
+        ----------
+        sent_s : float
+            When the request was sent, in trio time.
+        """
+        self.last_received_s = trio.current_time()
+        if sent_s < self.process_lost_s:
+            self.process_lost_s = float("-inf")
+
     def load(self) -> tuple[int, int]:
         """Return the requests and pending prefill tokens of all nodes."""
         requests = self.in_flight
--- /dev/null
+++ b/src/rosemaryknot/process/software_versions.py
@@ -0,0 +1,116 @@
+"""What a node knows of the software versions of servers, now and in the past."""
+
+import math
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import trio
+
+from rosemaryknot.process.server_state import ServerState
+from rosemaryknot.values.gateway import RoutedServer
+
+__all__ = ["RESTART_NOTICE_S", "VersionHistory"]
+
+# A server that starts again under its id writes its entry as it starts. While the
+# entries are current, one that did not follow within this time is unchanged.
+RESTART_NOTICE_S = 2.0
+# Tolerance for the wall clocks of servers, which tell when they started.
+CLOCK_TOLERANCE_S = 2.0
+# Incarnations with an uncertain version that are remembered.
+MAX_UNCERTAIN = 500
+
+
+class VersionHistory:
+    """Software versions of the servers over time, as their entries tell.
+
+    Attributes
+    ----------
+    last_seen : dict of tuple of (str, str) to float
+        When the last server of a service and version went, in trio time.
+    uncertain : collections.OrderedDict of str to float
+        By incarnation of a server that turned out to be of another version: since when
+        streams may have begun there at the new one, in trio time.
+    entries_current_since_s : callable
+        Returns since when this node knows all entries, in trio time; infinite while it
+        does not.
+    unix_time : callable
+        Returns the Unix time in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.last_seen: dict[tuple[str, str], float] = {}
+        self.uncertain: OrderedDict[str, float] = OrderedDict()
+        self.entries_current_since_s: Callable[[], float] = trio.current_time
+        self.unix_time: Callable[[], float] = time.time
+
+    def record_end(self, state: ServerState) -> None:
+        """Record that a server left the table, or changed its version."""
+        key = (state.service, state.entry.software_version)
+        self.last_seen[key] = trio.current_time()
+
+    def record_change(self, old: ServerState, entry: RoutedServer) -> None:
+        """Record that a server turned out to be of another version.
+
+        Its entry follows its start, so that streams which seem to have begun at the old
+        version may have begun at the new one.
+        """
+        if old.entry.software_version == entry.software_version:
+            return
+        since_s = -math.inf
+        if entry.born is not None and entry.born != old.entry.born:
+            age_s = max(0.0, self.unix_time() - entry.born / 1000)
+            since_s = trio.current_time() - age_s - CLOCK_TOLERANCE_S
+        key = old.incarnation_key
+        self.uncertain[key] = min(since_s, self.uncertain.get(key, math.inf))
+        while len(self.uncertain) > MAX_UNCERTAIN:
+            self.uncertain.popitem(last=False)
+
+    def is_uncertain(self, incarnation_key: str, began_s: float) -> bool:
+        """Return whether the version is uncertain at which a stream began.
+
+        Parameters
+        ----------
+        incarnation_key : str
+            Incarnation of the server, as its entry told when the stream began.
+        began_s : float
+            When the request was sent there, in trio time.
+        """
+        return began_s >= self.uncertain.get(incarnation_key, math.inf)
+
+    def is_current(self, state: ServerState) -> bool:
+        """Return whether a server is certainly of the version that its entry tells.
+
+        A server whose process was seen to have ended may be back with another version
+        before its next entry arrives.
+        """
+        if not state.entry.software_version:
+            return False
+        if state.entry_updated_s > state.process_lost_s:
+            return True
+        known_from_s = max(state.process_lost_s, self.entries_current_since_s())
+        return trio.current_time() - known_from_s >= RESTART_NOTICE_S
+
+    def only_version(
+        self, service: str, states: Iterable[ServerState], period_s: float
+    ) -> str | None:
+        """Return the version if a service certainly had just one; None otherwise.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        states : iterable of ServerState
+            All servers of the table.
+        period_s : float
+            Length of the time up to now for which this has to be certain, in seconds.
+        """
+        now_s = trio.current_time()
+        if now_s - self.entries_current_since_s() < period_s:
+            return None
+        versions = {s.entry.software_version for s in states if s.service == service}
+        for (name, version), last_s in list(self.last_seen.items()):
+            if name == service and now_s - last_s < period_s:
+                versions.add(version)
+        only = versions.pop() if len(versions) == 1 else ""
+        return only or None
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -81,6 +81,9 @@
         Called after a list from the store was applied.
     must_list : bool
         Whether the next step lists the objects.
+    reached_since_s : float
+        Since when the store has been reached without a failure, in trio time; infinite
+        while it is not.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         self.on_applied: Callable[[int, Changes], None] = lambda before, changes: None
         self.on_listed: Callable[[], None] = lambda: None
         self.must_list = False
+        self.reached_since_s = float("inf")
         self.scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -241,6 +245,7 @@
     def record_success(self) -> None:
         """Count a successful call."""
         CALLS.add(kind=self.kind, outcome="ok")
+        self.reached_since_s = min(self.reached_since_s, trio.current_time())
         if self.failures:
             log.info("store reachable again", kind=self.kind, failures=self.failures)
             self.failures = 0
@@ -249,6 +254,7 @@
         """Count a failed call and back off."""
         CALLS.add(kind=self.kind, outcome=failed.reason)
         self.failures += 1
+        self.reached_since_s = float("inf")
         if self.failures == 1:
             log.warning("store unreachable", kind=self.kind, reason=failed.reason)
         backoff_s = min(MIN_BACKOFF_S * 2 ** min(self.failures - 1, 5), MAX_BACKOFF_S)
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -1,5 +1,6 @@
 """Handling of one request: admission, attempts at backend servers, one response."""
 
+import math
 from functools import partial
 
 import trio
@@ -24,6 +25,12 @@
 )
 from rosemaryknot.request.gateway_placement import Candidate
 from rosemaryknot.request.gateway_request_admission import RequestAdmission
+from rosemaryknot.request.origin_guard import (
+    Resumption,
+    new_beginning,
+    takes_up_stream,
+)
+from rosemaryknot.request.origin_rules import Unresumable
 from rosemaryknot.request.response_durations import ResponseDurations
 from rosemaryknot.values.gateway import GatewayRequest
 from rosemaryknot.values.gateway_responses import (
@@ -159,6 +166,9 @@
 
     async def run(self, context: RequestContext) -> Completed | Refusal | Broken:
         """Attempt servers until one responds or no further attempt is allowed."""
+        refused = await self.resume(context)
+        if refused is not None:
+            return refused
         if not await self.allowed_after_crashes(context):
             return self.barred_outcome(context)
         while True:
@@ -182,10 +192,59 @@
                 **failure_log_fields(context),
             )
 
+    async def resume(self, context: RequestContext) -> Refusal | None:
+        """Find out where a stream that the caller takes up goes on, or refuse it."""
+        request, route = context.request, context.route
+        customer = "" if context.customer is None else context.customer.name
+        context.beginning = new_beginning(customer, request, route)
+        if not takes_up_stream(request, route):
+            return None
+        resumption = Resumption(customer, request, route, context.service.name)
+        decision = await self.components.origins.resolve(resumption)
+        if isinstance(decision, Unresumable):
+            return self.unresumable_outcome(context, decision)
+        context.origin = decision.origin
+        return self.select_service(context, decision.origin.service)
+
+    def select_service(self, context: RequestContext, name: str) -> Refusal | None:
+        """Let a request go to a service of its route; refuse it if there is none."""
+        if context.service.name == name:
+            return None
+        configuration = self.components.configuration()
+        service = None if configuration is None else configuration.services.get(name)
+        if service is None:
+            reason = "the service that began the stream is not configured any more"
+            return self.unresumable_outcome(context, Unresumable(reason))
+        context.service = service
+        context.lowest_priority = configuration.lowest_priority_by_service.get(name, 0)
+        context.min_event_gap_s = configuration.min_event_gap_s_by_service.get(
+            name, math.inf
+        )
+        self.components.record_request(name)
+        return None
+
+    def unresumable_outcome(
+        self, context: RequestContext, decision: Unresumable
+    ) -> Refusal:
+        """Return the refusal of a stream that may not go on.
+
+        Without a Retry-After the same request cannot succeed later, and its caller has
+        to begin a new stream.
+        """
+        release_quota(self.components, context)
+        if decision.retry_after_s is None:
+            return Refusal(UNAVAILABLE, f"{decision.reason}: begin a new stream")
+        return refusal(
+            self.components.rng, UNAVAILABLE, decision.reason, decision.retry_after_s
+        )
+
     def no_server_outcome(self, context: RequestContext) -> Refusal:
         """Return the refusal of a request for which no server is eligible."""
         if context.may_have_run:
             return Refusal(BAD_GATEWAY, "no other server is left")
+        if context.origin is not None:
+            absence = self.components.origins.explain_absence(context.origin)
+            return self.unresumable_outcome(context, absence)
         return refusal(
             self.components.rng, UNAVAILABLE, "no server can take the request"
         )
@@ -320,6 +379,8 @@
             )
             return
         if not getattr(outcome, "is_path_failure", False):
+            if isinstance(outcome, NotSent):
+                state.process_lost_s = trio.current_time()
             servers.record_failure(state, getattr(outcome, "reason", "not run"))
 
     # Responses and outcomes.
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -178,6 +178,8 @@
         context = self.context
         request = context.request
         context.sent += 1
+        if context.beginning is not None and not context.reply.is_started:
+            self.components.origins.begin(context.beginning, self.state, context.origin)
         connection.may_abandon_path = context.route.allows_retry
         self.limit_version = self.components.limits.records.version(
             self.state.incarnation_key
@@ -367,7 +369,7 @@
         async for chunk in connection.chunks():
             if isinstance(chunk, Lost):
                 return self.break_off(chunk.reason)
-            self.state.last_received_s = trio.current_time()
+            self.state.record_received(self.started_s)
             events = splitter.feed(chunk)
             if splitter.is_out_of_order:
                 # It is not known after which event another server could resume.
@@ -377,6 +379,8 @@
                 return self.break_off("an event is too large")
             if events:
                 self.record_absent_limit(head.status)
+                if not await self.may_begin():
+                    return Lost("another software version may count as the first one")
                 await self.forward_events(head, events)
         if splitter.is_inside_event:
             return self.break_off("the stream ended inside an event")
@@ -384,6 +388,8 @@
             return self.break_off("the stream ended without an event")
         if not await self.is_end_confirmed(connection):
             return self.break_off(UNCONFIRMED_END)
+        if not await self.may_begin():
+            return Lost("another software version may count as the first one")
         if splitter.buffer:
             await self.forward_events(head, bytes(splitter.buffer))
         if not context.reply.is_started:
@@ -391,6 +397,16 @@
         await context.reply.end()
         return Completed(head.status)
 
+    async def may_begin(self) -> bool:
+        """Return whether events may go out, and record where the stream begins."""
+        context = self.context
+        if context.beginning is None or context.reply.is_started:
+            return True
+        if not await self.components.origins.is_settled(context.beginning):
+            return False
+        context.origin = context.beginning.origin
+        return True
+
     def needs_event(self, head: ResponseHead) -> bool:
         """Return whether a stream without an event cannot be complete.
 
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -53,9 +53,12 @@
 def servers_of(
     components: GatewayComponents, context: RequestContext
 ) -> list[ServerState]:
-    """Return the servers of a request's service."""
+    """Return the servers of a request's service at which its stream may go on."""
     name = context.service.name
-    return [s for s in components.servers.by_id.values() if s.entry.service == name]
+    states = [s for s in components.servers.by_id.values() if s.entry.service == name]
+    if context.origin is None:
+        return states
+    return components.origins.matching(states, context.origin)
 
 
 async def select_server(
@@ -219,11 +222,13 @@
     """Return a refusal if prefill work is queued too long at the chosen server.
 
     The check applies to model requests before their first attempt is sent. Nothing is
-    refused before the prefill rate of the servers has been measured.
+    refused before the prefill rate of the servers has been measured, and no stream that
+    its caller takes up: it was admitted before, and few servers may go on with it.
     """
     size = context.request.size
     rate = components.servers.measured_rate()
-    if context.tried or size is None or rate is None:
+    is_admitted = bool(context.tried) or context.origin is not None
+    if is_admitted or size is None or rate is None:
         return None
     prefill_tokens = size.prompt_tokens - candidate.cached_tokens
     inputs = AdmissionInput(
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -15,6 +15,7 @@
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.gateway_placement import Candidate
 from rosemaryknot.request.limit_guard import LimitGuard
+from rosemaryknot.request.origin_guard import OriginGuard, StreamBeginning
 from rosemaryknot.request.permit_client import Permit
 from rosemaryknot.values.gateway import (
     CustomerLimit,
@@ -26,6 +27,7 @@
 from rosemaryknot.values.gateway_responses import GatewayWire, Refusal, ShutdownSchedule
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.request_identity import RequestIdentity
+from rosemaryknot.values.stream_origins import StreamOrigin
 
 __all__ = [
     "MIN_RETRY_AFTER_S",
@@ -73,6 +75,8 @@
         Decides on requests during which servers crashed.
     limits : LimitGuard
         Selects servers under the rate limits that they state.
+    origins : OriginGuard
+        Keeps streams at the software version that began them.
     acquire_quota : callable
         Acquires units of a customer's limit. Takes the customer and the units; returns
         0 if they were acquired, otherwise the seconds until they are available.
@@ -108,6 +112,7 @@
     pool: ServerPool
     crashes: CrashGuard
     limits: LimitGuard
+    origins: OriginGuard
     acquire_quota: Callable[[CustomerLimit, float], float]
     release_quota: Callable[[CustomerLimit, float], None]
     explain_quota: Callable[[CustomerLimit], dict[str, float]]
@@ -184,6 +189,11 @@
         Number of attempts that ended because of the path to the server.
     permit : Permit or None
         Permit of the current attempt, at a server with a rate limit.
+    origin : StreamOrigin or None
+        Service and software version at which the stream has begun; None before its
+        first event.
+    beginning : StreamBeginning or None
+        What is recorded of a stream that may be taken up.
     """
 
     request: GatewayRequest
@@ -214,6 +224,8 @@
     path: str = ""
     lost_paths: int = 0
     permit: Permit | None = None
+    origin: StreamOrigin | None = None
+    beginning: StreamBeginning | None = None
 
     @property
     def identity(self) -> RequestIdentity:
