Keep generations at their software version on the product's own interface

The platform's list may name a server's software version now; the one that emitted the first token is kept with the generation, goes to the standby with the text, and limits the servers of later attempts, the targets of moves, and what counts as cached elsewhere. If only servers of other versions are live, the generation ends after 5 s, not 60 s. An entry that adopts a request whose version nobody knows begins a new lineage while several versions serve, so that no text is joined.

--- a/src/rosemaryknot/process/origin_exchange.py
+++ b/src/rosemaryknot/process/origin_exchange.py
@@ -35,7 +35,7 @@
 # Nodes that are asked for a record. Others that came since it was sent may stand before
 # its holders in the order.
 MAX_ASKED = 6
-# Nodes reply within a few milliseconds unless they are overloaded, suspended or cut off.
+# Nodes reply within a few milliseconds unless overloaded, suspended or cut off.
 CALL_TIMEOUT_S = 0.3
 # How long a holder of an earlier record is called again if it does not confirm.
 REPLACE_TIMEOUT_S = 0.5
--- a/src/rosemaryknot/process/standby_table.py
+++ b/src/rosemaryknot/process/standby_table.py
@@ -125,6 +125,8 @@
             return False
         text += update.tokens[len(text) - update.offset :]
         held.replica.server = update.server or held.replica.server
+        if update.software_version is not None:
+            held.replica.software_version = update.software_version
         if update.outcome and not held.outcome:
             held.outcome, held.reason = update.outcome, update.reason
             held.detail = update.detail
--- a/src/rosemaryknot/request/adoption.py
+++ b/src/rosemaryknot/request/adoption.py
@@ -66,9 +66,16 @@
         request = request_from_copy(copy)
         if request is None:
             return GenerationAdopted(False)
-        generation = self.relay.prepare(request, copy.lineage, copy.tokens)
+        version = self.relay.version_of_copy(copy)
+        lineage, tokens = copy.lineage, copy.tokens
+        if version is None and self.relay.has_several_versions(copy.service):
+            # Tokens that the caller may have got would not fit those of another
+            # version. In a new lineage the response begins anew.
+            lineage, tokens = self.relay.new_lineage(), []
+        generation = self.relay.prepare(request, lineage, tokens)
         if isinstance(generation, NotRun):
             return GenerationAdopted(False)
+        generation.software_version = version
         generation.record_event(f"standby: went on for {copy.relay}")
         self.relay.begin(generation, is_resumed=True, server=copy.server)
         self.nursery.start_soon(self.track_in_flight, generation)
--- a/src/rosemaryknot/request/attempts.py
+++ b/src/rosemaryknot/request/attempts.py
@@ -200,6 +200,8 @@
             self.first_token_s = trio.current_time() - self.started_s
             if self.stated_limit is None:
                 self.on_limit(None)
+        if self.generation.software_version is None:
+            self.generation.software_version = self.server.software_version
         self.generation.emit(tokens)
 
     def receive_limit(self, limit: float | InvalidLimit | None) -> None:
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -39,6 +39,9 @@
 
 NO_SERVER_RETRY_AFTER_S = 2.0
 NO_SERVER_TIMEOUT_S = 60.0
+# The same while servers of other software versions only are live: the version has most
+# likely been replaced, and a caller that learns of it can send a new request.
+NO_VERSION_TIMEOUT_S = 5.0
 # Retry-After of a request that may not run since servers crashed under it: the time
 # after which a request that is not the cause has its trial.
 BARRED_RETRY_AFTER_S = TRIAL_DELAY_S
@@ -252,7 +255,7 @@
         if limits is None or not limits.records.limited:
             choice = choose(())
             return None if choice is None else Selected(choice)
-        usable.update(router.usable_instances(self.generation.service, excluded))
+        usable.update(router.usable_instances(self.generation, excluded))
         inputs = SelectionInput(
             usable, choose, attrgetter("instance"), self.permit_need()
         )
@@ -267,10 +270,10 @@
         self.generation.finish(NotRun(Reason.OVERLOADED, reached.retry_after_s, detail))
 
     async def choose_server(self) -> BackendServer | LimitsReached | None:
-        """Choose a server; wait for one up to `NO_SERVER_TIMEOUT_S`, else None."""
+        """Choose a server; wait for one for a limited time, else return None."""
         servers, request_context = self.components.servers, self.request_context
         seen = servers.revision
-        with trio.move_on_after(NO_SERVER_TIMEOUT_S):
+        with trio.move_on_after(self.no_server_timeout_s()):
             while True:
                 excluded = request_context.current_exclusions()
                 selected = await self.select_server(excluded)
@@ -284,6 +287,13 @@
                     seen = await servers.wait_changed(seen)
         return None
 
+    def no_server_timeout_s(self) -> float:
+        """Return how long the generation waits for a server."""
+        servers = self.components.servers.servers_of(self.generation.service)
+        if servers and not any(map(self.generation.may_go_on_at, servers)):
+            return NO_VERSION_TIMEOUT_S
+        return NO_SERVER_TIMEOUT_S
+
     def new_attempt(self, server: BackendServer) -> Attempt:
         """Return the next attempt, and count the tokens that it recomputes."""
         generation, request_context, components = (
@@ -413,7 +423,14 @@
     def finish_without_server(self) -> None:
         """Finish a generation for which no server became available."""
         generation = self.generation
-        detail = f"no server of this service was live for {NO_SERVER_TIMEOUT_S:.0f} s"
+        detail = "no server of this service became available in time"
+        version = generation.software_version
+        if version is not None and self.components.servers.servers_of(
+            generation.service
+        ):
+            detail = (
+                f"no server of software version {version!r}, which began it, is left"
+            )
         if self.request_context.was_sent:
             generation.finish(Unknown(Reason.NO_SERVER, detail))
         else:
--- a/src/rosemaryknot/request/generations.py
+++ b/src/rosemaryknot/request/generations.py
@@ -15,6 +15,7 @@
     outcome_event,
     token_frame,
 )
+from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.outcomes import Answered, NotRun, Running, Unknown
 from rosemaryknot.values.requests import ModelRequest
 
@@ -115,6 +116,9 @@
         End time, in trio time; infinite while the generation runs.
     timeline : list of TimelineEntry
         Attempts, moves and their reasons; bounded in length.
+    software_version : str or None
+        Version of the server that emitted the first token; None before. Another version
+        would not go on with the same text.
     """
 
     __slots__ = (
@@ -132,6 +136,7 @@
         "recomputed_tokens",
         "finished_s",
         "timeline",
+        "software_version",
         "changed",
         "ended",
         "direct_subscribers",
@@ -157,10 +162,15 @@
         self.recomputed_tokens = 0
         self.finished_s = math.inf
         self.timeline: list[TimelineEntry] = []
+        self.software_version: str | None = None
         self.changed = trio.lowlevel.ParkingLot()
         self.ended = trio.Event()
         self.direct_subscribers: list[DirectSubscriber] = []
 
+    def may_go_on_at(self, server: BackendServer) -> bool:
+        """Return whether a server has the software version of the first token."""
+        return self.software_version in (None, server.software_version)
+
     def emit(self, tokens: list[bytes]) -> None:
         """Append tokens and notify the subscribers.
 
--- a/src/rosemaryknot/request/moves.py
+++ b/src/rosemaryknot/request/moves.py
@@ -185,8 +185,16 @@
         )
 
     def targets(self, attempt: Attempt, attempted: set[str]) -> list[TargetFacts]:
-        """Return the live servers to which a stream can move."""
-        live = self.servers.servers_of(attempt.generation.service)
+        """Return the live servers to which a stream can move.
+
+        The KV cache of one software version is of no use to another one.
+        """
+        version = attempt.server.software_version
+        live = [
+            server
+            for server in self.servers.servers_of(attempt.generation.service)
+            if server.software_version == version
+        ]
         others = [
             s
             for s in self.router.health.usable(live)
--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -36,6 +36,7 @@
     Unknown,
 )
 from rosemaryknot.values.requests import ModelRequest
+from rosemaryknot.values.standby import StandbyCopy
 
 __all__ = ["ModelRelay"]
 
@@ -233,6 +234,18 @@
             self.table.record_finished(generation)
             record_outcome(generation)
 
+    def version_of_copy(self, copy: StandbyCopy) -> str | None:
+        """Return the software version that began a replicated request, if known."""
+        if copy.software_version is not None:
+            return copy.software_version
+        server = self.servers.get(copy.server)
+        return None if server is None else server.software_version
+
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether the live servers of a service have several versions."""
+        servers = self.servers.servers_of(service)
+        return len({server.software_version for server in servers}) > 1
+
     def components(self) -> RelayComponents:
         """Return the components shared by all generation runs."""
         return RelayComponents(
--- a/src/rosemaryknot/request/router.py
+++ b/src/rosemaryknot/request/router.py
@@ -170,7 +170,8 @@
             None if no server is usable.
         """
         ranking = self.ranking(generation.service)
-        usable = self.health.usable(ranking.servers)
+        servers = [s for s in ranking.servers if generation.may_go_on_at(s)]
+        usable = self.health.usable(servers)
         if excluded:
             usable = [s for s in usable if s.instance not in excluded]
         if not usable:
@@ -182,9 +183,12 @@
         self.log_choice(generation, choice)
         return choice
 
-    def usable_instances(self, service: str, excluded: Collection[str]) -> list[str]:
+    def usable_instances(
+        self, generation: Generation, excluded: Collection[str]
+    ) -> list[str]:
         """Return the instances from which `choose` chooses, by name."""
-        usable = self.health.usable(self.ranking(service).servers)
+        servers = self.ranking(generation.service).servers
+        usable = self.health.usable([s for s in servers if generation.may_go_on_at(s)])
         return [s.instance for s in usable if s.instance not in excluded]
 
     def ranking(self, service: str) -> Ranking:
@@ -302,6 +306,7 @@
             other
             for other in self.servers.servers_of(request.service)
             if other.instance != server.instance
+            and other.software_version == server.software_version
         ]
         return max((self.guess(other, prompt).share for other in others), default=0.0)
 
--- a/src/rosemaryknot/request/standby.py
+++ b/src/rosemaryknot/request/standby.py
@@ -172,6 +172,7 @@
             self.address,
             preferred=preferred,
             avoided=avoided,
+            software_version=generation.software_version,
         )
 
     def server_of(self, generation: Generation) -> str:
@@ -230,7 +231,11 @@
             tokens = generation.tokens[replica.sent : stop]
             remaining -= len(tokens)
             update = StandbyUpdate(
-                *replica.key, replica.sent, tokens, server=self.server_of(generation)
+                *replica.key,
+                replica.sent,
+                tokens,
+                server=self.server_of(generation),
+                software_version=generation.software_version,
             )
             if replica.sent + len(tokens) == len(generation.tokens):
                 add_outcome(update, generation)
--- a/src/rosemaryknot/values/nodes.py
+++ b/src/rosemaryknot/values/nodes.py
@@ -112,6 +112,9 @@
     deadline_unix_s : float
         When a draining server is terminated, in seconds since the epoch; 0 if
         unknown.
+    software_version : str
+        Version of its software. Versions have no order; an empty one, of a platform
+        that lists none, equals only another empty one.
     """
 
     instance: str
@@ -123,3 +126,4 @@
     state: str = ServerState.LIVE
     price_per_hour: float = 0.0
     deadline_unix_s: float = 0.0
+    software_version: str = ""
--- a/src/rosemaryknot/values/standby.py
+++ b/src/rosemaryknot/values/standby.py
@@ -68,6 +68,8 @@
         Node to try first; empty for none.
     avoided : str
         Node that recently did not respond; empty for none.
+    software_version : str or None
+        Version of the server that emitted the first token; None if unknown.
     """
 
     kind: ClassVar[str]
@@ -87,6 +89,7 @@
     take_over: bool = False
     preferred: str = ""
     avoided: str = ""
+    software_version: str | None = None
 
 
 @message("standby_taken")
@@ -121,6 +124,8 @@
         How the request ended; empty while it runs.
     server : str
         Instance that runs it; empty for none.
+    software_version : str or None
+        Version of the server that emitted the first token; None if unknown.
     """
 
     kind: ClassVar[str]
@@ -132,6 +137,7 @@
     reason: str = ""
     detail: str = ""
     server: str = ""
+    software_version: str | None = None
 
 
 @message("standby_batch")
--- a/tests/request/relay_fleet.py
+++ b/tests/request/relay_fleet.py
@@ -58,7 +58,9 @@
             new_lineage=lineages(),
         )
 
-    async def add(self, nursery, name, zone="waco-a", **settings) -> EngineStandIn:
+    async def add(
+        self, nursery, name, zone="waco-a", version="", **settings
+    ) -> EngineStandIn:
         """Start an engine and list it immediately."""
         host = f"10.0.1.{len(self.engines) + 1}"
         engine = EngineStandIn(EngineSettings(**settings), unix_time)
@@ -67,7 +69,13 @@
         )
         self.engines[name] = engine
         self.backends[name] = BackendServer(
-            name, SERVICE, zone, "g1", True, f"{host}:9000"
+            name,
+            SERVICE,
+            zone,
+            "g1",
+            True,
+            f"{host}:9000",
+            software_version=version,
         )
         self.servers.apply_list(list(self.backends.values()))
         return engine
