Send crash records to nodes as they join

A node that had just started knew no crash records for up to 1.5 s, the interval of the random repetitions.

--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -319,6 +319,7 @@
         nursery.start_soon(self.placement.run)
         nursery.start_soon(self.crash_exchange.run)
         nursery.start_soon(self.crash_exchange.run_repeats)
+        nursery.start_soon(self.crash_exchange.run_newcomers)
         nursery.start_soon(self.permit_owner.run)
         nursery.start_soon(self.limit_exchange.run)
         nursery.start_soon(self.limit_exchange.run_newcomers)
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -463,6 +463,7 @@
         start_soon(self.crash_detector.run)
         start_soon(self.crash_exchange.run)
         start_soon(self.crash_exchange.run_repeats)
+        start_soon(self.crash_exchange.run_newcomers)
         start_soon(self.crash_store.run)
         await nursery.start(self.origin_exchange.run)
         start_soon(self.permit_owner.run)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -24,6 +24,8 @@
 MAX_CRASHES = 3
 # Time in which all nodes that are in contact have to know of the last crash.
 NOTICE_S = 3.0
+# How long a node takes to have links to others after its start.
+JOIN_S = 0.3
 # Runs that are tolerated after that time.
 MAX_LATE_RUNS = 3
 SOON_S = 0.2
@@ -384,6 +386,15 @@
             await trio.sleep(NOTICE_S)
             assert (await request_stream(fleet, "third", "n2")).status == REFUSED
 
+    async def test_restarted_node_knows_crashes_at_once(self, autojump_clock):
+        """A node that starts again must not run what the others refuse."""
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_servers(fleet)
+            fleet.kill("n2")
+            await fleet.add_node(2, is_first_start=False)
+            await trio.sleep(JOIN_S)
+            assert (await request_stream(fleet, "third", "n2")).status == REFUSED
+
     async def test_restarted_node_completes_a_refused_request(self, autojump_clock):
         """A node that knows no crashes yet completes a request that others refuse."""
         end = ResponseEnd(EndWay.CRASHED, EndPlace.INSIDE_EVENT)
