Play, soak and audit servers of several software versions

Random plays and the soak start model servers of other versions beside others and in their place, under their id, and have callers that leave, are broken off, and take their streams up at random nodes with Resumes.

The soak's nodes have two seeds now, as the users' have, and a node sends its origins once it knows others again.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -29,14 +29,20 @@
 from rosemaryknot.standin.users.disturbances import Disturbances
 from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
 from rosemaryknot.standin.users.play import (
+    RESUMING_PER_S,
     SLOW_LINK_BYTES_PER_S,
     Play,
     play_load,
     record_observations,
 )
 from rosemaryknot.standin.users.response_ends import detectable_ends
+from rosemaryknot.standin.users.servers import (
+    DEFAULT_VERSION,
+    Ledger,
+    ServerStandIn,
+    server_entry,
+)
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
-from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.standin.users.system import (
     CRASH_DOWN_S,
@@ -69,6 +75,8 @@
 # Share of the seeds in which no node is cut off from the servers.
 UNCUT_SHARE = 0.3
 CUTS = ("hang", "refuse", "reset")
+VERSIONS = (DEFAULT_VERSION, "v1.1", "v2")
+MAX_ADDED_SERVERS = 5
 # Share of the requests that callers send in HTTP/1.0.
 OLDER_SHARE = 0.2
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
@@ -219,14 +227,20 @@
                 "peers": f"{HOST}:{ports[2]}",
             },
             "metrics_port": ports[3],
-            "seeds": [f"{HOST}:{self.base + 2}"],
+            # Two, as a lone seed that restarts knows nobody until the others check it.
+            "seeds": [
+                f"{HOST}:{self.base + 2}",
+                f"{HOST}:{self.base + PORTS_OF_NODE + 2}",
+            ],
             "is_first_start": True,
             "store": {"address": str(store)},
             "cloud": {"address": str(cloud), "duties": ["usage"]},
             "bounds": {"grace_s": GRACE_S, "retry_ratio": 0.5, "retry_slack": 100.0},
         }
 
-    async def add_server(self, name: str, service: str) -> None:
+    async def add_server(
+        self, name: str, service: str, version: str = DEFAULT_VERSION
+    ) -> None:
         """Start a server behind a proxy and write its entry."""
         server = ServerStandIn(name, service == MODEL, 0.02, self.ledger)
         anywhere = Address(HOST, 0)
@@ -238,7 +252,8 @@
         self.set_crashes(server)
         zone = f"z{len(self.servers) % 3}"
         born_ms = int(time.time() * 1000)
-        server.entry = server_entry(service, address, zone, born_ms)
+        entry = server_entry(service, address, zone, born_ms)
+        server.entry = entry | {"version": version}
         self.store.put("servers", name, server.entry)
 
     def set_crashes(self, server: ServerStandIn) -> None:
@@ -248,12 +263,14 @@
         server.end_process = partial(start_soon, self.crash_server, server, False)
 
     async def crash_server(
-        self, server: ServerStandIn, has_resets: bool = True
+        self, server: ServerStandIn, has_resets: bool = True, version: str = ""
     ) -> None:
-        """Crash a server and restart it under the same id."""
+        """Crash a server and restart it under the same id, perhaps with a version."""
         server.crash = server.end_process = lambda: None
         self.proxies[server.id].crash(CRASH_DOWN_S, has_resets)
         await trio.sleep(CRASH_DOWN_S)
+        if version:
+            server.entry = server.entry | {"version": version}
         server.start_incarnation(int(time.time() * 1000))
         self.set_crashes(server)
         if server.id in self.servers:
@@ -266,13 +283,15 @@
         if name in self.servers:
             self.store.put("servers", name, self.servers[name].entry)
 
-    async def ask(self, path: str, node: str, **options: Any) -> Answer:
+    async def ask(
+        self, path: str, node: str, max_events: int | None = None, **options: Any
+    ) -> Answer:
         """Send a request on a new connection."""
         address = Address.from_text(self.nodes[node].settings["listen"]["callers"])
         caller = await Caller(self.network, address).open()
         try:
             await caller.send(path, **options)
-            return await caller.receive()
+            return await caller.receive(max_events)
         finally:
             with trio.CancelScope(shield=True):
                 await caller.close()
@@ -586,6 +605,22 @@
         await trio.sleep(rng.uniform(0.2, 1.5))
 
 
+async def change_versions(system: SoakSystem, seed: int) -> None:
+    """Start model servers of other software versions, beside others or in place."""
+    rng = random.Random(f"versions {seed}")
+    end_s = trio.current_time() + LOAD_DURATION_S - 4
+    added = 0
+    while trio.current_time() < end_s:
+        await trio.sleep(rng.uniform(0.5, 3.0))
+        version = rng.choice(VERSIONS)
+        if added < MAX_ADDED_SERVERS and rng.random() < 0.7:
+            added += 1
+            await system.add_server(f"v{added}", MODEL, version)
+            continue
+        models = [server for server in system.servers.values() if server.is_model]
+        await system.crash_server(rng.choice(models), version=version)
+
+
 def crashing_rate(seed: int) -> float:
     """Return how often a request is repeated that crashes servers, per second."""
     return CRASHING_RATES[seed // 2 % len(CRASHING_RATES)]
@@ -616,11 +651,13 @@
             load_nursery.start_soon(cut_nodes, system, seed)
             load_nursery.start_soon(trouble_servers, system, seed)
             load_nursery.start_soon(end_responses, system, seed)
+            load_nursery.start_soon(change_versions, system, seed)
             play = Play(
                 length_s=LOAD_DURATION_S,
                 load=LOAD,
                 crashing_per_s=crashing_rate(seed),
                 older_share=OLDER_SHARE,
+                resuming_per_s=RESUMING_PER_S,
             )
             await play_load(system, play, rng, observations)
         for name in system.nodes:
--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -332,6 +332,7 @@
                 return NotSent(
                     f"no connection: {dial_failure(error)} after {took_s:.3f} s",
                     is_path_failure=isinstance(error, NoPath),
+                    is_refused=isinstance(error, ConnectionRefusedError),
                 )
             connection = ServerConnection(stream, server)
             self.busy.add(connection)
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -273,6 +273,7 @@
         versions = self.state.servers.versions
         watcher = self.watchers["servers"]
         versions.entries_current_since_s = lambda: watcher.reached_since_s
+        versions.entries_known_at_s = lambda: watcher.known_at_s
         versions.unix_time = self.clock.now
         self.origin_exchange = OriginExchange(
             self.node, self.peers, OriginRecords(), handlers
--- a/src/rosemaryknot/process/origin_exchange.py
+++ b/src/rosemaryknot/process/origin_exchange.py
@@ -217,7 +217,22 @@
         """Send records until cancelled."""
         async with trio.open_nursery() as self.nursery:
             task_status.started()
-            await trio.sleep_forever()
+            await self.place_when_connected()
+
+    async def place_when_connected(self) -> None:
+        """Send all records whenever this node knows others again, until cancelled.
+
+        Nobody else knows the origins of streams that began while it was alone.
+        """
+        seen = 0
+        was_alone = True
+        while True:
+            seen = await self.peers.wait_changed(seen)
+            is_alone = not self.peers.nodes()
+            if was_alone and not is_alone:
+                for record in self.records.current():
+                    self.place(record)
+            was_alone = is_alone
 
     def order(self, key: bytes) -> list[str]:
         """Return the other nodes that hold a record, or may do so, best first."""
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -82,6 +82,9 @@
     process_lost_s : float
         When its process was last seen to have ended, in trio time; minus infinity if
         that never happened.
+    confirmed_s : float
+        When bytes were last received on a connection that was opened while the process
+        was certainly that of the entry, in trio time.
     """
 
     entry: RoutedServer
@@ -101,6 +104,7 @@
     removal_deadline_s: float = math.inf
     stated_limit: float | InvalidLimit | None = None
     process_lost_s: float = float("-inf")
+    confirmed_s: float = float("-inf")
     incarnation_key: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -135,7 +139,7 @@
         """Return whether the server may get new requests."""
         return not self.is_draining and now_s < self.removal_deadline_s
 
-    def record_received(self, sent_s: float) -> None:
+    def record_received(self, sent_s: float, was_confirmed: bool) -> None:
         """Record that bytes were received in response to a request.
 
         A process whose end was seen after the request was sent would have lost its
@@ -145,10 +149,14 @@
         ----------
         sent_s : float
             When the request was sent, in trio time.
+        was_confirmed : bool
+            Whether the process was certainly that of the entry then.
         """
         self.last_received_s = trio.current_time()
         if sent_s < self.process_lost_s:
             self.process_lost_s = float("-inf")
+        if was_confirmed:
+            self.confirmed_s = self.last_received_s
 
     def load(self) -> tuple[int, int]:
         """Return the requests and pending prefill tokens of all nodes."""
--- a/src/rosemaryknot/process/software_versions.py
+++ b/src/rosemaryknot/process/software_versions.py
@@ -12,11 +12,13 @@
 
 __all__ = ["RESTART_NOTICE_S", "VersionHistory"]
 
-# A server that starts again under its id writes its entry as it starts. While the
-# entries are current, one that did not follow within this time is unchanged.
+# A server that starts again under its id writes its entry as it starts. If it has not
+# done so by this time after its end, it goes on unchanged.
 RESTART_NOTICE_S = 2.0
+# No server ends and starts again with another version within this time.
+CONFIRMED_S = 0.25
 # Tolerance for the wall clocks of servers, which tell when they started.
-CLOCK_TOLERANCE_S = 2.0
+CLOCK_TOLERANCE_S = 0.5
 # Incarnations with an uncertain version that are remembered.
 MAX_UNCERTAIN = 500
 
@@ -34,6 +36,9 @@
     entries_current_since_s : callable
         Returns since when this node knows all entries, in trio time; infinite while it
         does not.
+    entries_known_at_s : callable
+        Returns the latest time up to which all entries are certainly known, in trio
+        time.
     unix_time : callable
         Returns the Unix time in seconds.
     """
@@ -42,6 +47,7 @@
         self.last_seen: dict[tuple[str, str], float] = {}
         self.uncertain: OrderedDict[str, float] = OrderedDict()
         self.entries_current_since_s: Callable[[], float] = trio.current_time
+        self.entries_known_at_s: Callable[[], float] = trio.current_time
         self.unix_time: Callable[[], float] = time.time
 
     def record_end(self, state: ServerState) -> None:
@@ -82,14 +88,18 @@
         """Return whether a server is certainly of the version that its entry tells.
 
         A server whose process was seen to have ended may be back with another version
-        before its next entry arrives.
+        before its next entry arrives. While no entries arrive, any server may be.
         """
         if not state.entry.software_version:
             return False
+        now_s = trio.current_time()
+        if now_s - state.confirmed_s < CONFIRMED_S:
+            return True
+        if math.isinf(self.entries_current_since_s()):
+            return False
         if state.entry_updated_s > state.process_lost_s:
             return True
-        known_from_s = max(state.process_lost_s, self.entries_current_since_s())
-        return trio.current_time() - known_from_s >= RESTART_NOTICE_S
+        return self.entries_known_at_s() >= state.process_lost_s + RESTART_NOTICE_S
 
     def only_version(
         self, service: str, states: Iterable[ServerState], period_s: float
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -84,6 +84,9 @@
     reached_since_s : float
         Since when the store has been reached without a failure, in trio time; infinite
         while it is not.
+    known_at_s : float
+        Latest time up to which all changes are certainly known, in trio time: that of
+        the last response, or of the last changes that another node forwarded.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         self.on_listed: Callable[[], None] = lambda: None
         self.must_list = False
         self.reached_since_s = float("inf")
+        self.known_at_s = float("-inf")
         self.scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -201,6 +205,7 @@
             self.resync(f"changes from {before} on were forwarded")
             return
         self.apply(changes)
+        self.known_at_s = trio.current_time()
 
     def advance_to(self, revision: int) -> None:
         """Advance to a revision up to which all relevant changes are known."""
@@ -245,7 +250,8 @@
     def record_success(self) -> None:
         """Count a successful call."""
         CALLS.add(kind=self.kind, outcome="ok")
-        self.reached_since_s = min(self.reached_since_s, trio.current_time())
+        self.known_at_s = trio.current_time()
+        self.reached_since_s = min(self.reached_since_s, self.known_at_s)
         if self.failures:
             log.info("store reachable again", kind=self.kind, failures=self.failures)
             self.failures = 0
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -379,7 +379,7 @@
             )
             return
         if not getattr(outcome, "is_path_failure", False):
-            if isinstance(outcome, NotSent):
+            if isinstance(outcome, NotSent) and outcome.is_refused:
                 state.process_lost_s = trio.current_time()
             servers.record_failure(state, getattr(outcome, "reason", "not run"))
 
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -78,6 +78,9 @@
         Whether what the response states of the rate limit was recorded.
     splitter : EventSplitter
         Splits the response into events, if it is a stream.
+    is_confirmed : bool
+        Whether the server's process was certainly that of its entry when the attempt
+        began.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         self.limit_version = 0
         self.is_limit_recorded = False
         self.splitter = EventSplitter(context.last_event_id)
+        self.is_confirmed = components.servers.versions.is_current(state)
 
     async def run(self) -> Completed | Broken | Lost | NotRunThere | NotSent:
         """Send the request, read the response head and relay the body."""
@@ -369,7 +373,7 @@
         async for chunk in connection.chunks():
             if isinstance(chunk, Lost):
                 return self.break_off(chunk.reason)
-            self.state.record_received(self.started_s)
+            self.state.record_received(self.started_s, self.is_confirmed)
             events = splitter.feed(chunk)
             if splitter.is_out_of_order:
                 # It is not known after which event another server could resume.
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -28,7 +28,9 @@
     draw_fault,
     draw_limits,
     draw_server_entry_fault,
+    draw_versions,
 )
+from rosemaryknot.standin.users.resuming_callers import ResumingCaller
 from rosemaryknot.standin.users.servers import CRASHING_BODY, EVENT_TOKENS
 from rosemaryknot.standin.users.system import (
     MODEL_HEADERS,
@@ -38,6 +40,7 @@
 
 __all__ = [
     "SLOW_LINK_BYTES_PER_S",
+    "RESUMING_PER_S",
     "Play",
     "PlayResult",
     "load_play",
@@ -50,6 +53,10 @@
 OK = 200
 EVENTS = 50 // EVENT_TOKENS
 SLOW_LINK_BYTES_PER_S = 5e6 / 8
+# Streams per second that callers take up again in plays with several versions.
+RESUMING_PER_S = 3.0
+MAX_STREAM_ATTEMPTS = 4
+MAX_PAUSE_S = 2.0
 # Share of HTTP/1.0 in plays in which servers break responses off.
 OLDER_SHARE = 0.2
 # Time after the last request in which pending requests end and usage is reported.
@@ -76,6 +83,9 @@
         Bandwidth of each node's link; 0 for no limit.
     older_share : float
         Share of the requests that callers send in HTTP/1.0.
+    resuming_per_s : float
+        Streams per second whose callers take them up again when they break off, or
+        leave and come back.
     faults : list of dict
         ``at``, ``kind`` (a name in `PLAY_FAULTS`), and the parameters of that kind.
     """
@@ -91,6 +101,7 @@
     crashing_per_s: float = 0.0
     link_bytes_per_s: float = 0.0
     older_share: float = 0.0
+    resuming_per_s: float = 0.0
     faults: list[dict[str, Any]] = field(default_factory=list)
 
 
@@ -142,6 +153,8 @@
         nursery.start_soon(
             request_added_routes, system, play, rng.random(), observations, nursery
         )
+        if play.resuming_per_s:
+            nursery.start_soon(request_streams, system, play, observations, nursery)
         if play.crashing_per_s:
             nursery.start_soon(repeat_crashing, system, play, observations, nursery)
         while trio.current_time() < end_s:
@@ -194,6 +207,52 @@
         number += 1
 
 
+async def request_streams(
+    system: PlatformSystem,
+    play: Play,
+    observations: Observations,
+    nursery: trio.Nursery,
+) -> None:
+    """Send requests of callers that take their streams up again."""
+    # A generator of its own: the other requests of a seed stay the same.
+    rng = random.Random(f"resuming {play.resuming_per_s}")
+    end_s = trio.current_time() + play.length_s
+    number = 0
+    while trio.current_time() < end_s:
+        await trio.sleep(rng.expovariate(play.resuming_per_s))
+        caller = ResumingCaller(system, f"resumed-{number}")
+        nursery.start_soon(request_stream, system, caller, rng.random(), observations)
+        number += 1
+
+
+async def request_stream(
+    system: PlatformSystem,
+    caller: ResumingCaller,
+    seed: float,
+    observations: Observations,
+) -> None:
+    """Request one stream at several nodes in turn until it is complete."""
+    rng = random.Random(seed)
+    max_events = rng.choice((None, 1, 3))
+    for _ in range(MAX_STREAM_ATTEMPTS):
+        node = rng.choice(list(system.nodes))
+        name = f"{caller.name}-{caller.attempts + 1}"
+        request = new_request("ask", name, node, caller.path)
+        request.stream = caller.name
+        request.first_event = len(caller.events)
+        observations.caller_requests.append(request)
+        request.sent_s = request.ended_s = trio.current_time()
+        answer = await caller.attempt(node, max_events)
+        request.ended_s = trio.current_time()
+        request.status, request.body = answer.status, answer.body
+        request.is_whole = answer.is_whole
+        request.has_left = max_events is not None and not answer.is_whole
+        if answer.is_whole and answer.status == OK:
+            return
+        max_events = None
+        await trio.sleep(rng.uniform(0.05, MAX_PAUSE_S))
+
+
 def new_request(kind: str, name: str, node: str, path: str) -> CallerRequest:
     """Return the record of a request that is about to be sent."""
     return CallerRequest(
@@ -302,6 +361,7 @@
     has_limits: bool = False,
     has_cuts: bool = False,
     has_ends: bool = False,
+    has_versions: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -321,6 +381,9 @@
     if has_ends:
         play.faults += draw_ends(random.Random(f"ends {seed}"))
         play.older_share = OLDER_SHARE
+    if has_versions:
+        play.faults += draw_versions(random.Random(f"versions {seed}"))
+        play.resuming_per_s = RESUMING_PER_S
     return play
 
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -26,6 +26,7 @@
     "draw_fault",
     "draw_limits",
     "draw_server_entry_fault",
+    "draw_versions",
 ]
 
 RESTART_S = 0.5
@@ -269,6 +270,25 @@
         await trio.sleep(fault["pause_s"])
 
 
+@play_fault("version")
+async def version(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Start servers of another software version, beside one or in its place."""
+    server = system.servers[fault["server"]]
+    if fault["how"] == "beside":
+        for number in range(fault["count"]):
+            name = f"{server.id}-{fault['version']}-{len(system.servers)}-{number}"
+            entry = server.entry
+            await system.add_server(
+                name, entry["service"], entry["zone"], version=fault["version"]
+            )
+        return
+    if server.id in system.down:
+        return
+    system.down.add(server.id)
+    await system.restart_server(server.id, fault["down_s"], version=fault["version"])
+    system.down.discard(server.id)
+
+
 async def write_again(system: PlatformSystem, server: str) -> None:
     """Write a server's entry after a heartbeat interval, if it still has one."""
     await trio.sleep(HEARTBEAT_S)
@@ -341,6 +361,28 @@
     return faults
 
 
+def draw_versions(rng: random.Random) -> list[dict[str, Any]]:
+    """Draw model servers of other software versions, beside others or in their place.
+
+    A process takes some time to start, so that a server is down for a while before it
+    has another version.
+    """
+    faults = []
+    for _ in range(rng.randint(2, 6)):
+        faults.append(
+            {
+                "at": round(rng.uniform(0.1, 14.0), 2),
+                "kind": "version",
+                "server": rng.choice(SERVERS[3:]),
+                "version": rng.choice(("v1", "v1.1", "v2")),
+                "how": rng.choice(("beside", "beside", "restart")),
+                "count": rng.randint(1, 3),
+                "down_s": rng.choice((0.3, 1.0, 2.5)),
+            }
+        )
+    return faults
+
+
 def draw_ends(rng: random.Random) -> list[dict[str, Any]]:
     """Draw ends of responses that a gateway can detect, of all servers in turn."""
     faults = []
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -489,12 +489,18 @@
         address = self.nodes[node].settings.listen.callers
         return Caller(self.network.with_host(host), address)
 
-    async def ask(self, path: str, node: str = "n0", **options: Any) -> Answer:
+    async def ask(
+        self,
+        path: str,
+        node: str = "n0",
+        max_events: int | None = None,
+        **options: Any,
+    ) -> Answer:
         """Send a request on a new connection and return the response."""
         caller = await self.caller(node).open()
         started_s = trio.current_time()
         await caller.send(path, **options)
-        answer = await caller.receive()
+        answer = await caller.receive(max_events)
         answer.took_s = trio.current_time() - started_s
         await caller.close()
         return answer
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -121,10 +121,13 @@
         Cause of the failure.
     is_path_failure : bool
         Whether it shows nothing of the server's state.
+    is_refused : bool
+        Whether nothing listens at the server's address.
     """
 
     reason: str
     is_path_failure: bool = False
+    is_refused: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -8,7 +8,13 @@
 import trio
 
 from rosemaryknot.standin.users.resuming_callers import ResumingCaller
-from rosemaryknot.standin.users.system import MODEL, STORE, platform_system
+from rosemaryknot.standin.users.system import (
+    MODEL,
+    MODEL_HEADERS,
+    STORE,
+    document,
+    platform_system,
+)
 
 STREAMS = 6
 EVENTS = 10
@@ -135,3 +141,187 @@
 
     async def test_caller_that_names_no_origin(self, autojump_clock, fleet, seed):
         await self.play(fleet, seed, ["n1"], names_origin=False)
+
+
+async def begin_stream(system, name="s", max_events=3, **options):
+    """Return a caller that has left its stream after some events at n0."""
+    caller = ResumingCaller(system, name, **options)
+    await caller.attempt("n0", max_events)
+    assert len(caller.events) == max_events
+    return caller
+
+
+class TestServersChange:
+    """Servers of the version that began a stream fail, restart or leave."""
+
+    async def test_restarted_server_has_another_version(self, autojump_clock):
+        """The id and address of a server do not tell its version."""
+        async with system_of_versions(["v1", "v1"]) as system:
+            callers = await run_callers(
+                system, partial(ResumingCaller.attempt, node="n0", max_events=3)
+            )
+            await system.restart_server("m0", 0.5, version="v2")
+            await trio.sleep(0.5)
+            for caller in callers:
+                await caller.attempt("n1")
+            assert all(caller.versions == {"v1"} for caller in callers)
+            assert all(len(caller.events) == EVENTS for caller in callers)
+
+    async def test_entry_follows_the_restart(self, autojump_clock):
+        """A stream began at the new version while the entry told the old one."""
+        async with system_of_versions(["v1"]) as system:
+            restart = partial(
+                system.restart_server, "m0", 0.1, version="v2", entry_delay_s=1.0
+            )
+            system.nursery.start_soon(restart)
+            await trio.sleep(0.3)
+            caller = await begin_stream(system)
+            await system.add_server("m9", MODEL, "z1", version="v1")
+            await trio.sleep(2.0)
+            answer = await caller.attempt("n1")
+            assert len(caller.versions) == 1
+            assert answer.status in (200, 503)
+
+    async def test_version_changes_in_the_entry_of_one_incarnation(
+        self, autojump_clock
+    ):
+        """It is not certain at which version a stream began there."""
+        async with system_of_versions(["v1"]) as system:
+            caller = await begin_stream(system)
+            server = system.servers["m0"]
+            server.entry = server.entry | {"version": "v2"}
+            system.store.put("servers", "m0", server.entry)
+            await system.add_server("m9", MODEL, "z1", version="v1")
+            await trio.sleep(1.0)
+            answer = await caller.attempt("n0")
+            assert (answer.status, caller.versions) == (503, {"v1"})
+
+    async def test_no_server_of_the_version_is_left(self, autojump_clock):
+        """What cannot be served is refused at once and never promised."""
+        async with system_of_versions(["v1", "v2"]) as system:
+            caller = ResumingCaller(system, "s")
+            while not caller.events or caller.versions != {"v1"}:
+                caller = ResumingCaller(system, f"s{trio.current_time()}")
+                await caller.attempt("n0", 3)
+            system.store.remove("servers", "m0")
+            await trio.sleep(3.0)
+            answer = await caller.attempt("n1")
+            assert answer.status == 503
+            assert b"begin a new stream" in answer.body
+            assert "retry-after" not in answer.headers
+            assert answer.took_s < 0.1
+
+    async def test_both_servers_of_the_version_failed(self, autojump_clock):
+        """Servers that only broke streams off go on with others."""
+        async with system_of_versions(["v1", "v1", "v2", "v2", "v2"]) as system:
+            callers = []
+            while len(callers) < 4:
+                caller = ResumingCaller(system, f"s{trio.current_time()}")
+                await caller.attempt("n0", 3)
+                if caller.versions == {"v1"}:
+                    callers.append(caller)
+            for name in ("m0", "m1"):
+                system.servers[name].faults.append("cut_event")
+            for caller in callers:
+                for _ in range(3):
+                    if len(caller.events) < EVENTS:
+                        await caller.attempt("n1")
+            assert count_mixed(callers) == 0
+            assert all(len(caller.events) == EVENTS for caller in callers)
+
+    async def test_entries_are_not_current(self, autojump_clock):
+        """A server restarts while the store is away, and its entry stays old."""
+        async with system_of_versions(["v1", "v1"]) as system:
+            system.store.faults.begin("busy")
+            await trio.sleep(1.0)
+            caller = await begin_stream(system)
+            await system.restart_server("m0", 0.5, version="v2")
+            await system.restart_server("m1", 0.5, version="v2")
+            system.store.put("servers", "m0", system.servers["m0"].entry)
+            await caller.attempt("n0")
+            assert caller.versions == {"v1"}
+            system.store.faults.end()
+
+
+class TestOrigins:
+    """What nodes know of the streams that others began."""
+
+    async def test_second_attempt_before_the_first_event(self, autojump_clock):
+        """The version is that of the server that sent the first event."""
+        for seed in range(8):
+            async with system_of_versions(["v1", "v2"], seed) as system:
+                for server in system.servers.values():
+                    if server.is_model and not seed % 2:
+                        server.faults.append("reset")
+                system.servers["m0"].faults.append("reset")
+                caller = ResumingCaller(system, "s")
+                await caller.attempt("n0", 3)
+                await caller.attempt("n1")
+                await caller.attempt("n2")
+                assert len(caller.versions) <= 1
+
+    async def test_other_customer_names_the_attempt(self, autojump_clock):
+        """No customer may use or find out about another one's stream."""
+        configuration = document()
+        configuration["tenants"].append(
+            {"name": "bob", "apiKeys": ["key-of-bob"], "ratePerS": 0, "burst": 0}
+        )
+        async with system_of_versions(
+            ["v1", "v2"], configuration=configuration
+        ) as system:
+            caller = await begin_stream(system)
+            caller.headers["Authorization"] = "Bearer key-of-bob"
+            answer = await caller.attempt("n1")
+            assert answer.status == 503
+            assert b"not known" in answer.body
+
+    async def test_nodes_stop_in_series(self, autojump_clock):
+        """Each node hands over what it holds before it leaves."""
+        async with system_of_versions(["v1", "v1", "v2", "v2"], nodes=4) as system:
+            callers = await run_callers(
+                system, partial(ResumingCaller.attempt, node="n0", max_events=3)
+            )
+            for name in ("n0", "n1", "n2"):
+                system.stops[name].set()
+                await trio.sleep(4.0)
+            for caller in callers:
+                await caller.attempt("n3")
+            assert count_mixed(callers) == 0
+            assert all(len(caller.events) == EVENTS for caller in callers)
+
+    async def test_zone_is_reclaimed(self, autojump_clock):
+        """Two of six nodes are lost at once with their zone."""
+        async with system_of_versions(["v1", "v1", "v2", "v2"], nodes=6) as system:
+            callers = await run_callers(
+                system, partial(ResumingCaller.attempt, node="n0", max_events=3)
+            )
+            for name in ("n0", "n3"):
+                system.kill(name)
+            await trio.sleep(0.05)
+            for caller in callers:
+                await caller.attempt("n1")
+            assert count_mixed(callers) == 0
+            assert all(len(caller.events) == EVENTS for caller in callers)
+
+    async def test_holders_do_not_reply(self, autojump_clock):
+        """The first event of a stream must not wait for nodes that are cut off."""
+        async with system_of_versions(["v1", "v2"]) as system:
+            usual_s = (await system.ask("/ask/x", **MODEL_HEADERS)).first_s
+            for host in ("10.2.0.2", "10.2.0.3"):
+                system.network.cut("10.2.0.1", host)
+            answer = await system.ask("/ask/x", request_id="r2", **MODEL_HEADERS)
+            assert answer.status == 200 and answer.is_whole
+            assert answer.first_s < usual_s + 0.1
+
+    async def test_only_version_for_long(self, autojump_clock):
+        """Older callers go on once it is certain that there was one version only."""
+        async with system_of_versions(["v1", "v1"]) as system:
+            caller = await begin_stream(system, names_origin=False)
+            assert (await caller.attempt("n1")).status == 503
+            await trio.sleep(35.0)
+            caller = await begin_stream(system, "t", names_origin=False)
+            assert (await caller.attempt("n1")).status == 200
+            await system.add_server("m9", MODEL, "z1", version="v2")
+            await trio.sleep(0.5)
+            caller = await begin_stream(system, "u", names_origin=False)
+            assert (await caller.attempt("n1")).status == 503
