--- a/src/rosemaryknot/process/origin_exchange.py
+++ b/src/rosemaryknot/process/origin_exchange.py
@@ -8,7 +8,7 @@
 event.
 """
 
-from bisect import bisect
+from bisect import bisect_left, insort
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -61,17 +61,34 @@
     ----------
     nodes : iterable of Node
         The nodes.
+
+    Attributes
+    ----------
+    nodes : dict of str to Node
+        The nodes by name.
+    points : list of tuple of (int, str)
+        Places on the ring in order: hash, and name of the node.
     """
 
-    def __init__(self, nodes: Iterable[Node]) -> None:
-        points = [
-            (xxhash.xxh64_intdigest(f"{node.name}/{number}".encode()), node)
-            for node in nodes
-            for number in range(POINTS_PER_NODE)
-        ]
-        points.sort(key=lambda point: point[0])
-        self.hashes = [point[0] for point in points]
-        self.nodes = [point[1] for point in points]
+    def __init__(self, nodes: Iterable[Node] = ()) -> None:
+        self.nodes: dict[str, Node] = {}
+        self.points: list[tuple[int, str]] = []
+        self.update(nodes)
+
+    def update(self, nodes: Iterable[Node]) -> None:
+        """Add and remove nodes so that these are left.
+
+        Only what differs is moved: a ring of thousands of nodes takes tens of
+        milliseconds to build, and a zone that is lost changes it many times a second.
+        """
+        wanted = {node.name: node for node in nodes}
+        for name in self.nodes.keys() - wanted.keys():
+            for point in points_of(name):
+                del self.points[bisect_left(self.points, point)]
+        for name in wanted.keys() - self.nodes.keys():
+            for point in points_of(name):
+                insort(self.points, point)
+        self.nodes = wanted
 
     def order(self, key: bytes, count: int) -> list[Node]:
         """Return the first nodes for a key; the second one is of another zone.
@@ -84,12 +101,12 @@
         >>> sorted(node.name for node in order), order[0].zone != order[1].zone
         (['a', 'b', 'c'], True)
         """
-        start = bisect(self.hashes, xxhash.xxh64_intdigest(key))
+        start = bisect_left(self.points, (xxhash.xxh64_intdigest(key), ""))
         found: dict[str, Node] = {}
         other: Node | None = None
-        for step in range(len(self.nodes)):
-            node = self.nodes[(start + step) % len(self.nodes)]
-            found.setdefault(node.name, node)
+        for step in range(len(self.points)):
+            name = self.points[(start + step) % len(self.points)][1]
+            node = found.setdefault(name, self.nodes[name])
             first = next(iter(found.values()))
             if other is None and node.zone != first.zone:
                 other = node
@@ -102,6 +119,14 @@
         return nodes[:count]
 
 
+def points_of(name: str) -> list[tuple[int, str]]:
+    """Return the places of a node on the ring."""
+    return [
+        (xxhash.xxh64_intdigest(f"{name}/{number}".encode()), name)
+        for number in range(POINTS_PER_NODE)
+    ]
+
+
 @dataclass(slots=True)
 class PendingOrigin:
     """A record on its way to the nodes that hold it.
@@ -206,7 +231,7 @@
         self.records = records
         self.queues: dict[str, list[PendingOrigin]] = {}
         self.nursery: trio.Nursery | None = None
-        self.known_ring = NodeRing([node])
+        self.ring = NodeRing([node])
         self.ring_revision = -1
         handlers.on(StoreOrigins)(self.handle_store)
         handlers.on(OriginQuery)(self.handle_query)
@@ -238,8 +263,8 @@
         """Return the other nodes that hold a record, or may do so, best first."""
         if self.ring_revision != self.peers.changes:
             self.ring_revision = self.peers.changes
-            self.known_ring = NodeRing([*self.peers.nodes(), self.node])
-        nodes = self.known_ring.order(key, MAX_ASKED + 1)
+            self.ring.update([*self.peers.nodes(), self.node])
+        nodes = self.ring.order(key, MAX_ASKED + 1)
         return [n.name for n in nodes if n.name != self.node.name][:MAX_ASKED]
 
     # Sending.
