Do not resume a stream within its response if its version became uncertain

A server had started again with another version before its entry told so; the entry arrived while the stream ran, and when the server broke it off, it went on at the version of the old entry. The check was made for callers that take a stream up only. Found by reading the diff; test_entry_follows_while_the_stream_runs failed before. Requests without an id are not recorded: they would share one record. The versions of the past that are remembered have a bound.

--- a/src/rosemaryknot/process/software_versions.py
+++ b/src/rosemaryknot/process/software_versions.py
@@ -19,8 +19,8 @@
 CONFIRMED_S = 0.25
 # Tolerance for the wall clocks of servers, which tell when they started.
 CLOCK_TOLERANCE_S = 0.5
-# Incarnations with an uncertain version that are remembered.
-MAX_UNCERTAIN = 500
+# Incarnations with an uncertain version, and versions of the past, that are remembered.
+MAX_REMEMBERED = 500
 
 
 class VersionHistory:
@@ -53,7 +53,10 @@
     def record_end(self, state: ServerState) -> None:
         """Record that a server left the table, or changed its version."""
         key = (state.service, state.entry.software_version)
+        self.last_seen.pop(key, None)
         self.last_seen[key] = trio.current_time()
+        if len(self.last_seen) > MAX_REMEMBERED:
+            del self.last_seen[next(iter(self.last_seen))]
 
     def record_change(self, old: ServerState, entry: RoutedServer) -> None:
         """Record that a server turned out to be of another version.
@@ -69,7 +72,7 @@
             since_s = trio.current_time() - age_s - CLOCK_TOLERANCE_S
         key = old.incarnation_key
         self.uncertain[key] = min(since_s, self.uncertain.get(key, math.inf))
-        while len(self.uncertain) > MAX_UNCERTAIN:
+        while len(self.uncertain) > MAX_REMEMBERED:
             self.uncertain.popitem(last=False)
 
     def is_uncertain(self, incarnation_key: str, began_s: float) -> bool:
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -42,6 +42,7 @@
     NotSent,
     Refusal,
 )
+from rosemaryknot.values.stream_origins import StreamOrigin
 
 __all__ = ["Gateway", "GatewayComponents"]
 
@@ -203,8 +204,10 @@
         decision = await self.components.origins.resolve(resumption)
         if isinstance(decision, Unresumable):
             return self.unresumable_outcome(context, decision)
-        context.origin = decision.origin
-        return self.select_service(context, decision.origin.service)
+        # Without the server, which began it at another time than this request.
+        origin = decision.origin
+        context.origin = StreamOrigin(origin.service, origin.software_version)
+        return self.select_service(context, origin.service)
 
     def select_service(self, context: RequestContext, name: str) -> Refusal | None:
         """Let a request go to a service of its route; refuse it if there is none."""
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -58,7 +58,7 @@
     states = [s for s in components.servers.by_id.values() if s.entry.service == name]
     if context.origin is None:
         return states
-    return components.origins.matching(states, context.origin)
+    return components.origins.matching(states, context.origin, context.beginning)
 
 
 async def select_server(
--- a/src/rosemaryknot/request/origin_guard.py
+++ b/src/rosemaryknot/request/origin_guard.py
@@ -189,9 +189,27 @@
         self.exchange.place(renewed)
 
     def matching(
-        self, states: list[ServerState], origin: StreamOrigin
+        self,
+        states: list[ServerState],
+        origin: StreamOrigin,
+        beginning: StreamBeginning | None = None,
     ) -> list[ServerState]:
-        """Return the servers that are certainly of the version of an origin."""
+        """Return the servers that are certainly of the version of an origin.
+
+        Parameters
+        ----------
+        states : list of ServerState
+            Servers of the service.
+        origin : StreamOrigin
+            Origin of the stream.
+        beginning : StreamBeginning, optional
+            Records of the stream, if it began at this node: its server may have turned
+            out to be of another version meanwhile.
+        """
+        if beginning is not None and beginning.records:
+            began_s = beginning.began_s
+            if self.servers.versions.is_uncertain(origin.server, began_s):
+                return []
         version = origin.software_version
         is_current = self.servers.versions.is_current
         return [
@@ -329,5 +347,8 @@
     """Return what is to be recorded of a request; None if its stream cannot go on."""
     if route.retry_policy != RetryPolicy.STREAM or not route.is_resumable:
         return None
+    if not request.id:
+        # Nobody could name it, and all requests without an id would share a record.
+        return None
     key = origin_key(customer, request.id)
     return StreamBeginning(request.id, key, keep_s(route), [])
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -182,6 +182,22 @@
             assert len(caller.versions) == 1
             assert answer.status in (200, 503)
 
+    async def test_entry_follows_while_the_stream_runs(self, autojump_clock):
+        """A stream breaks off after its server turned out to be of another version."""
+        async with system_of_versions(["v1"]) as system:
+            restart = partial(
+                system.restart_server, "m0", 0.1, version="v2", entry_delay_s=0.5
+            )
+            system.nursery.start_soon(restart)
+            await trio.sleep(0.3)
+            server = system.servers["m0"]
+            server.work_s = 1.0
+            server.faults.append("cut_event")
+            system.nursery.start_soon(system.add_server, "m9", MODEL, "z1")
+            caller = ResumingCaller(system, "s")
+            await caller.attempt("n0")
+            assert caller.versions == {"v2"}
+
     async def test_version_changes_in_the_entry_of_one_incarnation(
         self, autojump_clock
     ):
