--- a/src/rosemaryknot/values/stream_origins.py
+++ b/src/rosemaryknot/values/stream_origins.py
@@ -95,7 +95,7 @@
     """
 
     kind: ClassVar[str]
-    key: bytes
+    key: bytes = b""
 
 
 @message("stream_origin")
