Keep a contradiction between the origins of two nodes, and the later expiry

Two nodes that claim the same attempt at different versions leave its version unknown, so that the stream is refused. The merged record named the first of them as its source: a repeated record of that node, or one with a later number, replaced the contradiction by its own version, and the stream could have gone on at the wrong one. Now such a record belongs to no node. A copy that was sent before a renewal also shortened the time that the record is kept.

--- a/src/rosemaryknot/process/origin_records.py
+++ b/src/rosemaryknot/process/origin_records.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import trio
@@ -16,6 +16,9 @@
 MAX_RECORDS = 20_000
 # Longest time that a record is kept, whatever its sender asks for.
 MAX_KEEP_S = 600.0
+# Source of a record that several nodes have contributed to. It differs from that of
+# any node, so that a later record of one of them cannot replace what the others sent.
+SEVERAL_NODES = ""
 
 
 @dataclass(slots=True)
@@ -33,7 +36,8 @@
         Number of the attempt at a server, from 1. The record of a later one replaces
         that of an earlier one, in whichever order they arrive.
     source : str
-        Node that handled the caller's attempt, with its incarnation.
+        Node that handled the caller's attempt, with its incarnation; `SEVERAL_NODES` if
+        several did.
     began_s : float
         When the request was sent to the server, in trio time.
     expires_s : float
@@ -119,10 +123,7 @@
         if both have the same.
         """
         known = self.get(received.key)
-        if known is not None and known.source == received.source:
-            if received.number < known.number:
-                return
-        elif known is not None:
+        if known is not None:
             received = merged(known, received)
         self.by_key[received.key] = received
         self.by_key.move_to_end(received.key)
@@ -144,7 +145,11 @@
 
 
 def merged(known: OriginRecord, received: OriginRecord) -> OriginRecord:
-    """Return one record of two nodes' records of the same key."""
+    """Return one record of two records of the same key."""
+    expires_s = max(known.expires_s, received.expires_s)
+    if known.source == received.source:
+        latest = received if received.number >= known.number else known
+        return replace(latest, expires_s=expires_s)
     origin = known.origin
     has_same_version = (origin.service, origin.software_version) == (
         received.origin.service,
@@ -152,11 +157,4 @@
     )
     if not has_same_version:
         origin = StreamOrigin(origin.service, "")
-    return OriginRecord(
-        known.key,
-        origin,
-        known.number,
-        known.source,
-        known.began_s,
-        max(known.expires_s, received.expires_s),
-    )
+    return replace(known, origin=origin, source=SEVERAL_NODES, expires_s=expires_s)
--- a/tests/process/test_origin_records.py
+++ b/tests/process/test_origin_records.py
@@ -39,6 +39,25 @@
         found = records.get(origin_key("ada", "r1"))
         assert found.origin.software_version == expected
 
+    @pytest.mark.parametrize("again", ["n0/1", "n1/1"])
+    @pytest.mark.parametrize("number", [1, 2])
+    async def test_contradiction_stays(self, autojump_clock, again, number):
+        """A further record of one of the nodes does not decide between them."""
+        records = OriginRecords()
+        records.merge(record(version="v1", source="n0/1"))
+        records.merge(record(version="v2", source="n1/1"))
+        records.merge(record(version="v1", source=again, number=number))
+        found = records.get(origin_key("ada", "r1"))
+        assert found.origin.software_version == ""
+
+    async def test_late_copy_does_not_shorten(self, autojump_clock):
+        """A copy that was sent before a renewal must not end the record sooner."""
+        records = OriginRecords()
+        records.merge(record(keep_s=50.0))
+        records.merge(record(keep_s=5.0))
+        await trio.sleep(20.0)
+        assert records.get(origin_key("ada", "r1")) is not None
+
     async def test_expires(self, autojump_clock):
         records = OriginRecords()
         records.merge(record(keep_s=5.0))
