Give back the units of each request that did not run, in one place

A request that was refused since its servers were full, or refused connections, kept the units that it had taken of its customer's limit, although it had not run: the next one got 429. Now Gateway.handle gives them back for each refusal of a request that has not run.

--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -12,7 +12,7 @@
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.gateway_attempt import Attempt
-from rosemaryknot.request.gateway_choice import release_quota, select_server
+from rosemaryknot.request.gateway_choice import select_server
 from rosemaryknot.request.gateway_context import (
     UNAVAILABLE,
     GatewayComponents,
@@ -113,6 +113,8 @@
                 del self.running[reply]
         if outcome is None:
             outcome = self.timeout_outcome(context)
+        if isinstance(outcome, Refusal) and not context.may_have_run:
+            self.release_quota(context)
         if isinstance(outcome, Refusal) and not reply.is_started:
             await self.refuse(request, reply, outcome, failure_log_fields(context))
         else:
@@ -237,7 +239,6 @@
         Without a Retry-After the same request cannot succeed later, and its caller has
         to begin a new stream.
         """
-        release_quota(self.components, context)
         if decision.retry_after_s is None:
             return Refusal(UNAVAILABLE, f"{decision.reason}: begin a new stream")
         return refusal(
@@ -270,7 +271,6 @@
         barred = context.crash_decision
         if context.may_have_run:
             return Refusal(BAD_GATEWAY, barred.reason)
-        release_quota(self.components, context)
         BARRED.add(temporary=str(barred.is_temporary))
         retry_after_s = RELEASE_CHECK_INTERVAL_S
         if barred.is_temporary:
@@ -391,6 +391,11 @@
 
     # Responses and outcomes.
 
+    def release_quota(self, context: RequestContext) -> None:
+        """Release the units of a request that has not run and will not."""
+        if context.customer is not None and context.units:
+            self.components.release_quota(context.customer, context.units)
+
     async def refuse(
         self,
         request: GatewayRequest,
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -77,12 +77,8 @@
     record_prompt(components, context, inputs)
     context.permit = None
     if components.limits.has_limits:
-        selected = await select_limited(components, context, inputs)
-    else:
-        selected = choose_or_refuse(components, context, inputs)
-    if isinstance(selected, Refusal) and not context.may_have_run:
-        release_quota(components, context)
-    return selected
+        return await select_limited(components, context, inputs)
+    return choose_or_refuse(components, context, inputs)
 
 
 async def select_limited(
@@ -167,12 +163,6 @@
     return refusal(components.rng, UNAVAILABLE, reason, reached.retry_after_s)
 
 
-def release_quota(components: GatewayComponents, context: RequestContext) -> None:
-    """Release the units of a request that has not run and will not."""
-    if context.customer is not None and context.units:
-        components.release_quota(context.customer, context.units)
-
-
 def choose_server(
     components: GatewayComponents, inputs: PlacementInput
 ) -> Candidate | None:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+import pytest
 import trio
 
 from rosemaryknot.process.gateway_servers import INITIAL_PREFILL_RATE
@@ -13,6 +14,7 @@
     platform_system,
     route,
 )
+from rosemaryknot.values.nodes import Address
 
 COMPLETE_STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(10))
 
@@ -151,6 +153,20 @@
             assert 0 < float(response.headers["retry-after"]) < 1
             assert fleet.ledger.runs_of("r1") == 0
 
+    @pytest.mark.parametrize("cause", ["full", "down"])
+    async def test_refused_request_uses_no_limit(self, autojump_clock, cause):
+        """A request that did not run must not take from its customer's limit."""
+        configuration = document()
+        configuration["tenants"][0] |= {"ratePerS": 1, "burst": 200}
+        async with platform_system(configuration=configuration) as fleet:
+            for server in fleet.servers.values():
+                server.faults.append("shed")
+                if cause == "down":
+                    host = Address.from_text(server.entry["address"]).host
+                    fleet.network.stop_listening(host)
+            assert (await fleet.ask("/book/x")).status == 503
+            assert (await fleet.ask("/book/x", request_id="r2")).status != 429
+
     async def test_server_never_responds(self, autojump_clock):
         """A server runs a booking and never responds.
 
