Tell the others at once that a request completed here before

Cause: a node that receives a record of crashes tells the sender if it has completed the request, so that its limit rises from three crashes to six. But the record that it makes of the notice is marked as completed when it is made, and share_completion returned early for each record that is marked. So the others learned of it by the random repetitions only, one node a second.

Now it goes by what the received record says. In a large deployment, where hundreds of nodes may have completed a popular request, each tells only the node that sent it the record; the node that saw the crash, and the relays of the zones, tell the others once.

Evidence: test_completion_at_another_node failed at 3 and at 27 nodes before. Ruled out: late messages (n0 and n2 had the record and made no reply), responses that ended by close.

--- a/src/rosemaryknot/process/crash_exchange.py
+++ b/src/rosemaryknot/process/crash_exchange.py
@@ -188,7 +188,9 @@
         if decoded is None:
             return
         for record in decoded.records:
-            self.share_completion(record)
+            await self.share_completion(record, link)
+        for record in decoded.completed:
+            self.pass_on_completion(record)
         if decoded.is_new:
             self.last_change_s = trio.current_time()
             self.on_received()
@@ -210,14 +212,30 @@
             )
             await link.send(notice)
 
-    def share_completion(self, received: CrashRecord) -> None:
-        """Tell the other gateways if a request has completed here before."""
+    async def share_completion(self, received: CrashRecord, link: MessageLink) -> None:
+        """Tell the other gateways if a request has completed here before.
+
+        In a large deployment many gateways may have completed it, so that each tells
+        only the one that sent the record; see `pass_on_completion`.
+        """
         record = self.records.by_digest.get(received.digest)
-        if record is None or record.has_completed:
+        has_completed = received.digest in self.records.completed
+        if record is None or received.has_completed or not has_completed:
+            return
+        record.has_completed = True
+        self.records.signal_change()
+        if not self.broadcast.hubs.is_enabled:
+            self.enqueue(record)
             return
-        if record.digest in self.records.completed:
-            record.has_completed = True
-            self.records.signal_change()
+        notice = encode_notice([record], [], trio.current_time())
+        notice.is_forwarded = True
+        await link.send(notice)
+
+    def pass_on_completion(self, record: CrashRecord) -> None:
+        """Tell the others of a large deployment that a request completed elsewhere."""
+        hubs = self.broadcast.hubs
+        is_relay = self.node.name in hubs.relays(self.node.zone)
+        if hubs.is_enabled and (record.is_own or is_relay):
             self.enqueue(record)
 
 
@@ -229,8 +247,13 @@
         return None
     for digest, servers in decoded.cleared:
         decoded.is_new |= records.clear_servers(digest, servers)
-    for record in decoded.records:
-        decoded.is_new |= records.merge(record)
+    for received in decoded.records:
+        before = records.by_digest.get(received.digest)
+        was_complete = before is not None and before.has_completed
+        decoded.is_new |= records.merge(received)
+        record = records.by_digest.get(received.digest)
+        if record is not None and received.has_completed and not was_complete:
+            decoded.completed.append(record)
     return decoded
 
 
--- a/src/rosemaryknot/process/crash_notices.py
+++ b/src/rosemaryknot/process/crash_notices.py
@@ -31,11 +31,14 @@
         Digests of cleared requests, and the servers whose crashes no longer count.
     is_new : bool
         Whether anything in it was not known yet.
+    completed : list of CrashRecord
+        Own records of requests of which the notice told that they completed before.
     """
 
     records: list[CrashRecord] = field(default_factory=list)
     cleared: list[tuple[bytes, set[str]]] = field(default_factory=list)
     is_new: bool = False
+    completed: list[CrashRecord] = field(default_factory=list)
 
 
 def encode_notice(
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -395,6 +395,25 @@
             await trio.sleep(JOIN_S)
             assert (await request_stream(fleet, "third", "n2")).status == REFUSED
 
+    @pytest.mark.parametrize("nodes", [3, 27])
+    async def test_completion_at_another_node(self, autojump_clock, nodes):
+        """A node refuses a popular request that others have completed before."""
+        end = ResponseEnd(EndWay.CRASHED, EndPlace.INSIDE_EVENT)
+        async with platform_system(nodes=nodes, models=6) as fleet:
+            await trio.sleep(5)
+            for name in ("n1", "n2"):
+                answer = await request_stream(fleet, f"before-{name}", name, POPULAR)
+                assert answer.status == OK and answer.is_whole
+            for server in fleet.servers.values():
+                if server.is_model:
+                    server.faults.append(end.name)
+            await request_stream(fleet, "crashed", "n0", POPULAR)
+            await trio.sleep(SOON_S)
+            for name in ("n0", f"n{nodes - 1}"):
+                (record,) = fleet.nodes[name].crash_records.by_digest.values()
+                assert len(record.crashes) == 2
+                assert record.has_completed
+
     async def test_restarted_node_completes_a_refused_request(self, autojump_clock):
         """A node that knows no crashes yet completes a request that others refuse."""
         end = ResponseEnd(EndWay.CRASHED, EndPlace.INSIDE_EVENT)
