--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "CRASHING_BODY",
+    "CRASHING_SEGMENT",
     "DEFAULT_VERSION",
     "FAULTS",
     "RESPONSE_ENDS",
@@ -24,9 +25,13 @@
 
 # Body of a request that crashes each server that runs it.
 CRASHING_BODY = b"crash"
+# Ids of prompt segments that crash each model server that runs a request with one of
+# them begin so. The last segment of a prompt never has one.
+CRASHING_SEGMENT = "dead"
 
 EVENT_TOKENS = 5
 ATTEMPT = "rosemaryknot-attempt-id"
+SEGMENTS = "rosemaryknot-prefix-hash"
 # Software version of servers that are given no other.
 DEFAULT_VERSION = "v1"
 
@@ -66,6 +71,17 @@
         """Id of the caller's attempt."""
         return self.request.headers.get(ATTEMPT, "")
 
+    @property
+    def segments(self) -> list[str]:
+        """Ids of the segments of the prompt, but for the last one."""
+        segments = self.request.headers.get(SEGMENTS, "").split(",")
+        return [segment.partition(":")[0] for segment in segments[:-1]]
+
+    @property
+    def crashing_segments(self) -> list[str]:
+        """Ids of the segments that crash servers."""
+        return [s for s in self.segments if s.startswith(CRASHING_SEGMENT)]
+
 
 def server_entry(
     service: str, address: Any, zone: str, born_ms: int | None
@@ -172,6 +188,8 @@
         which its responses state.
     room : float
         Requests that it accepts at once.
+    crash_events : int
+        Events that it sends before a segment of a prompt crashes it.
     crash : callable
         Crashes the server; set by the system that runs it. Its connections are reset.
     end_process : callable
@@ -200,6 +218,7 @@
         self.room = math.inf
         self.active = 0
         self.turned_away: deque[tuple[float, str]] = deque()
+        self.crash_events = 0
         self.crash: Callable[[], None] = lambda: None
         self.end_process: Callable[[], None] = lambda: None
         self.server = RawServer(self.handle)
@@ -266,6 +285,9 @@
         if arrival.request.body.startswith(CRASHING_BODY):
             await self.run_until_crash(arrival, wire)
             return
+        if self.is_model and arrival.crashing_segments:
+            await self.write_until_crash(arrival, wire)
+            return
         fault = self.faults.popleft() if self.faults else ""
         if fault:
             await (FAULTS | RESPONSE_ENDS)[fault](self, arrival, wire)
@@ -285,6 +307,21 @@
         crash()
         await trio.sleep_forever()
 
+    async def write_until_crash(self, arrival: Arrival, wire: RawWire) -> None:
+        """Crash as the response begins, or after some of its events."""
+        arrival.has_run = True
+        await self.work()
+        if self.crash_events:
+            chunked = {"Transfer-Encoding": "chunked"}
+            await wire.head(200, self.headers(arrival) | chunked)
+            for event in self.events(arrival)[: self.crash_events]:
+                await wire.chunk(event)
+                await self.work()
+        arrival.crashed_s = trio.current_time()
+        crash, self.crash = self.crash, lambda: None
+        crash()
+        await trio.sleep_forever()
+
     async def serve(self, arrival: Arrival, wire: RawWire) -> None:
         """Respond without a fault."""
         arrival.has_run = True
