--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -70,6 +70,7 @@
 PORTS = range(21000, 29000, 20)
 PORTS_OF_NODE = 4
 CRASHING_RATES = (0.0, 0.5, 3.0)
+SEGMENT_RATES = (0.0, 0.7, 2.0)
 # Share of the seeds in which no server states a rate limit.
 UNLIMITED_SHARE = 0.3
 # Share of the seeds in which no node is cut off from the servers.
@@ -626,6 +627,11 @@
     return CRASHING_RATES[seed // 2 % len(CRASHING_RATES)]
 
 
+def segment_rate(seed: int) -> float:
+    """Return how many requests a second have a segment that crashes servers."""
+    return SEGMENT_RATES[seed // 3 % len(SEGMENT_RATES)]
+
+
 async def run_seed(seed: int, nodes: int = NODES) -> tuple[list[Violation], Counter]:
     """Run one seed; return the violations, and the number of faults by kind."""
     rng = random.Random(seed)
@@ -656,6 +662,7 @@
                 length_s=LOAD_DURATION_S,
                 load=LOAD,
                 crashing_per_s=crashing_rate(seed),
+                crashing_segments_per_s=segment_rate(seed),
                 older_share=OLDER_SHARE,
                 resuming_per_s=RESUMING_PER_S,
             )
--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -11,11 +11,13 @@
 from rosemaryknot.process.crash_records import Crash, CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
+from rosemaryknot.process.segment_records import SegmentRecord
+from rosemaryknot.process.segment_suspicions import SegmentCrash
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.request_identity import RequestIdentity
 from rosemaryknot.values.server_evidence import ServerEvidence
 
-__all__ = ["CheckedServer", "CrashDetector"]
+__all__ = ["CheckedServer", "CrashDetector", "ServerRequest"]
 
 # How long a server that accepts connections again, or does not respond, is observed: a
 # server that was restarted immediately has written its entry by then.
@@ -26,6 +28,11 @@
 # How long the incarnation of a crashed server is remembered.
 CRASHED_TTL_S = 60.0
 MAX_LOGGED_REQUESTS = 8
+# A server that a segment of a prompt crashes ends as it begins to write the response. A
+# crash later than this does not count against the segments.
+MAX_PROGRESS_S = 1.0
+# Part of a request's digest that tells the requests with a segment apart.
+REQUEST_DIGEST_BYTES = 8
 
 CRASHES = counter("server_crashes_total", "Crashes of backend servers.")
 
@@ -66,6 +73,25 @@
     process_lost_s: float
 
 
+@dataclass(slots=True)
+class ServerRequest:
+    """A request that was running on a server.
+
+    Attributes
+    ----------
+    identity : RequestIdentity
+        The request.
+    progress_s : float
+        How long its response had been going on, in seconds; 0 before its begin.
+    began_s : float
+        When the response began, in trio time; of a completed one.
+    """
+
+    identity: RequestIdentity
+    progress_s: float = 0.0
+    began_s: float = -math.inf
+
+
 @dataclass(slots=True)
 class Check:
     """Check whether a server crashed, and the requests whose connections it closed.
@@ -76,7 +102,7 @@
         The server.
     closed_s : float
         When the server closed the first of the connections, in trio time.
-    requests : list of RequestIdentity
+    requests : list of ServerRequest
         Requests that were running on it.
     is_accepting : bool
         Whether the server still accepts connections.
@@ -88,7 +114,7 @@
 
     state: CheckedServer
     closed_s: float
-    requests: list[RequestIdentity] = field(default_factory=list)
+    requests: list[ServerRequest] = field(default_factory=list)
     is_accepting: bool = False
     is_crashed: bool = False
     is_completion: bool = False
@@ -138,9 +164,11 @@
         self.records = records
         self.checks: dict[str, Check] = {}
         self.completions: dict[str, Check] = {}
-        self.abandoned: deque[tuple[float, str, RequestIdentity]] = deque()
-        self.on_recorded: Callable[[CrashRecord], None] = lambda record: None
-        self.on_completed: Callable[[CheckedServer, RequestIdentity], None] = (
+        self.abandoned: deque[tuple[float, str, ServerRequest]] = deque()
+        self.on_recorded: Callable[[CrashRecord | SegmentRecord], None] = (
+            lambda record: None
+        )
+        self.on_completed: Callable[[CheckedServer, ServerRequest], None] = (
             lambda state, request: None
         )
         self.on_crashed: Callable[[], None] = lambda: None
@@ -168,7 +196,7 @@
         """
         return state.has_announced_drain or await self.accepts(state.address)
 
-    def record_closed(self, state: CheckedServer, request: RequestIdentity) -> None:
+    def record_closed(self, state: CheckedServer, request: ServerRequest) -> None:
         """Record that a server closed the connection of a request.
 
         A server that drains ends its remaining requests when it stops, which is no
@@ -186,7 +214,7 @@
         else:
             check.requests.append(request)
 
-    def record_completed(self, state: CheckedServer, request: RequestIdentity) -> None:
+    def record_completed(self, state: CheckedServer, request: ServerRequest) -> None:
         """Record that a server closed the connection of a request it had completed.
 
         The request is passed to `on_completed` once the server has proved not to have
@@ -205,7 +233,12 @@
         check = self.checks.get(state.incarnation_key)
         return check is not None and (check.is_crashed or not check.is_accepting)
 
-    def record_abandoned(self, state: CheckedServer, request: RequestIdentity) -> None:
+    def is_undecided(self, state: CheckedServer) -> bool:
+        """Return whether the check of a server has found nothing out yet."""
+        check = self.checks.get(state.incarnation_key)
+        return check is not None and not (check.is_crashed or check.is_accepting)
+
+    def record_abandoned(self, state: CheckedServer, request: ServerRequest) -> None:
         """Record that an attempt was cancelled while the server was running it.
 
         The caller left, or the time was over; the attempt does not see the server
@@ -228,7 +261,15 @@
                 service=check.state.service,
                 requests=len(check.requests),
                 request_digests=[
-                    request.digest.hex()
+                    request.identity.digest.hex()
+                    for request in check.requests[:MAX_LOGGED_REQUESTS]
+                ],
+                segments=[
+                    [unit.segment for unit in request.identity.units]
+                    for request in check.requests[:MAX_LOGGED_REQUESTS]
+                ],
+                progress_s=[
+                    round(request.progress_s, 3)
                     for request in check.requests[:MAX_LOGGED_REQUESTS]
                 ],
                 known_after_s=round(trio.current_time() - check.closed_s, 3),
@@ -274,11 +315,30 @@
             if is_recent and server == check.state.incarnation_key:
                 check.requests.append(request)
 
-    def record_crash(self, check: Check, request: RequestIdentity) -> None:
+    def record_crash(self, check: Check, request: ServerRequest) -> None:
         """Record a crash against a request that was running on the server."""
         state = check.state
+        identity = request.identity
         crash = Crash(state.incarnation_key, state.service, check.closed_s)
-        record = self.records.record(request.digest, request.customer, crash)
+        record = self.records.record(identity.digest, identity.customer, crash)
         if record is not None:
             record.is_own = True
             self.on_recorded(record)
+        if request.progress_s <= MAX_PROGRESS_S:
+            self.record_segment_crashes(check, request)
+
+    def record_segment_crashes(self, check: Check, request: ServerRequest) -> None:
+        """Record a crash against the segments of a request's prompt."""
+        state, identity = check.state, request.identity
+        crash = SegmentCrash(
+            state.incarnation_key,
+            state.service,
+            check.closed_s,
+            request.progress_s,
+            frozenset((identity.digest[-REQUEST_DIGEST_BYTES:],)),
+        )
+        for unit in identity.units:
+            record = self.records.segments.record(identity.customer, unit, crash)
+            if record is not None:
+                record.is_own = True
+                self.on_recorded(record)
--- a/src/rosemaryknot/process/crash_exchange.py
+++ b/src/rosemaryknot/process/crash_exchange.py
@@ -22,6 +22,7 @@
 from rosemaryknot.process.newcomers import is_helper, watch_newcomers
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.relay_broadcast import RelayBroadcast, Relays
+from rosemaryknot.process.segment_records import SegmentRecord
 from rosemaryknot.values.gateway_peers import CrashNotice
 from rosemaryknot.values.nodes import Node
 
@@ -29,6 +30,8 @@
     "CrashExchange",
     "apply_notice",
     "log_refused",
+    "log_segment_refused",
+    "log_segment_released",
 ]
 
 # Minimum time between two notices; changes are collected meanwhile.
@@ -64,7 +67,7 @@
 
     Attributes
     ----------
-    queue : dict of bytes to CrashRecord
+    queue : dict of bytes to CrashRecord or SegmentRecord
         Changed records that wait to be sent, by digest.
     cleared : dict of bytes to set of str
         Cleared crashes that wait to be sent.
@@ -86,7 +89,7 @@
         self.broadcast = RelayBroadcast(peers, hubs)
         self.records = records
         self.rng = rng
-        self.queue: dict[bytes, CrashRecord] = {}
+        self.queue: dict[bytes, CrashRecord | SegmentRecord] = {}
         self.cleared: dict[bytes, set[str]] = {}
         self.has_changes = trio.Event()
         self.last_change_s = float("-inf")
@@ -94,7 +97,7 @@
         self.on_received: Callable[[], None] = lambda: None
         handlers.on(CrashNotice)(self.handle_notice)
 
-    def enqueue(self, record: CrashRecord) -> None:
+    def enqueue(self, record: CrashRecord | SegmentRecord) -> None:
         """Queue a record that has changed."""
         self.queue[record.digest] = record
         if len(self.queue) > MAX_QUEUED_RECORDS:
@@ -108,7 +111,7 @@
 
         Parameters and return value are those of `CrashRecords.clear`.
         """
-        servers = self.records.clear(digest, service)
+        servers = self.records.table_of(digest).clear(digest, service)
         if servers:
             log.info(
                 "request cleared of server crashes",
@@ -121,6 +124,20 @@
             self.signal_change()
         return servers
 
+    def clear_servers(self, digest: bytes, servers: set[str]) -> bool:
+        """Clear a segment of some crashes here and at the other gateways.
+
+        Returns
+        -------
+        is_cleared : bool
+            Whether any of them was on record.
+        """
+        if not self.records.segments.clear_servers(digest, servers):
+            return False
+        self.cleared.setdefault(digest, set()).update(servers)
+        self.signal_change()
+        return True
+
     def signal_change(self) -> None:
         """Wake the sender."""
         self.last_change_s = trio.current_time()
@@ -174,9 +191,12 @@
 
     async def repeat(self, name: str) -> None:
         """Send a gateway the records that matter most and the latest cleared ones."""
-        newest = reversed(self.records.by_digest.values())
-        records = sorted(newest, key=lambda r: not r.is_refused)[:MAX_NOTICE_RECORDS]
-        cleared = newest_items(self.records.cleared, MAX_NOTICE_RECORDS)
+        records, cleared = [], []
+        for table in (self.records, self.records.segments):
+            newest = reversed(table.by_digest.values())
+            first = sorted(newest, key=lambda record: not record.is_refused)
+            records += first[:MAX_NOTICE_RECORDS]
+            cleared += newest_items(table.cleared, MAX_NOTICE_RECORDS)
         if records or cleared:
             notice = encode_notice(records, cleared, trio.current_time())
             notice.is_forwarded = True
@@ -204,13 +224,11 @@
 
     async def send_to_entry(self, link: MessageLink) -> None:
         """Send all records to an entry that has connected."""
-        if self.records.by_digest or self.records.cleared:
-            notice = encode_notice(
-                self.records.by_digest.values(),
-                self.records.cleared.items(),
-                trio.current_time(),
-            )
-            await link.send(notice)
+        requests, segments = self.records, self.records.segments
+        records = [*requests.by_digest.values(), *segments.by_digest.values()]
+        cleared = [*requests.cleared.items(), *segments.cleared.items()]
+        if records or cleared:
+            await link.send(encode_notice(records, cleared, trio.current_time()))
 
     async def share_completion(self, received: CrashRecord, link: MessageLink) -> None:
         """Tell the other gateways if a request has completed here before.
@@ -246,7 +264,9 @@
         log.error("crash notice ignored: malformed")
         return None
     for digest, servers in decoded.cleared:
-        decoded.is_new |= records.clear_servers(digest, servers)
+        decoded.is_new |= records.table_of(digest).clear_servers(digest, servers)
+    for segment in decoded.segments:
+        decoded.is_new |= records.segments.merge(segment)
     for received in decoded.records:
         before = records.by_digest.get(received.digest)
         was_complete = before is not None and before.has_completed
@@ -269,6 +289,34 @@
     )
 
 
+def log_segment_refused(record: SegmentRecord) -> None:
+    """Log that requests with a segment are refused from now on."""
+    log.error(
+        "refusing requests with a prompt segment since servers crashed under them",
+        segment=record.segment,
+        segment_digest=record.digest.hex(),
+        customer=record.customer,
+        servers=list(record.crashes),
+        requests=sorted(
+            {digest.hex() for c in record.crashes.values() for digest in c.requests}
+        ),
+        trials=record.trials,
+        stored=record.is_stored,
+    )
+
+
+def log_segment_released(record: SegmentRecord) -> None:
+    """Log that requests with a segment are not refused any more."""
+    log.info(
+        "prompt segment is not refused any more",
+        segment=record.segment,
+        segment_digest=record.digest.hex(),
+        customer=record.customer,
+        servers=list(record.crashes),
+        trials=record.trials,
+    )
+
+
 def newest_items(
     items: OrderedDict[bytes, set[str]], count: int
 ) -> list[tuple[bytes, set[str]]]:
--- a/src/rosemaryknot/process/crash_notices.py
+++ b/src/rosemaryknot/process/crash_notices.py
@@ -5,7 +5,10 @@
 from typing import Any
 
 from rosemaryknot.process.crash_records import Crash, CrashRecord
+from rosemaryknot.process.segment_records import SegmentRecord
+from rosemaryknot.process.segment_suspicions import SegmentCrash
 from rosemaryknot.values.gateway_peers import CrashNotice
+from rosemaryknot.values.request_identity import is_segment_digest
 
 __all__ = [
     "DecodedNotice",
@@ -27,6 +30,8 @@
     ----------
     records : list of CrashRecord
         Records of the sender.
+    segments : list of SegmentRecord
+        Its records of segments of prompts.
     cleared : list of tuple of (bytes, set of str)
         Digests of cleared requests, and the servers whose crashes no longer count.
     is_new : bool
@@ -36,17 +41,21 @@
     """
 
     records: list[CrashRecord] = field(default_factory=list)
+    segments: list[SegmentRecord] = field(default_factory=list)
     cleared: list[tuple[bytes, set[str]]] = field(default_factory=list)
     is_new: bool = False
     completed: list[CrashRecord] = field(default_factory=list)
 
 
 def encode_notice(
-    records: Iterable[CrashRecord],
+    records: Iterable[CrashRecord | SegmentRecord],
     cleared: Iterable[tuple[bytes, set[str]]],
     now_s: float,
 ) -> CrashNotice:
     """Return records and cleared crashes as a message."""
+    records = list(records)
+    requests = [record for record in records if isinstance(record, CrashRecord)]
+    segments = [record for record in records if isinstance(record, SegmentRecord)]
     return CrashNotice(
         [
             [
@@ -60,12 +69,59 @@
                 record.is_tried,
                 record.is_stored,
             ]
-            for record in records
+            for record in requests
         ],
         [[digest, sorted(servers)] for digest, servers in cleared],
+        segments=[encode_segment(record, now_s) for record in segments],
     )
 
 
+def encode_segment(record: SegmentRecord, now_s: float) -> list[Any]:
+    """Return the record of a segment as a part of a message."""
+    return [
+        record.digest,
+        record.customer,
+        record.segment,
+        [
+            [
+                crash.server,
+                crash.service,
+                now_s - crash.crashed_s,
+                crash.progress_s,
+                sorted(crash.requests),
+            ]
+            for crash in record.crashes.values()
+        ],
+        record.trials,
+        now_s - record.tried_s if record.trials else 0.0,
+        record.is_stored,
+    ]
+
+
+def decode_segment(item: Any, now_s: float) -> SegmentRecord:
+    """Decode a part of a message; raise `TypeError` or `ValueError` if malformed."""
+    digest, customer, segment, crashes, trials, tried_ago_s, is_stored = item
+    record = SegmentRecord(
+        as_type(bytes, digest),
+        as_type(str, customer),
+        as_type(str, segment),
+        trials=as_type(int, trials),
+        tried_s=now_s - as_type(float, tried_ago_s),
+        is_stored=as_type(bool, is_stored),
+    )
+    if not is_segment_digest(record.digest):
+        raise ValueError("not the digest of a segment")
+    for server, service, age_s, progress_s, requests in crashes:
+        record.crashes[as_type(str, server)] = SegmentCrash(
+            server,
+            as_type(str, service),
+            now_s - as_type(float, age_s),
+            as_type(float, progress_s),
+            frozenset(as_type(bytes, request) for request in requests),
+        )
+    return record
+
+
 def decode_notice(notice: CrashNotice, now_s: float) -> DecodedNotice | None:
     """Decode a message; return None if it is malformed.
 
@@ -93,6 +149,8 @@
                     server, as_type(str, service), now_s - as_type(float, age_s)
                 )
             decoded.records.append(record)
+        for item in notice.segments:
+            decoded.segments.append(decode_segment(item, now_s))
         for digest, servers in notice.cleared:
             names = {as_type(str, server) for server in servers}
             decoded.cleared.append((as_type(bytes, digest), names))
@@ -101,8 +159,10 @@
     return decoded
 
 
-def record_to_value(record: CrashRecord) -> dict[str, Any]:
+def record_to_value(record: CrashRecord | SegmentRecord) -> dict[str, Any]:
     """Return a record as an object of the store."""
+    if isinstance(record, SegmentRecord):
+        return segment_to_value(record)
     return {
         "customer": record.customer,
         "completed_before": record.has_completed,
@@ -115,7 +175,55 @@
     }
 
 
-def record_from_value(name: str, value: Any, now_s: float) -> CrashRecord | None:
+def segment_to_value(record: SegmentRecord) -> dict[str, Any]:
+    """Return the record of a segment as an object of the store.
+
+    Older software reads it as the record of a request that nobody sends.
+    """
+    return {
+        "customer": record.customer,
+        "completed_before": False,
+        "simultaneous": False,
+        "tried": record.trials > 0,
+        "segment": record.segment,
+        "trials": record.trials,
+        "crashes": [
+            {
+                "server": crash.server,
+                "service": crash.service,
+                "progress_s": crash.progress_s,
+                "requests": [request.hex() for request in sorted(crash.requests)],
+            }
+            for crash in record.crashes.values()
+        ],
+    }
+
+
+def segment_from_value(digest: bytes, value: Any, now_s: float) -> SegmentRecord:
+    """Return the record of a segment; raise `TypeError`, `ValueError` or `KeyError`."""
+    record = SegmentRecord(
+        digest,
+        as_type(str, value["customer"]),
+        as_type(str, value["segment"]),
+        trials=as_type(int, value["trials"]),
+        tried_s=now_s,
+        is_stored=True,
+    )
+    for crash in value["crashes"]:
+        server = as_type(str, crash["server"])
+        record.crashes[server] = SegmentCrash(
+            server,
+            as_type(str, crash["service"]),
+            now_s - len(record.crashes) * APART_S,
+            as_type(float, crash["progress_s"]),
+            frozenset(bytes.fromhex(request) for request in crash["requests"]),
+        )
+    return record
+
+
+def record_from_value(
+    name: str, value: Any, now_s: float
+) -> CrashRecord | SegmentRecord | None:
     """Return the record that an object of the store describes, or None.
 
     The object does not tell when the servers crashed, only whether it was in the same
@@ -140,8 +248,11 @@
     True
     """
     try:
+        digest = bytes.fromhex(name)
+        if is_segment_digest(digest):
+            return segment_from_value(digest, value, now_s)
         record = CrashRecord(
-            bytes.fromhex(name),
+            digest,
             as_type(str, value["customer"]),
             has_completed=as_type(bool, value["completed_before"]),
             is_tried=as_type(bool, value["tried"]),
--- a/src/rosemaryknot/process/crash_records.py
+++ b/src/rosemaryknot/process/crash_records.py
@@ -8,30 +8,42 @@
 again.
 """
 
-from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable
+from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
 
-__all__ = ["MAX_CRASHES", "Crash", "CrashRecord", "CrashRecords"]
+from rosemaryknot.process.crash_table import (
+    MAX_CLEARED,
+    MAX_CLEARED_SERVERS,
+    MAX_CUSTOMER_RECORDS,
+    MAX_RECORDS,
+    CrashTable,
+)
+from rosemaryknot.process.segment_records import (
+    SIMULTANEOUS_S,
+    SegmentRecord,
+    SegmentRecords,
+)
+from rosemaryknot.values.request_identity import is_segment_digest
+
+__all__ = [
+    "MAX_CLEARED",
+    "MAX_CLEARED_SERVERS",
+    "MAX_CRASHES",
+    "MAX_CUSTOMER_RECORDS",
+    "MAX_RECORDS",
+    "Crash",
+    "CrashRecord",
+    "CrashRecords",
+]
 
 # A request that was running on this many servers when they crashed is refused.
 MAX_CRASHES = 3
 # The same limit for a request that had completed before. It is probably not the cause,
 # and until it has completed again it runs once at a time at each node.
 MAX_CRASHES_IF_COMPLETED = 6
-# Crashes that are no further apart may have a common cause, such as the loss of a rack.
-SIMULTANEOUS_S = 0.1
-# Maximum number of records, at 0.6 KB each, and of one customer's, so that a customer
-# who sends many such requests does not evict the records of others.
-MAX_RECORDS = 4096
-MAX_CUSTOMER_RECORDS = 512
-# Maximum number of cleared requests whose crashes are still recognized in late notices.
-MAX_CLEARED = 1024
-# Maximum number of servers remembered for one of them; beyond it only the latest are. A
-# popular request is cleared after each crash of a server, for as long as a node runs.
-MAX_CLEARED_SERVERS = 64
 # Number of requests that completed last, at 0.2 KB each, among which a popular request
 # is found. It covers some seconds of the requests of one gateway.
 MAX_COMPLETED = 2048
@@ -86,6 +98,10 @@
     is_stored: bool = False
     is_own: bool = False
 
+    def reset(self) -> None:
+        """Forget what was decided on crashes that no longer count."""
+        self.is_tried = self.is_stored = False
+
     @property
     def limit(self) -> int:
         """Number of crashes from which on the request is refused."""
@@ -108,24 +124,17 @@
         return max(times) - min(times) <= SIMULTANEOUS_S
 
 
-class CrashRecords:
+class CrashRecords(CrashTable[CrashRecord]):
     """Table of requests during which servers crashed, bounded in size.
 
     Attributes
     ----------
-    by_digest : OrderedDict of bytes to CrashRecord
-        Records by digest of the request, the least recently changed first.
-    counts : collections.Counter of str
-        Number of records by customer.
+    segments : SegmentRecords
+        Crashes by segment of the prompts.
     completed : OrderedDict of bytes to None
         Digests of the requests that completed last at this node, the latest at the end.
-    cleared : OrderedDict of bytes to set of str
-        Servers whose crashes no longer count against a request that has completed
-        since, or was released, by digest of the request.
     on_refused : callable
         Called with a record when its request is refused from now on.
-    changed : trio.Event
-        Set, and replaced, when something has changed that decisions depend on.
 
     Examples
     --------
@@ -142,10 +151,9 @@
     """
 
     def __init__(self) -> None:
-        self.by_digest: OrderedDict[bytes, CrashRecord] = OrderedDict()
-        self.counts: Counter[str] = Counter()
+        super().__init__()
+        self.segments = SegmentRecords(self.signal_change)
         self.completed: OrderedDict[bytes, None] = OrderedDict()
-        self.cleared: OrderedDict[bytes, set[str]] = OrderedDict()
         self.on_refused: Callable[[CrashRecord], None] = lambda record: None
         self.changed = trio.Event()
 
@@ -154,6 +162,14 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def table_of(self, digest: bytes) -> CrashTable:
+        """Return the table for the digest of a request or of a segment."""
+        return self.segments if is_segment_digest(digest) else self
+
+    def get(self, digest: bytes) -> CrashRecord | SegmentRecord | None:
+        """Return the record of a request or a segment, or None."""
+        return self.table_of(digest).by_digest.get(digest)
+
     def record_completed(self, digest: bytes) -> None:
         """Record that a request has completed."""
         self.completed[digest] = None
@@ -194,78 +210,9 @@
             known.is_stored = known.is_stored or other.is_stored
         return any(record is not None for record in added)
 
-    def add(self, record: CrashRecord) -> CrashRecord:
-        """Add a record, after evicting another one if there is no room."""
-        customer = record.customer
-        if self.counts[customer] >= MAX_CUSTOMER_RECORDS:
-            self.evict(r for r in self.by_digest.values() if r.customer == customer)
-        elif len(self.by_digest) >= MAX_RECORDS:
-            self.evict(self.by_digest.values())
-        self.by_digest[record.digest] = record
-        self.counts[customer] += 1
-        return record
-
-    def evict(self, records: Iterable[CrashRecord]) -> None:
-        """Remove the record with the fewest crashes, of these the oldest."""
-        self.remove(min(records, key=lambda record: len(record.crashes)))
-
-    def remove(self, record: CrashRecord) -> None:
-        """Remove a record."""
-        del self.by_digest[record.digest]
-        self.counts[record.customer] -= 1
-        if not self.counts[record.customer]:
-            del self.counts[record.customer]
-
-    def clear(self, digest: bytes, service: str | None = None) -> set[str]:
-        """Drop the crashes of a request that has completed or was released.
-
-        A crash that was dropped is recognized in late notices and not counted again.
-
-        Parameters
-        ----------
-        digest : bytes
-            Digest of the request.
-        service : str or None
-            Service at which it completed; crashes of other services' servers still
-            count. None for all services.
-
-        Returns
-        -------
-        servers : set of str
-            Servers whose crashes were dropped.
-        """
-        record = self.by_digest.get(digest)
-        if record is None:
-            return set()
-        servers = {
-            crash.server
-            for crash in record.crashes.values()
-            if service in (None, crash.service)
-        }
-        self.clear_servers(digest, servers)
-        return servers
-
-    def clear_servers(self, digest: bytes, servers: set[str]) -> bool:
-        """Drop crashes from the record of a request; return whether any was there."""
-        if not servers:
-            return False
-        known = self.cleared.setdefault(digest, set())
-        if len(known | servers) > MAX_CLEARED_SERVERS:
-            known.clear()
-        known.update(servers)
-        self.cleared.move_to_end(digest)
-        while len(self.cleared) > MAX_CLEARED:
-            self.cleared.popitem(last=False)
-        record = self.by_digest.get(digest)
-        if record is None or not servers & record.crashes.keys():
-            return False
-        for server in servers & record.crashes.keys():
-            del record.crashes[server]
-        record.is_tried = record.is_stored = False
-        if not record.crashes:
-            self.remove(record)
-        self.signal_change()
-        return True
+    def merge_any(self, other: CrashRecord | SegmentRecord) -> bool:
+        """Add what another node knows of a request or of a segment; see `merge`."""
+        return self.table_of(other.digest).merge(other)
 
     def refused(self) -> list[CrashRecord]:
         """Return the records of requests that are refused."""
--- a/src/rosemaryknot/process/crash_store.py
+++ b/src/rosemaryknot/process/crash_store.py
@@ -9,11 +9,17 @@
 
 import trio
 
-from rosemaryknot.process.crash_exchange import CrashExchange, log_refused
+from rosemaryknot.process.crash_exchange import (
+    CrashExchange,
+    log_refused,
+    log_segment_refused,
+    log_segment_released,
+)
 from rosemaryknot.process.crash_notices import record_from_value, record_to_value
 from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import gauge
+from rosemaryknot.process.segment_records import SegmentRecord
 from rosemaryknot.values.platform import (
     Conflict,
     ObjectStore,
@@ -80,6 +86,8 @@
         Whether the records are read as soon as the store responds.
     last_read_s : float
         When the records were last read, in trio time.
+    on_segment_refused : callable
+        Called when requests with a segment are refused from now on.
     """
 
     def __init__(
@@ -107,7 +115,10 @@
         self.last_read_s = float("-inf")
         self.retry_delay_s = MIN_RETRY_S
         self.retry_s = float("-inf")
+        self.on_segment_refused: Callable[[], None] = lambda: None
         records.on_refused = self.record_refused
+        records.segments.on_refused = self.record_segment_refused
+        records.segments.on_released = self.record_segment_released
         exchange.on_received = self.request_read
 
     def record_refused(self, record: CrashRecord) -> None:
@@ -116,6 +127,21 @@
         self.has_work.set()
         log_refused(record)
 
+    def record_segment_refused(self, record: SegmentRecord) -> None:
+        """Log that a segment is refused, wake the writer and tell the gateway."""
+        self.refused[record.digest] = trio.current_time()
+        self.has_work.set()
+        log_segment_refused(record)
+        self.on_segment_refused()
+
+    def record_segment_released(self, record: SegmentRecord) -> None:
+        """Delete the object of a segment that is not refused any more."""
+        log_segment_released(record)
+        if record.is_stored:
+            record.is_stored = False
+            self.obsolete.append(record.digest)
+            self.has_work.set()
+
     def is_reader(self) -> bool:
         """Return whether this node reads the store on behalf of others."""
         return self.name in self.watching()
@@ -129,6 +155,8 @@
         await trio.sleep(LOAD_DELAY_S)
         self.is_read_needed = self.is_read_needed or self.is_reader()
         while True:
+            if self.records.segments.by_digest:
+                self.records.segments.assess(trio.current_time())
             if self.should_read():
                 await self.read()
             await self.write_records()
@@ -145,8 +173,7 @@
         self.refused = {
             digest: since_s
             for digest, since_s in self.refused.items()
-            if digest in self.records.by_digest
-            and self.records.by_digest[digest].is_refused
+            if getattr(self.records.get(digest), "is_refused", False)
         }
 
     # Writing.
@@ -155,14 +182,14 @@
         """Write the records that this node is to write."""
         now_s = trio.current_time()
         for digest, since_s in list(self.refused.items()):
-            record = self.records.by_digest.get(digest)
+            record = self.records.get(digest)
             if record is None or record.is_stored:
                 continue
             is_late = now_s - since_s > FALLBACK_DELAY_S and self.is_reader()
             if record.is_own or is_late:
                 await self.write(record)
 
-    async def write(self, record: CrashRecord) -> None:
+    async def write(self, record: CrashRecord | SegmentRecord) -> None:
         """Write one record; it is written again later if the store fails."""
         outcome = await self.store.create(
             KIND, record.digest.hex(), record_to_value(record)
@@ -178,8 +205,8 @@
                 reason=outcome.reason,
             )
 
-    def record_trial(self, record: CrashRecord) -> None:
-        """Record that the request of a record has its trial, of which there is one."""
+    def record_trial(self, record: CrashRecord | SegmentRecord) -> None:
+        """Record that the request of a record, or its segment, has a trial."""
         self.exchange.enqueue(record)
         self.tried.append(record.digest)
         self.has_work.set()
@@ -188,7 +215,7 @@
         """Store that requests have had their trial; try again later if that fails."""
         digests, self.tried = self.tried, []
         for digest in digests:
-            record = self.records.by_digest.get(digest)
+            record = self.records.get(digest)
             if record is None:
                 continue
             name = digest.hex()
@@ -208,6 +235,17 @@
             self.obsolete.append(digest)
             self.has_work.set()
 
+    def clear_segment(self, digest: bytes, servers: set[str]) -> None:
+        """Clear a segment of crashes that a response shows to have another cause."""
+        record = self.records.segments.by_digest.get(digest)
+        if record is None:
+            return
+        is_stored = record.is_stored
+        is_cleared = self.exchange.clear_servers(digest, servers)
+        if is_cleared and not record.crashes and record.is_refused:
+            record.is_stored = is_stored
+            self.record_segment_released(record)
+
     async def delete_obsolete(self) -> None:
         """Delete the objects of cleared requests; try again later if the store fails.
 
@@ -255,8 +293,8 @@
 
     def stored(self) -> list[bytes]:
         """Return the digests of refused requests that the store has a record of."""
-        known = self.records.by_digest
-        return [d for d in self.refused if d in known and known[d].is_stored]
+        records = ((digest, self.records.get(digest)) for digest in self.refused)
+        return [digest for digest, record in records if record and record.is_stored]
 
     async def read(self) -> None:
         """Read the records; clear requests whose objects an operator has deleted."""
@@ -285,7 +323,7 @@
             record = record_from_value(name, item.value, trio.current_time())
             if record is None:
                 log.error("stored crash record left alone", revision=item.version)
-            elif self.records.merge(record):
+            elif self.records.merge_any(record):
                 # The nodes that do not read the store learn of it from this one.
-                self.exchange.enqueue(self.records.by_digest[record.digest])
+                self.exchange.enqueue(self.records.get(record.digest))
         return set(listed.objects)
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -232,6 +232,7 @@
             self.crashes.clear,
             lambda digest: True,
             self.crashes.enqueue,
+            self.crashes.clear_segment,
         )
 
     def create_server_limit_components(self) -> None:
--- a/src/rosemaryknot/process/entry_crashes.py
+++ b/src/rosemaryknot/process/entry_crashes.py
@@ -8,9 +8,15 @@
 
 from rosemaryknot.connection.links import Handlers, MessageLink
 from rosemaryknot.process.agent_link import AgentLink
-from rosemaryknot.process.crash_exchange import apply_notice, log_refused
+from rosemaryknot.process.crash_exchange import (
+    apply_notice,
+    log_refused,
+    log_segment_refused,
+    log_segment_released,
+)
 from rosemaryknot.process.crash_notices import encode_notice
 from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
+from rosemaryknot.process.segment_records import SegmentRecord
 from rosemaryknot.values.gateway_peers import CrashNotice
 
 __all__ = ["EntryCrashes"]
@@ -33,7 +39,7 @@
 
     Attributes
     ----------
-    unsent : dict of bytes to CrashRecord
+    unsent : dict of bytes to CrashRecord or SegmentRecord
         Records that the agent does not know yet, by digest.
     cleared : dict of bytes to set of str
         Cleared crashes that the agent does not know yet.
@@ -44,13 +50,15 @@
     ) -> None:
         self.link = link
         self.records = records
-        self.unsent: dict[bytes, CrashRecord] = {}
+        self.unsent: dict[bytes, CrashRecord | SegmentRecord] = {}
         self.cleared: dict[bytes, set[str]] = {}
         self.has_changes = trio.Event()
         records.on_refused = log_refused
+        records.segments.on_refused = log_segment_refused
+        records.segments.on_released = log_segment_released
         handlers.on(CrashNotice)(self.handle_notice)
 
-    def enqueue(self, record: CrashRecord) -> None:
+    def enqueue(self, record: CrashRecord | SegmentRecord) -> None:
         """Queue a record that has changed."""
         self.unsent[record.digest] = record
         self.has_changes.set()
@@ -63,6 +71,12 @@
             self.cleared.setdefault(digest, set()).update(servers)
             self.has_changes.set()
 
+    def clear_segment(self, digest: bytes, servers: set[str]) -> None:
+        """Clear a segment of crashes that a response shows to have another cause."""
+        if self.records.segments.clear_servers(digest, servers):
+            self.cleared.setdefault(digest, set()).update(servers)
+            self.has_changes.set()
+
     async def run(self) -> None:
         """Send changes until cancelled; all records if the link is a new one."""
         link = None
@@ -70,9 +84,12 @@
             with trio.move_on_after(CHECK_INTERVAL_S):
                 await self.has_changes.wait()
             self.has_changes = trio.Event()
+            if self.records.segments.by_digest:
+                self.records.segments.assess(trio.current_time())
             if self.link.link is not link:
                 link = self.link.link
                 self.unsent.update(self.records.by_digest)
+                self.unsent.update(self.records.segments.by_digest)
             if self.unsent or self.cleared:
                 await self.send()
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -200,6 +200,7 @@
         self.create_limit_components(handlers)
         self.create_origin_components(handlers)
         self.gateway = Gateway(self.gateway_components())
+        self.crash_store.on_segment_refused = self.gateway.abort_refused
         self.listener = GatewayListener(
             network,
             adapter.wire,
@@ -309,6 +310,7 @@
                 self.crash_store.clear,
                 self.is_trial_node,
                 self.crash_store.record_trial,
+                self.crash_store.clear_segment,
             ),
             limits=LimitGuard(
                 PermitClient(
--- a/src/rosemaryknot/process/prefix_estimate.py
+++ b/src/rosemaryknot/process/prefix_estimate.py
@@ -6,14 +6,16 @@
 at the end of each response.
 """
 
+import json
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import xxhash
 
-__all__ = ["PrefixEstimate", "prompt_blocks"]
+__all__ = ["PrefixEstimate", "prompt_blocks", "prompt_segments"]
 
 BLOCK_CHARS = 256
 MAX_PROMPT_BLOCKS = 512
@@ -52,6 +54,47 @@
     return blocks
 
 
+def prompt_segments(messages: Iterable[dict[str, Any]]) -> list[str]:
+    """Return the ids of the parts of a conversation that others may have in common.
+
+    These are its messages but for the last one, wherever they stand, and its beginnings
+    of one, two, four and so on blocks, since prompts in one message may begin alike.
+
+    Parameters
+    ----------
+    messages : iterable of dict
+        The conversation, with ``role`` and ``content`` of each message.
+
+    Examples
+    --------
+    >>> first, second = (
+    ...     [{"role": "system", "content": "a"}, {"role": "user", "content": text}]
+    ...     for text in ("b", "c")
+    ... )
+    >>> prompt_segments(first) == prompt_segments(second)
+    True
+    >>> len(prompt_segments([{"role": "user", "content": "a" * 600}]))
+    2
+    """
+    messages = list(messages)
+    segments = [
+        f"message-{xxhash.xxh3_128_hexdigest(canonical_json(message))}"
+        for message in messages[:-1]
+    ]
+    texts = [str(message.get("content")) for message in messages]
+    length = len("\n".join(texts))
+    for count, digest in enumerate(prompt_blocks(texts), 1):
+        # A beginning that is the whole prompt is specific to the request.
+        if count & (count - 1) == 0 and count * BLOCK_CHARS < length:
+            segments.append(f"beginning-{count}-{digest:x}")
+    return segments
+
+
+def canonical_json(message: dict[str, Any]) -> bytes:
+    """Return the same text for equal messages."""
+    return json.dumps(message, sort_keys=True, default=str).encode()
+
+
 @dataclass(slots=True, frozen=True)
 class Guess:
     """Expected cached part of a prompt.
--- /dev/null
+++ b/src/rosemaryknot/process/segment_records.py
@@ -0,0 +1,280 @@
+"""Records of prompt segments that were read when backend servers crashed.
+
+A segment that crashes each server which begins to answer on it comes in requests of
+which no two are alike. It is present at each of those crashes, and no response that
+begins afterwards on a prompt with it gets past its beginning. The other segments of
+those requests are present at the same crashes, but sound requests have them too.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from rosemaryknot.process.crash_table import CrashTable
+from rosemaryknot.process.segment_suspicions import (
+    EVIDENCE_S,
+    SIMULTANEOUS_S,
+    SegmentCrash,
+    Suspicion,
+    assess,
+)
+from rosemaryknot.values.request_identity import (
+    SEGMENT_DIGEST_BYTES,
+    SegmentUnit,
+    digest_of_segment,
+)
+
+__all__ = ["SIMULTANEOUS_S", "SegmentRecord", "SegmentRecords"]
+
+# How long a suspected segment is observed before it is refused: requests that were sent
+# before have got past the beginning of their responses by then if it is sound.
+OBSERVATION_S = 0.5
+# Crashes kept for one segment; the latest ones.
+MAX_SEGMENT_CRASHES = 16
+# How long a segment that nobody uses any more stays refused.
+FORGET_S = 3600.0
+# How often suspicions are assessed again although no record has changed.
+REASSESS_S = 0.5
+
+
+@dataclass(slots=True)
+class SegmentRecord:
+    """Crashes of servers at the beginning of one customer's responses on a segment.
+
+    Attributes
+    ----------
+    digest : bytes
+        Digest of the customer and the segment.
+    customer : str
+        Name of the customer; empty without one.
+    segment : str
+        Id of the segment, for logs.
+    service : str
+        Service of the servers.
+    crashes : dict of str to SegmentCrash
+        Crashes by server.
+    trials : int
+        Trials that the segment has had since it is refused.
+    tried_s : float
+        When the last one began, in trio time.
+    is_refused : bool
+        Whether requests with the segment are refused.
+    is_stored : bool
+        Whether the platform's store has a record of it.
+    is_own : bool
+        Whether this node saw one of the servers crash.
+    """
+
+    digest: bytes
+    customer: str
+    segment: str
+    crashes: dict[str, SegmentCrash] = field(default_factory=dict)
+    trials: int = 0
+    tried_s: float = -math.inf
+    is_refused: bool = False
+    is_stored: bool = False
+    is_own: bool = False
+
+    @property
+    def unit(self) -> bytes:
+        """Digest of the segment, the same for all customers."""
+        return self.digest[-SEGMENT_DIGEST_BYTES:]
+
+    @property
+    def last_crash_s(self) -> float:
+        """Time of the last recorded crash, in trio time."""
+        return max(crash.crashed_s for crash in self.crashes.values())
+
+    def reset(self) -> None:
+        """Forget the trials once no crash counts any more."""
+        if not self.crashes:
+            self.trials = 0
+            self.is_stored = False
+
+
+class SegmentRecords(CrashTable[SegmentRecord]):
+    """Table of segments that were read when servers crashed, bounded in size.
+
+    Parameters
+    ----------
+    signal_change : callable
+        Called when something has changed that decisions depend on.
+
+    Attributes
+    ----------
+    by_unit : dict of bytes to dict of bytes to SegmentRecord
+        Records by segment, and then by their digest.
+    suspicions : dict of bytes to Suspicion
+        Result of the last assessment, by segment.
+    on_refused, on_released : callable
+        Called with a record when its segment is refused from now on, or not any more.
+    """
+
+    def __init__(self, signal_change: Callable[[], None]) -> None:
+        super().__init__()
+        self.notify = signal_change
+        self.by_unit: dict[bytes, dict[bytes, SegmentRecord]] = {}
+        self.suspicions: dict[bytes, Suspicion] = {}
+        self.valid_until_s = -math.inf
+        self.on_refused: Callable[[SegmentRecord], None] = lambda record: None
+        self.on_released: Callable[[SegmentRecord], None] = lambda record: None
+
+    def signal_change(self) -> None:
+        """Wake all that wait for a change, and assess the suspicions again."""
+        self.valid_until_s = -math.inf
+        self.notify()
+
+    def record(
+        self, customer: str, unit: SegmentUnit, crash: SegmentCrash
+    ) -> SegmentRecord | None:
+        """Record a crash; return the record if it changed, otherwise None."""
+        digest = digest_of_segment(customer, unit.digest)
+        return self.record_digest(digest, customer, unit.segment, crash)
+
+    def record_digest(
+        self, digest: bytes, customer: str, segment: str, crash: SegmentCrash
+    ) -> SegmentRecord | None:
+        """Record a crash under a digest; see `record`."""
+        if crash.server in self.cleared.get(digest, ()):
+            return None
+        record = self.by_digest.get(digest)
+        if record is None:
+            record = self.add(SegmentRecord(digest, customer, segment))
+        known = record.crashes.get(crash.server)
+        if known is not None:
+            crash = known.merged(crash)
+            if crash == known:
+                return None
+        elif len(record.crashes) >= MAX_SEGMENT_CRASHES:
+            oldest = min(record.crashes.values(), key=lambda c: c.crashed_s)
+            del record.crashes[oldest.server]
+        record.crashes[crash.server] = crash
+        self.by_digest.move_to_end(digest)
+        self.signal_change()
+        return record
+
+    def merge(self, other: SegmentRecord) -> bool:
+        """Add what another node knows of a segment; return whether any was new."""
+        added = [
+            self.record_digest(other.digest, other.customer, other.segment, crash)
+            for crash in other.crashes.values()
+        ]
+        known = self.by_digest.get(other.digest)
+        if known is not None:
+            if other.trials > known.trials:
+                known.trials, known.tried_s = other.trials, other.tried_s
+                self.signal_change()
+            if other.is_stored and not known.is_stored:
+                known.is_stored = True
+                self.signal_change()
+        return any(record is not None for record in added)
+
+    def add(self, record: SegmentRecord) -> SegmentRecord:
+        """Add a record, after evicting another one if there is no room."""
+        super().add(record)
+        self.by_unit.setdefault(record.unit, {})[record.digest] = record
+        return record
+
+    def remove(self, record: SegmentRecord) -> None:
+        """Remove a record."""
+        super().remove(record)
+        records = self.by_unit[record.unit]
+        del records[record.digest]
+        if not records:
+            del self.by_unit[record.unit]
+
+    def survived_servers(
+        self, record: SegmentRecord, began_s: float, progress_s: float
+    ) -> set[str]:
+        """Return the crashes of a record that a response shows to have another cause.
+
+        Parameters
+        ----------
+        record : SegmentRecord
+            Record of a segment of its prompt.
+        began_s : float
+            When the response began, in trio time.
+        progress_s : float
+            For how long it has gone on, in seconds; infinite once it is complete.
+        """
+        return {
+            crash.server
+            for crash in record.crashes.values()
+            if crash.is_survived(began_s, progress_s)
+        }
+
+    # Assessment.
+
+    def is_shadowed(self, unit: bytes) -> bool:
+        """Return whether another refused segment was present at all of its crashes.
+
+        One of the two is the cause, and they have not been told apart.
+        """
+        crashes = self.suspicions[unit].crashes.keys()
+        return any(
+            other.is_refused and crashes <= other.crashes.keys()
+            for name, other in self.suspicions.items()
+            if name != unit
+        )
+
+    def suspicion(self, unit: bytes, now_s: float) -> Suspicion | None:
+        """Return what is suspected of a segment, or None."""
+        self.assess(now_s)
+        return self.suspicions.get(unit)
+
+    def assess(self, now_s: float) -> None:
+        """Assess all segments again, if anything may have changed."""
+        if now_s < self.valid_until_s:
+            return
+        self.remove_old(now_s)
+        found = assess(self.by_unit, now_s)
+        self.valid_until_s = now_s + REASSESS_S
+        for unit, suspicion in found.items():
+            before = self.suspicions.get(unit)
+            if not suspicion.is_suspected:
+                continue
+            suspicion.since_s = now_s
+            if before is not None and before.is_suspected:
+                suspicion.since_s = before.since_s
+                suspicion.is_refused = before.is_refused
+            is_stored = any(r.is_stored for r in self.by_unit[unit].values())
+            observed_until_s = suspicion.since_s + OBSERVATION_S
+            if is_stored or now_s >= observed_until_s:
+                suspicion.is_refused = True
+            else:
+                self.valid_until_s = min(self.valid_until_s, observed_until_s)
+        self.suspicions = found
+        self.update_records()
+
+    def update_records(self) -> None:
+        """Tell which records are refused from now on, and which not any more."""
+        for record in list(self.by_digest.values()):
+            suspicion = self.suspicions.get(record.unit)
+            is_refused = suspicion is not None and suspicion.refuses(record.customer)
+            if is_refused == record.is_refused:
+                continue
+            record.is_refused = is_refused
+            if is_refused:
+                self.on_refused(record)
+            else:
+                self.on_released(record)
+
+    def remove_old(self, now_s: float) -> None:
+        """Remove crashes that are too old to count, and segments not used any more."""
+        for record in list(self.by_digest.values()):
+            max_age_s = FORGET_S if record.is_refused else EVIDENCE_S
+            old = [
+                c for c in record.crashes.values() if now_s - c.crashed_s > max_age_s
+            ]
+            if record.is_refused and len(old) < len(record.crashes):
+                continue
+            for crash in old:
+                del record.crashes[crash.server]
+            if not record.crashes:
+                self.remove(record)
+                if record.is_refused:
+                    self.on_released(record)
+
+    def refused(self) -> Iterable[SegmentRecord]:
+        """Return the records of segments that are refused."""
+        return [record for record in self.by_digest.values() if record.is_refused]
--- a/src/rosemaryknot/request/attempts.py
+++ b/src/rosemaryknot/request/attempts.py
@@ -120,6 +120,8 @@
     on_limit : callable
         Called with a stated limit as soon as the head of the response arrives, and with
         None at the first token of a response that states none.
+    on_tokens : callable
+        Called when tokens have arrived.
     """
 
     def __init__(
@@ -154,6 +156,7 @@
         self.on_limit: Callable[[float | InvalidLimit | None], None] = lambda limit: (
             None
         )
+        self.on_tokens: Callable[[], None] = lambda: None
         self.scope = trio.CancelScope()
 
     async def run(self) -> AttemptEnd:
@@ -202,6 +205,7 @@
                 self.on_limit(None)
         if self.generation.software_version is None:
             self.generation.software_version = self.server.software_version
+        self.on_tokens()
         self.generation.emit(tokens)
 
     def receive_limit(self, limit: float | InvalidLimit | None) -> None:
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -1,14 +1,21 @@
 """Applies the rules on requests during which backend servers crashed."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 
 import trio
 
-from rosemaryknot.process.crash_detector import CheckedServer, CrashDetector
+from rosemaryknot.process.crash_detector import (
+    CheckedServer,
+    CrashDetector,
+    ServerRequest,
+)
 from rosemaryknot.process.crash_records import MAX_CRASHES, CrashRecord, CrashRecords
 from rosemaryknot.process.logs import logger
+from rosemaryknot.process.segment_records import SegmentRecord
 from rosemaryknot.request.crash_rules import CRASH_RULES, Allowed, Barred, CrashInput
+from rosemaryknot.request.segment_guard import SegmentGuard
 from rosemaryknot.values.request_identity import RequestIdentity
 
 __all__ = ["CrashGuard"]
@@ -17,6 +24,8 @@
 # Longest wait for another attempt of the same request. If that attempt ends later, the
 # request is refused and the caller comes back.
 MAX_WAIT_S = 1.0
+# Longest wait for the check of a server that closed a connection. Most take 10 ms.
+MAX_CHECK_S = 0.05
 
 log = logger("crashes")
 
@@ -35,10 +44,14 @@
     is_trial_node : callable
         Returns whether this node makes the trial of a request, by its digest.
     record_trial : callable
-        Shares that the request of a record has its trial.
+        Shares that the request of a record has its trial, or the segment of one.
+    clear_servers : callable
+        Clears the record with a digest of crashes of some servers, at all nodes.
 
     Attributes
     ----------
+    segments : SegmentGuard
+        Decides by the segments of the prompts.
     running : collections.Counter of bytes
         Attempts in progress of requests that have a record, by digest.
     decide : callable
@@ -51,15 +64,19 @@
         detector: CrashDetector,
         clear: Callable[[bytes, str], object],
         is_trial_node: Callable[[bytes], bool],
-        record_trial: Callable[[CrashRecord], None],
+        record_trial: Callable[[CrashRecord | SegmentRecord], None],
+        clear_servers: Callable[[bytes, set[str]], object],
     ) -> None:
         self.records = records
+        self.segments = SegmentGuard(
+            records.segments, clear_servers, is_trial_node, record_trial
+        )
         self.detector = detector
         self.clear = clear
         self.is_trial_node = is_trial_node
         self.record_trial = record_trial
         self.running: Counter[bytes] = Counter()
-        detector.on_completed = self.record_complete
+        detector.on_completed = self.record_confirmed
         self.decide = CRASH_RULES[CRASH_RULE]
 
     def record_of(self, identity: RequestIdentity) -> CrashRecord | None:
@@ -92,6 +109,25 @@
         is_logged : bool
             Whether to log the decision if it differs from that on other requests.
         """
+        decision = self.check_request(
+            identity, closed_by, has_run, has_waited, is_logged
+        )
+        if isinstance(decision, Barred):
+            return decision
+        by_segment = self.segments.check(identity, has_run, is_logged)
+        if isinstance(by_segment, Barred) or by_segment.is_trial:
+            return by_segment
+        return decision
+
+    def check_request(
+        self,
+        identity: RequestIdentity,
+        closed_by: list[CheckedServer],
+        has_run: bool,
+        has_waited: bool,
+        is_logged: bool,
+    ) -> Allowed | Barred:
+        """Decide by the crashes under the same request; parameters as for `check`."""
         record = self.record_of(identity)
         suspects = [s for s in closed_by if self.detector.may_have_crashed(s)]
         if record is None and not suspects:
@@ -128,25 +164,41 @@
         decision : Allowed or Barred
             The decision when the time is over, at the latest.
         """
+        await self.wait_checked(closed_by)
         decision = self.check(identity, closed_by, has_run)
         if isinstance(decision, Allowed) or not decision.is_temporary:
             return decision
         with trio.move_on_after(min(timeout_s, MAX_WAIT_S)):
             while isinstance(decision, Barred) and decision.is_temporary:
-                await self.records.changed.wait()
+                with trio.move_on_at(decision.until_s):
+                    await self.records.changed.wait()
                 # The same decision on each change of any record would displace all
                 # other lines.
                 decision = self.check(identity, closed_by, has_run, is_logged=False)
         has_waited = isinstance(decision, Barred) and decision.is_temporary
         return self.check(identity, closed_by, has_run, has_waited)
 
+    async def wait_checked(self, closed_by: list[CheckedServer]) -> None:
+        """Wait until it is known whether the servers of earlier attempts crashed.
+
+        Otherwise the next attempt would begin before this crash counts against the
+        segments of the prompt.
+        """
+        if not closed_by or not self.records.segments.by_digest:
+            return
+        with trio.move_on_after(MAX_CHECK_S):
+            while any(self.detector.is_undecided(state) for state in closed_by):
+                await self.records.changed.wait()
+
     def begin(self, identity: RequestIdentity, decision: Allowed) -> CrashRecord | None:
         """Record that an attempt begins; return the record to pass to `end`."""
+        if decision.is_trial:
+            self.segments.begin_trial(identity)
         record = self.record_of(identity)
         if record is None:
             return None
         self.running[record.digest] += 1
-        if decision.is_trial:
+        if decision.is_trial and record.is_refused:
             record.is_tried = True
             self.record_trial(record)
         return record
@@ -160,26 +212,62 @@
             del self.running[record.digest]
         self.records.signal_change()
 
+    def refusal(self, identity: RequestIdentity) -> Barred | None:
+        """Return the decision on a request with a refused segment, or None."""
+        if not self.segments.is_refused(identity):
+            return None
+        decision = self.segments.check(identity, has_run=True)
+        return decision if isinstance(decision, Barred) else None
+
     async def confirms_end(self, state: CheckedServer) -> bool:
         """Return whether the close of a connection shows the end of its response."""
         return await self.detector.confirms_end(state)
 
-    def record_closed(self, state: CheckedServer, identity: RequestIdentity) -> None:
-        """Record that a server closed the connection of an attempt."""
-        self.detector.record_closed(state, identity)
+    def record_closed(
+        self, state: CheckedServer, identity: RequestIdentity, progress_s: float = 0.0
+    ) -> None:
+        """Record that a server closed the connection of an attempt.
 
-    def record_abandoned(self, state: CheckedServer, identity: RequestIdentity) -> None:
-        """Record that an attempt was cancelled while the server was running it."""
+        Parameters
+        ----------
+        state : CheckedServer
+            The server.
+        identity : RequestIdentity
+            The request.
+        progress_s : float
+            How long the response had been going on, in seconds.
+        """
+        self.detector.record_closed(state, ServerRequest(identity, progress_s))
+
+    def record_abandoned(
+        self, state: CheckedServer, identity: RequestIdentity, progress_s: float = 0.0
+    ) -> None:
+        """Record that an attempt was cancelled; parameters as for `record_closed`."""
+        request = ServerRequest(identity, progress_s)
         if self.record_of(identity) is None:
-            self.detector.record_abandoned(state, identity)
+            self.detector.record_abandoned(state, request)
         else:
-            self.detector.record_closed(state, identity)
+            self.detector.record_closed(state, request)
+
+    @property
+    def watches_progress(self) -> bool:
+        """Whether it matters that responses go on."""
+        return bool(self.records.segments.by_unit)
+
+    def record_progress(self, identity: RequestIdentity, began_s: float) -> None:
+        """Record that a response goes on that began at some time, in trio time."""
+        self.segments.record_progress(identity, began_s)
+
+    def record_confirmed(self, state: CheckedServer, request: ServerRequest) -> None:
+        """Clear a completed request whose server has proved not to have crashed."""
+        self.record_complete(state, request.identity, began_s=request.began_s)
 
     def record_complete(
         self,
         state: CheckedServer,
         identity: RequestIdentity,
         is_closed_by_server: bool = False,
+        began_s: float = -math.inf,
     ) -> None:
         """Clear a request that a server has completed: it does not crash them.
 
@@ -192,10 +280,13 @@
         is_closed_by_server : bool
             Whether the server ended the response with its connection. It may have
             crashed then, so the request is cleared once it has proved not to have.
+        began_s : float
+            When the response began, in trio time.
         """
         if is_closed_by_server:
-            self.detector.record_completed(state, identity)
+            self.detector.record_completed(state, ServerRequest(identity, 0.0, began_s))
             return
+        self.segments.record_progress(identity, began_s, is_complete=True)
         record = self.record_of(identity)
         if record is not None:
             self.clear(record.digest, state.service)
--- a/src/rosemaryknot/request/crash_rules.py
+++ b/src/rosemaryknot/request/crash_rules.py
@@ -7,6 +7,7 @@
 by that crash, and most of them are repeated too.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -93,10 +94,13 @@
         Explanation for people and logs.
     is_temporary : bool
         Whether attempts that are in progress may change the decision soon.
+    until_s : float
+        When it changes in any case, in trio time.
     """
 
     reason: str
     is_temporary: bool = False
+    until_s: float = math.inf
 
 
 CrashRule = Callable[[CrashInput], Allowed | Barred]
@@ -130,9 +134,9 @@
     >>> bar_after_crashes(CrashInput(crashes=2, limit=3))
     Allowed(is_trial=False)
     >>> bar_after_crashes(CrashInput(crashes=2, limit=3, running=1))
-    Barred(reason='2 servers crashed while running it', is_temporary=True)
+    Barred(reason='2 servers crashed while running it', is_temporary=True, until_s=inf)
     >>> bar_after_crashes(CrashInput(crashes=3, limit=3))
-    Barred(reason='3 servers crashed while running it', is_temporary=False)
+    Barred(reason='3 servers crashed while running it', is_temporary=False, until_s=inf)
     """
     reason = f"{inputs.crashes} servers crashed while running it"
     if inputs.crashes < SUSPECT_CRASHES:
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -165,6 +165,21 @@
             elif not reply.is_started:
                 context.deadline_scope.cancel()
 
+    def abort_refused(self) -> None:
+        """Abort requests whose prompt segment is refused from now on.
+
+        Servers may still queue them, and would crash under them later.
+        """
+        for reply, context in self.running.items():
+            is_sent = context.may_have_run and not reply.is_started
+            decision = context.crash_decision
+            if not is_sent or isinstance(decision, Barred) or decision.is_trial:
+                continue
+            decision = self.components.crashes.refusal(context.identity)
+            if decision is not None:
+                context.crash_decision = decision
+                context.deadline_scope.cancel()
+
     # Attempts.
 
     async def run(self, context: RequestContext) -> Completed | Refusal | Broken:
@@ -224,6 +239,7 @@
             reason = "the service that began the stream is not configured any more"
             return self.unresumable_outcome(context, Unresumable(reason))
         context.service = service
+        context.known_identity = None
         context.lowest_priority = configuration.lowest_priority_by_service.get(name, 0)
         context.min_event_gap_s = configuration.min_event_gap_s_by_service.get(
             name, math.inf
@@ -316,6 +332,8 @@
             return Completed(context.reply.status)
         if context.reply.is_started:
             return Broken("the time is over")
+        if isinstance(context.crash_decision, Barred):
+            return self.barred_outcome(context)
         cause = "the node stops" if context.remaining_s() > 0 else "the time is over"
         if context.may_have_run:
             return Refusal(GATEWAY_TIMEOUT, f"{cause}; it may have run")
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -79,6 +79,9 @@
         Whether what the response states of the rate limit was recorded.
     splitter : EventSplitter
         Splits the response into events, if it is a stream.
+    began_s : float
+        When the first event, or the head of another response, arrived, in trio time;
+        infinite before.
     sent_s : float
         When the request was sent, in trio time; infinite before.
     is_confirmed : bool
@@ -102,6 +105,7 @@
         self.limit_version = 0
         self.is_limit_recorded = False
         self.splitter = EventSplitter(context.last_event_id)
+        self.began_s = math.inf
         self.sent_s = math.inf
         self.is_confirmed = False
 
@@ -129,7 +133,9 @@
         try:
             outcome = await self.exchange(connection)
         except BaseException:
-            self.components.crashes.record_abandoned(self.state, context.identity)
+            self.components.crashes.record_abandoned(
+                self.state, context.identity, self.progress_s()
+            )
             with trio.CancelScope(shield=True):
                 await connection.aclose()
             raise
@@ -144,7 +150,10 @@
             self.record_absent_limit(outcome.status)
             if outcome.status < SERVER_ERROR:
                 self.components.crashes.record_complete(
-                    self.state, context.identity, connection.is_closed_by_server
+                    self.state,
+                    context.identity,
+                    connection.is_closed_by_server,
+                    self.began_s,
                 )
             await self.components.pool.release(connection)
             return outcome
@@ -153,10 +162,16 @@
             self.record_path_loss(outcome)
         elif connection.is_closed_by_server and not isinstance(outcome, NotRunThere):
             context.closed_by.append(self.state)
-            self.components.crashes.record_closed(self.state, context.identity)
+            self.components.crashes.record_closed(
+                self.state, context.identity, self.progress_s()
+            )
         await connection.aclose()
         return outcome
 
+    def progress_s(self) -> float:
+        """Return for how long the response has been going on, in seconds."""
+        return max(0.0, trio.current_time() - self.began_s)
+
     def record_path_loss(self, outcome: Lost | Broken) -> None:
         """Record that the path to the server was lost during the attempt.
 
@@ -339,6 +354,7 @@
         if is_stream and head.status < 300 and may_be_event_stream(head):
             return await self.relay_events(connection, head)
         self.record_run()
+        self.began_s = trio.current_time()
         return await self.relay_buffered(connection, head)
 
     async def relay_buffered(
@@ -454,8 +470,11 @@
 
     async def forward_events(self, head: ResponseHead, events: bytes) -> None:
         """Send complete events to the caller."""
-        reply = self.context.reply
+        reply, crashes = self.context.reply, self.components.crashes
         self.record_run()
+        self.began_s = min(self.began_s, trio.current_time())
+        if crashes.watches_progress:
+            crashes.record_progress(self.context.identity, self.began_s)
         if not reply.is_started:
             self.record_first_byte()
             await reply.start(head.status, stream_headers(head))
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -239,7 +239,12 @@
             request = self.request
             head = (request.method, request.host.encode(), request.target)
             self.known_identity = RequestIdentity(
-                request.id, self.customer_name, head, request.body
+                request.id,
+                self.customer_name,
+                head,
+                request.body,
+                self.service.name,
+                request.shared_segments,
             )
         return self.known_identity
 
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -1,6 +1,7 @@
 """Processing of one accepted model request: attempts until there is an outcome."""
 
 import json
+import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from functools import partial
@@ -11,7 +12,7 @@
 from rosemaryknot.connection.engine_client import EngineClient
 from rosemaryknot.connection.engine_frames import Broken, Crossed, Finished, Refused
 from rosemaryknot.process.listed_server import ListedServer
-from rosemaryknot.process.prefix_estimate import Guess
+from rosemaryknot.process.prefix_estimate import Guess, prompt_segments
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.process.server_load import LoadTable
 from rosemaryknot.process.servers import ServerTable
@@ -119,6 +120,7 @@
         self.components = components
         self.closed_by: list[ListedServer] = []
         self.identity = identity_of(generation)
+        self.began_s = math.inf
         self.permit: Permit | None = None
 
     async def run(self) -> None:
@@ -198,18 +200,28 @@
         if crashes is None:
             return await self.stream(attempt)
         record = crashes.begin(self.identity, decision)
+        self.began_s = math.inf
+        attempt.on_tokens = self.record_progress
         try:
             end = await self.stream(attempt)
         finally:
             crashes.end(record)
         listed = ListedServer(attempt.server, self.components.servers)
         if isinstance(end, Finished):
-            crashes.record_complete(listed, self.identity)
+            crashes.record_complete(listed, self.identity, began_s=self.began_s)
         elif isinstance(end, Broken) and end.sent:
             self.closed_by.append(listed)
-            crashes.record_closed(listed, self.identity)
+            progress_s = max(0.0, trio.current_time() - self.began_s)
+            crashes.record_closed(listed, self.identity, progress_s)
         return end
 
+    def record_progress(self) -> None:
+        """Record that tokens of the current attempt have arrived."""
+        self.began_s = min(self.began_s, trio.current_time())
+        crashes = self.components.crashes
+        if crashes.watches_progress:
+            crashes.record_progress(self.identity, self.began_s)
+
     async def determined_server(self) -> BackendServer | None:
         """Return the server that is already determined, unless its limit is reached."""
         context, limits = self.request_context, self.components.limits
@@ -458,4 +470,6 @@
         request.customer,
         (request.service.encode(),),
         json.dumps(request.body, sort_keys=True, default=str).encode(),
+        request.service,
+        partial(prompt_segments, request.messages),
     )
--- /dev/null
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -0,0 +1,204 @@
+"""Applies the rules on prompt segments that are suspected of crashing servers."""
+
+import math
+from collections.abc import Callable
+
+import trio
+
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.segment_records import (
+    OBSERVATION_S,
+    SegmentRecord,
+    SegmentRecords,
+)
+from rosemaryknot.process.segment_suspicions import Suspicion
+from rosemaryknot.request.crash_rules import Allowed, Barred
+from rosemaryknot.request.segment_rules import SEGMENT_RULES, SegmentInput
+from rosemaryknot.values.request_identity import RequestIdentity, SegmentUnit
+
+__all__ = ["SegmentGuard"]
+
+SEGMENT_RULE = "observed"
+# How long a request that may be a trial has to begin; others are refused meanwhile.
+TRIAL_START_S = 1.0
+
+log = logger("crashes")
+
+
+class SegmentGuard:
+    """Decides on requests by the segments of their prompts.
+
+    Parameters
+    ----------
+    records : SegmentRecords
+        Crashes by segment.
+    clear : callable
+        Clears the record with a digest of crashes of some servers, at all nodes.
+    is_trial_node : callable
+        Returns whether this node makes the trials of a segment, by its digest.
+    record_trial : callable
+        Shares that the segment of a record has a trial.
+
+    Attributes
+    ----------
+    reserved : dict of bytes to float
+        Until when a request that may be the trial of a segment has to begin, in trio
+        time.
+    decide : callable
+        Rule in use; one of `SEGMENT_RULES`.
+    """
+
+    def __init__(
+        self,
+        records: SegmentRecords,
+        clear: Callable[[bytes, set[str]], object],
+        is_trial_node: Callable[[bytes], bool],
+        record_trial: Callable[[SegmentRecord], None],
+    ) -> None:
+        self.records = records
+        self.clear = clear
+        self.is_trial_node = is_trial_node
+        self.record_trial = record_trial
+        self.reserved: dict[bytes, float] = {}
+        self.decide = SEGMENT_RULES[SEGMENT_RULE]
+
+    def suspicions(
+        self, identity: RequestIdentity
+    ) -> list[tuple[SegmentUnit, Suspicion]]:
+        """Return what is suspected of the segments of a request."""
+        if not self.records.by_digest:
+            return []
+        now_s = trio.current_time()
+        found = ((u, self.records.suspicion(u.digest, now_s)) for u in identity.units)
+        return [(unit, suspicion) for unit, suspicion in found if suspicion is not None]
+
+    def check(
+        self, identity: RequestIdentity, has_run: bool, is_logged: bool = True
+    ) -> Allowed | Barred:
+        """Decide whether a request may be attempted.
+
+        Parameters
+        ----------
+        identity : RequestIdentity
+            The request.
+        has_run : bool
+            Whether an earlier attempt may have run.
+        is_logged : bool
+            Whether to log the decision if it differs from that on other requests.
+        """
+        customer = identity.customer
+        found = self.suspicions(identity)
+        if not found:
+            return Allowed()
+        refused = [(u, s) for u, s in found if s.refuses(customer)]
+        candidates = refused or found
+        unit, worst = max(
+            candidates, key=lambda pair: (pair[1].count_for(customer), pair[0].digest)
+        )
+        inputs = SegmentInput(
+            unit.segment,
+            worst.count_for(customer),
+            bool(refused),
+            worst.since_s + OBSERVATION_S,
+            len(refused),
+            has_run,
+        )
+        if refused:
+            self.describe_trials(inputs, unit, worst)
+        decision = self.decide(inputs)
+        if isinstance(decision, Allowed) and decision.is_trial:
+            self.reserved[unit.digest] = trio.current_time() + TRIAL_START_S
+        if is_logged and (isinstance(decision, Barred) or decision.is_trial):
+            log_decision(identity, inputs, worst, decision)
+        return decision
+
+    def describe_trials(
+        self, inputs: SegmentInput, unit: SegmentUnit, suspicion: Suspicion
+    ) -> None:
+        """Add to the input what decides on a trial."""
+        records = self.records.by_unit.get(unit.digest, {}).values()
+        last_s = max([suspicion.last_crash_s, *(r.tried_s for r in records)])
+        inputs.trials = max((record.trials for record in records), default=0)
+        inputs.idle_s = trio.current_time() - last_s
+        inputs.is_trial_node = self.is_trial_node(unit.digest)
+        inputs.is_reserved = self.is_reserved(unit.digest)
+        inputs.is_shadowed = self.records.is_shadowed(unit.digest)
+
+    def is_reserved(self, unit: bytes) -> bool:
+        """Return whether a request at this node may be about to begin the trial."""
+        until_s = self.reserved.get(unit)
+        if until_s is None:
+            return False
+        if trio.current_time() < until_s:
+            return True
+        del self.reserved[unit]
+        return False
+
+    def is_refused(self, identity: RequestIdentity) -> bool:
+        """Return whether a segment of the request is refused."""
+        customer = identity.customer
+        return any(s.refuses(customer) for _, s in self.suspicions(identity))
+
+    def begin_trial(self, identity: RequestIdentity) -> None:
+        """Record that a request is the trial of its refused segments."""
+        now_s = trio.current_time()
+        for unit, suspicion in self.suspicions(identity):
+            if not suspicion.refuses(identity.customer):
+                continue
+            for record in self.records.by_unit.get(unit.digest, {}).values():
+                record.trials += 1
+                record.tried_s = now_s
+                self.record_trial(record)
+
+    def record_progress(
+        self, identity: RequestIdentity, began_s: float, is_complete: bool = False
+    ) -> None:
+        """Clear the segments of a response that goes on, or is complete.
+
+        Parameters
+        ----------
+        identity : RequestIdentity
+            The request.
+        began_s : float
+            When the response began, in trio time.
+        is_complete : bool
+            Whether it is complete.
+        """
+        if not self.records.by_unit:
+            return
+        progress_s = math.inf if is_complete else trio.current_time() - began_s
+        for unit in identity.units:
+            records = self.records.by_unit.get(unit.digest)
+            if records is None:
+                continue
+            for record in list(records.values()):
+                servers = self.records.survived_servers(record, began_s, progress_s)
+                if servers:
+                    self.clear(record.digest, servers)
+
+
+def log_decision(
+    identity: RequestIdentity,
+    inputs: SegmentInput,
+    suspicion: Suspicion,
+    decision: Allowed | Barred,
+) -> None:
+    """Log a decision that differs from that on an ordinary request."""
+    log.info(
+        "trial of a refused prompt segment"
+        if isinstance(decision, Allowed)
+        else "request barred by a prompt segment",
+        request=identity.request_id,
+        segment=inputs.segment,
+        customer=identity.customer,
+        crashes=inputs.crashes,
+        servers=sorted(suspicion.crashes),
+        is_refused=inputs.is_refused,
+        is_common=suspicion.is_common,
+        suspected_s=round(trio.current_time() - suspicion.since_s, 3)
+        if suspicion.is_suspected
+        else 0.0,
+        trials=inputs.trials,
+        idle_s=round(inputs.idle_s, 3),
+        has_run=inputs.has_run,
+    )
--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -45,6 +45,8 @@
 MAX_CRASHES = 3
 CRASH_NOTICE_S = 3.0
 MAX_RUNS_AFTER_NOTICE = 3
+# The same for a prompt segment, whose requests differ.
+MAX_SEGMENT_CRASHES = 5
 # First attempts at nodes that are cut off from all servers may be served this share as
 # often as those at the others, or fail up to the number and share.
 MIN_CUT_OFF_SHARE = 2 / 3
@@ -131,6 +133,8 @@
         Path and body, which are the same for each repeat of a request.
     crashed_s : float or None
         When the request crashed the server, in trio time.
+    crashing_segments : tuple of str
+        Segments of its prompt that crash servers.
     """
 
     server: str
@@ -138,6 +142,7 @@
     timestamp_s: float
     content: str = ""
     crashed_s: float | None = None
+    crashing_segments: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -472,12 +477,31 @@
     arrivals_by_content = defaultdict(list)
     for arrival in observations.server_requests:
         arrivals_by_content[arrival.content].append(arrival)
+    yield from late_runs(observations, arrivals_by_content, MAX_CRASHES)
+
+
+@invariant("crashing_segments_are_refused")
+def crashing_segments_are_refused(observations: Observations) -> Iterable[str]:
+    """Find prompt segments that reach servers although they have crashed several."""
+    arrivals_by_segment = defaultdict(list)
+    for arrival in observations.server_requests:
+        for segment in arrival.crashing_segments:
+            arrivals_by_segment[f"segment {segment}"].append(arrival)
+    yield from late_runs(observations, arrivals_by_segment, MAX_SEGMENT_CRASHES)
+
+
+def late_runs(
+    observations: Observations,
+    arrivals_by_cause: dict[str, list[ServerRequest]],
+    max_crashes: int,
+) -> Iterable[str]:
+    """Find causes that reach servers after all nodes had time to learn of them."""
     request_by_id = {request.id: request for request in observations.caller_requests}
-    for content, arrivals in arrivals_by_content.items():
+    for cause, arrivals in arrivals_by_cause.items():
         crashes = sorted(a.crashed_s for a in arrivals if a.crashed_s is not None)
-        if len(crashes) < MAX_CRASHES:
+        if len(crashes) < max_crashes:
             continue
-        known_s = crashes[MAX_CRASHES - 1] + CRASH_NOTICE_S
+        known_s = crashes[max_crashes - 1] + CRASH_NOTICE_S
         late = [
             a
             for a in arrivals
@@ -487,7 +511,7 @@
             )
         ]
         if len(late) > MAX_RUNS_AFTER_NOTICE:
-            yield f"{content} reached servers {len(late)} times after {known_s:.2f} s"
+            yield f"{cause} reached servers {len(late)} times after {known_s:.2f} s"
 
 
 @invariant("server_limits_are_kept")
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -31,7 +31,11 @@
     draw_versions,
 )
 from rosemaryknot.standin.users.resuming_callers import ResumingCaller
-from rosemaryknot.standin.users.servers import CRASHING_BODY, EVENT_TOKENS
+from rosemaryknot.standin.users.servers import (
+    CRASHING_BODY,
+    CRASHING_SEGMENT,
+    EVENT_TOKENS,
+)
 from rosemaryknot.standin.users.system import (
     MODEL_HEADERS,
     PlatformSystem,
@@ -79,6 +83,9 @@
         Requests per second on routes that configuration changes add and drop.
     crashing_per_s : float
         Repeats per second of a request that crashes each model server that runs it.
+    crashing_segments_per_s : float
+        Requests per second with a prompt segment that crashes each model server, no two
+        of them alike.
     link_bytes_per_s : float
         Bandwidth of each node's link; 0 for no limit.
     older_share : float
@@ -99,6 +106,7 @@
     )
     added_per_s: float = 4.0
     crashing_per_s: float = 0.0
+    crashing_segments_per_s: float = 0.0
     link_bytes_per_s: float = 0.0
     older_share: float = 0.0
     resuming_per_s: float = 0.0
@@ -155,6 +163,10 @@
         )
         if play.resuming_per_s:
             nursery.start_soon(request_streams, system, play, observations, nursery)
+        if play.crashing_segments_per_s:
+            nursery.start_soon(
+                request_crashing_segments, system, play, observations, nursery
+            )
         if play.crashing_per_s:
             nursery.start_soon(repeat_crashing, system, play, observations, nursery)
         while trio.current_time() < end_s:
@@ -207,6 +219,30 @@
         number += 1
 
 
+async def request_crashing_segments(
+    system: PlatformSystem,
+    play: Play,
+    observations: Observations,
+    nursery: trio.Nursery,
+) -> None:
+    """Send requests with a segment that crashes servers, at any node."""
+    # A generator of its own: the other requests of a seed stay the same.
+    rng = random.Random(f"segments {play.crashing_segments_per_s}")
+    end_s = trio.current_time() + play.length_s
+    number = 0
+    while trio.current_time() < end_s:
+        await trio.sleep(rng.expovariate(play.crashing_segments_per_s))
+        node = rng.choice(list(system.nodes))
+        name = f"segment-{number}"
+        request = new_request("ask", name, node, f"/ask/{name}")
+        segments = ["aa:400", f"{CRASHING_SEGMENT}:300"]
+        rng.shuffle(segments)
+        prompt = ",".join([*segments, f"own{number}:300"])
+        headers = {"Rosemaryknot-Prefix-Hash": prompt}
+        nursery.start_soon(ask, system, request, observations, b"", headers)
+        number += 1
+
+
 async def request_streams(
     system: PlatformSystem,
     play: Play,
@@ -270,11 +306,13 @@
     request: CallerRequest,
     observations: Observations,
     body: bytes = b"",
+    more_headers: dict[str, str] | None = None,
 ) -> None:
     """Send a request and record its response."""
     observations.caller_requests.append(request)
     request.sent_s = request.ended_s = trio.current_time()
     headers = MODEL_HEADERS if request.kind == "stream" else {}
+    headers = headers | (more_headers or {})
     method = "GET" if request.path.startswith("/stock/") else "POST"
     try:
         answer = await system.ask(
@@ -344,6 +382,7 @@
                     arrival.timestamp_s,
                     f"{arrival.request.path} {arrival.request.body.decode('latin-1')}",
                     arrival.crashed_s,
+                    tuple(arrival.crashing_segments),
                 )
             )
     observations.object_changes = system.store.object_changes
@@ -362,6 +401,7 @@
     has_cuts: bool = False,
     has_ends: bool = False,
     has_versions: bool = False,
+    crashing_segments_per_s: float = 0.0,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -374,6 +414,7 @@
         play.faults.append(draw_changes(rng))
     play.link_bytes_per_s = rng.choice((0.0, SLOW_LINK_BYTES_PER_S))
     play.crashing_per_s = crashing_per_s
+    play.crashing_segments_per_s = crashing_segments_per_s
     if has_limits:
         play.faults += draw_limits(random.Random(f"limits {seed}"))
     if has_cuts:
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -188,6 +188,8 @@
         which its responses state.
     room : float
         Requests that it accepts at once.
+    crashing : set of str
+        Ids of further segments that crash it.
     crash_events : int
         Events that it sends before a segment of a prompt crashes it.
     crash : callable
@@ -218,6 +220,7 @@
         self.room = math.inf
         self.active = 0
         self.turned_away: deque[tuple[float, str]] = deque()
+        self.crashing: set[str] = set()
         self.crash_events = 0
         self.crash: Callable[[], None] = lambda: None
         self.end_process: Callable[[], None] = lambda: None
@@ -285,7 +288,8 @@
         if arrival.request.body.startswith(CRASHING_BODY):
             await self.run_until_crash(arrival, wire)
             return
-        if self.is_model and arrival.crashing_segments:
+        segments = self.crashing.intersection(arrival.segments)
+        if self.is_model and (segments or arrival.crashing_segments):
             await self.write_until_crash(arrival, wire)
             return
         fault = self.faults.popleft() if self.faults else ""
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -387,7 +387,7 @@
         server = ServerStandIn(server_id, old.is_model, old.work_s, self.ledger)
         server.entry = old.entry | {"state": "ready", "sequence": 1}
         server.brittle, server.room = old.brittle, old.room
-        server.crash_events = old.crash_events
+        server.crashing, server.crash_events = old.crashing, old.crash_events
         if "born" in old.entry:
             server.entry["born"] = max(now_ms(), old.entry["born"] + 1)
         if version is not None:
--- a/src/rosemaryknot/values/gateway.py
+++ b/src/rosemaryknot/values/gateway.py
@@ -393,3 +393,9 @@
     size: ModelInput | None = None
     last_event_id: bytes | None = None
     resumes: str | None = None
+
+    def shared_segments(self) -> list[str]:
+        """Return the ids of the prompt segments that other requests may share."""
+        if self.size is None:
+            return []
+        return [segment.id for segment in self.size.segments[:-1]]
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -205,12 +205,18 @@
         no longer count against it.
     is_forwarded : bool
         Whether a relay has forwarded the notice to the nodes of its zone.
+    segments : list of list
+        For each segment of prompts: its digest, the customer, its id, its crashes (each
+        with server incarnation, service, age, duration of the response and digests of
+        requests), the number of its trials, the time since the last one and whether it
+        is stored. Times are in seconds.
     """
 
     kind: ClassVar[str]
     records: list = field(default_factory=list)
     cleared: list = field(default_factory=list)
     is_forwarded: bool = False
+    segments: list = field(default_factory=list)
 
 
 @message("hub_report")
--- a/src/rosemaryknot/values/request_identity.py
+++ b/src/rosemaryknot/values/request_identity.py
@@ -1,14 +1,57 @@
 """Identity of a request that a caller may send again under another request id."""
 
+from collections.abc import Callable, Iterable
 from hashlib import blake2b
 
 import xxhash
 
-__all__ = ["LONG_BODY_BYTES", "RequestIdentity"]
+__all__ = [
+    "LONG_BODY_BYTES",
+    "RequestIdentity",
+    "SegmentUnit",
+    "digest_of_segment",
+    "is_segment_digest",
+]
 
 # Hashing a longer body takes more than 40 us, so it is done only if it is needed.
 LONG_BODY_BYTES = 1_048_576
 CUSTOMER_DIGEST_BYTES = 8
+SEGMENT_DIGEST_BYTES = 16
+# First byte of the digest of a customer's segment, which is longer than a request's.
+SEGMENT_MARK = b"s"
+# Segments of a prompt that are told apart; the first ones are shared most.
+MAX_SEGMENTS = 64
+
+
+class SegmentUnit:
+    """Prompt segment that requests to a service share.
+
+    Parameters
+    ----------
+    service : str
+        Service that runs the requests.
+    segment : str
+        Id of the segment.
+
+    Attributes
+    ----------
+    digest : bytes
+        Digest of both. It is cryptographic: no customer can name a segment that has the
+        digest of another one.
+    """
+
+    __slots__ = ("digest", "segment")
+
+    def __init__(self, service: str, segment: str) -> None:
+        self.segment = segment
+        # The length keeps the two parts apart.
+        content = f"{len(service)} {service} {segment}".encode()
+        self.digest = blake2b(content, digest_size=SEGMENT_DIGEST_BYTES).digest()
+
+
+def no_segments() -> Iterable[str]:
+    """Return the segments of a request without a prompt."""
+    return ()
 
 
 class RequestIdentity:
@@ -27,6 +70,11 @@
         What the request asks for, such as its method, host and target.
     body : bytes
         Its body.
+    service : str
+        Service that runs it.
+    list_segments : callable
+        Returns the ids of the prompt segments that other requests may share. It is
+        called only once servers have crashed.
 
     Examples
     --------
@@ -37,16 +85,34 @@
     False
     """
 
-    __slots__ = ("body", "customer", "head", "known_digest", "request_id")
+    __slots__ = (
+        "body",
+        "customer",
+        "head",
+        "known_digest",
+        "known_units",
+        "list_segments",
+        "request_id",
+        "service",
+    )
 
     def __init__(
-        self, request_id: str, customer: str, head: tuple[bytes, ...], body: bytes
+        self,
+        request_id: str,
+        customer: str,
+        head: tuple[bytes, ...],
+        body: bytes,
+        service: str = "",
+        list_segments: Callable[[], Iterable[str]] = no_segments,
     ) -> None:
         self.request_id = request_id
         self.customer = customer
         self.head = head
         self.body = body
+        self.service = service
+        self.list_segments = list_segments
         self.known_digest: bytes | None = None
+        self.known_units: list[SegmentUnit] | None = None
 
     @property
     def digest(self) -> bytes:
@@ -68,5 +134,36 @@
             content.update(len(part).to_bytes(4, "big"))
             content.update(part)
         content.update(self.body)
-        customer = blake2b(self.customer.encode(), digest_size=CUSTOMER_DIGEST_BYTES)
-        return customer.digest() + content.digest()
+        return customer_digest(self.customer) + content.digest()
+
+    @property
+    def units(self) -> list[SegmentUnit]:
+        """Prompt segments that other requests may share; computed once."""
+        if self.known_units is None:
+            segments = list(dict.fromkeys(self.list_segments()))[:MAX_SEGMENTS]
+            self.known_units = [SegmentUnit(self.service, s) for s in segments]
+        return self.known_units
+
+
+def digest_of_segment(customer: str, unit: bytes) -> bytes:
+    """Return the digest of a segment in the requests of one customer."""
+    return SEGMENT_MARK + customer_digest(customer) + unit
+
+
+def is_segment_digest(digest: bytes) -> bool:
+    """Return whether a digest is that of a segment and not of a request.
+
+    Examples
+    --------
+    >>> is_segment_digest(digest_of_segment("ada", SegmentUnit("s", "5c1e").digest))
+    True
+    >>> is_segment_digest(RequestIdentity("1", "ada", (b"POST",), b"").digest)
+    False
+    """
+    size = len(SEGMENT_MARK) + CUSTOMER_DIGEST_BYTES + SEGMENT_DIGEST_BYTES
+    return len(digest) == size
+
+
+def customer_digest(customer: str) -> bytes:
+    """Return the digest of a customer's name."""
+    return blake2b(customer.encode(), digest_size=CUSTOMER_DIGEST_BYTES).digest()
--- a/tests/gateway/test_crashing_segments.py
+++ b/tests/gateway/test_crashing_segments.py
@@ -10,14 +10,18 @@
 import pytest
 import trio
 
+from rosemaryknot.process.crash_store import KIND, RELEASE_CHECK_INTERVAL_S
+from rosemaryknot.process.segment_records import FORGET_S
 from rosemaryknot.standin.users.servers import CRASHING_SEGMENT
 from rosemaryknot.standin.users.system import (
     KEY,
     document,
     platform_system,
 )
+from rosemaryknot.values.request_identity import is_segment_digest
 
 OK = 200
+REFUSED = 503
 # Crashes after which all nodes have to know of the segment, and within what time.
 MAX_CRASHES = 5
 NOTICE_S = 3.0
@@ -240,3 +244,243 @@
             late = load.late_arrivals(CRASHING_SEGMENT)
             assert len(late) <= MAX_LATE_ARRIVALS
             assert load.served_share() >= MIN_SERVED_SHARE
+
+
+class TestSoundSegments:
+    """Segments that are not the cause are served, before and after."""
+
+    async def test_servers_crash_for_another_reason(self, autojump_clock):
+        """A server each half second ends, with all requests that run there."""
+        async with platform_system(nodes=6, models=12) as fleet:
+            load = Load(fleet, crashing_per_s=0, length_s=16.0)
+
+            async def crash_servers():
+                models = [s for s in fleet.servers if s.startswith("m")]
+                for _ in range(24):
+                    await trio.sleep(0.5)
+                    fleet.nursery.start_soon(
+                        fleet.crash_server, load.rng.choice(models)
+                    )
+
+            await load.play(crash_servers)
+            refused = [a for a in load.asked if b"segment" in a.body]
+            served = sum(a.is_served for a in load.asked) / len(load.asked)
+            assert not refused
+            assert served >= MIN_SERVED_SHARE
+
+    async def test_customer_names_segments_of_another(self, autojump_clock):
+        """One customer's requests crash servers and name a segment that another uses.
+
+        The other uses it rarely, so that few responses show that it is sound.
+        """
+        names = ("ada", "bob")
+        async with platform_system(
+            nodes=3, models=8, configuration=customers_document(names=names)
+        ) as fleet:
+            load = Load(fleet, sound_per_s=10.0, crashing_per_s=0, length_s=20.0)
+            answers = []
+
+            async def crash():
+                for number in range(40):
+                    segments = ["c0", "victim", f"dead{number}", f"own{number}"]
+                    await load.ask(f"bad{number}", segments, customer="ada")
+                    await trio.sleep(0.4)
+
+            async def ask_victim():
+                for number in range(8):
+                    await trio.sleep(2.0)
+                    segments = ["a1", "victim", f"mine{number}"]
+                    answer = await load.ask(f"v{number}", segments, customer="bob")
+                    answers.append(answer.status)
+
+            await load.play(crash, ask_victim)
+            assert answers == [OK] * 8
+
+    async def test_segment_that_always_comes_with_the_cause(self, autojump_clock):
+        """Their crashes are the same; sound requests with the one are rare."""
+        async with platform_system(nodes=3, models=8) as fleet:
+            load = Load(fleet, sound_per_s=10.0, crashing_per_s=0, length_s=24.0)
+            answers = []
+
+            async def crash():
+                for number in range(20):
+                    segments = ["rare", CRASHING_SEGMENT, f"own{number}"]
+                    await load.ask(f"bad{number}", segments)
+                    await trio.sleep(1.0)
+
+            async def ask_rare():
+                await trio.sleep(4.0)
+                for number in range(16):
+                    await trio.sleep(1.0)
+                    answer = await load.ask(f"rare{number}", ["rare", f"o{number}"])
+                    answers.append(answer.status)
+
+            await load.play(crash, ask_rare)
+            assert answers.count(OK) >= 14
+            assert answers[-10:] == [OK] * 10
+            assert len(load.late_arrivals(CRASHING_SEGMENT)) <= MAX_LATE_ARRIVALS
+
+    async def test_rack_takes_all_servers(self, autojump_clock):
+        """All servers end in one moment, so that no response is left to go on."""
+        async with platform_system(nodes=3, models=4) as fleet:
+            load = Load(fleet, crashing_per_s=0, length_s=12.0)
+
+            async def crash_all():
+                await trio.sleep(4.0)
+                for name in list(fleet.servers):
+                    if name.startswith("m"):
+                        fleet.nursery.start_soon(fleet.crash_server, name)
+
+            await load.play(crash_all)
+            late = [a for a in load.asked if a.sent_s > load.started_s + 7.0]
+            assert not [a for a in load.asked if b"segment" in a.body]
+            assert all(asked.is_served for asked in late)
+
+
+class TestChanges:
+    """A segment begins to crash servers, or does not any more."""
+
+    async def test_sound_until_now(self, autojump_clock):
+        """A popular segment has completed thousands of times before."""
+        async with platform_system(nodes=6, models=12) as fleet:
+            load = Load(fleet, crashing_per_s=0, length_s=24.0)
+
+            async def begin():
+                await trio.sleep(6.0)
+                for server in fleet.servers.values():
+                    server.crashing = {"a0"}
+
+            await load.play(begin)
+            assert len(load.late_arrivals("a0")) <= MAX_LATE_ARRIVALS
+            assert load.served_share("a1") >= MIN_SERVED_SHARE
+
+    async def test_mended(self, autojump_clock):
+        """Servers do not crash any more: a trial shows that, and all are served."""
+        async with platform_system(nodes=3, models=12) as fleet:
+            for server in fleet.servers.values():
+                server.crashing = {"a0"}
+            load = Load(fleet, crashing_per_s=0, length_s=60.0, sound_per_s=10.0)
+
+            async def mend():
+                await trio.sleep(6.0)
+                for server in fleet.servers.values():
+                    server.crashing = set()
+
+            await load.play(mend)
+            late = [a for a in load.asked if a.sent_s > load.started_s + 50.0]
+            assert all(asked.is_served for asked in late)
+            assert not fleet.store.objects[KIND]
+
+    async def test_nothing_is_left_in_the_end(self, autojump_clock):
+        """Nobody sends the segment any more."""
+        async with platform_system(nodes=2, models=6) as fleet:
+            await crash_with_segment(fleet)
+            assert fleet.store.objects[KIND]
+            await trio.sleep(FORGET_S + 60.0)
+            assert not [n for n in fleet.store.objects[KIND] if is_segment_name(n)]
+            for node in fleet.nodes.values():
+                assert not node.crash_records.segments.by_digest
+
+
+class TestMemory:
+    """What the nodes know of a segment outlives each of them."""
+
+    async def test_all_nodes_lose_power(self, autojump_clock):
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_with_segment(fleet)
+            for name in list(fleet.nodes):
+                fleet.kill(name)
+            await trio.sleep(1.0)
+            for number in range(3):
+                await fleet.add_node(number, is_first_start=False)
+            await trio.sleep(1.0)
+            for name in fleet.nodes:
+                answer = await ask_segment(fleet, f"after-{name}", name)
+                assert answer.status == REFUSED
+
+    async def test_node_that_was_partitioned(self, autojump_clock):
+        """A node is cut off from the others, but not from the servers and the store."""
+        async with platform_system(nodes=3, models=6) as fleet:
+            for number in (1, 2):
+                fleet.network.cut("10.2.0.3", f"10.2.0.{number}")
+            await trio.sleep(5)
+            await crash_with_segment(fleet)
+            await trio.sleep(NOTICE_S)
+            before = len(crash_times(fleet))
+            for number in range(10):
+                await ask_segment(fleet, f"cut{number}", "n2")
+                await trio.sleep(0.5)
+            # One trial is due in this time.
+            assert len(crash_times(fleet)) - before <= 1
+
+    async def test_store_calls_for_one_segment(self, autojump_clock):
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_with_segment(fleet)
+            for number in range(30):
+                await ask_segment(fleet, f"c{number}", f"n{number % 3}")
+                await trio.sleep(1)
+            calls = [c for c in fleet.store.calls if KIND in c.path]
+            writes = [c for c in calls if c.method != "GET"]
+            objects = fleet.store.objects[KIND]
+            assert len([n for n in objects if is_segment_name(n)]) == 1
+            # One for the segment, two for its trials, one for the first request.
+            assert len(writes) <= 4
+
+    async def test_operator_releases_it(self, autojump_clock):
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_with_segment(fleet)
+            for name in list(fleet.store.objects[KIND]):
+                fleet.store.remove(KIND, name)
+            await trio.sleep(RELEASE_CHECK_INTERVAL_S + 2)
+            before = len(crash_times(fleet))
+            await ask_segment(fleet, "released", "n1")
+            assert len(crash_times(fleet)) > before
+
+
+class TestRefusal:
+    async def test_refused_at_once(self, autojump_clock, info_lines):
+        """The caller is not invited to come back soon, and the log names the cause."""
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_with_segment(fleet)
+            answer = await ask_segment(fleet, "late", "n2")
+            assert answer.status == REFUSED and answer.took_s < 0.1
+            assert float(answer.headers["retry-after"]) >= RELEASE_CHECK_INTERVAL_S
+            assert fleet.ledger.runs_of("late") == 0
+            [line] = [e for e in info_lines if e.get("request") == "late"][:1]
+            assert line["segment"] == CRASHING_SEGMENT
+            assert len(line["servers"]) >= 3
+
+    async def test_queued_requests_are_cancelled(self, autojump_clock):
+        """Requests that servers have not begun when the segment becomes refused."""
+        async with platform_system(nodes=3, models=9) as fleet:
+            for number in range(5, 9):
+                fleet.servers[f"m{number}"].work_s = 2.5
+            async with trio.open_nursery() as nursery:
+                for number in range(9):
+                    nursery.start_soon(ask_segment, fleet, f"q{number}", "n1")
+                    await trio.sleep(0.15)
+                with trio.fail_after(4.0):
+                    await trio.sleep(3.0)
+            slow = [f"m{number}" for number in range(5, 9)]
+            arrivals = [a for a in fleet.ledger.arrivals if a.server in slow]
+            assert arrivals
+            assert not [a for a in arrivals if a.crashed_s is not None]
+
+
+async def ask_segment(fleet, name, node="n0"):
+    segments = [f"c-{name}", CRASHING_SEGMENT, name]
+    return await fleet.ask(
+        "/ask/x", node, request_id=name, body=name.encode(), **headers_of(segments)
+    )
+
+
+async def crash_with_segment(fleet):
+    """Crash servers until the segment is refused."""
+    for number in range(3):
+        await ask_segment(fleet, f"first{number}", f"n{number % 2}")
+        await trio.sleep(0.2)
+    await trio.sleep(1.0)
+
+
+def is_segment_name(name):
+    return is_segment_digest(bytes.fromhex(name))
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -78,6 +78,15 @@
     )
 
 
+def segment_crashes(count):
+    """Return different requests with one segment, each of which crashes a server."""
+    observations = crashes(count)
+    for number, arrival in enumerate(observations.server_requests):
+        arrival.content = f"/ask/{number}"
+        arrival.crashing_segments = ("dead",)
+    return observations
+
+
 def limited(per_s, limit="2"):
     """Return requests that reach a server which states a limit from 1 s on."""
     times = [1.0 + number / per_s for number in range(round(10 * per_s))]
@@ -139,6 +148,14 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_CRASHES)
+    @pytest.mark.parametrize("segments_per_s", [0.5, 3.0])
+    def test_random_faults_and_crashing_segment(self, seed, segments_per_s):
+        play = random_play(seed, crashing_segments_per_s=segments_per_s)
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     @pytest.mark.parametrize("seed", SEEDS_WITH_LIMITS)
     def test_random_faults_and_limited_servers(self, seed):
         play = random_play(seed, crashing_per_s=seed % 2, has_limits=True)
@@ -254,6 +271,7 @@
             ("configuration_in_force", seen_at(200, "/old/x")),
             ("leaving_get_nothing", seen_at(200, "/new/x", "p0")),
             ("crashing_requests_are_refused", crashes(9)),
+            ("crashing_segments_are_refused", segment_crashes(11)),
             ("others_are_served", refused_after_completion()),
             ("server_limits_are_kept", limited(per_s=4.5)),
             ("cut_off_nodes_serve", cut_off(failed=40)),
@@ -267,7 +285,9 @@
         violations = audit(short_bodies())
         assert {v.invariant for v in violations} == {"in_order", "cut_off_nodes_serve"}
 
-    @pytest.mark.parametrize("observations", [crashes(8), crashes(20, 0.1)])
+    @pytest.mark.parametrize(
+        "observations", [crashes(8), crashes(20, 0.1), segment_crashes(10)]
+    )
     def test_few_crashes_or_before_notice(self, observations):
         assert not audit(observations)
 
--- a/tests/process/test_crashing_requests.py
+++ b/tests/process/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 from tests.process.entry_fleet import MODEL, Fleet, booking, chat
 from tests.process.standby_fleet import run_scenario
@@ -12,19 +13,41 @@
 # A prompt that is recognized by its length.
 CRASHING = " ".join(["crash"] * 36)
 CRASHING_TOKENS = 37
+# A message that is recognized by its length, in a conversation with others.
+CRASHING_MESSAGE_TOKENS = 100
+CRASHING_MESSAGE = " ".join(["crash"] * 120)
 MAX_CRASHES = 3
+# An accepted generation is attempted until three servers have crashed under it, and
+# three different ones show that a message that they share is the cause; then there is
+# a trial.
+MAX_MESSAGE_CRASHES = 2 * MAX_CRASHES + 2
 SOON_S = 0.5
 STEP_S = 0.001
 
 
 def runs_crashing(engine):
-    """Return whether an engine has begun to run the request that crashes it."""
+    """Return whether an engine has begun to run a request that crashes it."""
     return any(
-        generation.entry.prompt_tokens == CRASHING_TOKENS and generation.offset
+        is_crashing(generation.entry.prompt_tokens) and generation.offset
         for generation in engine.batch.generations.values()
     )
 
 
+def is_crashing(tokens):
+    return tokens == CRASHING_TOKENS or tokens > CRASHING_MESSAGE_TOKENS
+
+
+def conversation(*texts):
+    """Return a request with some messages, of which the last one is its own."""
+    messages = [{"role": "user", "content": text} for text in texts]
+    return chat(stream=False) | {"messages": messages}
+
+
+async def ask_conversation(client, *texts):
+    body = conversation(*texts)
+    return await client.post("/v1/chat/completions", json=body)
+
+
 class Crashes:
     """Crashes engines that run the request, and counts them."""
 
@@ -118,6 +141,64 @@
             assert answers[0].status_code == 200
 
 
+class TestMessages:
+    """Conversations that share one message crash engines, and no two are alike."""
+
+    @pytest.mark.parametrize("position", [0, 1])
+    async def test_refused_after_three_conversations(self, autojump_clock, position):
+        async with fleet_with_crashes(12, entries=1) as (fleet, crashes):
+            answers = []
+
+            async def ask_sound(client):
+                for number in range(80):
+                    texts = ("system", f"document {number % 3}", f"question {number}")
+                    answers.append(await ask_conversation(client, *texts))
+                    await trio.sleep(0.2)
+
+            async with fleet.caller() as client, trio.open_nursery() as nursery:
+                nursery.start_soon(ask_sound, client)
+                await trio.sleep(1)
+                outcomes = []
+                for number in range(8):
+                    texts = ["system", f"own {number}"]
+                    texts.insert(position, CRASHING_MESSAGE)
+                    with trio.fail_after(20):
+                        answer = await ask_conversation(client, *texts)
+                    outcomes.append(answer.json()["outcome"])
+                    await trio.sleep(SOON_S)
+            assert len(crashes.crashed) <= MAX_MESSAGE_CRASHES
+            assert outcomes[-4:] == ["not_run"] * 4
+            assert [answer.status_code for answer in answers] == [200] * 80
+
+    def test_agents_tell_the_entries_of_all_nodes(self):
+        """The beginning of a long message is shared; the agent tells the entries."""
+
+        async def scenario(fleet):
+            system = fleet.system
+            for zone in system.plan.zones * 4:
+                await system.start_server(MODEL, zone)
+            await trio.sleep(3)
+
+            def kill(name):
+                system.servers[name].host.kill()
+
+            crashes = Crashes(
+                lambda: {name: s.standin for name, s in system.servers.items()}, kill
+            )
+            system.nursery.start_soon(crashes.run)
+            outcomes = []
+            for number in range(9):
+                node = list(system.nodes)[number % len(system.nodes)]
+                record = ModelRecord(f"{CRASHING_MESSAGE} own {number}", 100)
+                await fleet.caller([node]).ask(record, MODEL, 10.0)
+                outcomes.append(record.outcome)
+                await trio.sleep(SOON_S)
+            assert len(crashes.crashed) <= MAX_MESSAGE_CRASHES
+            assert outcomes[-4:] == ["not_run"] * 4
+
+        run_scenario(scenario)
+
+
 class TestPlainRequests:
     async def test_bookings_end_three_servers(self, autojump_clock):
         """Each booking has a key of its own and runs once; the body is the same."""
--- a/tests/request/test_plain_ends.py
+++ b/tests/request/test_plain_ends.py
@@ -86,6 +86,7 @@
             lambda digest, service: None,
             lambda digest: True,
             lambda record: None,
+            lambda digest, servers: None,
         )
 
     async def start(self):
