Start no task of a component that has been cancelled

A planned stop that was cancelled as it ended raised "Nursery is closed to new arrivals" from the hand-over of stream origins, and ended the process with an error instead of its last lines. Seen once, in one run of all tests.

Cause: components that keep a nursery as an attribute checked that it exists and not that it is open. Those that are cancelled together end in an order that varies. The same pattern stood in the peers, the budget of an entry, its moves and its relay; a generation that is begun after its relay has ended is now refused instead of lost.

--- a/src/rosemaryknot/process/origin_exchange.py
+++ b/src/rosemaryknot/process/origin_exchange.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from rosemaryknot.connection.links import Handlers, MessageLink
+from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.newcomers import watch_newcomers
@@ -232,7 +233,7 @@
         self.peers = peers
         self.records = records
         self.queues: dict[str, list[PendingOrigin]] = {}
-        self.nursery: trio.Nursery | None = None
+        self.tasks = BackgroundTasks()
         self.ring = NodeRing([node])
         self.ring_revision = -1
         handlers.on(StoreOrigins)(self.handle_store)
@@ -242,7 +243,7 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Send records until cancelled."""
-        async with trio.open_nursery() as self.nursery:
+        async with self.tasks.open():
             task_status.started()
             await watch_newcomers(self.peers, self.send_to_newcomers)
 
@@ -286,7 +287,7 @@
 
     def enqueue(self, pending: PendingOrigin, name: str) -> None:
         """Send a record to a node, together with others that wait for it."""
-        if name in pending.sent_to or self.nursery is None:
+        if name in pending.sent_to or not self.tasks.is_open:
             return
         pending.sent_to.add(name)
         self.enqueue_again(pending, name)
@@ -297,8 +298,8 @@
         if queue is not None:
             queue.append(pending)
             return
-        self.queues[name] = [pending]
-        self.nursery.start_soon(self.send_queue, name)
+        if self.tasks.start_soon(self.send_queue, name):
+            self.queues[name] = [pending]
 
     async def send_queue(self, name: str) -> None:
         """Send the records that wait for a node until there are none."""
@@ -332,7 +333,7 @@
         if others:
             self.enqueue(pending, others[0])
         if failed in pending.must_replace_at:
-            self.nursery.start_soon(self.send_again, pending, failed)
+            self.tasks.start_soon(self.send_again, pending, failed)
 
     async def send_again(self, pending: PendingOrigin, name: str) -> None:
         """Send a record once more to a node that may hold an earlier one."""
@@ -342,7 +343,7 @@
 
     async def hand_over(self) -> None:
         """Send all records to other nodes, as this one leaves."""
-        if self.nursery is None:
+        if not self.tasks.is_open:
             return
         pending = [self.place(record) for record in self.records.current()]
         with trio.move_on_after(CALL_TIMEOUT_S):
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -18,6 +18,7 @@
     MessageLink,
 )
 from rosemaryknot.connection.network import Network
+from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer import SILENCE_TIMEOUT_S, LinkEnd, Peer, full_jitter
 from rosemaryknot.process.peer_dialler import ENTRY_ROLE, RELAY_ROLE, PeerDialler
@@ -124,7 +125,7 @@
         self.live: list[Node] = []
         self.changed = trio.Event()
         self.refresh_requested = trio.Event()
-        self.nursery: trio.Nursery | None = None
+        self.tasks = BackgroundTasks()
         self.forwarder = Forwarder(
             node, handlers, self.best_link, self.linked, self.nodes, self.plan
         )
@@ -280,8 +281,7 @@
         for seed in seeds:
             if seed not in self.seeds:
                 self.seeds.append(seed)
-                if self.nursery is not None:
-                    self.nursery.start_soon(self.run_seed, seed)
+                self.tasks.start_soon(self.run_seed, seed)
 
     # Tasks
 
@@ -295,15 +295,16 @@
         task_status : trio.TaskStatus
             Receives the bound address.
         """
-        async with trio.open_nursery() as self.nursery:
+        async with self.tasks.open() as nursery:
             listen = self.network.listen
-            self.listen = await self.nursery.start(listen, self.listen, self.accept)
+            self.listen = await nursery.start(listen, self.listen, self.accept)
             self.table.own.address = str(self.listen)
             for seed in self.seeds:
-                self.nursery.start_soon(self.run_seed, seed)
-            self.nursery.start_soon(self.gossip.run)
-            self.nursery.start_soon(self.maintain_table)
+                nursery.start_soon(self.run_seed, seed)
+            nursery.start_soon(self.gossip.run)
+            nursery.start_soon(self.maintain_table)
             task_status.started(self.listen)
+            await trio.sleep_forever()
 
     async def leave(self) -> None:
         """Announce that this node leaves, so that others need not detect it."""
@@ -362,7 +363,7 @@
         for name in self.table.records:
             if name not in self.peers:
                 self.peers[name] = Peer(self.node.name, name)
-                self.nursery.start_soon(self.run_peer, self.peers[name])
+                self.tasks.start_soon(self.run_peer, self.peers[name])
         self.update_live_nodes()
 
     def update_live_nodes(self) -> None:
@@ -454,7 +455,7 @@
         link = await self.dialler.dial(address)
         if link is None:
             return None
-        self.nursery.start_soon(self.run_link, self.add_link(link, is_dialled=True))
+        self.tasks.start_soon(self.run_link, self.add_link(link, is_dialled=True))
         return link.hello
 
     async def accept(self, stream: trio.abc.HalfCloseableStream) -> None:
@@ -479,7 +480,7 @@
         peer = self.peers.get(hello.name)
         if peer is None:
             peer = self.peers[hello.name] = Peer(self.node.name, hello.name)
-            self.nursery.start_soon(self.run_peer, peer)
+            self.tasks.start_soon(self.run_peer, peer)
         # The process of an earlier incarnation has ended; its link may still be open.
         peer.close_all("newer incarnation", before_incarnation=hello.incarnation)
         peer.add(end)
--- a/src/rosemaryknot/request/budget.py
+++ b/src/rosemaryknot/request/budget.py
@@ -11,6 +11,7 @@
 import trio
 
 from rosemaryknot.connection.links import CallFailed
+from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.request.accounts import (
@@ -73,13 +74,13 @@
         self.node = node
         self.link = link
         self.accounts: dict[tuple[str, str], Account] = {}
-        self.nursery: trio.Nursery | None = None
+        self.tasks = BackgroundTasks()
         self.request_count = 0
         self.is_stopping: Callable[[], bool] = lambda: False
 
     async def run(self) -> None:
         """Renew leases until cancelled."""
-        async with trio.open_nursery() as self.nursery:
+        async with self.tasks.open():
             while True:
                 await trio.sleep(RENEW_INTERVAL_S)
                 for key, account in list(self.accounts.items()):
@@ -100,9 +101,8 @@
 
     def prefetch_in_background(self, key: tuple[str, str], account: Account) -> None:
         """Prefetch budget in the background unless this is already under way."""
-        if self.nursery is not None and not account.is_prefetching:
-            account.is_prefetching = True
-            self.nursery.start_soon(self.prefetch, key, account)
+        if not account.is_prefetching:
+            account.is_prefetching = self.tasks.start_soon(self.prefetch, key, account)
 
     async def prefetch(self, key: tuple[str, str], account: Account) -> None:
         """Request the budget that the next requests will need."""
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -11,6 +11,7 @@
 
 from rosemaryknot.connection.engine_client import EngineClient
 from rosemaryknot.connection.engine_frames import Broken, Crossed, Finished, Refused
+from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.listed_server import ListedServer
 from rosemaryknot.process.prefix_estimate import Guess, prompt_segments
 from rosemaryknot.process.server_health import ServerHealth
@@ -70,7 +71,7 @@
         Chooses servers.
     mover : Mover
         Moves streams off draining servers.
-    nursery : trio.Nursery
+    tasks : BackgroundTasks
         Runs background calls.
     crashes : CrashGuard or None
         Decides on requests during which servers crashed; None for no limit.
@@ -84,7 +85,7 @@
     engines: EngineClient
     router: Router
     mover: Mover
-    nursery: trio.Nursery
+    tasks: BackgroundTasks
     crashes: CrashGuard | None = None
     limits: LimitGuard | None = None
 
@@ -398,7 +399,7 @@
     def cancel_at(self, server: BackendServer) -> None:
         """Cancel an abandoned attempt in the background to free its slot."""
         components = self.components
-        components.nursery.start_soon(
+        components.tasks.start_soon(
             components.engines.cancel, server, self.generation.request_id
         )
 
--- a/src/rosemaryknot/request/moves.py
+++ b/src/rosemaryknot/request/moves.py
@@ -7,6 +7,7 @@
 import trio
 
 from rosemaryknot.connection.engine_client import EngineClient, KvExport
+from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.servers import ServerTable
@@ -80,13 +81,13 @@
         self.importing: Counter[str] = Counter()
         self.bytes_per_token = INITIAL_BYTES_PER_TOKEN
         self.bytes_per_s = INITIAL_BYTES_PER_S
-        self.nursery: trio.Nursery | None = None
+        self.tasks = BackgroundTasks()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Check the running streams on each change of the server table."""
-        async with trio.open_nursery() as self.nursery:
+        async with self.tasks.open():
             task_status.started()
             seen = 0
             while True:
@@ -103,7 +104,7 @@
             attempt.planned_deadline_s = server.deadline_unix_s
             by_instance.setdefault(server.instance, []).append(attempt)
         for instance, attempts in by_instance.items():
-            self.nursery.start_soon(
+            self.tasks.start_soon(
                 self.drain_server, self.servers.get(instance), attempts
             )
 
--- a/src/rosemaryknot/request/relay.py
+++ b/src/rosemaryknot/request/relay.py
@@ -9,6 +9,7 @@
 from rosemaryknot.connection.engine_client import EngineClient
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import Network
+from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_health import ServerHealth
@@ -113,7 +114,7 @@
         self.table = GenerationTable()
         self.crashes: CrashGuard | None = None
         self.limits: LimitGuard | None = None
-        self.nursery: trio.Nursery | None = None
+        self.tasks = BackgroundTasks()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -121,12 +122,10 @@
         """Run generations until cancelled."""
         async with (
             http_client(self.network) as client,
-            trio.open_nursery() as self.nursery,
+            self.tasks.open() as nursery,
         ):
-            await self.nursery.start(self.mover.run)
-            self.nursery.start_soon(
-                self.loads.poll, client, self.router.servers_to_poll
-            )
+            await nursery.start(self.mover.run)
+            nursery.start_soon(self.loads.poll, client, self.router.servers_to_poll)
             task_status.started()
             await trio.sleep_forever()
 
@@ -171,7 +170,7 @@
             The generation, to be passed to `begin` or `reject`; or the reason for the
             refusal.
         """
-        if self.nursery is None:
+        if not self.tasks.is_open:
             return NotRun(Reason.STOPPING, 1.0, "this instance does not run")
         # A request that is taken over was accepted earlier, so it waits for a server
         # instead of being refused.
@@ -199,7 +198,12 @@
             Instance that may still be running it; empty for none.
         """
         record_start(generation)
-        self.nursery.start_soon(self.run_generation, generation, is_resumed, server)
+        run = self.run_generation
+        if not self.tasks.start_soon(run, generation, is_resumed, server):
+            detail = "this instance does not run"
+            refused = NotRun(Reason.STOPPING, 1.0, detail)
+            unknown = Unknown(Reason.STOPPING, detail)
+            generation.finish(unknown if is_resumed else refused)
 
     def hand_over(self, generation: Generation, outcome: Running) -> None:
         """Finish a generation here that another entry takes over.
@@ -255,7 +259,7 @@
             self.engines,
             self.router,
             self.mover,
-            self.nursery,
+            self.tasks,
             self.crashes,
             self.limits,
         )
