Suspect the narrowest of the segments that crashes do not tell apart

Cause: segments were ordered by the number of their crashes, and one that all requests have is present at each crash. Now the one with the fewest requests for each crash comes first, counting those that came to the node since as well, and the other is judged by the crashes that are left. A trial counts once it is sent: one that found no server used the only quick trial up.

--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -35,6 +36,8 @@
 FORGET_S = 3600.0
 # How often suspicions are assessed again although no record has changed.
 REASSESS_S = 0.5
+# Minimum time between two assessments if only the number of requests has changed.
+MIN_REASSESS_S = 0.1
 
 
 @dataclass(slots=True)
@@ -104,6 +107,8 @@
     ----------
     by_unit : dict of bytes to dict of bytes to SegmentRecord
         Records by segment, and then by their digest.
+    requests : collections.Counter of bytes
+        Requests with each segment that came to this node since its first crash.
     suspicions : dict of bytes to Suspicion
         Result of the last assessment, by segment.
     on_refused, on_released : callable
@@ -114,7 +119,9 @@
         super().__init__()
         self.notify = signal_change
         self.by_unit: dict[bytes, dict[bytes, SegmentRecord]] = {}
+        self.requests: Counter[bytes] = Counter()
         self.suspicions: dict[bytes, Suspicion] = {}
+        self.assessed_s = -math.inf
         self.valid_until_s = -math.inf
         self.on_refused: Callable[[SegmentRecord], None] = lambda record: None
         self.on_released: Callable[[SegmentRecord], None] = lambda record: None
@@ -182,6 +189,7 @@
         del records[record.digest]
         if not records:
             del self.by_unit[record.unit]
+            del self.requests[record.unit]
 
     def survived_servers(
         self, record: SegmentRecord, began_s: float, progress_s: float
@@ -222,12 +230,21 @@
         self.assess(now_s)
         return self.suspicions.get(unit)
 
+    def record_request(self, units: Iterable[SegmentUnit]) -> None:
+        """Record that a request with some segments came to this node."""
+        for unit in units:
+            if unit.digest in self.by_unit:
+                self.requests[unit.digest] += 1
+                due_s = self.assessed_s + MIN_REASSESS_S
+                self.valid_until_s = min(self.valid_until_s, due_s)
+
     def assess(self, now_s: float) -> None:
         """Assess all segments again, if anything may have changed."""
         if now_s < self.valid_until_s:
             return
         self.remove_old(now_s)
-        found = assess(self.by_unit, now_s)
+        found = assess(self.by_unit, self.requests)
+        self.assessed_s = now_s
         self.valid_until_s = now_s + REASSESS_S
         for unit, suspicion in found.items():
             before = self.suspicions.get(unit)
--- a/src/rosemaryknot/process/segment_suspicions.py
+++ b/src/rosemaryknot/process/segment_suspicions.py
@@ -191,16 +191,33 @@
         Its records, one for each customer.
     crashes : dict of str to SegmentCrash
         Crashes by server, over all customers.
+    requests : int
+        Requests with the segment that came to this node since its first crash.
     """
 
     unit: bytes
     records: list[Evidence]
     crashes: dict[str, SegmentCrash]
+    requests: int
 
-    def rank(self, explained: set[str]) -> tuple[int, int, bytes]:
-        """Return the order in which segments are suspected."""
+    def rank(self, explained: set[str]) -> tuple[bool, float, int, bytes]:
+        """Return the order in which segments are suspected.
+
+        Of those with enough crashes the first one has the fewest requests for each
+        crash. A segment that all requests have is present at every crash, whatever its
+        cause, and to refuse it would refuse them all.
+        """
         rest = self.unexplained(explained)
-        return count_crashes(rest.values()), len(rest), self.unit
+        count = count_crashes(rest.values())
+        share = count / max(1, self.requests, len(requests_of(rest.values())))
+        return count >= SUSPECT_CRASHES, share, count, self.unit
+
+    def resembles(self, other: "Candidate", explained: set[str]) -> bool:
+        """Return whether another segment seems to come in the same requests."""
+        own, rest = self.unexplained(explained), other.unexplained(explained)
+        if self.requests != other.requests or own.keys() != rest.keys():
+            return False
+        return all(own[s].requests == crash.requests for s, crash in rest.items())
 
     def unexplained(self, explained: set[str]) -> dict[str, SegmentCrash]:
         """Return the crashes at which no suspected segment was present."""
@@ -226,32 +243,37 @@
         )
 
 
-def candidate_of(unit: bytes, records: list[Evidence]) -> Candidate:
+def requests_of(crashes: Iterable[SegmentCrash]) -> set[bytes]:
+    """Return the digests of the requests that were running at crashes."""
+    return set().union(*(crash.requests for crash in crashes))
+
+
+def candidate_of(unit: bytes, records: list[Evidence], requests: int) -> Candidate:
     """Return a segment with the crashes in the records of all customers."""
     crashes: dict[str, SegmentCrash] = {}
     for record in records:
         for server, crash in record.crashes.items():
             known = crashes.get(server)
             crashes[server] = crash if known is None else known.merged(crash)
-    return Candidate(unit, records, crashes)
+    return Candidate(unit, records, crashes, requests)
 
 
 def assess(
-    by_unit: Mapping[bytes, Mapping[bytes, Evidence]], now_s: float
+    by_unit: Mapping[bytes, Mapping[bytes, Evidence]], requests: Mapping[bytes, int]
 ) -> dict[bytes, Suspicion]:
     """Return the segments that crashes cast suspicion on.
 
-    A crash needs one cause only. The segment with the most crashes explains those at
-    which it was present, and the others are judged by the rest: segments that often
-    come with the cause are not refused with it. Segments with the same crashes cannot
-    be told apart and are suspected together.
+    A crash needs one cause only. The first segment in the order of `Candidate.rank`
+    explains the crashes at which it was present, and the others are judged by the rest:
+    segments that often come with the cause are not refused with it. Segments that came
+    in the same requests cannot be told apart and are suspected together.
 
     Parameters
     ----------
     by_unit : mapping of bytes to mapping of bytes to Evidence
         Records by segment.
-    now_s : float
-        Current trio time.
+    requests : mapping of bytes to int
+        Requests with each segment that came to this node.
 
     Returns
     -------
@@ -259,7 +281,8 @@
         Segments with at least `WATCHED_CRASHES` unexplained crashes.
     """
     candidates = [
-        candidate_of(unit, list(records.values())) for unit, records in by_unit.items()
+        candidate_of(unit, list(records.values()), requests.get(unit, 0))
+        for unit, records in by_unit.items()
     ]
     remaining = [c for c in candidates if len(c.crashes) >= WATCHED_CRASHES]
     explained: set[str] = set()
@@ -269,7 +292,7 @@
         rest = first.unexplained(explained)
         if count_crashes(rest.values()) < SUSPECT_CRASHES:
             break
-        group = [c for c in remaining if c.unexplained(explained).keys() == rest.keys()]
+        group = [c for c in remaining if c.resembles(first, explained)]
         for candidate in group:
             found[candidate.unit] = candidate.suspicion(explained)
             remaining.remove(candidate)
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -192,8 +192,6 @@
 
     def begin(self, identity: RequestIdentity, decision: Allowed) -> CrashRecord | None:
         """Record that an attempt begins; return the record to pass to `end`."""
-        if decision.is_trial:
-            self.segments.begin_trial(identity)
         record = self.record_of(identity)
         if record is None:
             return None
@@ -219,6 +217,10 @@
         decision = self.segments.check(identity, has_run=True)
         return decision if isinstance(decision, Barred) else None
 
+    def begin_trial(self, identity: RequestIdentity) -> None:
+        """Record that a request is sent as the trial of its refused segments."""
+        self.segments.begin_trial(identity)
+
     async def confirms_end(self, state: CheckedServer) -> bool:
         """Return whether the close of a connection shows the end of its response."""
         return await self.detector.confirms_end(state)
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -210,6 +210,8 @@
         self.limit_version = self.components.limits.records.version(
             self.state.incarnation_key
         )
+        if context.crash_decision.is_trial:
+            self.components.crashes.begin_trial(context.identity)
         await connection.send(
             request.method,
             request.target,
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -201,6 +201,8 @@
         if crashes is None:
             return await self.stream(attempt)
         record = crashes.begin(self.identity, decision)
+        if decision.is_trial:
+            crashes.begin_trial(self.identity)
         self.began_s = math.inf
         attempt.on_tokens = self.record_progress
         try:
--- a/src/rosemaryknot/request/segment_guard.py
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -87,6 +87,8 @@
             Whether to log the decision if it differs from that on other requests.
         """
         customer = identity.customer
+        if is_logged and not has_run and self.records.by_unit:
+            self.records.record_request(identity.units)
         found = self.suspicions(identity)
         if not found:
             return Allowed()
@@ -117,9 +119,10 @@
     ) -> None:
         """Add to the input what decides on a trial."""
         records = self.records.by_unit.get(unit.digest, {}).values()
-        last_s = max([suspicion.last_crash_s, *(r.tried_s for r in records)])
+        tried_s = max((record.tried_s for record in records), default=-math.inf)
         inputs.trials = max((record.trials for record in records), default=0)
-        inputs.idle_s = trio.current_time() - last_s
+        inputs.tried_ago_s = trio.current_time() - tried_s
+        inputs.idle_s = trio.current_time() - max(suspicion.last_crash_s, tried_s)
         inputs.is_trial_node = self.is_trial_node(unit.digest)
         inputs.is_reserved = self.is_reserved(unit.digest)
         inputs.is_shadowed = self.records.is_shadowed(unit.digest)
--- a/src/rosemaryknot/request/segment_rules.py
+++ b/src/rosemaryknot/request/segment_rules.py
@@ -18,6 +18,9 @@
 # Time from the last crash or trial to the next trial, by the number of trials so far;
 # the last one repeats.
 TRIAL_DELAYS_S = (2.0, 15.0, 60.0, 300.0)
+# The same for a segment that may have been refused in place of another one. If it is
+# the cause, a trial shows that, and it is not tried in this way again.
+SHADOWED_TRIAL_DELAY_S = 0.5
 # A segment that one node alone tries meets few requests there. From this multiple of
 # the delay on any node makes the trial.
 ANY_NODE_FACTOR = 3.0
@@ -43,6 +46,8 @@
         Whether an earlier attempt for the same caller may have run.
     trials : int
         Trials that the segment has had.
+    tried_ago_s : float
+        Time since the last one began, in seconds.
     idle_s : float
         Time since its last crash or trial, in seconds.
     is_trial_node : bool
@@ -61,6 +66,7 @@
     refused_segments: int = 0
     has_run: bool = False
     trials: int = 0
+    tried_ago_s: float = math.inf
     idle_s: float = 0.0
     is_trial_node: bool = False
     is_reserved: bool = False
@@ -123,8 +129,8 @@
     """
     if inputs.has_run or inputs.is_reserved:
         return False
-    if inputs.is_shadowed and inputs.refused_segments == 1 and not inputs.trials:
-        return True
+    if inputs.is_shadowed and inputs.refused_segments == 1:
+        return inputs.tried_ago_s >= SHADOWED_TRIAL_DELAY_S
     delay_s = TRIAL_DELAYS_S[min(inputs.trials, len(TRIAL_DELAYS_S) - 1)]
     if not inputs.is_trial_node:
         delay_s *= ANY_NODE_FACTOR
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -156,6 +156,14 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", [9005, 9053])
+    def test_segment_that_all_requests_have(self, seed):
+        """All servers are down at once: a segment of all requests is not refused."""
+        play = random_play(
+            seed, has_limits=True, has_versions=True, crashing_segments_per_s=3.0
+        )
+        assert not run_in_virtual_time(seed, run_play, play, seed).violations
+
     @pytest.mark.parametrize("seed", SEEDS_WITH_LIMITS)
     def test_random_faults_and_limited_servers(self, seed):
         play = random_play(seed, crashing_per_s=seed % 2, has_limits=True)
