--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -56,6 +56,9 @@
 
 FOLDER = Path(".demo/soak")
 NODE_PROGRAM = Path(__file__).parent / "soak_node.py"
+THROTTLE_PROGRAM = Path(__file__).parent / "soak_throttle.py"
+# Shares of a core of a throttled node, which needs some hundredths for its load.
+THROTTLED_SHARES = (0.03, 0.15)
 HOST = "127.0.0.1"
 NODES = 3
 GRACE_S = 4.0
@@ -575,6 +578,26 @@
                 system.nodes[name].cut_off("", [])
 
 
+async def throttle_nodes(system: SoakSystem, seed: int) -> None:
+    """Hold node processes to a share of a core, less than needed or a little more."""
+    rng = random.Random(f"throttle {seed}")
+    end_s = trio.current_time() + LOAD_DURATION_S - 4
+    while trio.current_time() < end_s:
+        await trio.sleep(rng.uniform(0.5, 4.0))
+        node = idle_node(system, rng)
+        if node is None or rng.random() < 0.5:
+            continue
+        with system.disturbances.disturb(node.name):
+            node.is_busy = True
+            share = str(rng.uniform(*THROTTLED_SHARES))
+            command = [sys.executable, THROTTLE_PROGRAM, str(node.process.pid), share]
+            throttle = subprocess.Popen(command)
+            await trio.sleep(rng.uniform(1.0, 3.0))
+            throttle.send_signal(signal.SIGTERM)
+            throttle.wait()
+            node.is_busy = False
+
+
 async def trouble_servers(system: SoakSystem, seed: int) -> None:
     """Let sound servers fall silent for a second, and a service be brittle."""
     rng = random.Random(f"servers {seed}")
@@ -655,6 +678,7 @@
             load_nursery.start_soon(inject_faults)
             load_nursery.start_soon(limit_servers, system, seed)
             load_nursery.start_soon(cut_nodes, system, seed)
+            load_nursery.start_soon(throttle_nodes, system, seed)
             load_nursery.start_soon(trouble_servers, system, seed)
             load_nursery.start_soon(end_responses, system, seed)
             load_nursery.start_soon(change_versions, system, seed)
