Take a response without content for no evidence on its segments

Found by reading the change: the rest of a stream that was already complete is empty, and cleared the segments of its prompt of all their crashes. The test fails without the check.

--- a/src/rosemaryknot/request/segment_guard.py
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -163,11 +163,12 @@
         identity : RequestIdentity
             The request.
         began_s : float
-            When the response began, in trio time.
+            When the response began, in trio time; infinite if it had no content, which
+            shows nothing.
         is_complete : bool
             Whether it is complete.
         """
-        if not self.records.by_unit:
+        if not self.records.by_unit or math.isinf(began_s):
             return
         progress_s = math.inf if is_complete else trio.current_time() - began_s
         for unit in identity.units:
--- /dev/null
+++ b/tests/process/test_segment_records.py
@@ -0,0 +1,197 @@
+"""Tests of the records of prompt segments that servers crashed under."""
+
+import math
+
+import pytest
+import trio
+
+from rosemaryknot.process.crash_notices import (
+    decode_notice,
+    encode_notice,
+    record_from_value,
+    record_to_value,
+)
+from rosemaryknot.process.crash_records import CrashRecords
+from rosemaryknot.process.segment_records import (
+    FORGET_S,
+    MAX_SEGMENT_CRASHES,
+    OBSERVATION_S,
+)
+from rosemaryknot.process.segment_suspicions import (
+    EVIDENCE_S,
+    SURVIVAL_S,
+    SegmentCrash,
+)
+from rosemaryknot.request.segment_guard import SegmentGuard
+from rosemaryknot.values.request_identity import RequestIdentity, SegmentUnit
+
+CAUSE = SegmentUnit("writer", "dead")
+COMMON = SegmentUnit("writer", "system")
+
+
+def crash(number, request=None, at_s=None):
+    request = f"r{number}" if request is None else request
+    at_s = float(number) if at_s is None else at_s
+    digests = frozenset([request.encode()])
+    return SegmentCrash(f"s{number}@", "writer", at_s, requests=digests)
+
+
+def add_crashes(segments, unit, numbers, customer="ada", request=None):
+    for number in numbers:
+        record = segments.record(customer, unit, crash(number, request))
+    return record
+
+
+def suspicion(segments, unit, now_s=10.0):
+    return segments.suspicion(unit.digest, now_s)
+
+
+class TestSuspicion:
+    def test_three_different_requests(self):
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(2))
+        assert not suspicion(segments, CAUSE).is_suspected
+        add_crashes(segments, CAUSE, [2])
+        assert suspicion(segments, CAUSE).is_suspected
+
+    def test_one_request_that_is_repeated(self):
+        """Its own record refuses it; the segments of its prompt are not blamed."""
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(6), request="same")
+        assert suspicion(segments, CAUSE) is None
+
+    def test_rack(self):
+        """All servers crash in one moment."""
+        segments = CrashRecords().segments
+        for number in range(6):
+            segments.record("ada", CAUSE, crash(number, at_s=1.0 + number / 100))
+        assert suspicion(segments, CAUSE) is None
+
+    def test_observed_before_it_is_refused(self):
+        segments = CrashRecords().segments
+        refused = []
+        segments.on_refused = refused.append
+        record = add_crashes(segments, CAUSE, range(3))
+        assert not suspicion(segments, CAUSE, 3.0).is_refused
+        assert suspicion(segments, CAUSE, 3.0 + OBSERVATION_S).is_refused
+        assert refused == [record]
+
+    def test_explained_by_the_narrower_segment(self):
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(4))
+        add_crashes(segments, COMMON, range(4))
+        for _ in range(5):
+            segments.record_request([COMMON])
+        segments.record_request([COMMON, CAUSE])
+        assert suspicion(segments, CAUSE).is_suspected
+        assert suspicion(segments, COMMON) is None
+
+    def test_not_told_apart(self):
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(3))
+        add_crashes(segments, COMMON, range(3))
+        assert suspicion(segments, CAUSE).is_suspected
+        assert suspicion(segments, COMMON).is_suspected
+
+    def test_customer_of_the_crashes_only(self):
+        """No customer can have the segments of another one refused."""
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(9))
+        found = suspicion(segments, CAUSE)
+        assert found.count_for("ada") == 9 and found.count_for("bob") == 0
+
+    def test_all_customers(self):
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(0, 2), "ada")
+        add_crashes(segments, CAUSE, range(2, 4), "bob")
+        assert suspicion(segments, CAUSE).count_for("cy") == 4
+
+    def test_crashes_count_for_a_time(self):
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(2))
+        segments.assess(EVIDENCE_S + 2.0)
+        assert not segments.by_digest and not segments.by_unit
+
+    def test_refused_segment_is_forgotten(self):
+        segments = CrashRecords().segments
+        released = []
+        segments.on_released = released.append
+        record = add_crashes(segments, CAUSE, range(3))
+        for now_s in (3.0, 4.0, FORGET_S):
+            segments.assess(now_s)
+            assert segments.by_digest
+        segments.assess(FORGET_S + 10.0)
+        assert not segments.by_digest and released == [record]
+
+    def test_bounded(self):
+        segments = CrashRecords().segments
+        record = add_crashes(segments, CAUSE, range(3 * MAX_SEGMENT_CRASHES))
+        assert len(record.crashes) == MAX_SEGMENT_CRASHES
+
+
+class TestSurvival:
+    @pytest.mark.parametrize(
+        ("began_s", "progress_s", "is_survived"),
+        [
+            (1.5, SURVIVAL_S, True),
+            (1.5, math.inf, True),
+            (1.5, SURVIVAL_S / 2, False),
+            (0.5, math.inf, False),
+        ],
+    )
+    def test_response(self, began_s, progress_s, is_survived):
+        """Only one that began after the crash and went on for longer clears it."""
+        assert crash(1).is_survived(began_s, progress_s) == is_survived
+
+    async def test_response_without_content(self, autojump_clock):
+        """The rest of a stream that was complete is empty, and shows nothing."""
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, range(1))
+        cleared = []
+        guard = SegmentGuard(
+            segments, lambda *args: cleared.append(args), bool, lambda record: None
+        )
+        identity = RequestIdentity("r", "ada", (), b"", "writer", lambda: ["dead"])
+        guard.record_progress(identity, math.inf, is_complete=True)
+        assert not cleared
+        guard.record_progress(identity, trio.current_time() + 1.0, is_complete=True)
+        assert cleared
+
+    def test_late_notice_changes_nothing(self):
+        segments = CrashRecords().segments
+        record = add_crashes(segments, CAUSE, range(2))
+        segments.clear_servers(record.digest, {"s0@", "s1@"})
+        assert segments.record("ada", CAUSE, crash(0)) is None
+        assert not segments.by_digest
+
+
+class TestForms:
+    def test_message(self):
+        record = add_crashes(CrashRecords().segments, CAUSE, range(3))
+        record.trials, record.tried_s = 2, 5.0
+        decoded = decode_notice(encode_notice([record], [], 7.0), 7.0)
+        assert decoded.segments == [record]
+
+    def test_stored_object(self):
+        """A node that reads it refuses the segment without observing it."""
+        record = add_crashes(CrashRecords().segments, CAUSE, range(3))
+        read = record_from_value(record.digest.hex(), record_to_value(record), 50.0)
+        segments = CrashRecords().segments
+        segments.merge(read)
+        assert suspicion(segments, CAUSE, 50.0).refuses("ada")
+
+    @pytest.mark.parametrize("value", [{}, {"customer": 7}, {"crashes": [5]}, None])
+    def test_object_of_another_writer(self, value):
+        record = add_crashes(CrashRecords().segments, CAUSE, range(1))
+        assert record_from_value(record.digest.hex(), value, 1.0) is None
+
+
+class TestCost:
+    def test_no_segment_is_hashed_without_a_crash(self):
+        """The prompt is not looked at for each request."""
+        segments = CrashRecords().segments
+        guard = SegmentGuard(segments, lambda *args: None, bool, lambda record: None)
+        identity = RequestIdentity("r", "ada", (), b"", "writer", lambda: ["dead"])
+        guard.check(identity, has_run=False)
+        guard.record_progress(identity, 1.0)
+        assert identity.known_units is None
