--- a/tests/process/test_crashing_requests.py
+++ b/tests/process/test_crashing_requests.py
@@ -85,6 +85,22 @@
         nursery.cancel_scope.cancel()
 
 
+async def start_crashing_engines(system, per_zone):
+    """Start engines of a whole system that crash when they run the request."""
+    for zone in system.plan.zones * per_zone:
+        await system.start_server(MODEL, zone)
+    await trio.sleep(3)
+
+    def kill(name):
+        system.servers[name].host.kill()
+
+    crashes = Crashes(
+        lambda: {name: s.standin for name, s in system.servers.items()}, kill
+    )
+    system.nursery.start_soon(crashes.run)
+    return crashes
+
+
 class TestModelRequests:
     """A generation is not carried from engine to engine until none is left."""
 
@@ -175,17 +191,7 @@
 
         async def scenario(fleet):
             system = fleet.system
-            for zone in system.plan.zones * 4:
-                await system.start_server(MODEL, zone)
-            await trio.sleep(3)
-
-            def kill(name):
-                system.servers[name].host.kill()
-
-            crashes = Crashes(
-                lambda: {name: s.standin for name, s in system.servers.items()}, kill
-            )
-            system.nursery.start_soon(crashes.run)
+            crashes = await start_crashing_engines(system, 4)
             outcomes = []
             for number in range(9):
                 node = list(system.nodes)[number % len(system.nodes)]
@@ -239,17 +245,7 @@
 
         async def scenario(fleet):
             system = fleet.system
-            for zone in system.plan.zones * 2:
-                await system.start_server(MODEL, zone)
-            await trio.sleep(3)
-
-            def kill(name):
-                system.servers[name].host.kill()
-
-            crashes = Crashes(
-                lambda: {name: s.standin for name, s in system.servers.items()}, kill
-            )
-            system.nursery.start_soon(crashes.run)
+            crashes = await start_crashing_engines(system, 2)
             outcomes = []
             for node in [*system.nodes, *system.nodes]:
                 record = ModelRecord(CRASHING, 100)
