Keep a refused segment refused until responses clear it

Most likely cause, reproduced by two cases of the test: a segment that some of the crashing requests have has fewer requests for each of its crashes than the cause itself, whose refused requests counted as well while they went on coming.

Now segments are ordered by their crashes squared over the requests at those crashes, requests at the node only break ties and do not count once refused, and a refused segment stays so until responses that go on clear it of its crashes.

--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -243,7 +243,8 @@
         if now_s < self.valid_until_s:
             return
         self.remove_old(now_s)
-        found = assess(self.by_unit, self.requests)
+        refused = {unit for unit, s in self.suspicions.items() if s.is_refused}
+        found = assess(self.by_unit, self.requests, refused)
         self.assessed_s = now_s
         self.valid_until_s = now_s + REASSESS_S
         for unit, suspicion in found.items():
--- a/src/rosemaryknot/process/segment_suspicions.py
+++ b/src/rosemaryknot/process/segment_suspicions.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -203,14 +203,15 @@
     def rank(self, explained: set[str]) -> tuple[bool, float, int, bytes]:
         """Return the order in which segments are suspected.
 
-        Of those with enough crashes the first one has the fewest requests for each
-        crash. A segment that all requests have is present at every crash, whatever its
-        cause, and to refuse it would refuse them all.
+        Of those with enough crashes the first one has many crashes and few requests for
+        each of them. A segment that all requests have is present at every crash,
+        whatever its cause, and to refuse it would refuse them all; one that some of the
+        crashing requests have is narrower than the cause and has fewer crashes.
         """
         rest = self.unexplained(explained)
         count = count_crashes(rest.values())
-        share = count / max(1, self.requests, len(requests_of(rest.values())))
-        return count >= SUSPECT_CRASHES, share, count, self.unit
+        weight = count**2 / max(1, len(requests_of(rest.values())))
+        return count >= SUSPECT_CRASHES, weight, -self.requests, self.unit
 
     def resembles(self, other: "Candidate", explained: set[str]) -> bool:
         """Return whether another segment seems to come in the same requests."""
@@ -259,7 +260,9 @@
 
 
 def assess(
-    by_unit: Mapping[bytes, Mapping[bytes, Evidence]], requests: Mapping[bytes, int]
+    by_unit: Mapping[bytes, Mapping[bytes, Evidence]],
+    requests: Mapping[bytes, int],
+    refused: Collection[bytes] = (),
 ) -> dict[bytes, Suspicion]:
     """Return the segments that crashes cast suspicion on.
 
@@ -274,6 +277,9 @@
         Records by segment.
     requests : mapping of bytes to int
         Requests with each segment that came to this node.
+    refused : collection of bytes
+        Segments that are refused. They come first, whatever came with them since:
+        only responses that go on show that they are not the cause.
 
     Returns
     -------
@@ -287,6 +293,12 @@
     remaining = [c for c in candidates if len(c.crashes) >= WATCHED_CRASHES]
     explained: set[str] = set()
     found: dict[bytes, Suspicion] = {}
+    for candidate in [c for c in remaining if c.unit in refused]:
+        suspicion = candidate.suspicion(set())
+        if suspicion.is_suspected:
+            found[candidate.unit] = suspicion
+            remaining.remove(candidate)
+            explained |= candidate.crashes.keys()
     while remaining:
         first = max(remaining, key=lambda candidate: candidate.rank(explained))
         rest = first.unexplained(explained)
--- a/src/rosemaryknot/request/segment_guard.py
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -87,10 +87,10 @@
             Whether to log the decision if it differs from that on other requests.
         """
         customer = identity.customer
-        if is_logged and not has_run and self.records.by_unit:
-            self.records.record_request(identity.units)
         found = self.suspicions(identity)
         if not found:
+            if is_logged and not has_run and self.records.by_unit:
+                self.records.record_request(identity.units)
             return Allowed()
         refused = [(u, s) for u, s in found if s.refuses(customer)]
         candidates = refused or found
@@ -108,6 +108,8 @@
         if refused:
             self.describe_trials(inputs, unit, worst)
         decision = self.decide(inputs)
+        if is_logged and not has_run and not is_final(decision):
+            self.records.record_request(identity.units)
         if isinstance(decision, Allowed) and decision.is_trial:
             self.reserved[unit.digest] = trio.current_time() + TRIAL_START_S
         if is_logged and (isinstance(decision, Barred) or decision.is_trial):
@@ -181,6 +183,11 @@
                     self.clear(record.digest, servers)
 
 
+def is_final(decision: Allowed | Barred) -> bool:
+    """Return whether a request is refused, and not only has to wait."""
+    return isinstance(decision, Barred) and not decision.is_temporary
+
+
 def log_decision(
     identity: RequestIdentity,
     inputs: SegmentInput,
--- a/tests/gateway/test_crashing_segments.py
+++ b/tests/gateway/test_crashing_segments.py
@@ -67,6 +67,7 @@
     repeats: int = 0
     crashing: tuple[str, ...] = (CRASHING_SEGMENT,)
     shares_projects: bool = False
+    neighbours: int = 0
     customers: tuple[str, ...] = ("ada",)
     asked: list[Asked] = field(default_factory=list)
 
@@ -80,7 +81,10 @@
         project = f"b{self.rng.randrange(PROJECTS)}"
         if crashing is None:
             return [first, project, f"own{number}"]
-        segments = ["a0", project if self.shares_projects else f"c{number}"]
+        other = project if self.shares_projects else f"c{number}"
+        if self.neighbours:
+            other = f"n{number % self.neighbours}"
+        segments = ["a0", other]
         segments.insert(self.position, crashing)
         return [*segments, f"own{number}"]
 
@@ -191,6 +195,8 @@
     "callers repeat it": {"repeats": 2},
     "two segments": {"crashing": ("dead1", "dead2")},
     "with segments of sound sessions": {"shares_projects": True},
+    "with few neighbours": {"neighbours": 2, "length_s": 30.0},
+    "with three neighbours, repeated": {"neighbours": 3, "repeats": 2},
     "of several customers": {"customers": ("ada", "bob", "cy", "di")},
 }
 
