--- a/tests/gateway/test_crashing_segments.py
+++ b/tests/gateway/test_crashing_segments.py
@@ -326,6 +326,29 @@
             assert answers[-10:] == [OK] * 10
             assert len(load.late_arrivals(CRASHING_SEGMENT)) <= MAX_LATE_ARRIVALS
 
+    async def test_cause_and_another_crash(self, autojump_clock):
+        """All servers end under two requests, and one again for another reason.
+
+        A segment that all requests have is present at the three crashes.
+        """
+        async with platform_system(nodes=3, models=3) as fleet:
+            load = Load(fleet, sound_per_s=30.0, crashing_per_s=0, length_s=14.0)
+            load.segments = lambda number: ["a0", f"b{number}", f"own{number}"]
+
+            async def crash():
+                await trio.sleep(4.0)
+                for number in range(2):
+                    segments = ["a0", CRASHING_SEGMENT, f"bad{number}"]
+                    await load.ask(f"bad{number}", segments, path="/ask/x")
+                    await trio.sleep(0.15)
+                await trio.sleep(2.0)
+                fleet.nursery.start_soon(fleet.crash_server, "m0")
+
+            await load.play(crash)
+            sound = [a for a in load.asked if a.id.startswith("sound")]
+            refused = [a for a in sound if a.status == REFUSED]
+            assert not [a for a in refused if b"segment" in a.body]
+
     async def test_rack_takes_all_servers(self, autojump_clock):
         """All servers end in one moment, so that no response is left to go on."""
         async with platform_system(nodes=3, models=4) as fleet:
