Remove what no code uses of the records of segments

Found by reading the change: the time of a record's last crash and the list of refused records have no caller, and a candidate always has crashes. No behaviour changes.

--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -83,11 +83,6 @@
         """Digest of the segment, the same for all customers."""
         return self.digest[-SEGMENT_DIGEST_BYTES:]
 
-    @property
-    def last_crash_s(self) -> float:
-        """Time of the last recorded crash, in trio time."""
-        return max(crash.crashed_s for crash in self.crashes.values())
-
     def reset(self) -> None:
         """Forget the trials once no crash counts any more."""
         if not self.crashes:
@@ -292,7 +287,3 @@
                 self.remove(record)
                 if record.is_refused:
                     self.on_released(record)
-
-    def refused(self) -> Iterable[SegmentRecord]:
-        """Return the records of segments that are refused."""
-        return [record for record in self.by_digest.values() if record.is_refused]
--- a/src/rosemaryknot/process/segment_suspicions.py
+++ b/src/rosemaryknot/process/segment_suspicions.py
@@ -310,7 +310,7 @@
             remaining.remove(candidate)
         explained |= rest.keys()
     for candidate in remaining:
-        suspicion = candidate.suspicion(explained) if candidate.crashes else None
-        if suspicion is not None and suspicion.count >= WATCHED_CRASHES:
+        suspicion = candidate.suspicion(explained)
+        if suspicion.count >= WATCHED_CRASHES:
             found[candidate.unit] = suspicion
     return found
