Send one request with a segment while it is observed

Cause: a segment is refused unless a response on it goes on within 0.5 s, and new requests wait for that time. Where all servers ended under two requests, and the first that is back ends again for another reason, no response is left that could go on, so that the observation can end in one way only.

Why it works: the node that makes the trials of a segment sends one request with it at once. That is its first trial, so there are as many of them as before; the observation lasts until 0.6 s after its begin, 0.9 s at most. A response that goes on makes the trials start anew, as it shows them to be no evidence.

Ruled out: a first trial 0.5 s instead of 2 s after the last crash (a request with a segment that does crash servers is then sent, and not refused).

--- a/src/rosemaryknot/process/crash_store.py
+++ b/src/rosemaryknot/process/crash_store.py
@@ -208,8 +208,9 @@
     def record_trial(self, record: CrashRecord | SegmentRecord) -> None:
         """Record that the request of a record, or its segment, has a trial."""
         self.exchange.enqueue(record)
-        self.tried.append(record.digest)
-        self.has_work.set()
+        if record.is_refused:
+            self.tried.append(record.digest)
+            self.has_work.set()
 
     async def write_trials(self) -> None:
         """Store that requests have had their trial; try again later if that fails."""
--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -30,6 +30,10 @@
 # How long a suspected segment is observed before it is refused: requests that were sent
 # before have got past the beginning of their responses by then if it is sound.
 OBSERVATION_S = 0.5
+# The same from the begin of a trial within that time, and the longest time in all.
+# Requests wait meanwhile.
+TRIAL_OBSERVATION_S = 0.6
+MAX_OBSERVATION_S = 0.9
 # Crashes kept for one segment; the latest ones.
 MAX_SEGMENT_CRASHES = 16
 # How long a segment that nobody uses any more stays refused.
@@ -84,9 +88,9 @@
         return self.digest[-SEGMENT_DIGEST_BYTES:]
 
     def reset(self) -> None:
-        """Forget the trials once no crash counts any more."""
+        """Forget the trials: a response has gone on since then."""
+        self.trials = 0
         if not self.crashes:
-            self.trials = 0
             self.is_stored = False
 
 
@@ -251,14 +255,25 @@
                 suspicion.since_s = before.since_s
                 suspicion.is_refused = before.is_refused
             is_stored = any(r.is_stored for r in self.by_unit[unit].values())
-            observed_until_s = suspicion.since_s + OBSERVATION_S
-            if is_stored or now_s >= observed_until_s:
+            suspicion.observed_until_s = self.observed_until_s(unit, suspicion)
+            if is_stored or now_s >= suspicion.observed_until_s:
                 suspicion.is_refused = True
             else:
-                self.valid_until_s = min(self.valid_until_s, observed_until_s)
+                self.valid_until_s = min(self.valid_until_s, suspicion.observed_until_s)
         self.suspicions = found
         self.update_records()
 
+    def observed_until_s(self, unit: bytes, suspicion: Suspicion) -> float:
+        """Return until when a segment is observed before it is refused.
+
+        That is longer while a trial is in progress that no server has crashed under.
+        """
+        until_s = suspicion.since_s + OBSERVATION_S
+        tried_s = max(record.tried_s for record in self.by_unit[unit].values())
+        if suspicion.last_crash_s < tried_s:
+            until_s = max(until_s, tried_s + TRIAL_OBSERVATION_S)
+        return min(until_s, suspicion.since_s + MAX_OBSERVATION_S)
+
     def update_records(self) -> None:
         """Tell which records are refused from now on, and which not any more."""
         for record in list(self.by_digest.values()):
--- a/src/rosemaryknot/request/segment_guard.py
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -6,12 +6,8 @@
 import trio
 
 from rosemaryknot.process.logs import logger
-from rosemaryknot.process.segment_records import (
-    OBSERVATION_S,
-    SegmentRecord,
-    SegmentRecords,
-)
-from rosemaryknot.process.segment_suspicions import Suspicion
+from rosemaryknot.process.segment_records import SegmentRecord, SegmentRecords
+from rosemaryknot.process.segment_suspicions import SUSPECT_CRASHES, Suspicion
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.segment_rules import SEGMENT_RULES, SegmentInput
 from rosemaryknot.values.request_identity import RequestIdentity, SegmentUnit
@@ -101,11 +97,11 @@
             unit.segment,
             worst.count_for(customer),
             bool(refused),
-            worst.since_s + OBSERVATION_S,
+            worst.observed_until_s,
             len(refused),
             has_run,
         )
-        if refused:
+        if worst.is_suspected:
             self.describe_trials(inputs, unit, worst)
         decision = self.decide(inputs)
         if is_logged and not has_run and not is_final(decision):
@@ -145,10 +141,10 @@
         return any(s.refuses(customer) for _, s in self.suspicions(identity))
 
     def begin_trial(self, identity: RequestIdentity) -> None:
-        """Record that a request is the trial of its refused segments."""
+        """Record that a request is the trial of its suspected segments."""
         now_s = trio.current_time()
         for unit, suspicion in self.suspicions(identity):
-            if not suspicion.refuses(identity.customer):
+            if suspicion.count_for(identity.customer) < SUSPECT_CRASHES:
                 continue
             for record in self.records.by_unit.get(unit.digest, {}).values():
                 record.trials += 1
@@ -196,7 +192,7 @@
 ) -> None:
     """Log a decision that differs from that on an ordinary request."""
     log.info(
-        "trial of a refused prompt segment"
+        "trial of a suspected prompt segment"
         if isinstance(decision, Allowed)
         else "request barred by a prompt segment",
         request=identity.request_id,
--- a/src/rosemaryknot/request/segment_rules.py
+++ b/src/rosemaryknot/request/segment_rules.py
@@ -2,8 +2,9 @@
 
 Load pattern: see `rosemaryknot.process.segment_suspicions`. A suspected segment is
 first observed: requests with it wait, while those that were sent before either get past
-the beginning of their responses or end their servers. Then it is refused. Trials find
-out whether it still crashes servers, or never did.
+the beginning of their responses or end their servers. One request is sent meanwhile,
+since it may be that no server is left with any. Then the segment is refused. Trials
+find out whether it still crashes servers, or never did.
 """
 
 import math
@@ -105,6 +106,8 @@
     True
     >>> observe_then_refuse(SegmentInput("5c1e", crashes=3)).is_temporary
     True
+    >>> observe_then_refuse(SegmentInput("5c1e", crashes=3, is_trial_node=True))
+    Allowed(is_trial=True)
     >>> observe_then_refuse(SegmentInput("5c1e", 4, is_refused=True)).reason
     '4 servers crashed under requests with segment 5c1e of the prompt'
     """
@@ -115,9 +118,21 @@
     limit = WATCHED_CRASHES if inputs.has_run else SUSPECT_CRASHES
     if inputs.crashes < limit:
         return Allowed()
-    if not inputs.is_refused:
-        return Barred(reason, is_temporary=True, until_s=inputs.observed_until_s)
-    return Allowed(is_trial=True) if may_try(inputs) else Barred(reason)
+    if inputs.is_refused:
+        return Allowed(is_trial=True) if may_try(inputs) else Barred(reason)
+    if may_probe(inputs):
+        return Allowed(is_trial=True)
+    return Barred(reason, is_temporary=True, until_s=inputs.observed_until_s)
+
+
+def may_probe(inputs: SegmentInput) -> bool:
+    """Return whether a request may be sent although its segment is observed.
+
+    It is the first trial of the segment.
+    """
+    if inputs.has_run or inputs.is_reserved or inputs.crashes < SUSPECT_CRASHES:
+        return False
+    return inputs.is_trial_node and not inputs.trials
 
 
 def may_try(inputs: SegmentInput) -> bool:
--- a/tests/gateway/test_crashing_segments.py
+++ b/tests/gateway/test_crashing_segments.py
@@ -349,6 +349,33 @@
             refused = [a for a in sound if a.status == REFUSED]
             assert not [a for a in refused if b"segment" in a.body]
 
+    async def test_another_crash_before_any_response_goes_on(self, autojump_clock):
+        """All servers end under two requests, and the first that is back ends again.
+
+        No response in progress shows that a segment of all requests is sound.
+        """
+        async with platform_system(nodes=3, models=3) as fleet:
+            load = Load(fleet, sound_per_s=0, crashing_per_s=0, length_s=0)
+            for number in range(2):
+                segments = ["a0", CRASHING_SEGMENT, f"bad{number}"]
+                await load.ask(f"bad{number}", segments, path="/ask/x")
+                await trio.sleep(0.15)
+            while fleet.down >= {"m0", "m1", "m2"}:
+                await trio.sleep(0.01)
+            arrivals = fleet.ledger.arrivals
+            before = len(arrivals)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(load.ask, "lone", ["a0", "lone"])
+                while len(arrivals) == before:
+                    await trio.sleep(0.01)
+                await trio.sleep(0.05)
+                fleet.nursery.start_soon(fleet.crash_server, arrivals[-1].server)
+                for number in range(30):
+                    await trio.sleep(0.05)
+                    segments = ["a0", f"own{number}"]
+                    nursery.start_soon(load.ask, f"sound{number}", segments)
+            assert all(a.is_served for a in load.asked if a.id.startswith("sound"))
+
     async def test_rack_takes_all_servers(self, autojump_clock):
         """All servers end in one moment, so that no response is left to go on."""
         async with platform_system(nodes=3, models=4) as fleet:
