Clear no segment of crashes by a response of 4xx

Callers would see more servers crash: each response of 4xx to a request with a segment that crashes servers cleared it of the crashes so far, so that three more were needed.

Cause: a response below 500 counted as complete, and a complete response as one on the prompt. A server that rejects a request need not have read its prompt.

Evidence: tests/gateway/test_crashing_segments.py::TestRefusal:: test_rejected_request_clears_nothing, with a rejected request between the second and the third crash, failed before (the next request reached a server) and passes now.

Why it works: the begin of such a response is passed on as that of one without content, which clears no segment. The record of the whole request is cleared as before: that request did not crash its server.

--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -43,6 +43,7 @@
 MAX_LOST_PATHS = 2
 OK = 200
 MISDIRECTED = 421
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
 NO_CONTENT = frozenset((204, 205))
 UNSETTLED_VERSION = "nodes may hold the version of an earlier attempt"
@@ -149,11 +150,13 @@
         if isinstance(outcome, Completed):
             self.record_absent_limit(outcome.status)
             if outcome.status < SERVER_ERROR:
+                # A server that rejects a request need not have read its prompt.
+                is_rejected = outcome.status >= CLIENT_ERROR
                 self.components.crashes.record_complete(
                     self.state,
                     context.identity,
                     connection.is_closed_by_server,
-                    self.began_s,
+                    math.inf if is_rejected else self.began_s,
                 )
             await self.components.pool.release(connection)
             return outcome
--- a/tests/gateway/test_crashing_segments.py
+++ b/tests/gateway/test_crashing_segments.py
@@ -12,7 +12,7 @@
 
 from rosemaryknot.process.crash_store import KIND, RELEASE_CHECK_INTERVAL_S
 from rosemaryknot.process.segment_records import FORGET_S
-from rosemaryknot.standin.users.servers import CRASHING_SEGMENT
+from rosemaryknot.standin.users.servers import CRASHING_SEGMENT, ServerStandIn
 from rosemaryknot.standin.users.system import (
     KEY,
     document,
@@ -21,6 +21,7 @@
 from rosemaryknot.values.request_identity import is_segment_digest
 
 OK = 200
+BAD_REQUEST = 400
 REFUSED = 503
 # Crashes after which all nodes have to know of the segment, and within what time.
 MAX_CRASHES = 5
@@ -506,6 +507,21 @@
             assert line["segment"] == CRASHING_SEGMENT
             assert len(line["servers"]) >= 3
 
+    async def test_rejected_request_clears_nothing(self, autojump_clock, monkeypatch):
+        """A server that rejects a request has not read its prompt."""
+        async with platform_system(nodes=3, models=6) as fleet:
+            for number in range(2):
+                await ask_segment(fleet, f"first{number}", f"n{number}")
+                await trio.sleep(0.2)
+            with monkeypatch.context() as patch:
+                patch.setattr(ServerStandIn, "write_until_crash", reject)
+                answer = await ask_segment(fleet, "rejected")
+            assert answer.status == BAD_REQUEST
+            await ask_segment(fleet, "last")
+            await trio.sleep(1.0)
+            answer = await ask_segment(fleet, "late", "n2")
+            assert answer.status == REFUSED and b"segment" in answer.body
+
     async def test_queued_requests_are_cancelled(self, autojump_clock):
         """Requests that servers have not begun when the segment becomes refused."""
         async with platform_system(nodes=3, models=9) as fleet:
@@ -523,6 +539,12 @@
             assert not [a for a in arrivals if a.crashed_s is not None]
 
 
+async def reject(server, arrival, wire):
+    """Respond that the request is not valid, without running it."""
+    arrival.ended = "refused"
+    await wire.answer(BAD_REQUEST, server.headers(arrival), b"not valid")
+
+
 async def ask_segment(fleet, name, node="n0"):
     segments = [f"c-{name}", CRASHING_SEGMENT, name]
     return await fleet.ask(
