Count no partition from all peers against a node that is cut off

Cause: the check. Three of four nodes are cut off from the servers, and from 11.3 s to 13.3 s one of these is also partitioned from the fourth, the only one that reaches them. No node can serve its callers then, but the check asked only whether a peer without a disturbance exists, and a partition of two nodes is none.

Evidence: 20 of the 27 failed requests are at that node between 11.0 s and 13.5 s, in which it serves two, at 11.0 s; before, two of its eleven fail. The other node that the check names serves 14 of 19. Ruled out: the brittle service, the versions and the restarts, which the other two nodes share.

Why it is as strict: a request counts as before unless its node is partitioned from each peer that could relay it, while it lasts. A partition from another node, or one that has ended, excuses nothing (tests/gateway/test_plays.py).

--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -572,9 +572,14 @@
 def has_peer(
     disturbances: Disturbances, peers: Iterable[str], request: CallerRequest
 ) -> bool:
-    """Return whether a peer that is not disturbed can relay a request."""
+    """Return whether a peer that is not disturbed can relay a request.
+
+    A node that reaches no server and none of these peers cannot serve.
+    """
+    period = request.sent_s, request.ended_s
     return any(
-        disturbances.is_undisturbed(name, request.sent_s, request.ended_s)
+        disturbances.is_undisturbed(name, *period)
+        and disturbances.are_connected(name, request.node, *period)
         for name in peers
     )
 
--- a/src/rosemaryknot/standin/users/disturbances.py
+++ b/src/rosemaryknot/standin/users/disturbances.py
@@ -17,6 +17,7 @@
     "CutPeriod",
     "Disturbance",
     "Disturbances",
+    "Partition",
 ]
 
 # Time after the end of a disturbance until invariants with a time limit hold again.
@@ -60,6 +61,25 @@
     end_s: float = math.inf
 
 
+@dataclass(slots=True)
+class Partition:
+    """A period in which two nodes do not reach each other.
+
+    It is no disturbance: the store and all servers reach both.
+
+    Attributes
+    ----------
+    nodes : frozenset of str
+        Names of the two nodes.
+    start_s, end_s : float
+        When it began and ended, in trio time.
+    """
+
+    nodes: frozenset[str]
+    start_s: float
+    end_s: float = math.inf
+
+
 @dataclass(slots=True)
 class BrittlePeriod:
     """A period in which servers state that they are brittle.
@@ -95,6 +115,7 @@
     def __init__(self) -> None:
         self.spans: list[Disturbance] = []
         self.cuts: list[CutPeriod] = []
+        self.partitions: list[Partition] = []
         self.brittle: list[BrittlePeriod] = []
 
     @contextmanager
@@ -117,6 +138,25 @@
         finally:
             period.end_s = trio.current_time()
 
+    @contextmanager
+    def separate(self, one: str, other: str) -> Iterator[None]:
+        """Record two nodes as not reaching each other while the block runs."""
+        partition = Partition(frozenset((one, other)), trio.current_time())
+        self.partitions.append(partition)
+        try:
+            yield
+        finally:
+            partition.end_s = trio.current_time()
+
+    def are_connected(self, one: str, other: str, start_s: float, end_s: float) -> bool:
+        """Return whether no partition of two nodes overlaps a period."""
+        return not any(
+            partition.nodes == {one, other}
+            and partition.start_s <= end_s
+            and partition.end_s >= start_s
+            for partition in self.partitions
+        )
+
     @contextmanager
     def disturb(self, subject: str = ALL_SUBJECTS) -> Iterator[None]:
         """Record a subject as disturbed while the block runs."""
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -165,9 +165,12 @@
     """Partition a node from another host for ``for_s``."""
     with ExitStack() as stack:
         # A partition between nodes is no disturbance, as both still reach the store.
-        if not fault["from"].startswith(NODES_NETWORK):
-            disturbed = system.disturbances.disturb(node_of(fault["host"]))
-            stack.enter_context(disturbed)
+        node, disturbances = node_of(fault["host"]), system.disturbances
+        if fault["from"].startswith(NODES_NETWORK):
+            separated = disturbances.separate(node, node_of(fault["from"]))
+            stack.enter_context(separated)
+        else:
+            stack.enter_context(disturbances.disturb(node))
         system.network.cut(fault["host"], fault["from"])
         await trio.sleep(fault["for_s"])
         system.network.heal(fault["host"], fault["from"])
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -15,6 +15,7 @@
     BrittlePeriod,
     CutPeriod,
     Disturbance,
+    Partition,
 )
 from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.play import (
@@ -289,6 +290,25 @@
     def test_violation_is_found(self, invariant, observations):
         assert [violation.invariant for violation in audit(observations)] == [invariant]
 
+    def test_node_without_servers_and_peers_cannot_serve(self):
+        """The only peer that reaches servers is partitioned from the node."""
+        observations = cut_off(failed=40)
+        partition = Partition(frozenset(("n0", "n1")), 8.0, 12.0)
+        observations.disturbances.partitions.append(partition)
+        assert not audit(observations)
+
+    @pytest.mark.parametrize(
+        "partition",
+        [
+            Partition(frozenset(("n0", "n2")), 8.0, 12.0),
+            Partition(frozenset(("n0", "n1")), 8.0, 9.9),
+        ],
+    )
+    def test_another_partition_does_not_excuse(self, partition):
+        observations = cut_off(failed=40)
+        observations.disturbances.partitions.append(partition)
+        assert [v.invariant for v in audit(observations)] == ["cut_off_nodes_serve"]
+
     def test_short_bodies_are_not_service(self):
         violations = audit(short_bodies())
         assert {v.invariant for v in violations} == {"in_order", "cut_off_nodes_serve"}
