Let a waiting request make the trial that it was chosen for

Callers would see 503 for a request that waited and was then chosen to make the trial of its segment, and no trial for another second.

Cause: the decision at the end of a wait was made twice, the second time only to log it. The first one reserves the trial for the request, and the second one takes that for the trial of another.

Evidence: tests/process/test_segment_records.py::TestTrial failed before (the request is refused for the time being) and passes now.

Why it works: a trial is logged when it is decided, and is not decided again.

--- a/src/rosemaryknot/request/segment_guard.py
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -80,7 +80,7 @@
         has_run : bool
             Whether an earlier attempt may have run.
         is_logged : bool
-            Whether to log the decision if it differs from that on other requests.
+            Whether to log a refusal or a wait; a trial is logged in any case.
         """
         customer = identity.customer
         found = self.suspicions(identity)
@@ -106,9 +106,10 @@
         decision = self.decide(inputs)
         if is_logged and not has_run and not is_final(decision):
             self.records.record_request(identity.units)
-        if isinstance(decision, Allowed) and decision.is_trial:
+        is_trial = isinstance(decision, Allowed) and decision.is_trial
+        if is_trial:
             self.reserved[unit.digest] = trio.current_time() + TRIAL_START_S
-        if is_logged and (isinstance(decision, Barred) or decision.is_trial):
+        if is_trial or (is_logged and isinstance(decision, Barred)):
             log_decision(identity, inputs, worst, decision)
         return decision
 
--- a/tests/process/test_segment_records.py
+++ b/tests/process/test_segment_records.py
@@ -1,6 +1,7 @@
 """Tests of the records of prompt segments that servers crashed under."""
 
 import math
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -22,6 +23,7 @@
     SURVIVAL_S,
     SegmentCrash,
 )
+from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.segment_guard import SegmentGuard
 from rosemaryknot.values.request_identity import RequestIdentity, SegmentUnit
 
@@ -165,6 +167,37 @@
         assert not segments.by_digest
 
 
+class TestTrial:
+    async def test_waiting_request_becomes_the_trial(self, autojump_clock):
+        """A request does not wait for the trial that it makes itself."""
+        records = CrashRecords()
+        now_s = trio.current_time()
+        for number in range(3):
+            at_s = now_s - 3.0 + number
+            records.segments.record("ada", CAUSE, crash(number, at_s=at_s))
+        begins_s = now_s + 0.1
+
+        def is_trial_node(digest):
+            return trio.current_time() >= begins_s
+
+        def ignore(*args):
+            return None
+
+        detector = SimpleNamespace(on_completed=ignore)
+        guard = CrashGuard(records, detector, ignore, is_trial_node, ignore, ignore)
+        identity = RequestIdentity("r", "ada", (), b"", "writer", lambda: ["dead"])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(signal_at, records, begins_s)
+            decision = await guard.wait(identity, [], False, 1.0)
+        assert decision.is_trial
+        assert trio.current_time() == pytest.approx(begins_s)
+
+
+async def signal_at(records, at_s):
+    await trio.sleep_until(at_s)
+    records.signal_change()
+
+
 class TestForms:
     def test_message(self):
         record = add_crashes(CrashRecords().segments, CAUSE, range(3))
