--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/installed
 PYTEST_OPTIONS ?=
-PYTEST_JOBS ?= 4
+PYTEST_JOBS ?= 5
 
 .PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak bench-nodes bench-planned-stop bench-load platform-demo soak mixed-builds
 
