Let a request keep the trial of its segment until it reaches a server

Cause: the trial's request met a server that was down. For its next attempt it is checked again, and the reservation of the trial, its own, made it wait with the others; no request was sent within the time of the observation.

Why it works: the reservation names its request, and holds back only others.

--- a/src/rosemaryknot/request/segment_guard.py
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -21,6 +22,24 @@
 log = logger("crashes")
 
 
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """The request that may be the trial of a segment.
+
+    It keeps the trial while it looks for a server that accepts its connection.
+
+    Attributes
+    ----------
+    request_id : str
+        Id of the request.
+    until_s : float
+        Until when it has to begin, in trio time.
+    """
+
+    request_id: str
+    until_s: float
+
+
 class SegmentGuard:
     """Decides on requests by the segments of their prompts.
 
@@ -37,9 +56,8 @@
 
     Attributes
     ----------
-    reserved : dict of bytes to float
-        Until when a request that may be the trial of a segment has to begin, in trio
-        time.
+    reserved : dict of bytes to Reservation
+        Request that may be the trial of a segment, by the segment's digest.
     decide : callable
         Rule in use; one of `SEGMENT_RULES`.
     """
@@ -55,7 +73,7 @@
         self.clear = clear
         self.is_trial_node = is_trial_node
         self.record_trial = record_trial
-        self.reserved: dict[bytes, float] = {}
+        self.reserved: dict[bytes, Reservation] = {}
         self.decide = SEGMENT_RULES[SEGMENT_RULE]
 
     def suspicions(
@@ -103,12 +121,14 @@
         )
         if worst.is_suspected:
             self.describe_trials(inputs, unit, worst)
+            inputs.is_reserved = self.is_reserved(unit.digest, identity.request_id)
         decision = self.decide(inputs)
         if is_logged and not has_run and not is_final(decision):
             self.records.record_request(identity.units)
         is_trial = isinstance(decision, Allowed) and decision.is_trial
         if is_trial:
-            self.reserved[unit.digest] = trio.current_time() + TRIAL_START_S
+            until_s = trio.current_time() + TRIAL_START_S
+            self.reserved[unit.digest] = Reservation(identity.request_id, until_s)
         if is_trial or (is_logged and isinstance(decision, Barred)):
             log_decision(identity, inputs, worst, decision)
         return decision
@@ -123,18 +143,17 @@
         inputs.tried_ago_s = trio.current_time() - tried_s
         inputs.idle_s = trio.current_time() - max(suspicion.last_crash_s, tried_s)
         inputs.is_trial_node = self.is_trial_node(unit.digest)
-        inputs.is_reserved = self.is_reserved(unit.digest)
         inputs.is_shadowed = self.records.is_shadowed(unit.digest)
 
-    def is_reserved(self, unit: bytes) -> bool:
-        """Return whether a request at this node may be about to begin the trial."""
-        until_s = self.reserved.get(unit)
-        if until_s is None:
+    def is_reserved(self, unit: bytes, request_id: str) -> bool:
+        """Return whether another request here may be about to begin the trial."""
+        reservation = self.reserved.get(unit)
+        if reservation is None:
+            return False
+        if trio.current_time() >= reservation.until_s:
+            del self.reserved[unit]
             return False
-        if trio.current_time() < until_s:
-            return True
-        del self.reserved[unit]
-        return False
+        return reservation.request_id != request_id
 
     def is_refused(self, identity: RequestIdentity) -> bool:
         """Return whether a segment of the request is refused."""
--- a/tests/process/test_segment_records.py
+++ b/tests/process/test_segment_records.py
@@ -168,6 +168,25 @@
 
 
 class TestTrial:
+    async def test_request_keeps_its_trial(self, autojump_clock):
+        """The first server of a trial may accept no connection."""
+        segments = CrashRecords().segments
+        now_s = trio.current_time()
+        for number in range(3):
+            segments.record("ada", CAUSE, crash(number, at_s=now_s - 3.0 + number))
+        guard = SegmentGuard(
+            segments, lambda *args: None, lambda digest: True, lambda record: None
+        )
+        first, other = (
+            RequestIdentity(name, "ada", (), b"", "writer", lambda: ["dead"])
+            for name in ("first", "other")
+        )
+        assert guard.check(first, False).is_trial
+        assert guard.check(first, False).is_trial
+        assert guard.check(other, False).is_temporary
+        guard.begin_trial(first)
+        assert guard.check(first, False).is_temporary
+
     async def test_waiting_request_becomes_the_trial(self, autojump_clock):
         """A request does not wait for the trial that it makes itself."""
         records = CrashRecords()
