Decide on a suspected segment in one place, and count its requests in one

A request that waits and then makes the trial was returned before the last check, with a reason that no longer held: since the reservation names its request, that request is not held back when it is checked again. The case is taken out, and with it the rule that a trial is logged in any case; the last check logs it, once.

The guard counted a request in two places, and is_reserved removed what it looked at; now the reservation of a trial drops those that are over, so that none is left of segments that nobody asks for again.

--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -11,11 +11,7 @@
 
 import trio
 
-from rosemaryknot.connection.network import (
-    ACCEPT_ALL,
-    AcceptPolicy,
-    StreamHandler,
-)
+from rosemaryknot.connection.network import ACCEPT_ALL, AcceptPolicy, StreamHandler
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["MemoryNetwork", "MemoryStream", "PeerSocket"]
--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -52,10 +52,10 @@
 
 
 class AcceptPolicy:
-    """Decides which connections a listener accepts: all of them."""
+    """Decides which connections a listener accepts; this one accepts all."""
 
     async def wait_turn(self) -> None:
-        """Wait until the connections that have arrived are decided on."""
+        """Wait until the next connections may be accepted."""
 
     def may_accept(self) -> bool:
         """Return whether to pass the next connection to the handler.
--- a/src/rosemaryknot/connection/server_network.py
+++ b/src/rosemaryknot/connection/server_network.py
@@ -2,11 +2,7 @@
 
 import trio
 
-from rosemaryknot.connection.network import (
-    ACCEPT_ALL,
-    AcceptPolicy,
-    StreamHandler,
-)
+from rosemaryknot.connection.network import ACCEPT_ALL, AcceptPolicy, StreamHandler
 from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.values.nodes import Address
 
--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -30,8 +30,8 @@
 # How long a suspected segment is observed before it is refused: requests that were sent
 # before have got past the beginning of their responses by then if it is sound.
 OBSERVATION_S = 0.5
-# The same from the begin of a trial within that time, and the longest time in all.
-# Requests wait meanwhile.
+# How long it is observed from the begin of a trial in that time, and at most in all.
+# Other requests with the segment wait until then.
 TRIAL_OBSERVATION_S = 0.6
 MAX_OBSERVATION_S = 0.9
 # Crashes kept for one segment; the latest ones.
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -107,7 +107,7 @@
         has_waited : bool
             Whether the request has waited for other attempts as long as it may.
         is_logged : bool
-            Whether to log a refusal or a wait; a trial is logged in any case.
+            Whether to log the decision if it differs from that on other requests.
         """
         decision = self.check_request(
             identity, closed_by, has_run, has_waited, is_logged
@@ -146,8 +146,7 @@
             inputs.refused_for_s = trio.current_time() - record.last_crash_s
         inputs.crashes = len(servers)
         decision = self.decide(inputs)
-        is_trial = isinstance(decision, Allowed) and decision.is_trial
-        if is_trial or (is_logged and isinstance(decision, Barred)):
+        if is_logged and (isinstance(decision, Barred) or decision.is_trial):
             log_decision(identity, servers, inputs, decision)
         return decision
 
@@ -176,9 +175,6 @@
                 # The same decision on each change of any record would displace all
                 # other lines.
                 decision = self.check(identity, closed_by, has_run, is_logged=False)
-        if isinstance(decision, Allowed) and decision.is_trial:
-            # Checked again, it would wait for itself to begin the trial.
-            return decision
         has_waited = isinstance(decision, Barred) and decision.is_temporary
         return self.check(identity, closed_by, has_run, has_waited)
 
--- a/src/rosemaryknot/request/segment_guard.py
+++ b/src/rosemaryknot/request/segment_guard.py
@@ -98,18 +98,30 @@
         has_run : bool
             Whether an earlier attempt may have run.
         is_logged : bool
-            Whether to log a refusal or a wait; a trial is logged in any case.
+            Whether to log the decision if it differs from that on other requests.
         """
-        customer = identity.customer
         found = self.suspicions(identity)
-        if not found:
-            if is_logged and not has_run and self.records.by_unit:
-                self.records.record_request(identity.units)
-            return Allowed()
+        decision = Allowed()
+        if found:
+            decision = self.decide_by_worst(identity, found, has_run, is_logged)
+        is_counted = is_logged and not has_run and not is_final(decision)
+        if is_counted and self.records.by_unit:
+            self.records.record_request(identity.units)
+        return decision
+
+    def decide_by_worst(
+        self,
+        identity: RequestIdentity,
+        found: list[tuple[SegmentUnit, Suspicion]],
+        has_run: bool,
+        is_logged: bool,
+    ) -> Allowed | Barred:
+        """Decide by the suspected segment with most crashes, a refused one if any."""
+        customer = identity.customer
         refused = [(u, s) for u, s in found if s.refuses(customer)]
-        candidates = refused or found
         unit, worst = max(
-            candidates, key=lambda pair: (pair[1].count_for(customer), pair[0].digest)
+            refused or found,
+            key=lambda pair: (pair[1].count_for(customer), pair[0].digest),
         )
         inputs = SegmentInput(
             unit.segment,
@@ -123,13 +135,9 @@
             self.describe_trials(inputs, unit, worst)
             inputs.is_reserved = self.is_reserved(unit.digest, identity.request_id)
         decision = self.decide(inputs)
-        if is_logged and not has_run and not is_final(decision):
-            self.records.record_request(identity.units)
-        is_trial = isinstance(decision, Allowed) and decision.is_trial
-        if is_trial:
-            until_s = trio.current_time() + TRIAL_START_S
-            self.reserved[unit.digest] = Reservation(identity.request_id, until_s)
-        if is_trial or (is_logged and isinstance(decision, Barred)):
+        if isinstance(decision, Allowed) and decision.is_trial:
+            self.reserve(unit.digest, identity.request_id)
+        if is_logged and (isinstance(decision, Barred) or decision.is_trial):
             log_decision(identity, inputs, worst, decision)
         return decision
 
@@ -145,13 +153,16 @@
         inputs.is_trial_node = self.is_trial_node(unit.digest)
         inputs.is_shadowed = self.records.is_shadowed(unit.digest)
 
+    def reserve(self, unit: bytes, request_id: str) -> None:
+        """Reserve the trial of a segment for a request."""
+        now_s = trio.current_time()
+        self.reserved = {u: r for u, r in self.reserved.items() if r.until_s > now_s}
+        self.reserved[unit] = Reservation(request_id, now_s + TRIAL_START_S)
+
     def is_reserved(self, unit: bytes, request_id: str) -> bool:
         """Return whether another request here may be about to begin the trial."""
         reservation = self.reserved.get(unit)
-        if reservation is None:
-            return False
-        if trio.current_time() >= reservation.until_s:
-            del self.reserved[unit]
+        if reservation is None or trio.current_time() >= reservation.until_s:
             return False
         return reservation.request_id != request_id
 
