Log what responses state of a server's drain and pause

A response may state that its server leaves (Server-Leaving: 1) or, with 503, that it wants no requests for a time (Retry-After). Nothing is decided by them yet.

A Retry-After is a decimal number or an HTTP date, which counts from the Date of its response; the longest of several holds.

--- a/src/rosemaryknot/platform/headers.py
+++ b/src/rosemaryknot/platform/headers.py
@@ -1,6 +1,7 @@
 """Conversion between HTTP headers and the gateway's own types."""
 
-from collections.abc import Container, Iterable
+import time
+from collections.abc import Callable, Container, Iterable
 
 from rosemaryknot.values.gateway import (
     GatewayRequest,
@@ -10,6 +11,11 @@
     RoutedServer,
 )
 from rosemaryknot.values.gateway_responses import Framing, ResponseHead, TargetFault
+from rosemaryknot.values.retry_after import (
+    InvalidRetryAfter,
+    decode_date,
+    decode_retry_after,
+)
 from rosemaryknot.values.server_limits import decode_limit
 
 __all__ = ["PlatformWire"]
@@ -27,6 +33,9 @@
 RESUMES = b"resumes"
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
+DRAINING = b"server-leaving"
+DRAINING_VALUE = "1"
+RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 MISDIRECTED = 421
@@ -173,8 +182,28 @@
     return None
 
 
+def is_stated_draining(headers: Headers) -> bool:
+    """Return whether a server states that it drains.
+
+    Examples
+    --------
+    >>> is_stated_draining([(b"server-leaving", b"11")])
+    False
+    """
+    return DRAINING_VALUE in (text.strip() for text in all_values(headers, DRAINING))
+
+
 class PlatformWire:
-    """Header codec of the platform; implements `GatewayWire`."""
+    """Header codec of the platform; implements `GatewayWire`.
+
+    Parameters
+    ----------
+    unix_time : callable
+        Returns seconds since the epoch, for dates in responses without a ``Date``.
+    """
+
+    def __init__(self, unix_time: Callable[[], float] = time.time) -> None:
+        self.unix_time = unix_time
 
     def read_request(
         self,
@@ -250,9 +279,19 @@
             framing=framing_of(names),
             limit=decode_limit(all_values(pairs, LIMIT)),
             brittle=decode_limit(all_values(pairs, BRITTLE)),
+            is_draining=is_stated_draining(pairs),
+            retry_after=self.read_retry_after(pairs),
             headers=[pair for pair in pairs if pair[0] not in dropped],
         )
 
+    def read_retry_after(self, headers: Headers) -> float | InvalidRetryAfter | None:
+        """Decode the time for which a server wants no requests, in seconds."""
+        texts = all_values(headers, RETRY_AFTER)
+        if not texts:
+            return None
+        sent_s = decode_date(first_value(headers, b"date") or "")
+        return decode_retry_after(texts, self.unix_time() if sent_s is None else sent_s)
+
     def refusal_headers(self, request: GatewayRequest | None) -> Headers:
         """Return the headers that identify the request in a response of the gateway."""
         if request is None or not request.id:
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -270,6 +270,7 @@
             return head
         self.state.last_received_s = trio.current_time()
         self.state.last_answered_s = max(self.state.last_answered_s, self.started_s)
+        self.log_availability(head)
         self.record_limit(head)
         if head.not_run:
             return NotRunThere(head.status)
@@ -283,6 +284,25 @@
             return Lost(f"the server answered {head.status}")
         return await self.relay(connection, head)
 
+    def log_availability(self, head: ResponseHead) -> None:
+        """Log that the server states that it drains, or wants a pause."""
+        if not head.is_draining and head.retry_after is None:
+            return
+        log.info(
+            "server stated its availability",
+            request=self.context.request.id,
+            server=self.state.entry.id,
+            server_born=self.state.entry.born,
+            status=head.status,
+            not_run=head.not_run,
+            is_signed=head.is_signed,
+            is_draining=head.is_draining,
+            retry_after=head.retry_after,
+            path=self.context.path,
+            entry_s=round(trio.current_time() - self.state.entry_updated_s, 3),
+            after_s=round(trio.current_time() - self.started_s, 3),
+        )
+
     def record_limit(self, head: ResponseHead) -> None:
         """Record the rate limit that the server states.
 
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -5,6 +5,7 @@
 from typing import Any, Protocol
 
 from rosemaryknot.values.gateway import GatewayRequest, Headers, RoutedServer
+from rosemaryknot.values.retry_after import InvalidRetryAfter
 from rosemaryknot.values.server_limits import InvalidLimit
 
 __all__ = [
@@ -66,6 +67,10 @@
     brittle : float or InvalidLimit or None
         Requests a second that the server may turn away for want of room before it
         crashes; None if it does not state that it is brittle.
+    is_draining : bool
+        Whether the server states that it drains.
+    retry_after : float or InvalidRetryAfter or None
+        Time for which the server wants no requests, in seconds; None if it states none.
     """
 
     status: int
@@ -78,6 +83,8 @@
     headers: Headers = field(default_factory=list)
     limit: float | InvalidLimit | None = None
     brittle: float | InvalidLimit | None = None
+    is_draining: bool = False
+    retry_after: float | InvalidRetryAfter | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -9,6 +9,7 @@
 from rosemaryknot.values.gateway_responses import Framing, TargetFault
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
+from rosemaryknot.values.retry_after import InvalidRetryAfter
 from rosemaryknot.values.server_limits import InvalidLimit
 
 SERVER = RoutedServer(ServerIncarnation("i-1"), "s", "z", Address("10.0.0.1", 80))
@@ -132,3 +133,58 @@
     )
     def test_anything_else_is_invalid(self, value):
         assert isinstance(limit_of(value), InvalidLimit)
+
+
+class TestAvailability:
+    """What responses state of drains and pauses."""
+
+    @pytest.mark.parametrize(
+        ("texts", "is_draining"),
+        [
+            (["1"], True),
+            ([" 1 "], True),
+            (["0", "1"], True),
+            (["0"], False),
+            (["yes"], False),
+            (["11"], False),
+            ([""], False),
+            ([], False),
+        ],
+    )
+    def test_drain(self, texts, is_draining):
+        headers = [(b"Server-Leaving", text.encode()) for text in texts]
+        assert PlatformWire().read_response(200, headers).is_draining is is_draining
+
+    @pytest.mark.parametrize(
+        ("texts", "delay"),
+        [
+            (["3"], 3.0),
+            (["0.25"], 0.25),
+            (["0"], 0.0),
+            (["0.2", "3"], 3.0),
+            (["Thu, 01 Jan 1970 00:00:09 GMT"], 5.0),
+            (["Thu, 01 Jan 1970 00:00:01 GMT"], 0.0),
+            (["86400000"], 86400.0),
+            (["-1"], InvalidRetryAfter("-1")),
+            (["nan"], InvalidRetryAfter("nan")),
+            (["1e300"], InvalidRetryAfter("1e300")),
+            ([""], InvalidRetryAfter("")),
+            (["Thu, 99 Jan 1970 00:00:01 GMT"], InvalidRetryAfter),
+            ([], None),
+        ],
+    )
+    def test_retry_after(self, texts, delay):
+        headers = [(b"Retry-After", text.encode()) for text in texts]
+        head = PlatformWire(lambda: 4.0).read_response(503, headers)
+        if delay is InvalidRetryAfter:
+            assert isinstance(head.retry_after, InvalidRetryAfter)
+        else:
+            assert head.retry_after == delay
+
+    def test_date_counts_from_that_of_the_response(self):
+        headers = [
+            (b"Date", b"Thu, 01 Jan 1970 00:00:07 GMT"),
+            (b"Retry-After", b"Thu, 01 Jan 1970 00:00:09 GMT"),
+        ]
+        head = PlatformWire(lambda: 4.0).read_response(503, headers)
+        assert head.retry_after == 2.0
