Reproduce requests to servers that stated a drain or asked for a pause

The stand-ins can state both, and keep a ledger of it; the two counts are pure functions of the ledger, the arrivals and the callers' requests.

--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from rosemaryknot.standin.users.availability import DrainStatement, PauseRequest
 from rosemaryknot.standin.users.limit_windows import LimitStatement
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
@@ -147,11 +148,17 @@
         Rate limits that responses stated or omitted, in order.
     falls : list of Fall
         Crashes of brittle servers, in order.
+    drains : list of DrainStatement
+        Responses that stated that their server drains, in order.
+    pauses : list of PauseRequest
+        Responses that asked for a pause, in order.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
     statements: list[LimitStatement] = field(default_factory=list)
     falls: list[Fall] = field(default_factory=list)
+    drains: list[DrainStatement] = field(default_factory=list)
+    pauses: list[PauseRequest] = field(default_factory=list)
 
     def runs_of(self, request_id: str) -> int:
         """Return the number of times that a request ran."""
@@ -188,6 +195,12 @@
         which its responses state.
     room : float
         Requests that it accepts at once.
+    draining : str or None
+        Value of the header with which all its responses state that it drains.
+    retry_after : str or None
+        Pause that its refusals ask for, in seconds.
+    is_turning_away : bool
+        Whether it refuses all requests.
     crashing : set of str
         Ids of further segments that crash it.
     crash_events : int
@@ -220,6 +233,9 @@
         self.room = math.inf
         self.active = 0
         self.turned_away: deque[tuple[float, str]] = deque()
+        self.draining: str | None = None
+        self.retry_after: str | None = None
+        self.is_turning_away = False
         self.crashing: set[str] = set()
         self.crash_events = 0
         self.crash: Callable[[], None] = lambda: None
@@ -231,6 +247,8 @@
         self.faults.clear()
         self.is_mute = False
         self.limit = None
+        self.draining = self.retry_after = None
+        self.is_turning_away = False
         self.entry = self.entry | {"born": max(born_ms, self.entry["born"] + 1)}
 
     def pause(self, for_s: float) -> None:
@@ -261,7 +279,7 @@
             return
         if self.is_mute:
             await trio.sleep_forever()
-        if self.active >= self.room:
+        if self.is_turning_away or self.active >= self.room:
             await self.turn_away(arrival, wire)
             return
         self.active += 1
@@ -350,7 +368,27 @@
         }
         if self.is_model:
             headers["Content-Type"] = "text/event-stream"
-        return headers | self.limit_headers()
+        return headers | self.limit_headers() | self.drain_headers(arrival)
+
+    def drain_headers(self, arrival: Arrival) -> dict[str, str]:
+        """Return the header that states that the server drains, and record it."""
+        if self.draining is None:
+            return {}
+        if self.draining == "1":
+            now_s = trio.current_time()
+            statement = DrainStatement(self.incarnation, arrival.id, now_s)
+            self.ledger.drains.append(statement)
+        return {"Server-Leaving": self.draining}
+
+    def pause_headers(self, arrival: Arrival) -> dict[str, str]:
+        """Return the header that asks for a pause, and record it."""
+        if self.retry_after is None:
+            return {}
+        if self.retry_after.replace(".", "", 1).isdecimal():
+            now_s, length_s = trio.current_time(), float(self.retry_after)
+            pause = PauseRequest(self.incarnation, arrival.id, now_s, length_s)
+            self.ledger.pauses.append(pause)
+        return {"Retry-After": self.retry_after}
 
     def limit_headers(self) -> dict[str, str]:
         """Return the headers that state the rate limit, and record the statement."""
@@ -395,7 +433,8 @@
     """Refuse the request as overloaded, without running it."""
     arrival.ended = "refused"
     headers = {"Rosemaryknot-Not-Executed": "1", "Rosemaryknot-Attempt-Id": arrival.id}
-    await wire.answer(503, headers | server.limit_headers())
+    headers |= server.limit_headers() | server.drain_headers(arrival)
+    await wire.answer(503, headers | server.pause_headers(arrival))
 
 
 @server_fault("error")
