Send no requests to a server that stated in a response that it drains

Cause: a node took from a response only what the request under way needs. What it says of its sender went no further, so that only the store could tell of a drain, and it may be away for as long as the server lives.

The head of any response of the named server, whatever its status, of a response that is skipped as an answer to another request too, now marks the incarnation as draining, for good: an entry that says ready, is written again, lapses or returns changes nothing, and the next incarnation begins anew. A response of another server (421, no signature) says nothing. Rate limits, which did this already, are recorded in the same place (request/server_statements.py).

All nodes are told, since nobody should begin a stream at a server that ends soon, and a peer that relays connections has to know too: one message of the first node that learns of it, through the relays in a large deployment, and at the join of a node that is new or was partitioned. It names the incarnation; a drain of one that is not known yet is remembered if it has a birth time.

If all servers of a service drain, requests are refused at once, with the time until the first replacement has booted. A request that was chosen for a server before its statement and waited for a connection is not sent there and does not count as a failure of it.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -5,7 +5,7 @@
 our requests.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from weakref import WeakSet
 
 import h11
@@ -149,11 +149,25 @@
             return
         self.is_sent = True
 
-    async def head(self, wire: GatewayWire, request_id: str) -> ResponseHead | Lost:
+    async def head(
+        self,
+        wire: GatewayWire,
+        request_id: str,
+        on_stray: Callable[[ResponseHead], None] = lambda head: None,
+    ) -> ResponseHead | Lost:
         """Return the head of the response to this request.
 
         A server may send a second response to an earlier request where the response
         to this one is expected. It is recognized by its request id and skipped.
+
+        Parameters
+        ----------
+        wire : GatewayWire
+            Decodes the head.
+        request_id : str
+            Id of the request.
+        on_stray : callable
+            Called with the head of each response that is skipped.
         """
         for _ in range(MAX_STRAY_RESPONSES + 1):
             event = await self.next_event()
@@ -167,6 +181,7 @@
                 self.record_keep_alive(head)
                 return head
             STRAY_RESPONSES.add()
+            on_stray(head)
             if not await self.skip_stray():
                 return Lost("an answer to another request")
         return Lost("answers to other requests")
--- a/src/rosemaryknot/platform/headers.py
+++ b/src/rosemaryknot/platform/headers.py
@@ -1,7 +1,6 @@
 """Conversion between HTTP headers and the gateway's own types."""
 
-import time
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Container, Iterable
 
 from rosemaryknot.values.gateway import (
     GatewayRequest,
@@ -36,6 +35,7 @@
 DRAINING = b"server-leaving"
 DRAINING_VALUE = "1"
 RETRY_AFTER = b"retry-after"
+DATE = b"date"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 MISDIRECTED = 421
@@ -193,17 +193,14 @@
     return DRAINING_VALUE in (text.strip() for text in all_values(headers, DRAINING))
 
 
-class PlatformWire:
-    """Header codec of the platform; implements `GatewayWire`.
+def read_retry_after(headers: Headers) -> float | InvalidRetryAfter | None:
+    """Return the time for which a server wants no requests, in seconds."""
+    sent_unix_s = decode_date(first_value(headers, DATE) or "")
+    return decode_retry_after(all_values(headers, RETRY_AFTER), sent_unix_s)
 
-    Parameters
-    ----------
-    unix_time : callable
-        Returns seconds since the epoch, for dates in responses without a ``Date``.
-    """
 
-    def __init__(self, unix_time: Callable[[], float] = time.time) -> None:
-        self.unix_time = unix_time
+class PlatformWire:
+    """Header codec of the platform; implements `GatewayWire`."""
 
     def read_request(
         self,
@@ -280,18 +277,10 @@
             limit=decode_limit(all_values(pairs, LIMIT)),
             brittle=decode_limit(all_values(pairs, BRITTLE)),
             is_draining=is_stated_draining(pairs),
-            retry_after=self.read_retry_after(pairs),
+            retry_after=read_retry_after(pairs),
             headers=[pair for pair in pairs if pair[0] not in dropped],
         )
 
-    def read_retry_after(self, headers: Headers) -> float | InvalidRetryAfter | None:
-        """Decode the time for which a server wants no requests, in seconds."""
-        texts = all_values(headers, RETRY_AFTER)
-        if not texts:
-            return None
-        sent_s = decode_date(first_value(headers, b"date") or "")
-        return decode_retry_after(texts, self.unix_time() if sent_s is None else sent_s)
-
     def refusal_headers(self, request: GatewayRequest | None) -> Headers:
         """Return the headers that identify the request in a response of the gateway."""
         if request is None or not request.id:
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -37,6 +37,9 @@
 # the ids that the largest deployment may remove in a few seconds, which is how long a
 # write of a removed id may be delayed.
 MAX_REMOVED_STATES = 500
+# Maximum number of drains that are remembered of servers without an entry here; as many
+# as end in a day of the largest deployment.
+MAX_EARLY_DRAINS = 2000
 # A running stream emits an event every few tens of milliseconds, so a model server
 # that has requests in flight and sends nothing for this long is not working.
 MODEL_SILENCE_TIMEOUT_S = 1.0
@@ -86,6 +89,7 @@
         self.recent_locations: list[tuple[str, str]] = []
         self.has_unreported_load = False
         self.removed_states: OrderedDict[str, ServerState] = OrderedDict()
+        self.early_drains: OrderedDict[str, None] = OrderedDict()
         self.unused_incarnations: list[ServerIncarnation] = []
         self.replaced_incarnations: list[ServerIncarnation] = []
         self.uses_hub_loads = False
@@ -124,7 +128,8 @@
             )
         state.entry = entry
         state.entry_updated_s = trio.current_time()
-        state.has_announced_drain = state.has_announced_drain or entry.is_draining
+        if entry.is_draining:
+            state.announce_drain()
         state.is_removed = False
         state.removal_deadline_s = math.inf
         return ""
@@ -149,7 +154,11 @@
             again=known is not None,
         )
         self.removed_states.pop(entry.id, None)
-        return known or ServerState(entry, trio.current_time())
+        state = known or ServerState(entry, trio.current_time())
+        if state.incarnation_key in self.early_drains:
+            del self.early_drains[state.incarnation_key]
+            state.record_drain()
+        return state
 
     def replace_incarnation(self, old: ServerState, entry: RoutedServer) -> None:
         """Remove the previous incarnation of a server.
@@ -177,6 +186,57 @@
         self.unused_incarnations.append(old.incarnation)
         self.replaced_incarnations.append(old.incarnation)
 
+    # What servers state in responses.
+
+    def record_drain(self, incarnation_key: str, source: str) -> bool:
+        """Record that a server has stated in a response that it drains.
+
+        Its entry may say otherwise for as long as the store is unreachable.
+
+        Parameters
+        ----------
+        incarnation_key : str
+            Text form of the server's incarnation.
+        source : str
+            ``response``, or the node that received the response.
+
+        Returns
+        -------
+        is_new : bool
+            Whether the drain of a server in the table was not known.
+        """
+        server_id = server_id_from_text(incarnation_key)
+        state = self.by_id.get(server_id)
+        if state is None or state.incarnation_key != incarnation_key:
+            self.record_early_drain(incarnation_key)
+            return False
+        if state.has_announced_drain:
+            return False
+        state.record_drain()
+        log.info(
+            f"server {server_id} draining",
+            source=source,
+            born=state.entry.born,
+            entry_s=round(trio.current_time() - state.entry_updated_s, 3),
+            in_flight=state.in_flight,
+        )
+        return True
+
+    def record_early_drain(self, incarnation_key: str) -> None:
+        """Remember the drain of a server whose entry may arrive later.
+
+        Without a birth time it would also apply to a later incarnation.
+        """
+        if not ServerIncarnation.has_born(incarnation_key):
+            return
+        self.early_drains[incarnation_key] = None
+        while len(self.early_drains) > MAX_EARLY_DRAINS:
+            self.early_drains.popitem(last=False)
+
+    def stated_drains(self) -> list[str]:
+        """Return the incarnations that have stated in a response that they drain."""
+        return [s.incarnation_key for s in self.by_id.values() if s.has_stated_drain]
+
     def record_version(self, state: ServerState, entry: RoutedServer) -> None:
         """Record a software version that changed in the entry of one incarnation.
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -19,6 +19,7 @@
 from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.connection.server_relay import ServerRelay
 from rosemaryknot.process.attempt_budget import AttemptBudget
+from rosemaryknot.process.availability_exchange import AvailabilityExchange
 from rosemaryknot.process.change_distributor import ChangeDistributor
 from rosemaryknot.process.configuration_distributor import select_nodes
 from rosemaryknot.process.crash_detector import CrashDetector
@@ -200,6 +201,9 @@
         )
         self.crash_detector.on_crashed = self.crash_store.request_read
         self.create_limit_components(handlers)
+        self.availability = AvailabilityExchange(
+            self.peers, self.exchange.hubs, self.state.servers, handlers
+        )
         self.create_origin_components(handlers)
         self.gateway = Gateway(self.gateway_components())
         self.crash_store.on_segment_refused = self.gateway.abort_refused
@@ -341,6 +345,7 @@
                 name, trio.current_time()
             ),
             record_run=lambda name: self.usage.record(name, self.clock.now()),
+            record_drain=self.availability.record_drain,
             record_work=self.demand.record,
             stop=lambda: self.listener.state.stop,
             is_alone=self.is_alone_in_zone,
@@ -443,6 +448,8 @@
         start_soon(self.permit_owner.run)
         start_soon(self.limit_exchange.run)
         start_soon(self.limit_exchange.run_newcomers)
+        start_soon(self.availability.run)
+        start_soon(self.availability.run_newcomers)
         start_soon(self.clean_up)
         if self.adapter.duties is not None:
             self.start_duties(nursery)
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -71,7 +71,12 @@
     peers : dict of str to PeerLoad
         Load of the other nodes, by node.
     has_announced_drain : bool
-        Whether the server has announced that it is draining; never reset.
+        Whether the server has announced that it is draining, in its entry or in a
+        response; never reset.
+    has_stated_drain : bool
+        Whether it did so in a response.
+    drained_s : float
+        When this node learned of its drain, in trio time; infinite before.
     is_removed : bool
         Whether the entry was removed and is not expected to return.
     removal_deadline_s : float
@@ -100,6 +105,8 @@
     busy_since_s: float = 0.0
     peers: dict[str, PeerLoad] = field(default_factory=dict)
     has_announced_drain: bool = False
+    has_stated_drain: bool = False
+    drained_s: float = math.inf
     is_removed: bool = False
     removal_deadline_s: float = math.inf
     stated_limit: float | InvalidLimit | None = None
@@ -139,6 +146,16 @@
         """Return whether the server may get new requests."""
         return not self.is_draining and now_s < self.removal_deadline_s
 
+    def record_drain(self) -> None:
+        """Record that the server has stated in a response that it drains."""
+        self.has_stated_drain = True
+        self.announce_drain()
+
+    def announce_drain(self) -> None:
+        """Record that the server drains."""
+        self.has_announced_drain = True
+        self.drained_s = min(self.drained_s, trio.current_time())
+
     def record_received(self, sent_s: float, was_confirmed: bool) -> None:
         """Record that bytes were received in response to a request.
 
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -32,6 +32,7 @@
 )
 from rosemaryknot.request.origin_rules import Unresumable
 from rosemaryknot.request.response_durations import ResponseDurations
+from rosemaryknot.request.server_absence import explain_absence
 from rosemaryknot.values.gateway import GatewayRequest
 from rosemaryknot.values.gateway_responses import (
     Broken,
@@ -268,9 +269,8 @@
         if context.origin is not None:
             absence = self.components.origins.explain_absence(context.origin)
             return self.unresumable_outcome(context, absence)
-        return refusal(
-            self.components.rng, UNAVAILABLE, "no server can take the request"
-        )
+        reason, retry_after_s = explain_absence(self.components, context)
+        return refusal(self.components.rng, UNAVAILABLE, reason, retry_after_s)
 
     async def allowed_after_crashes(self, context: RequestContext) -> bool:
         """Return whether a request may be attempted although servers crashed."""
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -18,6 +18,7 @@
     may_be_event_stream,
     stream_headers,
 )
+from rosemaryknot.request.server_statements import StatementRecorder
 from rosemaryknot.values.gateway import RetryPolicy
 from rosemaryknot.values.gateway_responses import (
     Broken,
@@ -28,7 +29,6 @@
     NotSent,
     ResponseHead,
 )
-from rosemaryknot.values.server_limits import InvalidLimit
 
 __all__ = ["Attempt"]
 
@@ -42,7 +42,6 @@
 # Attempts of a request that may end because of a lost path and are repeated.
 MAX_LOST_PATHS = 2
 OK = 200
-MISDIRECTED = 421
 CLIENT_ERROR = 400
 SERVER_ERROR = 500
 NO_CONTENT = frozenset((204, 205))
@@ -74,10 +73,8 @@
     pending_prefill_tokens : int
         Prompt tokens of this request that the server has not prefilled yet, as far as
         is known.
-    limit_version : int
-        Version of the server's rate limit when the request was sent.
-    is_limit_recorded : bool
-        Whether what the response states of the rate limit was recorded.
+    statements : StatementRecorder
+        Records what the responses state of the server.
     splitter : EventSplitter
         Splits the response into events, if it is a stream.
     began_s : float
@@ -103,8 +100,7 @@
         self.pending_prefill_tokens = tokens
         self.tokens_ahead = tokens_ahead
         self.started_s = trio.current_time()
-        self.limit_version = 0
-        self.is_limit_recorded = False
+        self.statements = StatementRecorder(components, context, state)
         self.splitter = EventSplitter(context.last_event_id)
         self.began_s = math.inf
         self.sent_s = math.inf
@@ -125,7 +121,7 @@
             # The server was chosen before the connection was opened, and opening it may
             # take most of the time for which a draining server still serves requests.
             await connection.aclose()
-            return NotSent("the server leaves")
+            return NotPermitted("the server drains")
         if not self.components.limits.permits.may_send(
             self.state.incarnation_key, context.permit
         ):
@@ -148,7 +144,7 @@
             trio.current_time() - self.started_s,
         )
         if isinstance(outcome, Completed):
-            self.record_absent_limit(outcome.status)
+            self.statements.record_absent_limit(outcome.status)
             if outcome.status < SERVER_ERROR:
                 # A server that rejects a request need not have read its prompt.
                 is_rejected = outcome.status >= CLIENT_ERROR
@@ -210,9 +206,7 @@
                 context.beginning, self.state, self.is_confirmed, context.origin
             )
         connection.may_abandon_path = context.route.allows_retry
-        self.limit_version = self.components.limits.records.version(
-            self.state.incarnation_key
-        )
+        self.statements.begin()
         if context.crash_decision.is_trial:
             self.components.crashes.begin_trial(context.identity)
         await connection.send(
@@ -264,14 +258,17 @@
         """Read the head of the response and relay the rest."""
         head: ResponseHead | Lost = Lost("no answer in time")
         with trio.move_on_after(self.first_byte_timeout_s()):
-            head = await connection.head(self.components.wire, self.context.request.id)
+            head = await connection.head(
+                self.components.wire,
+                self.context.request.id,
+                self.statements.record_stray,
+            )
         if isinstance(head, Lost):
             self.record_run()
             return head
         self.state.last_received_s = trio.current_time()
         self.state.last_answered_s = max(self.state.last_answered_s, self.started_s)
-        self.log_availability(head)
-        self.record_limit(head)
+        self.statements.record(head)
         if head.not_run:
             return NotRunThere(head.status)
         if self.context.reply.is_started and head.status != OK:
@@ -284,84 +281,6 @@
             return Lost(f"the server answered {head.status}")
         return await self.relay(connection, head)
 
-    def log_availability(self, head: ResponseHead) -> None:
-        """Log that the server states that it drains, or wants a pause."""
-        if not head.is_draining and head.retry_after is None:
-            return
-        log.info(
-            "server stated its availability",
-            request=self.context.request.id,
-            server=self.state.entry.id,
-            server_born=self.state.entry.born,
-            status=head.status,
-            not_run=head.not_run,
-            is_signed=head.is_signed,
-            is_draining=head.is_draining,
-            retry_after=head.retry_after,
-            path=self.context.path,
-            entry_s=round(trio.current_time() - self.state.entry_updated_s, 3),
-            after_s=round(trio.current_time() - self.started_s, 3),
-        )
-
-    def record_limit(self, head: ResponseHead) -> None:
-        """Record the rate limit that the server states.
-
-        A response of another server, or of none, says nothing about this one.
-        """
-        is_own = head.is_signed or head.not_run
-        if head.status == MISDIRECTED or not is_own:
-            return
-        self.log_limit(head)
-        if head.limit is not None:
-            self.record_statement(head.limit)
-        elif isinstance(head.brittle, float):
-            self.record_brittle(head.brittle)
-
-    def record_brittle(self, turned_away: float) -> None:
-        """Record that the server states that it is brittle."""
-        self.is_limit_recorded = True
-        state, limits = self.state, self.components.limits
-        server = state.incarnation_key
-        room = float(max(1, state.entry.slots or state.load()[0]))
-        limits.record_brittle(
-            state.service, server, self.limit_version, turned_away, room
-        )
-        record = limits.records.get_limited(server)
-        if record is not None and record.turned_away is not None:
-            self.record_statement(record.limit)
-
-    def record_absent_limit(self, status: int) -> None:
-        """Record that the server states no limit, once the response proves to be sound.
-
-        That is the end of a response, or the first event of a stream, which may last
-        for seconds while the server could take more.
-        """
-        if status < SERVER_ERROR and not self.is_limit_recorded:
-            self.record_statement(None)
-
-    def record_statement(self, limit: float | InvalidLimit | None) -> None:
-        """Record what the response states."""
-        self.is_limit_recorded = True
-        self.components.limits.record_statement(
-            self.state.incarnation_key, self.limit_version, self.context.permit, limit
-        )
-
-    def log_limit(self, head: ResponseHead) -> None:
-        """Log a rate limit that differs from that in the last response."""
-        if head.limit == self.state.stated_limit:
-            return
-        log.info(
-            "server stated a rate limit",
-            request=self.context.request.id,
-            server=self.state.entry.id,
-            server_born=self.state.entry.born,
-            limit=head.limit,
-            before=self.state.stated_limit,
-            status=head.status,
-            after_s=round(trio.current_time() - self.started_s, 3),
-        )
-        self.state.stated_limit = head.limit
-
     def may_retry_failure(self) -> bool:
         """Return whether the request may be attempted again after a server error."""
         context = self.context
@@ -430,7 +349,7 @@
             if splitter.is_too_large:
                 return self.break_off("an event is too large")
             if events:
-                self.record_absent_limit(head.status)
+                self.statements.record_absent_limit(head.status)
                 if not await self.begin_stream():
                     return Lost(UNSETTLED_VERSION)
                 await self.forward_events(head, events)
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -93,6 +93,8 @@
         Takes a service name; counts a request for the retry budget.
     record_run : callable
         Takes a customer name; counts a request that began to run.
+    record_drain : callable
+        Takes a server that has stated that it drains; tells the other nodes.
     record_work : callable
         Takes a service name and prompt tokens to prefill; counts the demand.
     stop : callable
@@ -119,6 +121,7 @@
     may_retry: Callable[[str], bool]
     record_request: Callable[[str], None]
     record_run: Callable[[str], None]
+    record_drain: Callable[[ServerState], None]
     record_work: Callable[[str, int], None]
     stop: Callable[[], ShutdownSchedule | None]
     is_alone: Callable[[], bool]
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -139,7 +139,10 @@
 
 @dataclass(slots=True)
 class NotPermitted(NotSent):
-    """The server stated a rate limit after it was chosen, or the permit expired."""
+    """The server must not get the request, though it was chosen, and has not failed.
+
+    It stated a rate limit or a drain after it was chosen, or the permit expired.
+    """
 
 
 @dataclass(slots=True)
--- a/src/rosemaryknot/values/incarnation.py
+++ b/src/rosemaryknot/values/incarnation.py
@@ -59,6 +59,17 @@
         born = "" if self.born_ms is None else to_base36(self.born_ms)
         return f"{self.id}{SEPARATOR}{born}"
 
+    @staticmethod
+    def has_born(text: str) -> bool:
+        """Return whether a text form includes a start time.
+
+        Examples
+        --------
+        >>> ServerIncarnation.has_born("i-1@mip9wxyz")
+        True
+        """
+        return bool(text.rpartition(SEPARATOR)[2])
+
 
 def to_base36(number: int) -> str:
     """Return a non-negative number in base 36."""
--- a/src/rosemaryknot/values/retry_after.py
+++ b/src/rosemaryknot/values/retry_after.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 from email.utils import parsedate_to_datetime
@@ -29,7 +30,7 @@
 
 
 def decode_retry_after(
-    texts: Sequence[str], now_unix_s: float
+    texts: Sequence[str], sent_unix_s: float | None = None
 ) -> float | InvalidRetryAfter | None:
     """Return the delay that the headers of a response state, in seconds.
 
@@ -37,8 +38,9 @@
     ----------
     texts : sequence of str
         Values of the header, which may occur several times.
-    now_unix_s : float
-        Time of the response from which a date counts, in seconds since the epoch.
+    sent_unix_s : float, optional
+        When the response was sent, from which a date counts, in seconds since the
+        epoch; now by default.
 
     Returns
     -------
@@ -47,28 +49,30 @@
 
     Examples
     --------
-    >>> decode_retry_after(["1.5", "rubbish"], 0.0)
+    >>> decode_retry_after(["1.5", "rubbish"])
     1.5
     >>> decode_retry_after(["Thu, 01 Jan 1970 00:00:09 GMT"], 6.0)
     3.0
-    >>> decode_retry_after(["1e300"], 0.0)
+    >>> decode_retry_after(["1e300"])
     InvalidRetryAfter(text='1e300')
     """
     if not texts:
         return None
-    delays = [decode_delay_s(text.strip(), now_unix_s) for text in texts]
+    if sent_unix_s is None:
+        sent_unix_s = time.time()
+    delays = [decode_delay_s(text.strip(), sent_unix_s) for text in texts]
     valid = [delay_s for delay_s in delays if delay_s is not None]
     if not valid:
         return InvalidRetryAfter(texts[0].strip()[:MAX_LOGGED_CHARS])
     return min(max(valid), MAX_RETRY_AFTER_S)
 
 
-def decode_delay_s(text: str, now_unix_s: float) -> float | None:
+def decode_delay_s(text: str, sent_unix_s: float) -> float | None:
     """Return one stated delay in seconds, None if it is invalid."""
     if DECIMAL.fullmatch(text):
         return float(text)
     date_s = decode_date(text)
-    return None if date_s is None else max(0.0, date_s - now_unix_s)
+    return None if date_s is None else max(0.0, date_s - sent_unix_s)
 
 
 def decode_date(text: str) -> float | None:
@@ -81,6 +85,8 @@
     >>> decode_date("06 Nov 1994 08:49:37") is None
     True
     """
+    if not text:
+        return None
     try:
         date = parsedate_to_datetime(text)
         date_s = date.timestamp() if date.tzinfo is not None else math.nan
