Send nothing to a server before the end of the pause that it asked for

What callers saw: servers that turned a node away with 503 and Retry-After: 3 got three requests of it within that time; the callers were refused and told to come back after 0.05 to 0.45 s.

Cause: Retry-After was not read, and what kept such a server nearly quiet was the backoff after a failure, a guess of ours and a preference: it gives way as soon as all servers of a service are in it, or the others have been tried, which is when it matters. The class: a preference stands where a bound is owed.

A pause is now a bound of this node for the incarnation, the longest of all that it was told; a shorter one, or a response to a request that was under way, ends nothing. It is asked for by a 503 of the server itself (signed, or not run), also in a skipped response. 429 concerns the one request. A server in a pause is no candidate, not even the last one; it is checked again when a request is about to be sent, after the connection is open, and a permit that cannot be used goes back. The server has not failed. A peer that relayed the request is told, since it is the one that the server has seen, and a node relays no request to a server that has asked it for a pause.

Requests for which only paused servers are left wait if the first pause ends within 0.3 of their time, by priority and arrival; others are refused at once with the time to that end, and no retry is spent on a server that cannot get it. At the end of a pause the server gets one request, and one more with each response; nodes add up to a tenth of the pause, half a second at most, to its end.

Ruled out: crossing requests (each late request of the record was sent more than 0.9 s after the 503) and lost information (nothing took the header).

--- a/src/rosemaryknot/connection/relay_client.py
+++ b/src/rosemaryknot/connection/relay_client.py
@@ -116,7 +116,10 @@
         self.peers = peers
 
     async def open(
-        self, address: Address, is_needed: Callable[[], bool] = lambda: True
+        self,
+        address: Address,
+        is_needed: Callable[[], bool] = lambda: True,
+        carries_request: bool = False,
     ) -> PeerAnswer:
         """Ask peers for a connection, one after the other, until one opens it.
 
@@ -126,10 +129,13 @@
             The server.
         is_needed : callable
             Returns whether the connection is still needed once a peer has opened it.
+        carries_request : bool
+            Whether a request is to be sent on it.
         """
         answer = PeerAnswer()
+        message = RelayOpen(str(address), carries_request)
         try:
-            calls = await self.ask_in_turn(address, answer, is_needed)
+            calls = await self.ask_in_turn(message, answer, is_needed)
         except BaseException:
             await close_shielded(answer.stream)
             raise
@@ -141,7 +147,7 @@
         return answer
 
     async def ask_in_turn(
-        self, address: Address, answer: PeerAnswer, is_needed: Callable[[], bool]
+        self, message: RelayOpen, answer: PeerAnswer, is_needed: Callable[[], bool]
     ) -> dict[str, PeerCall]:
         """Ask peers until one shows a result; return the calls by peer."""
         calls: dict[str, PeerCall] = {}
@@ -152,7 +158,7 @@
                 if node is None:
                     break
                 call = calls[node.name] = PeerCall(node)
-                nursery.start_soon(self.ask, call, address, answer, is_needed)
+                nursery.start_soon(self.ask, call, message, answer, is_needed)
                 with trio.move_on_after(PEER_HEDGE_S):
                     await call.ended.wait()
                 if not call.is_reached:
@@ -166,13 +172,13 @@
     async def ask(
         self,
         call: PeerCall,
-        address: Address,
+        message: RelayOpen,
         answer: PeerAnswer,
         is_needed: Callable[[], bool],
     ) -> None:
         """Ask one peer for a connection and record its reply."""
         node = call.node
-        reply = await self.open_relay(call, address)
+        reply = await self.open_relay(call, message)
         call.ended.set()
         if isinstance(reply, RelayedStream):
             if answer.stream is None and is_needed():
@@ -183,7 +189,7 @@
         log.info(
             "no relay",
             peer=node.name,
-            address=str(address),
+            address=message.address,
             result=str(reply.result),
             reaches_others=reply.reaches_others,
         )
@@ -197,7 +203,7 @@
             self.paths.record_cut_off(node.name)
 
     async def open_relay(
-        self, call: PeerCall, address: Address
+        self, call: PeerCall, message: RelayOpen
     ) -> RelayedStream | RelayOpened:
         """Open a connection through a peer; return its reply if it does not."""
         node = call.node
@@ -211,7 +217,7 @@
                 stream, self.peers.key, self.peers.hello(), Handlers()
             )
             call.is_reached = True
-            await send_raw(stream, encode_message(RelayOpen(str(address))))
+            await send_raw(stream, encode_message(message))
             payload = await link.reader.read_frame(MAX_FRAME_BYTES)
             reply = decode_message(payload)[0]
             if not isinstance(reply, RelayOpened):
--- a/src/rosemaryknot/connection/server_dialler.py
+++ b/src/rosemaryknot/connection/server_dialler.py
@@ -64,12 +64,15 @@
         Whether this node's link to other servers does not work either.
     direct_ended : trio.Event
         Set once the own path has led to a connection or failed.
+    carries_request : bool
+        Whether a request is to be sent on the connection.
     """
 
     stream: trio.abc.HalfCloseableStream | None = None
     failure: OSError | None = None
     is_own_failure: bool = False
     direct_ended: trio.Event = field(default_factory=trio.Event)
+    carries_request: bool = False
 
 
 class ServerDialler:
@@ -127,7 +130,7 @@
             If the server does not accept connections; `NoPath` if that is not known,
             as neither this node's link works nor a peer reaches the server.
         """
-        race = Race()
+        race = Race(carries_request=True)
         try:
             await self.run_race(address, race)
         except BaseException:
@@ -171,7 +174,9 @@
     ) -> None:
         """Open a connection through a peer; end the race if that shows a result."""
         started_s = trio.current_time()
-        answer = await self.relay_client.open(address, lambda: race.stream is None)
+        answer = await self.relay_client.open(
+            address, lambda: race.stream is None, race.carries_request
+        )
         if race.stream is not None:
             await close_shielded(answer.stream)
             return
--- a/src/rosemaryknot/connection/server_relay.py
+++ b/src/rosemaryknot/connection/server_relay.py
@@ -43,8 +43,9 @@
         Opens connections.
     paths : ServerPaths
         Paths of this node.
-    is_server : callable
-        Returns whether an address is that of a server that accepts requests.
+    may_relay : callable
+        Returns whether an address is that of a server that accepts connections, or
+        requests, of this node. Takes the address and whether it is a request.
     reaches_others : callable
         Returns whether this node reaches servers other than that with an address
         since a time.
@@ -61,12 +62,12 @@
         self,
         network: Network,
         paths: ServerPaths,
-        is_server: Callable[[Address], bool],
+        may_relay: Callable[[Address, bool], bool],
         reaches_others: Callable[[Address, float], Awaitable[bool]],
     ) -> None:
         self.network = network
         self.paths = paths
-        self.is_server = is_server
+        self.may_relay = may_relay
         self.reaches_others = reaches_others
         self.active = 0
         self.is_stopping = False
@@ -129,7 +130,7 @@
             address = Address.from_text(request.address)
         except ValueError:
             return None, RelayOpened(RelayResult.UNKNOWN_SERVER)
-        if not self.is_server(address):
+        if not self.may_relay(address, request.carries_request):
             return None, RelayOpened(RelayResult.UNKNOWN_SERVER)
         if self.is_stopping or self.active > MAX_RELAYS:
             return None, RelayOpened(RelayResult.BUSY)
--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -189,7 +189,7 @@
         self.relay = ServerRelay(
             self.network,
             paths,
-            self.servers.has_address,
+            lambda address, carries_request: self.servers.has_address(address),
             self.dialler.reaches_others,
         )
         self.peers.on_relay = self.relay.serve
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -2,11 +2,12 @@
 
 import math
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Hashable, Iterable
 
 import trio
 
 from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.prefix_locations import PrefixLocations
 from rosemaryknot.process.prompt_mix import PromptMix
 from rosemaryknot.process.server_state import ServerState
@@ -45,6 +46,10 @@
 MODEL_SILENCE_TIMEOUT_S = 1.0
 PLAIN_SILENCE_TIMEOUT_S = 1.0
 
+PAUSES = counter(
+    "server_pauses_total", "Pauses that servers asked this node for, by source."
+)
+
 log = logger("servers")
 
 
@@ -72,6 +77,8 @@
     uses_hub_loads : bool
         Whether the load of other nodes is received as aggregates from hubs, which are
         some hundred milliseconds old and the same for many gateways.
+    on_available : callable
+        Called with a service of which a server may accept more requests.
     missing_timeout_s : float
         How long a server whose entry is missing is retained, in seconds. After an
         outage of the store the entry may return within this time.
@@ -90,6 +97,7 @@
         self.has_unreported_load = False
         self.removed_states: OrderedDict[str, ServerState] = OrderedDict()
         self.early_drains: OrderedDict[str, None] = OrderedDict()
+        self.on_available: Callable[[str], None] = lambda service: None
         self.unused_incarnations: list[ServerIncarnation] = []
         self.replaced_incarnations: list[ServerIncarnation] = []
         self.uses_hub_loads = False
@@ -116,6 +124,7 @@
             self.record_version(known, entry)
         if state is None:
             state = self.by_id[entry.id] = self.state_of_entry(entry, known)
+            self.on_available(entry.service)
         elif state.is_removed or state.is_missing:
             log.info(
                 f"server {entry.id} returned", service=entry.service, born=entry.born
@@ -222,6 +231,53 @@
         )
         return True
 
+    def record_pause(self, incarnation_key: str, length_s: float, source: str) -> bool:
+        """Record that a server wants no requests of this node for a time.
+
+        Parameters
+        ----------
+        incarnation_key : str
+            Text form of the server's incarnation.
+        length_s : float
+            Length of the pause from now on, in seconds.
+        source : str
+            ``response``, or the node that received the response through this one.
+
+        Returns
+        -------
+        is_longer : bool
+            Whether the pause lasts longer than what the server asked for before.
+        """
+        state = self.by_id.get(server_id_from_text(incarnation_key))
+        if state is None or state.incarnation_key != incarnation_key:
+            return False
+        now_s = trio.current_time()
+        was_active = state.pause.is_active(now_s)
+        if not state.pause.extend(now_s + length_s):
+            return False
+        PAUSES.add(source="response" if source == "response" else "peer")
+        if not was_active:
+            log.info(
+                f"server {state.entry.id} paused",
+                source=source,
+                born=state.entry.born,
+                length_s=round(length_s, 3),
+                in_flight=state.in_flight,
+            )
+        return True
+
+    def record_response(self, state: ServerState, request: Hashable) -> None:
+        """Record that a server has responded to a request of its slow start."""
+        if not state.pause.record_response(request):
+            return
+        log.info(
+            f"server {state.entry.id} responds after its pause",
+            born=state.entry.born,
+            ended_ago_s=round(trio.current_time() - state.pause.until_s, 3),
+            room=None if math.isinf(state.pause.room) else state.pause.room,
+        )
+        self.on_available(state.service)
+
     def record_early_drain(self, incarnation_key: str) -> None:
         """Remember the drain of a server whose entry may arrive later.
 
@@ -337,9 +393,21 @@
         now_s = trio.current_time()
         return [s.address for s in self.by_id.values() if s.accepts_requests(now_s)]
 
-    def has_address(self, address: Address) -> bool:
-        """Return whether a server that accepts requests has an address."""
-        return address in self.addresses()
+    def may_relay(self, address: Address, carries_request: bool) -> bool:
+        """Return whether this node may open a connection to a server for a peer.
+
+        A request that goes through this node is one of this node to the server.
+        """
+        now_s = trio.current_time()
+        return any(
+            state.address == address
+            and (
+                state.may_get_requests(now_s)
+                if carries_request
+                else state.accepts_requests(now_s)
+            )
+            for state in self.by_id.values()
+        )
 
     def in_flight(self, incarnation_key: str) -> int:
         """Return the requests of all nodes at an incarnation, 0 if it is unknown."""
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -202,7 +202,7 @@
         self.crash_detector.on_crashed = self.crash_store.request_read
         self.create_limit_components(handlers)
         self.availability = AvailabilityExchange(
-            self.peers, self.exchange.hubs, self.state.servers, handlers
+            self.peers, self.exchange.hubs, self.state.servers, handlers, rng
         )
         self.create_origin_components(handlers)
         self.gateway = Gateway(self.gateway_components())
@@ -270,7 +270,7 @@
         self.pool = ServerPool(self.dialler)
         self.path_monitor = PathMonitor(self.pool, self.dialler)
         self.relay = ServerRelay(
-            self.network, paths, servers.has_address, self.dialler.reaches_others
+            self.network, paths, servers.may_relay, self.dialler.reaches_others
         )
         self.peers.on_relay = self.relay.serve
 
@@ -346,6 +346,7 @@
             ),
             record_run=lambda name: self.usage.record(name, self.clock.now()),
             record_drain=self.availability.record_drain,
+            record_pause=self.availability.record_pause,
             record_work=self.demand.record,
             stop=lambda: self.listener.state.stop,
             is_alone=self.is_alone_in_zone,
@@ -448,6 +449,7 @@
         start_soon(self.permit_owner.run)
         start_soon(self.limit_exchange.run)
         start_soon(self.limit_exchange.run_newcomers)
+        start_soon(self.gateway.pauses.run)
         start_soon(self.availability.run)
         start_soon(self.availability.run_newcomers)
         start_soon(self.clean_up)
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from rosemaryknot.process.server_pause import ServerPause
 from rosemaryknot.values.gateway import RoutedServer
 from rosemaryknot.values.incarnation import ServerIncarnation
 from rosemaryknot.values.nodes import Address
@@ -84,6 +85,8 @@
         it never announced a drain, in trio time; infinite while there is an entry.
     stated_limit : float or InvalidLimit or None
         Rate limit in the latest response that this node received.
+    pause : ServerPause
+        Time for which the server wants no requests of this node.
     process_lost_s : float
         When its process was last seen to have ended, in trio time; minus infinity if
         that never happened.
@@ -112,6 +115,7 @@
     stated_limit: float | InvalidLimit | None = None
     process_lost_s: float = float("-inf")
     confirmed_s: float = float("-inf")
+    pause: ServerPause = field(default_factory=ServerPause)
     incarnation_key: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -143,9 +147,13 @@
         return self.removal_deadline_s < math.inf
 
     def accepts_requests(self, now_s: float) -> bool:
-        """Return whether the server may get new requests."""
+        """Return whether the server takes new requests, except for a pause."""
         return not self.is_draining and now_s < self.removal_deadline_s
 
+    def may_get_requests(self, now_s: float) -> bool:
+        """Return whether this node may send the server a request now."""
+        return self.accepts_requests(now_s) and not self.pause.is_active(now_s)
+
     def record_drain(self) -> None:
         """Record that the server has stated in a response that it drains."""
         self.has_stated_drain = True
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -12,7 +12,7 @@
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.gateway_attempt import Attempt
-from rosemaryknot.request.gateway_choice import select_server
+from rosemaryknot.request.gateway_choice import select_server, usable_servers
 from rosemaryknot.request.gateway_context import (
     UNAVAILABLE,
     GatewayComponents,
@@ -31,8 +31,14 @@
     new_beginning,
 )
 from rosemaryknot.request.origin_rules import Unresumable
+from rosemaryknot.request.pause_queue import PauseQueue
 from rosemaryknot.request.response_durations import ResponseDurations
-from rosemaryknot.request.server_absence import explain_absence
+from rosemaryknot.request.server_absence import (
+    are_all_paused,
+    explain_absence,
+    may_wait,
+    paused_servers,
+)
 from rosemaryknot.values.gateway import GatewayRequest
 from rosemaryknot.values.gateway_responses import (
     Broken,
@@ -61,6 +67,7 @@
 MAX_WAIT_SHARE = 0.3
 # Retry-After of a request whose wait was too short.
 RUNNING_RETRY_AFTER_S = 0.5
+MAX_LOGGED_SERVERS = 8
 CALLER_TOO_SLOW = "the caller did not read it in time"
 
 REQUESTS = counter("gateway_requests_total", "Requests by outcome.")
@@ -90,6 +97,8 @@
         Admission of requests.
     running : dict of Reply to Course
         Requests that were admitted and have not ended.
+    pauses : PauseQueue
+        Requests that wait until a server accepts requests again.
     """
 
     def __init__(self, components: GatewayComponents) -> None:
@@ -97,6 +106,8 @@
         self.durations = ResponseDurations()
         self.entry = RequestAdmission(components, self.durations)
         self.running: dict[Reply, RequestContext] = {}
+        self.pauses = PauseQueue()
+        components.servers.on_available = self.pauses.signal
 
     async def handle(self, request: GatewayRequest, reply: Reply) -> None:
         """Handle a request and send its response."""
@@ -196,6 +207,8 @@
         while True:
             candidate = await select_server(self.components, context)
             if candidate is None:
+                if await self.wait_for_pauses(context):
+                    continue
                 return self.no_server_outcome(context)
             if isinstance(candidate, Refusal):
                 return candidate
@@ -214,6 +227,37 @@
                 **failure_log_fields(context),
             )
 
+    async def wait_for_pauses(self, context: RequestContext) -> bool:
+        """Wait for a server that wants no requests for a time.
+
+        Returns
+        -------
+        is_due : bool
+            Whether to look for a server again; otherwise none accepts the request in
+            the share of its time for which it may wait.
+        """
+        now_s = trio.current_time()
+        if context.max_wait_s is None:
+            context.max_wait_s = now_s + context.remaining_s() * MAX_WAIT_SHARE
+        paused = paused_servers(self.components, context)
+        if not may_wait(paused, now_s, context.max_wait_s):
+            return False
+        due_s = min(state.pause.next_s(now_s) for state in paused)
+        order = (context.priority, context.request.arrived_s)
+        is_due = await self.pauses.wait(
+            context.service.name, order, due_s, context.max_wait_s
+        )
+        log.info(
+            "request waited for the end of a pause",
+            request=context.request.id,
+            service=context.service.name,
+            servers=[state.entry.id for state in paused[:MAX_LOGGED_SERVERS]],
+            waited_s=round(trio.current_time() - now_s, 3),
+            is_due=is_due,
+            left_s=round(context.remaining_s(), 3),
+        )
+        return is_due
+
     async def resume(self, context: RequestContext) -> Refusal | None:
         """Find out where a stream that the caller resumes may go on, or refuse it."""
         request, route = context.request, context.route
@@ -266,7 +310,7 @@
         """Return the refusal of a request for which no server is eligible."""
         if context.may_have_run:
             return Refusal(BAD_GATEWAY, "no other server is left")
-        if context.origin is not None:
+        if context.origin is not None and not are_all_paused(self.components, context):
             absence = self.components.origins.explain_absence(context.origin)
             return self.unresumable_outcome(context, absence)
         reason, retry_after_s = explain_absence(self.components, context)
@@ -307,8 +351,23 @@
             return False
         if isinstance(outcome, Broken) and not context.last_event_id:
             return False
+        if not self.has_alternative(context):
+            return False
         return self.components.may_retry(context.service.name)
 
+    def has_alternative(self, context: RequestContext) -> bool:
+        """Return whether another attempt has a server, now or within its time to wait.
+
+        The budget of retries is not spent on one that has none.
+        """
+        if usable_servers(self.components, context):
+            return True
+        now_s = trio.current_time()
+        max_wait_s = context.max_wait_s
+        if max_wait_s is None:
+            max_wait_s = now_s + context.remaining_s() * MAX_WAIT_SHARE
+        return may_wait(paused_servers(self.components, context), now_s, max_wait_s)
+
     def final_failure(
         self, context: RequestContext, outcome: object
     ) -> Refusal | Broken:
@@ -324,6 +383,9 @@
             reason = "no server accepts a connection"
             if outcome.is_path_failure:
                 reason = "neither this node nor its peers reach the servers"
+        elif not usable_servers(self.components, context):
+            reason, retry_after_s = explain_absence(self.components, context)
+            return refusal(self.components.rng, UNAVAILABLE, reason, retry_after_s)
         return refusal(self.components.rng, UNAVAILABLE, reason)
 
     def timeout_outcome(self, context: RequestContext) -> Refusal | Broken | Completed:
@@ -352,6 +414,7 @@
             tokens = max(0, size.prompt_tokens - candidate.cached_tokens)
             self.components.record_work(context.service.name, tokens)
         attempt = Attempt(self.components, context, state, tokens, candidate.tokens)
+        attempt.statements.reserve()
         self.components.servers.begin(state, size, tokens)
         crashes = self.components.crashes
         record = crashes.begin(context.identity, context.crash_decision)
@@ -361,13 +424,18 @@
         finally:
             if outcome is None:
                 self.record_timeout(context, attempt)
+            attempt.statements.release()
             self.components.servers.end(state, attempt.pending_prefill_tokens)
             crashes.end(record)
             self.components.limits.give_back(
                 context.permit, isinstance(outcome, NotRunThere)
             )
-        if isinstance(outcome, NotPermitted):
-            # The server did not fail, and may be chosen again with a permit.
+        is_paused = state.pause.is_active(trio.current_time())
+        if isinstance(outcome, NotPermitted) or (
+            isinstance(outcome, NotRunThere) and is_paused
+        ):
+            # The server did not fail, and may be chosen again with a permit or after
+            # its pause.
             context.tried.discard(state.incarnation)
         else:
             self.record_outcome(state, outcome)
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -122,6 +122,10 @@
             # take most of the time for which a draining server still serves requests.
             await connection.aclose()
             return NotPermitted("the server drains")
+        if self.state.pause.is_active(trio.current_time()):
+            self.components.limits.permits.put_back(context.permit)
+            await self.components.pool.release_unused(connection)
+            return NotPermitted("the server asked for a pause")
         if not self.components.limits.permits.may_send(
             self.state.incarnation_key, context.permit
         ):
--- a/src/rosemaryknot/request/gateway_choice.py
+++ b/src/rosemaryknot/request/gateway_choice.py
@@ -29,7 +29,13 @@
 from rosemaryknot.request.permit_client import PermitNeed
 from rosemaryknot.values.gateway_responses import Refusal
 
-__all__ = ["choose_server", "refuse_overload", "select_server", "usable_servers"]
+__all__ = [
+    "choose_server",
+    "refuse_overload",
+    "select_server",
+    "servers_of",
+    "usable_servers",
+]
 
 BAD_GATEWAY = 502
 # Share of the remaining time for which a request waits for a limited server; the rest
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -95,6 +95,9 @@
         Takes a customer name; counts a request that began to run.
     record_drain : callable
         Takes a server that has stated that it drains; tells the other nodes.
+    record_pause : callable
+        Records that a server wants no requests for a time. Takes the server, the time
+        in seconds, and the peer that relayed the request; empty for none.
     record_work : callable
         Takes a service name and prompt tokens to prefill; counts the demand.
     stop : callable
@@ -122,6 +125,7 @@
     record_request: Callable[[str], None]
     record_run: Callable[[str], None]
     record_drain: Callable[[ServerState], None]
+    record_pause: Callable[[ServerState, float, str], None]
     record_work: Callable[[str, int], None]
     stop: Callable[[], ShutdownSchedule | None]
     is_alone: Callable[[], bool]
@@ -192,6 +196,9 @@
         Number of attempts that ended because of the path to the server.
     permit : Permit or None
         Permit of the current attempt, at a server with a rate limit.
+    max_wait_s : float or None
+        Until when it may wait for a server that wants no requests, in trio time; None
+        before it had to.
     origin : StreamOrigin or None
         Service and software version at which the stream has begun; None before its
         first event.
@@ -227,6 +234,7 @@
     path: str = ""
     lost_paths: int = 0
     permit: Permit | None = None
+    max_wait_s: float | None = None
     origin: StreamOrigin | None = None
     beginning: StreamBeginning | None = None
 
--- a/src/rosemaryknot/request/gateway_placement.py
+++ b/src/rosemaryknot/request/gateway_placement.py
@@ -270,8 +270,10 @@
 def accepting_servers(
     states: Sequence[ServerState], now_s: float, tried: set[ServerIncarnation]
 ) -> list[ServerState]:
-    """Return the servers that accept requests and were not tried."""
-    accepting = [s for s in states if s.accepts_requests(now_s)]
+    """Return the servers that accept requests of this node and were not tried."""
+    accepting = [
+        s for s in states if s.accepts_requests(now_s) and s.pause.accepts(now_s)
+    ]
     if tried:
         accepting = [s for s in accepting if s.incarnation not in tried]
     return accepting
--- a/src/rosemaryknot/request/permit_client.py
+++ b/src/rosemaryknot/request/permit_client.py
@@ -168,6 +168,11 @@
             return None
         return self.apply_reply(server, reply, need.priority)
 
+    def put_back(self, permit: Permit | None) -> None:
+        """Let another request use a permit; a place is given back to its owner."""
+        if permit is not None and not permit.is_place:
+            self.spare.setdefault(permit.server, []).append(permit)
+
     def apply_reply(
         self, server: str, reply: PermitReply, priority: int
     ) -> Permit | None:
--- a/src/rosemaryknot/request/server_statements.py
+++ b/src/rosemaryknot/request/server_statements.py
@@ -5,13 +5,16 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.request.gateway_context import GatewayComponents, RequestContext
+from rosemaryknot.request.gateway_response import DIRECT_PATH
 from rosemaryknot.values.gateway_responses import ResponseHead
+from rosemaryknot.values.retry_after import InvalidRetryAfter
 from rosemaryknot.values.server_limits import InvalidLimit
 
 __all__ = ["StatementRecorder", "is_own_response"]
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
+UNAVAILABLE = 503
 
 log = logger("gateway")
 
@@ -60,6 +63,15 @@
         self.is_limit_recorded = False
         self.started_s = trio.current_time()
 
+    def reserve(self) -> None:
+        """Record that the attempt begins, before it is sent."""
+        self.state.pause.begin(self, trio.current_time())
+
+    def release(self) -> None:
+        """Record that the attempt has ended, with or without a response."""
+        if self.state.pause.end(self):
+            self.components.servers.on_available(self.state.service)
+
     def begin(self) -> None:
         """Record that the request is sent."""
         self.limit_version = self.components.limits.records.version(
@@ -88,10 +100,25 @@
     # Availability.
 
     def record_availability(self, head: ResponseHead) -> None:
-        """Record that the server states that it drains."""
+        """Record that the server states that it drains, or wants a pause."""
         if head.is_draining and not self.state.has_announced_drain:
             self.log_availability("server stated that it drains", head)
             self.components.record_drain(self.state)
+        if head.status == UNAVAILABLE and head.retry_after is not None:
+            self.record_pause(head)
+        elif not head.not_run:
+            self.components.servers.record_response(self.state, self)
+
+    def record_pause(self, head: ResponseHead) -> None:
+        """Record for how long the server wants no requests."""
+        if isinstance(head.retry_after, InvalidRetryAfter):
+            self.log_availability("invalid Retry-After ignored", head)
+        elif head.retry_after > 0:
+            if not self.state.pause.is_active(trio.current_time()):
+                self.log_availability("server asked for a pause", head)
+            path = self.context.path
+            peer = "" if path == DIRECT_PATH else path
+            self.components.record_pause(self.state, head.retry_after, peer)
 
     def log_availability(self, event: str, head: ResponseHead) -> None:
         """Log what the server states of its availability."""
--- a/src/rosemaryknot/values/server_availability.py
+++ b/src/rosemaryknot/values/server_availability.py
@@ -5,7 +5,7 @@
 
 from rosemaryknot.values.messages import Message, message
 
-__all__ = ["ServerDrainNotice"]
+__all__ = ["ServerDrainNotice", "ServerPauseNotice"]
 
 
 @message("server_drain_notice")
@@ -26,3 +26,21 @@
     kind: ClassVar[str]
     servers: list = field(default_factory=list)
     is_forwarded: bool = False
+
+
+@message("server_pause_notice")
+@dataclass(slots=True)
+class ServerPauseNotice(Message):
+    """A server wants no requests of the receiver, which relayed one, for a time.
+
+    Attributes
+    ----------
+    server : str
+        Incarnation of the server.
+    length_s : float
+        Length of the pause, in seconds.
+    """
+
+    kind: ClassVar[str]
+    server: str = ""
+    length_s: float = 0.0
--- a/src/rosemaryknot/values/server_relays.py
+++ b/src/rosemaryknot/values/server_relays.py
@@ -35,10 +35,13 @@
     ----------
     address : str
         Address of the server.
+    carries_request : bool
+        Whether a request is to be sent on it, rather than the server's state checked.
     """
 
     kind: ClassVar[str]
     address: str = ""
+    carries_request: bool = False
 
 
 @message("server_relay_opened")
