Reproduce responses without end that fill a node's memory

A server may send bytes until its connection is closed: in the place of a response, in its head or in its body. With 16 MB a second and a caller that waits for two seconds and reads nothing, a node reads 33 MB of a plain body (stated length, chunks, to the close, of an error) and holds them, and goes on reading a response to another request and interim responses as fast as they come.

--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -16,6 +16,7 @@
     "CRASHING_BODY",
     "CRASHING_SEGMENT",
     "DEFAULT_VERSION",
+    "ENDLESS",
     "FAULTS",
     "RESPONSE_ENDS",
     "Arrival",
@@ -105,6 +106,8 @@
 FAULTS: dict[str, Fault] = {}
 # Faults that end responses in a way at a place, apart from those drawn one by one.
 RESPONSE_ENDS: dict[str, Fault] = {}
+# Responses without end.
+ENDLESS: dict[str, Fault] = {}
 
 
 def server_fault(name: str) -> Callable[[Fault], Fault]:
@@ -184,8 +187,8 @@
     entry : dict
         Its entry in the store.
     faults : collections.deque of str
-        Names in `FAULTS` or `RESPONSE_ENDS`, one for each of the next requests; empty
-        text for no fault.
+        Names in `FAULTS`, `RESPONSE_ENDS` or `ENDLESS`, one for each of the next
+        requests; empty text for no fault.
     limit : str or None
         Rate limit that its responses state, in requests per second.
     silent_until_s : float
@@ -201,6 +204,8 @@
         Pause that its refusals ask for, in seconds.
     is_turning_away : bool
         Whether it refuses all requests.
+    endless_bytes : int
+        Bytes that were accepted of its responses without end.
     crashing : set of str
         Ids of further segments that crash it.
     crash_events : int
@@ -236,6 +241,7 @@
         self.draining: str | None = None
         self.retry_after: str | None = None
         self.is_turning_away = False
+        self.endless_bytes = 0
         self.crashing: set[str] = set()
         self.crash_events = 0
         self.crash: Callable[[], None] = lambda: None
@@ -312,7 +318,7 @@
             return
         fault = self.faults.popleft() if self.faults else ""
         if fault:
-            await (FAULTS | RESPONSE_ENDS)[fault](self, arrival, wire)
+            await (FAULTS | RESPONSE_ENDS | ENDLESS)[fault](self, arrival, wire)
             return
         await self.serve(arrival, wire)
 
