Bound what a node reads of a response without end

What callers see: a server that sends bytes until its connection is closed makes their requests wait to the deadline, and fills the memory of the node: 33 MB of a plain body in two seconds at 16 MB/s.

Cause: a plain response was held until it was complete, whatever its size, and interim responses and responses to other requests were read for as long as they came.

A response that is held may be twice as large as the largest complete one of its service, 1 MiB at least and 8 MiB at most, and all of a node 32 MiB. One that is larger is requested at another server if the request may be repeated and one is left; otherwise it is relayed as it arrives, and broken off after 64 MiB. So a service whose responses are large is served, after one attempt more at first. 16 interim responses, and 1 MiB of responses to other requests, end an attempt at once as a failure of the server. Other tasks run after 64 parsed events: a read may hold thousands of tiny chunks.

The same for calls of the platform (16 MiB, lines of a watch 4 MiB), of servers' orders and reports, of engines (1 MiB), and for interim responses to generations. Left: httpcore reads interim responses by itself for as long as a call may take.

--- a/src/rosemaryknot/connection/engine_client.py
+++ b/src/rosemaryknot/connection/engine_client.py
@@ -1,5 +1,6 @@
 """Client for model engines, with one connection for each call."""
 
+import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,6 +15,7 @@
     Refused,
     StreamEnd,
 )
+from rosemaryknot.connection.http_client import read_bounded
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.plain_client import LIMIT_HEADER
 from rosemaryknot.connection.stream_transport import stream_client
@@ -24,6 +26,7 @@
 
 CONNECT_TIMEOUT_S = 2.0
 REQUEST_TIMEOUT_S = 1.0
+MAX_JSON_BYTES = 1 << 20
 HEADERS = {"connection": "close", "accept-encoding": "identity"}
 DRAINING_HEADER = "rosemaryknot-leaving"
 
@@ -192,13 +195,14 @@
         """
         with trio.move_on_after(timeout_s):
             try:
-                response = await self.client.request(
+                async with self.client.stream(
                     method,
                     f"http://{server.address}{path}",
                     json=body,
                     headers=HEADERS,
-                )
-                fields = response.json() if response.is_success else None
+                ) as response:
+                    text = await read_bounded(response, MAX_JSON_BYTES)
+                fields = json.loads(text) if response.is_success else None
             except (httpx.HTTPError, ValueError):
                 return None
             return fields if isinstance(fields, dict) else None
--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -46,6 +46,12 @@
 MAX_KEEP_ALIVE_S = 10.0
 # Late responses to earlier requests that are skipped before the connection is closed.
 MAX_STRAY_RESPONSES = 2
+MAX_STRAY_BYTES = 1 << 20
+# Interim responses (1xx) before a response; a server sends one or two.
+MAX_INTERIM_RESPONSES = 16
+# Parsed events after which other tasks run. 64 KB may hold thousands of them, which
+# would hold the others back for tens of milliseconds.
+EVENTS_BETWEEN_CHECKPOINTS = 64
 # A connection to a replaced incarnation that has received nothing for this long will
 # receive nothing more.
 REPLACED_IDLE_TIMEOUT_S = 0.5
@@ -81,6 +87,10 @@
         What marks the end of the current response; None before its head.
     body_bytes : int
         Bytes of its body that were received.
+    interim_responses : int
+        Interim responses that preceded it.
+    parsed_events : int
+        Events that were parsed since other tasks could run.
     started_s : float
         When the current exchange began, in trio time.
     peer : str
@@ -104,6 +114,8 @@
         self.is_closed_by_server = False
         self.framing: Framing | None = None
         self.body_bytes = 0
+        self.interim_responses = 0
+        self.parsed_events = 0
         self.wants_close = False
         self.request: h11.Request | None = None
         self.unsent = b""
@@ -131,6 +143,7 @@
         self.is_reusable = False
         self.framing = None
         self.body_bytes = 0
+        self.interim_responses = 0
         self.started_s = trio.current_time()
         self.request = h11.Request(method=method, target=target, headers=headers)
         data = self.conn.send(self.request)
@@ -196,12 +209,16 @@
 
     async def skip_stray(self) -> bool:
         """Read a stray response to its end and prepare to read the next one."""
+        size = 0
         while True:
             event = await self.next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
                 return False
+            size += len(event.data)
+            if size > MAX_STRAY_BYTES:
+                return False
         rest, is_closed = self.conn.trailing_data
         if is_closed:
             return False
@@ -224,7 +241,11 @@
             except h11.RemoteProtocolError:
                 return Lost("not an HTTP answer, or one that broke off")
             if event is not h11.NEED_DATA:
+                await self.yield_to_others()
                 if isinstance(event, h11.InformationalResponse):
+                    self.interim_responses += 1
+                    if self.interim_responses > MAX_INTERIM_RESPONSES:
+                        return Lost("too many interim responses")
                     continue
                 return event
             try:
@@ -241,6 +262,13 @@
             self.last_received_s = trio.current_time()
             self.conn.receive_data(data)
 
+    async def yield_to_others(self) -> None:
+        """Let other tasks run after some events that were parsed without waiting."""
+        self.parsed_events += 1
+        if self.parsed_events >= EVENTS_BETWEEN_CHECKPOINTS:
+            self.parsed_events = 0
+            await trio.lowlevel.checkpoint()
+
     async def chunks(self) -> AsyncIterator[bytes | Lost]:
         """Yield the chunks of the body, then a `Lost` if the body is truncated."""
         while True:
--- a/src/rosemaryknot/connection/http_client.py
+++ b/src/rosemaryknot/connection/http_client.py
@@ -12,10 +12,12 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.values.nodes import Address
 
-__all__ = ["NetworkTransport", "http_client"]
+__all__ = ["NetworkTransport", "ResponseTooLarge", "http_client", "read_bounded"]
 
 MAX_CONNECTIONS = 4096
 KEEPALIVE_S = 30.0
+# A list of the platform has 1 MB at most, and servers' reports are far smaller.
+MAX_RESPONSE_BYTES = 16 << 20
 
 ERRORS = {
     httpcore.ConnectError: httpx.ConnectError,
@@ -30,6 +32,26 @@
 }
 
 
+class ResponseTooLarge(httpx.ReadError):
+    """A response is larger than its reader accepts."""
+
+
+async def read_bounded(response: httpx.Response, max_bytes: int) -> bytes:
+    """Return the body of a response; a server may send one without end.
+
+    Raises
+    ------
+    ResponseTooLarge
+        If it has more than ``max_bytes``.
+    """
+    body = bytearray()
+    async for chunk in response.aiter_raw():
+        body += chunk
+        if len(body) > max_bytes:
+            raise ResponseTooLarge(f"a response is larger than {max_bytes} bytes")
+    return bytes(body)
+
+
 def map_error(error: Exception) -> Exception:
     """Return the httpx error for an httpcore error."""
     for known, target in ERRORS.items():
@@ -135,16 +157,31 @@
 
 
 class BodyStream(httpx.AsyncByteStream):
-    """Response body that maps httpcore errors to httpx errors."""
+    """Response body that maps httpcore errors to httpx errors, and has a maximum size.
 
-    def __init__(self, stream: Any) -> None:
+    Parameters
+    ----------
+    stream : object
+        Body of httpcore.
+    max_bytes : float
+        Maximum size.
+    """
+
+    def __init__(self, stream: Any, max_bytes: float) -> None:
         self.stream = stream
+        self.max_bytes = max_bytes
 
     async def __aiter__(self):
         """Yield the chunks of the body as they arrive."""
+        size = 0
         try:
             async for chunk in self.stream:
+                size += len(chunk)
+                if size > self.max_bytes:
+                    raise ResponseTooLarge(f"more than {self.max_bytes} bytes")
                 yield chunk
+        except ResponseTooLarge:
+            raise
         except Exception as error:
             raise map_error(error) from error
 
@@ -160,9 +197,14 @@
     ----------
     network : Network
         Network that opens the connections.
+    max_response_bytes : float
+        Maximum size of a response's body; infinite for one that is read as it arrives.
     """
 
-    def __init__(self, network: Network) -> None:
+    def __init__(
+        self, network: Network, max_response_bytes: float = MAX_RESPONSE_BYTES
+    ) -> None:
+        self.max_response_bytes = max_response_bytes
         self.pool = httpcore.AsyncConnectionPool(
             network_backend=HttpNetwork(network),
             max_connections=MAX_CONNECTIONS,
@@ -193,7 +235,7 @@
         return httpx.Response(
             status_code=response.status,
             headers=response.headers,
-            stream=BodyStream(response.stream),
+            stream=BodyStream(response.stream, self.max_response_bytes),
             extensions=response.extensions,
         )
 
@@ -202,7 +244,11 @@
         await self.pool.aclose()
 
 
-def http_client(network: Network, timeout_s: float | None = 5.0) -> httpx.AsyncClient:
+def http_client(
+    network: Network,
+    timeout_s: float | None = 5.0,
+    max_response_bytes: float = MAX_RESPONSE_BYTES,
+) -> httpx.AsyncClient:
     """Return an httpx client over a `Network`.
 
     Parameters
@@ -211,6 +257,8 @@
         Network that opens the connections.
     timeout_s : float or None
         Timeout for connecting and for each read and write, in seconds.
+    max_response_bytes : float
+        Maximum size of a response's body; infinite for one that is read as it arrives.
 
     Returns
     -------
@@ -218,5 +266,7 @@
         Client to be used as an async context manager.
     """
     return httpx.AsyncClient(
-        transport=NetworkTransport(network), timeout=timeout_s, trust_env=False
+        transport=NetworkTransport(network, max_response_bytes),
+        timeout=timeout_s,
+        trust_env=False,
     )
--- a/src/rosemaryknot/connection/plain_client.py
+++ b/src/rosemaryknot/connection/plain_client.py
@@ -1,5 +1,6 @@
 """Client for plain services that detects whether a failed request may have run."""
 
+import math
 from typing import Any
 
 import httpx
@@ -141,7 +142,7 @@
     """
 
     def __init__(self, network: Network) -> None:
-        self.transport = NetworkTransport(network)
+        self.transport = NetworkTransport(network, math.inf)
 
     async def send(
         self,
--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -1,6 +1,7 @@
 """HTTP calls and watches of the platform, without decoding of their content."""
 
 import json
+import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -8,7 +9,7 @@
 import httpx
 import trio
 
-from rosemaryknot.connection.http_client import http_client
+from rosemaryknot.connection.http_client import ResponseTooLarge, http_client
 from rosemaryknot.connection.network import Network
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import TIMEOUT, PlatformFailed
@@ -19,6 +20,8 @@
 IDLE_TIMEOUT_S = 3.0
 # Maximum duration of a read whose response keeps arriving, in multiples of its timeout.
 MAX_READ_TIMEOUTS = 4.0
+# An item of a watch holds one object.
+MAX_LINE_BYTES = 4 << 20
 BAD_RESPONSE = "bad_answer"
 BROKEN = "broken"
 UNREACHABLE = "unreachable"
@@ -99,6 +102,25 @@
         raise StopAsyncIteration
 
 
+async def bounded_lines(response: httpx.Response) -> AsyncIterator[str]:
+    """Yield the lines of a response as they arrive.
+
+    Raises
+    ------
+    ResponseTooLarge
+        If a line does not end.
+    """
+    rest = b""
+    async for chunk in response.aiter_bytes():
+        *lines, rest = (rest + chunk).split(b"\n")
+        for line in lines:
+            yield line.decode().rstrip("\r")
+        if len(rest) > MAX_LINE_BYTES:
+            raise ResponseTooLarge("a line of a watch does not end")
+    if rest:
+        yield rest.decode()
+
+
 def map_error(error: httpx.TransportError) -> PlatformFailed:
     """Return the `PlatformFailed` for a transport error."""
     if isinstance(error, NOT_SENT_ERRORS):
@@ -296,14 +318,14 @@
         """
         self.call_count += 1
         timeout = httpx.Timeout(self.timeout_s, read=self.idle_timeout_s)
-        async with http_client(self.network) as client:
+        async with http_client(self.network, max_response_bytes=math.inf) as client:
             request = client.build_request("GET", self.url + path, timeout=timeout)
             response = await self.open(client, request)
             if isinstance(response, PlatformFailed):
                 yield Watch(parse, None, response.reason)
                 return
             try:
-                yield Watch(parse, response.aiter_lines())
+                yield Watch(parse, bounded_lines(response))
             finally:
                 with trio.CancelScope(shield=True):
                     await response.aclose()
--- a/src/rosemaryknot/connection/stream_transport.py
+++ b/src/rosemaryknot/connection/stream_transport.py
@@ -20,6 +20,8 @@
 
 RECEIVE_BYTES = 65536
 LINE_END = b"\r\n"
+# Interim responses (1xx) before a response; a server sends one or two.
+MAX_INTERIM_RESPONSES = 16
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
 
 
@@ -137,12 +139,17 @@
         if body:
             data += parser.send(h11.Data(body))
         await stream.send_all(data + parser.send(h11.EndOfMessage()))
+        interim_responses = 0
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 parser.receive_data(await stream.receive_some(RECEIVE_BYTES))
             elif type(event) is h11.Response:
                 break
+            else:
+                interim_responses += 1
+                if interim_responses > MAX_INTERIM_RESPONSES:
+                    raise h11.RemoteProtocolError("too many interim responses")
         return httpx.Response(
             event.status_code,
             headers=event.headers.raw_items(),
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -56,6 +56,7 @@
 from rosemaryknot.process.usage_tracker import UsageTracker
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.gateway import Gateway, GatewayComponents
+from rosemaryknot.request.held_responses import HeldResponses
 from rosemaryknot.request.limit_guard import LimitGuard
 from rosemaryknot.request.origin_guard import OriginGuard
 from rosemaryknot.request.permit_client import PermitClient
@@ -331,6 +332,7 @@
                 self.limit_exchange.report,
                 self.limit_exchange.give_back,
             ),
+            held=HeldResponses(),
             origins=OriginGuard(
                 f"{self.node.name}/{self.node.incarnation}",
                 self.state.servers,
--- a/src/rosemaryknot/replay/fault_run.py
+++ b/src/rosemaryknot/replay/fault_run.py
@@ -1,5 +1,6 @@
 """Seeded run of the whole system under injected faults, followed by an audit."""
 
+import math
 import random
 from collections import Counter
 from collections.abc import Iterable
@@ -163,7 +164,7 @@
                 self.system.platform.faults.list_lag_s = LIST_LAG_S
             is_long = self.profile == OWNER_PROFILE
             await trio.sleep(OWNER_WARM_UP_S if is_long else WARM_UP_S)
-            async with http_client(self.system.callers, None) as client:
+            async with http_client(self.system.callers, None, math.inf) as client:
                 with trio.move_on_after(ACTIVE_S + SETTLE_S):
                     async with trio.open_nursery() as work:
                         self.start_callers(work, client)
--- a/src/rosemaryknot/replay/scenario_run.py
+++ b/src/rosemaryknot/replay/scenario_run.py
@@ -1,5 +1,6 @@
 """Execution of a scenario against the whole system in virtual time."""
 
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -232,7 +233,7 @@
             await self.start_servers()
             await trio.sleep(WARM_UP_S)
             self.start_s = trio.current_time()
-            async with http_client(self.system.callers, None) as self.client:
+            async with http_client(self.system.callers, None, math.inf) as self.client:
                 self.requests = Requests(
                     self.system, self.client, self.keys, self.scenario.seed
                 )
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -1,6 +1,7 @@
 """One attempt at a backend server: sends the request and relays the response."""
 
 import math
+from collections.abc import AsyncIterator
 
 import trio
 
@@ -18,11 +19,13 @@
     may_be_event_stream,
     stream_headers,
 )
+from rosemaryknot.request.held_responses import MAX_RESPONSE_BYTES
 from rosemaryknot.request.server_statements import StatementRecorder
 from rosemaryknot.values.gateway import RetryPolicy
 from rosemaryknot.values.gateway_responses import (
     Broken,
     Completed,
+    Framing,
     Lost,
     NotPermitted,
     NotRunThere,
@@ -294,6 +297,12 @@
             and context.sent < context.route.max_attempts
         )
 
+    def may_use_another_server(self) -> bool:
+        """Return whether the request may be attempted again, and a server is left."""
+        if not self.may_retry_failure():
+            return False
+        return bool(usable_servers(self.components, self.context))
+
     async def relay(
         self, connection: ServerConnection, head: ResponseHead
     ) -> Completed | Broken | Lost:
@@ -307,19 +316,75 @@
 
     async def relay_buffered(
         self, connection: ServerConnection, head: ResponseHead
-    ) -> Completed | Lost:
+    ) -> Completed | Broken | Lost:
         """Read the whole response, then send it to the caller in one write.
 
         If it were relayed as it arrives, a response that is interrupted could no longer
-        be replaced by that of another server.
+        be replaced by that of another server. One that is too large to be held is
+        requested at another server, or relayed as it arrives if that is not possible.
         """
-        body = bytearray()
-        async for chunk in connection.chunks():
+        chunks = connection.chunks()
+        service = self.context.service.name
+        with self.components.held.begin(service) as held:
+            async for chunk in chunks:
+                if isinstance(chunk, Lost):
+                    return chunk
+                if held.add(chunk):
+                    continue
+                if held.is_too_large and self.may_use_another_server():
+                    return Lost("larger than the responses of its service")
+                return await self.relay_large(connection, head, chunks, held.release())
+            if not await self.is_whole(connection, head):
+                return Lost(UNCONFIRMED_END)
+            self.components.held.record_complete(service, len(held.body))
+            await self.deliver(head, bytes(held.body))
+        return Completed(head.status)
+
+    async def relay_large(
+        self,
+        connection: ServerConnection,
+        head: ResponseHead,
+        chunks: AsyncIterator[bytes | Lost],
+        begin: bytes,
+    ) -> Completed | Broken:
+        """Relay a response as it arrives whose begin has been received.
+
+        A response of a server that goes on for ever is broken off.
+        """
+        reply, size = self.context.reply, len(begin)
+        log.info(
+            "relaying a large response as it arrives",
+            request=self.context.request.id,
+            server=self.state.entry.id,
+            framing=head.framing,
+            held_bytes=size,
+            held_in_all=self.components.held.total,
+        )
+        self.record_first_byte()
+        headers = head.headers
+        if head.framing is not Framing.LENGTH:
+            headers = stream_headers(head)
+        await reply.start(head.status, headers)
+        await reply.data(begin)
+        async for chunk in chunks:
             if isinstance(chunk, Lost):
-                return chunk
-            body += chunk
-        if head.status < SERVER_ERROR and not await self.is_end_confirmed(connection):
-            return Lost(UNCONFIRMED_END)
+                return Broken(chunk.reason)
+            size += len(chunk)
+            if size > MAX_RESPONSE_BYTES:
+                return Broken("a response without end")
+            await reply.data(chunk)
+        if not await self.is_whole(connection, head):
+            return Broken(UNCONFIRMED_END)
+        await reply.end()
+        self.components.held.record_complete(self.context.service.name, size)
+        return Completed(head.status)
+
+    async def is_whole(self, connection: ServerConnection, head: ResponseHead) -> bool:
+        """Return whether the end of the transport is that of a plain response."""
+        return head.status >= SERVER_ERROR or await self.is_end_confirmed(connection)
+
+    async def deliver(self, head: ResponseHead, body: bytes) -> None:
+        """Send a complete response to the caller."""
         headers = [pair for pair in head.headers if pair[0] != b"content-length"]
         headers.append((b"content-length", str(len(body)).encode()))
         self.record_first_byte()
@@ -329,8 +394,7 @@
         end_s = max(trio.current_time(), self.context.deadline_s) + DELIVERY_GRACE_S
         with trio.CancelScope(deadline=end_s, shield=True) as scope:
             self.context.delivery_scope = scope
-            await self.context.reply.send_complete(head.status, headers, bytes(body))
-        return Completed(head.status)
+            await self.context.reply.send_complete(head.status, headers, body)
 
     async def relay_events(
         self, connection: ServerConnection, head: ResponseHead
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -14,6 +14,7 @@
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.gateway_placement import Candidate
+from rosemaryknot.request.held_responses import HeldResponses
 from rosemaryknot.request.limit_guard import LimitGuard
 from rosemaryknot.request.origin_guard import OriginGuard, StreamBeginning
 from rosemaryknot.request.permit_client import Permit
@@ -75,6 +76,8 @@
         Decides on requests during which servers crashed.
     limits : LimitGuard
         Selects servers under the rate limits that they state.
+    held : HeldResponses
+        Responses that are not complete.
     origins : OriginGuard
         Keeps streams at the software version that began them.
     acquire_quota : callable
@@ -117,6 +120,7 @@
     pool: ServerPool
     crashes: CrashGuard
     limits: LimitGuard
+    held: HeldResponses
     origins: OriginGuard
     acquire_quota: Callable[[CustomerLimit, float], float]
     release_quota: Callable[[CustomerLimit, float], None]
--- /dev/null
+++ b/src/rosemaryknot/request/held_responses.py
@@ -0,0 +1,113 @@
+"""Bound on the responses that a node holds before it passes them on.
+
+A plain response is held until it is complete: one that breaks off can then be replaced
+by that of another server. A server may also send bytes without end, though, which would
+fill the memory of the node.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from types import TracebackType
+
+from rosemaryknot.process.metrics import gauge
+
+__all__ = ["MAX_RESPONSE_BYTES", "HeldResponse", "HeldResponses"]
+
+# A response of this size is held whatever the others of its service are like.
+MIN_LIMIT_BYTES = 1 << 20
+MAX_LIMIT_BYTES = 8 << 20
+# Ratio of the limit to the largest complete response of the service.
+LIMIT_FACTOR = 2
+# All responses of a node together; a tenth of the memory of a small node.
+MAX_TOTAL_BYTES = 32 << 20
+# A larger response never ends, even one that is passed on as it arrives.
+MAX_RESPONSE_BYTES = 64 << 20
+
+HELD_BYTES = gauge("held_response_bytes", "Bytes of responses that are not complete.")
+
+
+class HeldResponse:
+    """One response that is held.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes that it may have.
+    change_total : callable
+        Takes the change of the bytes of all responses; returns whether they are within
+        the bound of the node.
+
+    Attributes
+    ----------
+    body : bytearray
+        Bytes received so far.
+    """
+
+    def __init__(self, limit: int, change_total: Callable[[int], bool]) -> None:
+        self.limit = limit
+        self.change_total = change_total
+        self.body = bytearray()
+
+    def __enter__(self) -> "HeldResponse":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.release()
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether it is larger than any response of its service is expected to be."""
+        return len(self.body) > self.limit
+
+    def add(self, data: bytes) -> bool:
+        """Add received bytes; return whether the response may still be held."""
+        self.body += data
+        return self.change_total(len(data)) and not self.is_too_large
+
+    def release(self) -> bytes:
+        """Return the bytes, and hold them no longer."""
+        self.change_total(-len(self.body))
+        body, self.body = bytes(self.body), bytearray()
+        return body
+
+
+class HeldResponses:
+    """The responses that a node holds, and the sizes of the complete ones by service.
+
+    Examples
+    --------
+    >>> held = HeldResponses()
+    >>> held.limit("s") == MIN_LIMIT_BYTES
+    True
+    >>> held.record_complete("s", 3 << 20)
+    >>> held.limit("s") == 6 << 20
+    True
+    """
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.largest: defaultdict[str, int] = defaultdict(int)
+
+    def begin(self, service: str) -> HeldResponse:
+        """Return a new response of a service, without bytes."""
+        return HeldResponse(self.limit(service), self.change_total)
+
+    def limit(self, service: str) -> int:
+        """Return how large a response of a service may be, in bytes."""
+        limit = LIMIT_FACTOR * self.largest[service]
+        return max(MIN_LIMIT_BYTES, min(MAX_LIMIT_BYTES, limit))
+
+    def change_total(self, change: int) -> bool:
+        """Change the number of bytes held; return whether it is within the bound."""
+        self.total += change
+        HELD_BYTES.set(self.total)
+        return self.total <= MAX_TOTAL_BYTES
+
+    def record_complete(self, service: str, size: int) -> None:
+        """Record the size of a complete response."""
+        self.largest[service] = max(self.largest[service], size)
--- a/src/rosemaryknot/standin/engine_kv.py
+++ b/src/rosemaryknot/standin/engine_kv.py
@@ -150,7 +150,7 @@
     async def fetch(self, source: str, handle: str) -> KvExport:
         """Fetch all parts from another engine, no faster than this one can take."""
         part = 0
-        async with http_client(self.network, PART_TIMEOUT_S) as client:
+        async with http_client(self.network, PART_TIMEOUT_S, math.inf) as client:
             while True:
                 response = await client.get(f"http://{source}/kv/{handle}/{part}")
                 if response.status_code != httpx.codes.OK:
