Record drains and pauses that servers of the own interface state

The same cause as on the users' platform, on the product's own interface: the client of plain services read Rosemaryknot-Leaving in a 503 only, that of engines in any status but 200, and neither read Retry-After, so that servers which had asked for a pause got requests at once.

Both read them in all responses now, by the functions that the platform's adapter uses, and a pause is the same class (ServerPause), with its slow start. A server that is paused is no candidate; requests wait for the end of a pause if it comes within 0.3 of their time, or are refused with the time to it. An accepted generation that has run waits. A server that asked for a pause counts as no failure.

Left: an entry checks a pause when it chooses the server, not after its connection is open, and does not tell an agent that relayed the connection.

--- a/src/rosemaryknot/connection/engine_client.py
+++ b/src/rosemaryknot/connection/engine_client.py
@@ -17,9 +17,14 @@
 )
 from rosemaryknot.connection.http_client import read_bounded
 from rosemaryknot.connection.network import Network
-from rosemaryknot.connection.plain_client import LIMIT_HEADER
+from rosemaryknot.connection.plain_client import (
+    DRAINING_HEADER,
+    LIMIT_HEADER,
+    RETRY_AFTER_HEADER,
+)
 from rosemaryknot.connection.stream_transport import stream_client
 from rosemaryknot.values.nodes import BackendServer
+from rosemaryknot.values.retry_after import decode_retry_after, requested_pause_s
 from rosemaryknot.values.server_limits import InvalidLimit, decode_limit
 
 __all__ = ["EngineClient", "EngineStatus", "KvExport"]
@@ -28,7 +33,6 @@
 REQUEST_TIMEOUT_S = 1.0
 MAX_JSON_BYTES = 1 << 20
 HEADERS = {"connection": "close", "accept-encoding": "identity"}
-DRAINING_HEADER = "rosemaryknot-leaving"
 
 
 @dataclass(slots=True)
@@ -94,6 +98,7 @@
         call: EngineCall,
         emit: Callable[[list[bytes]], None],
         on_limit: Callable[[float | InvalidLimit | None], None] = lambda limit: None,
+        on_drain: Callable[[], None] = lambda: None,
     ) -> StreamEnd:
         """Run a completion and emit its tokens as they arrive.
 
@@ -108,6 +113,9 @@
             the chunk completes no token.
         on_limit : callable
             Called with the rate limit in the head of the response.
+        on_drain : callable
+            Called if the head of a response, of any status, states that the server
+            drains.
 
         Returns
         -------
@@ -123,9 +131,16 @@
                 headers={**HEADERS, "content-type": "application/json"},
             ) as response:
                 on_limit(decode_limit(response.headers.get_list(LIMIT_HEADER)))
+                stated = response.headers.get_list(DRAINING_HEADER)
+                is_draining = "1" in [text.strip() for text in stated]
+                if is_draining:
+                    on_drain()
                 if response.status_code != httpx.codes.OK:
-                    is_draining = response.headers.get(DRAINING_HEADER) == "1"
-                    return Refused(response.status_code, is_draining)
+                    retry_after = decode_retry_after(
+                        response.headers.get_list(RETRY_AFTER_HEADER)
+                    )
+                    pause_s = requested_pause_s(response.status_code, retry_after)
+                    return Refused(response.status_code, is_draining, pause_s)
                 async for chunk in response.stream:
                     emit(checker.feed(chunk))
                     if checker.end is not None:
--- a/src/rosemaryknot/connection/engine_frames.py
+++ b/src/rosemaryknot/connection/engine_frames.py
@@ -89,10 +89,13 @@
         HTTP status.
     leaving : bool
         Whether the engine is draining.
+    pause_s : float
+        Time for which it wants no requests, in seconds.
     """
 
     status: int
     leaving: bool
+    pause_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/src/rosemaryknot/connection/plain_client.py
+++ b/src/rosemaryknot/connection/plain_client.py
@@ -11,13 +11,18 @@
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.outcomes import Answered, Reason, Unknown
 from rosemaryknot.values.requests import NotSent, PlainRequest, SendResult
+from rosemaryknot.values.retry_after import decode_retry_after, requested_pause_s
 from rosemaryknot.values.server_limits import InvalidLimit, decode_limit
 
 __all__ = [
+    "DRAINING_HEADER",
     "LIMIT_HEADER",
+    "RETRY_AFTER_HEADER",
     "PlainClient",
     "end_to_end_headers",
-    "is_draining",
+    "is_refused_by_drain",
+    "states_drain",
+    "stated_pause_s",
     "stated_limit",
 ]
 
@@ -26,6 +31,7 @@
 REQUEST_HEADER = "rosemaryknot-request"
 DRAINING_HEADER = "rosemaryknot-leaving"
 LIMIT_HEADER = "rosemaryknot-rate-limit"
+RETRY_AFTER_HEADER = "retry-after"
 UNAVAILABLE = 503
 
 # The first trace event of httpcore after which a byte of the request may be sent.
@@ -91,14 +97,25 @@
     return forwarded
 
 
-def is_draining(response: Answered) -> bool:
-    """Return whether a server refused a request because it is draining."""
-    return response.status == UNAVAILABLE and any(
-        name.lower() == DRAINING_HEADER and value == "1"
+def states_drain(response: Answered) -> bool:
+    """Return whether a server states that it drains, in any response."""
+    return any(
+        name.lower() == DRAINING_HEADER and value.strip() == "1"
         for name, value in response.headers
     )
 
 
+def is_refused_by_drain(response: Answered) -> bool:
+    """Return whether a server refused a request because it drains."""
+    return response.status == UNAVAILABLE and states_drain(response)
+
+
+def stated_pause_s(response: Answered) -> float:
+    """Return for how long a server wants no requests, in seconds."""
+    texts = [v for name, v in response.headers if name.lower() == RETRY_AFTER_HEADER]
+    return requested_pause_s(response.status, decode_retry_after(texts))
+
+
 def stated_limit(response: Answered) -> float | InvalidLimit | None:
     """Return the rate limit that a server states for all instances together."""
     return decode_limit(
--- a/src/rosemaryknot/request/attempts.py
+++ b/src/rosemaryknot/request/attempts.py
@@ -120,6 +120,8 @@
     on_limit : callable
         Called with a stated limit as soon as the head of the response arrives, and with
         None at the first token of a response that states none.
+    on_drain : callable
+        Called if the head of the response states that the server drains.
     on_tokens : callable
         Called when tokens have arrived.
     """
@@ -156,6 +158,7 @@
         self.on_limit: Callable[[float | InvalidLimit | None], None] = lambda limit: (
             None
         )
+        self.on_drain: Callable[[], None] = lambda: None
         self.on_tokens: Callable[[], None] = lambda: None
         self.scope = trio.CancelScope()
 
@@ -169,7 +172,11 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self.watch_silence)
                     end = await self.engines.generate(
-                        self.server, build_call, self.receive_tokens, self.receive_limit
+                        self.server,
+                        build_call,
+                        self.receive_tokens,
+                        self.receive_limit,
+                        self.on_drain,
                     )
                     self.stop(end)
         finally:
--- a/src/rosemaryknot/request/generation_run.py
+++ b/src/rosemaryknot/request/generation_run.py
@@ -50,6 +50,8 @@
 RECOVERED_PRIORITY = -1
 # Share of the remaining time for which a request waits for a server with a rate limit.
 MAX_LIMIT_WAIT_SHARE = 0.3
+# Shortest wait for a server that is paused, or in the slow start after it.
+MIN_PAUSE_WAIT_S = 0.01
 CALLER_ERROR_STATUSES = frozenset({400, 413, 422})
 
 
@@ -167,10 +169,22 @@
         self.components.mover.running[request_id] = attempt
         self.components.mover.check()
         attempt.on_limit = self.limit_recorder(attempt.server)
+        instance = attempt.server.instance
+        attempt.on_drain = partial(
+            self.components.servers.mark_leaving, instance, 0.0, "server"
+        )
+        pauses = self.components.router.pauses
+        pauses.begin(instance, attempt)
         try:
-            return await attempt.run()
+            end = await attempt.run()
         finally:
+            if attempt.has_token:
+                pauses.record_response(instance, attempt)
+            pauses.end(instance, attempt)
             del self.components.mover.running[request_id]
+        if isinstance(end, Refused):
+            pauses.record(instance, end.pause_s, request_id)
+        return end
 
     def limit_recorder(
         self, server: BackendServer
@@ -281,7 +295,7 @@
         if self.request_context.was_sent:
             await trio.sleep(reached.retry_after_s)
             return
-        detail = "the engines of this service take no more requests per second"
+        detail = "the engines of this service take no more requests for now"
         self.generation.finish(NotRun(Reason.OVERLOADED, reached.retry_after_s, detail))
 
     async def choose_server(self) -> BackendServer | LimitsReached | None:
@@ -297,11 +311,32 @@
                 if selected is not None:
                     self.permit = selected.permit
                     return selected.choice
+                paused = self.pause_delay_s(excluded)
+                if paused is not None and self.must_refuse(paused):
+                    return LimitsReached(paused)
                 next_attempt_s = min(excluded.values(), default=float("inf"))
+                if paused is not None:
+                    due_s = trio.current_time() + max(MIN_PAUSE_WAIT_S, paused)
+                    next_attempt_s = min(next_attempt_s, due_s)
                 with trio.move_on_at(next_attempt_s):
                     seen = await servers.wait_changed(seen)
         return None
 
+    def pause_delay_s(self, excluded: Collection[str]) -> float | None:
+        """Return for how long all usable servers are paused, in seconds, or None."""
+        router = self.components.router
+        servers = router.ranking(self.generation.service).servers
+        usable = self.components.health.usable(self.generation.eligible(servers))
+        remaining = [s for s in usable if s.instance not in excluded]
+        return router.pauses.delay_s(remaining)
+
+    def must_refuse(self, delay_s: float) -> bool:
+        """Return whether the generation cannot wait so long and has not run yet."""
+        if self.request_context.was_sent:
+            return False
+        remaining_s = self.generation.request.deadline_s - trio.current_time()
+        return delay_s > remaining_s * MAX_LIMIT_WAIT_SHARE
+
     def no_server_timeout_s(self) -> float:
         """Return how long the generation waits for a server."""
         if self.has_only_other_versions():
@@ -371,9 +406,9 @@
                 self.finish_answered(attempt, guess, end)
             case Refused(status=status) if status in CALLER_ERROR_STATUSES:
                 self.finish_refused(status)
-            case Refused(leaving=True):
-                self.components.servers.mark_leaving(server.instance, 0.0, "server")
-                request_context.exclude(server)
+            case Refused(pause_s=pause_s) if pause_s > 0:
+                # Its pause excludes it, for this generation and all others.
+                pass
             case Refused():
                 request_context.exclude(server)
             case Silent(resume_at_server=True) | Crossed():
--- a/src/rosemaryknot/request/plain.py
+++ b/src/rosemaryknot/request/plain.py
@@ -11,14 +11,17 @@
 
 from rosemaryknot.connection.plain_client import (
     PlainClient,
-    is_draining,
+    is_refused_by_drain,
     stated_limit,
+    stated_pause_s,
+    states_drain,
 )
 from rosemaryknot.process.listed_server import ListedServer
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.retry_budget import RetryBudgets
 from rosemaryknot.process.server_health import ServerHealth
+from rosemaryknot.process.server_pauses import ServerPauses
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.crash_rules import Allowed, Barred
 from rosemaryknot.request.event_stream import EventSplitter, is_event_stream
@@ -46,6 +49,8 @@
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 2.0
+# Shortest wait for a server that is paused, or in the slow start after it.
+MIN_PAUSE_WAIT_S = 0.01
 LEAVING_SOURCE = "server"
 
 # The server, or a proxy in front of it, is temporarily unable to do the work.
@@ -122,6 +127,8 @@
         Decides on requests during which servers crashed; None for no limit.
     limits : LimitGuard or None
         Selects servers under the rate limits that they state; None for no limits.
+    pauses : ServerPauses
+        Pauses that servers asked for.
     """
 
     def __init__(
@@ -139,6 +146,7 @@
         self.in_flight: Counter[str] = Counter()
         self.health = ServerHealth() if health is None else health
         self.budgets = RetryBudgets()
+        self.pauses = ServerPauses()
         self.crashes: CrashGuard | None = None
         self.limits: LimitGuard | None = None
 
@@ -208,8 +216,7 @@
             attempts.record(NotSent(Reason.OVERLOADED, selected.retry_after_s))
             return None
         if selected is None:
-            self.log_no_server(request, attempts)
-            return None
+            return await self.wait_for_pauses(request, attempts, reuse)
         server = selected.choice
         sent_version = 0
         if self.limits is not None:
@@ -220,7 +227,8 @@
             attempt_deadline_s = half_deadline_s(request)
         started_s = trio.current_time()
         self.in_flight[server.instance] += 1
-        record = None
+        self.pauses.begin(server.instance, request.request_id)
+        record = result = None
         if self.crashes is not None:
             record = self.crashes.begin(identity_of(request), decision)
         try:
@@ -228,6 +236,9 @@
         finally:
             if self.crashes is not None:
                 self.crashes.end(record)
+            if isinstance(result, Answered):
+                self.record_availability(server, request, result)
+            self.pauses.end(server.instance, request.request_id)
             self.in_flight[server.instance] -= 1
             if not self.in_flight[server.instance]:
                 del self.in_flight[server.instance]
@@ -240,6 +251,43 @@
         attempts.record(result)
         return result
 
+    async def wait_for_pauses(
+        self, request: PlainRequest, attempts: RequestAttempts, reuse: bool
+    ) -> SendResult | None:
+        """Wait for the end of a pause and try again; None if that takes too long."""
+        servers = self.remaining_servers(request, attempts)
+        delay_s = self.pauses.delay_s(servers)
+        if delay_s is None:
+            self.log_no_server(request, attempts)
+            return None
+        remaining_s = request.deadline_s - trio.current_time()
+        if delay_s > remaining_s * MAX_WAIT_SHARE:
+            attempts.record(NotSent(Reason.OVERLOADED, delay_s))
+            log.info(
+                "all servers are paused",
+                request=request.request_id,
+                service=request.service,
+                retry_after_s=round(delay_s, 3),
+            )
+            return None
+        await trio.sleep(max(MIN_PAUSE_WAIT_S, delay_s))
+        return await self.attempt_next(request, attempts, reuse)
+
+    def record_availability(
+        self,
+        server: BackendServer,
+        request: PlainRequest,
+        response: Answered,
+    ) -> None:
+        """Record that a server states that it drains, or wants a pause."""
+        if states_drain(response):
+            self.servers.mark_leaving(server.instance, 0.0, LEAVING_SOURCE)
+        pause_s = stated_pause_s(response)
+        if pause_s > 0:
+            self.pauses.record(server.instance, pause_s, request.request_id)
+        else:
+            self.pauses.record_response(server.instance, request.request_id)
+
     async def check_end(
         self, server: BackendServer, request: PlainRequest, result: SendResult
     ) -> SendResult:
@@ -296,6 +344,12 @@
         self, request: PlainRequest, attempts: RequestAttempts
     ) -> list[BackendServer]:
         """Return the usable servers not tried yet; none if no attempt is left."""
+        return self.pauses.usable(self.remaining_servers(request, attempts))
+
+    def remaining_servers(
+        self, request: PlainRequest, attempts: RequestAttempts
+    ) -> list[BackendServer]:
+        """Return the servers not tried yet, those that are paused too."""
         if len(attempts.instances) >= MAX_ATTEMPTS:
             return []
         usable = self.health.usable(self.servers.servers_of(request.service))
@@ -373,10 +427,12 @@
         took_s: float,
     ) -> SendResult:
         """Record a result; treat the refusal of a draining server as not sent."""
-        if isinstance(result, Answered) and is_draining(result):
+        if isinstance(result, Answered) and is_refused_by_drain(result):
             # A draining server accepts no new requests, so the request did not run.
-            self.servers.mark_leaving(server.instance, 0.0, LEAVING_SOURCE)
             result = NotSent(Reason.NO_SERVER)
+        elif isinstance(result, Answered) and stated_pause_s(result) > 0:
+            # It asked for the pause instead of failing.
+            pass
         elif isinstance(result, Answered) and result.status < FAILED_STATUS:
             self.health.record_success(server.instance)
         elif not is_short_timeout(result, took_s):
@@ -450,7 +506,7 @@
     if isinstance(result, NotSent):
         detail = "no backend server could be reached"
         if result.reason == Reason.OVERLOADED:
-            detail = "the backend servers take no more requests per second"
+            detail = "the backend servers take no more requests for now"
         retry_after_s = result.retry_after_s or NO_SERVER_RETRY_AFTER_S
         return NotRun(result.reason, retry_after_s, detail)
     if isinstance(result, Unknown):
--- a/src/rosemaryknot/request/router.py
+++ b/src/rosemaryknot/request/router.py
@@ -12,6 +12,7 @@
 from rosemaryknot.process.prefix_estimate import Guess, prompt_blocks
 from rosemaryknot.process.server_health import ServerHealth
 from rosemaryknot.process.server_load import LoadTable
+from rosemaryknot.process.server_pauses import ServerPauses
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.request.generations import Generation
 from rosemaryknot.request.routes import (
@@ -124,6 +125,8 @@
         Estimator of prompt tokens from characters.
     choice_count : int
         Number of choices made so far.
+    pauses : ServerPauses
+        Pauses that servers asked for.
     """
 
     def __init__(
@@ -143,6 +146,7 @@
         self.node = node
         self.token_estimator = TokenEstimator()
         self.choice_count = 0
+        self.pauses = ServerPauses()
         self.rankings: dict[str, Ranking] = {}
 
     def service(self, name: str) -> Service | None:
@@ -171,6 +175,7 @@
         """
         ranking = self.ranking(generation.service)
         usable = self.health.usable(generation.eligible(ranking.servers))
+        usable = self.pauses.usable(usable)
         if excluded:
             usable = [s for s in usable if s.instance not in excluded]
         if not usable:
@@ -188,6 +193,7 @@
         """Return the instances from which `choose` chooses, by name."""
         servers = self.ranking(generation.service).servers
         usable = self.health.usable(generation.eligible(servers))
+        usable = self.pauses.usable(usable)
         return [s.instance for s in usable if s.instance not in excluded]
 
     def ranking(self, service: str) -> Ranking:
--- a/src/rosemaryknot/request/server_statements.py
+++ b/src/rosemaryknot/request/server_statements.py
@@ -7,14 +7,13 @@
 from rosemaryknot.request.gateway_context import GatewayComponents, RequestContext
 from rosemaryknot.request.gateway_response import DIRECT_PATH
 from rosemaryknot.values.gateway_responses import ResponseHead
-from rosemaryknot.values.retry_after import InvalidRetryAfter
+from rosemaryknot.values.retry_after import InvalidRetryAfter, requested_pause_s
 from rosemaryknot.values.server_limits import InvalidLimit
 
 __all__ = ["StatementRecorder", "is_own_response"]
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
-UNAVAILABLE = 503
 
 log = logger("gateway")
 
@@ -104,21 +103,21 @@
         if head.is_draining and not self.state.has_announced_drain:
             self.log_availability("server stated that it drains", head)
             self.components.record_drain(self.state)
-        if head.status == UNAVAILABLE and head.retry_after is not None:
-            self.record_pause(head)
+        if isinstance(head.retry_after, InvalidRetryAfter):
+            self.log_availability("invalid Retry-After ignored", head)
+        length_s = requested_pause_s(head.status, head.retry_after)
+        if length_s > 0:
+            self.record_pause(head, length_s)
         elif not head.not_run:
             self.components.servers.record_response(self.state, self)
 
-    def record_pause(self, head: ResponseHead) -> None:
-        """Record for how long the server wants no requests."""
-        if isinstance(head.retry_after, InvalidRetryAfter):
-            self.log_availability("invalid Retry-After ignored", head)
-        elif head.retry_after > 0:
-            if not self.state.pause.is_active(trio.current_time()):
-                self.log_availability("server asked for a pause", head)
-            path = self.context.path
-            peer = "" if path == DIRECT_PATH else path
-            self.components.record_pause(self.state, head.retry_after, peer)
+    def record_pause(self, head: ResponseHead, length_s: float) -> None:
+        """Record that the server wants no requests for a time, in seconds."""
+        if not self.state.pause.is_active(trio.current_time()):
+            self.log_availability("server asked for a pause", head)
+        path = self.context.path
+        peer = "" if path == DIRECT_PATH else path
+        self.components.record_pause(self.state, length_s, peer)
 
     def log_availability(self, event: str, head: ResponseHead) -> None:
         """Log what the server states of its availability."""
--- a/src/rosemaryknot/standin/engine.py
+++ b/src/rosemaryknot/standin/engine.py
@@ -11,6 +11,7 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.standin.answers import answer_length, count_tokens, prompt_text
 from rosemaryknot.standin.batch import Batch, EngineSettings, Generation
+from rosemaryknot.standin.drain_header import DrainHeader
 from rosemaryknot.standin.engine_kv import KvTransfers
 from rosemaryknot.standin.engine_load import LaggedLoad
 from rosemaryknot.standin.engine_streams import EngineFaults, EngineStreams
@@ -53,6 +54,8 @@
         Whether it refuses new work and goes on with what is running.
     rate_limit : RateLimit
         The rate limit that it states.
+    drain_header : DrainHeader
+        The drain that it states while it serves requests.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         self.leaving = False
         self.work = trio.Event()
         self.app = new_app("engine")
+        self.drain_header = DrainHeader(self.app)
         self.rate_limit = RateLimit(self.app, "/v1/chat/completions")
         self.host = Host(self.app)
         self.nursery: trio.Nursery | None = None
--- a/src/rosemaryknot/standin/plain.py
+++ b/src/rosemaryknot/standin/plain.py
@@ -10,6 +10,7 @@
 from quart import Response, request
 
 from rosemaryknot.connection.network import Network
+from rosemaryknot.standin.drain_header import DrainHeader
 from rosemaryknot.standin.host import Host, new_app
 from rosemaryknot.standin.rate_limit import RateLimit
 from rosemaryknot.values.nodes import Address
@@ -149,6 +150,7 @@
         self.faults: list[PlainFault] = []
         self.leaving = False
         self.app = new_app("plain")
+        self.drain_header = DrainHeader(self.app)
         self.rate_limit = RateLimit(self.app, "/")
         self.host = Host(self.app)
         self.nursery: trio.Nursery | None = None
--- a/src/rosemaryknot/values/retry_after.py
+++ b/src/rosemaryknot/values/retry_after.py
@@ -7,7 +7,15 @@
 from dataclasses import dataclass
 from email.utils import parsedate_to_datetime
 
-__all__ = ["InvalidRetryAfter", "MAX_RETRY_AFTER_S", "decode_retry_after"]
+__all__ = [
+    "InvalidRetryAfter",
+    "MAX_RETRY_AFTER_S",
+    "decode_date",
+    "decode_retry_after",
+    "requested_pause_s",
+]
+
+UNAVAILABLE = 503
 
 # A longer delay is cut: a server that is not to be used for days has to drain.
 MAX_RETRY_AFTER_S = 86_400.0
@@ -67,6 +75,23 @@
     return min(max(valid), MAX_RETRY_AFTER_S)
 
 
+def requested_pause_s(
+    status: int, retry_after: float | InvalidRetryAfter | None
+) -> float:
+    """Return for how long the sender of a response wants no requests, in seconds.
+
+    A 429 concerns the one request, and not the node that sent it.
+
+    Examples
+    --------
+    >>> requested_pause_s(503, 2.5), requested_pause_s(429, 2.5)
+    (2.5, 0.0)
+    """
+    if status != UNAVAILABLE or not isinstance(retry_after, float):
+        return 0.0
+    return retry_after
+
+
 def decode_delay_s(text: str, sent_unix_s: float) -> float | None:
     """Return one stated delay in seconds, None if it is invalid."""
     if DECIMAL.fullmatch(text):
