Let stand-ins of random plays state drains and pauses, and audit what follows

Random plays can draw servers that do, one or all of a service, in some plays with the store away and with responses without end, and the audit counts both for nodes that run meanwhile.

--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -11,6 +11,13 @@
 from dataclasses import dataclass, field
 
 from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.standin.users.availability import (
+    DrainStatement,
+    PauseRequest,
+    SentRequest,
+    late_requests,
+    requests_in_pauses,
+)
 from rosemaryknot.standin.users.disturbances import ALL_SUBJECTS, Disturbances
 from rosemaryknot.standin.users.events import events_of
 from rosemaryknot.standin.users.limit_windows import (
@@ -173,6 +180,10 @@
         Times and ids of all requests that reached a server, by its incarnation.
     falls : list of Fall
         Crashes of brittle servers, in order.
+    drains : list of DrainStatement
+        Responses that stated that their server drains, in order.
+    pauses : list of PauseRequest
+        Responses that asked for a pause, in order.
     disturbances : Disturbances
         Subjects and periods for which invariants with a time limit do not hold.
     """
@@ -188,6 +199,8 @@
     limit_statements: list[LimitStatement] = field(default_factory=list)
     arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
     falls: list[Fall] = field(default_factory=list)
+    drains: list[DrainStatement] = field(default_factory=list)
+    pauses: list[PauseRequest] = field(default_factory=list)
     disturbances: Disturbances = field(default_factory=Disturbances)
 
 
@@ -534,6 +547,48 @@
             yield f"{period.server} stated {period.rate} a second and got {most}"
 
 
+@invariant("stated_drains_hold")
+def stated_drains_hold(observations: Observations) -> Iterable[str]:
+    """Find requests to a server whose drain their node had passed on before."""
+    requests = {
+        request.id: SentRequest(
+            request.node, request.sent_s, request.ended_s, is_served(request)
+        )
+        for request in observations.caller_requests
+        if observations.runs.get(request.id, 0) <= 1
+    }
+    late = late_requests(observations.drains, observations.arrivals, requests, DRAIN_S)
+    for found in late:
+        if is_running(observations, found.node, found.known_s, found.arrived_s):
+            late_s = found.arrived_s - found.known_s
+            yield (
+                f"{found.request} reached {found.server} {late_s:.2f} s after "
+                f"{found.node} had passed on that it drains"
+            )
+
+
+@invariant("pauses_hold")
+def pauses_hold(observations: Observations) -> Iterable[str]:
+    """Find servers that get requests of a node in the pause that they asked it for."""
+    node_of = {request.id: request.node for request in observations.caller_requests}
+    pauses = observations.pauses
+    found = requests_in_pauses(pauses, observations.arrivals, node_of.get)
+    for pause, node, count in found:
+        end_s = pause.timestamp_s + pause.length_s
+        if is_running(observations, node, pause.timestamp_s, end_s):
+            yield (
+                f"{pause.server} asked {node} for {pause.length_s} s at "
+                f"{pause.timestamp_s:.2f} s and got {count} requests"
+            )
+
+
+def is_running(
+    observations: Observations, node: str, start_s: float, end_s: float
+) -> bool:
+    """Return whether a node neither restarted nor was suspended in a period."""
+    return observations.disturbances.is_undisturbed(node, start_s, end_s)
+
+
 @invariant("cut_off_nodes_serve")
 def cut_off_nodes_serve(observations: Observations) -> Iterable[str]:
     """Find nodes that are cut off from the servers and serve worse than the others."""
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -28,6 +28,7 @@
     draw_fault,
     draw_limits,
     draw_server_entry_fault,
+    draw_statements,
     draw_versions,
 )
 from rosemaryknot.standin.users.resuming_callers import ResumingCaller
@@ -369,6 +370,8 @@
     """Add the records of the servers, the store and the cloud."""
     observations.limit_statements = system.ledger.statements
     observations.falls = system.ledger.falls
+    observations.drains = system.ledger.drains
+    observations.pauses = system.ledger.pauses
     for arrival in system.ledger.arrivals:
         times = observations.arrivals.setdefault(arrival.incarnation, [])
         times.append((arrival.timestamp_s, arrival.id))
@@ -402,6 +405,7 @@
     has_ends: bool = False,
     has_versions: bool = False,
     crashing_segments_per_s: float = 0.0,
+    has_statements: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -425,6 +429,8 @@
     if has_versions:
         play.faults += draw_versions(random.Random(f"versions {seed}"))
         play.resuming_per_s = RESUMING_PER_S
+    if has_statements:
+        play.faults += draw_statements(random.Random(f"statements {seed}"))
     return play
 
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -13,6 +13,7 @@
 
 from rosemaryknot.standin.users.configuration_changes import changed_document
 from rosemaryknot.standin.users.disturbances import ALL_SUBJECTS
+from rosemaryknot.standin.users.endless_responses import ENDLESS_NAMES
 from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
 from rosemaryknot.standin.users.response_ends import detectable_ends
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
@@ -26,6 +27,7 @@
     "draw_fault",
     "draw_limits",
     "draw_server_entry_fault",
+    "draw_statements",
     "draw_versions",
 ]
 
@@ -292,6 +294,44 @@
     system.down.discard(server.id)
 
 
+@play_fault("state_drain")
+async def state_drain(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let ``servers`` state that they drain, end after ``for_s`` and start again.
+
+    Their entries stay as they are, as if the store did not respond to them.
+    """
+    servers = [system.servers[name] for name in fault["servers"]]
+    for server in servers:
+        server.draining = "1"
+    await trio.sleep(fault["for_s"])
+    for server in servers:
+        if server.id in system.down:
+            continue
+        system.down.add(server.id)
+        await system.restart_server(server.id, fault["down_s"])
+        system.down.discard(server.id)
+
+
+@play_fault("turn_away")
+async def turn_away(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let ``servers`` turn all requests away for ``for_s`` and ask for pauses."""
+    for text in fault["retry_after"]:
+        servers = [system.servers[name] for name in fault["servers"]]
+        for server in servers:
+            server.retry_after, server.is_turning_away = text, True
+        await trio.sleep(fault["for_s"])
+        for server in servers:
+            server.is_turning_away = False
+        await trio.sleep(fault["pause_s"])
+
+
+@play_fault("endless")
+async def endless(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let a server send its next responses without end."""
+    system.servers[fault["server"]].faults.extend(fault["ways"])
+    await trio.lowlevel.checkpoint()
+
+
 async def write_again(system: PlatformSystem, server: str) -> None:
     """Write a server's entry after a heartbeat interval, if it still has one."""
     await trio.sleep(HEARTBEAT_S)
@@ -386,6 +426,58 @@
     return faults
 
 
+def draw_statements(rng: random.Random) -> list[dict[str, Any]]:
+    """Draw servers that state drains or ask for pauses, in some plays all of a service.
+
+    In some of the plays the store does not respond meanwhile, and in some a response
+    has no end.
+    """
+    services = (SERVERS[:3], SERVERS[3:])
+    faults: list[dict[str, Any]] = []
+    for _ in range(rng.randint(1, 3)):
+        servers = rng.choice((*services, *[[name] for name in SERVERS]))
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 14.0), 2),
+                "kind": "turn_away",
+                "servers": list(servers),
+                "retry_after": rng.choice((["3"], ["0.4", "2.5"], ["1.5", "soon"])),
+                "for_s": round(rng.choice((0.1, 0.5, 2.0)) * rng.uniform(0.5, 1.5), 2),
+                "pause_s": round(rng.uniform(0.0, 4.0), 2),
+            }
+        )
+    for _ in range(rng.randint(1, 2)):
+        servers = rng.choice((*[[name] for name in SERVERS], list(SERVERS[3:5])))
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 12.0), 2),
+                "kind": "state_drain",
+                "servers": servers,
+                "for_s": round(rng.uniform(2.0, 8.0), 2),
+                "down_s": rng.choice((0.0, 0.3, 2.0)),
+            }
+        )
+    if rng.random() < 0.5:
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 8.0), 2),
+                "kind": "store",
+                "mode": rng.choice(("busy", "reset", "silent")),
+                "for_s": round(rng.uniform(3.0, 10.0), 2),
+            }
+        )
+    if rng.random() < 0.5:
+        faults.append(
+            {
+                "at": round(rng.uniform(0.5, 14.0), 2),
+                "kind": "endless",
+                "server": rng.choice(SERVERS),
+                "ways": rng.sample(ENDLESS_NAMES, 2),
+            }
+        )
+    return faults
+
+
 def draw_ends(rng: random.Random) -> list[dict[str, Any]]:
     """Draw ends of responses that a gateway can detect, of all servers in turn."""
     faults = []
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -38,6 +38,7 @@
 SEEDS_WITH_CUTS = (4000, 4001, 4002, 4003)
 SEEDS_WITH_ENDS = (5000, 5001, 5002, 5003)
 # 7019 began streams at a server that had restarted, known too late.
+SEEDS_WITH_STATEMENTS = range(13000, 13008)
 SEEDS_WITH_VERSIONS = [7000, 7001, 7002, 7003, 7019, 7030]
 
 
@@ -205,6 +206,19 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_STATEMENTS)
+    def test_random_faults_and_stated_availability(self, seed):
+        play = random_play(
+            seed,
+            seed % 2,
+            has_limits=seed % 3 == 0,
+            has_cuts=seed % 4 == 1,
+            has_statements=True,
+        )
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     def test_cut_off_nodes_beside_versions(self):
         """Nodes of which most are cut off from servers are served by the others."""
         play = random_play(7024, has_cuts=True, has_ends=True, has_versions=True)
@@ -225,6 +239,7 @@
                 has_cuts=True,
                 has_ends=True,
                 has_versions=True,
+                has_statements=True,
             )
             for seed in range(200)
         ]
