Observe a suspected segment for longer while no server could run a trial

The request that was chosen as the trial found two of the three servers down and the third at its rate limit, so that it had not been sent when the 0.5 s of observation were over; the nodes refused the segment without any evidence for it, and the next trial came 2.1 s later. Ruled out: a trial that waits for itself (mended before) and trials that crash (there was none).

While no server of the service is available at a node (each one drains, is paused, backs off or states a rate limit), the observation lasts for up to 2.5 s; no request with the segment is sent meanwhile, so the bound on those that reach servers stays as it is. Requests that are refused in that time are told that no server can take them, which is what keeps them from being served.

Evidence: two tests in tests/process/test_segment_records.py, which fail without it. A test with a whole system did not reproduce the fault and was not added.

--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import OrderedDict, defaultdict
-from collections.abc import Callable, Hashable, Iterable
+from collections.abc import Callable, Container, Hashable, Iterable
 
 import trio
 
@@ -388,6 +388,25 @@
         """Return the servers of a service."""
         return [s for s in self.by_id.values() if s.entry.service == name]
 
+    def has_available(self, service: str, limited: Container[str]) -> bool:
+        """Return whether a server of a service could run a request now.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        limited : container of str
+            Incarnations that state a rate limit and may have no room.
+        """
+        now_s = trio.current_time()
+        return any(
+            state.accepts_requests(now_s)
+            and state.pause.accepts(now_s)
+            and now_s >= state.backoff_until_s
+            and state.incarnation_key not in limited
+            for state in self.of_service(service)
+        )
+
     def addresses(self) -> list[Address]:
         """Return the addresses of the servers that accept requests."""
         now_s = trio.current_time()
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -205,6 +205,7 @@
         self.availability = AvailabilityExchange(
             self.peers, self.exchange.hubs, self.state.servers, handlers, rng
         )
+        self.crash_records.segments.has_available = self.has_available
         self.create_origin_components(handlers)
         self.gateway = Gateway(self.gateway_components())
         self.crash_store.on_segment_refused = self.gateway.abort_refused
@@ -412,6 +413,11 @@
         nodes = [*self.peers.nodes(), self.node]
         return self.node in select_nodes(nodes, digest.hex(), 1)
 
+    def has_available(self, service: str) -> bool:
+        """Return whether a server of a service could run a request now."""
+        limited = self.server_limits.limited
+        return self.state.servers.has_available(service, limited)
+
     def is_alone_in_zone(self) -> bool:
         """Return whether no other node of the zone is known."""
         return all(node.zone != self.node.zone for node in self.peers.nodes())
--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -34,12 +34,17 @@
 # Other requests with the segment wait until then.
 TRIAL_OBSERVATION_S = 0.6
 MAX_OBSERVATION_S = 0.9
+# How long it is observed at most while no server of its service is available: nothing
+# can show that it is sound. Servers that crash for another reason are back by then.
+MAX_UNSERVED_S = 2.5
 # Crashes kept for one segment; the latest ones.
 MAX_SEGMENT_CRASHES = 16
 # How long a segment that nobody uses any more stays refused.
 FORGET_S = 3600.0
 # How often suspicions are assessed again although no record has changed.
 REASSESS_S = 0.5
+# The same while segments are observed, as servers become available.
+REASSESS_UNSERVED_S = 0.1
 # Minimum time between two assessments if only the number of requests has changed.
 MIN_REASSESS_S = 0.1
 
@@ -110,6 +115,8 @@
         Requests with each segment that came to this node since its first crash.
     suspicions : dict of bytes to Suspicion
         Result of the last assessment, by segment.
+    has_available : callable
+        Takes a service; returns whether one of its servers could run a request now.
     on_refused, on_released : callable
         Called with a record when its segment is refused from now on, or not any more.
     """
@@ -122,6 +129,7 @@
         self.suspicions: dict[bytes, Suspicion] = {}
         self.assessed_s = -math.inf
         self.valid_until_s = -math.inf
+        self.has_available: Callable[[str], bool] = lambda service: True
         self.on_refused: Callable[[SegmentRecord], None] = lambda record: None
         self.on_released: Callable[[SegmentRecord], None] = lambda record: None
 
@@ -259,20 +267,26 @@
             if is_stored or now_s >= suspicion.observed_until_s:
                 suspicion.is_refused = True
             else:
-                self.valid_until_s = min(self.valid_until_s, suspicion.observed_until_s)
+                due_s = min(suspicion.observed_until_s, now_s + REASSESS_UNSERVED_S)
+                self.valid_until_s = min(self.valid_until_s, due_s)
         self.suspicions = found
         self.update_records()
 
     def observed_until_s(self, unit: bytes, suspicion: Suspicion) -> float:
         """Return until when a segment is observed before it is refused.
 
-        That is longer while a trial is in progress that no server has crashed under.
+        That is longer while a trial is in progress that no server has crashed under, or
+        no server is available to run one.
         """
         until_s = suspicion.since_s + OBSERVATION_S
         tried_s = max(record.tried_s for record in self.by_unit[unit].values())
         if suspicion.last_crash_s < tried_s:
             until_s = max(until_s, tried_s + TRIAL_OBSERVATION_S)
-        return min(until_s, suspicion.since_s + MAX_OBSERVATION_S)
+        until_s = min(until_s, suspicion.since_s + MAX_OBSERVATION_S)
+        services = {crash.service for crash in suspicion.crashes.values()}
+        if not any(self.has_available(service) for service in services):
+            until_s = suspicion.since_s + MAX_UNSERVED_S
+        return until_s
 
     def update_records(self) -> None:
         """Tell which records are refused from now on, and which not any more."""
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -68,6 +68,7 @@
 # Retry-After of a request whose wait was too short.
 RUNNING_RETRY_AFTER_S = 0.5
 MAX_LOGGED_SERVERS = 8
+NO_SERVER = "no server can take the request"
 CALLER_TOO_SLOW = "the caller did not read it in time"
 
 REQUESTS = counter("gateway_requests_total", "Requests by outcome.")
@@ -335,6 +336,13 @@
         retry_after_s = RELEASE_CHECK_INTERVAL_S
         if barred.is_temporary:
             retry_after_s = RUNNING_RETRY_AFTER_S
+            limited = self.components.limits.records.limited
+            service = context.service.name
+            if not self.components.servers.has_available(service, limited):
+                # It is not the suspicion that keeps it from being served.
+                return refusal(
+                    self.components.rng, UNAVAILABLE, NO_SERVER, retry_after_s
+                )
         return refusal(self.components.rng, UNAVAILABLE, barred.reason, retry_after_s)
 
     async def may_try_another(self, context: RequestContext, outcome: object) -> bool:
--- a/tests/process/test_segment_records.py
+++ b/tests/process/test_segment_records.py
@@ -16,6 +16,7 @@
 from rosemaryknot.process.segment_records import (
     FORGET_S,
     MAX_SEGMENT_CRASHES,
+    MAX_UNSERVED_S,
     OBSERVATION_S,
 )
 from rosemaryknot.process.segment_suspicions import (
@@ -78,6 +79,25 @@
         assert suspicion(segments, CAUSE, 3.0 + OBSERVATION_S).is_refused
         assert refused == [record]
 
+    def test_observed_while_no_server_is_available(self):
+        """Nothing shows then that it is sound."""
+        segments = CrashRecords().segments
+        available = []
+        segments.has_available = lambda service: bool(available)
+        add_crashes(segments, CAUSE, range(3))
+        assert not suspicion(segments, CAUSE, 3.0).is_refused
+        assert not suspicion(segments, CAUSE, 3.0 + OBSERVATION_S + 1.0).is_refused
+        assert suspicion(segments, CAUSE, 3.0 + MAX_UNSERVED_S).is_refused
+
+    def test_refused_once_a_server_is_available(self):
+        segments = CrashRecords().segments
+        available = []
+        segments.has_available = lambda service: bool(available)
+        add_crashes(segments, CAUSE, range(3))
+        assert not suspicion(segments, CAUSE, 3.0).is_refused
+        available.append("m0")
+        assert suspicion(segments, CAUSE, 3.0 + OBSERVATION_S).is_refused
+
     def test_explained_by_the_narrower_segment(self):
         segments = CrashRecords().segments
         add_crashes(segments, CAUSE, range(4))
