--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -27,6 +27,7 @@
 from rosemaryknot.standin.users.cloud import CloudStandIn
 from rosemaryknot.standin.users.configuration_changes import changed_document
 from rosemaryknot.standin.users.disturbances import Disturbances
+from rosemaryknot.standin.users.endless_responses import ENDLESS_NAMES
 from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
 from rosemaryknot.standin.users.play import (
     RESUMING_PER_S,
@@ -618,6 +619,52 @@
         server.brittle, server.room = None, math.inf
 
 
+async def state_drains(system: SoakSystem, seed: int) -> None:
+    """Let servers state that they drain, end later, and start again.
+
+    Their entries stay as they are; in some seeds the store is away meanwhile.
+    """
+    rng = random.Random(f"drains {seed}")
+    await trio.sleep(rng.uniform(1.0, 5.0))
+    server = rng.choice(list(system.servers.values()))
+    server.draining = "1"
+    for_s = rng.uniform(2.0, DRAIN_S + 3.0)
+    if rng.random() < 0.5:
+        await store_fault(system, rng, for_s)
+    else:
+        await trio.sleep(for_s)
+    if server.id in system.servers:
+        await system.crash_server(server, has_resets=False)
+
+
+async def turn_away(system: SoakSystem, seed: int) -> None:
+    """Let one server, or all of a service, turn requests away and ask for pauses."""
+    rng = random.Random(f"pauses {seed}")
+    end_s = trio.current_time() + LOAD_DURATION_S - 5
+    while trio.current_time() < end_s:
+        await trio.sleep(rng.uniform(0.5, 5.0))
+        servers = list(system.servers.values())
+        is_model = rng.random() < 0.5
+        servers = [s for s in servers if s.is_model == is_model]
+        if rng.random() < 0.5:
+            servers = [rng.choice(servers)]
+        for server in servers:
+            server.retry_after = rng.choice(("0.5", "2", "3", "soon"))
+            server.is_turning_away = True
+        await trio.sleep(rng.uniform(0.1, 1.0))
+        for server in servers:
+            server.is_turning_away = False
+
+
+async def send_endlessly(system: SoakSystem, seed: int) -> None:
+    """Let servers send responses without end."""
+    rng = random.Random(f"endless {seed}")
+    for _ in range(2):
+        await trio.sleep(rng.uniform(0.5, 4.0))
+        server = rng.choice(list(system.servers.values()))
+        server.faults.append(rng.choice(ENDLESS_NAMES))
+
+
 async def end_responses(system: SoakSystem, seed: int) -> None:
     """Let servers end responses in any way at any place that can be detected."""
     rng = random.Random(f"ends {seed}")
@@ -682,6 +729,9 @@
             load_nursery.start_soon(trouble_servers, system, seed)
             load_nursery.start_soon(end_responses, system, seed)
             load_nursery.start_soon(change_versions, system, seed)
+            load_nursery.start_soon(state_drains, system, seed)
+            load_nursery.start_soon(turn_away, system, seed)
+            load_nursery.start_soon(send_endlessly, system, seed)
             play = Play(
                 length_s=LOAD_DURATION_S,
                 load=LOAD,
