--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -388,22 +388,23 @@
         """Return the servers of a service."""
         return [s for s in self.by_id.values() if s.entry.service == name]
 
-    def has_available(self, service: str, limited: Container[str]) -> bool:
+    def has_available(self, service: str, excluded: Container[str]) -> bool:
         """Return whether a server of a service could run a request now.
 
         Parameters
         ----------
         service : str
             Name of the service.
-        limited : container of str
-            Incarnations that state a rate limit and may have no room.
+        excluded : container of str
+            Incarnations that do not count: they state a rate limit and may have no
+            room, or have crashed.
         """
         now_s = trio.current_time()
         return any(
             state.accepts_requests(now_s)
             and state.pause.accepts(now_s)
             and now_s >= state.backoff_until_s
-            and state.incarnation_key not in limited
+            and state.incarnation_key not in excluded
             for state in self.of_service(service)
         )
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -1,7 +1,7 @@
 """A gateway node: all of its components, run as tasks of one process."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from typing import Any
 
@@ -413,10 +413,10 @@
         nodes = [*self.peers.nodes(), self.node]
         return self.node in select_nodes(nodes, digest.hex(), 1)
 
-    def has_available(self, service: str) -> bool:
+    def has_available(self, service: str, crashed: Collection[str]) -> bool:
         """Return whether a server of a service could run a request now."""
-        limited = self.server_limits.limited
-        return self.state.servers.has_available(service, limited)
+        excluded = self.server_limits.limited.union(crashed)
+        return self.state.servers.has_available(service, excluded)
 
     def is_alone_in_zone(self) -> bool:
         """Return whether no other node of the zone is known."""
--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from rosemaryknot.process.crash_table import CrashTable
@@ -116,7 +116,8 @@
     suspicions : dict of bytes to Suspicion
         Result of the last assessment, by segment.
     has_available : callable
-        Takes a service; returns whether one of its servers could run a request now.
+        Takes a service and incarnations that have crashed; returns whether another one
+        of its servers could run a request now.
     on_refused, on_released : callable
         Called with a record when its segment is refused from now on, or not any more.
     """
@@ -129,7 +130,9 @@
         self.suspicions: dict[bytes, Suspicion] = {}
         self.assessed_s = -math.inf
         self.valid_until_s = -math.inf
-        self.has_available: Callable[[str], bool] = lambda service: True
+        self.has_available: Callable[[str, Collection[str]], bool] = (
+            lambda service, crashed: True
+        )
         self.on_refused: Callable[[SegmentRecord], None] = lambda record: None
         self.on_released: Callable[[SegmentRecord], None] = lambda record: None
 
@@ -283,8 +286,9 @@
         if suspicion.last_crash_s < tried_s:
             until_s = max(until_s, tried_s + TRIAL_OBSERVATION_S)
         until_s = min(until_s, suspicion.since_s + MAX_OBSERVATION_S)
-        services = {crash.service for crash in suspicion.crashes.values()}
-        if not any(self.has_available(service) for service in services):
+        crashed = suspicion.crashes
+        services = {crash.service for crash in crashed.values()}
+        if not any(self.has_available(service, crashed) for service in services):
             until_s = suspicion.since_s + MAX_UNSERVED_S
         return until_s
 
--- a/src/rosemaryknot/request/crash_guard.py
+++ b/src/rosemaryknot/request/crash_guard.py
@@ -178,6 +178,14 @@
         has_waited = isinstance(decision, Barred) and decision.is_temporary
         return self.check(identity, closed_by, has_run, has_waited)
 
+    def crashed_servers(self, identity: RequestIdentity) -> set[str]:
+        """Return the incarnations that crashed under a request or its segments."""
+        record = self.record_of(identity)
+        servers = set() if record is None else set(record.crashes)
+        for _, suspicion in self.segments.suspicions(identity):
+            servers |= suspicion.crashes.keys()
+        return servers
+
     async def wait_checked(self, closed_by: list[CheckedServer]) -> None:
         """Wait until it is known whether the servers of earlier attempts crashed.
 
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -336,9 +336,10 @@
         retry_after_s = RELEASE_CHECK_INTERVAL_S
         if barred.is_temporary:
             retry_after_s = RUNNING_RETRY_AFTER_S
-            limited = self.components.limits.records.limited
+            excluded = self.components.crashes.crashed_servers(context.identity)
+            excluded |= self.components.limits.records.limited
             service = context.service.name
-            if not self.components.servers.has_available(service, limited):
+            if not self.components.servers.has_available(service, excluded):
                 # It is not the suspicion that keeps it from being served.
                 return refusal(
                     self.components.rng, UNAVAILABLE, NO_SERVER, retry_after_s
--- a/tests/process/test_segment_records.py
+++ b/tests/process/test_segment_records.py
@@ -83,7 +83,7 @@
         """Nothing shows then that it is sound."""
         segments = CrashRecords().segments
         available = []
-        segments.has_available = lambda service: bool(available)
+        segments.has_available = lambda service, crashed: bool(available)
         add_crashes(segments, CAUSE, range(3))
         assert not suspicion(segments, CAUSE, 3.0).is_refused
         assert not suspicion(segments, CAUSE, 3.0 + OBSERVATION_S + 1.0).is_refused
@@ -92,7 +92,7 @@
     def test_refused_once_a_server_is_available(self):
         segments = CrashRecords().segments
         available = []
-        segments.has_available = lambda service: bool(available)
+        segments.has_available = lambda service, crashed: bool(available)
         add_crashes(segments, CAUSE, range(3))
         assert not suspicion(segments, CAUSE, 3.0).is_refused
         available.append("m0")
