--- a/tests/gateway/test_cut_off_nodes.py
+++ b/tests/gateway/test_cut_off_nodes.py
@@ -18,6 +18,7 @@
     STORE,
     platform_system,
 )
+from rosemaryknot.values.server_relays import RelayOpen
 
 CUT_S = 12.0
 # Requests count from this time after the begin of a cut, within which nodes have to
@@ -499,10 +500,12 @@
             by_peers = sum(len(opened) for opened in relayed)
             assert by_peers <= own
 
-    async def test_only_to_servers(self, autojump_clock):
+    @pytest.mark.parametrize("carries_request", [False, True])
+    async def test_only_to_servers(self, autojump_clock, carries_request):
         """A peer opens connections to listed servers and to nothing else."""
         async with platform_system(nodes=2) as fleet:
             dialler = fleet.nodes["n1"].dialler
             node = fleet.nodes["n0"].node
-            reply = await dialler.relay_client.open_relay(PeerCall(node), STORE)
+            message = RelayOpen(str(STORE), carries_request)
+            reply = await dialler.relay_client.open_relay(PeerCall(node), message)
             assert reply.result == "unknown_server"
