Observe a suspected segment for a while after a server is available again

The time counts from the last moment without a server now, and at most for 10 s; nothing with the segment is sent in it but trials.

Evidence: two tests of tests/process/test_segment_records.py, which fail without it.

--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -34,9 +34,10 @@
 # Other requests with the segment wait until then.
 TRIAL_OBSERVATION_S = 0.6
 MAX_OBSERVATION_S = 0.9
-# How long it is observed at most while no server of its service is available: nothing
-# can show that it is sound. Servers that crash for another reason are back by then.
-MAX_UNSERVED_S = 2.5
+# How long it is observed at most while no server of its service is available, beside
+# `OBSERVATION_S` after that: nothing can show before that it is sound, and no request is
+# sent. Servers that crashed for another reason or asked for a pause are back by then.
+MAX_UNSERVED_S = 10.0
 # Crashes kept for one segment; the latest ones.
 MAX_SEGMENT_CRASHES = 16
 # How long a segment that nobody uses any more stays refused.
@@ -264,7 +265,9 @@
             suspicion.since_s = now_s
             if before is not None and before.is_suspected:
                 suspicion.since_s = before.since_s
+                suspicion.unserved_s = before.unserved_s
                 suspicion.is_refused = before.is_refused
+            self.update_unserved(suspicion, now_s)
             is_stored = any(r.is_stored for r in self.by_unit[unit].values())
             suspicion.observed_until_s = self.observed_until_s(unit, suspicion)
             if is_stored or now_s >= suspicion.observed_until_s:
@@ -279,18 +282,22 @@
         """Return until when a segment is observed before it is refused.
 
         That is longer while a trial is in progress that no server has crashed under, or
-        no server is available to run one.
+        if no server was available to run one.
         """
         until_s = suspicion.since_s + OBSERVATION_S
         tried_s = max(record.tried_s for record in self.by_unit[unit].values())
         if suspicion.last_crash_s < tried_s:
             until_s = max(until_s, tried_s + TRIAL_OBSERVATION_S)
         until_s = min(until_s, suspicion.since_s + MAX_OBSERVATION_S)
+        served_s = min(suspicion.unserved_s, suspicion.since_s + MAX_UNSERVED_S)
+        return max(until_s, served_s + OBSERVATION_S)
+
+    def update_unserved(self, suspicion: Suspicion, now_s: float) -> None:
+        """Record whether a server could run a request with a suspected segment."""
         crashed = suspicion.crashes
         services = {crash.service for crash in crashed.values()}
         if not any(self.has_available(service, crashed) for service in services):
-            until_s = suspicion.since_s + MAX_UNSERVED_S
-        return until_s
+            suspicion.unserved_s = now_s
 
     def update_records(self) -> None:
         """Tell which records are refused from now on, and which not any more."""
--- a/src/rosemaryknot/process/segment_suspicions.py
+++ b/src/rosemaryknot/process/segment_suspicions.py
@@ -120,6 +120,8 @@
         The same number for the requests of each customer.
     since_s : float
         Since when it is suspected, in trio time.
+    unserved_s : float
+        When no server was available last since it is suspected, in trio time.
     observed_until_s : float
         Until when it is observed at least, in trio time.
     is_refused : bool
@@ -132,6 +134,7 @@
     is_common: bool = False
     customers: dict[str, int] = field(default_factory=dict)
     since_s: float = math.inf
+    unserved_s: float = -math.inf
     observed_until_s: float = math.inf
     is_refused: bool = False
 
