--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -35,7 +35,7 @@
 TRIAL_OBSERVATION_S = 0.6
 MAX_OBSERVATION_S = 0.9
 # How long it is observed at most while no server of its service is available, beside
-# `OBSERVATION_S` after that: nothing can show before that it is sound, and no request is
+# `OBSERVATION_S` after that: nothing can show before that it is sound, and nothing is
 # sent. Servers that crashed for another reason or asked for a pause are back by then.
 MAX_UNSERVED_S = 10.0
 # Crashes kept for one segment; the latest ones.
