Remove a server whose address another one uses, also while it is paused

A 421 to a request that was under way, received while a pause of that server was active, was taken for the refusal of a paused server, so that the server was not marked as removed and the request of the next caller went to that address too. Only a 503 is such a refusal.

--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -439,10 +439,12 @@
             self.components.limits.give_back(
                 context.permit, isinstance(outcome, NotRunThere)
             )
-        is_paused = state.pause.is_active(trio.current_time())
-        if isinstance(outcome, NotPermitted) or (
-            isinstance(outcome, NotRunThere) and is_paused
-        ):
+        is_turned_away = (
+            isinstance(outcome, NotRunThere)
+            and outcome.status == UNAVAILABLE
+            and state.pause.is_active(trio.current_time())
+        )
+        if isinstance(outcome, NotPermitted) or is_turned_away:
             # The server did not fail, and may be chosen again with a permit or after
             # its pause.
             context.tried.discard(state.incarnation)
--- a/tests/gateway/test_requested_pauses.py
+++ b/tests/gateway/test_requested_pauses.py
@@ -176,6 +176,20 @@
             state = fleet.nodes["n0"].state.servers.by_id["p0"]
             assert not state.pause.is_active(trio.current_time())
 
+    async def test_address_of_a_paused_server_is_used_by_another(self, autojump_clock):
+        """The 421 to a request that was under way still removes the server."""
+        async with platform_system(nodes=1, plain=1) as fleet:
+            node = fleet.nodes["n0"]
+            state = node.state.servers.by_id["p0"]
+
+            async def answer(arrival, wire):
+                node.availability.record_pause(state, 3.0, "")
+                await wire.answer(421, {"Rosemaryknot-Instance-Id": "other"})
+
+            fleet.servers["p0"].run = answer
+            await AvailabilityLoad(fleet).ask("/book/x", "n0")
+            assert state.is_removed
+
     async def test_next_incarnation_is_used(self, autojump_clock):
         async with platform_system(nodes=1, plain=1) as fleet:
             turn_away(fleet, ["p0"], "86400")
