--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -11,6 +11,7 @@
 
 from rosemaryknot.connection.http_client import ResponseTooLarge, http_client
 from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.store_era import EraTracker
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import TIMEOUT, PlatformFailed
 
@@ -156,9 +157,13 @@
         arriving may take longer, since repeating it would load a slow link again.
     idle_timeout_s : float
         Maximum silence of a watch, in seconds.
+    era_header : str
+        Header in which the platform's store states its era; empty if it states none.
 
     Attributes
     ----------
+    eras : EraTracker
+        Era of the store, from all responses.
     call_count : int
         Number of calls made; a watch counts once.
     is_unreachable : bool
@@ -173,9 +178,11 @@
         address: Address,
         timeout_s: float = TIMEOUT_S,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
+        era_header: str = "",
     ) -> None:
         self.network = network
         self.url = f"http://{address}"
+        self.eras = EraTracker(era_header)
         self.timeout_s = timeout_s
         self.idle_timeout_s = idle_timeout_s
         self.call_count = 0
@@ -237,6 +244,7 @@
             with trio.move_on_after(self.timeout_s + wait_s) as scope:
                 response = await pool.client.send(request, stream=True)
                 body = await self.read_body(response, scope)
+                self.eras.record(response.headers)
                 complete = httpx.Response(response.status_code, content=body)
                 return self.record_outcome(check_status(complete))
         except httpx.TransportError as error:
--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -34,6 +34,8 @@
 CONFLICT = 409
 GONE = 410
 MAX_PAGES = 1000
+# Rises by one each time the store has been restored from a copy.
+ERA_HEADER = "store-era"
 
 
 def object_path(kind: str, name: str = "") -> str:
@@ -77,7 +79,7 @@
     """
 
     def __init__(self, network: Network, address: Address) -> None:
-        self.calls = PlatformCalls(network, address)
+        self.calls = PlatformCalls(network, address, era_header=ERA_HEADER)
 
     @property
     def reconnected_s(self) -> float:
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -235,7 +235,12 @@
         self.record_success()
         self.must_list = False
         if listed.version < self.revision:
-            log.warning("outdated list ignored", kind=self.kind, at=listed.version)
+            log.warning(
+                "outdated list ignored",
+                kind=self.kind,
+                at=listed.version,
+                revision=self.revision,
+            )
             return
         self.on_list(listed)
         self.revision = listed.version
--- a/src/rosemaryknot/values/platform.py
+++ b/src/rosemaryknot/values/platform.py
@@ -18,6 +18,7 @@
     "Missing",
     "Notice",
     "NoticeWatch",
+    "OUTDATED",
     "ObjectChanged",
     "ObjectStore",
     "ObjectWatch",
@@ -30,6 +31,9 @@
 ]
 
 TIMEOUT = "timeout"
+# Reason of a failed call whose response came from an earlier era of the store, or whose
+# condition names a version of another era.
+OUTDATED = "outdated"
 
 
 @dataclass(slots=True)
