Reproduce changes that nodes miss after the store is restored from a copy

The stand-in of the store goes back to a copy: what it acknowledged since is gone, its revisions are given out again, watches from revisions that it lacks get 410, and its era rises. Operator and servers write again.

--- a/src/rosemaryknot/standin/users/store.py
+++ b/src/rosemaryknot/standin/users/store.py
@@ -12,8 +12,10 @@
 
 PREFIX = "/v1/objects/"
 PAGE_SIZE = 50
+FIRST_REVISION = 10
 RESPONSE_DELAY_S = 0.004
 JSON = {"Content-Type": "application/json"}
+ERA_HEADER = "Store-Era"
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,11 +109,37 @@
     spec: Any
 
 
+@dataclass(slots=True, frozen=True)
+class SavedObject:
+    """An object as it was from a time on; see `StoreStandIn.restore`.
+
+    Attributes
+    ----------
+    timestamp_s : float
+        When the object was written, in trio time.
+    revision : int
+        Revision of the write.
+    kind, name : str
+        Kind and name of the object.
+    item : dict or None
+        The object; None if it was removed.
+    """
+
+    timestamp_s: float
+    revision: int
+    kind: str
+    name: str
+    item: dict | None
+
+
 class StoreStandIn:
     """Stand-in for the store.
 
     Attributes
     ----------
+    era : int or None
+        How often the store was restored from a copy, as all responses state it; None
+        for a store that states none.
     objects : dict of str to dict
         Objects by kind and name.
     revision : int
@@ -127,7 +155,9 @@
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, dict]] = {}
         self.invalid_items: dict[str, list[Any]] = {}
-        self.revision = 10
+        self.era: int | None = 1
+        self.revision = FIRST_REVISION
+        self.saved: list[SavedObject] = []
         self.history: list[tuple[int, str, dict]] = []
         self.oldest_revision = 0
         self.faults = StoreFaults()
@@ -157,6 +187,7 @@
             "status": None,
         }
         self.objects[kind][name] = item
+        self.save(kind, name, item)
         self.object_changes.append(ObjectChange(trio.current_time(), kind, name, spec))
         self.record_change(kind, {"object": item, "deleted": False})
         return self.revision
@@ -167,6 +198,7 @@
         if item is None:
             return
         self.revision += 1
+        self.save(kind, name, None)
         self.object_changes.append(ObjectChange(trio.current_time(), kind, name, None))
         item = item | {"metadata": item["metadata"] | {"revision": self.revision}}
         self.record_change(kind, {"object": item, "deleted": True})
@@ -188,6 +220,34 @@
         self.history.clear()
         self.oldest_revision = self.revision
 
+    def save(self, kind: str, name: str, item: dict | None) -> None:
+        """Save the state of an object for a later restore."""
+        now_s = trio.current_time()
+        self.saved.append(SavedObject(now_s, self.revision, kind, name, item))
+
+    def restore(self, age_s: float) -> None:
+        """Return to the state of some seconds ago and begin a new era.
+
+        Revisions after it are given out again.
+        """
+        copied_s = trio.current_time() - age_s
+        self.saved = [saved for saved in self.saved if saved.timestamp_s <= copied_s]
+        self.revision = max((s.revision for s in self.saved), default=FIRST_REVISION)
+        self.history = [e for e in self.history if e[0] <= self.revision]
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+        self.objects = {kind: {} for kind in self.objects}
+        for saved in self.saved:
+            if saved.item is None:
+                self.objects[saved.kind].pop(saved.name, None)
+            else:
+                self.objects[saved.kind][saved.name] = saved.item
+        if self.era is not None:
+            self.era += 1
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers of a response."""
+        return {} if self.era is None else {ERA_HEADER: str(self.era)}
+
     # Calls over the network.
 
     async def handle(self, request: RawRequest, wire: RawWire) -> None:
@@ -211,7 +271,7 @@
             if outcome is None:
                 await trio.sleep_forever()
             status, value = outcome
-        await wire.answer(status, JSON, encode_value(value))
+        await wire.answer(status, JSON | self.headers(), encode_value(value))
 
     async def apply_fault(self, request: RawRequest, wire: RawWire) -> bool:
         """Apply the active fault to a call; return whether there was one."""
@@ -223,7 +283,7 @@
         elif mode == "reset":
             wire.reset()
         else:
-            await wire.answer(429 if mode == "many" else 503)
+            await wire.answer(429 if mode == "many" else 503, self.headers())
         return True
 
     async def read(self, kind: str, name: str, request: RawRequest) -> tuple[int, Any]:
@@ -250,7 +310,7 @@
         """Wait for changes of a kind; return status and value."""
         since = int(request.query["watch"])
         wait_s = int(request.query.get("waitMs", "0")) / 1000
-        if since < self.oldest_revision:
+        if since < self.oldest_revision or since > self.revision:
             return 410, {}
         with trio.move_on_after(wait_s):
             while not self.events(kind, since):
--- /dev/null
+++ b/tests/gateway/test_store_restores.py
@@ -0,0 +1,171 @@
+"""Tests of a store that comes back from an older copy and gives out revisions again."""
+
+import pytest
+import trio
+from tests.gateway.availability_load import AvailabilityLoad
+
+from rosemaryknot.standin.users.system import (
+    PLAIN,
+    document,
+    platform_system,
+)
+
+# Time within which a confirmed change has to take effect at each node.
+BOUND_S = 2.0
+COPY_AGE_S = 3.0
+NODES = 6
+# Calls of one node to the store in a second; a list of each kind, and some watches.
+MAX_CALLS_PER_S = 20
+
+
+class Drill:
+    """A drill of the store beside changes and load.
+
+    The operator writes configurations in series until the drill. Then two servers
+    come and two drain.
+
+    Attributes
+    ----------
+    confirmed : list of tuple of (float, int)
+        When each version was confirmed.
+    late : list of tuple of (str, int)
+        Nodes without a version that was confirmed longer ago than the bound.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.load = AvailabilityLoad(fleet)
+        self.confirmed = []
+        self.late = []
+        self.drained_s = {}
+        self.highest = {}
+        self.fallen = []
+
+    def configure(self):
+        """Write the next version."""
+        version = self.fleet.store.objects["config"]["main"]["spec"]["version"]
+        version = max([version, *[v for _, v in self.confirmed]]) + 1
+        self.fleet.store.put("config", "main", document(version))
+        self.confirmed.append((trio.current_time(), version))
+
+    async def configure_each(self, interval_s, count):
+        """Write versions until the drill."""
+        for _ in range(count):
+            self.configure()
+            await trio.sleep(interval_s)
+
+    async def check_versions(self):
+        """Compare the versions of all nodes with what was confirmed."""
+        while True:
+            await trio.sleep(0.1)
+            due_s = trio.current_time() - BOUND_S
+            due = max([1, *[v for at_s, v in self.confirmed if at_s <= due_s]])
+            for name, node in self.fleet.nodes.items():
+                version = node.state.version
+                if version < due:
+                    self.late.append((name, version))
+                key = (name, node.node.incarnation)
+                if version < self.highest.get(key, -1):
+                    self.fallen.append((name, version))
+                self.highest[key] = version
+
+    def drain(self, name):
+        """Let a server write that it drains."""
+        server = self.fleet.servers[name]
+        server.entry = server.entry | {"state": "draining"}
+        self.fleet.store.put("servers", name, server.entry)
+        self.drained_s[name] = trio.current_time()
+
+    def late_arrivals(self):
+        """Return the requests that reached draining servers beyond the bound."""
+        return [
+            (arrival.server, arrival.timestamp_s)
+            for arrival in self.fleet.ledger.arrivals
+            if arrival.timestamp_s
+            > self.drained_s.get(arrival.server, float("inf")) + BOUND_S
+        ]
+
+    def unused(self, names):
+        """Return the pairs of a node and a server that it does not use."""
+        return [
+            (name, server)
+            for name, node in self.fleet.nodes.items()
+            for server in names
+            if server not in node.state.servers.by_id
+        ]
+
+    async def run(self, restore, interval_s=0.25):
+        """Run the drill; see the class."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.load.run, 16.0, "/stock/x")
+            nursery.start_soon(self.check_versions)
+            await self.configure_each(interval_s, round(6.0 / interval_s))
+            await restore()
+            await trio.sleep(1.0)
+            await self.fleet.add_server("p8", PLAIN)
+            await self.fleet.add_server("p9", PLAIN)
+            self.drain("p0")
+            self.drain("p1")
+            await trio.sleep(0.5)
+            self.configure()
+            await trio.sleep(7.0)
+            nursery.cancel_scope.cancel()
+
+
+def calls_per_s(fleet):
+    """Return the highest number of calls to the store in one second."""
+    times = sorted(call.timestamp_s for call in fleet.store.calls)
+    counts = {}
+    for at_s in times:
+        counts[int(at_s)] = counts.get(int(at_s), 0) + 1
+    return max(counts.values())
+
+
+class TestRestores:
+    """Changes after a restore take effect in time, and none is missed."""
+
+    @pytest.mark.parametrize(
+        ("age_s", "away_s", "mode"),
+        [
+            (COPY_AGE_S, 1.0, "busy"),
+            (COPY_AGE_S, 0.0, ""),
+            (COPY_AGE_S, 1.0, "reset"),
+            (COPY_AGE_S, 1.0, "silent"),
+            (6.0, 1.0, "busy"),
+        ],
+    )
+    async def test_changes_take_effect(self, autojump_clock, age_s, away_s, mode):
+        async with platform_system(nodes=NODES, plain=3, models=5) as fleet:
+            drill = Drill(fleet)
+            await drill.run(lambda: fleet.restore_store(age_s, away_s, mode))
+            assert drill.late == [] and drill.fallen == []
+            assert drill.late_arrivals() == []
+            assert drill.unused(["p8", "p9"]) == []
+            assert calls_per_s(fleet) <= NODES * MAX_CALLS_PER_S
+
+    async def test_nothing_is_written_but_one_change(self, autojump_clock):
+        async with platform_system(nodes=NODES, plain=3, models=5) as fleet:
+            drill = Drill(fleet)
+            await drill.run(lambda: fleet.restore_store(COPY_AGE_S, 1.0), 2.0)
+            assert drill.late == [] and drill.late_arrivals() == []
+            assert drill.unused(["p8", "p9"]) == []
+            assert calls_per_s(fleet) <= NODES * MAX_CALLS_PER_S
+
+    async def test_two_restores(self, autojump_clock):
+        async def restore_twice():
+            await fleet.restore_store(COPY_AGE_S, 1.0)
+            await trio.sleep(2.0)
+            await fleet.restore_store(COPY_AGE_S, 1.0)
+
+        async with platform_system(nodes=NODES, plain=3, models=5) as fleet:
+            drill = Drill(fleet)
+            await drill.run(restore_twice)
+            assert drill.late == [] and drill.late_arrivals() == []
+            assert drill.unused(["p8", "p9"]) == []
+
+    async def test_large_deployment(self, autojump_clock):
+        async with platform_system(nodes=24, plain=3, models=5) as fleet:
+            drill = Drill(fleet)
+            await drill.run(lambda: fleet.restore_store(COPY_AGE_S, 0.0))
+            assert drill.late == [] and drill.late_arrivals() == []
+            assert drill.unused(["p8", "p9"]) == []
