Follow the history of a store that was restored from a copy

Cause: a revision orders the changes of one history of the store, and was taken for the order of all that happens. A list below a node's revision was ignored as a late one and asked for again without any wait (900 calls a second of seven nodes); a node that called after the new revisions had passed its own went on in a history that it never had, and missed for good what lay below.

Now a revision holds the era of the store in its high bits, so that each comparison follows both; messages carry the two numbers apart, and one without an era counts as one of the receiver's. A change of era in the response to any call, or in a peer's report, lets all watchers of a node list; in large deployments the watching nodes forward their list and the others list only if none arrives. What comes from an earlier era changes nothing. Conditions of writes name a version of one era: in another the write is not sent. Without eras, a list after 410, or a revision that goes back, is taken. Responses that bring nothing new are followed by a backoff. Servers that a copy lacks are used for 2.5 s, and those that had left before are not used again at once.

--- a/src/rosemaryknot/connection/platform.py
+++ b/src/rosemaryknot/connection/platform.py
@@ -15,6 +15,7 @@
     TIMEOUT_S,
     PlatformCalls,
     Watch,
+    era_of_response,
 )
 from rosemaryknot.values.nodes import Address, BackendServer
 from rosemaryknot.values.platform import (
@@ -30,9 +31,13 @@
     Written,
 )
 from rosemaryknot.values.servers import server_from_dict
+from rosemaryknot.values.store_revisions import qualified, revision_of
 
 __all__ = ["PlatformClient"]
 
+# Rises by one each time the objects have been restored from a copy.
+ERA_HEADER = "object-era"
+
 Item = TypeVar("Item")
 
 
@@ -46,15 +51,15 @@
     return f"{kind_path(kind)}/{quote(name, safe='')}"
 
 
-def decode_object(data: dict) -> StoredObject:
+def decode_object(data: dict, era: int) -> StoredObject:
     """Decode the response to a read of an object."""
-    return StoredObject(data["version"], data["value"])
+    return StoredObject(qualified(era, data["version"]), data["value"])
 
 
-def decode_list(data: dict) -> Listed:
+def decode_list(data: dict, era: int) -> Listed:
     """Decode the response to a list of objects."""
-    objects = {entry["name"]: decode_object(entry) for entry in data["objects"]}
-    return Listed(data["version"], objects)
+    objects = {entry["name"]: decode_object(entry, era) for entry in data["objects"]}
+    return Listed(qualified(era, data["version"]), objects)
 
 
 def decode_change(line: dict) -> ObjectChanged:
@@ -109,6 +114,15 @@
     return Missing()
 
 
+def era_decoder(
+    response: httpx.Response | PlatformFailed, decode: Callable[[Any, int], Item]
+) -> Callable[[Any], Item]:
+    """Return a decoder that adds the era of a response to the versions in it."""
+    is_failed = isinstance(response, PlatformFailed)
+    era = 0 if is_failed else era_of_response(response)
+    return lambda data: decode(data, era)
+
+
 class PlatformClient:
     """Client for the platform at an address.
 
@@ -138,7 +152,9 @@
         timeout_s: float = TIMEOUT_S,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
     ) -> None:
-        self.calls = PlatformCalls(network, address, timeout_s, idle_timeout_s)
+        self.calls = PlatformCalls(
+            network, address, timeout_s, idle_timeout_s, ERA_HEADER
+        )
 
     async def __aenter__(self) -> "PlatformClient":
         return self
@@ -155,11 +171,18 @@
     ) -> StoredObject | Missing | PlatformFailed:
         """Read one object."""
         response = await self.calls.get(object_path(kind, name))
-        return decode_outcome(response, {200: decode_object, 404: decode_missing})
+        return decode_outcome(
+            response,
+            {
+                200: era_decoder(response, decode_object),
+                404: era_decoder(response, lambda _, era: Missing(qualified(era, 0))),
+            },
+        )
 
     async def list_objects(self, kind: str) -> Listed | PlatformFailed:
         """Read all objects of a kind in one call."""
-        return decode_outcome(await self.calls.get(kind_path(kind)), {200: decode_list})
+        response = await self.calls.get(kind_path(kind))
+        return decode_outcome(response, {200: era_decoder(response, decode_list)})
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -180,20 +203,23 @@
             write took effect.
         """
         content = json.dumps(value).encode()
-        return await self.write("PUT", kind, name, {"If-None-Match": "*"}, content)
+        condition = {"If-None-Match": "*"}
+        return await self.write("PUT", kind, name, condition, content)
 
     async def update(
         self, kind: str, name: str, value: Any, version: int
     ) -> Written | Conflict | PlatformFailed:
         """Update an object that must still have the version; see `create`."""
         content = json.dumps(value).encode()
-        return await self.write("PUT", kind, name, {"If-Match": str(version)}, content)
+        condition = {"If-Match": str(revision_of(version))}
+        return await self.write("PUT", kind, name, condition, content, version)
 
     async def delete(
         self, kind: str, name: str, version: int
     ) -> Written | Conflict | PlatformFailed:
         """Delete an object that must still have the version; see `create`."""
-        return await self.write("DELETE", kind, name, {"If-Match": str(version)}, None)
+        condition = {"If-Match": str(revision_of(version))}
+        return await self.write("DELETE", kind, name, condition, None, version)
 
     async def write(
         self,
@@ -202,15 +228,19 @@
         name: str,
         condition: dict[str, str],
         content: bytes | None,
+        version: int | None = None,
     ) -> Written | Conflict | PlatformFailed:
-        """Make one conditional write."""
+        """Make one conditional write; see `PlatformCalls.write`."""
         path = object_path(kind, name)
-        response = await self.calls.call(method, path, content, condition)
+        response = await self.calls.write(method, path, content, condition, version)
+        if isinstance(response, (Conflict, PlatformFailed)):
+            return response
+        era = era_of_response(response)
         return decode_outcome(
             response,
             {
-                200: lambda data: Written(data["version"]),
-                412: lambda data: Conflict(data["version"]),
+                200: lambda data: Written(qualified(era, data["version"])),
+                412: lambda data: Conflict(qualified(era, data["version"])),
             },
         )
 
@@ -235,7 +265,7 @@
         """
         path = f"{kind_path(kind)}?watch=1"
         if since is not None:
-            path += f"&since={since}"
+            path += f"&since={revision_of(since)}"
         return self.calls.open_watch(path, decode_change)
 
     def watch_notices(self) -> AbstractAsyncContextManager[Watch]:
--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -13,9 +13,15 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.store_era import EraTracker
 from rosemaryknot.values.nodes import Address
-from rosemaryknot.values.platform import TIMEOUT, PlatformFailed
+from rosemaryknot.values.platform import (
+    OUTDATED,
+    TIMEOUT,
+    Conflict,
+    PlatformFailed,
+)
+from rosemaryknot.values.store_revisions import era_of
 
-__all__ = ["BAD_RESPONSE", "PlatformCalls", "Watch"]
+__all__ = ["BAD_RESPONSE", "PlatformCalls", "Watch", "era_of_response"]
 
 TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 3.0
@@ -26,6 +32,8 @@
 BAD_RESPONSE = "bad_answer"
 BROKEN = "broken"
 UNREACHABLE = "unreachable"
+# Extension of a response that holds the era of the store that sent it.
+ERA = "store_era"
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -130,6 +138,11 @@
     return PlatformFailed(reason, maybe_done=True)
 
 
+def era_of_response(response: httpx.Response) -> int:
+    """Return the era of the store in which a response was sent; 0 if it has none."""
+    return response.extensions.get(ERA, 0)
+
+
 def check_status(response: httpx.Response) -> httpx.Response | PlatformFailed:
     """Return the response, or a failure for a server error.
 
@@ -244,9 +257,7 @@
             with trio.move_on_after(self.timeout_s + wait_s) as scope:
                 response = await pool.client.send(request, stream=True)
                 body = await self.read_body(response, scope)
-                self.eras.record(response.headers)
-                complete = httpx.Response(response.status_code, content=body)
-                return self.record_outcome(check_status(complete))
+                return self.record_outcome(self.complete(response, body))
         except httpx.TransportError as error:
             failed = map_error(error)
         finally:
@@ -255,6 +266,56 @@
             self.retire(pool)
         return self.record_outcome(failed)
 
+    async def write(
+        self,
+        method: str,
+        path: str,
+        content: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        version: int | None = None,
+    ) -> httpx.Response | Conflict | PlatformFailed:
+        """Make a write whose condition names a version of an object.
+
+        In another era the same version may have been given out again, perhaps to
+        another object. The condition proves nothing then, so the write is not sent. If
+        the era turns out to have changed meanwhile, only a read shows what the store
+        holds.
+
+        Parameters
+        ----------
+        method, path, content, headers
+            Components of the HTTP request.
+        version : int or None
+            Version that the condition names, with its era; None for a write that
+            creates an object.
+        """
+        if version is None:
+            return await self.call(method, path, content, headers)
+        era = era_of(version)
+        if era != self.eras.era:
+            return Conflict(0)
+        response = await self.call(method, path, content, headers)
+        if isinstance(response, httpx.Response) and era_of_response(response) != era:
+            return PlatformFailed(OUTDATED, maybe_done=True)
+        return response
+
+    def complete(
+        self, response: httpx.Response, body: bytes
+    ) -> httpx.Response | PlatformFailed:
+        """Return a complete response with its era, or a failure.
+
+        A response of an earlier era tells what the store has lost since. A write that
+        it confirms may be lost too.
+        """
+        era = self.eras.record(response.headers)
+        if era is None:
+            is_write = response.request.method != "GET"
+            return PlatformFailed(OUTDATED, maybe_done=is_write)
+        complete = httpx.Response(
+            response.status_code, content=body, extensions={ERA: era}
+        )
+        return check_status(complete)
+
     async def read_body(
         self, response: httpx.Response, scope: trio.CancelScope
     ) -> bytes:
@@ -346,6 +407,9 @@
             response = await client.send(request, stream=True)
         except httpx.TransportError as error:
             return map_error(error)
+        if self.eras.record(response.headers) is None:
+            await response.aclose()
+            return PlatformFailed(OUTDATED)
         if response.status_code != 200:
             await response.aclose()
             return PlatformFailed(f"status {response.status_code}")
--- a/src/rosemaryknot/connection/store_era.py
+++ b/src/rosemaryknot/connection/store_era.py
@@ -17,8 +17,8 @@
 # Largest era that a message can carry.
 MAX_ERA = 2**63 - 1
 ERA_PATTERN = re.compile(r"[0-9]{1,19}")
-# A response of an earlier era is a late one, unless no other arrives for this long: then
-# the store counts its eras anew. A call may take twice its timeout of two seconds.
+# A response of an earlier era is a late one, unless no other arrives for this long: the
+# store counts its eras anew then. A read may take up to eight seconds.
 ERA_FALL_TIMEOUT_S = 10.0
 
 ERA = gauge("store_era", "Era of the platform's store; 0 if it states none.")
@@ -43,6 +43,8 @@
         Current era; 0 as long as no response has stated one.
     on_changed : list of callable
         Called with the new era after it has changed.
+    stated_s : float
+        When a response last stated the current era, in trio time.
     fallen_since_s : float
         Since when all responses are of an earlier era, in trio time; infinite if the
         last one is not.
@@ -50,16 +52,15 @@
     Examples
     --------
     >>> tracker = EraTracker("object-era")
-    >>> tracker.record({"object-era": "3"}), tracker.era
-    (3, 3)
     >>> tracker.record({}), tracker.record({"object-era": "no number"})
-    (3, 3)
+    (0, 0)
     """
 
     def __init__(self, header: str) -> None:
         self.header = header
         self.era = 0
         self.on_changed: list[Callable[[int], None]] = []
+        self.stated_s = float("-inf")
         self.fallen_since_s = float("inf")
 
     def record(self, headers: Mapping[str, str]) -> int | None:
@@ -76,6 +77,7 @@
             OUTDATED_RESPONSES.add()
             return None
         self.fallen_since_s = float("inf")
+        self.stated_s = trio.current_time()
         if era != self.era:
             self.change(era)
         return era
--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -6,7 +6,12 @@
 import httpx
 
 from rosemaryknot.connection.network import Network
-from rosemaryknot.connection.platform_calls import BAD_RESPONSE, PlatformCalls
+from rosemaryknot.connection.platform_calls import (
+    BAD_RESPONSE,
+    PlatformCalls,
+    era_of_response,
+)
+from rosemaryknot.connection.store_era import EraTracker
 from rosemaryknot.platform.store_responses import (
     decode_events,
     decode_object,
@@ -16,6 +21,7 @@
 )
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import (
+    OUTDATED,
     Conflict,
     Listed,
     Missing,
@@ -24,6 +30,7 @@
     Written,
 )
 from rosemaryknot.values.store_changes import Changes, HistoryExpired
+from rosemaryknot.values.store_revisions import era_of, qualified, revision_of
 
 __all__ = ["PlatformStore"]
 
@@ -47,19 +54,25 @@
     """Encode a value as the body of a write."""
     metadata: dict[str, Any] = {"name": name, "finalizers": []}
     if revision is not None:
-        metadata["revision"] = revision
+        metadata["revision"] = revision_of(revision)
     return json.dumps({"metadata": metadata, "spec": value}).encode()
 
 
+def decode_revision(response: httpx.Response) -> int:
+    """Return the revision of the object that a response to a write contains."""
+    revision = int(response.json()["metadata"]["revision"])
+    return qualified(era_of_response(response), revision)
+
+
 def decode_write(response: httpx.Response | PlatformFailed) -> Any:
     """Return the outcome of a write."""
     if isinstance(response, PlatformFailed):
         return response
     try:
         if response.status_code in OK:
-            return Written(int(response.json()["metadata"]["revision"]))
+            return Written(decode_revision(response))
         if response.status_code == CONFLICT:
-            return Conflict(int(response.json()["metadata"]["revision"]))
+            return Conflict(decode_revision(response))
         if response.status_code == NOT_FOUND:
             return Conflict(0)
     except (ValueError, KeyError, TypeError):
@@ -81,6 +94,11 @@
     def __init__(self, network: Network, address: Address) -> None:
         self.calls = PlatformCalls(network, address, era_header=ERA_HEADER)
 
+    @property
+    def eras(self) -> EraTracker:
+        """Era of the store, from the responses to all calls."""
+        return self.calls.eras
+
     @property
     def reconnected_s(self) -> float:
         """When the store last became reachable again after a failed call."""
@@ -97,11 +115,12 @@
         response = await self.calls.get(object_path(kind, name))
         if isinstance(response, PlatformFailed):
             return response
+        era = era_of_response(response)
         if response.status_code == NOT_FOUND:
-            return Missing()
+            return Missing(qualified(era, 0))
         # A response that cannot be parsed gives no object, as its revision is unknown.
         found = decode_response(
-            response, lambda content: decode_object(parse_item(content), kind)
+            response, lambda content: decode_object(parse_item(content), kind, era)
         )
         return PlatformFailed(BAD_RESPONSE) if found is None else found
 
@@ -117,13 +136,18 @@
             )
             if isinstance(page, PlatformFailed):
                 return page
+            era = era_of_response(response)
+            if after and era != era_of(listed.version):
+                # The rest of a list does not fit to pages of before a restore.
+                return PlatformFailed(OUTDATED)
             try:
                 # Take the revision of the first page: a change between two pages is
                 # then seen again in the watch rather than missed.
-                listed.version = listed.version or int(page["storeRevision"])
+                revision = qualified(era, int(page["storeRevision"]))
             except (ValueError, KeyError, TypeError, OverflowError):
                 return PlatformFailed(BAD_RESPONSE)
-            found = decode_objects(page["items"], kind)
+            listed.version = listed.version or revision
+            found = decode_objects(page["items"], kind, era)
             listed.objects |= found
             if not page.get("hasMore"):
                 return listed
@@ -139,21 +163,24 @@
     async def update(self, kind: str, name: str, value: Any, version: int) -> Any:
         """Update an object if it still has the version."""
         content = encode_object(name, value, version)
-        return await self.write("PUT", object_path(kind, name), content)
+        return await self.write("PUT", object_path(kind, name), content, version)
 
     async def delete(self, kind: str, name: str, version: int) -> Any:
         """Delete an object if it still has the version."""
-        path = f"{object_path(kind, name)}?revision={version}"
-        response = await self.calls.call("DELETE", path)
-        if isinstance(response, PlatformFailed):
+        path = f"{object_path(kind, name)}?revision={revision_of(version)}"
+        response = await self.calls.write("DELETE", path, version=version)
+        if isinstance(response, (Conflict, PlatformFailed)):
             return response
         if response.status_code in (*OK, NO_CONTENT, NOT_FOUND):
             return Written(version)
         return decode_write(response)
 
-    async def write(self, method: str, path: str, content: bytes) -> Any:
-        """Send a write."""
-        return decode_write(await self.calls.call(method, path, content, JSON))
+    async def write(
+        self, method: str, path: str, content: bytes, version: int | None = None
+    ) -> Any:
+        """Send a write, whose condition names a version unless it creates."""
+        response = await self.calls.write(method, path, content, JSON, version)
+        return response if isinstance(response, Conflict) else decode_write(response)
 
     async def changes(
         self, kind: str, since: int, wait_s: float
@@ -165,7 +192,7 @@
         kind : str
             Kind of the objects.
         since : int
-            Revision up to which changes are known.
+            Revision up to which changes are known, with the era of the store.
         wait_s : float
             How long the store delays the response if there are no changes, in
             seconds.
@@ -173,22 +200,35 @@
         Returns
         -------
         changes : Changes or HistoryExpired or PlatformFailed
-            `HistoryExpired` if the objects must be listed again.
+            `HistoryExpired` if the objects must be listed again: the store has dropped
+            the history, or has another one.
         """
-        query = f"?watch={since}&waitMs={int(wait_s * 1000)}"
+        if self.calls.eras.era > era_of(since):
+            return HistoryExpired()
+        query = f"?watch={revision_of(since)}&waitMs={int(wait_s * 1000)}"
         path = object_path(kind) + query
         response = await self.calls.call("GET", path, wait_s=wait_s)
         if isinstance(response, PlatformFailed):
             return response
-        if response.status_code == GONE:
+        era = era_of_response(response)
+        if era < era_of(since):
+            return PlatformFailed(OUTDATED)
+        if response.status_code == GONE or era > era_of(since):
+            return HistoryExpired()
+        changes = decode_response(
+            response, lambda content: decode_changes(content, kind, era)
+        )
+        # Without eras, only a revision that has gone back shows another history.
+        if isinstance(changes, Changes) and changes.revision < since:
             return HistoryExpired()
-        return decode_response(response, lambda content: decode_changes(content, kind))
+        return changes
 
 
-def decode_changes(content: bytes, kind: str) -> Changes:
+def decode_changes(content: bytes, kind: str, era: int) -> Changes:
     """Decode the changes from the response to a watch."""
     page = parse_page(content, "events")
-    return Changes(int(page["storeRevision"]), decode_events(page["events"], kind))
+    revision = qualified(era, int(page["storeRevision"]))
+    return Changes(revision, decode_events(page["events"], kind, era))
 
 
 def decode_response(response: httpx.Response | PlatformFailed, parse: Any) -> Any:
--- a/src/rosemaryknot/platform/store_responses.py
+++ b/src/rosemaryknot/platform/store_responses.py
@@ -15,6 +15,7 @@
 from rosemaryknot.platform.documents import SERVERS_KIND
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.platform import ObjectChanged, StoredObject
+from rosemaryknot.values.store_revisions import qualified
 
 __all__ = [
     "AnswerError",
@@ -168,19 +169,22 @@
     )
 
 
-def decode_object(item: Any, kind: str) -> StoredObject | None:
+def decode_object(item: Any, kind: str, era: int = 0) -> StoredObject | None:
     """Decode an object, whose value is in ``spec``; None if it has no name."""
     found = name_and_revision(item)
     if found is None:
         return None
-    return StoredObject(found[1], encodable_value(item.get("spec"), kind))
+    value = encodable_value(item.get("spec"), kind)
+    return StoredObject(qualified(era, found[1]), value)
 
 
-def decode_objects(items: list[Any], kind: str) -> dict[str, StoredObject]:
+def decode_objects(
+    items: list[Any], kind: str, era: int = 0
+) -> dict[str, StoredObject]:
     """Decode the objects of a page, by name; items that are no objects are skipped."""
     objects = {}
     for item in items:
-        found = decode_object(item, kind)
+        found = decode_object(item, kind, era)
         if found is None:
             log.warning(
                 "skipped item without a valid name or revision", kind=kind, where="list"
@@ -190,7 +194,7 @@
     return objects
 
 
-def decode_events(events: list[Any], kind: str) -> list[ObjectChanged]:
+def decode_events(events: list[Any], kind: str, era: int = 0) -> list[ObjectChanged]:
     """Decode the changes of a watch in order; items that are no objects are skipped."""
     changes = []
     for event in events:
@@ -205,5 +209,6 @@
             continue
         is_deleted = event.get("deleted") is True
         value = None if is_deleted else encodable_value(item.get("spec"), kind)
-        changes.append(ObjectChanged(*found, value, is_deleted))
+        name, revision = found
+        changes.append(ObjectChanged(name, qualified(era, revision), value, is_deleted))
     return changes
--- a/src/rosemaryknot/process/change_distributor.py
+++ b/src/rosemaryknot/process/change_distributor.py
@@ -24,6 +24,7 @@
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.platform import ObjectChanged
 from rosemaryknot.values.store_changes import Changes
+from rosemaryknot.values.store_revisions import era_of, qualified, revision_of
 
 __all__ = ["ChangeDistributor", "watching_nodes"]
 
@@ -38,6 +39,7 @@
 MAX_PENDING_MESSAGES = 200
 # Kind of object, as used for the keys of the watchers.
 CONFIGURATION = "configuration"
+SERVERS = "servers"
 
 log = logger("spread")
 
@@ -111,7 +113,8 @@
         for kind, watcher in watchers.items():
             watcher.should_watch = partial(self.should_watch, kind)
             watcher.on_applied = partial(self.forward_changes, kind)
-        watchers[CONFIGURATION].on_listed = self.forward_configuration
+        watchers[CONFIGURATION].on_listed = lambda before: self.forward_configuration()
+        watchers[SERVERS].on_listed = self.forward_restored_list
         handlers.on(StoreChanges)(self.handle_changes)
 
     def watching(self) -> set[str]:
@@ -139,8 +142,28 @@
         if kind == CONFIGURATION:
             self.forward_configuration()
         elif self.is_forwarding():
-            events = [[e.name, e.version, e.value, e.deleted] for e in changes.events]
-            self.enqueue(StoreChanges(kind, before, changes.revision, events))
+            events = [
+                [e.name, revision_of(e.version), e.value, e.deleted]
+                for e in changes.events
+            ]
+            self.enqueue(
+                StoreChanges(
+                    kind,
+                    revision_of(before),
+                    revision_of(changes.revision),
+                    events,
+                    era_of(changes.revision),
+                )
+            )
+
+    def forward_restored_list(self, before: int) -> None:
+        """Queue the list of servers for the other nodes after a restore of the store.
+
+        Otherwise each of them would list the servers itself at the same time.
+        """
+        revision = self.watchers[SERVERS].revision
+        if 0 <= before and era_of(before) < era_of(revision) and self.is_forwarding():
+            self.enqueue(self.exchange.offer_of_servers())
 
     def forward_configuration(self) -> None:
         """Queue the configuration, of which only the newest version matters."""
@@ -174,5 +197,11 @@
         watcher = self.watchers.get(message.kind_name)
         if watcher is None:
             return
-        events = [ObjectChanged(*event) for event in message.events]
-        watcher.apply_forwarded(message.before, Changes(message.revision, events))
+        # Nodes of earlier software state no era.
+        era = message.era or era_of(watcher.revision)
+        events = [
+            ObjectChanged(name, qualified(era, revision), value, is_deleted)
+            for name, revision, value, is_deleted in message.events
+        ]
+        changes = Changes(qualified(era, message.revision), events)
+        watcher.apply_forwarded(qualified(era, message.before), changes)
--- a/src/rosemaryknot/process/gateway_configurations.py
+++ b/src/rosemaryknot/process/gateway_configurations.py
@@ -23,6 +23,7 @@
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.store_watcher import StoreWatcher
 from rosemaryknot.values.gateway_peers import ConfigurationReply, ConfigurationRequest
+from rosemaryknot.values.store_revisions import era_of, qualified, revision_of
 
 __all__ = ["GatewayConfigurations"]
 
@@ -100,7 +101,8 @@
         """Return a document as a message for a node that has the base, if any."""
         return ConfigurationReply(
             version=document.version,
-            revision=document.revision,
+            revision=revision_of(document.revision),
+            era=era_of(document.revision),
             base=0 if base is None else base.digest,
             packed=difference(document, base),
         )
@@ -172,13 +174,15 @@
         except (DocumentError, ValueError, msgpack.UnpackException) as error:
             log.error("cannot decode configuration from peer", error=str(error))
             return NOT_READABLE
-        self.state.apply_configuration(value, message.revision, SOURCE)
+        era = message.era or era_of(self.watcher.revision)
+        revision = qualified(era, message.revision)
+        self.state.apply_configuration(value, revision, SOURCE)
         if message.version > self.state.version:
             self.unusable = message.version
             return NOT_USABLE
         self.last_shared = self.state.document
         self.behind_since_s = None
-        self.watcher.advance_to(message.revision)
+        self.watcher.advance_to(revision)
         return APPLIED
 
     async def handle_configuration(
--- a/src/rosemaryknot/process/gateway_documents.py
+++ b/src/rosemaryknot/process/gateway_documents.py
@@ -28,7 +28,7 @@
     version : int
         Version of the configuration.
     revision : int
-        Revision of the store at which the version was written.
+        Revision of the store at which the version was written, with its era.
     packed : bytes
         Value written by the operator, encoded as msgpack.
     digest : int
--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -11,6 +11,12 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.newcomers import is_helper
 from rosemaryknot.process.server_state import PeerLoad
+from rosemaryknot.process.store_reports import (
+    known_eras,
+    known_revisions,
+    reported,
+    seen_revisions,
+)
 from rosemaryknot.values.gateway_peers import (
     GatewayReport,
     HubReport,
@@ -19,6 +25,7 @@
 )
 from rosemaryknot.values.messages import Message
 from rosemaryknot.values.platform import Listed, StoredObject
+from rosemaryknot.values.store_revisions import era_of, qualified, revision_of
 
 __all__ = ["GatewayExchange"]
 
@@ -115,8 +122,9 @@
             sequence=self.sequence,
             clock_s=components.clock.wall_clock(),
             version=components.state.version,
-            revisions={kind: f.revision for kind, f in components.watchers.items()},
-            seen={kind: f.seen for kind, f in components.watchers.items()},
+            revisions=known_revisions(components.watchers),
+            seen=seen_revisions(components.watchers),
+            eras=known_eras(components.watchers),
             returned_ago_s=trio.current_time() - components.store.reconnected_s,
             spent=components.quota.report(),
             runs=components.usage.report(components.clock.now()),
@@ -258,9 +266,11 @@
         """Resynchronize with the store if another gateway stays ahead of this one."""
         self.record_reconnect(now_s - report.returned_ago_s, report.node)
         for kind, watcher in self.components.watchers.items():
-            if watcher.revision >= report.seen.get(kind, -1):
+            theirs = reported(report.seen, report.eras, kind, watcher)
+            if watcher.revision >= theirs:
                 self.behind_since_s.pop(kind, None)
                 continue
+            watcher.record_peer_era(era_of(theirs))
             since_s = self.behind_since_s.setdefault(kind, now_s)
             if now_s - since_s > MAX_LAG_S[kind]:
                 watcher.resync(f"{report.node} has a newer revision")
@@ -300,29 +310,44 @@
 
     def offers(self, report: GatewayReport | HubReport) -> list[Message]:
         """Return messages with the state that a gateway lacks."""
-        state = self.components.state
         found: list[Message] = []
         configuration = self.components.configurations.newer_than(report.version)
         if configuration is not None:
             found.append(configuration)
         watcher = self.components.watchers["servers"]
-        theirs = report.revisions.get("servers", -1)
+        theirs = reported(report.revisions, report.eras, "servers", watcher)
         if theirs < watcher.revision and not watcher.is_unreachable():
-            objects = {name: list(entry) for name, entry in state.entries.items()}
-            found.append(StateOffer("servers", watcher.revision, objects))
+            found.append(self.offer_of_servers())
         return found
 
+    def offer_of_servers(self) -> StateOffer:
+        """Return a message with all entries of servers."""
+        revision = self.components.watchers["servers"].revision
+        objects = {
+            name: [revision_of(version), value]
+            for name, (version, value) in self.components.state.entries.items()
+        }
+        return StateOffer("servers", revision_of(revision), objects, era_of(revision))
+
     async def handle_offer(self, offer: StateOffer, link: MessageLink) -> None:
-        """Apply a newer list of servers while the store is unreachable."""
+        """Apply a newer list of servers from a node that has reached the store.
+
+        It is needed while the store is unreachable from here, and after a restore.
+        """
         watcher = self.components.watchers["servers"]
-        is_newer = offer.revision > watcher.revision
-        if offer.kind_name != "servers" or not watcher.is_unreachable() or not is_newer:
+        # Nodes of earlier software state no era.
+        era = offer.era or era_of(watcher.revision)
+        revision = qualified(era, offer.revision)
+        is_wanted = watcher.is_unreachable() or era > era_of(watcher.revision)
+        if offer.kind_name != "servers" or not is_wanted:
+            return
+        if revision <= watcher.revision:
             return
         objects: dict[str, Any] = {
-            name: StoredObject(int(entry[0]), entry[1])
+            name: StoredObject(qualified(era, int(entry[0])), entry[1])
             for name, entry in offer.objects.items()
         }
-        log.info("applied servers from another gateway", revision=offer.revision)
-        self.components.state.list_servers(Listed(offer.revision, objects))
-        watcher.revision = offer.revision
-        watcher.seen = max(watcher.seen, offer.revision)
+        log.info(
+            "applied servers from another gateway", era=era, revision=offer.revision
+        )
+        watcher.adopt_list(Listed(revision, objects))
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -41,6 +41,11 @@
 # Maximum number of drains that are remembered of servers without an entry here; as many
 # as end in a day of the largest deployment.
 MAX_EARLY_DRAINS = 2000
+# A restored store lacks the entries of servers that came after its copy; live servers
+# write them again within about two seconds. It has entries of servers that have left
+# since, which lapse after three heartbeats of two seconds at most.
+RESTORED_MISSING_TIMEOUT_S = 2.5
+RESTORED_LAPSE_TIMEOUT_S = 6.0
 # A running stream emits an event every few tens of milliseconds, so a model server
 # that has requests in flight and sends nothing for this long is not working.
 MODEL_SILENCE_TIMEOUT_S = 1.0
@@ -141,6 +146,7 @@
             state.announce_drain()
         state.is_removed = False
         state.removal_deadline_s = math.inf
+        state.unproven_until_s = -math.inf
         return ""
 
     def state_of_entry(
@@ -311,13 +317,19 @@
         self.versions.record_end(state)
         self.versions.record_change(state, entry)
 
-    def remove(self, server_id: str) -> None:
+    def remove(self, server_id: str, timeout_s: float | None = None) -> None:
         """Record that an entry was removed.
 
         During an outage of the store all entries expire together although their
         servers are running, and a node may not notice the outage. A server that has
-        not announced a drain is therefore retained for `missing_timeout_s` and used
-        if no other server is left.
+        not announced a drain is therefore retained and used for a timeout.
+
+        Parameters
+        ----------
+        server_id : str
+            Id of the server.
+        timeout_s : float, optional
+            Timeout in seconds; `missing_timeout_s` by default.
         """
         state = self.by_id.get(server_id)
         if state is None:
@@ -325,21 +337,62 @@
         if state.is_draining:
             self.drop(state)
         elif not state.is_missing:
-            state.removal_deadline_s = trio.current_time() + self.missing_timeout_s
+            timeout_s = self.missing_timeout_s if timeout_s is None else timeout_s
+            state.removal_deadline_s = trio.current_time() + timeout_s
             log.info(f"entry of server {server_id} missing", born=state.entry.born)
 
-    def replace_all(self, entries: Iterable[RoutedServer]) -> dict[str, str]:
-        """Apply a complete list; return why entries were ignored, by id."""
+    def replace_all(
+        self, entries: Iterable[RoutedServer], is_restored: bool = False
+    ) -> dict[str, str]:
+        """Apply a complete list.
+
+        Parameters
+        ----------
+        entries : iterable of RoutedServer
+            The servers in the list.
+        is_restored : bool
+            Whether the store has been restored from a copy since the list before.
+
+        Returns
+        -------
+        reasons : dict of str to str
+            Why entries were ignored, by id.
+        """
         entries = list(entries)
+        left = self.left_servers(entries) if is_restored else []
         reasons = {entry.id: self.put(entry) for entry in entries}
+        timeout_s = RESTORED_MISSING_TIMEOUT_S if is_restored else None
         listed = {entry.id for entry in entries}
-        for server_id in [
-            known_id for known_id in self.by_id if known_id not in listed
-        ]:
-            self.remove(server_id)
+        missing = [known_id for known_id in self.by_id if known_id not in listed]
+        for server_id in missing:
+            self.remove(server_id, timeout_s)
+        self.hold_back(left)
         self.is_listed = True
         return {server_id: reason for server_id, reason in reasons.items() if reason}
 
+    def left_servers(self, entries: Iterable[RoutedServer]) -> list[str]:
+        """Return the ids of entries whose servers had been dropped before."""
+        return [
+            entry.id
+            for entry in entries
+            if (known := self.removed_states.get(entry.id)) is not None
+            and known.incarnation == entry.incarnation
+        ]
+
+    def hold_back(self, names: Iterable[str]) -> None:
+        """Hold back servers that had left before a restore brought back their entries.
+
+        A server that lives writes its entry again, and else one whose entry outlasts
+        the heartbeats that it would miss. A service without any other server uses them.
+        """
+        until_s = trio.current_time() + RESTORED_LAPSE_TIMEOUT_S
+        held = [self.by_id[name] for name in names if name in self.by_id]
+        services = {state.service for state in self.by_id.values() if state not in held}
+        for state in held:
+            if state.service in services:
+                state.unproven_until_s = until_s
+                log.info(f"server {state.entry.id} held back", reason="had left before")
+
     def drop(self, state: ServerState) -> None:
         """Send no more requests to a server whose entry was removed."""
         if not state.is_removed:
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -11,6 +11,7 @@
 from rosemaryknot.process.metrics import gauge
 from rosemaryknot.values.gateway import CallerLimits, GatewayConfiguration, RoutedServer
 from rosemaryknot.values.platform import Listed, ObjectChanged
+from rosemaryknot.values.store_revisions import era_of, revision_of
 
 __all__ = ["PEER_VERSION_TTL_S", "GatewayState"]
 
@@ -55,6 +56,9 @@
         Revisions and values of the servers' entries, to send to other nodes.
     servers : ServerTable
         Table of the servers.
+    servers_era : int
+        Era of the store in which the servers were listed last; -1 before the first
+        list.
     skipped_revisions : dict of str to int
         By name of an entry, the last revision that was ignored and logged.
     known : trio.Event
@@ -76,6 +80,7 @@
         self.peer_version_s = float("-inf")
         self.entries: dict[str, tuple[int, Any]] = {}
         self.servers = ServerTable()
+        self.servers_era = -1
         self.skipped_revisions: dict[str, int] = {}
         self.known = trio.Event()
 
@@ -144,7 +149,11 @@
         try:
             configuration = self.decode_configuration(value)
         except ValueError as error:
-            log.error("invalid configuration", error=str(error), revision=revision)
+            log.error(
+                "invalid configuration",
+                error=str(error),
+                revision=revision_of(revision),
+            )
             return
         if configuration.version <= self.version:
             return
@@ -153,7 +162,8 @@
             "applied configuration",
             version=configuration.version,
             before=self.version,
-            revision=revision,
+            era=era_of(revision),
+            revision=revision_of(revision),
             source=source,
             bytes=len(document.packed),
         )
@@ -174,7 +184,10 @@
             for name, entry in listed.objects.items()
         ]
         usable = [server for server in found if server is not None]
-        for server_id, reason in self.servers.replace_all(usable).items():
+        before, self.servers_era = self.servers_era, era_of(listed.version)
+        is_restored = 0 <= before != self.servers_era
+        reasons = self.servers.replace_all(usable, is_restored)
+        for server_id, reason in reasons.items():
             revision = listed.objects[server_id].version
             self.log_skipped(server_id, reason, revision)
         self.remove_skipped(listed.objects)
@@ -233,7 +246,7 @@
         log.error(
             f"entry of server {name[:MAX_LOGGED_NAME_CHARS]} left alone",
             reason=reason,
-            revision=revision,
+            revision=revision_of(revision),
         )
 
     def remove_skipped(self, names: Container[str]) -> None:
--- a/src/rosemaryknot/process/hub_aggregates.py
+++ b/src/rosemaryknot/process/hub_aggregates.py
@@ -291,7 +291,9 @@
     ago_s = aggregate.returned_ago_s + age_s
     total.returned_ago_s = min(total.returned_ago_s, ago_s)
     for kind, revision in aggregate.seen.items():
-        total.seen[kind] = max(total.seen.get(kind, -1), revision)
+        known = (total.eras.get(kind, 0), total.seen.get(kind, -1))
+        newest = max(known, (aggregate.eras.get(kind, 0), revision))
+        total.eras[kind], total.seen[kind] = newest
 
 
 def add_loads(total: HubSum, loads: dict) -> None:
--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -24,6 +24,11 @@
 from rosemaryknot.process.peer_links import select_relays
 from rosemaryknot.process.server_state import PeerLoad
 from rosemaryknot.process.sliding_maximum import SlidingMaximum
+from rosemaryknot.process.store_reports import (
+    known_eras,
+    known_revisions,
+    seen_revisions,
+)
 from rosemaryknot.values.gateway_peers import (
     DutyReports,
     GatewayReport,
@@ -193,8 +198,9 @@
             incarnation=components.node.incarnation,
             sequence=self.sequence,
             version=components.state.version,
-            revisions={kind: f.revision for kind, f in components.watchers.items()},
-            seen={kind: f.seen for kind, f in components.watchers.items()},
+            revisions=known_revisions(components.watchers),
+            seen=seen_revisions(components.watchers),
+            eras=known_eras(components.watchers),
             returned_ago_s=now_s - components.store.reconnected_s,
             lost=[
                 kind for kind, f in components.watchers.items() if f.is_unreachable()
@@ -378,5 +384,6 @@
         clock_s=aggregate.clock_s,
         version=aggregate.version,
         seen=aggregate.seen,
+        eras=aggregate.eras,
         returned_ago_s=aggregate.returned_ago_s,
     )
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -27,6 +27,7 @@
 from rosemaryknot.process.crash_records import CrashRecords
 from rosemaryknot.process.crash_store import CrashStore
 from rosemaryknot.process.duty_components import DutyComponents
+from rosemaryknot.process.era_check import EraCheck
 from rosemaryknot.process.exchange_components import Demand, ExchangeComponents
 from rosemaryknot.process.gateway_configurations import GatewayConfigurations
 from rosemaryknot.process.gateway_exchange import GatewayExchange
@@ -150,6 +151,8 @@
             lambda: len(self.peers.nodes()) + 1,
         )
         self.watchers = self.make_watchers()
+        for watcher in self.watchers.values():
+            adapter.store.eras.on_changed.append(watcher.record_era)
         self.configurations = GatewayConfigurations(
             self.peers, self.state, self.watchers["configuration"], handlers
         )
@@ -178,6 +181,9 @@
             self.configurations,
             handlers,
         )
+        self.era_check = EraCheck(
+            adapter.store, adapter.store.eras, self.is_era_checker, rng
+        )
         self.crash_records = CrashRecords()
         self.crash_detector = CrashDetector(
             self.dialler.check, self.dialler.accepts, self.crash_records
@@ -418,6 +424,14 @@
         excluded = self.server_limits.limited.union(crashed)
         return self.state.servers.has_available(service, excluded)
 
+    def is_era_checker(self) -> bool:
+        """Return whether this node is the first that watches and reaches the store."""
+        names = self.exchange.watching("configuration")
+        if not self.watchers["configuration"].is_unreachable():
+            names.add(self.node.name)
+        names &= self.change_distributor.watching()
+        return self.node.name == min(names, default=self.node.name)
+
     def is_alone_in_zone(self) -> bool:
         """Return whether no other node of the zone is known."""
         return all(node.zone != self.node.zone for node in self.peers.nodes())
@@ -443,6 +457,7 @@
         for watcher in self.watchers.values():
             start_soon(watcher.run)
         start_soon(self.change_distributor.run)
+        start_soon(self.era_check.run)
         start_soon(self.configurations.run)
         start_soon(self.exchange.run)
         start_soon(self.exchange.run_loads)
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -83,6 +83,9 @@
     removal_deadline_s : float
         When the server is treated as removed because its entry is missing although
         it never announced a drain, in trio time; infinite while there is an entry.
+    unproven_until_s : float
+        Until when nothing shows that the server of a restored entry still runs, in trio
+        time.
     stated_limit : float or InvalidLimit or None
         Rate limit in the latest response that this node received.
     pause : ServerPause
@@ -112,6 +115,7 @@
     drained_s: float = math.inf
     is_removed: bool = False
     removal_deadline_s: float = math.inf
+    unproven_until_s: float = float("-inf")
     stated_limit: float | InvalidLimit | None = None
     process_lost_s: float = float("-inf")
     confirmed_s: float = float("-inf")
@@ -148,7 +152,10 @@
 
     def accepts_requests(self, now_s: float) -> bool:
         """Return whether the server takes new requests, except for a pause."""
-        return not self.is_draining and now_s < self.removal_deadline_s
+        return (
+            not self.is_draining
+            and self.unproven_until_s <= now_s < self.removal_deadline_s
+        )
 
     def may_get_requests(self, now_s: float) -> bool:
         """Return whether this node may send the server a request now."""
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -8,12 +8,14 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.platform import (
+    OUTDATED,
     TIMEOUT,
     Listed,
     ObjectChanged,
     PlatformFailed,
 )
 from rosemaryknot.values.store_changes import Changes, ChangeSource, HistoryExpired
+from rosemaryknot.values.store_revisions import era_of, revision_of
 
 __all__ = ["StoreWatcher"]
 
@@ -34,6 +36,11 @@
 # incomplete: as long as a call of a watching node may take to show that the store is
 # unreachable from there.
 OWN_WATCH_S = LONG_POLL_S + 2.0
+# After a restore of the store all nodes list the objects. Those that watch spread their
+# lists over this time; the others wait for a list that is forwarded to them first, as
+# hundreds of lists at once exceed the rate of the store.
+RESTORE_SPREAD_S = 0.2
+FORWARDED_LIST_TIMEOUT_S = 0.8
 # How often a node that others forward changes to checks whether it must watch itself.
 WATCH_CHECK_INTERVAL_S = 0.25
 
@@ -64,7 +71,8 @@
     Attributes
     ----------
     revision : int
-        Revision up to which all changes are known; -1 before the first list.
+        Revision up to which all changes are known, with the era of the store; -1 before
+        the first list.
     seen : int
         Revision of the newest change that was applied.
     call_started_s : float
@@ -78,9 +86,17 @@
         Called with the previous revision and the changes, after changes from the store
         were applied.
     on_listed : callable
-        Called after a list from the store was applied.
+        Called with the previous revision after a list from the store was applied.
     must_list : bool
         Whether the next step lists the objects.
+    list_due_s : float
+        When the objects are listed after a restore of the store, in trio time; infinite
+        unless a restore is known.
+    is_expired : bool
+        Whether the store no longer has the history that this node knows, which a list
+        has yet to replace.
+    fruitless : int
+        Number of consecutive responses that brought nothing new sooner than expected.
     reached_since_s : float
         Since when the store has been reached without a failure, in trio time; infinite
         while it is not.
@@ -113,8 +129,11 @@
         self.own_watch_deadline_s = float("-inf")
         self.should_watch: Callable[[], bool] = lambda: True
         self.on_applied: Callable[[int, Changes], None] = lambda before, changes: None
-        self.on_listed: Callable[[], None] = lambda: None
+        self.on_listed: Callable[[int], None] = lambda before: None
         self.must_list = False
+        self.list_due_s = float("inf")
+        self.is_expired = False
+        self.fruitless = 0
         self.reached_since_s = float("inf")
         self.known_at_s = float("-inf")
         self.scope = trio.CancelScope()
@@ -146,13 +165,60 @@
         )
         self.scope.cancel()
 
+    def record_era(self, era: int) -> None:
+        """List the objects soon, as the store has begun another era.
+
+        A pending watch waits in a history that has ended, and may do so in silence.
+        """
+        if self.revision < 0 or era == era_of(self.revision):
+            return
+        if era < era_of(self.revision):
+            # The store counts its eras anew, so that nothing known compares to them.
+            self.revision = self.seen = -1
+        self.list_soon()
+
+    def record_peer_era(self, era: int) -> None:
+        """List the objects soon, as another node knows a later era of the store."""
+        now_s = trio.current_time()
+        is_due = now_s - self.last_resync_s >= RESYNC_INTERVAL_S
+        if 0 <= self.revision and era_of(self.revision) < era and is_due:
+            self.last_resync_s = now_s
+            self.list_soon()
+
+    def list_soon(self) -> None:
+        """List the objects after a delay that differs between nodes."""
+        spread_s = self.rng.uniform(0.0, RESTORE_SPREAD_S)
+        if not self.should_watch():
+            spread_s += FORWARDED_LIST_TIMEOUT_S
+        due_s = trio.current_time() + spread_s
+        if due_s < self.list_due_s:
+            self.list_due_s = due_s
+            self.scope.cancel()
+
+    def adopt_list(self, listed: Listed) -> None:
+        """Apply a list that another node has received from the store."""
+        is_same_era = era_of(listed.version) == era_of(self.revision)
+        before = self.revision
+        self.on_list(listed)
+        self.revision = listed.version
+        self.seen = max(self.seen, listed.version)
+        if not is_same_era:
+            self.list_due_s = float("inf")
+            self.is_expired = False
+            self.log_restored(before)
+            self.scope.cancel()
+
     def has_call_since_before(self, moment_s: float) -> bool:
         """Return whether a call that started before a time is still pending."""
         return self.call_started_s < moment_s
 
     async def step(self) -> None:
         """List the objects, or wait for changes, and apply the result."""
-        if self.revision < 0 or self.must_list:
+        if self.list_due_s < float("inf"):
+            await trio.sleep(max(0.0, self.list_due_s - trio.current_time()))
+            self.list_due_s = float("inf")
+            self.is_expired = True
+        if self.revision < 0 or self.must_list or self.is_expired:
             await self.list_all()
             return
         is_watching = (
@@ -163,7 +229,7 @@
             return
         self.resync_pending = False
         wait_s = LONG_POLL_S if is_watching and not self.failures else SHORT_POLL_S
-        self.call_started_s = trio.current_time()
+        self.call_started_s = started_s = trio.current_time()
         try:
             outcome = await self.store.changes(self.kind, self.revision, wait_s)
         finally:
@@ -174,10 +240,21 @@
             self.must_list = self.is_single and outcome.reason == TIMEOUT
             await self.record_failure(outcome)
         elif isinstance(outcome, HistoryExpired):
-            log.info("change history expired, listing again", kind=self.kind)
+            log.info(
+                "change history expired, listing again",
+                kind=self.kind,
+                era=era_of(self.revision),
+                revision=revision_of(self.revision),
+            )
+            self.is_expired = True
             await self.list_all()
         else:
             self.apply_store_changes(outcome)
+            took_s = trio.current_time() - started_s
+            if outcome.events or took_s >= wait_s / 2:
+                self.fruitless = 0
+            else:
+                await self.back_off_fruitless()
 
     def apply_store_changes(self, changes: Changes) -> None:
         """Apply changes that the store returned."""
@@ -197,19 +274,23 @@
         known and take effect immediately. The response to the next call brings them
         again, together with the missing ones.
         """
-        if self.revision < 0:
+        if self.revision < 0 or era_of(changes.revision) < era_of(self.revision):
             return
         if before > self.revision:
             for change in changes.events:
                 self.on_change(change)
-            self.resync(f"changes from {before} on were forwarded")
+            self.resync(f"changes from {revision_of(before)} on were forwarded")
+            self.record_peer_era(era_of(before))
             return
         self.apply(changes)
         self.known_at_s = trio.current_time()
 
     def advance_to(self, revision: int) -> None:
-        """Advance to a revision up to which all relevant changes are known."""
-        if self.revision >= 0:
+        """Advance to a revision up to which all relevant changes are known.
+
+        A revision of another era says nothing about this one.
+        """
+        if self.revision >= 0 and era_of(revision) == era_of(self.revision):
             self.revision = max(self.revision, revision)
             self.seen = max(self.seen, revision)
 
@@ -232,21 +313,53 @@
         if isinstance(listed, PlatformFailed):
             await self.record_failure(listed)
             return
-        self.record_success()
-        self.must_list = False
-        if listed.version < self.revision:
+        before, was_expired = self.revision, self.is_expired
+        is_same_era = era_of(listed.version) == era_of(before)
+        # A store that states no era shows only by an expired history that it may return
+        # to an earlier revision.
+        if listed.version < before and not (was_expired and is_same_era):
             log.warning(
                 "outdated list ignored",
                 kind=self.kind,
-                at=listed.version,
-                revision=self.revision,
+                era=era_of(listed.version),
+                at=revision_of(listed.version),
+                known_era=era_of(before),
+                revision=revision_of(before),
             )
+            await self.record_failure(PlatformFailed(OUTDATED))
             return
+        self.record_success()
+        self.must_list = self.is_expired = False
         self.on_list(listed)
         self.revision = listed.version
+        is_restored = listed.version < before or not is_same_era
         found = [entry.version for entry in listed.objects.values()]
-        self.seen = max([self.seen, *found])
-        self.on_listed()
+        self.seen = max([-1 if is_restored else self.seen, *found])
+        if is_restored and before >= 0:
+            self.log_restored(before)
+        self.on_listed(before)
+        if was_expired:
+            await self.back_off_fruitless()
+
+    def log_restored(self, before: int) -> None:
+        """Log that this node follows another history of the store from now on."""
+        log.warning(
+            "following the history of a restored store",
+            kind=self.kind,
+            era=era_of(self.revision),
+            before=era_of(before),
+            revision=revision_of(self.revision),
+            revision_before=revision_of(before),
+        )
+
+    async def back_off_fruitless(self) -> None:
+        """Wait before the next call if calls in a row bring nothing to wait for.
+
+        The first may be repeated at once: it shows that a history has ended.
+        """
+        self.fruitless += 1
+        if self.fruitless > 1:
+            await trio.sleep(backoff_s(self.fruitless - 1) * self.rng.uniform(0.5, 1.0))
 
     def is_unreachable(self) -> bool:
         """Return whether the store is currently unreachable."""
@@ -268,5 +381,9 @@
         self.reached_since_s = float("inf")
         if self.failures == 1:
             log.warning("store unreachable", kind=self.kind, reason=failed.reason)
-        backoff_s = min(MIN_BACKOFF_S * 2 ** min(self.failures - 1, 5), MAX_BACKOFF_S)
-        await trio.sleep(backoff_s * self.rng.uniform(0.5, 1.0))
+        await trio.sleep(backoff_s(self.failures) * self.rng.uniform(0.5, 1.0))
+
+
+def backoff_s(count: int) -> float:
+    """Return the maximum time to wait after a number of calls in vain, in seconds."""
+    return min(MIN_BACKOFF_S * 2 ** min(count - 1, 5), MAX_BACKOFF_S)
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -59,6 +59,9 @@
     counted_s : float
         Time on the synchronized clock up to which ``runs`` are counted, in seconds
         since the epoch.
+    eras : dict
+        By kind of object: era of the store to which ``revisions`` and ``seen`` belong.
+        Without one, it is not known.
     """
 
     kind: ClassVar[str]
@@ -75,6 +78,7 @@
     demand: dict = field(default_factory=dict)
     lost: list = field(default_factory=list)
     counted_s: float = 0.0
+    eras: dict = field(default_factory=dict)
 
 
 @message("gateway_load")
@@ -104,7 +108,7 @@
 @message("gateway_state")
 @dataclass(slots=True)
 class StateOffer(Message):
-    """Newer objects of the store, for a gateway that cannot reach it.
+    """Newer objects of the store, for a gateway that does not list them itself.
 
     Attributes
     ----------
@@ -114,12 +118,15 @@
         Revision of the store up to which changes are included.
     objects : dict
         Revision and value of all objects of the kind, by name.
+    era : int
+        Era of the store to which the revisions belong; 0 if it is not known.
     """
 
     kind: ClassVar[str]
     kind_name: str
     revision: int
     objects: dict = field(default_factory=dict)
+    era: int = 0
 
 
 @message("configuration_told")
@@ -137,6 +144,8 @@
         Digest of the document that ``packed`` is based on; 0 if it is complete.
     packed : bytes
         Compressed document; see `rosemaryknot.process.gateway_documents`.
+    era : int
+        Era of the store to which the revision belongs; 0 if it is not known.
     """
 
     kind: ClassVar[str]
@@ -144,6 +153,7 @@
     revision: int
     base: int = 0
     packed: bytes = b""
+    era: int = 0
 
 
 @message("configuration_wanted")
@@ -178,6 +188,8 @@
         one are included.
     events : list of list
         Name, revision, value and deletion flag of each change, in order.
+    era : int
+        Era of the store to which the revisions belong; 0 if it is not known.
     """
 
     kind: ClassVar[str]
@@ -185,6 +197,7 @@
     before: int
     revision: int
     events: list = field(default_factory=list)
+    era: int = 0
 
 
 @message("crash_notice")
@@ -210,6 +223,8 @@
         with server incarnation, service, age, duration of the response and digests of
         requests), the number of its trials, the time since the last one and whether it
         is stored. Times are in seconds.
+    era : int
+        Era of the store in which the records are stored; 0 if it is not known.
     """
 
     kind: ClassVar[str]
@@ -217,6 +232,7 @@
     cleared: list = field(default_factory=list)
     is_forwarded: bool = False
     segments: list = field(default_factory=list)
+    era: int = 0
 
 
 @message("hub_report")
@@ -256,6 +272,8 @@
         Fields that only duties need, for the hub to forward: the sequence, both
         times, runs and demand of the `GatewayReport` that this report represents.
         Empty if they were sent recently.
+    eras : dict
+        As in `GatewayReport`.
     """
 
     kind: ClassVar[str]
@@ -272,6 +290,7 @@
     spent: dict = field(default_factory=dict)
     loads: dict = field(default_factory=dict)
     duties: list = field(default_factory=list)
+    eras: dict = field(default_factory=dict)
 
 
 @message("duty_reports")
@@ -327,6 +346,8 @@
         incarnations of one server apart.
     counted : dict
         By gateway that reports to the hub: sequence of the report that is included.
+    eras : dict
+        By kind of object: era of the store to which ``seen`` belongs.
     """
 
     kind: ClassVar[str]
@@ -343,3 +364,4 @@
     spent: dict = field(default_factory=dict)
     loads: dict = field(default_factory=dict)
     counted: dict = field(default_factory=dict)
+    eras: dict = field(default_factory=dict)
--- a/src/rosemaryknot/values/platform.py
+++ b/src/rosemaryknot/values/platform.py
@@ -43,7 +43,8 @@
     Attributes
     ----------
     version : int
-        Increases with each write of any object of its kind.
+        Increases with each write of any object of its kind, and with each era of the
+        store; see `rosemaryknot.values.store_revisions`.
     value : object
         Any JSON value.
     """
@@ -54,7 +55,15 @@
 
 @dataclass(slots=True)
 class Missing:
-    """There is no object or instance with that name."""
+    """There is no object or instance with that name.
+
+    Attributes
+    ----------
+    version : int
+        Version that is older than each one of the store's era; 0 for an instance.
+    """
+
+    version: int = 0
 
 
 @dataclass(slots=True)
@@ -95,7 +104,8 @@
     Attributes
     ----------
     version : int
-        Current version of the object; 0 if there is no such object.
+        Current version of the object; 0 if there is no such object, or if the condition
+        named a version of another era of the store.
     """
 
     version: int
