Hold leases across a restore of the store without a second holder or report

A restored store has an older record of a lease, or none. A released record of before let a process acquire the lease while the holder of the lost time still acted, under the same number; the numbers began anew after a restart of all nodes, so that the platform refuses them for ever; and a window of usage whose record was lost was reported again with other counts.

A record now holds the era in which it was written. One of an earlier era counts as held until its duration has passed since it was read in the new one; the holder goes on only if the copy has its lease; fencing numbers of each era begin above those of the earlier ones, with a drawn part where two processes may start from the same lost record. The holder retains its own notes, decisions to release instances are never dropped, and a successor leaves out the windows that an earlier holder may have reported.

--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -18,7 +18,7 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.safeguards import Safeguards
-from rosemaryknot.values.leases import LeaseRecord
+from rosemaryknot.values.leases import MAX_FENCING, LeaseRecord
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.platform import (
     Conflict,
@@ -27,6 +27,7 @@
     StoredObject,
     Written,
 )
+from rosemaryknot.values.store_revisions import era_of, revision_of
 
 __all__ = ["KIND", "Lease", "lease_candidates"]
 
@@ -39,6 +40,11 @@
 MAX_CANDIDATES = 3
 RELEASE_ATTEMPTS = 2
 UNKNOWN_HOLDER = "?"
+# Fencing numbers of each era of the store begin at its multiple of this. Those of one
+# whose records were lost are lower, as no lease changes its holder that often.
+FENCING_PER_ERA = 1_000_000
+# From lost records, processes may draw the same next number; they draw from this many.
+MAX_LOST_FENCING = 10_000
 
 CHANGES = counter("lease_changes_total", "Leases taken over, given back and lapsed.")
 
@@ -65,6 +71,18 @@
     return (firsts + [node for node in by_priority if node not in firsts])[:count]
 
 
+def first_fencing(era: int) -> int:
+    """Return the number that all fencing numbers of an era of the store exceed.
+
+    Examples
+    --------
+    >>> first_fencing(0), first_fencing(3)
+    (0, 3000000)
+    """
+    number = era * FENCING_PER_ERA
+    return number if number <= MAX_FENCING // 2 else 0
+
+
 class Lease:
     """One process's view of one lease.
 
@@ -109,10 +127,15 @@
     ----------
     record : LeaseRecord or None
         As last read or written; None if there is none.
+    first_era : int or None
+        Era of the store at the first read; None before it.
     fencing : int
         Fencing number of this process's current or last lease.
     acquired_s : float
         When this process acquired the lease, in trio time.
+    has_lost_notes : bool
+        Whether this process acquired the lease on a record from before a restore of the
+        store, so that the notes of the last holder may be missing.
     is_clean_handover : bool
         Whether no other holder can still be active: the last one released the lease,
         or was this process.
@@ -152,12 +175,14 @@
         self.record: LeaseRecord | None = None
         self.version = -1
         self.version_read_s = float("-inf")
+        self.first_era: int | None = None
         self.fencing = 0
         self.highest_fencing = 0
         self.expiry_s = float("-inf")
         self.last_expiry_s = float("-inf")
         self.acquired_s = float("-inf")
         self.is_clean_handover = False
+        self.has_lost_notes = False
         self.is_releasing = False
         self.write_count = 0
         self.sent_s: dict[str, float] = {}
@@ -296,14 +321,40 @@
 
     def is_free(self) -> bool:
         """Return whether no other process can hold the lease."""
-        if self.record is not None and self.record.holder in ("", self.holder):
+        has_no_holder = self.record is not None and self.record.holder in (
+            "",
+            self.holder,
+        )
+        if has_no_holder and not self.is_of_earlier_era():
             return True
-        if self.record is None and self.version == 0 and self.is_first_start:
+        if self.is_untouched():
             return True
         # A store restored from a backup may have lost the record of a holder that is
         # still active, so a missing record is waited out like an existing one.
         return trio.current_time() - self.version_read_s >= self.record_duration_s()
 
+    def is_untouched(self) -> bool:
+        """Return whether nobody has ever held the lease."""
+        is_first_era = era_of(self.version) == self.first_era
+        is_missing = self.record is None and revision_of(self.version) == 0
+        return is_missing and is_first_era and self.is_first_start
+
+    def is_of_earlier_era(self) -> bool:
+        """Return whether what the store holds comes from before a restore.
+
+        Another process may have acquired the lease since, and may still hold it.
+        """
+        if self.record is None:
+            return era_of(self.version) > 0 and not self.is_untouched()
+        return self.record.era != era_of(self.version)
+
+    def next_fencing(self) -> int:
+        """Return the fencing number for the next acquisition."""
+        number = max(self.highest_fencing, first_fencing(era_of(self.version))) + 1
+        if self.is_of_earlier_era():
+            number += self.rng.randrange(MAX_LOST_FENCING)
+        return min(number, MAX_FENCING)
+
     def may_reacquire(self) -> bool:
         """Return whether this process may acquire the lease after another holder.
 
@@ -326,20 +377,41 @@
             else:
                 self.apply_record(found.version, record)
         elif isinstance(found, Missing):
-            self.apply_record(0, None)
+            self.apply_record(found.version, None)
 
     def apply_record(self, version: int, record: LeaseRecord | None) -> None:
-        """Adopt the record that the store holds."""
+        """Adopt the record that the store holds.
+
+        A record from before a restore lacks what this process has read or written since
+        then: notes of its own lease, and decisions to release instances, which are
+        never revoked.
+        """
+        known, version_before = self.record, self.version
+        if self.first_era is None:
+            self.first_era = era_of(version)
         if version != self.version:
             self.version = version
             self.version_read_s = trio.current_time()
-        self.record = record
-        if record is None or record.holder != self.holder:
+        is_own = record is not None and record.holder == self.holder
+        if not is_own or record.fencing < self.fencing:
             self.expiry_s = float("-inf")
+        self.record = record
+        is_restored = era_of(version) != era_of(version_before)
+        if is_restored and known is not None and self.is_of_earlier_era():
+            self.record = self.with_known(known)
         if record is not None:
             self.highest_fencing = max(self.highest_fencing, record.fencing)
             self.extend_expiry(record)
 
+    def with_known(self, known: LeaseRecord) -> LeaseRecord | None:
+        """Return the record of an earlier era with what a later one has added."""
+        record = self.record
+        if record is None:
+            return None
+        added = [name for name in known.leaving if name not in record.leaving]
+        notes = known.notes if self.is_held() else record.notes
+        return replace(record, leaving=(*record.leaving, *added), notes=notes)
+
     def handle_unreadable(self, version: int) -> None:
         """Handle a record that another writer has overwritten with unreadable data.
 
@@ -367,6 +439,8 @@
         sent_s = self.sent_s.get(record.write_id)
         if sent_s is None or record.holder != self.holder:
             return
+        if record.fencing < self.fencing:
+            return
         expiry_s = sent_s + record.duration_s - self.margin_s
         if not self.safeguards.lease_margin:
             expiry_s = self.time_s() + record.duration_s
@@ -377,9 +451,10 @@
     async def acquire(self) -> None:
         """Acquire the lease under the next fencing number."""
         last = self.record
+        has_lost_notes = self.is_of_earlier_era()
         record = LeaseRecord(
             self.holder,
-            self.highest_fencing + 1,
+            self.next_fencing(),
             "",
             self.duration_s,
             () if last is None else last.leaving,
@@ -387,10 +462,9 @@
         )
         if await self.write(record):
             self.acquired_s = trio.current_time()
-            self.is_clean_handover = last is not None and last.holder in (
-                "",
-                self.holder,
-            )
+            self.has_lost_notes = has_lost_notes
+            has_no_holder = last is not None and last.holder in ("", self.holder)
+            self.is_clean_handover = has_no_holder and not has_lost_notes
             CHANGES.add(change="taken")
             log.info(
                 f"{self.name} acquired",
@@ -417,7 +491,10 @@
             name for name in record.leaving if name not in self.ended_instances
         )
         notes = record.notes | self.current_notes(record.notes)
-        record = replace(record, write_id=write_id, leaving=leaving, notes=notes)
+        era = era_of(self.version)
+        record = replace(
+            record, write_id=write_id, leaving=leaving, notes=notes, era=era
+        )
         self.record_send(write_id)
         outcome = await self.send(record)
         if isinstance(outcome, Written):
@@ -436,6 +513,6 @@
 
     async def send(self, record: LeaseRecord) -> object:
         """Send one conditional write."""
-        if self.version <= 0:
+        if revision_of(self.version) <= 0:
             return await self.store.create(KIND, self.name, record.to_value())
         return await self.store.update(KIND, self.name, record.to_value(), self.version)
--- a/src/rosemaryknot/process/usage_duty.py
+++ b/src/rosemaryknot/process/usage_duty.py
@@ -100,7 +100,7 @@
             last = recorded.window
         else:
             last = self.started_window - 1 if self.done is None else self.done
-        window = last + 1
+        window = max(last + 1, self.first_unreported())
         now_s = components.clock.now()
         current = components.usage.window_of(now_s)
         if current - window > GIVE_UP_WINDOWS:
@@ -110,11 +110,26 @@
         configuration = components.state.configuration
         if configuration is None:
             return
+        if window > last + 1:
+            log.warning("usage windows not reported", first=last + 1, next=window)
         counts = components.usage.total(window, configuration.customers)
         record = {"window": window, "counts": counts}
         if await components.lease.note(USAGE_RECORD, record):
             await self.send(window, counts)
 
+    def first_unreported(self) -> int:
+        """Return the first window that no earlier holder can have reported.
+
+        A record of the last window that the store has lost is not known. To report that
+        window again, with other counts, is worse than to leave it out.
+        """
+        components = self.components
+        if not components.lease.has_lost_notes:
+            return 0
+        held_s = trio.current_time() - components.lease.acquired_s
+        acquired_s = components.clock.now() - held_s
+        return components.usage.window_of(acquired_s - MIN_SETTLE_S)
+
     def is_settled(self, window: int, now_s: float) -> bool:
         """Return whether a window may be reported.
 
--- a/src/rosemaryknot/standin/platform.py
+++ b/src/rosemaryknot/standin/platform.py
@@ -25,6 +25,7 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 RATE_WINDOW_S = 1.0
+ERA_HEADER = "Object-Era"
 OBJECT_PATH = "/objects/<kind>/<path:name>"
 
 STREAM: ContextVar[trio.abc.HalfCloseableStream] = ContextVar("stream")
@@ -97,6 +98,8 @@
         Objects.
     watches : Watches
         Open watches.
+    era : int
+        Rises with each restore; responses state it unless it is 0.
     calls : collections.Counter
         Calls received, by kind of call; a waiting watch counts once.
     """
@@ -109,6 +112,7 @@
         self.calls: Counter[str] = Counter()
         self.write_times_s: deque[float] = deque()
         self.nursery: trio.Nursery | None = None
+        self.era = 0
         self.app = self.make_app()
         PlatformControls(self)
 
@@ -146,6 +150,17 @@
         """Hold an earlier version of an object; see `ObjectKind.rollback`."""
         self.kinds[kind].rollback(name, version)
 
+    def restore(self, age_s: float) -> None:
+        """Return to the objects of some seconds ago and begin another era.
+
+        Open watches say nothing more.
+        """
+        copied_s = trio.current_time() - age_s
+        for kind in self.kinds.values():
+            kind.restore(copied_s)
+        self.watches.silence()
+        self.era += 1
+
     def silence_watches(self) -> None:
         """Let the open watches say nothing more, for good; new ones work."""
         self.watches.silence()
@@ -165,8 +180,15 @@
         add("/cloud/notices", "notices", self.follow_notices)
         add("/cloud/prices", "prices", self.list_prices)
         app.before_request(self.before)
+        app.after_request(self.state_era)
         return app
 
+    async def state_era(self, response: Response) -> Response:
+        """State the era in a response."""
+        if self.era:
+            response.headers[ERA_HEADER] = str(self.era)
+        return response
+
     async def before(self) -> Response | None:
         """Count the call and apply the faults that come before any effect."""
         if request.path.startswith("/test/"):
--- a/src/rosemaryknot/standin/platform_objects.py
+++ b/src/rosemaryknot/standin/platform_objects.py
@@ -34,6 +34,8 @@
         Number of changes ever logged.
     history : dict of str to deque of StoredObject
         Earlier contents of each object.
+    saved : list of tuple of (float, int, str, StoredObject or None)
+        Time, version, name and new content of each write, for a restore.
     changed : trio.lowlevel.ParkingLot
         Where watches wait.
     """
@@ -46,6 +48,7 @@
         self.history: dict[str, deque[StoredObject]] = defaultdict(
             lambda: deque(maxlen=HISTORY_LENGTH)
         )
+        self.saved: list[tuple[float, int, str, StoredObject | None]] = []
         self.changed = trio.lowlevel.ParkingLot()
 
     def read(self, name: str) -> StoredObject | Missing:
@@ -60,6 +63,7 @@
         self.version += 1
         stored = StoredObject(self.version, value)
         self.objects[name] = stored
+        self.saved.append((trio.current_time(), self.version, name, stored))
         self.history[name].append(stored)
         self.tell(ObjectChanged(name, self.version, value))
         return Written(self.version)
@@ -72,6 +76,7 @@
         self.version += 1
         del self.objects[name]
         del self.history[name]
+        self.saved.append((trio.current_time(), self.version, name, None))
         self.tell(ObjectChanged(name, self.version, None, deleted=True))
         return Written(self.version)
 
@@ -96,6 +101,18 @@
                 return
         raise KeyError(f"no version {version} of {name}")
 
+    def restore(self, copied_s: float) -> None:
+        """Return to the objects of a time; later versions are given out again."""
+        self.saved = [entry for entry in self.saved if entry[0] <= copied_s]
+        self.version = max((entry[1] for entry in self.saved), default=0)
+        self.objects = {}
+        for _, _, name, stored in self.saved:
+            if stored is None:
+                self.objects.pop(name, None)
+            else:
+                self.objects[name] = stored
+        self.log.clear()
+
     def tell(self, change: ObjectChanged) -> None:
         """Log a change and wake the watches."""
         self.log.append(change)
--- a/src/rosemaryknot/values/leases.py
+++ b/src/rosemaryknot/values/leases.py
@@ -3,7 +3,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-__all__ = ["LeaseRecord"]
+__all__ = ["MAX_FENCING", "LeaseRecord"]
 
 # Upper bound for a valid fencing token. A token that increases by one at each change of
 # holder never reaches it.
@@ -32,6 +32,10 @@
     notes : dict
         State that a holder of the duty passes to the next one, by name. A duty is a
         task that only the holder of a lease performs.
+    era : int
+        Era of the store in which the record was written; 0 if the store states none. A
+        record of an earlier era comes from the copy that the store was restored from:
+        later ones may have been lost.
     """
 
     holder: str
@@ -40,6 +44,7 @@
     duration_s: float
     leaving: tuple[str, ...] = field(default=())
     notes: dict[str, Any] = field(default_factory=dict)
+    era: int = 0
 
     def to_value(self) -> dict[str, Any]:
         """Return the JSON value."""
@@ -65,6 +70,7 @@
                 duration_s=float(value["duration_s"]),
                 leaving=tuple(str(name) for name in value["leaving"]),
                 notes=dict(value.get("notes") or {}),
+                era=value.get("era", 0),
             )
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
             return None
@@ -82,4 +88,6 @@
             and type(self.fencing) is int
             and 0 <= self.fencing <= MAX_FENCING
             and 0 < self.duration_s <= MAX_DURATION_S
+            and type(self.era) is int
+            and self.era >= 0
         )
--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -169,3 +169,44 @@
             await drill.run(lambda: fleet.restore_store(COPY_AGE_S, 0.0))
             assert drill.late == [] and drill.late_arrivals() == []
             assert drill.unused(["p8", "p9"]) == []
+
+
+class TestDuties:
+    """What holders of the lease noted in the store is lost with a restore."""
+
+    async def test_window_is_not_reported_again(self, autojump_clock):
+        """Guards against a window reported twice, as its record was lost."""
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            load = AvailabilityLoad(fleet)
+            await load.run(12.0, "/stock/x", per_s=10.0)
+            count = len(fleet.cloud.calls)
+            while len(fleet.cloud.calls) == count:
+                await trio.sleep(0.02)
+            call = fleet.cloud.calls[-1]
+            for node in fleet.nodes.values():
+                window_s = node.usage.window_s
+                node.usage.record("ada", (call.body["windowId"] + 0.5) * window_s)
+            await fleet.restore_store(0.5)
+            fleet.kill(call.holder.partition("/")[0])
+            await trio.sleep(30.0)
+            assert fleet.cloud.conflicting_windows == []
+            assert max(fleet.cloud.usage) > call.body["windowId"] + 2
+            numbers = [call.fencing for call in fleet.cloud.calls]
+            assert numbers == sorted(numbers)
+
+    async def test_holder_goes_on(self, autojump_clock):
+        """The holder repeats no window that it has reported in the lost time."""
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            load = AvailabilityLoad(fleet)
+            await load.run(12.0, "/stock/x", per_s=10.0)
+            count = len(fleet.cloud.calls)
+            while len(fleet.cloud.calls) == count:
+                await trio.sleep(0.02)
+            call = fleet.cloud.calls[-1]
+            for node in fleet.nodes.values():
+                window_s = node.usage.window_s
+                node.usage.record("ada", (call.body["windowId"] + 0.5) * window_s)
+            await fleet.restore_store(0.5)
+            await trio.sleep(20.0)
+            assert fleet.cloud.conflicting_windows == []
+            assert len({call.holder for call in fleet.cloud.calls}) == 1
