Store crash records again after a restore of the store

Whether a refused request is stored was a mark without an era: after a restore nobody wrote its record again, and the reader took the missing object for a release by an operator, so that a request under which servers had crashed ran again. A record that was cleared came back with the copy, and would be refused after a restart of all nodes.

The mark now belongs to an era. When that changes, the node that saw a crash writes its records again, and one of the readers does after a second; objects that the copy still has are found by the conflict. A record that is missing after a restore clears nothing, and a cleared one that came back is deleted. Nodes that take the list of servers from others learn the era with it.

--- a/src/rosemaryknot/process/crash_exchange.py
+++ b/src/rosemaryknot/process/crash_exchange.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
@@ -161,7 +161,17 @@
         cleared = list(self.cleared.items())[:MAX_NOTICE_RECORDS]
         for digest, _ in cleared:
             del self.cleared[digest]
-        return encode_notice(first, cleared, trio.current_time())
+        return self.notice_of(first, cleared)
+
+    def notice_of(
+        self,
+        records: Iterable[CrashRecord | SegmentRecord],
+        cleared: Iterable[tuple[bytes, set[str]]] = (),
+    ) -> CrashNotice:
+        """Return records and cleared crashes as a message."""
+        notice = encode_notice(records, cleared, trio.current_time())
+        notice.era = self.records.era
+        return notice
 
     async def run_repeats(self) -> None:
         """Repeat records to random gateways for a while after changes."""
@@ -198,7 +208,7 @@
             records += first[:MAX_NOTICE_RECORDS]
             cleared += newest_items(table.cleared, MAX_NOTICE_RECORDS)
         if records or cleared:
-            notice = encode_notice(records, cleared, trio.current_time())
+            notice = self.notice_of(records, cleared)
             notice.is_forwarded = True
             await self.peers.send(name, notice)
 
@@ -228,7 +238,7 @@
         records = [*requests.by_digest.values(), *segments.by_digest.values()]
         cleared = [*requests.cleared.items(), *segments.cleared.items()]
         if records or cleared:
-            await link.send(encode_notice(records, cleared, trio.current_time()))
+            await link.send(self.notice_of(records, cleared))
 
     async def share_completion(self, received: CrashRecord, link: MessageLink) -> None:
         """Tell the other gateways if a request has completed here before.
@@ -245,7 +255,7 @@
         if not self.broadcast.hubs.is_enabled:
             self.enqueue(record)
             return
-        notice = encode_notice([record], [], trio.current_time())
+        notice = self.notice_of([record])
         notice.is_forwarded = True
         await link.send(notice)
 
@@ -263,6 +273,10 @@
     if decoded is None:
         log.error("crash notice ignored: malformed")
         return None
+    if notice.era != records.era:
+        # The sender knows of another era of the store, perhaps of one that has ended.
+        for record in (*decoded.records, *decoded.segments):
+            record.is_stored = False
     for digest, servers in decoded.cleared:
         decoded.is_new |= records.table_of(digest).clear_servers(digest, servers)
     for segment in decoded.segments:
--- a/src/rosemaryknot/process/crash_records.py
+++ b/src/rosemaryknot/process/crash_records.py
@@ -86,6 +86,8 @@
         Whether the request has had its trial after it was refused.
     is_stored : bool
         Whether the platform's store has a record of it.
+    was_stored : bool
+        Whether it had one before it was restored from a copy.
     is_own : bool
         Whether this node saw one of the servers crash.
     """
@@ -96,12 +98,18 @@
     has_completed: bool = False
     is_tried: bool = False
     is_stored: bool = False
+    was_stored: bool = False
     is_own: bool = False
 
     def reset(self) -> None:
         """Forget what was decided on crashes that no longer count."""
         self.is_tried = self.is_stored = False
 
+    @property
+    def has_trial(self) -> bool:
+        """Whether the request has had its trial."""
+        return self.is_tried
+
     @property
     def limit(self) -> int:
         """Number of crashes from which on the request is refused."""
@@ -131,6 +139,8 @@
     ----------
     segments : SegmentRecords
         Crashes by segment of the prompts.
+    era : int
+        Era of the store to which it refers that a record is stored; 0 before any.
     completed : OrderedDict of bytes to None
         Digests of the requests that completed last at this node, the latest at the end.
     on_refused : callable
@@ -153,10 +163,23 @@
     def __init__(self) -> None:
         super().__init__()
         self.segments = SegmentRecords(self.signal_change)
+        self.era = 0
         self.completed: OrderedDict[bytes, None] = OrderedDict()
         self.on_refused: Callable[[CrashRecord], None] = lambda record: None
         self.changed = trio.Event()
 
+    def begin_era(self, era: int) -> bool:
+        """Begin an era of the store; return whether there was another one before.
+
+        A store that was restored from a copy may have lost all records.
+        """
+        before, self.era = self.era, era
+        if before in (0, era):
+            return False
+        self.forget_stored()
+        self.segments.forget_stored()
+        return True
+
     def signal_change(self) -> None:
         """Wake all that wait for a change."""
         self.changed.set()
--- a/src/rosemaryknot/process/crash_store.py
+++ b/src/rosemaryknot/process/crash_store.py
@@ -86,6 +86,8 @@
         Whether the records are read as soon as the store responds.
     last_read_s : float
         When the records were last read, in trio time.
+    has_new_era : bool
+        Whether the store was restored from a copy since the records were last read.
     on_segment_refused : callable
         Called when requests with a segment are refused from now on.
     """
@@ -115,6 +117,7 @@
         self.last_read_s = float("-inf")
         self.retry_delay_s = MIN_RETRY_S
         self.retry_s = float("-inf")
+        self.has_new_era = False
         self.on_segment_refused: Callable[[], None] = lambda: None
         records.on_refused = self.record_refused
         records.segments.on_refused = self.record_segment_refused
@@ -137,11 +140,25 @@
     def record_segment_released(self, record: SegmentRecord) -> None:
         """Delete the object of a segment that is not refused any more."""
         log_segment_released(record)
-        if record.is_stored:
-            record.is_stored = False
+        if record.is_stored or record.was_stored:
+            record.is_stored = record.was_stored = False
             self.obsolete.append(record.digest)
             self.has_work.set()
 
+    def record_era(self, era: int) -> None:
+        """Store all records again, as the store may have lost them in a restore.
+
+        Those whose objects it still has are found by the conflict of the write. The
+        node that saw a crash writes first; see `FALLBACK_DELAY_S`.
+        """
+        if not self.records.begin_era(era):
+            return
+        now_s = trio.current_time()
+        self.refused = dict.fromkeys(self.refused, now_s)
+        self.has_new_era = True
+        self.is_read_needed = self.is_read_needed or self.is_first_reader()
+        self.has_work.set()
+
     def is_reader(self) -> bool:
         """Return whether this node reads the store on behalf of others."""
         return self.name in self.watching()
@@ -191,11 +208,15 @@
 
     async def write(self, record: CrashRecord | SegmentRecord) -> None:
         """Write one record; it is written again later if the store fails."""
+        era = self.records.era
         outcome = await self.store.create(
             KIND, record.digest.hex(), record_to_value(record)
         )
         if isinstance(outcome, (Written, Conflict)):
-            record.is_stored = True
+            record.is_stored = era == self.records.era
+            if isinstance(outcome, Conflict) and record.was_stored and record.has_trial:
+                # The copy may hold the record as it was before its trial.
+                self.tried.append(record.digest)
             self.exchange.enqueue(record)
             log.info("stored a refused request", request_digest=record.digest.hex())
         else:
@@ -231,7 +252,7 @@
     def clear(self, digest: bytes, service: str) -> None:
         """Clear a request that a service has completed, and delete its object."""
         record = self.records.by_digest.get(digest)
-        is_stored = record is not None and record.is_stored
+        is_stored = record is not None and (record.is_stored or record.was_stored)
         if self.exchange.clear(digest, service) and is_stored:
             self.obsolete.append(digest)
             self.has_work.set()
@@ -241,7 +262,7 @@
         record = self.records.segments.by_digest.get(digest)
         if record is None:
             return
-        is_stored = record.is_stored
+        is_stored = record.is_stored or record.was_stored
         is_cleared = self.exchange.clear_servers(digest, servers)
         if is_cleared and not record.crashes and record.is_refused:
             record.is_stored = is_stored
@@ -257,11 +278,11 @@
             found = await self.store.read(KIND, digest.hex())
             if isinstance(found, StoredObject):
                 found = await self.store.delete(KIND, digest.hex(), found.version)
-            if isinstance(found, PlatformFailed):
+            if isinstance(found, (Conflict, PlatformFailed)):
                 log.warning(
                     "cleared request not deleted yet",
                     request_digest=digest.hex(),
-                    reason=found.reason,
+                    reason=getattr(found, "reason", "conflict"),
                 )
                 self.obsolete.append(digest)
 
@@ -310,8 +331,10 @@
             return
         self.last_read_s = now_s
         self.retry_delay_s = MIN_RETRY_S
+        still_stored = set(self.stored())
         for digest in stored:
-            if digest.hex() not in names:
+            # After a restore, a missing object was lost and not deleted.
+            if digest.hex() not in names and digest in still_stored:
                 self.exchange.clear(digest)
 
     async def read_records(self) -> set[str] | None:
@@ -327,4 +350,13 @@
             elif self.records.merge_any(record):
                 # The nodes that do not read the store learn of it from this one.
                 self.exchange.enqueue(self.records.get(record.digest))
+            elif self.has_new_era and self.is_cleared(record):
+                # Its object was deleted, but the copy has it.
+                self.obsolete.append(record.digest)
+        self.has_new_era = False
         return set(listed.objects)
+
+    def is_cleared(self, record: CrashRecord | SegmentRecord) -> bool:
+        """Return whether all crashes of a stored record no longer count."""
+        cleared = self.records.table_of(record.digest).cleared.get(record.digest, ())
+        return all(server in cleared for server in record.crashes)
--- a/src/rosemaryknot/process/crash_table.py
+++ b/src/rosemaryknot/process/crash_table.py
@@ -36,12 +36,15 @@
         Crashes by server.
     is_stored : bool
         Whether the platform's store has a record of it.
+    was_stored : bool
+        Whether it had one before it was restored from a copy.
     """
 
     digest: bytes
     customer: str
     crashes: dict
     is_stored: bool
+    was_stored: bool
 
     def reset(self) -> None:
         """Forget what was decided on crashes that no longer count."""
@@ -94,6 +97,12 @@
         if not self.counts[record.customer]:
             del self.counts[record.customer]
 
+    def forget_stored(self) -> None:
+        """Record that the store may have lost all records in a restore."""
+        for record in self.by_digest.values():
+            record.was_stored = record.was_stored or record.is_stored
+            record.is_stored = False
+
     def clear(self, digest: bytes, service: str | None = None) -> set[str]:
         """Drop the crashes of a record whose request has completed or was released.
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -206,6 +206,8 @@
             self.node.name,
             rng,
         )
+        adapter.store.eras.on_changed.append(self.crash_store.record_era)
+        self.watchers["servers"].on_era_adopted = self.crash_store.record_era
         self.crash_detector.on_crashed = self.crash_store.request_read
         self.create_limit_components(handlers)
         self.availability = AvailabilityExchange(
--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -74,6 +74,8 @@
         Whether requests with the segment are refused.
     is_stored : bool
         Whether the platform's store has a record of it.
+    was_stored : bool
+        Whether it had one before it was restored from a copy.
     is_own : bool
         Whether this node saw one of the servers crash.
     """
@@ -86,8 +88,14 @@
     tried_s: float = -math.inf
     is_refused: bool = False
     is_stored: bool = False
+    was_stored: bool = False
     is_own: bool = False
 
+    @property
+    def has_trial(self) -> bool:
+        """Whether the segment has had a trial."""
+        return self.trials > 0
+
     @property
     def unit(self) -> bytes:
         """Digest of the segment, the same for all customers."""
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -87,6 +87,9 @@
         were applied.
     on_listed : callable
         Called with the previous revision after a list from the store was applied.
+    on_era_adopted : callable
+        Called with the era of the store after a list of another node was applied that
+        belongs to another era.
     must_list : bool
         Whether the next step lists the objects.
     list_due_s : float
@@ -130,6 +133,7 @@
         self.should_watch: Callable[[], bool] = lambda: True
         self.on_applied: Callable[[int, Changes], None] = lambda before, changes: None
         self.on_listed: Callable[[int], None] = lambda before: None
+        self.on_era_adopted: Callable[[int], None] = lambda era: None
         self.must_list = False
         self.list_due_s = float("inf")
         self.is_expired = False
@@ -206,6 +210,7 @@
             self.list_due_s = float("inf")
             self.is_expired = False
             self.log_restored(before)
+            self.on_era_adopted(era_of(listed.version))
             self.scope.cancel()
 
     def has_call_since_before(self, moment_s: float) -> bool:
--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -3,8 +3,16 @@
 import pytest
 import trio
 from tests.gateway.availability_load import AvailabilityLoad
+from tests.gateway.test_crashing_requests import (
+    REFUSED,
+    crash_servers,
+    request_stream,
+    restart_nodes,
+)
 
+from rosemaryknot.process.crash_store import KIND, RELEASE_CHECK_INTERVAL_S
 from rosemaryknot.standin.users.system import (
+    MODEL,
     PLAIN,
     document,
     platform_system,
@@ -210,3 +218,41 @@
             await trio.sleep(20.0)
             assert fleet.cloud.conflicting_windows == []
             assert len({call.holder for call in fleet.cloud.calls}) == 1
+
+
+class TestCrashRecords:
+    """Requests that crash servers stay refused when their records are lost."""
+
+    async def test_record_is_stored_again(self, autojump_clock):
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_servers(fleet)
+            await trio.sleep(1.0)
+            await fleet.restore_store(5.0)
+            await trio.sleep(RELEASE_CHECK_INTERVAL_S + 2.0)
+            assert len(fleet.store.objects[KIND]) == 1
+            assert (await request_stream(fleet, "later", "n1")).status == REFUSED
+            await restart_nodes(fleet)
+            assert (await request_stream(fleet, "after", "n2")).status == REFUSED
+
+    async def test_writer_has_restarted(self, autojump_clock):
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_servers(fleet)
+            await trio.sleep(1.0)
+            fleet.kill("n0")
+            await fleet.restore_store(5.0, 1.0, "reset")
+            await trio.sleep(5.0)
+            assert len(fleet.store.objects[KIND]) == 1
+
+    async def test_record_of_a_cleared_request(self, autojump_clock):
+        """Guards against a cleared request that is refused after a restart."""
+        async with platform_system(nodes=3, models=6) as fleet:
+            await crash_servers(fleet)
+            await trio.sleep(3.0)
+            [name] = fleet.store.objects[KIND]
+            fleet.nodes["n0"].crash_store.clear(bytes.fromhex(name), MODEL)
+            await trio.sleep(1.0)
+            assert not fleet.store.objects[KIND]
+            await fleet.restore_store(2.0)
+            assert fleet.store.objects[KIND]
+            await trio.sleep(5.0)
+            assert not fleet.store.objects[KIND]
