Grant no claim again that a restored store may have lost

Claims stored one object an id were granted a second time if the store had lost the first grant: a booking with a repeated attempt could run twice.

An agent that sees the era of the store rise answers claims and closings of ids without a record with 'unknown' for their horizon, except for first attempts, which nobody has sent before. Results of lost grants are stored again. An agent that starts after the restore does not know of it: open.

--- a/src/rosemaryknot/process/claims/objects.py
+++ b/src/rosemaryknot/process/claims/objects.py
@@ -49,6 +49,7 @@
     StoredObject,
     Written,
 )
+from rosemaryknot.values.store_revisions import era_of
 
 __all__ = ["ObjectClaims"]
 
@@ -161,6 +162,11 @@
     ----------
     store_calls : int
         Number of calls made to the store.
+    era : int or None
+        Era of the store in its last response; None before any.
+    restored_s : float
+        When this agent found that the store had been restored from a copy, in Unix
+        time; minus infinity before. Grants of the time that the copy lacks are lost.
     """
 
     def __init__(
@@ -171,6 +177,8 @@
         self.store_calls = 0
         self.cache: OrderedDict[ClaimId, VersionedRecord] = OrderedDict()
         self.deletions = DeletionSchedule()
+        self.era: int | None = None
+        self.restored_s = float("-inf")
 
     def status(self) -> dict[str, Any]:
         """Return the state of this form at this node for the status API.
@@ -200,14 +208,35 @@
                     record, request.attempt, request.horizon_s, now_s
                 )
                 return refuse_closed(record), changed
+            if self.may_have_lost_grant(request):
+                return refuse_unconfirmed(request, Reason.NOT_PROVEN, False), False
             grant(record, request, now_s)
             return ClaimGranted(request.claim), True
 
         reply = await self.change(request.id, decide)
         if reply is None:
             return refuse_unconfirmed(request, Reason.STORE_UNAVAILABLE, True)
+        if isinstance(reply, ClaimGranted) and self.may_have_lost_grant(request):
+            # The response to this very write was the first one after a restore.
+            return refuse_unconfirmed(request, Reason.NOT_PROVEN, True)
         return reply
 
+    def record_version(self, version: int) -> None:
+        """Record the era of a version that the store has returned."""
+        era = era_of(version)
+        if self.era is not None and era > self.era:
+            self.restored_s = self.unix_time()
+            log.warning("store was restored from a copy", era=era, before=self.era)
+        self.era = era if self.era is None else max(self.era, era)
+
+    def may_have_lost_grant(self, request: ClaimRequest | CloseRequest) -> bool:
+        """Return whether the store may have lost an earlier grant of a request.
+
+        A caller that declares the first attempt has not sent the request before.
+        """
+        since_s = self.unix_time() - self.restored_s
+        return request.attempt != 1 and since_s < request.horizon_s
+
     async def close(self, request: CloseRequest) -> CloseReply:
         """Close all attempts up to a number; see `ClaimForm.close`."""
 
@@ -220,6 +249,8 @@
         reply = await self.change(request.id, decide)
         if reply is None:
             return CloseReply(False, RefusedKind.UNKNOWN, Reason.STORE_UNAVAILABLE)
+        if reply.closed and self.may_have_lost_grant(request):
+            return CloseReply(False, RefusedKind.UNKNOWN, Reason.NOT_PROVEN)
         return reply
 
     async def record(self, result: ResultRecord) -> ResultStored:
@@ -266,6 +297,8 @@
         """Read an id's record; return None if the store does not respond."""
         self.store_calls += 1
         found = await self.store.read(KIND, object_name(claim_id))
+        if isinstance(found, (StoredObject, Missing)):
+            self.record_version(found.version)
         if isinstance(found, StoredObject):
             return VersionedRecord(found.version, from_object_value(found.value))
         if isinstance(found, Missing):
@@ -290,6 +323,7 @@
             log.warning("store did not confirm a claim write", reason=written.reason)
         if not isinstance(written, Written):
             return False
+        self.record_version(written.version)
         current.version = written.version
         self.track_written(claim_id, current)
         return True
--- a/tests/process/test_claims_objects.py
+++ b/tests/process/test_claims_objects.py
@@ -7,6 +7,8 @@
 from rosemaryknot.process.claims.objects import ObjectClaims
 from rosemaryknot.values.claims import ClaimAnswered, ClaimGranted, ClaimRefused
 from rosemaryknot.values.outcomes import Reason
+from rosemaryknot.values.platform import Conflict, Missing, StoredObject
+from rosemaryknot.values.store_revisions import era_of, qualified, revision_of
 
 
 @pytest.fixture
@@ -154,3 +156,66 @@
         await trio.sleep(3600)
         assert len(store.kinds["claims"].objects) == 1
         assert (await claims.claim(claim_of("paused", "c3"))).outcome == "unknown"
+
+
+class RestorableStore(FakeStore):
+    """A store that can go back to a copy and states its era."""
+
+    era = 1
+
+    def restore(self, age_s):
+        for kind in self.kinds.values():
+            kind.restore(trio.current_time() - age_s)
+        self.era += 1
+
+    async def read(self, kind, name):
+        found = await super().read(kind, name)
+        if isinstance(found, StoredObject):
+            return StoredObject(qualified(self.era, found.version), found.value)
+        return Missing(qualified(self.era, 0))
+
+    async def put(self, kind, name, value, version):
+        if version and era_of(version) != self.era:
+            return Conflict(0)
+        outcome = await super().put(kind, name, value, revision_of(version))
+        return type(outcome)(qualified(self.era, outcome.version))
+
+
+class TestRestores:
+    """A grant that a restored store has lost is not given a second time."""
+
+    @pytest.mark.parametrize("has_read_since", [True, False])
+    async def test_lost_grant(self, autojump_clock, has_read_since):
+        store = RestorableStore()
+        one, two = claims_of(store), claims_of(store)
+        await two.claim(claim_of("before", "c0"))
+        await trio.sleep(5.0)
+        assert await one.claim(claim_of("k", "c1")) == ClaimGranted("c1")
+        store.restore(2.0)
+        if has_read_since:
+            await two.claim(claim_of("before", "c0"))
+        reply = await two.claim(claim_of("k", "c2", attempt=2))
+        assert (reply.outcome, reply.reason) == ("unknown", Reason.NOT_PROVEN)
+        assert not (await two.close(close_of("k", 3))).closed
+
+    async def test_first_attempts_are_granted(self, autojump_clock):
+        """A request that was not sent before runs at once after a restore."""
+        store = RestorableStore()
+        claims = claims_of(store)
+        await claims.claim(claim_of("before", "c0"))
+        store.restore(2.0)
+        await claims.claim(claim_of("before", "c0"))
+        reply = await claims.claim(claim_of("k", "c1", attempt=1))
+        assert reply == ClaimGranted("c1")
+
+    async def test_result_of_a_lost_grant(self, autojump_clock):
+        """The result is stored again, so that a repeat gets the response."""
+        store = RestorableStore()
+        claims = claims_of(store)
+        request = claim_of("k", "c1")
+        await claims.claim(request)
+        await trio.sleep(1.0)
+        store.restore(2.0)
+        await claims.record(result_of(request, "answered", status=200, body=b"x"))
+        reply = await claims_of(store).claim(claim_of("k", "c2", attempt=2))
+        assert reply == ClaimAnswered(200, [], b"x")
