--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -37,6 +37,7 @@
     record_observations,
 )
 from rosemaryknot.standin.users.response_ends import detectable_ends
+from rosemaryknot.standin.users.restores import apply_restore, draw_restores
 from rosemaryknot.standin.users.servers import (
     DEFAULT_VERSION,
     Ledger,
@@ -676,6 +677,15 @@
         await trio.sleep(rng.uniform(0.2, 1.5))
 
 
+async def restore(system: SoakSystem, seed: int) -> None:
+    """Restore the store from older copies in half of the seeds, up to twice."""
+    rng = random.Random(f"restores {seed}")
+    started_s = trio.current_time()
+    for fault in draw_restores(rng) if rng.random() < 0.5 else ():
+        await trio.sleep_until(started_s + fault["at"])
+        await apply_restore(system.store, system.servers, system.disturbances, fault)
+
+
 async def change_versions(system: SoakSystem, seed: int) -> None:
     """Start model servers of other software versions, beside others or in place."""
     rng = random.Random(f"versions {seed}")
@@ -731,6 +741,7 @@
             load_nursery.start_soon(change_versions, system, seed)
             load_nursery.start_soon(state_drains, system, seed)
             load_nursery.start_soon(turn_away, system, seed)
+            load_nursery.start_soon(restore, system, seed)
             load_nursery.start_soon(send_endlessly, system, seed)
             play = Play(
                 length_s=LOAD_DURATION_S,
--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -6,7 +6,7 @@
 
 import math
 import re
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -47,6 +47,8 @@
 # active, and until a draining server receives no more requests.
 APPLY_S = 3.0
 DRAIN_S = Bounds().drain_ms / 1000
+# Calls of a node to the store in a second; all nodes together may make 2,000 reads.
+MAX_STORE_CALLS_PER_S = 100
 # A request that has crashed this many servers may reach servers only a few times more
 # once all undisturbed nodes have had time to learn of it.
 MAX_CRASHES = 3
@@ -186,6 +188,9 @@
         Responses that asked for a pause, in order.
     disturbances : Disturbances
         Subjects and periods for which invariants with a time limit do not hold.
+    store_calls : list of tuple of (float, str)
+        Times and hosts of all calls to the store, in order; empty if nodes share a
+        host.
     """
 
     caller_requests: list[CallerRequest] = field(default_factory=list)
@@ -202,6 +207,7 @@
     drains: list[DrainStatement] = field(default_factory=list)
     pauses: list[PauseRequest] = field(default_factory=list)
     disturbances: Disturbances = field(default_factory=Disturbances)
+    store_calls: list[tuple[float, str]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -470,6 +476,17 @@
             )
 
 
+@invariant("store_is_not_flooded")
+def store_is_not_flooded(observations: Observations) -> Iterable[str]:
+    """Find nodes that call the store in a tight loop."""
+    counts: Counter[tuple[str, int]] = Counter()
+    for timestamp_s, caller in observations.store_calls:
+        counts[caller, int(timestamp_s)] += 1
+    for (caller, second), count in counts.items():
+        if count > MAX_STORE_CALLS_PER_S:
+            yield f"{caller} made {count} calls to the store in second {second}"
+
+
 @invariant("others_are_served")
 def others_are_served(observations: Observations) -> Iterable[str]:
     """Find requests refused for crashes although the same request had completed."""
--- a/src/rosemaryknot/standin/users/configuration_changes.py
+++ b/src/rosemaryknot/standin/users/configuration_changes.py
@@ -24,6 +24,8 @@
 def changed_document(store: StoreStandIn, filler: int = 0) -> dict:
     """Return the next version, with one more route and only the newest added routes.
 
+    The operator knows also the versions that a restored store has lost.
+
     Parameters
     ----------
     store : StoreStandIn
@@ -32,7 +34,8 @@
         Minimum number of routes besides the added ones; if there are fewer, so many
         routes that are never requested are appended to the standard ones.
     """
-    known = store.objects["config"]["main"]["spec"]
+    versions = [w.spec for w in store.object_changes if w.kind == "config" and w.spec]
+    known = max(versions, key=lambda spec: spec["version"])
     version = known["version"] + VERSION_STEP
     added = [r for r in known["routes"] if r["name"].startswith(ADDED_PREFIX)]
     added.append(
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -31,6 +31,7 @@
     draw_statements,
     draw_versions,
 )
+from rosemaryknot.standin.users.restores import draw_restores
 from rosemaryknot.standin.users.resuming_callers import ResumingCaller
 from rosemaryknot.standin.users.servers import (
     CRASHING_BODY,
@@ -360,6 +361,8 @@
         await play_load(system, play, rng, observations)
         await trio.sleep(SETTLE_S)
         record_observations(system, observations)
+        calls = system.store.calls
+        observations.store_calls = [(call.timestamp_s, call.caller) for call in calls]
     outcomes = Counter(
         (a.id.partition("-")[0], a.status) for a in observations.caller_requests
     )
@@ -406,6 +409,7 @@
     has_versions: bool = False,
     crashing_segments_per_s: float = 0.0,
     has_statements: bool = False,
+    has_restores: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -431,6 +435,9 @@
         play.resuming_per_s = RESUMING_PER_S
     if has_statements:
         play.faults += draw_statements(random.Random(f"statements {seed}"))
+    if has_restores:
+        play.faults += draw_restores(random.Random(f"restores {seed}"))
+        play.faults += draw_statements(random.Random(f"statements {seed}"))
     return play
 
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -16,6 +16,7 @@
 from rosemaryknot.standin.users.endless_responses import ENDLESS_NAMES
 from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
 from rosemaryknot.standin.users.response_ends import detectable_ends
+from rosemaryknot.standin.users.restores import apply_restore
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
 from rosemaryknot.standin.users.system import CUTS, STORE, PlatformSystem
 
@@ -75,6 +76,12 @@
     system.store.forget_history()
 
 
+@play_fault("restore")
+async def restore(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Restore the store from a copy that is ``age_s`` old, after ``away_s``."""
+    await apply_restore(system.store, system.servers, system.disturbances, fault)
+
+
 @play_fault("lapse")
 async def lapse(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Remove all servers' entries and write them again after ``for_s``."""
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -24,6 +24,7 @@
 from rosemaryknot.process.synchronized_clock import SynchronizedClock
 from rosemaryknot.standin.users.cloud import CloudStandIn
 from rosemaryknot.standin.users.disturbances import Disturbances
+from rosemaryknot.standin.users.restores import restore_store
 from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.values.nodes import Address
@@ -60,8 +61,6 @@
 SERVERS_NETWORK = "10.1.0."
 MAX_SERVERS = 100
 LOST_SHARE = 0.3
-# When operator and servers write again what a restored store has lost.
-REWRITE_DELAY_S = 0.2
 
 Cut = Callable[[MemoryNetwork, str, str], None]
 # Ways in which a node and a server may be cut off from each other.
@@ -483,49 +482,10 @@
         return [Address.from_text(address).host for address in found]
 
     async def restore_store(
-        self,
-        age_s: float,
-        away_s: float = 0.0,
-        mode: str = "busy",
-        rewrite_delay_s: float = REWRITE_DELAY_S,
+        self, age_s: float, away_s: float = 0.0, mode: str = "busy"
     ) -> None:
-        """Restore the store from a copy; operator and servers write again what it lost.
-
-        Parameters
-        ----------
-        age_s : float
-            Age of the copy when the store fails, in seconds.
-        away_s : float
-            How long the store does not serve calls before, in seconds.
-        mode : str
-            How it does not serve them; see `StoreFaults`.
-        rewrite_delay_s : float
-            When operator and servers write again after its return, in seconds.
-        """
-        if away_s:
-            self.store.faults.begin(mode)
-            await trio.sleep(away_s)
-        lost = {
-            kind: {
-                name: item["spec"] for name, item in self.store.objects[kind].items()
-            }
-            for kind in ("config", "servers")
-        }
-        self.store.restore(age_s + away_s)
-        if away_s:
-            self.store.faults.end()
-        await trio.sleep(rewrite_delay_s)
-        for name, spec in lost["config"].items():
-            self.write_again(name, spec)
-        for name, spec in lost["servers"].items():
-            if name in self.servers:
-                self.store.put("servers", name, spec)
-
-    def write_again(self, name: str, configuration: dict) -> None:
-        """Write a configuration unless the operator has written a later one."""
-        known = self.store.objects["config"].get(name)
-        if known is None or known["spec"]["version"] < configuration["version"]:
-            self.store.put("config", name, configuration)
+        """Restore the store from a copy; see `restores.restore_store`."""
+        await restore_store(self.store, self.servers, age_s, away_s, mode)
 
     def kill(self, name: str) -> None:
         """Stop a node immediately, as SIGKILL does."""
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -39,6 +39,7 @@
 SEEDS_WITH_ENDS = (5000, 5001, 5002, 5003)
 # 7019 began streams at a server that had restarted, known too late.
 SEEDS_WITH_STATEMENTS = range(13000, 13008)
+SEEDS_WITH_RESTORES = range(14000, 14006)
 SEEDS_WITH_VERSIONS = [7000, 7001, 7002, 7003, 7019, 7030]
 
 
@@ -206,6 +207,13 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_RESTORES)
+    def test_random_faults_and_restored_stores(self, seed):
+        play = random_play(seed, seed % 2, has_cuts=seed % 3 == 0, has_restores=True)
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     @pytest.mark.parametrize("seed", SEEDS_WITH_STATEMENTS)
     def test_random_faults_and_stated_availability(self, seed):
         play = random_play(
@@ -294,6 +302,7 @@
             ("configuration_in_force", seen_at(401, "/new/x")),
             ("configuration_in_force", seen_at(200, "/old/x")),
             ("leaving_get_nothing", seen_at(200, "/new/x", "p0")),
+            ("store_is_not_flooded", Observations(store_calls=[(1.5, "n0")] * 101)),
             ("crashing_requests_are_refused", crashes(9)),
             ("crashing_segments_are_refused", segment_crashes(11)),
             ("others_are_served", refused_after_completion()),
--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -102,14 +102,14 @@
             if server not in node.state.servers.by_id
         ]
 
-    async def run(self, restore, interval_s=0.25):
-        """Run the drill; see the class."""
+    async def run(self, restore, interval_s=0.25, after_s=2.2):
+        """Run the drill; servers come and drain some seconds after it begins."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.load.run, 16.0, "/stock/x")
             nursery.start_soon(self.check_versions)
             await self.configure_each(interval_s, round(6.0 / interval_s))
-            await restore()
-            await trio.sleep(1.0)
+            nursery.start_soon(restore)
+            await trio.sleep(after_s)
             await self.fleet.add_server("p8", PLAIN)
             await self.fleet.add_server("p9", PLAIN)
             self.drain("p0")
@@ -161,13 +161,13 @@
 
     async def test_two_restores(self, autojump_clock):
         async def restore_twice():
-            await fleet.restore_store(COPY_AGE_S, 1.0)
-            await trio.sleep(2.0)
-            await fleet.restore_store(COPY_AGE_S, 1.0)
+            fleet.nursery.start_soon(fleet.restore_store, COPY_AGE_S, 1.0)
+            await trio.sleep(3.2)
+            fleet.nursery.start_soon(fleet.restore_store, COPY_AGE_S, 1.0)
 
         async with platform_system(nodes=NODES, plain=3, models=5) as fleet:
             drill = Drill(fleet)
-            await drill.run(restore_twice)
+            await drill.run(restore_twice, after_s=5.4)
             assert drill.late == [] and drill.late_arrivals() == []
             assert drill.unused(["p8", "p9"]) == []
 
@@ -194,7 +194,8 @@
             for node in fleet.nodes.values():
                 window_s = node.usage.window_s
                 node.usage.record("ada", (call.body["windowId"] + 0.5) * window_s)
-            await fleet.restore_store(0.5)
+            fleet.nursery.start_soon(fleet.restore_store, 0.5)
+            await trio.sleep(0.3)
             fleet.kill(call.holder.partition("/")[0])
             await trio.sleep(30.0)
             assert fleet.cloud.conflicting_windows == []
@@ -252,7 +253,8 @@
             fleet.nodes["n0"].crash_store.clear(bytes.fromhex(name), MODEL)
             await trio.sleep(1.0)
             assert not fleet.store.objects[KIND]
-            await fleet.restore_store(2.0)
+            fleet.nursery.start_soon(fleet.restore_store, 2.0)
+            await trio.sleep(0.1)
             assert fleet.store.objects[KIND]
             await trio.sleep(5.0)
             assert not fleet.store.objects[KIND]
