Import no module of connections into the check of the store's era

tests/test_layout.py failed: a module of process may import only from folders that outlive it. The tracker is passed in, so that its type need not be imported.

--- a/src/rosemaryknot/process/era_check.py
+++ b/src/rosemaryknot/process/era_check.py
@@ -10,8 +10,6 @@
 
 import trio
 
-from rosemaryknot.connection.store_era import EraTracker
-
 __all__ = ["EraCheck"]
 
 # Changes have two seconds to take effect, of which reports between nodes and a list
@@ -29,8 +27,9 @@
     ----------
     store : object
         The store; see `rosemaryknot.values.platform.ObjectStore`.
-    eras : EraTracker
-        Era of the store, from the responses to all calls.
+    eras : object
+        Era of the store, from the responses to all calls; see
+        `rosemaryknot.connection.store_era.EraTracker`.
     is_checker : callable
         Returns whether this node checks on behalf of the others.
     rng : random.Random
@@ -40,7 +39,7 @@
     def __init__(
         self,
         store: Any,
-        eras: EraTracker,
+        eras: Any,
         is_checker: Callable[[], bool],
         rng: random.Random,
     ) -> None:
