--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -14,6 +14,7 @@
 from rosemaryknot.standin.users.system import (
     MODEL,
     PLAIN,
+    STORE,
     document,
     platform_system,
 )
@@ -171,6 +172,65 @@
             assert drill.late == [] and drill.late_arrivals() == []
             assert drill.unused(["p8", "p9"]) == []
 
+    @pytest.mark.parametrize("away_s", [0.0, 1.0])
+    async def test_store_that_states_no_era(self, autojump_clock, away_s):
+        """A list below the known revision is taken once the history has expired."""
+        async with platform_system(nodes=NODES, plain=3, models=5) as fleet:
+            fleet.store.era = None
+            drill = Drill(fleet)
+            await drill.run(
+                lambda: fleet.restore_store(COPY_AGE_S, away_s, "reset"), after_s=9.0
+            )
+            assert drill.unused(["p8", "p9"]) == []
+            assert calls_per_s(fleet) <= NODES * MAX_CALLS_PER_S
+
+    async def test_node_is_cut_off_from_the_store(self, autojump_clock):
+        """Its state comes from the others, and it follows the store when it is back."""
+
+        async def restore():
+            host = fleet.nodes["n2"].settings.listen.callers.host
+            fleet.network.cut(host, STORE.host)
+            await trio.sleep(1.0)
+            fleet.nursery.start_soon(fleet.restore_store, COPY_AGE_S, 1.0)
+            await trio.sleep(6.0)
+            fleet.network.heal(host, STORE.host)
+
+        async with platform_system(nodes=NODES, plain=3, models=5) as fleet:
+            drill = Drill(fleet)
+            await drill.run(restore, after_s=4.2)
+            assert drill.late == [] and drill.late_arrivals() == []
+            assert drill.unused(["p8", "p9"]) == []
+
+    async def test_nodes_restart_in_series(self, autojump_clock):
+        """A node that starts before the operator has written again asks the others."""
+
+        async def restore():
+            fleet.nursery.start_soon(fleet.restore_store, COPY_AGE_S, 1.0)
+            await trio.sleep(1.0)
+            for number in range(3):
+                fleet.kill(f"n{number}")
+                await fleet.add_node(number, is_first_start=False)
+                await trio.sleep(0.5)
+
+        async with platform_system(nodes=NODES, plain=3, models=5) as fleet:
+            drill = Drill(fleet)
+            await drill.run(restore, after_s=4.0)
+            assert drill.fallen == [] and drill.late_arrivals() == []
+            assert drill.unused(["p8", "p9"]) == []
+
+    async def test_server_that_had_left(self, autojump_clock):
+        """Guards against requests to a server whose removal the store has lost."""
+        async with platform_system(nodes=3, plain=3, models=2) as fleet:
+            load = AvailabilityLoad(fleet)
+            await load.run(2.0, "/stock/x")
+            fleet.store.remove("servers", "p0")
+            del fleet.servers["p0"]
+            removed_s = trio.current_time()
+            await trio.sleep(2.1)
+            fleet.nursery.start_soon(fleet.restore_store, 2.5)
+            await load.run(6.0, "/stock/x")
+            assert load.reached("p0", removed_s + BOUND_S) == []
+
     async def test_large_deployment(self, autojump_clock):
         async with platform_system(nodes=24, plain=3, models=5) as fleet:
             drill = Drill(fleet)
