Use servers that had left if all others of their service drain

After a restore a server whose removal was lost is held back, unless its service has no other. A server that drains counted as another one, so that all requests of the service were refused for six seconds although one might have served them. The new test failed before.

--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -385,12 +385,16 @@
         A server that lives writes its entry again, and else one whose entry outlasts
         the heartbeats that it would miss. A service without any other server uses them.
         """
-        until_s = trio.current_time() + RESTORED_LAPSE_TIMEOUT_S
+        now_s = trio.current_time()
         held = [self.by_id[name] for name in names if name in self.by_id]
-        services = {state.service for state in self.by_id.values() if state not in held}
+        services = {
+            state.service
+            for state in self.by_id.values()
+            if state not in held and state.accepts_requests(now_s)
+        }
         for state in held:
             if state.service in services:
-                state.unproven_until_s = until_s
+                state.unproven_until_s = now_s + RESTORED_LAPSE_TIMEOUT_S
                 log.info(f"server {state.entry.id} held back", reason="had left before")
 
     def drop(self, state: ServerState) -> None:
--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -23,6 +23,7 @@
 BOUND_S = 2.0
 COPY_AGE_S = 3.0
 NODES = 6
+DRAINING = {"state": "draining"}
 # Calls of one node to the store in a second; a list of each kind, and some watches.
 MAX_CALLS_PER_S = 20
 
@@ -81,7 +82,7 @@
     def drain(self, name):
         """Let a server write that it drains."""
         server = self.fleet.servers[name]
-        server.entry = server.entry | {"state": "draining"}
+        server.entry = server.entry | DRAINING
         self.fleet.store.put("servers", name, server.entry)
         self.drained_s[name] = trio.current_time()
 
@@ -231,6 +232,19 @@
             await load.run(6.0, "/stock/x")
             assert load.reached("p0", removed_s + BOUND_S) == []
 
+    async def test_no_other_server_is_left(self, autojump_clock):
+        """A server that had left is used if all others of its service drain."""
+        async with platform_system(nodes=1, plain=2, models=1) as fleet:
+            server = fleet.servers.pop("p0")
+            fleet.store.remove("servers", "p0")
+            await trio.sleep(2.1)
+            fleet.store.put("servers", "p1", fleet.servers["p1"].entry | DRAINING)
+            await trio.sleep(0.2)
+            fleet.nursery.start_soon(fleet.restore_store, 2.4)
+            await trio.sleep(1.5)
+            assert server.id in fleet.nodes["n0"].state.servers.by_id
+            assert (await fleet.ask("/stock/x", "n0")).status == 200
+
     async def test_large_deployment(self, autojump_clock):
         async with platform_system(nodes=24, plain=3, models=5) as fleet:
             drill = Drill(fleet)
