--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -248,6 +248,7 @@
                 has_ends=True,
                 has_versions=True,
                 has_statements=True,
+                has_restores=True,
             )
             for seed in range(200)
         ]
