--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -371,12 +371,13 @@
         return {server_id: reason for server_id, reason in reasons.items() if reason}
 
     def left_servers(self, entries: Iterable[RoutedServer]) -> list[str]:
-        """Return the ids of entries whose servers had been dropped before."""
+        """Return the ids of entries that had been removed, here and in the store."""
         return [
             entry.id
             for entry in entries
-            if (known := self.removed_states.get(entry.id)) is not None
+            if (known := self.by_id.get(entry.id) or self.removed_states.get(entry.id))
             and known.incarnation == entry.incarnation
+            and (known.is_removed or known.is_missing)
         ]
 
     def hold_back(self, names: Iterable[str]) -> None:
