--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -257,7 +257,7 @@
         """Create the components that keep streams at the version that began them."""
         versions = self.state.servers.versions
         watcher = self.watchers["servers"]
-        versions.entries_current_since_s = lambda: watcher.reached_since_s
+        versions.entries_current_since_s = watcher.current_since_s
         versions.entries_known_at_s = lambda: watcher.known_at_s
         versions.unix_time = self.clock.now
         self.origin_exchange = OriginExchange(
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -41,6 +41,8 @@
 # hundreds of lists at once exceed the rate of the store.
 RESTORE_SPREAD_S = 0.2
 FORWARDED_LIST_TIMEOUT_S = 0.8
+# Within this time after a restore, live servers have written again what was lost.
+REWRITE_TIMEOUT_S = 2.0
 # How often a node that others forward changes to checks whether it must watch itself.
 WATCH_CHECK_INTERVAL_S = 0.25
 
@@ -103,6 +105,8 @@
     reached_since_s : float
         Since when the store has been reached without a failure, in trio time; infinite
         while it is not.
+    restored_s : float
+        When this node began to follow the history of a restored store, in trio time.
     known_at_s : float
         Latest time up to which all changes are certainly known, in trio time: that of
         the last response, or of the last changes that another node forwarded.
@@ -140,6 +144,7 @@
         self.fruitless = 0
         self.reached_since_s = float("inf")
         self.known_at_s = float("-inf")
+        self.restored_s = float("-inf")
         self.scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -348,6 +353,7 @@
 
     def log_restored(self, before: int) -> None:
         """Log that this node follows another history of the store from now on."""
+        self.restored_s = trio.current_time()
         log.warning(
             "following the history of a restored store",
             kind=self.kind,
@@ -370,6 +376,16 @@
         """Return whether the store is currently unreachable."""
         return self.failures > 0 or self.revision < 0
 
+    def current_since_s(self) -> float:
+        """Return since when all objects are known, in trio time; infinite if not.
+
+        Entries of a copy may be older than what their servers wrote.
+        """
+        rewritten_s = self.restored_s + REWRITE_TIMEOUT_S
+        if trio.current_time() < rewritten_s:
+            return float("inf")
+        return max(self.reached_since_s, rewritten_s)
+
     def record_success(self) -> None:
         """Count a successful call."""
         CALLS.add(kind=self.kind, outcome="ok")
--- a/tests/process/test_store_watcher.py
+++ b/tests/process/test_store_watcher.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from rosemaryknot.process.store_watcher import StoreWatcher
+from rosemaryknot.process.store_watcher import REWRITE_TIMEOUT_S, StoreWatcher
 from rosemaryknot.values.platform import TIMEOUT, Listed, PlatformFailed
 from rosemaryknot.values.store_changes import Changes
 
@@ -68,3 +68,18 @@
         assert not watcher.has_call_since_before(trio.current_time() - 1.5)
         await trio.sleep(9.0)
         assert not watcher.has_call_since_before(trio.current_time())
+
+
+class TestRestoredStore:
+    async def test_entries_are_not_certain_at_once(self, autojump_clock):
+        """Guards against a stream taken up at a server known from an older copy."""
+        rng = random.Random(1)
+        watcher = StoreWatcher(SlowStore(), "servers", lambda listed: None, print, rng)
+        watcher.revision = 20
+        watcher.is_expired = True
+        watcher.record_success()
+        await watcher.list_all()
+        assert watcher.revision == 9
+        assert watcher.current_since_s() == float("inf")
+        await trio.sleep(REWRITE_TIMEOUT_S)
+        assert watcher.current_since_s() == trio.current_time()
