--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -253,21 +253,26 @@
             assert drill.unused(["p8", "p9"]) == []
 
 
+async def report_window(fleet):
+    """Wait for the report of a window, count more of it, and return the call."""
+    await AvailabilityLoad(fleet).run(12.0, "/stock/x", per_s=10.0)
+    count = len(fleet.cloud.calls)
+    while len(fleet.cloud.calls) == count:
+        await trio.sleep(0.02)
+    call = fleet.cloud.calls[-1]
+    for node in fleet.nodes.values():
+        middle_s = (call.body["windowId"] + 0.5) * node.usage.window_s
+        node.usage.record("ada", middle_s)
+    return call
+
+
 class TestDuties:
     """What holders of the lease noted in the store is lost with a restore."""
 
     async def test_window_is_not_reported_again(self, autojump_clock):
         """Guards against a window reported twice, as its record was lost."""
         async with platform_system(nodes=3, duties=["usage"]) as fleet:
-            load = AvailabilityLoad(fleet)
-            await load.run(12.0, "/stock/x", per_s=10.0)
-            count = len(fleet.cloud.calls)
-            while len(fleet.cloud.calls) == count:
-                await trio.sleep(0.02)
-            call = fleet.cloud.calls[-1]
-            for node in fleet.nodes.values():
-                window_s = node.usage.window_s
-                node.usage.record("ada", (call.body["windowId"] + 0.5) * window_s)
+            call = await report_window(fleet)
             fleet.nursery.start_soon(fleet.restore_store, 0.5)
             await trio.sleep(0.3)
             fleet.kill(call.holder.partition("/")[0])
@@ -280,15 +285,7 @@
     async def test_holder_goes_on(self, autojump_clock):
         """The holder repeats no window that it has reported in the lost time."""
         async with platform_system(nodes=3, duties=["usage"]) as fleet:
-            load = AvailabilityLoad(fleet)
-            await load.run(12.0, "/stock/x", per_s=10.0)
-            count = len(fleet.cloud.calls)
-            while len(fleet.cloud.calls) == count:
-                await trio.sleep(0.02)
-            call = fleet.cloud.calls[-1]
-            for node in fleet.nodes.values():
-                window_s = node.usage.window_s
-                node.usage.record("ada", (call.body["windowId"] + 0.5) * window_s)
+            call = await report_window(fleet)
             await fleet.restore_store(0.5)
             await trio.sleep(20.0)
             assert fleet.cloud.conflicting_windows == []
