--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -285,7 +285,7 @@
     async def test_holder_goes_on(self, autojump_clock):
         """The holder repeats no window that it has reported in the lost time."""
         async with platform_system(nodes=3, duties=["usage"]) as fleet:
-            call = await report_window(fleet)
+            await report_window(fleet)
             await fleet.restore_store(0.5)
             await trio.sleep(20.0)
             assert fleet.cloud.conflicting_windows == []
