Send notices along a tree of links, each item once a node

Each node that had a request at such a server sent its own crash notice to every node, through the relays for want of links, and each relay forwarded each notice to its zone: the messages grew with the square of the nodes.

A node now sends changed items to one relay of its zone, which merges them and sends them to its zone and to one relay of each other zone. A relay confirms; one that does not within 0.4 s is passed over, the hub of the zone comes last. Each item is sent on once by what it says, and the interval of collecting doubles in a series of events. Records are repeated over links only. Crash records, stated drains and limits of servers go this way, on agents too.

Ruled out: fewer records (they are merged, all arrive within a second as before, test_all_nodes_know_within_a_second).

--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -37,7 +37,7 @@
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.process.placement.manager import PlacementManager
 from rosemaryknot.process.platform_watch import PlatformWatch
-from rosemaryknot.process.relay_broadcast import DirectDelivery
+from rosemaryknot.process.relay_broadcast import PlanRelays
 from rosemaryknot.process.relay_nodes import RelayNodesSender
 from rosemaryknot.process.safeguards import Safeguards
 from rosemaryknot.process.server_distributor import ServerDistributor
@@ -257,7 +257,7 @@
         self.crash_exchange = CrashExchange(
             self.node,
             self.peers,
-            DirectDelivery(),
+            PlanRelays(self.peers),
             self.crash_records,
             self.handlers,
             self.rng,
@@ -275,7 +275,7 @@
         )
         self.limit_exchange = LimitExchange(
             self.peers,
-            DirectDelivery(),
+            PlanRelays(self.peers),
             self.server_limits,
             self.permit_owner,
             self.handlers,
--- a/src/rosemaryknot/process/availability_exchange.py
+++ b/src/rosemaryknot/process/availability_exchange.py
@@ -9,6 +9,7 @@
 """
 
 import random
+from collections.abc import Iterable
 
 import trio
 
@@ -16,8 +17,9 @@
 from rosemaryknot.process.gateway_servers import ServerTable
 from rosemaryknot.process.newcomers import is_helper, watch_newcomers
 from rosemaryknot.process.peers import PeerSet
-from rosemaryknot.process.relay_broadcast import RelayBroadcast, Relays
+from rosemaryknot.process.relay_broadcast import Items, RelayBroadcast, Relays
 from rosemaryknot.process.server_state import ServerState
+from rosemaryknot.values.notices import NoticeReceived
 from rosemaryknot.values.retry_after import MAX_RETRY_AFTER_S
 from rosemaryknot.values.server_availability import (
     ServerDrainNotice,
@@ -52,8 +54,8 @@
 
     Attributes
     ----------
-    drained : list of str
-        Incarnations whose drain waits to be sent.
+    broadcast : RelayBroadcast
+        Sends drains by incarnation of the server.
     paused : list of tuple of (str, ServerPauseNotice)
         Pauses that wait to be sent, with the receiver.
     """
@@ -67,10 +69,9 @@
         rng: random.Random,
     ) -> None:
         self.peers = peers
-        self.broadcast = RelayBroadcast(peers, hubs)
+        self.broadcast = RelayBroadcast(peers, hubs, drain_notices)
         self.servers = servers
         self.rng = rng
-        self.drained: list[str] = []
         self.paused: list[tuple[str, ServerPauseNotice]] = []
         self.has_messages = trio.Event()
         handlers.on(ServerDrainNotice)(self.handle_drains)
@@ -79,8 +80,7 @@
     def record_drain(self, state: ServerState) -> None:
         """Record that a server has stated that it drains, and tell the other nodes."""
         if self.servers.record_drain(state.incarnation_key, "response"):
-            self.drained.append(state.incarnation_key)
-            self.has_messages.set()
+            self.broadcast.add(state.incarnation_key, state.incarnation_key)
 
     def record_pause(self, state: ServerState, length_s: float, peer: str) -> None:
         """Record that a server wants no requests for a time.
@@ -104,15 +104,14 @@
 
     async def run(self) -> None:
         """Send notices until cancelled."""
-        while True:
-            await self.has_messages.wait()
-            self.has_messages = trio.Event()
-            drained, self.drained = self.drained, []
-            paused, self.paused = self.paused, []
-            for peer, pause in paused:
-                await self.peers.send(peer, pause)
-            for notice in drain_notices(drained):
-                await self.broadcast.send(notice)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.broadcast.run)
+            while True:
+                await self.has_messages.wait()
+                self.has_messages = trio.Event()
+                paused, self.paused = self.paused, []
+                for peer, pause in paused:
+                    await self.peers.send(peer, pause)
 
     async def run_newcomers(self) -> None:
         """Send the drains to nodes that are new or were partitioned."""
@@ -125,11 +124,15 @@
             notice.is_forwarded = True
             await self.peers.send_all(helped, notice)
 
-    async def handle_drains(self, notice: ServerDrainNotice, link: MessageLink) -> None:
+    async def handle_drains(
+        self, notice: ServerDrainNotice, link: MessageLink
+    ) -> NoticeReceived:
         """Apply the drains that another node learned of, and forward them."""
-        for incarnation_key in notice.servers:
-            self.servers.record_drain(str(incarnation_key), link.hello.name)
-        await self.broadcast.forward(notice)
+        reach = self.broadcast.reach_of(notice, link)
+        for server in notice.servers:
+            self.servers.record_drain(str(server), link.hello.name)
+            self.broadcast.forward(str(server), str(server), reach)
+        return NoticeReceived()
 
     async def handle_pause(self, notice: ServerPauseNotice, link: MessageLink) -> None:
         """Apply a pause that a server asked this node for in a relayed response."""
@@ -137,8 +140,9 @@
         self.servers.record_pause(notice.server, length_s, link.hello.name)
 
 
-def drain_notices(servers: list[str]) -> list[ServerDrainNotice]:
+def drain_notices(servers: Items | Iterable[str]) -> list[ServerDrainNotice]:
     """Return notices with the incarnations of some servers."""
+    servers = list(servers)
     return [
         ServerDrainNotice(servers[start : start + MAX_NOTICE_SERVERS])
         for start in range(0, len(servers), MAX_NOTICE_SERVERS)
--- a/src/rosemaryknot/process/crash_exchange.py
+++ b/src/rosemaryknot/process/crash_exchange.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable, Iterator
 
 import trio
 
@@ -21,10 +21,16 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.newcomers import is_helper, watch_newcomers
 from rosemaryknot.process.peers import PeerSet
-from rosemaryknot.process.relay_broadcast import RelayBroadcast, Relays
+from rosemaryknot.process.relay_broadcast import (
+    Items,
+    Reach,
+    RelayBroadcast,
+    Relays,
+)
 from rosemaryknot.process.segment_records import SegmentRecord
 from rosemaryknot.values.gateway_peers import CrashNotice
 from rosemaryknot.values.nodes import Node
+from rosemaryknot.values.notices import NoticeReceived
 
 __all__ = [
     "CrashExchange",
@@ -34,15 +40,13 @@
     "log_segment_released",
 ]
 
-# Minimum time between two notices; changes are collected meanwhile.
-COLLECT_S = 0.02
 REPEAT_INTERVAL_S = 1.0
 # How long after a change of records or membership they are repeated.
 REPEAT_DURATION_S = 30.0
 MAX_NOTICE_RECORDS = 64
-# Records that wait to be sent; beyond this number those with the fewest crashes are
-# left to the repetitions.
-MAX_QUEUED_RECORDS = 512
+# Kinds of items of notices, the first part of their keys.
+RECORD = "record"
+CLEARED = "cleared"
 
 log = logger("crashes")
 
@@ -67,10 +71,8 @@
 
     Attributes
     ----------
-    queue : dict of bytes to CrashRecord or SegmentRecord
-        Changed records that wait to be sent, by digest.
-    cleared : dict of bytes to set of str
-        Cleared crashes that wait to be sent.
+    broadcast : RelayBroadcast
+        Sends changed records, and cleared crashes, by digest.
     on_received : callable
         Called after a notice that contained something new.
     """
@@ -86,25 +88,24 @@
     ) -> None:
         self.node = node
         self.peers = peers
-        self.broadcast = RelayBroadcast(peers, hubs)
+        self.hubs = hubs
+        self.broadcast = RelayBroadcast(peers, hubs, self.encode, merge_items, rank_of)
         self.records = records
         self.rng = rng
-        self.queue: dict[bytes, CrashRecord | SegmentRecord] = {}
-        self.cleared: dict[bytes, set[str]] = {}
-        self.has_changes = trio.Event()
         self.last_change_s = float("-inf")
         self.last_peer_changes = 0
         self.on_received: Callable[[], None] = lambda: None
         handlers.on(CrashNotice)(self.handle_notice)
 
     def enqueue(self, record: CrashRecord | SegmentRecord) -> None:
-        """Queue a record that has changed."""
-        self.queue[record.digest] = record
-        if len(self.queue) > MAX_QUEUED_RECORDS:
-            least = min(self.queue.values(), key=lambda r: len(r.crashes))
-            del self.queue[least.digest]
-            log.warning("crash record not sent at once: send queue is full")
-        self.signal_change()
+        """Send a record that has changed to all gateways."""
+        self.last_change_s = trio.current_time()
+        self.broadcast.add((RECORD, record.digest), record, version_of(record))
+
+    def enqueue_cleared(self, digest: bytes, servers: set[str]) -> None:
+        """Send cleared crashes to all gateways."""
+        self.last_change_s = trio.current_time()
+        self.broadcast.add((CLEARED, digest), servers, frozenset(servers))
 
     def clear(self, digest: bytes, service: str | None = None) -> set[str]:
         """Clear a request of its crashes here and at the other gateways.
@@ -119,9 +120,8 @@
                 servers=sorted(servers),
                 by="operator" if service is None else "complete response",
             )
-            self.queue.pop(digest, None)
-            self.cleared.setdefault(digest, set()).update(servers)
-            self.signal_change()
+            self.broadcast.discard((RECORD, digest))
+            self.enqueue_cleared(digest, servers)
         return servers
 
     def clear_servers(self, digest: bytes, servers: set[str]) -> bool:
@@ -134,34 +134,24 @@
         """
         if not self.records.segments.clear_servers(digest, servers):
             return False
-        self.cleared.setdefault(digest, set()).update(servers)
-        self.signal_change()
+        self.enqueue_cleared(digest, servers)
         return True
 
-    def signal_change(self) -> None:
-        """Wake the sender."""
-        self.last_change_s = trio.current_time()
-        self.has_changes.set()
-
     async def run(self) -> None:
         """Send changes until cancelled."""
-        while True:
-            await self.has_changes.wait()
-            self.has_changes = trio.Event()
-            while self.queue or self.cleared:
-                await self.broadcast.send(self.next_notice())
-                await trio.sleep(COLLECT_S)
-
-    def next_notice(self) -> CrashNotice:
-        """Return the next changes as a notice; those with most crashes go first."""
-        first = sorted(self.queue.values(), key=lambda r: -len(r.crashes))
-        first = first[:MAX_NOTICE_RECORDS]
-        for record in first:
-            del self.queue[record.digest]
-        cleared = list(self.cleared.items())[:MAX_NOTICE_RECORDS]
-        for digest, _ in cleared:
-            del self.cleared[digest]
-        return self.notice_of(first, cleared)
+        await self.broadcast.run()
+
+    def encode(self, items: Items) -> Iterator[CrashNotice]:
+        """Return notices with changed records and cleared crashes.
+
+        Records with the most crashes go first.
+        """
+        records = [item for (kind, _), item in items.items() if kind == RECORD]
+        records.sort(key=rank_of, reverse=True)
+        cleared = [(d, item) for (kind, d), item in items.items() if kind == CLEARED]
+        for start in range(0, max(len(records), len(cleared)), MAX_NOTICE_RECORDS):
+            end = start + MAX_NOTICE_RECORDS
+            yield self.notice_of(records[start:end], cleared[start:end])
 
     def notice_of(
         self,
@@ -181,10 +171,19 @@
             if self.peers.changes != self.last_peer_changes:
                 self.last_peer_changes = self.peers.changes
                 self.last_change_s = now_s
-            nodes = self.peers.nodes()
+            nodes = self.repeat_nodes()
             if nodes and now_s - self.last_change_s < REPEAT_DURATION_S:
                 await self.repeat(self.rng.choice(nodes).name)
 
+    def repeat_nodes(self) -> list[Node]:
+        """Return the gateways that records are repeated to.
+
+        Links connect all gateways of a large deployment. Between gateways without a
+        link, the relays would carry the repetitions of all.
+        """
+        linked = self.peers.linked() if self.hubs.is_enabled else []
+        return linked or self.peers.nodes()
+
     async def run_newcomers(self) -> None:
         """Send the records to gateways that are new, until cancelled.
 
@@ -212,13 +211,14 @@
             notice.is_forwarded = True
             await self.peers.send(name, notice)
 
-    async def handle_notice(self, notice: CrashNotice, link: MessageLink) -> None:
+    async def handle_notice(
+        self, notice: CrashNotice, link: MessageLink
+    ) -> NoticeReceived:
         """Apply the records of another gateway or of an entry, and forward them."""
         decoded = apply_notice(self.records, notice)
         if decoded is None:
-            return
-        for record in decoded.records:
-            await self.share_completion(record, link)
+            return NoticeReceived()
+        await self.share_completions(decoded.records, link)
         for record in decoded.completed:
             self.pass_on_completion(record)
         if decoded.is_new:
@@ -227,10 +227,19 @@
             for entry in self.peers.entries:
                 if entry is not link:
                     await entry.send(notice)
-        if link in self.peers.entries:
-            await self.broadcast.send(notice)
-        else:
-            await self.broadcast.forward(notice)
+        self.forward(decoded, self.broadcast.reach_of(notice, link))
+        return NoticeReceived()
+
+    def forward(self, decoded: DecodedNotice, reach: Reach | None) -> None:
+        """Forward the items of a notice, with what is known of them here."""
+        for digest, servers in decoded.cleared:
+            key = (CLEARED, digest)
+            self.broadcast.forward(key, servers, reach, frozenset(servers))
+        for received in (*decoded.records, *decoded.segments):
+            record = self.records.get(received.digest)
+            if record is not None:
+                key = (RECORD, record.digest)
+                self.broadcast.forward(key, record, reach, version_of(record))
 
     async def send_to_entry(self, link: MessageLink) -> None:
         """Send all records to an entry that has connected."""
@@ -240,33 +249,63 @@
         if records or cleared:
             await link.send(self.notice_of(records, cleared))
 
-    async def share_completion(self, received: CrashRecord, link: MessageLink) -> None:
-        """Tell the other gateways if a request has completed here before.
+    async def share_completions(
+        self, received: list[CrashRecord], link: MessageLink
+    ) -> None:
+        """Tell the other gateways if requests have completed here before.
 
-        In a large deployment many gateways may have completed it, so that each tells
+        In a large deployment many gateways may have completed one, so that each tells
         only the one that sent the record; see `pass_on_completion`.
         """
-        record = self.records.by_digest.get(received.digest)
-        has_completed = received.digest in self.records.completed
-        if record is None or received.has_completed or not has_completed:
+        completed = [record for item in received if (record := self.completed(item))]
+        for record in completed:
+            record.has_completed = True
+        if not completed:
             return
-        record.has_completed = True
         self.records.signal_change()
-        if not self.broadcast.hubs.is_enabled:
-            self.enqueue(record)
+        if self.hubs.is_enabled:
+            notice = self.notice_of(completed)
+            notice.is_forwarded = True
+            await link.send(notice)
             return
-        notice = self.notice_of([record])
-        notice.is_forwarded = True
-        await link.send(notice)
+        for record in completed:
+            self.enqueue(record)
+
+    def completed(self, received: CrashRecord) -> CrashRecord | None:
+        """Return the own record of a request if only this node knows it to complete."""
+        record = self.records.by_digest.get(received.digest)
+        has_completed = received.digest in self.records.completed
+        return None if received.has_completed or not has_completed else record
 
     def pass_on_completion(self, record: CrashRecord) -> None:
         """Tell the others of a large deployment that a request completed elsewhere."""
-        hubs = self.broadcast.hubs
-        is_relay = self.node.name in hubs.relays(self.node.zone)
-        if hubs.is_enabled and (record.is_own or is_relay):
+        is_relay = self.node.name in self.hubs.relays(self.node.zone)
+        if self.hubs.is_enabled and (record.is_own or is_relay):
             self.enqueue(record)
 
 
+def version_of(record: CrashRecord | SegmentRecord) -> Hashable:
+    """Return a value that differs if a record has changed."""
+    tried = record.trials if isinstance(record, SegmentRecord) else record.is_tried
+    completed = isinstance(record, CrashRecord) and record.has_completed
+    return frozenset(record.crashes), tried, completed, record.is_stored
+
+
+def merge_items(
+    earlier: CrashRecord | SegmentRecord | set[str],
+    later: CrashRecord | SegmentRecord | set[str],
+) -> CrashRecord | SegmentRecord | set[str]:
+    """Return the item that replaces two of a notice with the same key."""
+    if isinstance(earlier, set) and isinstance(later, set):
+        return earlier | later
+    return later
+
+
+def rank_of(item: CrashRecord | SegmentRecord | set[str]) -> float:
+    """Return how much an item of a notice matters: the number of crashes."""
+    return len(item) if isinstance(item, set) else len(item.crashes)
+
+
 def apply_notice(records: CrashRecords, notice: CrashNotice) -> DecodedNotice | None:
     """Apply a notice to records; return None if it is malformed."""
     decoded = decode_notice(notice, trio.current_time())
--- a/src/rosemaryknot/process/server_limits/exchange.py
+++ b/src/rosemaryknot/process/server_limits/exchange.py
@@ -4,7 +4,7 @@
 learns of the limit from its next response, or from the owner's next reply.
 """
 
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 
 import trio
 
@@ -12,9 +12,10 @@
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.newcomers import watch_newcomers
 from rosemaryknot.process.peers import PeerSet
-from rosemaryknot.process.relay_broadcast import RelayBroadcast, Relays
+from rosemaryknot.process.relay_broadcast import Items, RelayBroadcast, Relays
 from rosemaryknot.process.server_limits.owner import PermitOwner
 from rosemaryknot.process.server_limits.records import LimitRecord, LimitRecords
+from rosemaryknot.values.notices import NoticeReceived
 from rosemaryknot.values.server_limits import (
     PermitReturn,
     ServerLimitNotice,
@@ -47,8 +48,10 @@
 
     Attributes
     ----------
-    changed : dict of str to LimitRecord
-        Records that wait to be sent, by server.
+    broadcast : RelayBroadcast
+        Sends changed records by server.
+    changed_for_entries : dict of str to LimitRecord
+        Records that wait to be sent to the entries of this node, by server.
     statements : list of ServerStatement or PermitReturn
         Messages that wait to be sent to the owners.
     """
@@ -62,10 +65,10 @@
         handlers: Handlers,
     ) -> None:
         self.peers = peers
-        self.broadcast = RelayBroadcast(peers, hubs)
+        self.broadcast = RelayBroadcast(peers, hubs, encode)
         self.records = records
         self.owner = owner
-        self.changed: dict[str, LimitRecord] = {}
+        self.changed_for_entries: dict[str, LimitRecord] = {}
         self.statements: list[ServerStatement | PermitReturn] = []
         self.has_messages = trio.Event()
         owner.on_changed = self.publish
@@ -73,7 +76,8 @@
 
     def publish(self, record: LimitRecord) -> None:
         """Send a changed record to all nodes."""
-        self.changed[record.server] = record
+        self.broadcast.add(record.server, record, version_of(record))
+        self.changed_for_entries[record.server] = record
         self.has_messages.set()
 
     def report(self, statement: ServerStatement) -> None:
@@ -94,16 +98,17 @@
 
     async def run(self) -> None:
         """Send changes and statements until cancelled."""
-        while True:
-            await self.has_messages.wait()
-            self.has_messages = trio.Event()
-            changed, self.changed = list(self.changed.values()), {}
-            statements, self.statements = self.statements, []
-            for notice in notices(changed):
-                await self.broadcast.send(notice)
-                await self.send_to_entries(notice)
-            for statement in statements:
-                await self.peers.send(statement.owner, statement)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.broadcast.run)
+            while True:
+                await self.has_messages.wait()
+                self.has_messages = trio.Event()
+                changed, self.changed_for_entries = self.changed_for_entries, {}
+                statements, self.statements = self.statements, []
+                for notice in notices(changed.values()):
+                    await self.send_to_entries(notice)
+                for statement in statements:
+                    await self.peers.send(statement.owner, statement)
 
     async def run_newcomers(self) -> None:
         """Send the limits of servers that this node owns to nodes that are new."""
@@ -130,20 +135,21 @@
             if entry is not source:
                 await entry.send(notice)
 
-    async def handle_notice(self, notice: ServerLimitNotice, link: MessageLink) -> None:
+    async def handle_notice(
+        self, notice: ServerLimitNotice, link: MessageLink
+    ) -> NoticeReceived:
         """Apply the limits that another node or an entry learned of; forward them."""
         newer, outdated = apply_notice(self.records, notice)
         for notice_for_entries in notices(newer):
             await self.send_to_entries(notice_for_entries, link)
-        if link in self.peers.entries:
-            for own_notice in notices(newer):
-                await self.broadcast.send(own_notice)
-        else:
-            await self.broadcast.forward(notice)
+        reach = self.broadcast.reach_of(notice, link)
+        for record in newer:
+            self.broadcast.forward(record.server, record, reach, version_of(record))
         corrections = [r for r in outdated if self.owner.is_owner(r.server)]
         for correction in notices(corrections):
             correction.is_forwarded = True
             await link.send(correction)
+        return NoticeReceived()
 
 
 def apply_notice(
@@ -165,6 +171,16 @@
     return newer, outdated
 
 
+def version_of(record: LimitRecord) -> Hashable:
+    """Return a value that differs if a record has changed."""
+    return tuple(map(str, record.to_list()))
+
+
+def encode(items: Items) -> Iterable[ServerLimitNotice]:
+    """Return notices with changed records."""
+    return notices(items.values())
+
+
 def notices(records: Iterable[LimitRecord]) -> Iterable[ServerLimitNotice]:
     """Return notices with the records."""
     items = [record.to_list() for record in records]
