--- a/src/rosemaryknot/process/origin_exchange.py
+++ b/src/rosemaryknot/process/origin_exchange.py
@@ -281,10 +281,17 @@
         self.records.merge(record)
         until_s = trio.current_time() + REPLACE_TIMEOUT_S
         pending = PendingOrigin(record, set(must_replace_at), until_s)
-        for name in [*must_replace_at, *self.order(record.key)[:HOLDERS]]:
+        for name in [*must_replace_at, *self.candidates(record.key)[:HOLDERS]]:
             self.enqueue(pending, name)
         return pending
 
+    def candidates(self, key: bytes) -> list[str]:
+        """Return the nodes that may hold a record, those within reach first.
+
+        A lookup asks all of them.
+        """
+        return sorted(self.order(key), key=self.peers.is_out_of_reach)
+
     def enqueue(self, pending: PendingOrigin, name: str) -> None:
         """Send a record to a node, together with others that wait for it."""
         if name in pending.sent_to or not self.tasks.is_open:
@@ -329,7 +336,8 @@
 
     def send_elsewhere(self, pending: PendingOrigin, failed: str) -> None:
         """Send a record that a node did not confirm to the next one."""
-        others = [n for n in self.order(pending.record.key) if n not in pending.sent_to]
+        names = self.candidates(pending.record.key)
+        others = [name for name in names if name not in pending.sent_to]
         if others:
             self.enqueue(pending, others[0])
         if failed in pending.must_replace_at:
--- a/src/rosemaryknot/process/peer_forwarding.py
+++ b/src/rosemaryknot/process/peer_forwarding.py
@@ -1,4 +1,10 @@
-"""Forwarding of messages through other nodes to nodes without a direct link."""
+"""Forwarding of messages through other nodes to nodes without a direct link.
+
+Only the sender tries a second route. If each node on the way tried others as well, one
+call to a node out of reach would become a dozen, and those to a zone that is cut off
+would keep the relays busy for seconds. What could not be reached is remembered for a
+moment instead, by nodes and zones.
+"""
 
 import math
 from collections.abc import Callable
@@ -6,7 +12,12 @@
 import trio
 
 from rosemaryknot.connection.links import CallFailed, Handlers, Hello, MessageLink
-from rosemaryknot.process.peer_links import LinkPlan, forwarding_candidates
+from rosemaryknot.process.peer_links import (
+    LinkPlan,
+    forwarding_candidates,
+    select_relays,
+)
+from rosemaryknot.process.reach_memory import ReachMemory
 from rosemaryknot.values.messages import (
     Message,
     MessageError,
@@ -19,8 +30,10 @@
 __all__ = ["Forwarder", "RelayedLink"]
 
 MAX_HOPS = 4
-MAX_ROUTES = 3
+MAX_ROUTES = 2
 UNREACHABLE = "unreachable"
+# No node of the target's availability zone is reachable from a relay.
+ZONE_UNREACHABLE = "zone unreachable"
 
 BestLink = Callable[[str], MessageLink | None]
 
@@ -79,6 +92,12 @@
     ----------
     passed_on : int
         Number of messages of other nodes that this node forwarded.
+    dropped : int
+        Number of messages of other nodes that it could not forward.
+    skipped : int
+        Number of own messages that were not sent, as their target is out of reach.
+    memory : ReachMemory
+        What could not be reached recently.
     """
 
     def __init__(
@@ -97,23 +116,63 @@
         self.live_nodes = live_nodes
         self.plan = plan
         self.passed_on = 0
+        self.dropped = 0
+        self.skipped = 0
+        self.memory = ReachMemory()
         handlers.on(PeerForward)(self.handle)
 
-    def next_hops(
-        self, target: str, path: list[str], skip_direct: bool = False
-    ) -> list[MessageLink]:
-        """Return the links to attempt, best first; direct unless ``skip_direct``."""
+    def find(self, target: str) -> Node | None:
+        """Return a live node by name, or None."""
+        return next((n for n in self.live_nodes() if n.name == target), None)
+
+    def routes(self, target: str, skip_direct: bool = False) -> list[MessageLink]:
+        """Return the links that an own message may take, best first."""
         direct = None if skip_direct else self.best_link(target)
-        hops = [] if direct is None else [direct]
-        node = next((n for n in self.live_nodes() if n.name == target), None)
-        if node is None or len(path) >= MAX_HOPS - 1:
-            return hops
-        linked = [n for n in self.linked() if n.name not in path]
+        links = [] if direct is None else [direct]
+        node = self.find(target)
+        if node is None:
+            return links
         names = forwarding_candidates(
-            self.own, node, linked, self.live_nodes(), self.plan
+            self.own, node, self.linked(), self.live_nodes(), self.plan
         )
-        links = [self.best_link(name) for name in names[:MAX_ROUTES]]
-        return hops + [link for link in links if link is not None]
+        failed = self.memory.routes
+        names.sort(key=lambda name: failed.has((name, node.zone)))
+        found = [self.best_link(name) for name in names[:MAX_ROUTES]]
+        return (links + [link for link in found if link is not None])[:MAX_ROUTES]
+
+    def next_hop(self, target: str, path: list[str]) -> MessageLink | str:
+        """Return the link that a message of another node takes, or why there is none.
+
+        A message only gets nearer to its target, or it would wander among the relays
+        of a zone that have all lost the target.
+        """
+        direct = self.best_link(target)
+        if direct is not None:
+            return direct
+        node = self.find(target)
+        if node is None or len(path) >= MAX_HOPS - 1 or node.zone == self.own.zone:
+            return UNREACHABLE
+        linked = [n for n in self.linked() if n.name not in path]
+        nearer = [n for n in linked if n.zone == node.zone]
+        if not nearer and not self.is_relay():
+            nearer = [n for n in linked if n.zone == self.own.zone]
+        if not nearer:
+            return ZONE_UNREACHABLE
+        live = self.live_nodes()
+        names = forwarding_candidates(self.own, node, nearer, live, self.plan)
+        link = self.best_link(names[0]) if names else None
+        return UNREACHABLE if link is None else link
+
+    def is_relay(self) -> bool:
+        """Return whether this node is a relay of its zone."""
+        nodes = [*self.live_nodes(), self.own]
+        names = [node.name for node in nodes if node.zone == self.own.zone]
+        return self.own.name in select_relays(names, self.plan.relays_per_zone)
+
+    def is_out_of_reach(self, target: str) -> bool:
+        """Return whether a node could not be reached a moment ago."""
+        node = self.find(target)
+        return node is not None and self.memory.is_out_of_reach(node)
 
     def envelope(self, target: str, value: Message, wants_answer: bool) -> PeerForward:
         """Wrap a message of this node for forwarding."""
@@ -123,15 +182,26 @@
 
     async def send(self, target: str, value: Message) -> bool:
         """Send a message that needs no response; see `MessageLink.send`."""
-        return await self.forward_send(self.envelope(target, value, wants_answer=False))
+        if self.is_out_of_reach(target):
+            self.skipped += 1
+            return False
+        envelope = self.envelope(target, value, wants_answer=False)
+        envelope.path = [self.own.name]
+        for link in self.routes(target):
+            if await link.send(envelope):
+                return True
+        return False
 
     async def call(
         self, target: str, value: Message, timeout_s: float, skip_direct: bool = False
     ) -> Message | CallFailed:
         """Call a node, optionally bypassing the direct link; see `MessageLink.call`."""
+        if not skip_direct and self.is_out_of_reach(target):
+            self.skipped += 1
+            return CallFailed(UNREACHABLE, maybe_handled=False)
         envelope = self.envelope(target, value, wants_answer=True)
         envelope.timeout_s = timeout_s
-        outcome = await self.forward_call(envelope, skip_direct)
+        outcome = await self.call_on_routes(envelope, skip_direct)
         if isinstance(outcome, CallFailed):
             return outcome
         try:
@@ -139,46 +209,71 @@
         except MessageError:
             return CallFailed("unreadable", maybe_handled=True)
 
-    async def forward_send(self, envelope: PeerForward) -> bool:
-        """Forward a message towards its target."""
-        hops = self.next_hops(envelope.target, envelope.path)
-        envelope.path = [*envelope.path, self.own.name]
-        for link in hops:
-            if await link.send(envelope):
-                return True
-        return False
-
-    async def forward_call(
-        self, envelope: PeerForward, skip_direct: bool = False
+    async def call_on_routes(
+        self, envelope: PeerForward, skip_direct: bool
     ) -> bytes | CallFailed:
-        """Forward a call towards its target and return the encoded response."""
+        """Send an own call on up to two routes and return the encoded response."""
         deadline_s = trio.current_time() + envelope.timeout_s
-        hops = self.next_hops(envelope.target, envelope.path, skip_direct)
-        envelope.path = [*envelope.path, self.own.name]
-        for link in hops:
+        envelope.path = [self.own.name]
+        reasons = []
+        for link in self.routes(envelope.target, skip_direct):
             # The first route may have used up the timeout. Trio raises an error for a
             # negative timeout, which would end the process.
             envelope.timeout_s = deadline_s - trio.current_time()
             if envelope.timeout_s <= 0:
                 return CallFailed("timeout", maybe_handled=False)
             outcome = unwrap_response(await link.call(envelope, envelope.timeout_s))
+            if not isinstance(outcome, CallFailed):
+                return outcome
+            self.record_failure(envelope.target, link, outcome.reason)
             # Attempt another route only if the target certainly did not receive the
             # call; otherwise it could be handled twice.
-            if not isinstance(outcome, CallFailed) or outcome.maybe_handled:
+            if outcome.maybe_handled:
                 return outcome
+            reasons.append(outcome.reason)
+        self.record_unreachable(envelope.target, reasons)
         return CallFailed(UNREACHABLE, maybe_handled=False)
 
+    def record_failure(self, target: str, link: MessageLink, reason: str) -> None:
+        """Remember the failure of one route."""
+        node = self.find(target)
+        if reason == "timeout":
+            self.memory.nodes.record(target)
+        elif reason == ZONE_UNREACHABLE and node is not None:
+            self.memory.routes.record((link.hello.name, node.zone))
+
+    def record_unreachable(self, target: str, reasons: list[str]) -> None:
+        """Remember that no route led to a node."""
+        node = self.find(target)
+        if reasons and set(reasons) == {ZONE_UNREACHABLE} and node is not None:
+            self.memory.zones.record(node.zone)
+        else:
+            self.memory.nodes.record(target)
+
     async def handle(self, envelope: PeerForward, link: MessageLink) -> Message | None:
         """Handle or forward a message that another node forwarded to this one."""
         if not is_well_formed(envelope):
             return PeerForwarded(reason="unreadable")
         if envelope.target == self.own.name:
             return await self.handle_locally(envelope)
+        link = self.next_hop(envelope.target, envelope.path)
+        envelope.path = [*envelope.path, self.own.name]
+        if isinstance(link, str):
+            self.dropped += 1
+            return PeerForwarded(reason=link) if envelope.wants_answer else None
         self.passed_on += 1
         if not envelope.wants_answer:
-            await self.forward_send(envelope)
+            await link.send(envelope)
             return None
-        outcome = await self.forward_call(envelope)
+        return await self.forward_call(envelope, link)
+
+    async def forward_call(
+        self, envelope: PeerForward, link: MessageLink
+    ) -> PeerForwarded:
+        """Forward a call of another node, and return the response or why none came."""
+        if envelope.timeout_s <= 0:
+            return PeerForwarded(reason="timeout")
+        outcome = unwrap_response(await link.call(envelope, envelope.timeout_s))
         if isinstance(outcome, CallFailed):
             return PeerForwarded(b"", outcome.reason, outcome.maybe_handled)
         return PeerForwarded(outcome)
--- a/src/rosemaryknot/process/peer_metrics.py
+++ b/src/rosemaryknot/process/peer_metrics.py
@@ -28,6 +28,10 @@
     "gateway_state": "offers",
     "hub": "reports",
     "store": "changes",
+    "crash": "notices",
+    "notice": "notices",
+    "server_drain_notice": "notices",
+    "server_limit_notice": "notices",
 }
 FORWARDED = ("peer_forward", "peer_forwarded")
 
@@ -116,6 +120,8 @@
             "unreadable": traffic.unreadable,
             "unsupported": traffic.unsupported,
             "passed_on": self.peers.forwarder.passed_on,
+            "forwards_dropped": self.peers.forwarder.dropped,
+            "forwards_skipped": self.peers.forwarder.skipped,
             "records_refused": self.peers.table.refused,
         }
 
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -164,6 +164,10 @@
         end = None if peer is None else peer.best()
         return None if end is None else end.link
 
+    def is_out_of_reach(self, name: str) -> bool:
+        """Return whether a node did not respond, or was out of reach, a moment ago."""
+        return self.forwarder.is_out_of_reach(name)
+
     def queued_bytes(self) -> int:
         """Return the number of bytes queued for writing on all links."""
         ends = [end for peer in self.peers.values() for end in peer.links]
@@ -198,7 +202,10 @@
         link = self.best_link(name)
         if link is None:
             return await self.forwarder.call(name, value, timeout_s)
-        return await link.call(value, timeout_s)
+        response = await link.call(value, timeout_s)
+        if isinstance(response, CallFailed) and response.reason == "timeout":
+            self.forwarder.memory.nodes.record(name)
+        return response
 
     async def call_via_peers(
         self, name: str, value: Message, timeout_s: float
