Rely on no hub that is late, and give up no call whose response may have arrived

A hub that is 1 to 2 s late is not silent: its aggregates arrive, with reports it received long ago, and its zone has each change as late as it has. A node now tells how old an aggregate is from its own report in it, needs no clock of another node for that, and watches the store itself beyond 1.1 s.

The query is now made beside the pending call, which is replaced only after the query has succeeded.

An aggregate now names a node that has the version, and the store is queried as well.

--- a/src/rosemaryknot/process/gateway_configurations.py
+++ b/src/rosemaryknot/process/gateway_configurations.py
@@ -125,9 +125,14 @@
             self.behind_since_s = now_s
         if now_s - self.behind_since_s > PROPAGATION_TIME_S:
             self.request(node)
+            # The node may be as busy as the one that has not sent the version.
+            self.watcher.resync(f"version {version} has not arrived")
 
     def request(self, node: str) -> None:
         """Queue a request to a gateway unless another request is queued already."""
+        if node == self.peers.node.name:
+            # An aggregate of this node includes what others have reported.
+            return
         try:
             self.request_queue.send_nowait(node)
         except trio.WouldBlock:
--- a/src/rosemaryknot/process/hub_aggregates.py
+++ b/src/rosemaryknot/process/hub_aggregates.py
@@ -81,16 +81,21 @@
     ----------
     counted : HubReport or None
         Last report that the hub has counted.
+    sent_s : dict of int to float
+        When each report was sent, in trio time.
     """
 
     def __init__(self) -> None:
         self.by_sequence: dict[int, HubReport] = {}
         self.counted: HubReport | None = None
+        self.sent_s: dict[int, float] = {}
 
-    def record(self, report: HubReport) -> None:
+    def record(self, report: HubReport, now_s: float) -> None:
         """Record a report."""
         self.by_sequence[report.sequence] = report
-        self.by_sequence.pop(report.sequence - MAX_OWN_REPORTS, None)
+        self.sent_s[report.sequence] = now_s
+        for by_sequence in (self.by_sequence, self.sent_s):
+            by_sequence.pop(report.sequence - MAX_OWN_REPORTS, None)
 
     def newly_counted(self, sequence: int) -> dict[str, float]:
         """Return this gateway's usage that the hub counted since the last call."""
@@ -287,7 +292,10 @@
 
 def add_newest(total: HubSum, aggregate: HubReport | HubSum, age_s: float) -> None:
     """Update the aggregate's version and revisions to the newest ones."""
-    total.version = max(total.version, aggregate.version)
+    if aggregate.version > total.version:
+        total.version = aggregate.version
+        is_report = isinstance(aggregate, HubReport)
+        total.version_at = aggregate.node if is_report else aggregate.version_at
     ago_s = aggregate.returned_ago_s + age_s
     total.returned_ago_s = min(total.returned_ago_s, ago_s)
     for kind, revision in aggregate.seen.items():
--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -49,6 +49,10 @@
 # A hub from which no aggregate arrives for this long is replaced by the next relay.
 # Four report intervals.
 HUB_TIMEOUT_S = 1.0
+# A hub that aggregates reports later than this after they were sent is late, so that
+# it may also be late with changes of the store: a report waits for the next aggregate,
+# and the aggregate for the next report, each for one interval.
+AGGREGATE_MAX_AGE_S = 1.1
 # Values that only duties need are sent with every second report.
 REPORTS_PER_DUTY_REPORT = 2
 # Name under which all other gateways are stored where values are stored by gateway.
@@ -81,6 +85,8 @@
         Time of the last aggregate or of the last change of relay.
     last_aggregate_s : float
         Time of the last aggregate.
+    content_s : float
+        When the newest own report that the hub has aggregated was sent.
     is_enabled : bool
         Whether reports are sent through hubs.
     nodes : SlidingMaximum
@@ -109,6 +115,7 @@
         self.relay_index = 0
         self.silence_started_s = 0.0
         self.last_aggregate_s = 0.0
+        self.content_s = 0.0
         self.is_enabled = False
         self.nodes = SlidingMaximum()
         self.last_aggregate: HubSum | None = None
@@ -130,7 +137,8 @@
         if is_large != self.is_enabled:
             self.is_enabled = is_large
             self.components.state.servers.uses_hub_loads = is_large
-            self.silence_started_s = self.last_aggregate_s = trio.current_time()
+            now_s = trio.current_time()
+            self.silence_started_s = self.last_aggregate_s = self.content_s = now_s
             self.components.quota.set_hub_reporting(is_large)
             log.info("reporting through hubs" if is_large else "reporting directly")
         return is_large
@@ -153,17 +161,28 @@
     def watching(self, kind: str) -> list[str]:
         """Return the nodes that are reported to watch a kind of object.
 
-        While no aggregate arrives, no node is trusted to watch, however many relays
-        were tried. Otherwise a change to a relay that is silent too would hide changes
-        of objects for another second.
+        While no aggregate arrives, or only old ones, no node is trusted to watch,
+        however many relays were tried. Otherwise a change to a relay that is silent or
+        late too would hide changes of objects for another second.
         """
-        if (
-            self.last_aggregate is None
-            or trio.current_time() - self.last_aggregate_s > HUB_TIMEOUT_S
-        ):
+        if self.last_aggregate is None or self.is_late():
             return []
         return self.last_aggregate.watching.get(kind, [])
 
+    def is_late(self) -> bool:
+        """Return whether the hub is silent, or late with what it receives.
+
+        A hub whose process waits for its processor goes on sending aggregates, each
+        with reports that it received long ago.
+        """
+        now_s = trio.current_time()
+        is_silent = now_s - self.last_aggregate_s > HUB_TIMEOUT_S
+        return is_silent or self.age_s() > AGGREGATE_MAX_AGE_S
+
+    def age_s(self) -> float:
+        """Return how old the newest report is that the hub has aggregated."""
+        return trio.current_time() - self.content_s
+
     # Role as a reporting node.
 
     async def send_report(self) -> None:
@@ -172,7 +191,7 @@
         report = self.report()
         if self.sequence % REPORTS_PER_DUTY_REPORT == 0:
             report.duties = await self.report_for_duties()
-        self.own.record(report)
+        self.own.record(report, now_s)
         target = self.target()
         if target == self.components.node.name:
             self.aggregator.apply_report(report, now_s)
@@ -262,6 +281,7 @@
             self.counted_totals = {}
             self.own.counted = None
         sequence = aggregate.counted.get(self.components.node.name, -1)
+        self.content_s = max(self.content_s, self.own.sent_s.get(sequence, 0.0))
         own_acquired = self.own.newly_counted(sequence)
         if is_same:
             self.apply_spent(aggregate, own_acquired)
@@ -271,7 +291,7 @@
         self.apply_loads(aggregate, now_s)
         self.components.clock.record_peer(OTHERS, aggregate.clock_s)
         self.components.configurations.record_peer_version(
-            aggregate.version, aggregate.hub, now_s
+            aggregate.version, aggregate.version_at or aggregate.hub, now_s
         )
         self.exchange.compare(newest_state(aggregate), now_s)
 
@@ -365,7 +385,7 @@
             now_s = trio.current_time()
             self.aggregator.apply_aggregate(aggregate, now_s)
             self.components.configurations.record_peer_version(
-                aggregate.version, aggregate.hub, now_s
+                aggregate.version, aggregate.version_at or aggregate.hub, now_s
             )
 
     async def handle_duty_reports(
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.platform import (
@@ -131,7 +132,8 @@
         self.seen = -1
         self.last_resync_s = float("-inf")
         self.failures = 0
-        self.resync_pending = False
+        self.is_resynchronizing = False
+        self.tasks = BackgroundTasks()
         self.call_started_s = float("inf")
         self.own_watch_deadline_s = float("-inf")
         self.should_watch: Callable[[], bool] = lambda: True
@@ -149,31 +151,75 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
-        while True:
-            with trio.CancelScope() as self.scope:
-                await self.step()
+        async with self.tasks.open():
+            while True:
+                with trio.CancelScope() as self.scope:
+                    await self.step()
 
     def resync(self, reason: str) -> None:
         """Query the store immediately, because another node has newer changes.
 
         A watch whose connection state the network has lost stays silent, and the node
-        would keep an old state until the wait is over. The store is queried again no
-        sooner than a call may take, or no call would ever finish. Until then and for
+        would keep an old state until the wait is over. The pending call is replaced
+        only after the query has succeeded: its response may have arrived already, and a
+        node that is late would otherwise give up each call before its response. For
         some time after, this node watches the store itself, or the next change would be
         delayed by the interval.
         """
         now_s = trio.current_time()
         self.own_watch_deadline_s = now_s + OWN_WATCH_S
-        if now_s - self.last_resync_s < RESYNC_INTERVAL_S:
+        is_too_soon = now_s - self.last_resync_s < RESYNC_INTERVAL_S
+        if is_too_soon or self.is_resynchronizing or self.revision < 0:
+            return
+        if not self.tasks.start_soon(self.query_again):
             return
         self.last_resync_s = now_s
-        self.resync_pending = True
-        self.must_list = self.is_single
+        self.is_resynchronizing = True
         log.info(
             "resynchronizing", kind=self.kind, reason=reason, revision=self.revision
         )
+
+    async def query_again(self) -> None:
+        """Query the store beside the pending call, and replace that call then."""
+        try:
+            if self.is_single:
+                outcome = await self.store.list_objects(self.kind)
+            else:
+                outcome = await self.store.changes(
+                    self.kind, self.revision, SHORT_POLL_S
+                )
+        finally:
+            self.is_resynchronizing = False
+        if isinstance(outcome, PlatformFailed):
+            CALLS.add(kind=self.kind, outcome=outcome.reason)
+            log.warning(
+                "resynchronization failed", kind=self.kind, reason=outcome.reason
+            )
+            return
+        if isinstance(outcome, Changes):
+            self.apply_store_changes(outcome)
+        elif isinstance(outcome, Listed) and self.is_successor(outcome):
+            self.record_success()
+            self.apply_list(outcome)
+        else:
+            # The next call lists the objects, and finds out whether history has ended.
+            self.must_list = True
         self.scope.cancel()
 
+    def is_successor(self, listed: Listed) -> bool:
+        """Return whether a list belongs to the known history and is not older."""
+        is_same_era = era_of(listed.version) == era_of(self.revision)
+        return is_same_era and listed.version >= self.revision
+
+    def apply_list(self, listed: Listed) -> None:
+        """Apply a list that follows what is known."""
+        before = self.revision
+        self.on_list(listed)
+        self.revision = listed.version
+        found = [entry.version for entry in listed.objects.values()]
+        self.seen = max([self.seen, *found])
+        self.on_listed(before)
+
     def record_era(self, era: int) -> None:
         """List the objects soon, as the store has begun another era.
 
@@ -234,10 +280,9 @@
         is_watching = (
             self.should_watch() or trio.current_time() < self.own_watch_deadline_s
         )
-        if not is_watching and not self.failures and not self.resync_pending:
+        if not is_watching and not self.failures:
             await trio.sleep(WATCH_CHECK_INTERVAL_S)
             return
-        self.resync_pending = False
         wait_s = LONG_POLL_S if is_watching and not self.failures else SHORT_POLL_S
         self.call_started_s = started_s = trio.current_time()
         try:
--- a/src/rosemaryknot/values/gateway_peers.py
+++ b/src/rosemaryknot/values/gateway_peers.py
@@ -348,6 +348,8 @@
         By gateway that reports to the hub: sequence of the report that is included.
     eras : dict
         By kind of object: era of the store to which ``seen`` belongs.
+    version_at : str
+        A gateway that has the newest configuration; empty if it is not known.
     """
 
     kind: ClassVar[str]
@@ -365,3 +367,4 @@
     loads: dict = field(default_factory=dict)
     counted: dict = field(default_factory=dict)
     eras: dict = field(default_factory=dict)
+    version_at: str = ""
--- a/tests/gateway/test_late_nodes.py
+++ b/tests/gateway/test_late_nodes.py
@@ -1,5 +1,7 @@
 """Tests of nodes that handle late what they receive, and of those that rely on them."""
 
+from operator import itemgetter
+
 import pytest
 import trio
 
@@ -69,11 +71,12 @@
 
     def longest_s(self, names):
         """Return the longest time of some nodes, with node and change."""
-        return max(
+        times = [
             (self.known_s.get((name, change), float("inf")) - written_s, name, change)
             for name in names
             for change, written_s in self.written_s.items()
-        )
+        ]
+        return max(times, key=itemgetter(0))
 
 
 def is_known(node, change):
