Log what a busy node receives and forwards, and how old its knowledge is

The record of busy relays did not tell which messages a relay forwarded, how late it was, or how old its knowledge was, so that a relay that is too busy looked like one that is cut off.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -18,6 +18,7 @@
 from rosemaryknot.connection.relay_client import RelayPeers
 from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.connection.server_relay import ServerRelay
+from rosemaryknot.process.activity_log import ActivityLog
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.availability_exchange import AvailabilityExchange
 from rosemaryknot.process.change_distributor import ChangeDistributor
@@ -218,6 +219,9 @@
         self.gateway = Gateway(self.gateway_components())
         self.crash_store.on_segment_refused = self.gateway.abort_refused
         self.loop_delay = LoopDelay()
+        self.activity_log = ActivityLog(
+            self.peers, self.exchange.hubs, self.watchers, self.loop_delay
+        )
         self.listener = GatewayListener(
             network,
             adapter.wire,
@@ -456,6 +460,7 @@
             await nursery.start(self.serve_pages, self.settings.metrics_address)
         await nursery.start(self.listener.run, listen.callers)
         start_soon(self.loop_delay.run)
+        start_soon(self.activity_log.run)
         for watcher in self.watchers.values():
             start_soon(watcher.run)
         start_soon(self.change_distributor.run)
