--- a/tests/process/test_peer_forwarding.py
+++ b/tests/process/test_peer_forwarding.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from rosemaryknot.connection.links import CallFailed, Handlers
-from rosemaryknot.process.peer_forwarding import Forwarder
+from rosemaryknot.process.peer_forwarding import ZONE_UNREACHABLE, Forwarder
 from rosemaryknot.process.peer_links import LinkPlan
 from rosemaryknot.values.nodes import Node
 from rosemaryknot.values.peers import PeerForward, PeerForwarded, PeerProbe
@@ -78,3 +78,63 @@
 
         response = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         assert response is None or isinstance(response, PeerForwarded)
+
+
+REMOTE = [Node(f"r{number}", "z1", 1) for number in range(3)]
+RELAYS = [Node(f"n{number}", "z0", 1) for number in range(1, 4)]
+
+
+class ReplyingLink:
+    """A link whose other end replies to each call in the same way."""
+
+    def __init__(self, node, reply):
+        self.hello = node
+        self.reply = reply
+        self.calls = 0
+
+    async def call(self, value, timeout_s):
+        self.calls += 1
+        return self.reply
+
+
+def sender_with(reply):
+    """Return a forwarder that is linked to the relays of its zone, and its links."""
+    links = {node.name: ReplyingLink(node, reply) for node in RELAYS}
+    own = Node("n0", "z0", 1)
+    forwarder = Forwarder(
+        own,
+        Handlers(),
+        links.get,
+        lambda: RELAYS,
+        lambda: [*RELAYS, *REMOTE],
+        LinkPlan(),
+    )
+    return forwarder, links
+
+
+class TestOutOfReach:
+    async def test_cut_zone_is_asked_for_once(self, autojump_clock):
+        """Guards against a dozen messages for each call to a zone that is cut off."""
+        forwarder, links = sender_with(PeerForwarded(reason=ZONE_UNREACHABLE))
+        for _ in range(10):
+            for node in REMOTE:
+                outcome = await forwarder.call(node.name, PeerProbe(), 1.0)
+                assert outcome == CallFailed("unreachable", maybe_handled=False)
+        assert sum(link.calls for link in links.values()) == 2
+        await trio.sleep(1.0)
+        assert not forwarder.is_out_of_reach("r0")
+
+    async def test_node_that_is_gone(self, autojump_clock):
+        """The other nodes of its zone are called all the same."""
+        forwarder, _ = sender_with(PeerForwarded(reason="unreachable"))
+        await forwarder.call("r0", PeerProbe(), 1.0)
+        assert forwarder.is_out_of_reach("r0")
+        assert not forwarder.is_out_of_reach("r1")
+
+    async def test_relay_tries_no_other_route(self, autojump_clock):
+        """Guards against messages that wander among relays which lost their target."""
+        forwarder, links = sender_with(PeerForwarded(reason="unreachable"))
+        envelope = PeerForward("r0", ["x", "z0", 1], ["x"], b"", 1.0, True)
+        reply = await forwarder.handle(envelope, None)
+        assert reply.reason == "unreachable"
+        assert sum(link.calls for link in links.values()) <= 1
--- a/tests/process/test_store_watcher.py
+++ b/tests/process/test_store_watcher.py
@@ -83,3 +83,47 @@
         assert watcher.current_since_s() == float("inf")
         await trio.sleep(REWRITE_TIMEOUT_S)
         assert watcher.current_since_s() == trio.current_time()
+
+
+class LateStore:
+    """A store whose responses are handled late; its first watch is never answered."""
+
+    LAG_S = 2.5
+
+    def __init__(self):
+        self.reconnected_s = float("-inf")
+        self.is_first = True
+
+    async def list_objects(self, kind):
+        await trio.sleep(self.LAG_S)
+        return Listed(9)
+
+    async def changes(self, kind, since, wait_s):
+        if wait_s and self.is_first:
+            self.is_first = False
+            await trio.sleep_forever()
+        await trio.sleep(self.LAG_S if since < 9 else self.LAG_S + wait_s)
+        return Changes(9)
+
+
+class TestLateResponses:
+    @pytest.mark.parametrize("is_single", [True, False])
+    async def test_resynchronizations_give_up_no_response(
+        self, autojump_clock, nursery, is_single
+    ):
+        """Guards against a late node that gives up each call before its response."""
+        store = LateStore()
+        watcher = StoreWatcher(
+            store,
+            "servers",
+            lambda listed: None,
+            lambda change: None,
+            random.Random(1),
+            is_single,
+        )
+        watcher.revision = 5
+        nursery.start_soon(watcher.run)
+        for _ in range(20):
+            await trio.sleep(0.25)
+            watcher.resync("another node has a newer revision")
+        assert watcher.revision == 9
