Give nodes of stand-ins and plays processors of a limited share

A node of the stand-ins handled all it received at once, so that no test or play could show a relay that is too busy.

--- a/src/rosemaryknot/connection/memory_network.py
+++ b/src/rosemaryknot/connection/memory_network.py
@@ -88,6 +88,28 @@
         return self.idle_at_s
 
 
+@dataclass(slots=True)
+class HostProcessor:
+    """Processor of a host, which handles one read or write after the other.
+
+    Attributes
+    ----------
+    read_s, write_s : float
+        Processor time of a read and of a write, in seconds.
+    idle_at_s : float
+        When all work so far will have been done, in trio time.
+    """
+
+    read_s: float
+    write_s: float
+    idle_at_s: float = 0.0
+
+    def schedule(self, work_s: float) -> float:
+        """Schedule work and return when it is done."""
+        self.idle_at_s = max(trio.current_time(), self.idle_at_s) + work_s
+        return self.idle_at_s
+
+
 class MemoryStream(trio.abc.HalfCloseableStream):
     """One end of an in-memory connection."""
 
@@ -101,6 +123,8 @@
         self.closed = False
         self.silent = False
         self.resets = False
+        # When the processor will have handled the first chunk that has arrived.
+        self.handled_s = math.inf
 
     async def send_all(self, data: bytes) -> None:
         """Send bytes; they are dropped if the stream is silent or partitioned."""
@@ -135,6 +159,9 @@
 
     def put(self, data: bytes) -> None:
         """Put bytes in transit."""
+        processor = self.network.processors.get(self.near)
+        if processor is not None:
+            processor.schedule(processor.write_s)
         if self.silent or self.network.is_blocked(self.near, self.far):
             # During a partition, a TCP sender waits for acknowledgements and nothing
             # is delivered. In this model, bytes sent during a partition are lost, so
@@ -179,13 +206,25 @@
             if pipe.reset:
                 raise trio.BrokenResourceError("connection reset")
             wait = pipe.next_arrival_s() - trio.current_time()
+            if wait <= 0:
+                wait = self.handling_s()
             if wait <= 0:
                 return self.pop_chunk(max_bytes) if pipe.chunks else b""
             with trio.move_on_after(wait):
                 await pipe.changed.park()
 
+    def handling_s(self) -> float:
+        """Return how long the processor will take to handle the first chunk."""
+        processor = self.network.processors.get(self.near)
+        if processor is None or not self.incoming.chunks:
+            return 0.0
+        if self.handled_s == math.inf:
+            self.handled_s = processor.schedule(processor.read_s)
+        return self.handled_s - trio.current_time()
+
     def pop_chunk(self, max_bytes: int | None) -> bytes:
         """Remove and return the first chunk, or as much of it as fits."""
+        self.handled_s = math.inf
         arrival, data = self.incoming.chunks.popleft()
         limit = math.inf if max_bytes is None else max_bytes
         if len(data) > limit:
@@ -259,6 +298,8 @@
         One-way delay between two hosts, in seconds.
     outbound, inbound : dict of str to HostLink
         Links of the hosts whose bandwidth is limited.
+    processors : dict of str to HostProcessor
+        Processors of the hosts that take time for what they read and write.
     """
 
     def __init__(
@@ -275,6 +316,7 @@
         self.delays_s = {} if shared is None else shared.delays_s
         self.outbound = {} if shared is None else shared.outbound
         self.inbound = {} if shared is None else shared.inbound
+        self.processors = {} if shared is None else shared.processors
 
     def with_host(self, host: str) -> "MemoryNetwork":
         """Return another host's view of the same network."""
@@ -306,6 +348,14 @@
         self.outbound[host] = HostLink(bytes_per_s)
         self.inbound[host] = HostLink(bytes_per_s)
 
+    def limit_processor(self, host: str, read_s: float, write_s: float) -> None:
+        """Let a host take time for each read and write, one after the other."""
+        self.processors[host] = HostProcessor(read_s, write_s)
+
+    def free_processor(self, host: str) -> None:
+        """Let a host handle at once what it reads from now on."""
+        self.processors.pop(host, None)
+
     def is_limited(self, one: str, other: str) -> bool:
         """Return whether the bandwidth between two hosts is limited."""
         return one in self.outbound or other in self.outbound
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -22,6 +22,7 @@
 from rosemaryknot.standin.users.configuration_changes import added_path
 from rosemaryknot.standin.users.play_faults import (
     PLAY_FAULTS,
+    draw_busy_nodes,
     draw_changes,
     draw_cuts,
     draw_ends,
@@ -410,6 +411,7 @@
     crashing_segments_per_s: float = 0.0,
     has_statements: bool = False,
     has_restores: bool = False,
+    has_busy_nodes: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -435,6 +437,9 @@
         play.resuming_per_s = RESUMING_PER_S
     if has_statements:
         play.faults += draw_statements(random.Random(f"statements {seed}"))
+    if has_busy_nodes:
+        busy_rng = random.Random(f"busy nodes {seed}")
+        play.faults += draw_busy_nodes(busy_rng, play.nodes)
     if has_restores:
         play.faults += draw_restores(random.Random(f"restores {seed}"))
         play.faults += draw_statements(random.Random(f"statements {seed}"))
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "PLAY_FAULTS",
+    "draw_busy_nodes",
     "draw_changes",
     "draw_cuts",
     "draw_ends",
@@ -200,6 +201,16 @@
             system.end_cut(name, servers)
 
 
+@play_fault("busy")
+async def busy(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Hold a node to ``share`` of a core for ``for_s``."""
+    name = fault["node"]
+    with system.disturbances.disturb(name):
+        system.limit_processor(name, fault["share"])
+        await trio.sleep(fault["for_s"])
+        system.free_processor(name)
+
+
 @play_fault("brittle")
 async def brittle(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Let ``servers`` be brittle for ``for_s``, with less room for a part of it."""
@@ -411,6 +422,20 @@
     return faults
 
 
+def draw_busy_nodes(rng: random.Random, nodes: int) -> list[dict[str, Any]]:
+    """Draw nodes whose processors are too small for a time, some at once."""
+    return [
+        {
+            "kind": "busy",
+            "at": round(rng.uniform(0.5, 15.0), 2),
+            "for_s": round(rng.uniform(0.5, 5.0), 2),
+            "node": f"n{rng.randrange(nodes)}",
+            "share": round(rng.uniform(0.01, 0.1), 3),
+        }
+        for _ in range(rng.randint(1, 4))
+    ]
+
+
 def draw_versions(rng: random.Random) -> list[dict[str, Any]]:
     """Draw model servers of other software versions, beside others or in their place.
 
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -61,6 +61,10 @@
 SERVERS_NETWORK = "10.1.0."
 MAX_SERVERS = 100
 LOST_SHARE = 0.3
+# Processor time of a whole core that a node takes for what it reads at once, such as a
+# message or a part of a response, and for a write.
+READ_S = 0.0005
+WRITE_S = 0.0002
 
 Cut = Callable[[MemoryNetwork, str, str], None]
 # Ways in which a node and a server may be cut off from each other.
@@ -452,6 +456,16 @@
             host = node.settings.listen.callers.host
             self.network.limit_link(host, bytes_per_s)
 
+    def limit_processor(self, node: str, share: float) -> None:
+        """Hold a node to a share of a core for what it reads and writes."""
+        host = self.nodes[node].settings.listen.callers.host
+        self.network.limit_processor(host, READ_S / share, WRITE_S / share)
+
+    def free_processor(self, node: str) -> None:
+        """End `limit_processor`."""
+        host = self.nodes[node].settings.listen.callers.host
+        self.network.free_processor(host)
+
     def cut_off(self, node: str, how: str, servers: Iterable[str] = ()) -> None:
         """Cut a node off from some servers, or from all present and later ones.
 
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -40,6 +40,7 @@
 # 7019 began streams at a server that had restarted, known too late.
 SEEDS_WITH_STATEMENTS = range(13000, 13008)
 SEEDS_WITH_RESTORES = range(14000, 14006)
+SEEDS_WITH_BUSY_NODES = range(15000, 15004)
 SEEDS_WITH_VERSIONS = [7000, 7001, 7002, 7003, 7019, 7030]
 
 
@@ -214,6 +215,19 @@
         assert not result.violations
         assert result.outcomes.total() > 200
 
+    @pytest.mark.parametrize("seed", SEEDS_WITH_BUSY_NODES)
+    def test_random_faults_and_busy_nodes(self, seed):
+        play = random_play(
+            seed,
+            seed % 2,
+            has_cuts=seed % 3 == 0,
+            has_statements=True,
+            has_busy_nodes=True,
+        )
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
+
     @pytest.mark.parametrize("seed", SEEDS_WITH_STATEMENTS)
     def test_random_faults_and_stated_availability(self, seed):
         play = random_play(
@@ -249,6 +263,7 @@
                 has_versions=True,
                 has_statements=True,
                 has_restores=True,
+                has_busy_nodes=True,
             )
             for seed in range(200)
         ]
