--- a/src/rosemaryknot/process/relay_broadcast.py
+++ b/src/rosemaryknot/process/relay_broadcast.py
@@ -19,14 +19,13 @@
 
 import trio
 
-from rosemaryknot.connection.links import MessageLink
+from rosemaryknot.connection.links import CallFailed, MessageLink
 from rosemaryknot.process.background_tasks import BackgroundTasks
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.process.peer_links import select_relays
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.values.messages import Message
-from rosemaryknot.values.notices import NoticeReceived
 
 __all__ = [
     "ForwardedMessage",
@@ -382,7 +381,7 @@
         """Send items to one relay; return whether it has confirmed them."""
         for notice in self.encode(items):
             reply = await link.call(notice, RECEIPT_TIMEOUT_S)
-            if not isinstance(reply, NoticeReceived):
+            if isinstance(reply, CallFailed):
                 name = link.hello.name
                 self.passed_over_until_s[name] = trio.current_time() + PASSED_OVER_S
                 log.info(
@@ -390,7 +389,7 @@
                     kind=notice.kind,
                     relay=name,
                     items=len(items),
-                    reason=getattr(reply, "reason", "unexpected reply"),
+                    reason=reply.reason,
                 )
                 return False
         return True
--- a/src/rosemaryknot/process/server_distributor.py
+++ b/src/rosemaryknot/process/server_distributor.py
@@ -1,11 +1,14 @@
 """Distributes the state of the backend servers among agents and entries.
 
 A few agents of each zone watch the platform. A mark, which says that a server is
-draining, is sent to every node immediately. All other state is compared with a peer
-periodically and fetched if it differs, which also makes up for lost marks.
+draining, is sent to every node at once, through relays in a large deployment. All other
+state is compared with a peer periodically and fetched if it differs, which also makes
+up for lost marks.
 """
 
 import random
+from collections.abc import Iterable
+from dataclasses import replace
 
 import trio
 import xxhash
@@ -14,6 +17,7 @@
 from rosemaryknot.process.configuration_distributor import select_nodes
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peers import PeerSet
+from rosemaryknot.process.relay_broadcast import Items, PlanRelays, RelayBroadcast
 from rosemaryknot.process.servers import ServerTable
 from rosemaryknot.values.control import (
     LeavingMarkApplied,
@@ -55,6 +59,8 @@
     ----------
     sent_marks : set of str
         Instances whose mark was sent to the peers, or received from them.
+    broadcast : RelayBroadcast
+        Sends marks by instance in a large deployment.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
         self.peers = peers
         self.rng = rng
         self.sent_marks: set[str] = set()
+        self.broadcast = RelayBroadcast(peers, PlanRelays(peers), marks_of)
         handlers.on(LeavingMark)(self.handle_mark)
         handlers.on(ServersFetch)(self.handle_fetch)
         peers.on_entry_link.append(self.keep_entry_current)
@@ -93,6 +100,7 @@
         """Send marks and compare tables until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.send_marks)
+            nursery.start_soon(self.broadcast.run)
             nursery.start_soon(self.compare)
 
     async def send_marks(self) -> None:
@@ -111,7 +119,10 @@
                     await self.send_to_all(mark)
 
     async def send_to_all(self, mark: LeavingMark) -> None:
-        """Send one mark to all peers concurrently."""
+        """Send one mark to all peers concurrently, or along the tree of relays."""
+        if self.broadcast.hubs.is_enabled:
+            self.broadcast.add(mark.instance, mark)
+            return
         async with trio.open_nursery() as nursery:
             for node in self.peers.nodes():
                 nursery.start_soon(self.send_mark, node.name, mark)
@@ -133,6 +144,8 @@
         """Apply a mark from a peer or from an entry of this node."""
         if link.hello.role != "entry":
             self.sent_marks.add(mark.instance)
+            reach = self.broadcast.reach_of(mark, link)
+            self.broadcast.forward(mark.instance, mark, reach)
         self.table.apply_mark(mark)
         return LeavingMarkApplied()
 
@@ -218,3 +231,8 @@
             timeout_s = REPEAT_PUSH_S if is_changed else float("inf")
             with trio.move_on_after(timeout_s):
                 await self.table.wait_changed(revision)
+
+
+def marks_of(items: Items) -> Iterable[LeavingMark]:
+    """Return copies of marks, which relays alter."""
+    return [replace(mark) for mark in items.values()]
--- a/src/rosemaryknot/values/servers.py
+++ b/src/rosemaryknot/values/servers.py
@@ -51,6 +51,8 @@
         Source of the mark: ``notice``, ``list``, ``peer``, ``server`` or ``placement``.
     age_s : float
         How long ago the platform or the server last reported this, in seconds.
+    is_forwarded : bool
+        Whether a relay has sent the mark to the nodes of its zone.
     """
 
     kind: ClassVar[str]
@@ -58,6 +60,7 @@
     deadline_unix_s: float
     source: str
     age_s: float = 0.0
+    is_forwarded: bool = False
 
 
 def server_to_dict(server: BackendServer) -> dict[str, Any]:
