Make the nodes with the largest processors the relays of a zone

A node now tells its processor with its record; relays are the largest nodes, and of those within a factor of about two the lowest hashes, so that the choice is stable and equal at all nodes. Earlier software drops the number from records it passes on; it is completed later.

--- a/src/rosemaryknot/connection/link_messages.py
+++ b/src/rosemaryknot/connection/link_messages.py
@@ -39,6 +39,8 @@
     compression : str
         Compression of frames that the sender can read, or empty if it reads only
         uncompressed ones.
+    capacity : int
+        See `rosemaryknot.values.nodes.Node`.
     """
 
     kind: ClassVar[str]
@@ -50,11 +52,12 @@
     protocol: int = PROTOCOL
     address: str = ""
     compression: str = ""
+    capacity: int = 0
 
     @property
     def node(self) -> Node:
         """The node that sent it."""
-        return Node(self.name, self.zone, self.incarnation)
+        return Node(self.name, self.zone, self.incarnation, self.capacity)
 
 
 @message("proof")
--- a/src/rosemaryknot/process/change_distributor.py
+++ b/src/rosemaryknot/process/change_distributor.py
@@ -61,7 +61,7 @@
     each = math.ceil(MIN_WATCHING_NODES / len(zones))
     watching: set[str] = set()
     for zone in zones:
-        watching.update(select_relays([n.name for n in nodes if n.zone == zone], each))
+        watching.update(select_relays([n for n in nodes if n.zone == zone], each))
     return watching
 
 
--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -146,7 +146,7 @@
     def relays(self, zone: str) -> list[str]:
         """Return the names of a zone's relays, with the hub first."""
         nodes = [*self.components.peers.nodes(), self.components.node]
-        return select_relays([n.name for n in nodes if n.zone == zone], RELAYS_PER_ZONE)
+        return select_relays([n for n in nodes if n.zone == zone], RELAYS_PER_ZONE)
 
     def target(self) -> str:
         """Return the name of the node to report to."""
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -121,7 +121,8 @@
         self.clock = SynchronizedClock() if clock is None else clock
         # The start time, so that a later incarnation of the node is recognized.
         incarnation = int(self.clock.wall_clock() * 1000)
-        self.node = Node(settings.node, settings.zone, incarnation)
+        capacity = settings.machine.capacity
+        self.node = Node(settings.node, settings.zone, incarnation, capacity)
         self.state = GatewayState(
             adapter.decode_configuration,
             adapter.decode_server,
--- a/src/rosemaryknot/process/node_settings.py
+++ b/src/rosemaryknot/process/node_settings.py
@@ -95,10 +95,21 @@
         Memory in megabytes; a process that uses more is terminated.
     files : int
         Number of file descriptors.
+    processor_share : float
+        Share of a core that the process may use.
+    processor_speed : float
+        Speed of the core, relative to the usual one.
     """
 
     memory_mb: Seconds = 256.0
     files: Count = 1024
+    processor_share: Seconds = 1.0
+    processor_speed: Seconds = 1.0
+
+    @property
+    def capacity(self) -> int:
+        """Processor, in hundredths of a core."""
+        return round(100 * self.processor_share * self.processor_speed)
 
 
 @with_config(STRICT)
--- a/src/rosemaryknot/process/peer_dialler.py
+++ b/src/rosemaryknot/process/peer_dialler.py
@@ -65,7 +65,13 @@
         """Return the hello message of this node."""
         own = self.table.own
         return Hello(
-            own.name, own.zone, own.incarnation, ROLE, b"", address=own.address
+            own.name,
+            own.zone,
+            own.incarnation,
+            ROLE,
+            b"",
+            address=own.address,
+            capacity=own.capacity,
         )
 
     def relay_hello(self) -> Hello:
--- a/src/rosemaryknot/process/peer_forwarding.py
+++ b/src/rosemaryknot/process/peer_forwarding.py
@@ -166,8 +166,8 @@
     def is_relay(self) -> bool:
         """Return whether this node is a relay of its zone."""
         nodes = [*self.live_nodes(), self.own]
-        names = [node.name for node in nodes if node.zone == self.own.zone]
-        return self.own.name in select_relays(names, self.plan.relays_per_zone)
+        members = [node for node in nodes if node.zone == self.own.zone]
+        return self.own.name in select_relays(members, self.plan.relays_per_zone)
 
     def is_out_of_reach(self, target: str) -> bool:
         """Return whether a node could not be reached a moment ago."""
--- a/src/rosemaryknot/process/peer_links.py
+++ b/src/rosemaryknot/process/peer_links.py
@@ -22,7 +22,7 @@
         Maximum number of nodes that form a full mesh.
     relays_per_zone : int
         Number of nodes of a zone that link to the whole zone and to the relays of
-        other zones.
+        other zones. Those with the largest processors are chosen.
     neighbours : int
         Links of a non-relay node within its zone, in addition to those to relays.
     """
@@ -32,30 +32,41 @@
     neighbours: int = 2
 
 
-def select_relays(names: Iterable[str], count: int) -> list[str]:
-    """Return the relays of a zone: the names with the lowest hashes.
+def select_relays(nodes: Iterable[Node], count: int) -> list[str]:
+    """Return the relays of a zone: the largest nodes, and of these the lowest hashes.
 
-    Each node computes them independently. If nodes have different views of the
+    A relay has more to do than the other nodes of its zone, so that machines of half a
+    core must not be chosen where there are others. Nodes count as equal unless one has
+    about twice the processor of the other.
+
+    Each node computes the relays independently. If nodes have different views of the
     membership, the topology has additional links or a route an additional hop, but the
     result is never incorrect.
+
+    Examples
+    --------
+    >>> small = [Node(f"s{n}", "a", 1, 52) for n in range(4)]
+    >>> select_relays([*small, Node("large", "a", 1, 215)], 2)[0]
+    'large'
     """
-    return list(lowest_hashes(tuple(names), count))
+    keys = tuple((node.name, node.capacity.bit_length()) for node in nodes)
+    return list(first_relays(keys, count))
 
 
 @lru_cache(maxsize=256)
-def lowest_hashes(names: tuple[str, ...], count: int) -> tuple[str, ...]:
-    """Return the names with the lowest hashes; cached, as forwarding calls it often."""
-    sorted_names = sorted(
-        names, key=lambda name: (xxhash.xxh64_intdigest(name.encode()), name)
+def first_relays(keys: tuple[tuple[str, int], ...], count: int) -> tuple[str, ...]:
+    """Return the first names by size and hash; cached, as forwarding calls it often."""
+    ranked = sorted(
+        (-size, xxhash.xxh64_intdigest(name.encode()), name) for name, size in keys
     )
-    return tuple(sorted_names[:count])
+    return tuple(name for _, _, name in ranked[:count])
 
 
-def names_by_zone(nodes: Iterable[Node]) -> dict[str, list[str]]:
-    """Return the names of the nodes of each zone."""
-    zones: dict[str, list[str]] = defaultdict(list)
+def nodes_by_zone(nodes: Iterable[Node]) -> dict[str, list[Node]]:
+    """Return the nodes of each zone."""
+    zones: dict[str, list[Node]] = defaultdict(list)
     for node in nodes:
-        zones[node.zone].append(node.name)
+        zones[node.zone].append(node)
     return zones
 
 
@@ -93,7 +104,7 @@
     >>> len(select_link_targets(nodes[0], nodes[1:], LinkPlan(full_mesh_nodes=9)))
     8
     >>> plan = LinkPlan(full_mesh_nodes=8, relays_per_zone=2, neighbours=1)
-    >>> relays = select_relays([node.name for node in nodes], 2)
+    >>> relays = select_relays(nodes, 2)
     >>> leaf = next(node for node in nodes if node.name not in relays)
     >>> set(relays) <= select_link_targets(leaf, [n for n in nodes if n != leaf], plan)
     True
@@ -101,14 +112,15 @@
     others = list(others)
     if len(others) < plan.full_mesh_nodes:
         return {node.name for node in others}
-    zones = names_by_zone([own, *others])
+    zones = nodes_by_zone([own, *others])
     members = zones.pop(own.zone)
+    names = [node.name for node in members]
     relays = select_relays(members, plan.relays_per_zone)
     if own.name not in relays:
-        return set(relays) | ring_successors(own.name, members, plan.neighbours)
-    targets = set(members)
-    for names in zones.values():
-        targets.update(select_relays(names, plan.relays_per_zone))
+        return set(relays) | ring_successors(own.name, names, plan.neighbours)
+    targets = set(names)
+    for nodes in zones.values():
+        targets.update(select_relays(nodes, plan.relays_per_zone))
     return targets - {own.name}
 
 
@@ -136,11 +148,11 @@
         ordered by a hash that includes sender and target; with a fixed order, one relay
         would carry all messages.
     """
-    zones = names_by_zone([own, *live_nodes])
+    zones = nodes_by_zone([own, *live_nodes])
     relays = {
         name
-        for names in zones.values()
-        for name in select_relays(names, plan.relays_per_zone)
+        for nodes in zones.values()
+        for name in select_relays(nodes, plan.relays_per_zone)
     }
 
     def sort_key(node: Node) -> tuple[bool, bool, bool, int]:
--- a/src/rosemaryknot/process/peer_table.py
+++ b/src/rosemaryknot/process/peer_table.py
@@ -77,13 +77,22 @@
         if known is None:
             return self.add(record, now_s)
         if record.precedence <= known.precedence:
-            return False
+            return self.adopt_capacity(known, record)
         if record.state != PeerState.LIVE and known.state != PeerState.LIVE:
             record.suspect_since_s = min(record.suspect_since_s, known.suspect_since_s)
         self.records[record.name] = record
         self.pending_gossip.add(record.name)
         return True
 
+    def adopt_capacity(self, known: PeerRecord, record: PeerRecord) -> bool:
+        """Complete a record that a node of earlier software has passed on."""
+        is_same = record.precedence == known.precedence
+        if known.capacity or not record.capacity or not is_same:
+            return False
+        known.capacity = record.capacity
+        self.pending_gossip.add(known.name)
+        return True
+
     def add(self, record: PeerRecord, now_s: float) -> bool:
         """Add the first record of a node."""
         if record.state != PeerState.LIVE:
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -111,7 +111,13 @@
         self.plan = LinkPlan() if plan is None else plan
         self.rng = random.Random() if rng is None else rng
         self.table = PeerTable(
-            PeerRecord(node.name, node.zone, node.incarnation, str(listen))
+            PeerRecord(
+                node.name,
+                node.zone,
+                node.incarnation,
+                str(listen),
+                capacity=node.capacity,
+            )
         )
         self.peers: dict[str, Peer] = {}
         self.targets: set[str] = set()
@@ -381,7 +387,9 @@
             if record is not None and record.state != PeerState.LEFT:
                 nodes[node.name] = node
         live = sorted(nodes.values(), key=lambda node: node.name)
-        if live != self.live:
+        # Nodes whose capacity has become known are equal to what they were.
+        before = [(node, node.capacity) for node in self.live]
+        if [(node, node.capacity) for node in live] != before:
             self.live = live
             self.changes += 1
             self.changed.set()
@@ -481,7 +489,13 @@
     def add_link(self, link: MessageLink, is_dialled: bool) -> LinkEnd:
         """Register a new link and the record of the node at its other end."""
         hello = link.hello
-        record = PeerRecord(hello.name, hello.zone, hello.incarnation, hello.address)
+        record = PeerRecord(
+            hello.name,
+            hello.zone,
+            hello.incarnation,
+            hello.address,
+            capacity=hello.capacity,
+        )
         self.table.merge(record, trio.current_time())
         end = LinkEnd(link, is_dialled)
         peer = self.peers.get(hello.name)
--- a/src/rosemaryknot/process/relay_broadcast.py
+++ b/src/rosemaryknot/process/relay_broadcast.py
@@ -100,8 +100,8 @@
     def relays(self, zone: str) -> list[str]:
         """Return the names of a zone's relays."""
         nodes = [*self.peers.nodes(), self.peers.node]
-        names = [node.name for node in nodes if node.zone == zone]
-        return select_relays(names, self.peers.plan.relays_per_zone)
+        members = [node for node in nodes if node.zone == zone]
+        return select_relays(members, self.peers.plan.relays_per_zone)
 
 
 class ForwardedMessage(Protocol):
--- a/src/rosemaryknot/values/nodes.py
+++ b/src/rosemaryknot/values/nodes.py
@@ -1,6 +1,6 @@
 """Identities of this project's nodes and of the backend servers they route to."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 __all__ = ["Address", "BackendServer", "Node", "ServerState"]
@@ -71,11 +71,15 @@
     incarnation : int
         Increases with each start of the process (milliseconds since the epoch at
         start). A message of an older incarnation comes from a process that has ended.
+    capacity : int
+        Processor of the machine, in hundredths of a core; 0 if it is not known. Nodes
+        that differ only in it are equal.
     """
 
     name: str
     zone: str
     incarnation: int
+    capacity: int = field(default=0, compare=False)
 
 
 class ServerState(StrEnum):
--- a/src/rosemaryknot/values/peers.py
+++ b/src/rosemaryknot/values/peers.py
@@ -46,6 +46,9 @@
         A `PeerState` value.
     suspect_since_s : float
         When the node ceased to be live, in local trio time.
+    capacity : int
+        See `rosemaryknot.values.nodes.Node`; 0 in a record that a node of earlier
+        software has passed on.
     """
 
     name: str
@@ -55,11 +58,12 @@
     sequence: int = 0
     state: int = PeerState.LIVE
     suspect_since_s: float = 0.0
+    capacity: int = 0
 
     @property
     def node(self) -> Node:
         """Node that the record describes."""
-        return Node(self.name, self.zone, self.incarnation)
+        return Node(self.name, self.zone, self.incarnation, self.capacity)
 
     @property
     def precedence(self) -> tuple[int, int, int]:
@@ -77,6 +81,7 @@
             self.sequence,
             int(self.state),
             round(age_s, 3),
+            self.capacity,
         ]
 
     @classmethod
@@ -103,8 +108,16 @@
         name, zone, incarnation, address, sequence, state, age_s = fields[: len(types)]
         if state not in set(PeerState):
             return None
+        capacity = fields[len(types)] if len(fields) > len(types) else 0
         return cls(
-            name, zone, incarnation, address, sequence, PeerState(state), now_s - age_s
+            name,
+            zone,
+            incarnation,
+            address,
+            sequence,
+            PeerState(state),
+            now_s - age_s,
+            capacity if isinstance(capacity, int) else 0,
         )
 
 
--- a/tests/gateway/test_busy_relays.py
+++ b/tests/gateway/test_busy_relays.py
@@ -18,10 +18,10 @@
 
 def relays_of(fleet):
     """Return the relays of all zones."""
-    names = {}
-    for name, node in fleet.nodes.items():
-        names.setdefault(node.node.zone, []).append(name)
-    return [relay for zone in names.values() for relay in select_relays(zone, 3)]
+    zones = {}
+    for node in fleet.nodes.values():
+        zones.setdefault(node.node.zone, []).append(node.node)
+    return [relay for nodes in zones.values() for relay in select_relays(nodes, 3)]
 
 
 async def readiness_s(fleet, name):
--- a/tests/gateway/test_late_nodes.py
+++ b/tests/gateway/test_late_nodes.py
@@ -88,8 +88,8 @@
 
 def relays_of(fleet, zone):
     """Return the relays of a zone, the hub first."""
-    names = [n for n, node in fleet.nodes.items() if node.node.zone == zone]
-    return select_relays(names, RELAYS)
+    nodes = [n.node for n in fleet.nodes.values() if n.node.zone == zone]
+    return select_relays(nodes, RELAYS)
 
 
 LATE = {
--- a/tests/process/test_peers.py
+++ b/tests/process/test_peers.py
@@ -9,11 +9,12 @@
 from rosemaryknot.connection.links import CallFailed, Handlers
 from rosemaryknot.connection.memory_network import MemoryNetwork
 from rosemaryknot.process.peer_links import LinkPlan, select_relays
-from rosemaryknot.process.peer_table import RECORD_TTL_S
+from rosemaryknot.process.peer_table import RECORD_TTL_S, PeerTable
 from rosemaryknot.process.peers import PeerSet
 from rosemaryknot.replay.hosts import Host, HostInstrument
 from rosemaryknot.values.messages import Message, message
 from rosemaryknot.values.nodes import Address, Node
+from rosemaryknot.values.peers import PeerRecord
 
 KEY = b"k" * 32
 ZONES = ("waco-a", "waco-b", "temple-c")
@@ -44,7 +45,18 @@
     def address(self, name: str) -> Address:
         return Address(self.host(name), 8300)
 
-    async def start(self, name: str, seeds=("n1",), incarnation: int = 1) -> PeerSet:
+    def nodes_of(self, number: int) -> list[Node]:
+        """Return the nodes of a zone."""
+        zone = ZONES[number]
+        return [p.node for p in self.sets.values() if p.node.zone == zone]
+
+    async def start(
+        self,
+        name: str,
+        seeds=("n1",),
+        incarnation: int = 1,
+        capacity: int = 0,
+    ) -> PeerSet:
         """Start a node, called n1, n2 and so on."""
         handlers = Handlers()
         zone = ZONES[int(name[1:]) % 3]
@@ -57,7 +69,7 @@
 
         peers = PeerSet(
             self.network.with_host(self.host(name)),
-            Node(name, zone, incarnation),
+            Node(name, zone, incarnation, capacity),
             self.address(name),
             KEY,
             [self.address(seed) for seed in seeds],
@@ -362,14 +374,49 @@
                     if one != other:
                         await fleet.sets[one].call(other, Ping(), 1)
             for zone in range(3):
-                names = [name for name in fleet.sets if int(name[1:]) % 3 == zone]
+                members = fleet.nodes_of(zone)
                 forwarded = [
                     fleet.sets[name].forwarder.passed_on
-                    for name in select_relays(names, 2)
+                    for name in select_relays(members, 2)
                 ]
                 assert max(forwarded) < 3 * min(forwarded)
             nursery.cancel_scope.cancel()
 
+    async def test_large_machines_are_relays(self, autojump_clock):
+        """Guards against relays on the smallest machines of a zone.
+
+        All nodes know the capacity of each, also without a link to it.
+        """
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, self.PLAN)
+            for number in range(1, 22):
+                capacity = 215 if number > 15 else 52
+                await fleet.start(f"n{number}", capacity=capacity)
+            await fleet.wait_converged(30)
+            await trio.sleep(10)
+            for peers in fleet.sets.values():
+                nodes = [*peers.nodes(), peers.node]
+                for zone in ZONES:
+                    members = [node for node in nodes if node.zone == zone]
+                    relays = select_relays(members, 2)
+                    assert all(int(name[1:]) > 15 for name in relays), peers.node
+                linked = {node.name for node in peers.linked()}
+                own = [node for node in nodes if node.zone == peers.node.zone]
+                wanted = set(select_relays(own, 2)) - {peers.node.name}
+                assert wanted <= linked
+            nursery.cancel_scope.cancel()
+
+    async def test_record_passed_on_by_earlier_software(self):
+        """Guards against nodes that select other relays for good after an upgrade."""
+        table = PeerTable(PeerRecord("n1", "z", 1, ""))
+        record = PeerRecord("n2", "z", 1, "a:1", capacity=215)
+        fields = record.to_fields(0.0)
+        table.merge(PeerRecord.from_fields(fields[:-1], 0.0), 0.0)
+        assert table.records["n2"].capacity == 0
+        assert table.merge(PeerRecord.from_fields(fields, 0.0), 0.0)
+        assert table.records["n2"].capacity == 215
+        assert not table.merge(PeerRecord.from_fields(fields, 0.0), 0.0)
+
     async def test_all_relays_of_a_zone_fail(self, autojump_clock):
         """Both relays of a zone fail, and its other nodes have no links to other zones.
 
@@ -379,7 +426,7 @@
             fleet = await start_fleet(nursery, 21, self.PLAN)
             await trio.sleep(30)
             zone = [name for name in fleet.sets if int(name[1:]) % 3 == 0]
-            for name in select_relays(zone, 2):
+            for name in select_relays(fleet.nodes_of(0), 2):
                 del fleet.sets[name]
                 fleet.kill(name)
             assert await fleet.wait_converged(60) < 20
@@ -402,7 +449,8 @@
             fleet = await start_fleet(nursery, 12, self.PLAN)
             await trio.sleep(30)
             zone = [name for name in fleet.sets if int(name[1:]) % 3 == 0]
-            leaf = next(name for name in zone if name not in select_relays(zone, 2))
+            relays = select_relays(fleet.nodes_of(0), 2)
+            leaf = next(name for name in zone if name not in relays)
             fleet.hosts[leaf].freeze()
             await trio.sleep(30)
             others = [fleet.sets[name] for name in fleet.sets if name != leaf]
