--- a/src/rosemaryknot/process/relay_broadcast.py
+++ b/src/rosemaryknot/process/relay_broadcast.py
@@ -295,9 +295,9 @@
         elif own.name not in self.hubs.relays(own.zone):
             self.send_to_relay(own.zone, items)
         else:
-            everywhere = {k: i for k, (i, reach) in pending.items() if reach > 1}
+            for_all = {k: i for k, (i, reach) in pending.items() if reach == Reach.ALL}
             for zone in {node.zone for node in self.peers.nodes()} - {own.zone}:
-                self.send_to_relay(zone, everywhere)
+                self.send_to_relay(zone, for_all)
             await self.send_to_zone(items)
 
     async def send_to_zone(self, items: Items) -> None:
@@ -369,11 +369,10 @@
 
         The hub comes last, since it has the most to do.
         """
-        relays = self.hubs.relays(zone)
+        hub, *others = self.hubs.relays(zone) or [""]
         now_s = trio.current_time()
-        ordered = [name for name in [*relays[1:], *relays[:1]]]
         return sorted(
-            (name for name in ordered if name != self.peers.node.name),
+            [*others, hub],
             key=lambda name: self.passed_over_until_s.get(name, 0.0) > now_s,
         )
 
