--- a/src/rosemaryknot/process/relay_broadcast.py
+++ b/src/rosemaryknot/process/relay_broadcast.py
@@ -40,8 +40,8 @@
 COLLECT_S = 0.02
 # The same where messages go through relays. It doubles with each message, so that a
 # series of events costs few, and begins anew after a time without any.
-MIN_RELAYED_COLLECT_S = 0.05
-MAX_RELAYED_COLLECT_S = 0.4
+MIN_RELAYED_COLLECT_S = 0.1
+MAX_RELAYED_COLLECT_S = 0.5
 QUIET_S = 1.0
 # A relay that does not confirm a notice within this time is passed over for a while.
 RECEIPT_TIMEOUT_S = 0.4
