Look a holder's reach up without a search, and name the age of reports plainly

Read as a newcomer: each stream searched all live nodes six times to order the holders of its origin by reach; the ring has the nodes by name. content_s said nothing of whose content; a metric named a label that it does not have; four loops of a test stood twice. No behaviour is meant to change.

--- a/src/rosemaryknot/process/hub_exchange.py
+++ b/src/rosemaryknot/process/hub_exchange.py
@@ -85,7 +85,7 @@
         Time of the last aggregate or of the last change of relay.
     last_aggregate_s : float
         Time of the last aggregate.
-    content_s : float
+    counted_sent_s : float
         When the newest own report that the hub has aggregated was sent.
     is_enabled : bool
         Whether reports are sent through hubs.
@@ -115,7 +115,7 @@
         self.relay_index = 0
         self.silence_started_s = 0.0
         self.last_aggregate_s = 0.0
-        self.content_s = 0.0
+        self.counted_sent_s = 0.0
         self.is_enabled = False
         self.nodes = SlidingMaximum()
         self.last_aggregate: HubSum | None = None
@@ -138,7 +138,7 @@
             self.is_enabled = is_large
             self.components.state.servers.uses_hub_loads = is_large
             now_s = trio.current_time()
-            self.silence_started_s = self.last_aggregate_s = self.content_s = now_s
+            self.silence_started_s = self.last_aggregate_s = self.counted_sent_s = now_s
             self.components.quota.set_hub_reporting(is_large)
             log.info("reporting through hubs" if is_large else "reporting directly")
         return is_large
@@ -181,7 +181,7 @@
 
     def age_s(self) -> float:
         """Return how old the newest report is that the hub has aggregated."""
-        return trio.current_time() - self.content_s
+        return trio.current_time() - self.counted_sent_s
 
     # Role as a reporting node.
 
@@ -281,7 +281,9 @@
             self.counted_totals = {}
             self.own.counted = None
         sequence = aggregate.counted.get(self.components.node.name, -1)
-        self.content_s = max(self.content_s, self.own.sent_s.get(sequence, 0.0))
+        self.counted_sent_s = max(
+            self.counted_sent_s, self.own.sent_s.get(sequence, 0.0)
+        )
         own_acquired = self.own.newly_counted(sequence)
         if is_same:
             self.apply_spent(aggregate, own_acquired)
--- a/src/rosemaryknot/process/origin_exchange.py
+++ b/src/rosemaryknot/process/origin_exchange.py
@@ -290,7 +290,10 @@
 
         A lookup asks all of them.
         """
-        return sorted(self.order(key), key=self.peers.is_out_of_reach)
+        names = self.order(key)
+        return sorted(
+            names, key=lambda name: self.peers.is_out_of_reach(self.ring.nodes[name])
+        )
 
     def enqueue(self, pending: PendingOrigin, name: str) -> None:
         """Send a record to a node, together with others that wait for it."""
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -170,9 +170,9 @@
         end = None if peer is None else peer.best()
         return None if end is None else end.link
 
-    def is_out_of_reach(self, name: str) -> bool:
+    def is_out_of_reach(self, node: Node) -> bool:
         """Return whether a node did not respond, or was out of reach, a moment ago."""
-        return self.forwarder.is_out_of_reach(name)
+        return self.forwarder.memory.is_out_of_reach(node)
 
     def queued_bytes(self) -> int:
         """Return the number of bytes queued for writing on all links."""
--- a/src/rosemaryknot/process/relay_broadcast.py
+++ b/src/rosemaryknot/process/relay_broadcast.py
@@ -56,7 +56,7 @@
 # Items of which it is remembered that they were sent.
 MAX_SENT_ITEMS = 4096
 
-ITEMS = counter("notice_items_total", "Items of notices, by kind and outcome.")
+ITEMS = counter("notice_items_total", "Items of notices, by outcome.")
 
 log = logger("notices")
 
--- a/tests/process/test_relay_broadcast.py
+++ b/tests/process/test_relay_broadcast.py
@@ -65,6 +65,11 @@
     def best_link(self, name):
         return self.links.get(name)
 
+    def set_silent(self, names, is_silent=True):
+        """Let nodes confirm no notices, or confirm them again."""
+        for name in names:
+            self.links[name].is_silent = is_silent
+
     async def send_all(self, names, notice):
         self.to_zone.append((sorted(names), notice))
 
@@ -112,8 +117,7 @@
     async def test_relay_that_is_silent(self, run):
         """Guards against notices that end at a relay which is suspended."""
         broadcast, peers, relays = sender(is_relay=False)
-        for name in relays[1:]:
-            peers.links[name].is_silent = True
+        peers.set_silent(relays[1:])
         await run(broadcast)
         broadcast.add("s1", "s1")
         await trio.sleep(1)
@@ -125,21 +129,18 @@
     async def test_all_relays_are_silent_for_a_while(self, run):
         """Guards against notices that are lost while no relay confirms them."""
         broadcast, peers, relays = sender(is_relay=False)
-        for name in relays:
-            peers.links[name].is_silent = True
+        peers.set_silent(relays)
         await run(broadcast)
         broadcast.add("s1", "s1")
         await trio.sleep(1.5)
-        for name in relays:
-            peers.links[name].is_silent = False
+        peers.set_silent(relays, is_silent=False)
         await trio.sleep(1.5)
         assert [n.servers for ns in received(peers).values() for n in ns] == [["s1"]]
 
     async def test_notices_are_given_up_in_the_end(self, run):
         """Guards against notices that wait without end for relays that are gone."""
         broadcast, peers, relays = sender(is_relay=False)
-        for name in relays:
-            peers.links[name].is_silent = True
+        peers.set_silent(relays)
         await run(broadcast)
         broadcast.add("s1", "s1")
         await trio.sleep(10)
