--- a/review/harness.py
+++ b/review/harness.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+import h11
 import trio
 
 from rosemaryknot.connection.network import SocketNetwork
@@ -27,13 +28,17 @@
 
 __all__ = [
     "BOUNDS",
+    "HOST",
     "KEY",
+    "ZONES",
+    "Booker",
     "Case",
     "Deployment",
     "Reply",
     "ask",
     "configuration",
     "free_port",
+    "receive",
     "reset",
     "route",
     "run_case",
@@ -301,6 +306,43 @@
         self.is_whole = False
 
 
+class Booker:
+    """Client of non-idempotent requests with one kept connection to a node."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.conn = h11.Connection(h11.CLIENT)
+        self.stream: trio.SocketStream | None = None
+
+    async def open(self, node: int) -> None:
+        """Open the connection."""
+        deployment = self.deployment
+        self.stream = await trio.open_tcp_stream(
+            deployment.hosts[node], deployment.ports["callers"]
+        )
+
+    async def book(self, name: str) -> int:
+        """Send a booking; return its status, 0 if the connection ends without one."""
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
+            "Rosemaryknot-Attempt-Id": name,
+            "Rosemaryknot-Deadline-Ms": "10000",
+            "Content-Length": "0",
+        }
+        request = h11.Request(
+            method="POST", target=f"/book/{name}", headers=[*headers.items()]
+        )
+        data = self.conn.send(request) + self.conn.send(h11.EndOfMessage())
+        await self.stream.send_all(data)
+        reply = Reply()
+        await receive(self.conn, self.stream, reply)
+        if not reply.is_whole:
+            return 0
+        self.conn.start_next_cycle()
+        return reply.status
+
+
 async def ask(
     host: str,
     port: int,
@@ -311,8 +353,6 @@
     timeout_s: float = 20.0,
 ) -> Reply:
     """Send one request on a new connection and return what came back."""
-    import h11
-
     reply = Reply()
     conn = h11.Connection(h11.CLIENT)
     stream = await trio.open_tcp_stream(host, port)
@@ -339,8 +379,6 @@
 
 async def receive(conn: Any, stream: trio.SocketStream, reply: Reply) -> None:
     """Read a response until it ends or breaks off."""
-    import h11
-
     while True:
         try:
             event = conn.next_event()
