Log and count what the retry budget decides on

An operator could not see from the logs which of the hypotheses on retries across restarts holds: how many nodes a decision assumed, what its window held, and how long a retry waited before it was sent. Each decision is counted (gateway_retries_total), a refusal is logged with the values it was computed from, a granted retry carries them in its line, and the time until it is sent is a histogram (gateway_retry_wait_seconds). No decision changes.

--- a/src/rosemaryknot/process/attempt_budget.py
+++ b/src/rosemaryknot/process/attempt_budget.py
@@ -73,6 +73,17 @@
         retries.append(now_s)
         return True
 
+    def explain(self, service: str, now_s: float) -> dict[str, float]:
+        """Return the values that a decision is computed from, to log."""
+        self.drop_expired(self.requests[service], now_s)
+        self.drop_expired(self.retries[service], now_s)
+        return {
+            "budget_requests": len(self.requests[service]),
+            "budget_retries": len(self.retries[service]),
+            "budget_slack": self.slack,
+            "budget_nodes": self.assumed_nodes(now_s),
+        }
+
     def assumed_nodes(self, now_s: float) -> int:
         """Return the recent maximum of the number of gateways.
 
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -357,6 +357,7 @@
             release_quota=release_quota,
             explain_quota=self.quota.explain,
             may_retry=lambda name: self.budget.acquire(name, trio.current_time()),
+            explain_retries=lambda name: self.budget.explain(name, trio.current_time()),
             record_request=lambda name: self.budget.record_request(
                 name, trio.current_time()
             ),
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -73,6 +73,7 @@
 
 REQUESTS = counter("gateway_requests_total", "Requests by outcome.")
 ATTEMPTS = counter("gateway_attempts_total", "Attempts at backend servers by outcome.")
+RETRIES = counter("gateway_retries_total", "Decisions of the retry budget by outcome.")
 BARRED = counter(
     "gateway_barred_requests_total",
     "Requests that were refused since servers crashed under them.",
@@ -225,6 +226,7 @@
                 after=type(outcome).__name__,
                 reason=getattr(outcome, "reason", ""),
                 left_s=round(context.remaining_s(), 3),
+                **self.components.explain_retries(context.service.name),
                 **failure_log_fields(context),
             )
 
@@ -362,7 +364,23 @@
             return False
         if not self.has_alternative(context):
             return False
-        return self.components.may_retry(context.service.name)
+        return self.may_retry(context)
+
+    def may_retry(self, context: RequestContext) -> bool:
+        """Return whether the retry budget allows one more attempt, and count it."""
+        service = context.service.name
+        is_allowed = self.components.may_retry(service)
+        RETRIES.add(outcome="granted" if is_allowed else "refused")
+        if is_allowed:
+            context.retry_decided_s = trio.current_time()
+        else:
+            log.info(
+                "retry refused by the budget",
+                request=context.request.id,
+                service=service,
+                **self.components.explain_retries(service),
+            )
+        return is_allowed
 
     def has_alternative(self, context: RequestContext) -> bool:
         """Return whether another attempt has a server, now or within its time to wait.
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -53,6 +53,9 @@
 
 log = logger("gateway")
 FIRST_BYTE = histogram("gateway_first_byte_seconds", "Time to the first byte.")
+RETRY_WAIT = histogram(
+    "gateway_retry_wait_seconds", "Time from the decision on a retry until it is sent."
+)
 
 
 class Attempt:
@@ -207,6 +210,9 @@
         request = context.request
         context.sent += 1
         self.sent_s = trio.current_time()
+        if context.retry_decided_s is not None:
+            RETRY_WAIT.observe(self.sent_s - context.retry_decided_s)
+            context.retry_decided_s = None
         self.is_confirmed = self.components.servers.versions.is_current(self.state)
         if context.beginning is not None and not context.reply.is_started:
             self.components.origins.record_attempt(
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -92,6 +92,9 @@
     may_retry : callable
         Takes a service name; returns whether one more attempt is within the retry
         budget, and counts it if so.
+    explain_retries : callable
+        Takes a service name; returns the values from which the retry budget is
+        computed, for the log.
     record_request : callable
         Takes a service name; counts a request for the retry budget.
     record_run : callable
@@ -126,6 +129,7 @@
     release_quota: Callable[[CustomerLimit, float], None]
     explain_quota: Callable[[CustomerLimit], dict[str, float]]
     may_retry: Callable[[str], bool]
+    explain_retries: Callable[[str], dict[str, float]]
     record_request: Callable[[str], None]
     record_run: Callable[[str], None]
     record_drain: Callable[[ServerState], None]
@@ -193,6 +197,9 @@
         Result of `identity`, once it was needed.
     crash_decision : Allowed or Barred
         Latest decision on the request because of servers that crashed.
+    retry_decided_s : float or None
+        When it was last decided to send the request once more, in trio time; None
+        before, and once it was sent.
     path : str
         Path of the last connection: empty if none was opened, ``direct``, or the name
         of the peer that relays it.
@@ -235,6 +242,7 @@
     closed_by: list[ServerState] = field(default_factory=list)
     known_identity: RequestIdentity | None = None
     crash_decision: Allowed | Barred = field(default_factory=Allowed)
+    retry_decided_s: float | None = None
     path: str = ""
     lost_paths: int = 0
     permit: Permit | None = None
