Check the retry budget over all nodes, and list the cases that exceed it

Nothing of ours checked that retries at a service stay within the budget over all nodes: the audit had no such invariant, the unit test counts one process, and the stand-in's default was five times looser than any deployment's. Plays, faults and soak now use a small deployment's figures (0.2, 54 in 10 s) and the audit counts, by service, the arrivals beyond the first of each request in every window that begins or ends with one.

Plays with failing servers and restarts of most nodes join the random plays.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -49,6 +49,7 @@
 from rosemaryknot.standin.users.store import StoreStandIn
 from rosemaryknot.standin.users.system import (
     CRASH_DOWN_S,
+    DEPLOYMENT_BOUNDS,
     MODEL,
     PLAIN,
     Answer,
@@ -242,7 +243,11 @@
             "is_first_start": True,
             "store": {"address": str(store)},
             "cloud": {"address": str(cloud), "duties": ["usage"]},
-            "bounds": {"grace_s": GRACE_S, "retry_ratio": 0.5, "retry_slack": 100.0},
+            "bounds": {
+                "grace_s": GRACE_S,
+                "retry_ratio": DEPLOYMENT_BOUNDS.retry_ratio,
+                "retry_slack": DEPLOYMENT_BOUNDS.retry_slack,
+            },
         }
 
     async def add_server(
@@ -400,7 +405,8 @@
 async def hangup(system: SoakSystem, rng: random.Random, for_s: float) -> None:
     """Change the settings file of a node, with or without SIGHUP."""
     node = rng.choice(list(system.nodes.values()))
-    node.settings["bounds"]["retry_slack"] = float(rng.randint(50, 200))
+    most = int(DEPLOYMENT_BOUNDS.retry_slack)
+    node.settings["bounds"]["retry_slack"] = float(rng.randint(most // 2, most))
     node.write()
     if rng.random() < 0.7:
         node.send(signal.SIGHUP)
@@ -759,7 +765,7 @@
 
 async def run_seed(seed: int, nodes: int = NODES) -> tuple[list[Violation], Counter]:
     """Run one seed; return the violations, and the number of faults by kind."""
-    observations = Observations()
+    observations = Observations(bounds=DEPLOYMENT_BOUNDS)
     fault_counts = Counter(fault.kind for fault in draw_schedule(seed))
     async with trio.open_nursery() as nursery:
         system = SoakSystem(nursery, seed, nodes)
--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -27,6 +27,7 @@
     limited_periods,
     most_in_window,
 )
+from rosemaryknot.standin.users.retry_windows import fullest_window, repeats
 from rosemaryknot.standin.users.servers import Fall
 from rosemaryknot.standin.users.store import ObjectChange
 
@@ -180,6 +181,10 @@
         Rate limits that servers stated or omitted in their responses, in order.
     arrivals : dict of str to list of tuple of (float, str)
         Times and ids of all requests that reached a server, by its incarnation.
+    service_arrivals : dict of str to list of tuple of (float, str)
+        The same by service, also of requests that the server refused.
+    bounds : Bounds
+        Bounds of the deployment.
     falls : list of Fall
         Crashes of brittle servers, in order.
     drains : list of DrainStatement
@@ -203,6 +208,8 @@
     object_changes: list[ObjectChange] = field(default_factory=list)
     limit_statements: list[LimitStatement] = field(default_factory=list)
     arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    service_arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    bounds: Bounds = field(default_factory=Bounds)
     falls: list[Fall] = field(default_factory=list)
     drains: list[DrainStatement] = field(default_factory=list)
     pauses: list[PauseRequest] = field(default_factory=list)
@@ -564,6 +571,38 @@
             yield f"{period.server} stated {period.rate} a second and got {most}"
 
 
+@invariant("retries_are_bounded")
+def retries_are_bounded(observations: Observations) -> Iterable[str]:
+    """Find services that got more retries in a window than the budget allows."""
+    requests = requests_by_service(observations)
+    for service, arrivals in observations.service_arrivals.items():
+        found = fullest_window(
+            repeats(arrivals), requests.get(service, []), observations.bounds
+        )
+        if found is not None and found.used_share > 1:
+            yield (
+                f"{service} got {found.retries} retries from {found.start_s:.2f} s, "
+                f"{found.allowed:.1f} allowed"
+            )
+
+
+def requests_by_service(observations: Observations) -> dict[str, list[float]]:
+    """Return the times of the requests on routes to each service, in order."""
+    services = {
+        entry["pathPrefix"]: entry["service"]
+        for change in observations.object_changes
+        if change.kind == "config" and change.spec
+        for entry in change.spec["routes"]
+        if "service" in entry
+    }
+    times: dict[str, list[float]] = defaultdict(list)
+    for request in observations.caller_requests:
+        prefix = next((p for p in services if request.path.startswith(p)), None)
+        if prefix is not None:
+            times[services[prefix]].append(request.sent_s)
+    return {service: sorted(sent) for service, sent in times.items()}
+
+
 @invariant("stated_drains_hold")
 def stated_drains_hold(observations: Observations) -> Iterable[str]:
     """Find requests to a server whose drain their node had passed on before."""
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -28,6 +28,7 @@
     draw_ends,
     draw_fault,
     draw_limits,
+    draw_retries,
     draw_server_entry_fault,
     draw_statements,
     draw_versions,
@@ -40,6 +41,7 @@
     EVENT_TOKENS,
 )
 from rosemaryknot.standin.users.system import (
+    DEPLOYMENT_BOUNDS,
     MODEL_HEADERS,
     PlatformSystem,
     platform_system,
@@ -64,6 +66,9 @@
 RESUMING_PER_S = 3.0
 MAX_STREAM_ATTEMPTS = 4
 MAX_PAUSE_S = 2.0
+# Load and smallest system of plays that use up the retry budget.
+RETRIED_LOAD = {"ask": 15.0, "stock": 40.0}
+MIN_NODES_WITH_RETRIES = 3
 # Share of HTTP/1.0 in plays in which servers break responses off.
 OLDER_SHARE = 0.2
 # Time after the last request in which pending requests end and usage is reported.
@@ -339,7 +344,7 @@
 async def run_play(play: Play, seed: int) -> PlayResult:
     """Run a play and check the invariants."""
     rng = random.Random(seed)
-    observations = Observations()
+    observations = Observations(bounds=DEPLOYMENT_BOUNDS)
     fault_counts: Counter = Counter()
     async with platform_system(
         seed,
@@ -379,6 +384,8 @@
     for arrival in system.ledger.arrivals:
         times = observations.arrivals.setdefault(arrival.incarnation, [])
         times.append((arrival.timestamp_s, arrival.id))
+        of_service = observations.service_arrivals.setdefault(arrival.service, [])
+        of_service.append((arrival.timestamp_s, arrival.id))
         if arrival.has_run:
             observations.runs[arrival.id] = observations.runs.get(arrival.id, 0) + 1
         if arrival.ended != "refused":
@@ -412,6 +419,7 @@
     has_statements: bool = False,
     has_restores: bool = False,
     has_busy_nodes: bool = False,
+    has_retries: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -440,6 +448,11 @@
     if has_busy_nodes:
         busy_rng = random.Random(f"busy nodes {seed}")
         play.faults += draw_busy_nodes(busy_rng, play.nodes)
+    if has_retries:
+        play.nodes = max(play.nodes, MIN_NODES_WITH_RETRIES)
+        play.load |= RETRIED_LOAD
+        retry_rng = random.Random(f"retries {seed}")
+        play.faults += draw_retries(retry_rng, play.nodes)
     if has_restores:
         play.faults += draw_restores(random.Random(f"restores {seed}"))
         play.faults += draw_statements(random.Random(f"statements {seed}"))
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -28,6 +28,7 @@
     "draw_ends",
     "draw_fault",
     "draw_limits",
+    "draw_retries",
     "draw_server_entry_fault",
     "draw_statements",
     "draw_versions",
@@ -37,6 +38,8 @@
 # Interval after which a server writes its entry again, as its heartbeat does.
 HEARTBEAT_S = 1.0
 NODES_NETWORK = "10.2.0."
+# More requests than a failing server gets in a play.
+MAX_FAILING = 10_000
 SERVERS = ("p0", "p1", "p2", "m0", "m1", "m2")
 
 PlayFault = Callable[[PlatformSystem, dict[str, Any]], Awaitable[None]]
@@ -143,6 +146,19 @@
     server.faults.extend([fault["fault"]] * fault["count"])
 
 
+@play_fault("failing")
+async def failing(system: PlatformSystem, fault: dict[str, Any]) -> None:
+    """Let ``servers`` answer a ``share`` of their requests with an error."""
+    rng = random.Random(fault["at"])
+    weights = (fault["share"], 1 - fault["share"])
+    servers = [system.servers[name] for name in fault["servers"]]
+    for server in servers:
+        server.faults.extend(rng.choices(("error", ""), weights, k=MAX_FAILING))
+    await trio.sleep(fault["for_s"])
+    for server in servers:
+        server.faults.clear()
+
+
 @play_fault("ends")
 async def ends(system: PlatformSystem, fault: dict[str, Any]) -> None:
     """Let a server end its next responses in given ways at given places."""
@@ -436,6 +452,38 @@
     ]
 
 
+def draw_retries(rng: random.Random, nodes: int) -> list[dict[str, Any]]:
+    """Draw servers that nearly all fail, and restarts of most nodes meanwhile.
+
+    The nodes are killed at the same time, in turn or twice, or shut down in turn.
+    """
+    at_s = round(rng.uniform(1.0, 6.0), 2)
+    faults: list[dict[str, Any]] = [
+        {
+            "at": at_s,
+            "kind": "failing",
+            "servers": rng.choice([list(SERVERS), list(SERVERS[:3])]),
+            "share": round(rng.uniform(0.5, 1.0), 2),
+            "for_s": round(rng.uniform(4.0, 14.0), 2),
+        }
+    ]
+    names = [f"n{number}" for number in range(nodes)]
+    pause_s = rng.choice((0.0, 0.0, 1.0))
+    for round_s in rng.choice(((2.0,), (4.0,), (1.0, 6.0))):
+        kind = rng.choice(("kill", "kill", "stop"))
+        count = rng.randint(nodes - 1, nodes)
+        faults += [
+            {
+                "at": round(at_s + round_s + number * pause_s, 2),
+                "kind": kind,
+                "node": name,
+                "for_s": round(rng.uniform(0.5, 2.5), 2),
+            }
+            for number, name in enumerate(rng.sample(names, count))
+        ]
+    return faults
+
+
 def draw_versions(rng: random.Random) -> list[dict[str, Any]]:
     """Draw model servers of other software versions, beside others or in their place.
 
--- a/src/rosemaryknot/standin/users/servers.py
+++ b/src/rosemaryknot/standin/users/servers.py
@@ -58,6 +58,8 @@
         When the request crashed the server, in trio time.
     incarnation : str
         Incarnation of the server.
+    service : str
+        Service of the server.
     """
 
     request: RawRequest
@@ -67,6 +69,7 @@
     ended: str = "cut"
     crashed_s: float | None = None
     incarnation: str = ""
+    service: str = ""
 
     @property
     def id(self) -> str:
@@ -276,6 +279,7 @@
         """Respond to a request, or apply the next fault."""
         arrival = Arrival(request, trio.current_time(), self.id)
         arrival.incarnation = self.incarnation
+        arrival.service = self.entry.get("service", "")
         self.arrivals.append(arrival)
         self.ledger.arrivals.append(arrival)
         expected = request.headers.get("rosemaryknot-expect-instance")
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -34,6 +34,7 @@
     "CRASH_DOWN_S",
     "CUTS",
     "Caller",
+    "DEPLOYMENT_BOUNDS",
     "HOST",
     "KEY",
     "MODEL",
@@ -55,6 +56,8 @@
 PLAIN = "booking"
 KEY = "key-of-ada"
 EPOCH_S = 1_000_000.0
+# Retry budget of a small deployment of the users.
+DEPLOYMENT_BOUNDS = Bounds(retry_ratio=0.2, retry_window_s=10, retry_slack=54)
 # How long a server that a request crashed stays down.
 CRASH_DOWN_S = 2.0
 READ_BYTES = 65536
@@ -420,7 +423,7 @@
             seeds=[Address("10.2.0.1", 8367), Address("10.2.0.2", 8367)],
             is_first_start=is_first_start,
             cloud=Cloud(CLOUD, list(duties)) if duties else None,
-            bounds=bounds or Bounds(retry_ratio=0.5, retry_slack=100),
+            bounds=bounds or DEPLOYMENT_BOUNDS,
         )
 
     async def add_node(self, number: int, **options: Any) -> GatewayNode:
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.replay.virtual_time import run_in_virtual_time
 from rosemaryknot.standin.users.audit import (
     CallerRequest,
@@ -137,6 +138,22 @@
     return observations
 
 
+def retried(arrivals):
+    """Return a request each 0.1 s that reaches servers several times."""
+    routes = [{"pathPrefix": "/stock/", "service": "booking"}]
+    observations = Observations(bounds=Bounds(retry_ratio=0.2, retry_slack=54))
+    observations.object_changes = [
+        ObjectChange(0.0, "config", "main", {"version": 1, "routes": routes})
+    ]
+    for number in range(200):
+        request = CallerRequest(f"a{number}", "plain", True, 502, path="/stock/x")
+        request.sent_s = request.ended_s = 10.0 + number / 10
+        observations.caller_requests.append(request)
+        times = [(request.sent_s, request.id)] * arrivals
+        observations.service_arrivals.setdefault("booking", []).extend(times)
+    return observations
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_random_faults(self, seed):
@@ -264,6 +281,7 @@
                 has_statements=True,
                 has_restores=True,
                 has_busy_nodes=True,
+                has_retries=True,
             )
             for seed in range(200)
         ]
@@ -325,6 +343,7 @@
             ("server_limits_are_kept", limited(per_s=4.5)),
             ("cut_off_nodes_serve", cut_off(failed=40)),
             ("brittle_servers_stand", fallen(3)),
+            ("retries_are_bounded", retried(arrivals=2)),
         ],
     )
     def test_violation_is_found(self, invariant, observations):
@@ -369,6 +388,13 @@
     def test_few_falls_or_by_disturbed_nodes(self, observations):
         assert not audit(observations)
 
+    def test_retries_within_the_budget(self):
+        observations = retried(arrivals=1)
+        observations.service_arrivals["booking"] += [
+            (20.0, f"a{number}") for number in range(74)
+        ]
+        assert not audit(observations)
+
     @pytest.mark.parametrize("failed", [0, 12, 30])
     def test_cut_off_nodes_that_serve(self, failed):
         assert not audit(cut_off(failed))
--- a/tests/scripts/test_own_days.py
+++ b/tests/scripts/test_own_days.py
@@ -6,9 +6,10 @@
 import pytest
 
 FOLDER = Path(__file__).parents[2] / "deploy" / "days"
-# Saved as the users wrote it, for one of their deployments.
+# Saved as the users wrote them, for one of their deployments.
 USERS_DAY = FOLDER / "deadly.toml"
-DAYS = sorted(set(FOLDER.glob("*.toml")) - {USERS_DAY})
+REJOINED_DAY = FOLDER / "rejoined.toml"
+DAYS = sorted(set(FOLDER.glob("*.toml")) - {USERS_DAY, REJOINED_DAY})
 # Fields that name a part of one deployment, which another one does not have.
 PLACES = ("zone", "to_zone", "service", "class")
 
@@ -47,3 +48,19 @@
                 }
             ],
         }
+
+    def test_rejoined_is_as_they_wrote_it(self):
+        day = tomllib.loads(REJOINED_DAY.read_text())
+        kinds = [(entry["at"], entry["kind"]) for entry in day["plan"] + day["faults"]]
+        assert kinds == [
+            (6.0, "release"),
+            (6.1, "release"),
+            (20.0, "release"),
+            (20.1, "release"),
+            (32.0, "release"),
+            (2.0, "burst"),
+            (8.3, "herd_kill"),
+            (23.0, "herd_kill"),
+            (41.0, "herd_kill"),
+        ]
+        assert day["length_s"] == 50.0
