Bound the retries of all gateways through restarts of any of them

Cause: a process forgets what it granted, and its successor granted the whole budget again, so that a window that spans a restart held two budgets, after two kills three. The class: a bound over time that is held in the memory of one process. Two smaller ones of the same budget: a retry counted when it was decided, before it waited for a server, a permit or the end of a pause, so that what waited arrived in one window with later ones (and was counted though it was never sent); a stream that goes on at another service counted for both; and a longer window after a reload took forgotten retries for none.

The example of fullest_window, wrong as committed, is mended.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -1,5 +1,6 @@
 """A gateway node: all of its components, run as tasks of one process."""
 
+import math
 import random
 from collections.abc import Callable, Collection
 from pathlib import Path
@@ -62,6 +63,7 @@
 from rosemaryknot.request.limit_guard import LimitGuard
 from rosemaryknot.request.origin_guard import OriginGuard
 from rosemaryknot.request.permit_client import PermitClient
+from rosemaryknot.request.retry_guard import RetryGuard
 from rosemaryknot.values.nodes import Node
 
 __all__ = ["GatewayNode", "run_node"]
@@ -151,6 +153,7 @@
             bounds.retry_window_s,
             bounds.retry_slack,
             lambda: len(self.peers.nodes()) + 1,
+            -math.inf if settings.is_first_start else trio.current_time(),
         )
         self.watchers = self.make_watchers()
         for watcher in self.watchers.values():
@@ -356,11 +359,7 @@
             acquire_quota=acquire_quota,
             release_quota=release_quota,
             explain_quota=self.quota.explain,
-            may_retry=lambda name: self.budget.acquire(name, trio.current_time()),
-            explain_retries=lambda name: self.budget.explain(name, trio.current_time()),
-            record_request=lambda name: self.budget.record_request(
-                name, trio.current_time()
-            ),
+            retries=RetryGuard(self.budget),
             record_run=lambda name: self.usage.record(name, self.clock.now()),
             record_drain=self.availability.record_drain,
             record_pause=self.availability.record_pause,
@@ -401,9 +400,12 @@
         self.lease.reacquire_delay_s = bounds.lease_ms / 1000
         self.lease.duration_s = LEASE_DURATION_SHARE * bounds.lease_ms / 1000
         self.quota.window_s = bounds.limit_window_s
-        self.budget.ratio = bounds.retry_ratio
-        self.budget.window_s = bounds.retry_window_s
-        self.budget.slack = bounds.retry_slack
+        self.budget.set_bounds(
+            bounds.retry_ratio,
+            bounds.retry_window_s,
+            bounds.retry_slack,
+            trio.current_time(),
+        )
 
     def is_holder_reporting(self, holder: str) -> bool:
         """Return whether the node of a lease's holder has reported recently."""
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -48,6 +48,7 @@
     NotRunThere,
     NotSent,
     Refusal,
+    RetryRefused,
 )
 from rosemaryknot.values.stream_origins import StreamOrigin
 
@@ -226,7 +227,7 @@
                 after=type(outcome).__name__,
                 reason=getattr(outcome, "reason", ""),
                 left_s=round(context.remaining_s(), 3),
-                **self.components.explain_retries(context.service.name),
+                **self.components.retries.explain(context),
                 **failure_log_fields(context),
             )
 
@@ -286,13 +287,13 @@
         if service is None:
             reason = "the service that began the stream is not configured any more"
             return self.unresumable_outcome(context, Unresumable(reason))
+        self.components.retries.move_request(context.service.name, name)
         context.service = service
         context.known_identity = None
         context.lowest_priority = configuration.lowest_priority_by_service.get(name, 0)
         context.min_event_gap_s = configuration.min_event_gap_s_by_service.get(
             name, math.inf
         )
-        self.components.record_request(name)
         return None
 
     def unresumable_outcome(
@@ -352,6 +353,8 @@
         """Return whether another server may be attempted after a failure."""
         if not await self.allowed_after_crashes(context):
             return False
+        if isinstance(outcome, RetryRefused):
+            return False
         if isinstance(outcome, NotSent):
             context.unsent += 1
             limit = MAX_WITHOUT_PATH if outcome.is_path_failure else MAX_UNSENT
@@ -364,23 +367,7 @@
             return False
         if not self.has_alternative(context):
             return False
-        return self.may_retry(context)
-
-    def may_retry(self, context: RequestContext) -> bool:
-        """Return whether the retry budget allows one more attempt, and count it."""
-        service = context.service.name
-        is_allowed = self.components.may_retry(service)
-        RETRIES.add(outcome="granted" if is_allowed else "refused")
-        if is_allowed:
-            context.retry_decided_s = trio.current_time()
-        else:
-            log.info(
-                "retry refused by the budget",
-                request=context.request.id,
-                service=service,
-                **self.components.explain_retries(service),
-            )
-        return is_allowed
+        return self.components.retries.is_allowed(context)
 
     def has_alternative(self, context: RequestContext) -> bool:
         """Return whether another attempt has a server, now or within its time to wait.
@@ -406,6 +393,8 @@
         if isinstance(outcome, Lost) or context.may_have_run:
             return Refusal(BAD_GATEWAY, getattr(outcome, "reason", "server failed"))
         reason = "the servers are full"
+        if isinstance(outcome, RetryRefused):
+            return refusal(self.components.rng, UNAVAILABLE, reason)
         if isinstance(outcome, NotSent):
             reason = "no server accepts a connection"
             if outcome.is_path_failure:
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -31,6 +31,7 @@
     NotRunThere,
     NotSent,
     ResponseHead,
+    RetryRefused,
 )
 
 __all__ = ["Attempt"]
@@ -53,9 +54,6 @@
 
 log = logger("gateway")
 FIRST_BYTE = histogram("gateway_first_byte_seconds", "Time to the first byte.")
-RETRY_WAIT = histogram(
-    "gateway_retry_wait_seconds", "Time from the decision on a retry until it is sent."
-)
 
 
 class Attempt:
@@ -137,6 +135,10 @@
         ):
             await self.components.pool.release_unused(connection)
             return NotPermitted("the server states a rate limit")
+        if not self.components.retries.acquire(context):
+            self.components.limits.permits.put_back(context.permit)
+            await self.components.pool.release_unused(connection)
+            return RetryRefused("the retry budget is used up")
         try:
             outcome = await self.exchange(connection)
         except BaseException:
@@ -210,9 +212,6 @@
         request = context.request
         context.sent += 1
         self.sent_s = trio.current_time()
-        if context.retry_decided_s is not None:
-            RETRY_WAIT.observe(self.sent_s - context.retry_decided_s)
-            context.retry_decided_s = None
         self.is_confirmed = self.components.servers.versions.is_current(self.state)
         if context.beginning is not None and not context.reply.is_started:
             self.components.origins.record_attempt(
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -18,6 +18,7 @@
 from rosemaryknot.request.limit_guard import LimitGuard
 from rosemaryknot.request.origin_guard import OriginGuard, StreamBeginning
 from rosemaryknot.request.permit_client import Permit
+from rosemaryknot.request.retry_guard import RetryGuard
 from rosemaryknot.values.gateway import (
     CustomerLimit,
     GatewayConfiguration,
@@ -89,14 +90,8 @@
     explain_quota : callable
         Takes a customer; returns the values from which the last result of
         ``acquire_quota`` was computed, for the log.
-    may_retry : callable
-        Takes a service name; returns whether one more attempt is within the retry
-        budget, and counts it if so.
-    explain_retries : callable
-        Takes a service name; returns the values from which the retry budget is
-        computed, for the log.
-    record_request : callable
-        Takes a service name; counts a request for the retry budget.
+    retries : RetryGuard
+        Decides whether a request may be sent to a server once more.
     record_run : callable
         Takes a customer name; counts a request that began to run.
     record_drain : callable
@@ -128,9 +123,7 @@
     acquire_quota: Callable[[CustomerLimit, float], float]
     release_quota: Callable[[CustomerLimit, float], None]
     explain_quota: Callable[[CustomerLimit], dict[str, float]]
-    may_retry: Callable[[str], bool]
-    explain_retries: Callable[[str], dict[str, float]]
-    record_request: Callable[[str], None]
+    retries: RetryGuard
     record_run: Callable[[str], None]
     record_drain: Callable[[ServerState], None]
     record_pause: Callable[[ServerState, float, str], None]
@@ -164,7 +157,8 @@
         Server incarnations that have been attempted. A server that has restarted since
         is a new incarnation and may be attempted again.
     sent : int
-        Number of attempts of which any byte may have been sent.
+        Number of attempts of which any byte may have been sent, without those that a
+        lost path ended.
     unsent : int
         Number of attempts of which no byte was sent.
     may_have_run : bool
@@ -197,6 +191,8 @@
         Result of `identity`, once it was needed.
     crash_decision : Allowed or Barred
         Latest decision on the request because of servers that crashed.
+    may_have_arrived : bool
+        Whether a server may have received the request, though it did not run it.
     retry_decided_s : float or None
         When it was last decided to send the request once more, in trio time; None
         before, and once it was sent.
@@ -242,6 +238,7 @@
     closed_by: list[ServerState] = field(default_factory=list)
     known_identity: RequestIdentity | None = None
     crash_decision: Allowed | Barred = field(default_factory=Allowed)
+    may_have_arrived: bool = False
     retry_decided_s: float | None = None
     path: str = ""
     lost_paths: int = 0
--- /dev/null
+++ b/src/rosemaryknot/request/retry_guard.py
@@ -0,0 +1,85 @@
+"""Use of the retry budget by the requests of a gateway."""
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from rosemaryknot.process.attempt_budget import AttemptBudget
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter, histogram
+
+if TYPE_CHECKING:
+    from rosemaryknot.request.gateway_context import RequestContext
+
+__all__ = ["RetryGuard"]
+
+RETRIES = counter("gateway_retries_total", "Decisions of the retry budget by outcome.")
+RETRY_WAIT = histogram(
+    "gateway_retry_wait_seconds", "Time from the decision on a retry until it is sent."
+)
+
+log = logger("gateway")
+
+
+class RetryGuard:
+    """Decides whether requests may be sent to a server once more.
+
+    A retry is counted when it is sent, not when it is decided: between the two it may
+    wait for a server, and what waits arrives in one window with later retries.
+
+    Parameters
+    ----------
+    budget : AttemptBudget
+        Budget of this gateway.
+    """
+
+    __slots__ = ("budget",)
+
+    def __init__(self, budget: AttemptBudget) -> None:
+        self.budget = budget
+
+    def record_request(self, service: str) -> None:
+        """Count a request for the budget of its service."""
+        self.budget.record_request(service, trio.current_time())
+
+    def move_request(self, service: str, other: str) -> None:
+        """Count a request that was recorded for a service for another one."""
+        self.budget.move_request(service, other, trio.current_time())
+
+    def is_allowed(self, context: "RequestContext") -> bool:
+        """Return whether to look for a server for one more attempt."""
+        now_s = trio.current_time()
+        if not self.budget.has_retry(context.service.name, now_s):
+            self.record_refusal(context)
+            return False
+        context.retry_decided_s = now_s
+        return True
+
+    def acquire(self, context: "RequestContext") -> bool:
+        """Return whether the request may be sent now, and count it if it is a retry."""
+        if not context.may_have_arrived:
+            context.may_have_arrived = True
+            return True
+        now_s = trio.current_time()
+        if not self.budget.acquire(context.service.name, now_s):
+            self.record_refusal(context)
+            return False
+        RETRIES.add(outcome="sent")
+        if context.retry_decided_s is not None:
+            RETRY_WAIT.observe(now_s - context.retry_decided_s)
+            context.retry_decided_s = None
+        return True
+
+    def explain(self, context: "RequestContext") -> dict[str, float]:
+        """Return the values that decisions are computed from, to log."""
+        return self.budget.explain(context.service.name, trio.current_time())
+
+    def record_refusal(self, context: "RequestContext") -> None:
+        """Count and log a request that gets no further attempt."""
+        RETRIES.add(outcome="refused")
+        log.info(
+            "retry refused by the budget",
+            request=context.request.id,
+            service=context.service.name,
+            **self.explain(context),
+        )
--- a/src/rosemaryknot/standin/users/retry_windows.py
+++ b/src/rosemaryknot/standin/users/retry_windows.py
@@ -79,8 +79,8 @@
     Examples
     --------
     >>> bounds = Bounds(retry_ratio=0.5, retry_window_s=10, retry_slack=1)
-    >>> fullest_window([3.0, 4.0, 30.0], [1.0, 2.0], bounds)
-    RetryWindow(start_s=30.0, retries=1, allowed=1.0)
+    >>> fullest_window([3.0, 30.0, 30.5], [1.0, 2.0], bounds)
+    RetryWindow(start_s=30.0, retries=2, allowed=1.0)
     """
     length_s = bounds.retry_window_s
 
--- a/src/rosemaryknot/values/gateway_responses.py
+++ b/src/rosemaryknot/values/gateway_responses.py
@@ -21,6 +21,7 @@
     "NotSent",
     "ShutdownSchedule",
     "Refusal",
+    "RetryRefused",
     "TargetFault",
 ]
 
@@ -145,6 +146,10 @@
     """
 
 
+class RetryRefused(NotPermitted):
+    """The retry budget was used up when the request was about to be sent again."""
+
+
 @dataclass(slots=True)
 class NotRunThere:
     """The server states that it did not run the request.
--- /dev/null
+++ b/tests/process/test_attempt_budget.py
@@ -0,0 +1,143 @@
+"""Tests of the retry budget of one gateway, and of its sum over several."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rosemaryknot.process.attempt_budget import AttemptBudget
+from rosemaryknot.process.node_settings import Bounds
+from rosemaryknot.request.retry_guard import RetryGuard
+from rosemaryknot.standin.users.retry_windows import fullest_window
+
+RATIO = 0.2
+WINDOW_S = 10.0
+SLACK = 54.0
+BOUNDS = Bounds(retry_ratio=RATIO, retry_window_s=WINDOW_S, retry_slack=SLACK)
+STEP_S = 0.1
+END_S = 45.0
+
+
+def new_budget(nodes=6, forgotten_s=float("-inf")):
+    """Return a budget with a small deployment's bounds."""
+    return AttemptBudget(RATIO, WINDOW_S, SLACK, lambda: nodes, forgotten_s)
+
+
+def granted(budget, now_s, count=1000):
+    """Return how many retries a budget grants at a moment."""
+    return sum(budget.acquire("s", now_s) for _ in range(count))
+
+
+def record(budget, now_s, count):
+    for _ in range(count):
+        budget.record_request("s", now_s)
+
+
+class TestRestart:
+    def test_predecessor_may_have_used_the_window(self):
+        """Guards against a budget that a restart begins anew."""
+        budget = new_budget(forgotten_s=100.0)
+        assert not granted(budget, 100.5)
+        record(budget, 101.0, 100)
+        assert granted(budget, 101.0) == 6
+
+    def test_full_budget_after_one_window(self):
+        budget = new_budget(forgotten_s=100.0)
+        record(budget, 105.0, 100)
+        assert granted(budget, 109.9) == 6
+        assert granted(budget, 110.1) == 20 - 6
+
+    def test_first_start_of_the_system_has_no_predecessor(self):
+        assert granted(new_budget(), 0.0) == 6
+
+    @settings(deadline=None, max_examples=60)
+    @given(
+        seed=st.integers(0, 1 << 20),
+        nodes=st.integers(4, 12),
+        per_node_s=st.floats(0.5, 12.0),
+        kills_s=st.lists(st.floats(5.0, 40.0), max_size=4),
+        share=st.floats(0.3, 1.0),
+        failing_s=st.floats(0.0, 30.0),
+    )
+    def test_sum_over_nodes_through_restarts(
+        self, seed, nodes, per_node_s, kills_s, share, failing_s
+    ):
+        """Guards against any series of restarts that exceeds the budget of a window."""
+        rng = random.Random(seed)
+        budgets = [new_budget(nodes) for _ in range(nodes)]
+        sent, retries = [], []
+        for step in range(round(END_S / STEP_S)):
+            now_s = step * STEP_S
+            for number in range(nodes):
+                if any(now_s - STEP_S < at_s <= now_s for at_s in kills_s):
+                    if rng.random() < share:
+                        budgets[number] = new_budget(nodes, now_s)
+                for _ in range(int(per_node_s * STEP_S + rng.random())):
+                    budgets[number].record_request("s", now_s)
+                    sent.append(now_s)
+                    if now_s >= failing_s and budgets[number].acquire("s", now_s):
+                        retries.append(now_s)
+        found = fullest_window(retries, sent, BOUNDS)
+        assert found is None or found.used_share <= 1
+
+
+class TestChanges:
+    def test_longer_window_holds_forgotten_retries(self):
+        """Guards against retries that a shorter window had dropped already."""
+        budget = new_budget()
+        assert granted(budget, 80.0) == 6
+        budget.record_request("s", 95.0)
+        budget.set_bounds(RATIO, 2 * WINDOW_S, SLACK, 96.0)
+        assert not granted(budget, 96.0)
+        assert granted(budget, 96.0 + 2 * WINDOW_S) == 6
+
+    def test_smaller_slack(self):
+        budget = new_budget()
+        assert granted(budget, 0.0, 4) == 4
+        budget.set_bounds(RATIO, WINDOW_S, SLACK / 2, 1.0)
+        assert not granted(budget, 1.0)
+
+    def test_request_that_goes_on_at_another_service_counts_once(self):
+        """Guards against requests that add to the budgets of two services."""
+        budget = new_budget()
+        record(budget, 0.0, 50)
+        for _ in range(50):
+            budget.move_request("s", "other", 0.0)
+        assert granted(budget, 0.0) == 6
+        assert sum(budget.acquire("other", 0.0) for _ in range(50)) == 13
+
+
+def new_context():
+    """Return the part of a request's context that decides on retries."""
+    return SimpleNamespace(
+        request=SimpleNamespace(id="r1"),
+        service=SimpleNamespace(name="s"),
+        may_have_arrived=False,
+        retry_decided_s=None,
+    )
+
+
+class TestSending:
+    async def test_retries_that_waited_count_when_they_are_sent(self, autojump_clock):
+        """Guards against retries decided in one window that arrive in the next one."""
+        guard = RetryGuard(new_budget())
+        contexts = [new_context() for _ in range(20)]
+        assert all(guard.acquire(context) for context in contexts)
+        assert all(guard.is_allowed(context) for context in contexts)
+        assert sum(guard.acquire(context) for context in contexts) == 6
+
+    async def test_attempt_that_sent_nothing_costs_nothing(self, autojump_clock):
+        """Guards against a budget that failed connections use up."""
+        guard, context = RetryGuard(new_budget()), new_context()
+        assert all(guard.is_allowed(context) for _ in range(50))
+        assert guard.acquire(context)
+        assert sum(guard.acquire(context) for _ in range(50)) == 6
+
+    @pytest.mark.parametrize("lost_paths", [0, 2])
+    async def test_each_further_send_counts(self, autojump_clock, lost_paths):
+        """Guards against repeats after a lost path that the budget does not see."""
+        guard, context = RetryGuard(new_budget()), new_context()
+        context.lost_paths = lost_paths
+        assert [guard.acquire(context) for _ in range(9)].count(True) == 7
