Await a running attempt, and relay a server's error, if the budget has no retry

What callers saw: 502 for an idempotent request whose server was slower than twice the target, and 502 in place of the server's own error, once the retry budget was used up.

Cause: the attempt was given up for a retry before it was known whether there is one. Now the budget is asked first: without a retry the attempt goes on, and an error of the server is relayed with its signature. Both new tests failed before (502 in both).

--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import AsyncIterator
+from functools import partial
 
 import trio
 
@@ -268,13 +269,7 @@
         self, connection: ServerConnection
     ) -> Completed | Broken | Lost | NotRunThere:
         """Read the head of the response and relay the rest."""
-        head: ResponseHead | Lost = Lost("no answer in time")
-        with trio.move_on_after(self.first_byte_timeout_s()):
-            head = await connection.head(
-                self.components.wire,
-                self.context.request.id,
-                self.statements.record_stray,
-            )
+        head = await self.read_head(connection)
         if isinstance(head, Lost):
             self.record_run()
             return head
@@ -293,6 +288,21 @@
             return Lost(f"the server answered {head.status}")
         return await self.relay(connection, head)
 
+    async def read_head(self, connection: ServerConnection) -> ResponseHead | Lost:
+        """Read the head, for a limited time while another attempt is possible."""
+        read = partial(
+            connection.head,
+            self.components.wire,
+            self.context.request.id,
+            self.statements.record_stray,
+        )
+        with trio.move_on_after(self.first_byte_timeout_s()):
+            return await read()
+        if not self.components.retries.has_retry(self.context):
+            # A late response is better than none.
+            return await read()
+        return Lost("no answer in time")
+
     def may_retry_failure(self) -> bool:
         """Return whether the request may be attempted again after a server error."""
         context = self.context
@@ -300,6 +310,7 @@
             context.route.allows_retry
             and not context.reply.is_started
             and context.sent < context.route.max_attempts
+            and self.components.retries.has_retry(context)
         )
 
     def may_use_another_server(self) -> bool:
--- a/src/rosemaryknot/request/retry_guard.py
+++ b/src/rosemaryknot/request/retry_guard.py
@@ -46,13 +46,16 @@
         """Count a request that was recorded for a service for another one."""
         self.budget.move_request(service, other, trio.current_time())
 
+    def has_retry(self, context: "RequestContext") -> bool:
+        """Return whether the budget has a retry left for a request."""
+        return self.budget.has_retry(context.service.name, trio.current_time())
+
     def is_allowed(self, context: "RequestContext") -> bool:
         """Return whether to look for a server for one more attempt."""
-        now_s = trio.current_time()
-        if not self.budget.has_retry(context.service.name, now_s):
+        if not self.has_retry(context):
             self.record_refusal(context)
             return False
-        context.retry_decided_s = now_s
+        context.retry_decided_s = trio.current_time()
         return True
 
     def acquire(self, context: "RequestContext") -> bool:
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.replay.virtual_time import run_in_virtual_time
 from rosemaryknot.standin.users.play import Play, random_play, run_play
+from rosemaryknot.standin.users.system import platform_system
 
 NODES = 6
 PLAIN = 12
@@ -65,6 +67,30 @@
         assert not run_in_virtual_time(1, run_play, play, 1).violations
 
 
+class TestUsedUp:
+    """The budget has no retry left, though another server could take the request."""
+
+    bounds = Bounds(retry_ratio=0.0, retry_slack=0.0)
+
+    async def test_slow_response_is_awaited(self, autojump_clock):
+        """Guards against a running attempt that is given up for a refused retry."""
+        async with platform_system(bounds=self.bounds) as fleet:
+            for server in fleet.servers.values():
+                server.work_s = 0.8
+            response = await fleet.ask("/stock/x", method="GET")
+            assert (response.status, response.is_whole) == (200, True)
+            assert len(fleet.ledger.arrivals) == 1
+
+    async def test_own_error_of_a_server_is_relayed(self, autojump_clock):
+        """Guards against a server's response that is dropped for a refused retry."""
+        async with platform_system(bounds=self.bounds) as fleet:
+            for server in fleet.servers.values():
+                server.faults.append("error")
+            response = await fleet.ask("/stock/x", method="GET")
+            assert (response.status, response.body) == (500, b"failed")
+            assert "rosemaryknot-instance-signature" in response.headers
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_random_faults_and_failing_servers(self, seed):
