Begin an entry's retry budget with three retries instead of all ten

An entry now begins with three, which is what it takes to eject one server that does not respond (test_silent_server fails with fewer), and earns the rest by successes.

--- a/src/rosemaryknot/process/retry_budget.py
+++ b/src/rosemaryknot/process/retry_budget.py
@@ -4,6 +4,9 @@
 
 RETRIES_PER_SUCCESS = 0.1
 MAX_RETRIES = 10.0
+# A process does not know what its predecessor spent: with the whole budget, each restart
+# of an entry would add ten retries. Three are needed to eject a silent server.
+INITIAL_RETRIES = 3.0
 
 
 class RetryBudget:
@@ -11,7 +14,8 @@
 
     If a service fails as a whole, retries multiply its load and prevent its recovery.
     Each retry costs one unit and each success adds `RETRIES_PER_SUCCESS` units, so the
-    load on a failing service exceeds that of the callers by at most a tenth.
+    load on a failing service exceeds that of the callers by at most a tenth, and three
+    retries for each start of a process.
 
     Attributes
     ----------
@@ -21,14 +25,14 @@
     Examples
     --------
     >>> budget = RetryBudget()
-    >>> all(budget.acquire() for _ in range(10)), budget.acquire()
+    >>> all(budget.acquire() for _ in range(3)), budget.acquire()
     (True, False)
     """
 
     __slots__ = ("available",)
 
     def __init__(self) -> None:
-        self.available = MAX_RETRIES
+        self.available = INITIAL_RETRIES
 
     def record_success(self) -> None:
         """Record a successful request."""
