--- a/src/rosemaryknot/process/retry_budget.py
+++ b/src/rosemaryknot/process/retry_budget.py
@@ -4,7 +4,7 @@
 
 RETRIES_PER_SUCCESS = 0.1
 MAX_RETRIES = 10.0
-# A process does not know what its predecessor spent: with the whole budget, each restart
+# A process does not know what its predecessor spent: with the whole budget, each start
 # of an entry would add ten retries. Three are needed to eject a silent server.
 INITIAL_RETRIES = 3.0
 
--- a/tests/request/test_plain_ends.py
+++ b/tests/request/test_plain_ends.py
@@ -160,6 +160,51 @@
             assert result.body in (b"p0 answers ", b"p1 answers ")
 
 
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRosemaryknot-Instance-Signature: p0.sig\r\n"
+    b"Content-Type: text/plain\r\n"
+)
+FRAMINGS = {
+    "length": (b"Content-Length: 5\r\n\r\n", b"whole"),
+    "chunked": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"5\r\nwhole\r\n0\r\nX-Sum: 12\r\n\r\n",
+    ),
+    "close": (b"\r\n", b""),
+}
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+
+@pytest.mark.parametrize("has_resets", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("interim", [b"", INTERIM], ids=["plain", "after-interim"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+class TestBrokenHead:
+    async def test_response_is_not_taken_for_complete(
+        self, nursery, autojump_clock, framing, interim, has_resets
+    ):
+        """Guards against an answer made of a head, or of trailers, that break off."""
+        head, body = FRAMINGS[framing]
+        whole = HEAD + head + body
+        fleet = PlainFleet(nursery, is_stream=False)
+        await fleet.start()
+        sent = [b""]
+
+        async def run(arrival, wire):
+            await wire.send(interim + sent[0])
+            await trio.sleep(0.01)
+            wire.reset() if has_resets else wire.close()
+
+        for server in fleet.servers.values():
+            server.run = run
+        for size in range(1, len(whole)):
+            sent[0] = whole[:size]
+            await trio.sleep(20.0)
+            result = await fleet.relay.send_once(fleet.request())
+            assert isinstance(result, Unknown), whole[:size]
+        arrivals = sum(len(server.arrivals) for server in fleet.servers.values())
+        assert arrivals == len(whole) - 1
+
+
 class TestClearing:
     async def test_request_is_cleared_by_response_without_length(
         self, nursery, autojump_clock
