Test streams that are resumed after all nodes were killed beside two versions

Not reproduced here: in 24 cases of six streams (the old version's servers stay, left just before the kill, or while the nodes were down; resumed 0.2 to 27 s after the nodes are back, with and without the attempt that began them) none holds events of two versions. A node that has just started has known the entries for less time than a record is kept, and refuses. No code changes.

--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -344,3 +344,48 @@
             await trio.sleep(0.5)
             caller = await begin_stream(system, "u", names_origin=False)
             assert (await caller.attempt("n1")).status == 503
+
+
+class TestAllNodesRestart:
+    """All nodes are killed at once, so that nobody knows where a stream began."""
+
+    @pytest.mark.parametrize("names_origin", [True, False], ids=["named", "unnamed"])
+    @pytest.mark.parametrize("pause_s", [0.2, 3.0, 12.0, 27.0])
+    @pytest.mark.parametrize("old", ["stay", "left before", "left meanwhile"])
+    async def test_stream_is_not_joined_from_two_versions(
+        self, autojump_clock, old, pause_s, names_origin
+    ):
+        """Guards against a restarted node that knows only the newer version."""
+        async with system_of_versions(["v1", "v1"]) as system:
+            await trio.sleep(40.0)
+            for name in ("m2", "m3"):
+                await system.add_server(name, MODEL, version="v2")
+
+            async def begin(caller):
+                await caller.attempt("n0", 3)
+
+            callers = await run_callers(system, begin, names_origin=names_origin)
+            if old == "left before":
+                remove_servers(system, ["m0", "m1"])
+                await trio.sleep(0.3)
+            for name in list(system.nodes):
+                system.kill(name)
+            if old == "left meanwhile":
+                remove_servers(system, ["m0", "m1"])
+            await trio.sleep(1.0)
+            for number in range(len(system.nodes)):
+                await system.add_node(number, is_first_start=False)
+            await trio.sleep(pause_s)
+            for caller in callers:
+                await caller.attempt("n1")
+            assert count_mixed(callers) == 0
+            assert all(caller.is_in_order for caller in callers)
+            began = await begin_stream(system, "after")
+            assert (await began.attempt("n1")).status == 200
+
+
+def remove_servers(system, names):
+    """Let servers end, with their entries."""
+    for name in names:
+        system.scopes[name].cancel()
+        system.store.remove("servers", name)
