Refuse a request whose token counts no message between nodes can hold

Cause: the count was taken as it came, and the next load report could not be encoded (more than 64 bits). The class: a number from outside that no bound holds.

Token counts above 2^40 get a 400 that names the header; four million requests of that size still add up to 64 bits. Integers of configurations are bounded by what nodes can send each other, and an address with a scope names no server. Property tests decode extreme numbers of requests and responses; what is accepted can be encoded.

--- a/src/rosemaryknot/platform/documents.py
+++ b/src/rosemaryknot/platform/documents.py
@@ -71,6 +71,14 @@
     return number
 
 
+def bounded_int(value: Any) -> int:
+    """Return an integer that nodes can send to each other."""
+    number = int(value)
+    if not -MAX_INT <= number <= MAX_INT:
+        raise ValueError("number is out of range")
+    return number
+
+
 def decode_route(data: dict[str, Any]) -> GatewayRoute:
     """Decode a route.
 
@@ -90,9 +98,9 @@
         retry_policy=RETRY_POLICIES.get(data.get("type"), RetryPolicy.ONCE),
         timeout_s=finite_float(data.get("timeoutMs") or 60_000) / 1000,
         target_s=finite_float(data.get("targetLatencyMs") or 1_000) / 1000,
-        priority=int(data.get("priority") or 0),
+        priority=bounded_int(data.get("priority") or 0),
         backends=backends,
-        max_attempts=max(1, int(data.get("maxAttempts") or 1)),
+        max_attempts=max(1, bounded_int(data.get("maxAttempts") or 1)),
         is_public=bool(data.get("public")),
         is_resumable=bool(data.get("resumable")),
         is_model=bool(data.get("sessionAffinity")),
@@ -112,11 +120,12 @@
     scaling = data.get("scaling")
     return GatewayService(
         name=str(data["name"]),
-        max_connections=int(data.get("maxConnections") or 0),
+        max_connections=bounded_int(data.get("maxConnections") or 0),
         engine=None
         if not engine
         else EngineLimits(
-            int(engine.get("slots") or 1), int(engine.get("kvCapacity") or 0)
+            bounded_int(engine.get("slots") or 1),
+            bounded_int(engine.get("kvCapacity") or 0),
         ),
         scaling=None if not scaling else decode_scaling_limits(scaling),
     )
@@ -125,8 +134,8 @@
 def decode_scaling_limits(data: dict[str, Any]) -> ScalingLimits:
     """Decode the scaling limits of a service, which apply to each zone."""
     return ScalingLimits(
-        min_servers=int(data.get("minReplicas") or 0),
-        max_servers=int(data.get("maxReplicas") or 0),
+        min_servers=bounded_int(data.get("minReplicas") or 0),
+        max_servers=bounded_int(data.get("maxReplicas") or 0),
         boot_s=finite_float(data.get("bootS") or 0.0),
         reclaimable_price=finite_float(data.get("spotPrice") or 0.0),
         zone_prices={
@@ -140,11 +149,11 @@
     priority = data.get("priority")
     return CustomerLimit(
         name=str(data["name"]),
-        priority=None if priority is None else int(priority),
+        priority=None if priority is None else bounded_int(priority),
         rate=finite_float(data.get("ratePerS") or 0.0),
         burst=finite_float(data.get("burst") or 0.0),
         counts_tokens=data.get("unit") == "tokens",
-        plain_tokens=int(data.get("plainTokens") or 1),
+        plain_tokens=bounded_int(data.get("plainTokens") or 1),
     )
 
 
@@ -152,8 +161,10 @@
     """Decode the limits on callers' connections."""
     known = CallerLimits()
     return CallerLimits(
-        max_header_bytes=int(data.get("maxHeaderBytes") or known.max_header_bytes),
-        max_body_bytes=int(data.get("maxBodyBytes") or known.max_body_bytes),
+        max_header_bytes=bounded_int(
+            data.get("maxHeaderBytes") or known.max_header_bytes
+        ),
+        max_body_bytes=bounded_int(data.get("maxBodyBytes") or known.max_body_bytes),
         header_timeout_s=finite_float(data.get("headerTimeoutMs") or 3000) / 1000,
         idle_timeout_s=finite_float(data.get("idleTimeoutMs") or 15_000) / 1000,
     )
@@ -209,6 +220,8 @@
 def decode_address(data: dict[str, Any]) -> Address:
     """Decode the address of a server: an IP address and a valid port."""
     address = Address.from_text(required_text(data, "address"))
+    if "%" in address.host:
+        raise ValueError("address has a scope")
     ip_address(address.host)
     if not 0 < address.port <= MAX_PORT:
         raise ValueError("address has an invalid port")
--- a/src/rosemaryknot/platform/headers.py
+++ b/src/rosemaryknot/platform/headers.py
@@ -39,6 +39,9 @@
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 MISDIRECTED = 421
+# Tokens of a request are summed over all requests of all nodes, and messages between
+# nodes hold no number beyond 64 bits: four million requests of this size fit.
+MAX_TOKENS = 2**40
 
 # Headers that apply to a single connection (RFC 9110).
 HOP_BY_HOP = frozenset(
@@ -113,9 +116,35 @@
     return number if 0 <= number < float("inf") else None
 
 
+class HeaderOutOfRange(ValueError):
+    """A number in a header is larger than any size that the gateway handles."""
+
+
+def decode_tokens(text: str, header: bytes) -> int:
+    """Return a number of tokens; 0 if the text is no number.
+
+    Raises
+    ------
+    HeaderOutOfRange
+        If there are more than `MAX_TOKENS`.
+    """
+    try:
+        tokens = float(text)
+    except ValueError:
+        return 0
+    if tokens > MAX_TOKENS:
+        raise HeaderOutOfRange(f"{header.decode()} has more than {MAX_TOKENS} tokens")
+    return int(tokens) if tokens > 0 else 0
+
+
 def decode_segments(text: str) -> tuple[PromptSegment, ...]:
     """Decode the segments of a prompt; malformed entries are skipped.
 
+    Raises
+    ------
+    HeaderOutOfRange
+        If a segment has more than `MAX_TOKENS` tokens.
+
     Examples
     --------
     >>> decode_segments("5c1e:800, 91bd:410")[1]
@@ -127,20 +156,27 @@
     for entry in text.split(","):
         segment_id, _, tokens = entry.strip().partition(":")
         if tokens.isdecimal():
-            segments.append(PromptSegment(segment_id, int(tokens)))
+            count = decode_tokens(tokens, PROMPT_SEGMENTS)
+            segments.append(PromptSegment(segment_id, count))
     return tuple(segments)
 
 
 def decode_size(headers: Headers) -> ModelInput | None:
-    """Decode the size of a model request; None for other requests."""
+    """Decode the size of a model request; None for other requests.
+
+    Raises
+    ------
+    HeaderOutOfRange
+        If it has more than `MAX_TOKENS` tokens.
+    """
     tokens = first_value(headers, TOKENS)
     if tokens is None:
         return None
     prompt, _, output = tokens.partition(",")
     segments = first_value(headers, PROMPT_SEGMENTS) or ""
     return ModelInput(
-        int(parse_non_negative(prompt) or 0),
-        int(parse_non_negative(output) or 0),
+        decode_tokens(prompt, TOKENS),
+        decode_tokens(output, TOKENS),
         decode_segments(segments),
     )
 
@@ -215,6 +251,10 @@
         host = first_value(pairs, b"host")
         if host is None or not target.startswith(b"/"):
             return TargetFault(400, "no host, or a target that is no path")
+        try:
+            size = decode_size(pairs)
+        except HeaderOutOfRange as error:
+            return TargetFault(400, str(error))
         dropped = HOP_BY_HOP | RESERVED_HEADERS | connection_specific_headers(pairs)
         dropped |= {b"content-length"}
         patience_ms = parse_non_negative(first_value(pairs, DEADLINE))
@@ -230,7 +270,7 @@
             key=decode_api_key(pairs),
             caller_timeout_s=None if patience_ms is None else patience_ms / 1000,
             arrived_s=arrived_s,
-            size=decode_size(pairs),
+            size=size,
             last_event_id=last_event_id.encode("latin-1") if last_event_id else None,
             resumes=first_value(pairs, RESUMES) or None,
         )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -9,8 +9,10 @@
 
 from rosemaryknot.platform.headers import PlatformWire
 from rosemaryknot.values.gateway import GatewayRequest, RoutedServer
+from rosemaryknot.values.gateway_peers import LoadReport
 from rosemaryknot.values.gateway_responses import Framing, TargetFault
 from rosemaryknot.values.incarnation import ServerIncarnation
+from rosemaryknot.values.messages import decode_message, encode_message
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.retry_after import InvalidRetryAfter
 from rosemaryknot.values.server_limits import InvalidLimit
@@ -78,6 +80,58 @@
         assert isinstance(found, GatewayRequest | TargetFault)
 
 
+EXTREME = st.sampled_from(
+    [b"1" + b"0" * 20, b"9" * 400, b"1e308", b"-1", b"nan", b"inf", b"1_0", b"0x10"]
+) | st.integers(-(2**70), 2**70).map(lambda number: b"%d" % number)
+
+
+class TestExtremeNumbers:
+    @pytest.mark.parametrize(
+        "header",
+        [
+            (b"Rosemaryknot-Token-Usage", b"1" + b"0" * 20 + b",80"),
+            (b"Rosemaryknot-Token-Usage", b"80,1e300"),
+            (b"Rosemaryknot-Prefix-Hash", b"5c1e:" + b"9" * 400),
+        ],
+    )
+    def test_number_out_of_range_names_its_header(self, header):
+        """Guards against a number that no message between nodes can hold."""
+        found = read([HEAD[0], (b"Rosemaryknot-Token-Usage", b"1,1"), header][::-1])
+        assert isinstance(found, TargetFault) and found.status == 400
+        assert header[0].decode().lower() in found.reason
+
+    @given(st.lists(EXTREME, min_size=4, max_size=4))
+    def test_accepted_numbers_can_be_encoded(self, numbers):
+        """Guards against an accepted request whose load no report can hold."""
+        prompt, output, segment, deadline = numbers
+        found = read(
+            [
+                HEAD[0],
+                (b"Rosemaryknot-Token-Usage", prompt + b"," + output),
+                (b"Rosemaryknot-Prefix-Hash", b"5c1e:" + segment),
+                (b"Rosemaryknot-Deadline-Ms", deadline),
+            ]
+        )
+        if isinstance(found, TargetFault):
+            return
+        size = found.size
+        tokens = [size.prompt_tokens, size.max_output_tokens]
+        tokens += [segment.tokens for segment in size.segments]
+        many = 1 << 20
+        report = LoadReport("n0", {"s": [many, many * sum(tokens)]}, [])
+        assert decode_message(encode_message(report))[0] == report
+
+    @given(EXTREME)
+    def test_any_response_is_decoded(self, number):
+        headers = [
+            (b"Keep-Alive", b"timeout=" + number),
+            (b"Server-Limit", number),
+            (b"Server-Brittle", number),
+            (b"Retry-After", number),
+        ]
+        assert PlatformWire().read_response(200, headers).status == 200
+
+
 class TestResponses:
     def test_is_decoded(self):
         head = PlatformWire().read_response(
