Restart a background task that fails instead of ending the node

Each task of a node, an entry and an agent is now supervised: a failure is logged with its place, counted (task_failures_total), and the task starts again after 0.1 s, twice as long after each failure in a row, 5 s at most.

--- a/src/rosemaryknot/process/agent.py
+++ b/src/rosemaryknot/process/agent.py
@@ -16,6 +16,7 @@
 from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.connection.server_network import ServerNetwork
 from rosemaryknot.connection.server_relay import ServerRelay
+from rosemaryknot.process.background_tasks import supervise
 from rosemaryknot.process.claims.forms import ClaimForm
 from rosemaryknot.process.claims.handlers import register_claim_handlers
 from rosemaryknot.process.claims.objects import ObjectClaims
@@ -306,24 +307,24 @@
     async def serve(self, nursery: trio.Nursery) -> None:
         """Start all tasks; return once peers, entries and operators can connect."""
         await nursery.start(self.peers.run)
-        nursery.start_soon(self.server_distributor.run)
-        nursery.start_soon(self.platform_watch.run)
-        nursery.start_soon(self.dialler.run_rechecks)
-        nursery.start_soon(self.distributor.run)
-        nursery.start_soon(self.watcher.run)
-        nursery.start_soon(self.objects.run)
-        nursery.start_soon(self.shards.run)
-        nursery.start_soon(self.standby.run)
-        nursery.start_soon(self.limits.run)
-        nursery.start_soon(self.ended_nodes.run)
-        nursery.start_soon(self.placement.run)
-        nursery.start_soon(self.crash_exchange.run)
-        nursery.start_soon(self.crash_exchange.run_repeats)
-        nursery.start_soon(self.crash_exchange.run_newcomers)
-        nursery.start_soon(self.permit_owner.run)
-        nursery.start_soon(self.limit_exchange.run)
-        nursery.start_soon(self.limit_exchange.run_newcomers)
-        nursery.start_soon(self.watch_own_reclaim)
+        nursery.start_soon(supervise, self.server_distributor.run)
+        nursery.start_soon(supervise, self.platform_watch.run)
+        nursery.start_soon(supervise, self.dialler.run_rechecks)
+        nursery.start_soon(supervise, self.distributor.run)
+        nursery.start_soon(supervise, self.watcher.run)
+        nursery.start_soon(supervise, self.objects.run)
+        nursery.start_soon(supervise, self.shards.run)
+        nursery.start_soon(supervise, self.standby.run)
+        nursery.start_soon(supervise, self.limits.run)
+        nursery.start_soon(supervise, self.ended_nodes.run)
+        nursery.start_soon(supervise, self.placement.run)
+        nursery.start_soon(supervise, self.crash_exchange.run)
+        nursery.start_soon(supervise, self.crash_exchange.run_repeats)
+        nursery.start_soon(supervise, self.crash_exchange.run_newcomers)
+        nursery.start_soon(supervise, self.permit_owner.run)
+        nursery.start_soon(supervise, self.limit_exchange.run)
+        nursery.start_soon(supervise, self.limit_exchange.run_newcomers)
+        nursery.start_soon(supervise, self.watch_own_reclaim)
         address = await nursery.start(self.server.serve, self.settings.listen.operators)
         log.info(f"serving operators at {address}, links at {self.peers.listen}")
 
--- a/src/rosemaryknot/process/entry.py
+++ b/src/rosemaryknot/process/entry.py
@@ -14,6 +14,7 @@
 from rosemaryknot.connection.server_dialler import ServerDialler
 from rosemaryknot.connection.server_network import ServerNetwork
 from rosemaryknot.process.agent_link import AgentLink
+from rosemaryknot.process.background_tasks import supervise
 from rosemaryknot.process.configuration import ConfigurationHolder
 from rosemaryknot.process.configuration_distributor import (
     register_configuration_handlers,
@@ -358,16 +359,16 @@
     async def serve(self, nursery: trio.Nursery, address: Address) -> None:
         """Start all tasks; return once callers can connect."""
         await nursery.start(self.relay.run)
-        nursery.start_soon(self.link.run)
-        nursery.start_soon(self.at_most_once.run_reports)
-        nursery.start_soon(self.standby.run)
-        nursery.start_soon(self.dialler.run_rechecks)
-        nursery.start_soon(self.crash_detector.run)
-        nursery.start_soon(self.crashes.run)
-        nursery.start_soon(self.entry_limits.run)
-        nursery.start_soon(self.budgets.run)
-        nursery.start_soon(self.model_admission.queue.run)
-        nursery.start_soon(self.report_draining_servers)
+        nursery.start_soon(supervise, self.link.run)
+        nursery.start_soon(supervise, self.at_most_once.run_reports)
+        nursery.start_soon(supervise, self.standby.run)
+        nursery.start_soon(supervise, self.dialler.run_rechecks)
+        nursery.start_soon(supervise, self.crash_detector.run)
+        nursery.start_soon(supervise, self.crashes.run)
+        nursery.start_soon(supervise, self.entry_limits.run)
+        nursery.start_soon(supervise, self.budgets.run)
+        nursery.start_soon(supervise, self.model_admission.queue.run)
+        nursery.start_soon(supervise, self.report_draining_servers)
         await nursery.start(self.server.serve, address)
         log.info(f"serving callers at {address}")
 
@@ -377,7 +378,7 @@
         self.drain.start()
         unready_deadline_s = trio.current_time() + limits.not_ready_s
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.hand_over_before_deadline)
+            nursery.start_soon(supervise, self.hand_over_before_deadline)
             await self.drain.wait_idle(limits.drain_timeout_s)
             nursery.cancel_scope.cancel()
         await self.standby.hand_over_all()
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Callable, Collection
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,7 @@
 from rosemaryknot.process.activity_log import ActivityLog
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.availability_exchange import AvailabilityExchange
+from rosemaryknot.process.background_tasks import supervise
 from rosemaryknot.process.change_distributor import ChangeDistributor
 from rosemaryknot.process.configuration_distributor import select_nodes
 from rosemaryknot.process.crash_detector import CrashDetector
@@ -456,7 +458,7 @@
 
     async def serve(self, nursery: trio.Nursery) -> None:
         """Start all tasks."""
-        start_soon = nursery.start_soon
+        start_soon = partial(nursery.start_soon, supervise)
         listen = self.settings.listen
         await nursery.start(self.peers.run)
         await nursery.start(self.serve_pages, listen.readiness)
@@ -508,13 +510,14 @@
             self.clock,
             self.exchange,
         )
-        nursery.start_soon(self.lease.run)
+        start_soon = partial(nursery.start_soon, supervise)
+        start_soon(self.lease.run)
         duties = self.settings.cloud.duties
         delay_s = self.settings.bounds.usage_delay_s
         if "usage" in duties:
-            nursery.start_soon(UsageDuty(components, delay_s).run)
+            start_soon(UsageDuty(components, delay_s).run)
         if "scaling" in duties:
-            nursery.start_soon(ScalingDuty(components, self.rng).run)
+            start_soon(ScalingDuty(components, self.rng).run)
 
     async def serve_pages(
         self, address: Any, task_status: Any = trio.TASK_STATUS_IGNORED
@@ -598,7 +601,7 @@
     async with trio.open_nursery() as nursery:
         await node.serve(nursery)
         if path is not None:
-            nursery.start_soon(watch_settings, node, path)
+            nursery.start_soon(supervise, watch_settings, node, path)
         task_status.started(node)
         await stop.wait()
         await node.shut_down()
--- a/src/rosemaryknot/process/peers.py
+++ b/src/rosemaryknot/process/peers.py
@@ -18,7 +18,7 @@
     MessageLink,
 )
 from rosemaryknot.connection.network import Network
-from rosemaryknot.process.background_tasks import BackgroundTasks
+from rosemaryknot.process.background_tasks import BackgroundTasks, supervise
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.peer import SILENCE_TIMEOUT_S, LinkEnd, Peer, full_jitter
 from rosemaryknot.process.peer_dialler import ENTRY_ROLE, RELAY_ROLE, PeerDialler
@@ -313,9 +313,9 @@
             self.listen = await nursery.start(listen, self.listen, self.accept)
             self.table.own.address = str(self.listen)
             for seed in self.seeds:
-                nursery.start_soon(self.run_seed, seed)
-            nursery.start_soon(self.gossip.run)
-            nursery.start_soon(self.maintain_table)
+                nursery.start_soon(supervise, self.run_seed, seed)
+            nursery.start_soon(supervise, self.gossip.run)
+            nursery.start_soon(supervise, self.maintain_table)
             task_status.started(self.listen)
             await trio.sleep_forever()
 
