Answer every method on the pages, and take what no socket dials for a failure

HEAD on the page of metrics or readiness ended the process: h11 allows no body there and its exception was not handled. HEAD gets the headers, other methods 405 with Allow, and a page that fails ends its connection only. An address such as fe80::1%é made dialling raise a UnicodeError, which is no OSError: requests ended without an answer, and one node of two ended.

--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -123,7 +123,10 @@
     async def dial(self, address: Address) -> trio.abc.HalfCloseableStream:
         """Connect by TCP; see `Network.dial`."""
         with trio.move_on_after(CONNECT_TIMEOUT_S):
-            return await trio.open_tcp_stream(address.host, address.port)
+            try:
+                return await trio.open_tcp_stream(address.host, address.port)
+            except (ValueError, OverflowError) as error:
+                raise OSError(f"{address} is no address of a socket") from error
         raise TimeoutError(f"connecting to {address} timed out")
 
     async def listen(
--- a/src/rosemaryknot/connection/pages.py
+++ b/src/rosemaryknot/connection/pages.py
@@ -11,6 +11,8 @@
 import trio
 
 from rosemaryknot.connection.network import Network
+from rosemaryknot.process.logs import fault_fields, logger
+from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["Page", "PageServer"]
@@ -19,6 +21,12 @@
 # Longer than the polling interval of a load balancer or a metrics collector.
 IDLE_TIMEOUT_S = 30.0
 NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+METHODS = (b"GET", b"HEAD")
+
+FAULTS = counter("page_faults_total", "Exceptions that ended a request for a page.")
+
+log = logger("pages")
 
 
 @dataclass(slots=True)
@@ -75,16 +83,20 @@
             trio.ClosedResourceError,
         ):
             return
+        except Exception as error:
+            FAULTS.add()
+            log.error("page not served", **fault_fields(error))
 
     async def serve_one(
         self, stream: trio.abc.HalfCloseableStream, conn: h11.Connection
     ) -> bool:
         """Serve one request; return whether the connection remains usable."""
-        target = None
+        target, method = None, b"GET"
         while True:
             event = conn.next_event()
             if isinstance(event, h11.Request):
                 target = event.target.decode("latin-1").partition("?")[0]
+                method = event.method
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif event is h11.NEED_DATA:
@@ -96,19 +108,28 @@
                 conn.receive_data(data)
             elif not isinstance(event, h11.Data):
                 return False
-        render = self.pages.get(target)
         await stream.send_all(
-            encode_response(conn, Page(NOT_FOUND) if not render else render())
+            encode_response(conn, self.page(method, target), method == b"HEAD")
         )
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE
 
+    def page(self, method: bytes, target: str | None) -> Page:
+        """Return the page in response to a request."""
+        render = self.pages.get(target)
+        if render is None:
+            return Page(NOT_FOUND)
+        return render() if method in METHODS else Page(METHOD_NOT_ALLOWED)
+
 
-def encode_response(conn: h11.Connection, page: Page) -> bytes:
-    """Return the encoded response with a page."""
+def encode_response(conn: h11.Connection, page: Page, is_head: bool) -> bytes:
+    """Return the encoded response with a page, without its body for a HEAD."""
     headers = [
         ("content-type", page.content_type),
         ("content-length", str(len(page.body))),
     ]
+    if page.status == METHOD_NOT_ALLOWED:
+        headers.append(("allow", b", ".join(METHODS)))
     data = conn.send(h11.Response(status_code=page.status, headers=headers))
-    data += conn.send(h11.Data(data=page.body))
+    if not is_head:
+        data += conn.send(h11.Data(data=page.body))
     return data + conn.send(h11.EndOfMessage())
--- a/tests/connection/test_network.py
+++ b/tests/connection/test_network.py
@@ -64,3 +64,13 @@
         with trio.fail_after(10.0):
             await ended.wait()
         await trio.aclose_forcefully(stream)
+
+
+class TestAddresses:
+    @pytest.mark.parametrize(
+        "address", [Address("fe80::1%\u00e9", 80), Address("127.0.0.1", 70000)]
+    )
+    async def test_address_of_no_socket_is_an_os_error(self, address):
+        """Guards against an exception of dialling that no caller handles."""
+        with pytest.raises(OSError):
+            await SocketNetwork().dial(address)
