Confirm the end of a draining server's response like that of any other

Cause: the close of a server that has announced a drain was believed without a check, since such a server might refuse connections while it completes requests. The class: an announcement taken for evidence.

test_draining_server_refuses asserted that a whole stream of a server that stopped listening is complete at once. Nothing tells it from one that was cut off, and an end that looks complete and is not is the worse fault. Its replacement asserts the same whole body, now on a route that may be resumed, by way of another server.

--- a/src/rosemaryknot/connection/server_dialler.py
+++ b/src/rosemaryknot/connection/server_dialler.py
@@ -227,15 +227,23 @@
             return failed
         return ServerEvidence.UNKNOWN
 
-    async def accepts(self, address: Address) -> bool:
-        """Return whether a server accepts a connection, by any path."""
+    async def accepts(self, address: Address, open_s: float = 0.0) -> bool:
+        """Return whether a server accepts a connection, by any path.
+
+        Parameters
+        ----------
+        address : Address
+            Address of the server.
+        open_s : float
+            How long the connection has to stay open, in seconds.
+        """
         race = Race()
         try:
             with trio.move_on_after(END_CHECK_TIMEOUT_S):
                 await self.run_race(address, race)
+            return race.stream is not None and await stays_open(race.stream, open_s)
         finally:
             await close_shielded(race.stream)
-        return race.stream is not None
 
     async def reaches_others(self, address: Address, since_s: float) -> bool:
         """Return whether this node reaches servers by its own path.
@@ -304,3 +312,13 @@
             await trio.aclose_forcefully(stream)
             return True
         return False
+
+
+async def stays_open(stream: trio.abc.HalfCloseableStream, for_s: float) -> bool:
+    """Return whether the other end keeps an idle connection open for a time."""
+    with trio.move_on_after(for_s):
+        try:
+            return bool(await stream.receive_some(1))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+    return True
--- a/src/rosemaryknot/process/crash_detector.py
+++ b/src/rosemaryknot/process/crash_detector.py
@@ -19,6 +19,9 @@
 
 __all__ = ["CheckedServer", "CrashDetector", "ServerRequest"]
 
+# Time between the first connection that a process closes as it exits and the close of
+# its port.
+EXIT_S = 0.1
 # How long a server that accepts connections again, or does not respond, is observed: a
 # server that was restarted immediately has written its entry by then.
 OBSERVATION_S = 2.0
@@ -133,7 +136,8 @@
     check_server : callable
         Returns what this node and its peers see of the server with an address.
     accepts : callable
-        Returns whether the server with an address accepts a connection.
+        Returns whether the server with an address accepts a connection and leaves it
+        open for a time, in seconds.
     records : CrashRecords
         Receives the crashes.
 
@@ -156,7 +160,7 @@
     def __init__(
         self,
         check_server: Callable[[Address], Awaitable[ServerEvidence]],
-        accepts: Callable[[Address], Awaitable[bool]],
+        accepts: Callable[[Address, float], Awaitable[bool]],
         records: CrashRecords,
     ) -> None:
         self.check_server = check_server
@@ -190,11 +194,12 @@
         those of one that has sent everything. So a response whose end is marked by that
         of its connection is complete only if its server is seen to go on.
 
-        A server that drains may refuse connections while it completes its requests, so
-        its refusal shows nothing. An entry that is missing announces no drain: a server
-        loses it also while the store is away.
+        That holds for one that drains too: it goes on serving until it exits, and may
+        exit within a response. As it exits, it may close its connections before the
+        port, so that the connection of the check has to stay open for a time.
         """
-        return state.has_announced_drain or await self.accepts(state.address)
+        open_s = EXIT_S if state.has_announced_drain else 0.0
+        return await self.accepts(state.address, open_s)
 
     def record_closed(self, state: CheckedServer, request: ServerRequest) -> None:
         """Record that a server closed the connection of a request.
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -209,6 +209,33 @@
             assert system.ledger.runs_of("r1") == 1
 
 
+def exit_slowly(system, name):
+    """Let a draining server close its connections 50 ms before its port."""
+    server = system.servers[name]
+    server.draining = "1"
+
+    async def run(arrival, wire):
+        arrival.has_run = True
+        await wire.head(200, server.headers(arrival))
+        events = server.events(arrival) if server.is_model else [b"p"]
+        await wire.send(events[0])
+        await trio.sleep(0.1)
+        system.nursery.start_soon(close_port)
+        wire.close()
+
+    async def close_port():
+        await trio.sleep(0.05)
+        await system.crash_server(name, has_resets=True)
+
+    server.run = run
+
+
+async def put_later(system, server_id, entry):
+    """Write an entry while a response is under way."""
+    await trio.sleep(0.2)
+    system.store.put("servers", server_id, entry)
+
+
 class TestServers:
     """What the end of a response shows of its server."""
 
@@ -223,21 +250,58 @@
         assert line["incomplete_event_bytes"] == 7
         assert line["reason"] == "the stream ended inside an event"
 
+    @pytest.mark.parametrize("path", ["/plan/x", "/ask/x", "/stock/x", "/book/x"])
+    @pytest.mark.parametrize("place", [EndPlace.BETWEEN_EVENTS, EndPlace.LAST_EVENT])
+    async def test_draining_server_exits(self, autojump_clock, path, place):
+        """Guards against an end that looks complete as a draining server exits."""
+        end = ResponseEnd(EndWay.CRASHED, place)
+        async with platform_system() as system:
+            for server in system.servers.values():
+                server.faults = deque([end.name])
+                server.work_s = 0.5
+                server.draining = "1"
+            first = [system.servers[name] for name in ("m0", "p0")]
+            for server in first:
+                with_drain = server.entry | {"state": "draining"}
+                system.nursery.start_soon(put_later, system, server.id, with_drain)
+            is_stream = path in ("/plan/x", "/ask/x")
+            headers = MODEL_HEADERS if is_stream else {"method": "GET"}
+            answer = await system.ask(path, **headers)
+            if answer.status == 200 and answer.is_whole:
+                assert answer.body in (WHOLE, b"p0 answers r1", b"p1 answers r1")
+            else:
+                assert WHOLE.startswith(answer.body) or answer.status in (502, 503)
+
+    @pytest.mark.parametrize("path", ["/plan/x", "/ask/x", "/book/x"])
+    async def test_port_closes_after_connections(self, autojump_clock, path):
+        """Guards against an exiting server that accepts the check's connection."""
+        async with platform_system(plain=1, models=1) as system:
+            for name in ("m0", "p0"):
+                exit_slowly(system, name)
+            is_stream = path in ("/plan/x", "/ask/x")
+            headers = MODEL_HEADERS if is_stream else {"method": "GET"}
+            answer = await system.ask(path, **headers)
+            assert answer.status == 502 or not answer.is_whole
+            assert answer.status == 502 or WHOLE.startswith(answer.body)
+
     async def test_draining_server_refuses(self, autojump_clock):
-        """A server that drains refuses connections while it completes its requests."""
+        """Guards against a stream that is lost as its draining server stops listening.
+
+        Its end is not confirmed: the caller gets the rest from another server.
+        """
         end = ResponseEnd(EndWay.CLOSED, EndPlace.LAST_EVENT)
-        async with system_with_end(end, models=1) as system:
-            server = system.servers["m0"]
-            server.work_s = 1.0
-            with_drain = server.entry | {"state": "draining"}
+        async with system_with_end(end, models=2) as system:
+            for name in ("m0", "m1"):
+                system.servers[name].work_s = 0.1
+            with_drain = system.servers["m0"].entry | {"state": "draining"}
 
             async def drain():
-                await trio.sleep(0.5)
+                await trio.sleep(0.05)
                 system.store.put("servers", "m0", with_drain)
                 system.network.stop_listening("10.1.0.3")
 
             system.nursery.start_soon(drain)
-            answer = await system.ask("/plan/x", **MODEL_HEADERS)
+            answer = await system.ask("/ask/x", **MODEL_HEADERS)
             assert answer.is_whole and answer.body == WHOLE
 
     async def test_request_is_cleared_by_response_without_length(self, autojump_clock):
--- a/tests/request/test_plain_ends.py
+++ b/tests/request/test_plain_ends.py
@@ -58,7 +58,7 @@
     return ServerEvidence.ACCEPTS
 
 
-async def accepts(network, address):
+async def accepts(network, address, open_s=0.0):
     """Return whether a server accepts a connection."""
     return await check_server(network, address) == ServerEvidence.ACCEPTS
 
