Take a reset that reaches the writer of a request for the end of its response

Cause: the system reports a reset once. If the writer of the rest of the body was woken first, its failed write took the error and was dropped, and the reader saw an end in order, which completes a response without a length. The class: an error of one direction of a connection that the other never learns of. The same stood in the relay through a peer and, by way of httpcore, on the own interface.

A write that failed now makes the end of a response without a length that of a reset, in all three places; a response that has its whole length is complete as before.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -81,6 +81,8 @@
         Time from which the connection must not be reused, in trio time.
     is_reusable : bool
         Whether the last exchange ended exactly.
+    is_write_broken : bool
+        Whether writing the request failed.
     is_closed_by_server : bool
         Whether the server closed or reset the connection.
     framing : Framing or None
@@ -111,6 +113,7 @@
         self.last_received_s = trio.current_time()
         self.is_reusable = False
         self.is_sent = False
+        self.is_write_broken = False
         self.is_closed_by_server = False
         self.framing: Framing | None = None
         self.body_bytes = 0
@@ -139,7 +142,7 @@
         self, method: bytes, target: bytes, headers: Headers, body: bytes
     ) -> None:
         """Write as much of a request as possible without waiting; keep the rest."""
-        self.is_sent = False
+        self.is_sent = self.is_write_broken = False
         self.is_reusable = False
         self.framing = None
         self.body_bytes = 0
@@ -159,6 +162,7 @@
         try:
             await self.stream.send_all(self.unsent)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.is_write_broken = True
             return
         self.is_sent = True
 
@@ -259,6 +263,9 @@
                 self.is_closed_by_server = True
                 return Lost("the connection was reset")
             self.is_closed_by_server = not data
+            if not data and self.is_write_broken:
+                # The system reports a reset once, and the writer got it.
+                return Lost("the connection was reset")
             self.last_received_s = trio.current_time()
             self.conn.receive_data(data)
 
--- a/src/rosemaryknot/connection/plain_client.py
+++ b/src/rosemaryknot/connection/plain_client.py
@@ -36,6 +36,10 @@
 
 # The first trace event of httpcore after which a byte of the request may be sent.
 FIRST_WRITE = "http11.send_request_headers.started"
+FAILED_WRITES = (
+    "http11.send_request_headers.failed",
+    "http11.send_request_body.failed",
+)
 
 HOP_BY_HOP = frozenset(
     (
@@ -134,15 +138,19 @@
     ----------
     has_started : bool
         Whether writing of the request has started.
+    has_failed : bool
+        Whether it failed.
     """
 
     def __init__(self) -> None:
-        self.has_started = False
+        self.has_started = self.has_failed = False
 
     async def __call__(self, event: str, info: dict[str, Any]) -> None:
         """Record one trace event."""
         if event == FIRST_WRITE:
             self.has_started = True
+        elif event in FAILED_WRITES:
+            self.has_failed = True
 
 
 class AnswerTooLarge(Exception):
@@ -219,6 +227,9 @@
         finally:
             with trio.CancelScope(shield=True):
                 await response.aclose()
+        if trace.has_failed and is_ended_by_close(response):
+            # The system reports a reset once, and writing the request got it.
+            raise httpx.ReadError("the connection was reset")
         headers = forwarded_response_headers(
             request.method, response.headers.multi_items()
         )
--- a/src/rosemaryknot/connection/relayed_stream.py
+++ b/src/rosemaryknot/connection/relayed_stream.py
@@ -126,23 +126,51 @@
         Connection to the server.
     """
     idle = trio.CancelScope(deadline=trio.current_time() + IDLE_TIMEOUT_S)
+    sink = RequestSink(server)
     with idle:
         async with trio.open_nursery() as nursery:
 
             async def relay_request() -> None:
-                await copy_request(origin, reader, server, idle)
+                await copy_request(origin, reader, sink, idle)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(relay_request)
-            await send_response(origin, server, idle)
+            await send_response(origin, server, sink, idle)
             idle.deadline = trio.current_time() + CLOSE_TIMEOUT_S
     reset_on_close(server)
 
 
+class RequestSink:
+    """Sending direction of a connection to a server.
+
+    Attributes
+    ----------
+    server : trio.abc.SendStream
+        Connection to the server.
+    is_broken : bool
+        Whether writing failed.
+    """
+
+    __slots__ = ("is_broken", "server")
+
+    def __init__(self, server: trio.abc.SendStream) -> None:
+        self.server = server
+        self.is_broken = False
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes, unless the connection is broken."""
+        if self.is_broken:
+            return
+        try:
+            await self.server.send_all(data)
+        except BROKEN:
+            self.is_broken = True
+
+
 async def copy_request(
     origin: trio.abc.ReceiveStream,
     reader: FrameReader,
-    server: trio.abc.SendStream,
+    sink: RequestSink,
     idle: trio.CancelScope,
 ) -> None:
     """Copy the bytes of requests until the origin closes its connection.
@@ -152,10 +180,9 @@
     """
     data = bytes(reader.buffer)
     reader.buffer.clear()
-    is_writable = True
     while True:
-        if data and is_writable:
-            is_writable = await send_whole(server, data)
+        if data and not sink.is_broken:
+            await sink.write(data)
             idle.deadline = trio.current_time() + IDLE_TIMEOUT_S
         try:
             data = await receive_next(origin, RECEIVE_BYTES)
@@ -165,24 +192,24 @@
             return
 
 
-async def send_whole(stream: trio.abc.SendStream, data: bytes) -> bool:
-    """Send bytes; return False if the connection is closed."""
-    try:
-        await stream.send_all(data)
-    except BROKEN:
-        return False
-    return True
-
-
 async def send_response(
-    origin: trio.abc.SendStream, server: trio.abc.ReceiveStream, idle: trio.CancelScope
+    origin: trio.abc.SendStream,
+    server: trio.abc.ReceiveStream,
+    sink: RequestSink,
+    idle: trio.CancelScope,
 ) -> None:
-    """Send the bytes of responses in frames, and how the server ended them."""
+    """Send the bytes of responses in frames, and how the server ended them.
+
+    The system reports a reset once: if the writer of the request got it, the response
+    seems to end in order.
+    """
     kind = DATA
     while kind == DATA:
         try:
             data = await receive_next(server, RECEIVE_BYTES)
-            kind = DATA if data else END
+            kind = DATA
+            if not data:
+                kind = RESET if sink.is_broken else END
         except BROKEN:
             data, kind = b"", RESET
         try:
