Confirm a restarted server's version by a response and an entry that follow it

Cause, three of one class (an old fact taken for a confirmation of what is there now): a server whose end was seen counted as unchanged 2 s after that end, though it may start later than that and cannot write its entry while the store is away; an old entry that was listed again counted as newer than the process; and bytes from before the end that were read after it showed that the process goes on.

A lost server's version now counts 2 s after it has responded again and the store has answered without a gap, or with an entry that differs; bytes count from 1 s after the end.

test_process_was_lost let the same entry confirm the server; the entry is now that of the next incarnation, and the same one is asserted not to. test_no_entry_follows and test_older_connection_delivers get the response, and the time, that they rest on.

--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -140,8 +140,10 @@
                 left_s=entry.shutdown_after_s,
                 born=entry.born,
             )
+        if known is None or entry != state.entry:
+            # One that is listed again may be older than the server's process.
+            state.entry_updated_s = trio.current_time()
         state.entry = entry
-        state.entry_updated_s = trio.current_time()
         if entry.is_draining:
             state.announce_drain()
         state.is_removed = False
--- a/src/rosemaryknot/process/server_state.py
+++ b/src/rosemaryknot/process/server_state.py
@@ -13,6 +13,9 @@
 
 __all__ = ["PeerLoad", "ServerState"]
 
+# How long after the end of a process its last bytes may be read.
+UNREAD_S = 1.0
+
 
 @dataclass(slots=True)
 class PeerLoad:
@@ -48,7 +51,7 @@
     first_seen_s : float
         When this incarnation was first seen, in trio time.
     entry_updated_s : float
-        When an entry was last applied, in trio time.
+        When an entry was last applied that differs from the one before, in trio time.
     incarnation_key : str
         Text form of the incarnation in messages between nodes.
     in_flight : int
@@ -93,6 +96,9 @@
     process_lost_s : float
         When its process was last seen to have ended, in trio time; minus infinity if
         that never happened.
+    back_since_s : float
+        When the server first responded to a request that was sent after its process
+        was seen to have ended, in trio time; infinite before.
     confirmed_s : float
         When bytes were last received on a connection that was opened while the process
         was certainly that of the entry, in trio time.
@@ -108,6 +114,7 @@
     backoff_until_s: float = 0.0
     last_received_s: float = float("-inf")
     last_answered_s: float = float("-inf")
+    back_since_s: float = float("inf")
     busy_since_s: float = 0.0
     peers: dict[str, PeerLoad] = field(default_factory=dict)
     has_announced_drain: bool = False
@@ -171,11 +178,23 @@
         self.has_announced_drain = True
         self.drained_s = min(self.drained_s, trio.current_time())
 
+    def record_answered(self, sent_s: float) -> None:
+        """Record that a response to a request began to arrive."""
+        now_s = trio.current_time()
+        self.last_received_s = now_s
+        self.last_answered_s = max(self.last_answered_s, sent_s)
+        if self.back_since_s < self.process_lost_s:
+            # It has ended once more since.
+            self.back_since_s = float("inf")
+        if sent_s > self.process_lost_s:
+            self.back_since_s = min(self.back_since_s, now_s)
+
     def record_received(self, sent_s: float, was_confirmed: bool) -> None:
         """Record that bytes were received in response to a request.
 
         A process whose end was seen after the request was sent would have lost its
-        connections, so it goes on: it only refuses new ones.
+        connections, so it goes on: it only refuses new ones. Bytes that a process sent
+        just before its end may still be unread.
 
         Parameters
         ----------
@@ -185,7 +204,8 @@
             Whether the process was certainly that of the entry then.
         """
         self.last_received_s = trio.current_time()
-        if sent_s < self.process_lost_s:
+        is_later = self.last_received_s > self.process_lost_s + UNREAD_S
+        if sent_s < self.process_lost_s and is_later:
             self.process_lost_s = float("-inf")
         if was_confirmed:
             self.confirmed_s = self.last_received_s
--- a/src/rosemaryknot/process/software_versions.py
+++ b/src/rosemaryknot/process/software_versions.py
@@ -12,8 +12,9 @@
 
 __all__ = ["RESTART_NOTICE_S", "VersionHistory"]
 
-# A server that starts again under its id writes its entry as it starts. If it has not
-# done so by this time after its end, it goes on unchanged.
+# A server that starts again under its id writes its entry as it starts, or soon after
+# the store is back. If it has not done so by this time after it responded again, it is
+# unchanged.
 RESTART_NOTICE_S = 2.0
 # No server ends and starts again with another version within this time.
 CONFIRMED_S = 0.25
@@ -91,18 +92,23 @@
         """Return whether a server is certainly of the version that its entry tells.
 
         A server whose process was seen to have ended may be back with another version
-        before its next entry arrives. While no entries arrive, any server may be.
+        before its next entry arrives. While no entries arrive, any server may be, and
+        one that could not write its entry meanwhile writes it with a later heartbeat.
         """
         if not state.entry.software_version:
             return False
         now_s = trio.current_time()
         if now_s - state.confirmed_s < CONFIRMED_S:
             return True
-        if math.isinf(self.entries_current_since_s()):
+        since_s = self.entries_current_since_s()
+        if math.isinf(since_s):
             return False
         if state.entry_updated_s > state.process_lost_s:
             return True
-        return self.entries_known_at_s() >= state.process_lost_s + RESTART_NOTICE_S
+        if state.back_since_s < state.process_lost_s:
+            return False
+        unknown_s = max(state.back_since_s, since_s)
+        return self.entries_known_at_s() >= unknown_s + RESTART_NOTICE_S
 
     def only_version(
         self, service: str, states: Iterable[ServerState], period_s: float
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -273,8 +273,7 @@
         if isinstance(head, Lost):
             self.record_run()
             return head
-        self.state.last_received_s = trio.current_time()
-        self.state.last_answered_s = max(self.state.last_answered_s, self.started_s)
+        self.state.record_answered(self.started_s)
         self.statements.record(head)
         if head.not_run:
             return NotRunThere(head.status)
--- a/tests/process/test_software_versions.py
+++ b/tests/process/test_software_versions.py
@@ -39,15 +39,50 @@
         state.process_lost_s = trio.current_time()
         assert not servers.versions.is_current(state)
         await trio.sleep(1)
-        put(servers)
+        assert servers.versions.is_current(put(servers, "v2", born_s=11.0))
+
+    async def test_old_entry_is_listed_again(self, autojump_clock):
+        """Guards against an entry from before the restart that counts as a new one."""
+        servers = table()
+        state = put(servers)
+        await trio.sleep(10)
+        state.process_lost_s = trio.current_time()
+        await trio.sleep(1)
+        assert put(servers) is state
+        assert not servers.versions.is_current(state)
+
+    async def test_store_was_away_as_it_started(self, autojump_clock):
+        """Guards against an entry that the server could not write yet."""
+        servers = table()
+        state = put(servers)
+        await trio.sleep(10)
+        state.process_lost_s = trio.current_time()
+        await trio.sleep(1.8)
+        state.record_answered(trio.current_time())
+        servers.versions.entries_current_since_s = lambda: 12.2
+        servers.versions.entries_known_at_s = trio.current_time
+        await trio.sleep(2.0)
+        assert not servers.versions.is_current(state)
+        await trio.sleep(0.5)
         assert servers.versions.is_current(state)
 
+    async def test_server_has_not_responded_since(self, autojump_clock):
+        """Guards against a server that is down for longer than its entry takes."""
+        servers = table()
+        state = put(servers)
+        await trio.sleep(10)
+        state.process_lost_s = trio.current_time()
+        await trio.sleep(30)
+        assert not servers.versions.is_current(state)
+
     async def test_no_entry_follows(self, autojump_clock):
         """The store has to have answered after the time for the entry."""
         servers = table()
         state = put(servers)
         await trio.sleep(10)
         state.process_lost_s = trio.current_time()
+        await trio.sleep(0.1)
+        state.record_answered(trio.current_time())
         servers.versions.entries_known_at_s = lambda: 11.0
         await trio.sleep(5)
         assert not servers.versions.is_current(state)
@@ -60,9 +95,20 @@
         state = put(servers)
         await trio.sleep(10)
         state.process_lost_s = trio.current_time()
-        state.record_received(sent_s=9.0, was_confirmed=True)
+        await trio.sleep(1.5)
+        state.record_received(sent_s=9.0, was_confirmed=False)
         assert servers.versions.is_current(state)
 
+    async def test_last_bytes_of_a_process_are_read_late(self, autojump_clock):
+        """Guards against bytes from before its end that show that it goes on."""
+        servers = table()
+        state = put(servers)
+        await trio.sleep(10)
+        state.process_lost_s = trio.current_time()
+        await trio.sleep(0.2)
+        state.record_received(sent_s=9.0, was_confirmed=False)
+        assert not servers.versions.is_current(state)
+
     async def test_entries_are_not_current(self, autojump_clock):
         servers = table()
         state = put(servers)
