Raise a refused connection as what it is, on sockets too

Cause, traced with the values of the decision in the log: that a server refused a connection was never recorded. Trio wraps the error of the system call in an OSError of its own, and all that asks for ConnectionRefusedError (the loss of a server's process, and on the own interface whether an entry has stopped) got False on sockets, while the in-memory network raises the error itself. The class: a stand-in that reports more than the real thing.

SocketNetwork.dial raises the error of the system call.

--- a/src/rosemaryknot/connection/network.py
+++ b/src/rosemaryknot/connection/network.py
@@ -127,6 +127,8 @@
                 return await trio.open_tcp_stream(address.host, address.port)
             except (ValueError, OverflowError) as error:
                 raise OSError(f"{address} is no address of a socket") from error
+            except OSError as error:
+                raise dial_cause(error) from error
         raise TimeoutError(f"connecting to {address} timed out")
 
     async def listen(
@@ -204,20 +206,27 @@
             connection.close()
 
 
+def dial_cause(error: OSError) -> OSError:
+    """Return the error of the system call that opened no connection.
+
+    Trio wraps it in another one, of which callers cannot tell whether the connection
+    was refused.
+    """
+    cause = error.__cause__
+    while isinstance(cause, BaseExceptionGroup):
+        cause = cause.exceptions[0]
+    return cause if isinstance(cause, OSError) else error
+
+
 def dial_failure(error: OSError) -> str:
     """Return the name of the error because of which a connection was not opened.
 
-    Trio wraps the error of the system call in another one.
-
     Examples
     --------
     >>> dial_failure(ConnectionRefusedError())
     'ConnectionRefusedError'
     """
-    cause = error.__cause__
-    if isinstance(cause, BaseExceptionGroup):
-        cause = cause.exceptions[0]
-    return type(error if cause is None else cause).__name__
+    return type(error).__name__
 
 
 def send_now(stream: trio.abc.HalfCloseableStream, data: bytes) -> int:
--- a/tests/connection/test_network.py
+++ b/tests/connection/test_network.py
@@ -74,3 +74,11 @@
         """Guards against an exception of dialling that no caller handles."""
         with pytest.raises(OSError):
             await SocketNetwork().dial(address)
+
+    async def test_refused_connection_is_told_from_other_failures(self):
+        """Guards against a refusal that only the in-memory network reports as one."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        await listeners[0].aclose()
+        with pytest.raises(ConnectionRefusedError):
+            await SocketNetwork().dial(Address("127.0.0.1", port))
