Note in the lease which windows of usage a restore may have lost

Cause: the holder that took the lease first after the restore left out the windows that may have been reported, but only its process knew of them: its write carries the new era, so the next holder found nothing lost and went on after the note of the copy. The class: what one process has learned is not in what its successor reads.

The write that acquires the lease now carries the first window that nobody can have reported, and each later holder begins there at the earliest. Orders to the cloud were not looked at.

--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -133,6 +133,9 @@
         Fencing number of this process's current or last lease.
     acquired_s : float
         When this process acquired the lease, in trio time.
+    is_recovering : bool
+        Whether it is being acquired with a record of an earlier era of the store, so
+        that the write has to tell later holders what may be missing.
     has_lost_notes : bool
         Whether this process acquired the lease on a record from before a restore of the
         store, so that the notes of the last holder may be missing.
@@ -182,7 +185,7 @@
         self.last_expiry_s = float("-inf")
         self.acquired_s = float("-inf")
         self.is_clean_handover = False
-        self.has_lost_notes = False
+        self.has_lost_notes = self.is_recovering = False
         self.is_releasing = False
         self.write_count = 0
         self.sent_s: dict[str, float] = {}
@@ -460,7 +463,12 @@
             () if last is None else last.leaving,
             {} if last is None else last.notes,
         )
-        if await self.write(record):
+        self.is_recovering = has_lost_notes
+        try:
+            is_written = await self.write(record)
+        finally:
+            self.is_recovering = False
+        if is_written:
             self.acquired_s = trio.current_time()
             self.has_lost_notes = has_lost_notes
             has_no_holder = last is not None and last.holder in ("", self.holder)
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -57,7 +57,13 @@
 from rosemaryknot.process.store_watcher import StoreWatcher
 from rosemaryknot.process.suspension import Suspension
 from rosemaryknot.process.synchronized_clock import SynchronizedClock
-from rosemaryknot.process.usage_duty import STORED_USAGE_RECORD, UsageDuty
+from rosemaryknot.process.usage_duty import (
+    FIRST_UNREPORTED,
+    STORED_USAGE_RECORD,
+    UsageDuty,
+    first_certain_window,
+    noted_window,
+)
 from rosemaryknot.process.usage_tracker import UsageTracker
 from rosemaryknot.request.crash_guard import CrashGuard
 from rosemaryknot.request.gateway import Gateway, GatewayComponents
@@ -417,7 +423,12 @@
     def stored_usage(self, notes: dict[str, Any]) -> dict[str, Any]:
         """Return the usage to keep in the store, merged with what it holds."""
         self.usage.restore(notes.get(STORED_USAGE_RECORD, {}))
-        return {STORED_USAGE_RECORD: self.usage.to_store(self.clock.now())}
+        now_s = self.clock.now()
+        stored: dict[str, Any] = {STORED_USAGE_RECORD: self.usage.to_store(now_s)}
+        if self.lease.is_recovering:
+            window = first_certain_window(self.usage, now_s)
+            stored[FIRST_UNREPORTED] = max(window, noted_window(notes))
+        return stored
 
     def is_candidate(self) -> bool:
         """Return whether this node should acquire the lease when nobody holds it."""
--- a/src/rosemaryknot/process/usage_duty.py
+++ b/src/rosemaryknot/process/usage_duty.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Any
 
 import trio
 
@@ -14,10 +15,16 @@
     DutyComponents,
 )
 from rosemaryknot.process.logs import logger
-from rosemaryknot.process.usage_tracker import counts_of
+from rosemaryknot.process.usage_tracker import UsageTracker, counts_of
 from rosemaryknot.values.duties import DutyDone, DutyRefused
 
-__all__ = ["STORED_USAGE_RECORD", "UsageDuty"]
+__all__ = [
+    "FIRST_UNREPORTED",
+    "STORED_USAGE_RECORD",
+    "UsageDuty",
+    "first_certain_window",
+    "noted_window",
+]
 
 # Minimum time between the end of a window and its report, for gateways whose links are
 # only just established.
@@ -33,10 +40,30 @@
 # Maximum number of characters of an invalid record in a log line.
 MAX_LOGGED_CHARS = 80
 STORED_USAGE_RECORD = "usage_kept"
+FIRST_UNREPORTED = "usage_from"
 
 log = logger("duties")
 
 
+def first_certain_window(usage: UsageTracker, acquired_s: float) -> int:
+    """Return the first window that was not reported before the lease was acquired.
+
+    Parameters
+    ----------
+    usage : UsageTracker
+        Tells the windows.
+    acquired_s : float
+        When it was acquired, in synchronized time.
+    """
+    return usage.window_of(acquired_s - MIN_SETTLE_S)
+
+
+def noted_window(notes: dict[str, Any]) -> int:
+    """Return the first unreported window that a holder has noted; 0 without one."""
+    window = notes.get(FIRST_UNREPORTED, 0)
+    return window if type(window) is int and window > 0 else 0
+
+
 @dataclass(slots=True)
 class UsageRecord:
     """A window's counts as recorded in the store for the next holder of the lease.
@@ -121,14 +148,16 @@
         """Return the first window that no earlier holder can have reported.
 
         A record of the last window that the store has lost is not known. To report that
-        window again, with other counts, is worse than to leave it out.
+        window again, with other counts, is worse than to leave it out. The first holder
+        after a restore notes the window for the holders that follow.
         """
         components = self.components
+        noted = noted_window(components.lease.notes)
         if not components.lease.has_lost_notes:
-            return 0
+            return noted
         held_s = trio.current_time() - components.lease.acquired_s
         acquired_s = components.clock.now() - held_s
-        return components.usage.window_of(acquired_s - MIN_SETTLE_S)
+        return max(noted, first_certain_window(components.usage, acquired_s))
 
     def is_settled(self, window: int, now_s: float) -> bool:
         """Return whether a window may be reported.
--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -282,6 +282,24 @@
             numbers = [call.fencing for call in fleet.cloud.calls]
             assert numbers == sorted(numbers)
 
+    async def test_holder_after_the_next_one_knows_what_was_lost(self, autojump_clock):
+        """Guards against a window reported again by the second holder after."""
+        async with platform_system(nodes=3, duties=["usage"]) as fleet:
+            call = await report_window(fleet)
+            fleet.nursery.start_soon(fleet.restore_store, 0.5)
+            await trio.sleep(0.3)
+            killed = {call.holder.partition("/")[0]}
+            fleet.kill(*killed)
+            left = [n for name, n in fleet.nodes.items() if name not in killed]
+            while not any(node.lease.is_held() for node in left):
+                await trio.sleep(0.02)
+            second = next(node for node in left if node.lease.is_held())
+            await trio.sleep(0.05)
+            fleet.kill(second.node.name)
+            await trio.sleep(30.0)
+            assert fleet.cloud.conflicting_windows == []
+            assert max(fleet.cloud.usage) > call.body["windowId"] + 2
+
     async def test_holder_goes_on(self, autojump_clock):
         """The holder repeats no window that it has reported in the lost time."""
         async with platform_system(nodes=3, duties=["usage"]) as fleet:
