--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -74,7 +74,6 @@
 
 REQUESTS = counter("gateway_requests_total", "Requests by outcome.")
 ATTEMPTS = counter("gateway_attempts_total", "Attempts at backend servers by outcome.")
-RETRIES = counter("gateway_retries_total", "Decisions of the retry budget by outcome.")
 BARRED = counter(
     "gateway_barred_requests_total",
     "Requests that were refused since servers crashed under them.",
