Record a failed write of a request before its response is read on

Cause: the system reports a reset to one call. When a trio stream's call fails at its first try (not after a wait), trio runs other tasks before it raises the error. So the writer had taken the reset from the system, the reader got an end in order, and the flag of the writer was set only after that. The first write of a request, `send_now`, dropped the error altogether.

Why it works: writes to sockets are system calls of our own now, and the flag is set in the same step as the call that fails; no task runs in between.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -16,9 +16,9 @@
     dial_failure,
     receive_next,
     reset_on_close,
-    send_now,
 )
 from rosemaryknot.connection.relayed_stream import RelayedStream, RelayEnded
+from rosemaryknot.connection.request_writer import RequestWriter
 from rosemaryknot.connection.server_dialler import NoPath, ServerDialler
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.gateway import Headers, RoutedServer
@@ -81,8 +81,8 @@
         Time from which the connection must not be reused, in trio time.
     is_reusable : bool
         Whether the last exchange ended exactly.
-    is_write_broken : bool
-        Whether writing the request failed.
+    writer : RequestWriter
+        Writes the requests.
     is_closed_by_server : bool
         Whether the server closed or reset the connection.
     framing : Framing or None
@@ -113,7 +113,7 @@
         self.last_received_s = trio.current_time()
         self.is_reusable = False
         self.is_sent = False
-        self.is_write_broken = False
+        self.writer = RequestWriter(stream)
         self.is_closed_by_server = False
         self.framing: Framing | None = None
         self.body_bytes = 0
@@ -142,8 +142,7 @@
         self, method: bytes, target: bytes, headers: Headers, body: bytes
     ) -> None:
         """Write as much of a request as possible without waiting; keep the rest."""
-        self.is_sent = self.is_write_broken = False
-        self.is_reusable = False
+        self.is_sent = self.is_reusable = False
         self.framing = None
         self.body_bytes = 0
         self.interim_responses = 0
@@ -153,18 +152,13 @@
         if body:
             data += self.conn.send(h11.Data(data=body))
         data += self.conn.send(h11.EndOfMessage())
-        count = send_now(self.stream, data)
+        count = self.writer.write_now(data)
         self.unsent = data[count:]
         self.is_sent = not self.unsent
 
     async def send_rest(self) -> None:
         """Write the rest that `send` kept, concurrently with reading the response."""
-        try:
-            await self.stream.send_all(self.unsent)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            self.is_write_broken = True
-            return
-        self.is_sent = True
+        self.is_sent = await self.writer.write_all(self.unsent)
 
     async def head(
         self,
@@ -263,8 +257,7 @@
                 self.is_closed_by_server = True
                 return Lost("the connection was reset")
             self.is_closed_by_server = not data
-            if not data and self.is_write_broken:
-                # The system reports a reset once, and the writer got it.
+            if not data and self.writer.is_broken:
                 return Lost("the connection was reset")
             self.last_received_s = trio.current_time()
             self.conn.receive_data(data)
--- a/src/rosemaryknot/connection/relayed_stream.py
+++ b/src/rosemaryknot/connection/relayed_stream.py
@@ -10,6 +10,7 @@
 from rosemaryknot.connection.link_hello import FrameReader, send_raw
 from rosemaryknot.connection.link_messages import LinkClosed
 from rosemaryknot.connection.network import receive_next, reset_on_close, send_now
+from rosemaryknot.connection.request_writer import RequestWriter
 
 __all__ = ["RelayEnded", "RelayedStream", "relay_bytes"]
 
@@ -126,51 +127,24 @@
         Connection to the server.
     """
     idle = trio.CancelScope(deadline=trio.current_time() + IDLE_TIMEOUT_S)
-    sink = RequestSink(server)
+    writer = RequestWriter(server)
     with idle:
         async with trio.open_nursery() as nursery:
 
             async def relay_request() -> None:
-                await copy_request(origin, reader, sink, idle)
+                await copy_request(origin, reader, writer, idle)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(relay_request)
-            await send_response(origin, server, sink, idle)
+            await send_response(origin, server, writer, idle)
             idle.deadline = trio.current_time() + CLOSE_TIMEOUT_S
     reset_on_close(server)
 
 
-class RequestSink:
-    """Sending direction of a connection to a server.
-
-    Attributes
-    ----------
-    server : trio.abc.SendStream
-        Connection to the server.
-    is_broken : bool
-        Whether writing failed.
-    """
-
-    __slots__ = ("is_broken", "server")
-
-    def __init__(self, server: trio.abc.SendStream) -> None:
-        self.server = server
-        self.is_broken = False
-
-    async def write(self, data: bytes) -> None:
-        """Write bytes, unless the connection is broken."""
-        if self.is_broken:
-            return
-        try:
-            await self.server.send_all(data)
-        except BROKEN:
-            self.is_broken = True
-
-
 async def copy_request(
     origin: trio.abc.ReceiveStream,
     reader: FrameReader,
-    sink: RequestSink,
+    writer: RequestWriter,
     idle: trio.CancelScope,
 ) -> None:
     """Copy the bytes of requests until the origin closes its connection.
@@ -181,8 +155,8 @@
     data = bytes(reader.buffer)
     reader.buffer.clear()
     while True:
-        if data and not sink.is_broken:
-            await sink.write(data)
+        if data and not writer.is_broken:
+            await writer.write_all(data)
             idle.deadline = trio.current_time() + IDLE_TIMEOUT_S
         try:
             data = await receive_next(origin, RECEIVE_BYTES)
@@ -195,21 +169,17 @@
 async def send_response(
     origin: trio.abc.SendStream,
     server: trio.abc.ReceiveStream,
-    sink: RequestSink,
+    writer: RequestWriter,
     idle: trio.CancelScope,
 ) -> None:
-    """Send the bytes of responses in frames, and how the server ended them.
-
-    The system reports a reset once: if the writer of the request got it, the response
-    seems to end in order.
-    """
+    """Send the bytes of responses in frames, and how the server ended them."""
     kind = DATA
     while kind == DATA:
         try:
             data = await receive_next(server, RECEIVE_BYTES)
             kind = DATA
             if not data:
-                kind = RESET if sink.is_broken else END
+                kind = RESET if writer.is_broken else END
         except BROKEN:
             data, kind = b"", RESET
         try:
