Let the store confirm that a service has one version before a stream goes on by it

Cause: without a record a stream goes on at the only version that a service has had. The entries counted as known for as long as no call to the store had failed, and a watch that the network has cut off in silence fails only at the end of its call, up to 7 s later. No failure so far was taken for up to date.

Why it works: the decision waits for a response to a query that begins after the request has arrived. Each version that has written a part of the stream had its entry in the store before that, whatever the clocks or a suspension of this node. Requests share queries; a store that does not answer within 0.5 s, or is known to be away, gives a refusal with a Retry-After of 0.5 s. Streams with a record ask nothing.

--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -362,7 +362,7 @@
                 f"{self.node.name}/{self.node.incarnation}",
                 self.state.servers,
                 self.origin_exchange,
-                self.rng,
+                self.watchers["servers"].confirm,
             ),
             acquire_quota=acquire_quota,
             release_quota=release_quota,
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -44,6 +44,11 @@
 FORWARDED_LIST_TIMEOUT_S = 0.8
 # Within this time after a restore, live servers have written again what was lost.
 REWRITE_TIMEOUT_S = 2.0
+# How long a decision waits for the store to confirm what is known; its responses take
+# some milliseconds, and hundreds under load.
+CONFIRM_TIMEOUT_S = 0.5
+# Failed calls in a row after which nothing waits for the store any more.
+MAX_CONFIRM_FAILURES = 1
 # How often a node that others forward changes to checks whether it must watch itself.
 WATCH_CHECK_INTERVAL_S = 0.25
 
@@ -108,6 +113,12 @@
         while it is not.
     restored_s : float
         When this node began to follow the history of a restored store, in trio time.
+    queries_begun : int
+        Number of queries beside the pending call that have begun.
+    ended_query, confirmed_query : int
+        The last of them that has ended, and that the store has answered.
+    query_ended : trio.Event
+        Set and replaced with the end of each.
     known_at_s : float
         Latest time up to which all changes are certainly known, in trio time: that of
         the last response, or of the last changes that another node forwarded.
@@ -148,6 +159,8 @@
         self.known_at_s = float("-inf")
         self.restored_s = float("-inf")
         self.scope = trio.CancelScope()
+        self.queries_begun = self.ended_query = self.confirmed_query = 0
+        self.query_ended = trio.Event()
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -169,33 +182,66 @@
         now_s = trio.current_time()
         self.own_watch_deadline_s = now_s + OWN_WATCH_S
         is_too_soon = now_s - self.last_resync_s < RESYNC_INTERVAL_S
-        if is_too_soon or self.is_resynchronizing or self.revision < 0:
-            return
-        if not self.tasks.start_soon(self.query_again):
+        if is_too_soon or not self.start_query():
             return
         self.last_resync_s = now_s
-        self.is_resynchronizing = True
         log.info(
             "resynchronizing", kind=self.kind, reason=reason, revision=self.revision
         )
 
+    def start_query(self) -> bool:
+        """Start a query beside the pending call; return whether it has begun."""
+        if self.is_resynchronizing or self.revision < 0:
+            return False
+        if not self.tasks.start_soon(self.query_again):
+            return False
+        self.is_resynchronizing = True
+        self.queries_begun += 1
+        return True
+
+    async def confirm(self) -> bool:
+        """Ask the store for all changes up to now; return whether it has answered.
+
+        While a watch is silent, what is known grows older without an error. The
+        response to a query that begins now holds all changes that have had an effect
+        anywhere before. Its callers share a query; one that had begun before a caller
+        came proves nothing to it.
+        """
+        if self.failures > MAX_CONFIRM_FAILURES:
+            return False
+        begun = self.queries_begun
+        with trio.move_on_after(CONFIRM_TIMEOUT_S):
+            while self.ended_query <= begun:
+                if not self.is_resynchronizing and not self.start_query():
+                    return False
+                await self.query_ended.wait()
+        return self.confirmed_query > begun
+
     async def query_again(self) -> None:
         """Query the store beside the pending call, and replace that call then."""
+        number = self.queries_begun
         try:
-            if self.is_single:
-                outcome = await self.store.list_objects(self.kind)
-            else:
-                outcome = await self.store.changes(
-                    self.kind, self.revision, SHORT_POLL_S
-                )
+            if await self.query():
+                self.confirmed_query = number
         finally:
             self.is_resynchronizing = False
+            self.ended_query = number
+            self.query_ended.set()
+            self.query_ended = trio.Event()
+
+    async def query(self) -> bool:
+        """Query the store; return whether it has told all changes up to now."""
+        if self.is_single:
+            outcome = await self.store.list_objects(self.kind)
+        else:
+            outcome = await self.store.changes(self.kind, self.revision, SHORT_POLL_S)
         if isinstance(outcome, PlatformFailed):
             CALLS.add(kind=self.kind, outcome=outcome.reason)
             log.warning(
                 "resynchronization failed", kind=self.kind, reason=outcome.reason
             )
-            return
+            return False
+        is_told = True
         if isinstance(outcome, Changes):
             self.apply_store_changes(outcome)
         elif isinstance(outcome, Listed) and self.is_successor(outcome):
@@ -203,8 +249,9 @@
             self.apply_list(outcome)
         else:
             # The next call lists the objects, and finds out whether history has ended.
-            self.must_list = True
+            self.must_list, is_told = True, False
         self.scope.cancel()
+        return is_told
 
     def is_successor(self, listed: Listed) -> bool:
         """Return whether a list belongs to the known history and is not older."""
--- a/src/rosemaryknot/request/origin_guard.py
+++ b/src/rosemaryknot/request/origin_guard.py
@@ -1,6 +1,6 @@
 """Keeps a stream at the software version that began it, over nodes and attempts."""
 
-import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
 import trio
@@ -125,8 +125,8 @@
         The servers.
     exchange : OriginExchange
         Origins of the streams of all nodes.
-    rng : random.Random
-        Jitter of Retry-After.
+    confirm_entries : callable
+        Asks the store for all entries up to now; returns whether it has answered.
     """
 
     def __init__(
@@ -134,12 +134,12 @@
         node: str,
         servers: ServerTable,
         exchange: OriginExchange,
-        rng: random.Random,
+        confirm_entries: Callable[[], Awaitable[bool]],
     ) -> None:
         self.node = node
         self.servers = servers
         self.exchange = exchange
-        self.rng = rng
+        self.confirm_entries = confirm_entries
         self.decide = ORIGIN_RULES[ORIGIN_RULE]
 
     # Where a stream goes on.
@@ -151,11 +151,15 @@
         if request.resumes:
             lookup = await self.exchange.find(resumption.key)
         record = lookup.record
+        is_confirmed = False
+        if record is None and self.only_version(resumption) is not None:
+            is_confirmed = await self.confirm_entries()
         decision = self.decide(
             OriginInput(
                 origin=None if record is None else record.origin,
                 is_uncertain=record is not None and self.is_uncertain(record),
                 only_version=None if record else self.only_version(resumption),
+                is_confirmed=is_confirmed,
                 service=resumption.service,
                 services={name for name, weight in route.backends if weight > 0},
                 is_complete=lookup.is_complete,
@@ -168,7 +172,7 @@
         return decision
 
     def only_version(self, resumption: Resumption) -> str | None:
-        """Return the version if the service certainly had no other one of late."""
+        """Return the version if the service had no other one of late, as known here."""
         states = self.servers.of_service(resumption.service)
         period_s = keep_s(resumption.route)
         return self.servers.versions.only_version(resumption.service, states, period_s)
--- a/src/rosemaryknot/request/origin_rules.py
+++ b/src/rosemaryknot/request/origin_rules.py
@@ -21,8 +21,8 @@
     "origin_rule",
 ]
 
-# Retry-After while nodes that may know the origin do not reply: a node that is cut off
-# or has just started knows the others again after about this time.
+# Retry-After while nodes that may know the origin, or the store, do not reply: a node
+# that is cut off or has just started knows the others again after about this time.
 LOOKUP_RETRY_AFTER_S = 0.5
 
 
@@ -37,7 +37,9 @@
     is_uncertain : bool
         Whether the server of the origin may have been of another version.
     only_version : str or None
-        The only version that the service has had, if that is certain.
+        The only version that the service has had of late, as far as this node knows.
+    is_confirmed : bool
+        Whether the store has confirmed this since the request arrived.
     service : str
         Service to which the request would go.
     services : set of str
@@ -53,6 +55,7 @@
     only_version: str | None
     service: str
     services: set[str]
+    is_confirmed: bool = True
     is_complete: bool = True
     names_origin: bool = True
 
@@ -114,6 +117,9 @@
             return Unresumable("it is not certain which software version began it")
         return Continued(origin, "recorded")
     if inputs.only_version is not None and inputs.services == {inputs.service}:
+        if not inputs.is_confirmed:
+            reason = "servers of another software version may have joined"
+            return Unresumable(reason, LOOKUP_RETRY_AFTER_S)
         return Continued(
             StreamOrigin(inputs.service, inputs.only_version), "only version"
         )
--- a/tests/process/test_store_watcher.py
+++ b/tests/process/test_store_watcher.py
@@ -1,5 +1,6 @@
 """Tests of watching a kind of object while the store is slow."""
 
+import math
 import random
 
 import pytest
@@ -127,3 +128,75 @@
             await trio.sleep(0.25)
             watcher.resync("another node has a newer revision")
         assert watcher.revision == 9
+
+
+class CountedStore:
+    """A store that answers short queries after a time, or never."""
+
+    def __init__(self, takes_s):
+        self.takes_s = takes_s
+        self.revision = 1
+        self.queries = 0
+
+    async def list_objects(self, kind):
+        return Listed(self.revision)
+
+    async def changes(self, kind, since, wait_s):
+        if wait_s:
+            await trio.sleep_forever()
+        self.queries += 1
+        revision = self.revision
+        await trio.sleep(self.takes_s)
+        return Changes(revision)
+
+
+@pytest.fixture
+async def confirm(autojump_clock, nursery):
+    """Return a function that starts a watcher and confirms several times in turn."""
+
+    async def run(store, count, pause_s):
+        watcher = StoreWatcher(
+            store, "servers", lambda listed: None, print, random.Random(1)
+        )
+        nursery.start_soon(watcher.run)
+        await trio.sleep(0.1)
+        outcomes = []
+
+        async def confirm_one():
+            began, revision = trio.current_time(), store.revision
+            is_confirmed = await watcher.confirm()
+            took_s = round(trio.current_time() - began, 2)
+            outcomes.append((is_confirmed, watcher.revision >= revision, took_s))
+
+        async with trio.open_nursery() as callers:
+            for _ in range(count):
+                callers.start_soon(confirm_one)
+                await trio.sleep(pause_s)
+                store.revision += 1
+        return sorted(outcomes)
+
+    return run
+
+
+class TestConfirm:
+    async def test_silent_store_confirms_nothing(self, confirm):
+        """Guards against a call without an error that is taken for an answer."""
+        assert await confirm(CountedStore(math.inf), 1, 0.01) == [(False, True, 0.5)]
+
+    async def test_query_that_had_begun_before_proves_nothing(self, confirm):
+        """Guards against an answer that is older than the question."""
+        outcomes = await confirm(CountedStore(0.1), 3, 0.03)
+        assert outcomes == [(True, True, 0.1), (True, True, 0.14), (True, True, 0.17)]
+
+    async def test_callers_share_a_query(self, confirm):
+        store = CountedStore(0.1)
+        assert len(await confirm(store, 50, 0.001)) == 50
+        assert store.queries == 2
+
+    async def test_store_that_is_known_to_be_unreachable(self, autojump_clock):
+        watcher = StoreWatcher(
+            CountedStore(math.inf), "servers", print, print, random.Random(1)
+        )
+        watcher.revision, watcher.failures = 1, 2
+        assert not await watcher.confirm()
+        assert trio.current_time() == 0.0
--- a/tests/request/test_origin_rules.py
+++ b/tests/request/test_origin_rules.py
@@ -56,6 +56,11 @@
         decision = decide(OriginInput(**self.UNKNOWN | {"only_version": "v1"}))
         assert decision.origin == StreamOrigin("writer", "v1")
 
+    def test_only_version_that_is_not_confirmed(self):
+        """Guards against a silent store that is taken for one without news."""
+        inputs = self.UNKNOWN | {"only_version": "v1", "is_confirmed": False}
+        assert decide(OriginInput(**inputs)).retry_after_s is not None
+
     def test_only_version_of_one_service_of_two(self):
         """The other service of the route may have begun the stream."""
         change = {"only_version": "v1", "services": {"writer", "next"}}
