Ask the store before a stream is refused because no server of its version is left

What callers saw: 503 "no server of software version v2, which began it, is left: begin a new stream", without a Retry-After, while three servers of v2 served: at a node that had stood still (SIGSTOP) or was cut off from the store as they joined.

Cause: what the node had not read yet did not exist for it. The decision asked only whether servers were ever listed, not how old that list is.

Why it works: a stream without a server that may go on with it makes the node ask the store once, by a query that begins after the request arrived, and look again.

--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -211,6 +211,8 @@
             if candidate is None:
                 if await self.wait_for_pauses(context):
                     continue
+                if await self.finds_server_of_origin(context):
+                    continue
                 return self.no_server_outcome(context)
             if isinstance(candidate, Refusal):
                 return candidate
@@ -261,6 +263,17 @@
         )
         return is_due
 
+    async def finds_server_of_origin(self, context: RequestContext) -> bool:
+        """Ask the store once whether a stream has servers that are not known here.
+
+        They may have joined while this node was suspended or cut off.
+        """
+        if context.origin is None or context.are_entries_confirmed is not None:
+            return False
+        components = self.components
+        context.are_entries_confirmed = await components.origins.confirm_entries()
+        return bool(usable_servers(components, context))
+
     async def resume(self, context: RequestContext) -> Refusal | None:
         """Find out where a stream that the caller resumes may go on, or refuse it."""
         request, route = context.request, context.route
@@ -314,7 +327,9 @@
         if context.may_have_run:
             return Refusal(BAD_GATEWAY, "no other server is left")
         if context.origin is not None and not are_all_paused(self.components, context):
-            absence = self.components.origins.explain_absence(context.origin)
+            absence = self.components.origins.explain_absence(
+                context.origin, bool(context.are_entries_confirmed)
+            )
             return self.unresumable_outcome(context, absence)
         reason, retry_after_s = explain_absence(self.components, context)
         return refusal(self.components.rng, UNAVAILABLE, reason, retry_after_s)
--- a/src/rosemaryknot/request/gateway_context.py
+++ b/src/rosemaryknot/request/gateway_context.py
@@ -211,6 +211,9 @@
         first event.
     beginning : StreamBeginning or None
         What is recorded of a stream that may be resumed.
+    are_entries_confirmed : bool or None
+        Whether the store has confirmed the entries of servers since it turned out that
+        no known one may go on with the stream; None before it was asked.
     """
 
     request: GatewayRequest
@@ -246,6 +249,7 @@
     max_wait_s: float | None = None
     origin: StreamOrigin | None = None
     beginning: StreamBeginning | None = None
+    are_entries_confirmed: bool | None = None
 
     @property
     def customer_name(self) -> str:
--- a/src/rosemaryknot/request/origin_guard.py
+++ b/src/rosemaryknot/request/origin_guard.py
@@ -13,6 +13,7 @@
 from rosemaryknot.process.server_state import ServerState
 from rosemaryknot.process.software_versions import RESTART_NOTICE_S
 from rosemaryknot.request.origin_rules import (
+    LOOKUP_RETRY_AFTER_S,
     ORIGIN_RULES,
     Continued,
     OriginInput,
@@ -218,8 +219,16 @@
             if version and state.entry.software_version == version and is_current(state)
         ]
 
-    def explain_absence(self, origin: StreamOrigin) -> Unresumable:
-        """Return why no server continues the streams of an origin, and until when."""
+    def explain_absence(self, origin: StreamOrigin, is_confirmed: bool) -> Unresumable:
+        """Return why no server continues the streams of an origin, and until when.
+
+        Parameters
+        ----------
+        origin : StreamOrigin
+            Origin of a stream.
+        is_confirmed : bool
+            Whether the store has confirmed the entries since the request arrived.
+        """
         version = origin.software_version
         states = [
             state
@@ -229,6 +238,9 @@
         if states or not self.servers.is_listed:
             reason = f"no server of software version {version} can go on for now"
             return Unresumable(reason, RESTART_NOTICE_S)
+        if not is_confirmed:
+            reason = f"no server of software version {version} is known for now"
+            return Unresumable(reason, LOOKUP_RETRY_AFTER_S)
         reason = f"no server of software version {version}, which began it, is left"
         return Unresumable(reason)
 
--- a/src/rosemaryknot/request/origin_rules.py
+++ b/src/rosemaryknot/request/origin_rules.py
@@ -13,6 +13,7 @@
 from rosemaryknot.values.stream_origins import StreamOrigin
 
 __all__ = [
+    "LOOKUP_RETRY_AFTER_S",
     "ORIGIN_RULES",
     "Continued",
     "OriginInput",
--- a/tests/gateway/test_out_of_step_nodes.py
+++ b/tests/gateway/test_out_of_step_nodes.py
@@ -70,3 +70,12 @@
         callers, _ = await play(cut)
         assert len(callers) >= STREAMS
         assert count_mixed(callers) == 0
+
+    async def test_refused_streams_come_back(self, autojump_clock, cut):
+        """Guards against "no server is left" by a node that does not know them yet."""
+        callers, refused = await play(cut)
+        for caller in refused:
+            assert "retry-after" in caller.answers[-2].headers, caller.answers[-2].body
+        if cut != "from nodes" and cut != "from both":
+            # The other holder of their records is left.
+            assert all(len(caller.events) == EVENTS for caller in callers)
