--- a/tests/gateway/test_owed_answers.py
+++ b/tests/gateway/test_owed_answers.py
@@ -8,7 +8,7 @@
 import trio
 from tests.gateway.slow_callers import read_slowly
 
-from rosemaryknot.connection import gateway_server
+from rosemaryknot.connection.request_writer import RequestWriter
 from rosemaryknot.process import logs
 from rosemaryknot.standin.users.system import (
     MODEL_HEADERS,
@@ -208,11 +208,11 @@
         process with the responses of all other callers.
         """
 
-        def send_part(stream, data):
-            return original_send_now(stream, data[: int(len(data) * sent_share)])
+        def write_part(writer, data):
+            return original_write_now(writer, data[: int(len(data) * sent_share)])
 
-        original_send_now = gateway_server.send_now
-        monkeypatch.setattr(gateway_server, "send_now", send_part)
+        original_write_now = RequestWriter.write_now
+        monkeypatch.setattr(RequestWriter, "write_now", write_part)
         patient = long_timeout_document()
         patient["routes"][0]["timeoutMs"] = 30000
         async with platform_system(configuration=patient) as fleet:
