Go on with a stream only while something shows that the entries are up to date

Cause: an entry counted as current for as long as no call had failed, and a watch that is cut off in silence fails up to 7 s later.

The new test failed before.

Why it works: a server is eligible for a stream that goes on only if, in the last 1.5 s, the store has answered or a node that reaches it has reported no change that is missing here. Otherwise the node asks the store once, by a query of its own. A calm node hears of others four times a second and asks nothing. The first report of a missing change lets the age run out, so that the time falls from 7 s to 1.5 s. The record of a stream that begins stays as it was: a restart that turns up later makes it uncertain.

--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -267,6 +267,8 @@
         self.record_reconnect(now_s - report.returned_ago_s, report.node)
         for kind, watcher in self.components.watchers.items():
             theirs = reported(report.seen, report.eras, kind, watcher)
+            if kind not in report.lost:
+                watcher.record_peer_seen(theirs)
             if watcher.revision >= theirs:
                 self.behind_since_s.pop(kind, None)
                 continue
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -275,11 +275,21 @@
         watcher = self.watchers["servers"]
         versions.entries_current_since_s = watcher.current_since_s
         versions.entries_known_at_s = lambda: watcher.known_at_s
+        versions.entries_witnessed_s = self.entries_witnessed_s
         versions.unix_time = self.clock.now
         self.origin_exchange = OriginExchange(
             self.node, self.peers, OriginRecords(), handlers
         )
 
+    def entries_witnessed_s(self) -> float:
+        """Return when something showed that this node misses no entry, in trio time.
+
+        A node without others has only its calls to the store.
+        """
+        if not self.peers.nodes():
+            return trio.current_time()
+        return self.watchers["servers"].witnessed_s()
+
     def create_path_components(self) -> None:
         """Create the components that open connections to servers."""
         servers = self.state.servers
--- a/src/rosemaryknot/process/software_versions.py
+++ b/src/rosemaryknot/process/software_versions.py
@@ -18,6 +18,9 @@
 RESTART_NOTICE_S = 2.0
 # No server ends and starts again with another version within this time.
 CONFIRMED_S = 0.25
+# A watch whose connection is cut off in silence fails seconds later. Other nodes report
+# four times a second which changes they know.
+MAX_WITNESS_AGE_S = 1.5
 # Tolerance for the wall clocks of servers, which tell when they started.
 CLOCK_TOLERANCE_S = 0.5
 # Incarnations with an uncertain version, and versions of the past, that are remembered.
@@ -40,6 +43,9 @@
     entries_known_at_s : callable
         Returns the latest time up to which all entries are certainly known, in trio
         time.
+    entries_witnessed_s : callable
+        Returns when the store or another node last showed that no change of an entry
+        is missing here, in trio time.
     unix_time : callable
         Returns the Unix time in seconds.
     """
@@ -49,6 +55,7 @@
         self.uncertain: OrderedDict[str, float] = OrderedDict()
         self.entries_current_since_s: Callable[[], float] = trio.current_time
         self.entries_known_at_s: Callable[[], float] = trio.current_time
+        self.entries_witnessed_s: Callable[[], float] = trio.current_time
         self.unix_time: Callable[[], float] = time.time
 
     def record_end(self, state: ServerState) -> None:
@@ -110,6 +117,14 @@
         unknown_s = max(state.back_since_s, since_s)
         return self.entries_known_at_s() >= unknown_s + RESTART_NOTICE_S
 
+    def are_entries_witnessed(self) -> bool:
+        """Return whether something showed of late that the entries are up to date.
+
+        That no call to the store has failed does not.
+        """
+        age_s = trio.current_time() - self.entries_witnessed_s()
+        return age_s <= MAX_WITNESS_AGE_S
+
     def only_version(
         self, service: str, states: Iterable[ServerState], period_s: float
     ) -> str | None:
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -119,6 +119,9 @@
         The last of them that has ended, and that the store has answered.
     query_ended : trio.Event
         Set and replaced with the end of each.
+    agreed_s : float
+        When another node last reported that it knows of no change that is missing
+        here, in trio time.
     known_at_s : float
         Latest time up to which all changes are certainly known, in trio time: that of
         the last response, or of the last changes that another node forwarded.
@@ -156,7 +159,7 @@
         self.is_expired = False
         self.fruitless = 0
         self.reached_since_s = float("inf")
-        self.known_at_s = float("-inf")
+        self.known_at_s = self.agreed_s = float("-inf")
         self.restored_s = float("-inf")
         self.scope = trio.CancelScope()
         self.queries_begun = self.ended_query = self.confirmed_query = 0
@@ -279,6 +282,15 @@
             self.revision = self.seen = -1
         self.list_soon()
 
+    def record_peer_seen(self, revision: int) -> None:
+        """Record the newest change that a node knows which reaches the store."""
+        if revision <= self.revision:
+            self.agreed_s = trio.current_time()
+
+    def witnessed_s(self) -> float:
+        """Return when the store or a node last showed that nothing is missing here."""
+        return max(self.known_at_s, self.agreed_s)
+
     def record_peer_era(self, era: int) -> None:
         """List the objects soon, as another node knows a later era of the store."""
         now_s = trio.current_time()
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -264,9 +264,10 @@
         return is_due
 
     async def finds_server_of_origin(self, context: RequestContext) -> bool:
-        """Ask the store once whether a stream has servers that are not known here.
+        """Ask the store once whether a stream has servers to go on at.
 
-        They may have joined while this node was suspended or cut off.
+        They may have joined while this node was suspended or cut off, or what it knows
+        of them may be old.
         """
         if context.origin is None or context.are_entries_confirmed is not None:
             return False
@@ -379,7 +380,9 @@
             return False
         if isinstance(outcome, Broken) and not context.last_event_id:
             return False
-        if not self.has_alternative(context):
+        if not self.has_alternative(context) and not (
+            await self.finds_server_of_origin(context)
+        ):
             return False
         return self.components.retries.is_allowed(context)
 
--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -213,10 +213,12 @@
         request = context.request
         context.sent += 1
         self.sent_s = trio.current_time()
-        self.is_confirmed = self.components.servers.versions.is_current(self.state)
+        versions = self.components.servers.versions
+        is_current = versions.is_current(self.state)
+        self.is_confirmed = is_current and versions.are_entries_witnessed()
         if context.beginning is not None and not context.reply.is_started:
             self.components.origins.record_attempt(
-                context.beginning, self.state, self.is_confirmed, context.origin
+                context.beginning, self.state, is_current, context.origin
             )
         connection.may_abandon_path = context.route.allows_retry
         self.statements.begin()
--- a/src/rosemaryknot/request/origin_guard.py
+++ b/src/rosemaryknot/request/origin_guard.py
@@ -211,6 +211,9 @@
             began_s = beginning.began_s
             if self.servers.versions.is_uncertain(origin.server, began_s):
                 return []
+        if not self.servers.versions.are_entries_witnessed():
+            # A server may have started again with another version.
+            return []
         version = origin.software_version
         is_current = self.servers.versions.is_current
         return [
--- a/tests/gateway/test_out_of_step_nodes.py
+++ b/tests/gateway/test_out_of_step_nodes.py
@@ -20,13 +20,13 @@
 }
 
 
-async def begin_streams(system):
-    """Begin streams at once through the first node; return those of the new version."""
+async def begin_streams(system, version="v2"):
+    """Begin streams at once through the first node; return those of a version."""
     callers = [ResumingCaller(system, f"s{number}") for number in range(4 * STREAMS)]
     async with trio.open_nursery() as nursery:
         for caller in callers:
             nursery.start_soon(caller.attempt, "n0", 3)
-    return [caller for caller in callers if caller.versions == {"v2"}]
+    return [caller for caller in callers if caller.versions == {version}]
 
 
 async def play(cut, cut_s=8.0):
@@ -79,3 +79,29 @@
         if cut != "from nodes" and cut != "from both":
             # The other holder of their records is left.
             assert all(len(caller.events) == EVENTS for caller in callers)
+
+
+@pytest.mark.parametrize("cut", CUTS)
+class TestRestarts:
+    async def test_server_restarts_with_another_version(self, autojump_clock, cut):
+        """Guards against an old entry that is taken for the server's process."""
+        async with platform_system(1, nodes=3, models=0) as system:
+            for number in range(4):
+                zone = f"z{number % 3}"
+                await system.add_server(f"m{number}", MODEL, zone, version="v1")
+            await trio.sleep(3.0)
+            callers = await begin_streams(system, "v1")
+            for host in CUTS[cut]:
+                system.network.cut(LATE, host)
+            for name in ("m0", "m1", "m2"):
+                await system.restart_server(name, 0.1, version="v2")
+            await trio.sleep(2.0)
+            system.kill("n0")
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(caller.attempt, "n1")
+            assert len(callers) >= STREAMS
+            assert count_mixed(callers) == 0
+            if cut in ("in touch", "from nodes"):
+                # As many as the server that is left can run.
+                assert sum(len(caller.events) == EVENTS for caller in callers) >= 16
