Find the items of a list of which one is cut off by the heads of the others

Cause: the boundaries of items were found by counting brackets outside of strings over the whole list, so that one value without its end hid the end of the list.

The new tests failed before, and those of foreign entries with three new kinds: cut off, with a bracket too many, and a cut copy of a list, whose items become no servers.

Why it works: the store begins each item in the same way. If brackets do not match, items are taken from the begin of the list as long as they are sound and followed by another one, and from its end as long as they reach it; what lies between is cut at the heads that follow a comma. Objects of an array within a value follow its bracket and are skipped. An item found between counts only if no certain one has its name.

--- a/src/rosemaryknot/platform/store_responses.py
+++ b/src/rosemaryknot/platform/store_responses.py
@@ -13,6 +13,7 @@
 import msgpack
 
 from rosemaryknot.platform.documents import SERVERS_KIND
+from rosemaryknot.platform.item_boundaries import HEADS, ItemText, find_items
 from rosemaryknot.process.logs import logger
 from rosemaryknot.values.platform import ObjectChanged, StoredObject
 from rosemaryknot.values.store_revisions import qualified
@@ -84,17 +85,61 @@
     start = re.search(rf'"{items_name}"\s*:\s*\[', text)
     if start is None:
         raise AnswerError(f"no {items_name}")
-    texts, end = split_items(text, start.end())
+    split = split_items(text, start.end())
+    if split is None or any(hides_items(item, items_name) for item in split[0]):
+        found = find_items(text, start.end(), items_name)
+        if found is None:
+            raise AnswerError("not JSON")
+        items, end = parse_found(found[0]), found[1]
+    else:
+        items, end = [parse_item(item) for item in split[0]], split[1]
     try:
         page = parse(text[: start.end()] + text[end:])
     except PARSE_ERRORS as error:
         raise AnswerError("not JSON") from error
-    page[items_name] = [parse_item(item) for item in texts]
+    page[items_name] = items
     return page
 
 
-def split_items(text: str, start: int) -> tuple[list[str], int]:
-    """Return the texts of the items of a list, and the position where it ends."""
+def hides_items(text: str, items_name: str) -> bool:
+    """Return whether a malformed item may include others, since its end is hidden."""
+    if HEADS[items_name].search(text) is None:
+        return False
+    try:
+        parse(text)
+    except PARSE_ERRORS:
+        return True
+    return False
+
+
+def parse_found(texts: list[ItemText]) -> list[Any]:
+    """Parse items whose boundaries had to be found.
+
+    A malformed value may hold what looks like an item; that of a certain one counts.
+    """
+    certain = [parse_item(item.text) for item in texts if item.is_certain]
+    names = {found[0] for item in certain if (found := identity_of(item)) is not None}
+    items = [parse_item(item.text) for item in texts]
+    return [
+        item
+        for item, text in zip(items, texts, strict=True)
+        if text.is_certain or (identity_of(item) or ("", 0))[0] not in names
+    ]
+
+
+def identity_of(item: Any) -> tuple[str, int] | None:
+    """Return the name and revision of an item of a list or of an event."""
+    if isinstance(item, dict) and "object" in item:
+        item = item["object"]
+    return name_and_revision(item)
+
+
+def split_items(text: str, start: int) -> tuple[list[str], int] | None:
+    """Return the texts of the items of a list, and the position where it ends.
+
+    None if brackets or quotes do not match, so that the list does not end with the
+    response.
+    """
     depth = 0
     begin = start
     texts = []
@@ -104,12 +149,12 @@
             texts.append(text[begin : piece.start()])
             begin = piece.end()
             if mark == "]":
-                return texts, piece.start()
+                return (texts, begin - 1) if begin > text.rfind("]") else None
         elif mark in OPENING:
             depth += 1
         elif mark in CLOSING:
             depth -= 1
-    raise AnswerError("list is not terminated")
+    return None
 
 
 def parse_item(text: str | bytes) -> Any:
--- a/src/rosemaryknot/standin/users/foreign_entries.py
+++ b/src/rosemaryknot/standin/users/foreign_entries.py
@@ -1,5 +1,6 @@
 """Invalid server entries, as another writer might put them in the store."""
 
+import json
 import random
 from collections.abc import Callable
 from typing import Any
@@ -74,6 +75,27 @@
     return RawValue(rng.choice((b"{service: ready}", b"NaN", b"<entry/>")))
 
 
+@foreign("cut_off")
+def cut_off(entry: dict[str, Any], rng: random.Random) -> Any:
+    """Return the begin of the entry, which may end within a string."""
+    text = json.dumps(entry).encode()
+    return RawValue(text[: rng.randrange(len(text))])
+
+
+@foreign("bracket_too_many")
+def bracket_too_many(entry: dict[str, Any], rng: random.Random) -> Any:
+    """Return an entry with a bracket that closes nothing."""
+    return RawValue(json.dumps(entry).encode() + rng.choice((b"}", b"]", b"}]}")))
+
+
+@foreign("copied_items")
+def copied_items(entry: dict[str, Any], rng: random.Random) -> Any:
+    """Return a value that holds items like those of the store, and is cut off."""
+    item = {"metadata": {"name": "copied", "revision": 3}, "spec": entry}
+    text = json.dumps({"items": [item, item]}).encode()
+    return RawValue(text[: rng.randrange(len(text) // 2, len(text))])
+
+
 @foreign("nested")
 def nested(entry: dict[str, Any], rng: random.Random) -> Any:
     """Return arrays that are nested more deeply than the parser allows."""
--- a/tests/platform/test_store_responses.py
+++ b/tests/platform/test_store_responses.py
@@ -1,6 +1,7 @@
 """Tests of responses of the store with malformed items."""
 
 import json
+import time
 
 import msgpack
 import pytest
@@ -94,6 +95,95 @@
             parse_page(data, "items")
 
 
+SERVER = {"service": "s", "address": "10.1.0.1:80", "at": [1, {"zone": "z"}]}
+TEXT = json.dumps(SERVER)
+
+
+def item_text(name, value):
+    metadata = json.dumps({"name": name, "revision": 5, "finalizers": []})
+    return f'{{"metadata": {metadata}, "spec": {value}, "status": null}}'
+
+
+def event_text(name, value):
+    return f'{{"object": {item_text(name, value)}, "deleted": false}}'
+
+
+def later_event_text(name, value):
+    return f'{{"deleted": false, "object": {item_text(name, value)}}}'
+
+
+COPIED = f"{item_text('c', 7)}, {item_text('copied', TEXT)}"
+CUT_VALUES = [
+    *(TEXT[:size] for size in range(len(TEXT))),
+    *(TEXT + brackets for brackets in ("}", "]", "}]}")),
+    *(bracket + TEXT for bracket in ("{", "[", "}", "]", '"')),
+    "[" * 3000,
+    '{"a": ' * 3000,
+    f'{{"items": [{COPIED}, {item_text("z", TEXT)[:40]}',
+    f'{{"items": [{COPIED}',
+]
+
+
+def is_json(text):
+    try:
+        json.loads(text)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
+class TestCutValues:
+    """Values whose bytes end early, or have a bracket too many."""
+
+    def names_of(self, texts, items_name):
+        page = f'{{"{items_name}": [{", ".join(texts)}], "storeRevision": 11}}'
+        found = parse_page(page.encode(), items_name)
+        assert found["storeRevision"] == 11
+        if items_name == "items":
+            objects = decode_objects(found["items"], "servers")
+            return {name for name in objects if objects[name].value == SERVER}
+        changes = decode_events(found["events"], "servers")
+        return {change.name for change in changes if change.value == SERVER}
+
+    @pytest.mark.parametrize(
+        ("encode", "items_name"),
+        [(item_text, "items"), (event_text, "events"), (later_event_text, "events")],
+    )
+    @pytest.mark.parametrize("place", range(4))
+    def test_costs_only_its_own_entry(self, encode, items_name, place):
+        """Guards against one cut entry that stops every node from following a list."""
+        for value in CUT_VALUES:
+            texts = [encode(name, TEXT) for name in "ace"]
+            texts.insert(place, encode("odd", value))
+            names = self.names_of(texts, items_name)
+            assert names == {"a", "c", "e"}, value
+
+    @pytest.mark.parametrize("first", CUT_VALUES[::5] + CUT_VALUES[-9:])
+    def test_two_of_them(self, first):
+        """Guards against two whose brackets match each other's."""
+        for second in CUT_VALUES:
+            texts = [
+                item_text("odd", first),
+                item_text("a", TEXT),
+                item_text("other", second),
+                item_text("c", TEXT),
+            ]
+            if is_json(f"[{', '.join(texts)}]"):
+                # One sound value that holds the items between.
+                continue
+            names = self.names_of(texts, "items")
+            assert names - {"copied"} == {"a", "c"}, second
+
+    def test_many_heads_in_a_value(self):
+        """Guards against a value that takes seconds to parse."""
+        value = '{"metadata": {' * 60_000
+        texts = [item_text(name, TEXT) for name in "ace"]
+        texts.insert(1, item_text("odd", value))
+        started_s = time.process_time()
+        assert self.names_of(texts, "items") == {"a", "c", "e"}
+        assert time.process_time() - started_s < 1.0
+
+
 class TestWatch:
     @pytest.mark.parametrize("malformed", MALFORMED_ITEMS)
     def test_other_items_are_kept(self, malformed):
