Take only ASCII digits for numbers in addresses and headers, and only hosts for servers

An entry with the port "\u0663" or "8_0", which `int` takes, or with an address that no server can have (255.255.255.255, 0.0.0.0, a multicast group) named a server that got requests; on Linux 0.0.0.0 is this machine. A header "1_000" was a number. Such an address names no server now, with a log line as for other invalid fields; numbers in headers are decimal ones. Settings files use the same parser of addresses; a port there has nine digits at most and its range is checked as before.

--- a/src/rosemaryknot/platform/documents.py
+++ b/src/rosemaryknot/platform/documents.py
@@ -1,7 +1,7 @@
 """Decoding of objects in the platform's store into the gateway's types."""
 
 import math
-from ipaddress import ip_address
+from ipaddress import IPv4Address, ip_address
 from typing import Any
 
 from rosemaryknot.values.gateway import (
@@ -43,6 +43,7 @@
 # Whether a server in each state accepts no new requests.
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 MAX_PORT = 65535
+BROADCAST = IPv4Address("255.255.255.255")
 # Largest integer that nodes can send to each other.
 MAX_INT = 2**63 - 1
 # Exceptions that decoding any value may raise. A number beyond the range of floats
@@ -218,11 +219,13 @@
 
 
 def decode_address(data: dict[str, Any]) -> Address:
-    """Decode the address of a server: an IP address and a valid port."""
+    """Decode the address of a server: that of one host, and a valid port."""
     address = Address.from_text(required_text(data, "address"))
     if "%" in address.host:
         raise ValueError("address has a scope")
-    ip_address(address.host)
+    host = ip_address(address.host)
+    if host.is_multicast or host.is_unspecified or host == BROADCAST:
+        raise ValueError("address is not that of one host")
     if not 0 < address.port <= MAX_PORT:
         raise ValueError("address has an invalid port")
     return address
--- a/src/rosemaryknot/platform/headers.py
+++ b/src/rosemaryknot/platform/headers.py
@@ -1,5 +1,7 @@
 """Conversion between HTTP headers and the gateway's own types."""
 
+import math
+import re
 from collections.abc import Container, Iterable
 
 from rosemaryknot.values.gateway import (
@@ -42,6 +44,8 @@
 # Tokens of a request are summed over all requests of all nodes, and messages between
 # nodes hold no number beyond 64 bits: four million requests of this size fit.
 MAX_TOKENS = 2**40
+# No underscore, infinity or NaN, which `float` accepts.
+NUMBER = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)([eE][+-]?[0-9]{1,3})?", re.ASCII)
 
 # Headers that apply to a single connection (RFC 9110).
 HOP_BY_HOP = frozenset(
@@ -109,11 +113,19 @@
 
 def parse_non_negative(text: str | None) -> float | None:
     """Return a finite, non-negative number, or None if the text is not one."""
-    try:
-        number = float(text)
-    except (TypeError, ValueError):
-        return None
-    return number if 0 <= number < float("inf") else None
+    number = None if text is None else parse_number(text)
+    return number if number is not None and 0 <= number < math.inf else None
+
+
+def parse_number(text: str) -> float | None:
+    """Return a decimal number, or None if the text is not one.
+
+    Examples
+    --------
+    >>> parse_number("1.5"), parse_number("1_000"), parse_number("nan")
+    (1.5, None, None)
+    """
+    return float(text) if NUMBER.fullmatch(text.strip()) else None
 
 
 class HeaderOutOfRange(ValueError):
@@ -128,9 +140,8 @@
     HeaderOutOfRange
         If there are more than `MAX_TOKENS`.
     """
-    try:
-        tokens = float(text)
-    except ValueError:
+    tokens = parse_number(text)
+    if tokens is None:
         return 0
     if tokens > MAX_TOKENS:
         raise HeaderOutOfRange(f"{header.decode()} has more than {MAX_TOKENS} tokens")
--- a/src/rosemaryknot/values/nodes.py
+++ b/src/rosemaryknot/values/nodes.py
@@ -1,10 +1,14 @@
 """Identities of this project's nodes and of the backend servers they route to."""
 
+import re
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 __all__ = ["Address", "BackendServer", "Node", "ServerState"]
 
+# `int` takes digits of all scripts, underscores and spaces, and any number of them.
+PORT = re.compile(r"[0-9]{1,9}")
+
 
 @dataclass(slots=True, frozen=True)
 class Address:
@@ -45,10 +49,10 @@
         Raises
         ------
         ValueError
-            If there is no port, or it is not a number.
+            If there is no port, or it is not a number in ASCII digits.
         """
         host, separator, port = text.rpartition(":")
-        if not separator or not host:
+        if not host or not PORT.fullmatch(port):
             raise ValueError(f"not an address: {text!r}")
         return cls(host.strip("[]"), int(port))
 
