Take a missing lease for a lost one if the process knew the store before its restore

Cause: the lease compared the era of the store with that of its own first read. A node that becomes a candidate only after the restore read "missing" in an era that was its first, and took it for a system in which nobody has ever held the lease: it did not wait out an earlier holder, and reported from the window of its own start on.

The new test failed before; the other tests of restores hold.

Why it works: every node calls the store as it starts, and the first response states its era. If the era has changed since, a missing record counts as lost.

--- a/src/rosemaryknot/connection/store_era.py
+++ b/src/rosemaryknot/connection/store_era.py
@@ -41,6 +41,8 @@
     ----------
     era : int
         Current era; 0 as long as no response has stated one.
+    first : int or None
+        Era that the first response stated; None as long as none has.
     on_changed : list of callable
         Called with the new era after it has changed.
     stated_s : float
@@ -59,6 +61,7 @@
     def __init__(self, header: str) -> None:
         self.header = header
         self.era = 0
+        self.first: int | None = None
         self.on_changed: list[Callable[[int], None]] = []
         self.stated_s = float("-inf")
         self.fallen_since_s = float("inf")
@@ -73,6 +76,8 @@
         if not ERA_PATTERN.fullmatch(text) or int(text) > MAX_ERA:
             return self.era
         era = int(text)
+        if self.first is None:
+            self.first = era
         if era < self.era and not self.has_fallen():
             OUTDATED_RESPONSES.add()
             return None
--- a/src/rosemaryknot/process/leases.py
+++ b/src/rosemaryknot/process/leases.py
@@ -116,6 +116,9 @@
         Takes a holder and returns whether its node has reported recently. A silent
         holder may have failed; polling sooner then sees its last write earlier, and
         the lease can be acquired earlier.
+    first_store_era : callable
+        Returns the era of the store at the first call of this process; None if it is
+        not known.
     reacquire_delay_s : float
         Minimum time between two leases of this process if another process held the
         lease in between, in seconds.
@@ -128,7 +131,7 @@
     record : LeaseRecord or None
         As last read or written; None if there is none.
     first_era : int or None
-        Era of the store at the first read; None before it.
+        Era of the store at the first call of this process; None before the first read.
     fencing : int
         Fencing number of this process's current or last lease.
     acquired_s : float
@@ -160,6 +163,7 @@
         current_notes: Callable[[dict[str, Any]], dict[str, Any]] = dict,
         is_reporting: Callable[[str], bool] = lambda holder: True,
         is_first_start: bool = False,
+        first_store_era: Callable[[], int | None] = lambda: None,
         reacquire_delay_s: float = 0.0,
     ) -> None:
         self.store = store
@@ -174,6 +178,7 @@
         self.current_notes = current_notes
         self.is_reporting = is_reporting
         self.is_first_start = is_first_start
+        self.first_store_era = first_store_era
         self.reacquire_delay_s = reacquire_delay_s
         self.record: LeaseRecord | None = None
         self.version = -1
@@ -391,7 +396,9 @@
         """
         known, version_before = self.record, self.version
         if self.first_era is None:
-            self.first_era = era_of(version)
+            # A candidate may read the lease for the first time after a restore.
+            first_era = self.first_store_era()
+            self.first_era = era_of(version) if first_era is None else first_era
         if version != self.version:
             self.version = version
             self.version_read_s = trio.current_time()
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -400,6 +400,7 @@
             current_notes=self.stored_usage,
             is_reporting=self.is_holder_reporting,
             is_first_start=self.settings.is_first_start,
+            first_store_era=lambda: self.adapter.store.eras.first,
         )
 
     def apply_bounds(self, bounds: Bounds) -> None:
--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -300,6 +300,19 @@
             assert fleet.cloud.conflicting_windows == []
             assert max(fleet.cloud.usage) > call.body["windowId"] + 2
 
+    async def test_lease_is_not_in_the_copy(self, autojump_clock):
+        """Guards against a node that reads the lease first after it was lost."""
+        async with platform_system(nodes=6, duties=["usage"]) as fleet:
+            call = await report_window(fleet)
+            fleet.nursery.start_soon(fleet.restore_store, 1000.0)
+            nodes = list(fleet.nodes.items())
+            for name, node in nodes:
+                if node.lease.first_era is not None:
+                    fleet.kill(name)
+            await trio.sleep(30.0)
+            assert fleet.cloud.conflicting_windows == []
+            assert max(fleet.cloud.usage) > call.body["windowId"] + 2
+
     async def test_holder_goes_on(self, autojump_clock):
         """The holder repeats no window that it has reported in the lost time."""
         async with platform_system(nodes=3, duties=["usage"]) as fleet:
