Take JSON that is nested too deeply, or infinite numbers, for invalid everywhere

A `RecursionError` is no `ValueError`, and `int(inf)` raises an `OverflowError`, which is none either. Watches of the platform, conflicts of the store, load reports, orders and the control responses of engines did not catch them: the exception ended the task that read the response, again with each response. One lease whose record another writer had replaced by arrays 3,000 deep could not be written by its holder any more (its conflicts were unreadable), so that the lease was lost.

All of them parse by one function now, which raises a ValueError, and catch one tuple of errors; the revision in a conflict is read although the value is unreadable.

--- a/src/rosemaryknot/connection/engine_client.py
+++ b/src/rosemaryknot/connection/engine_client.py
@@ -1,6 +1,5 @@
 """Client for model engines, with one connection for each call."""
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -23,6 +22,7 @@
     RETRY_AFTER_HEADER,
 )
 from rosemaryknot.connection.stream_transport import stream_client
+from rosemaryknot.values.json_text import JSON_ERRORS, parse_json
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.retry_after import decode_retry_after, requested_pause_s
 from rosemaryknot.values.server_limits import InvalidLimit, decode_limit
@@ -158,7 +158,7 @@
         fields = await self.request_json("GET", server, f"/v1/requests/{request_id}")
         try:
             return EngineStatus(str(fields["status"]), int(fields.get("offset", 0)))
-        except (TypeError, LookupError, ValueError):
+        except JSON_ERRORS:
             return None
 
     async def cancel(self, server: BackendServer, request_id: str) -> bool:
@@ -177,7 +177,7 @@
             return KvExport(
                 str(fields["kv"]), int(fields["tokens"]), int(fields["bytes"])
             )
-        except (TypeError, LookupError, ValueError):
+        except JSON_ERRORS:
             return None
 
     async def import_kv(
@@ -217,7 +217,7 @@
                     headers=HEADERS,
                 ) as response:
                     text = await read_bounded(response, MAX_JSON_BYTES)
-                fields = json.loads(text) if response.is_success else None
+                fields = parse_json(text) if response.is_success else None
             except (httpx.HTTPError, ValueError):
                 return None
             return fields if isinstance(fields, dict) else None
--- a/src/rosemaryknot/connection/engine_frames.py
+++ b/src/rosemaryknot/connection/engine_frames.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from rosemaryknot.values.json_text import JSON_ERRORS, parse_json
+
 __all__ = [
     "Broken",
     "Crossed",
@@ -201,7 +203,7 @@
         if not frame.startswith(b"data:") or frame == DONE_FRAME:
             return None
         try:
-            fields = json.loads(frame[5:])
+            fields = parse_json(frame[5:])
             if not self.is_expected(fields):
                 return None
             if fields.get("done"):
@@ -215,7 +217,7 @@
                 return None
             text = fields["choices"][0]["delta"]["content"]
             return json.dumps(str(text))[1:-1].encode()
-        except (ValueError, TypeError, LookupError, AttributeError):
+        except JSON_ERRORS:
             self.end = Broken("a frame cannot be read")
             return None
 
--- a/src/rosemaryknot/connection/order_client.py
+++ b/src/rosemaryknot/connection/order_client.py
@@ -10,6 +10,7 @@
 
 from rosemaryknot.connection.http_client import http_client
 from rosemaryknot.connection.network import Network
+from rosemaryknot.values.json_text import JSON_ERRORS, parse_json
 from rosemaryknot.values.nodes import BackendServer
 from rosemaryknot.values.placement import (
     OrderDone,
@@ -84,7 +85,7 @@
         try:
             models = tuple(sorted(str(model) for model in fields["models"]))
             return OrdersRead(int(fields["fencing"]), models)
-        except (TypeError, LookupError, ValueError):
+        except JSON_ERRORS:
             return None
 
     async def requests(self, server: BackendServer) -> int | None:
@@ -92,7 +93,7 @@
         fields = await self.request_json(server, "/load")
         try:
             return int(fields["running"]) + int(fields["waiting"])
-        except (TypeError, LookupError, ValueError):
+        except JSON_ERRORS:
             return None
 
     async def request_json(
@@ -103,7 +104,7 @@
             try:
                 url = f"http://{server.address}{path}"
                 response = await self.client.get(url, headers=HEADERS)
-                fields = response.json() if response.is_success else None
+                fields = parse_json(response.content) if response.is_success else None
             except (httpx.HTTPError, ValueError):
                 return None
             return fields if isinstance(fields, dict) else None
@@ -124,6 +125,6 @@
 def decode_fencing(response: httpx.Response) -> int:
     """Return the highest fencing token that the server reports; 0 without one."""
     try:
-        return int(response.json()["fencing"])
-    except (TypeError, LookupError, ValueError):
+        return int(parse_json(response.content)["fencing"])
+    except JSON_ERRORS:
         return 0
--- a/src/rosemaryknot/connection/platform.py
+++ b/src/rosemaryknot/connection/platform.py
@@ -17,6 +17,7 @@
     Watch,
     era_of_response,
 )
+from rosemaryknot.values.json_text import JSON_ERRORS, parse_json
 from rosemaryknot.values.nodes import Address, BackendServer
 from rosemaryknot.values.platform import (
     Conflict,
@@ -78,8 +79,8 @@
 ) -> Item | PlatformFailed:
     """Decode the body of a response, or return a failure if it is malformed."""
     try:
-        return parse(response.json())
-    except (ValueError, KeyError, TypeError):
+        return parse(parse_json(response.content))
+    except JSON_ERRORS:
         return PlatformFailed(BAD_RESPONSE, maybe_done)
 
 
--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -1,6 +1,5 @@
 """HTTP calls and watches of the platform, without decoding of their content."""
 
-import json
 import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -12,6 +11,7 @@
 from rosemaryknot.connection.http_client import ResponseTooLarge, http_client
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.store_era import EraTracker
+from rosemaryknot.values.json_text import JSON_ERRORS, parse_json
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import (
     OUTDATED,
@@ -99,13 +99,13 @@
         try:
             async for line in self.lines:
                 if line:
-                    return self.parse(json.loads(line))
+                    return self.parse(parse_json(line))
             self.ended = "closed"
         except httpx.ReadTimeout:
             self.ended = "silent"
         except httpx.TransportError:
             self.ended = BROKEN
-        except (ValueError, KeyError, TypeError):
+        except JSON_ERRORS:
             self.ended = BAD_RESPONSE
         self.lines = None
         raise StopAsyncIteration
--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -19,6 +19,7 @@
     parse_item,
     parse_page,
 )
+from rosemaryknot.values.json_text import JSON_ERRORS
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import (
     OUTDATED,
@@ -60,7 +61,8 @@
 
 def decode_revision(response: httpx.Response) -> int:
     """Return the revision of the object that a response to a write contains."""
-    revision = int(response.json()["metadata"]["revision"])
+    # The value of the object need not be readable.
+    revision = int(parse_item(response.content)["metadata"]["revision"])
     return qualified(era_of_response(response), revision)
 
 
@@ -75,7 +77,7 @@
             return Conflict(decode_revision(response))
         if response.status_code == NOT_FOUND:
             return Conflict(0)
-    except (ValueError, KeyError, TypeError):
+    except JSON_ERRORS:
         return PlatformFailed(BAD_RESPONSE, maybe_done=True)
     return PlatformFailed(f"status {response.status_code}")
 
@@ -144,7 +146,7 @@
                 # Take the revision of the first page: a change between two pages is
                 # then seen again in the watch rather than missed.
                 revision = qualified(era, int(page["storeRevision"]))
-            except (ValueError, KeyError, TypeError, OverflowError):
+            except JSON_ERRORS:
                 return PlatformFailed(BAD_RESPONSE)
             listed.version = listed.version or revision
             found = decode_objects(page["items"], kind, era)
@@ -239,5 +241,5 @@
         return PlatformFailed(f"status {response.status_code}")
     try:
         return parse(response.content)
-    except (ValueError, KeyError, TypeError, OverflowError):
+    except JSON_ERRORS:
         return PlatformFailed(BAD_RESPONSE)
--- a/src/rosemaryknot/process/server_load.py
+++ b/src/rosemaryknot/process/server_load.py
@@ -12,6 +12,7 @@
 import trio
 
 from rosemaryknot.process.prefix_estimate import PrefixEstimate
+from rosemaryknot.values.json_text import JSON_ERRORS, parse_json
 from rosemaryknot.values.nodes import BackendServer
 
 __all__ = ["LoadReport", "LoadTable", "ServerLoad"]
@@ -163,7 +164,7 @@
         with trio.move_on_after(POLL_TIMEOUT_S):
             try:
                 response = await client.get(f"http://{server.address}/load")
-                fields = response.json()
+                fields = parse_json(response.content)
                 self.of(server).report = LoadReport(
                     int(fields["running"]),
                     int(fields["waiting"]),
@@ -172,5 +173,5 @@
                     int(fields["free_kv_tokens"]),
                     trio.current_time(),
                 )
-            except (httpx.HTTPError, ValueError, TypeError, LookupError):
+            except (httpx.HTTPError, *JSON_ERRORS):
                 return
--- a/tests/gateway/test_foreign_entries.py
+++ b/tests/gateway/test_foreign_entries.py
@@ -244,6 +244,7 @@
             {"holder": 7, "fencing": True, "write_id": "", "duration_s": "1e999"},
             RawValue(b"{holder}"),
             RawValue(b'{"fencing": ' + b"9" * 5000 + b"}"),
+            RawValue(b"[" * 3000 + b"]" * 3000),
         ],
     )
     async def test_holder_keeps_the_lease(self, autojump_clock, value):
