Bound the bytes of request bodies that a node holds, and hold one copy of each

Cause: nothing bound the bodies of all requests together, and a body was copied behind its head, again for what the socket did not take, and held so for the whole request.

The length that a head states is reserved before the body is read; one in chunks as it arrives. A large body is written from where it lies.

--- a/src/rosemaryknot/connection/gateway_caller.py
+++ b/src/rosemaryknot/connection/gateway_caller.py
@@ -8,6 +8,7 @@
 import h11
 import trio
 
+from rosemaryknot.connection.body_budget import BodyReservation
 from rosemaryknot.connection.listener_state import ListenerState
 from rosemaryknot.connection.network import (
     close_in_order,
@@ -72,6 +73,11 @@
     return cause_of(first) if isinstance(first, BaseExceptionGroup) else first.cause
 
 
+def declared_size(head: h11.Request) -> int:
+    """Return the size of a body that a head states; 0 for one in chunks."""
+    return int(dict(head.headers).get(b"content-length", 0))
+
+
 class Reply:
     """Writer for the response to one request.
 
@@ -229,12 +235,26 @@
         if refusal is not None:
             await self.refuse(refusal)
             return False
+        with self.state.bodies.begin() as reservation:
+            return await self.serve_request(head, request, reservation)
+
+    async def serve_request(
+        self, head: h11.Request, request: GatewayRequest, reservation: BodyReservation
+    ) -> bool:
+        """Read the body of a valid request, and handle it."""
         reply = Reply(self, self.pending)
-        body = await self.read_body(request, reply)
+        max_bytes = self.state.limits().max_body_bytes
+        body = None
+        if reservation.extend(min(max_bytes, declared_size(head))):
+            body = await self.read_body(request, reply, reservation)
         if reply.is_done:
             return self.can_keep_alive(reply)
+        if isinstance(body, Refusal):
+            await self.refuse(body)
+            return False
         if body is None:
-            await self.refuse(Refusal(TOO_LARGE, "the body is too large"))
+            headers = self.state.wire.refusal_headers(request)
+            await self.refuse(self.state.bodies.refusal(), headers)
             return False
         request.body = body
         return await self.handle_request(request, reply)
@@ -305,8 +325,12 @@
                 self.state.idle_scopes.discard(scope)
         return None
 
-    async def read_body(self, request: GatewayRequest, reply: Reply) -> bytes | None:
-        """Return the body of a request, or None if it is too large.
+    async def read_body(
+        self, request: GatewayRequest, reply: Reply, reservation: BodyReservation
+    ) -> bytes | Refusal | None:
+        """Return the body of a request; None if bodies fill the node.
+
+        A body beyond the limit of the configuration gives a refusal.
 
         If the head is sufficient to refuse a request, the refusal is sent while the
         body is still being received, and the rest of the body is dropped. Otherwise a
@@ -322,6 +346,8 @@
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > max_bytes:
+                    return Refusal(TOO_LARGE, "the body is too large")
+                if not reservation.extend(size):
                     return None
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -459,7 +485,7 @@
                 raise CallerGone from None
         raise CallerGone(Cause.CALLER_STALLED)
 
-    async def refuse(self, refusal: Refusal) -> None:
+    async def refuse(self, refusal: Refusal, headers: Headers = ()) -> None:
         """Refuse a request that is not read completely, and drop the rest of it."""
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
@@ -471,10 +497,14 @@
         self.pending.phase = Phase.REFUSAL
         body = (refusal.reason + "\n").encode()
         headers = [
+            *headers,
             (b"content-type", b"text/plain"),
             (b"content-length", str(len(body)).encode()),
             (b"connection", b"close"),
         ]
+        if refusal.retry_after_s is not None:
+            seconds = f"{refusal.retry_after_s:.3f}".encode()
+            headers.append((b"retry-after", seconds))
         await self.send(h11.Response(status_code=refusal.status, headers=headers))
         await self.send(h11.Data(data=body))
         await self.send(h11.EndOfMessage())
--- a/src/rosemaryknot/connection/gateway_listener.py
+++ b/src/rosemaryknot/connection/gateway_listener.py
@@ -5,6 +5,7 @@
 import trio
 
 from rosemaryknot.connection.accept_gate import AcceptGate
+from rosemaryknot.connection.body_budget import BodyBudget
 from rosemaryknot.connection.gateway_caller import CallerConnection
 from rosemaryknot.connection.listener_state import Handler, HeadHandler, ListenerState
 from rosemaryknot.connection.network import Network
@@ -48,6 +49,8 @@
         Waits until the node can serve requests, at most for the given seconds.
     gate : AcceptGate
         Decides whether to accept a new connection.
+    bodies : BodyBudget
+        Bytes that the bodies of requests may have together.
 
     Attributes
     ----------
@@ -65,10 +68,11 @@
         max_connections: int,
         wait_ready: Callable[[float], Awaitable[None]],
         gate: AcceptGate,
+        bodies: BodyBudget,
     ) -> None:
         self.network = network
         self.gate = gate
-        self.state = ListenerState(wire, handler, refuse_by_head, limits, gate)
+        self.state = ListenerState(wire, handler, refuse_by_head, limits, gate, bodies)
         self.max_connections = max_connections
         self.wait_ready = wait_ready
 
--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -34,6 +34,8 @@
 __all__ = ["ServerConnection", "ServerPool"]
 
 READ_BYTES = 65536
+# A larger body is written from where it lies, rather than copied behind its head.
+MAX_JOINED_BYTES = 65536
 # Servers are on the same network; connecting takes longer only if the machine is down
 # or partitioned.
 CONNECT_TIMEOUT_S = 0.6
@@ -121,7 +123,7 @@
         self.parsed_events = 0
         self.wants_close = False
         self.request: h11.Request | None = None
-        self.unsent = b""
+        self.unsent: list[memoryview] = []
         self.started_s = self.last_received_s
         self.peer = stream.peer if isinstance(stream, RelayedStream) else ""
         self.may_abandon_path = False
@@ -149,16 +151,35 @@
         self.started_s = trio.current_time()
         self.request = h11.Request(method=method, target=target, headers=headers)
         data = self.conn.send(self.request)
+        rest = memoryview(b"")
         if body:
-            data += self.conn.send(h11.Data(data=body))
-        data += self.conn.send(h11.EndOfMessage())
-        count = self.writer.write_now(data)
-        self.unsent = data[count:]
+            # The framing by length passes the body on as it is.
+            framed = self.conn.send(h11.Data(data=body))
+            if len(framed) > MAX_JOINED_BYTES:
+                rest = memoryview(framed)
+            else:
+                data += framed
+        end = self.conn.send(h11.EndOfMessage())
+        if not rest:
+            data, end = data + end, b""
+        self.unsent = self.write_parts(memoryview(data), rest, memoryview(end))
         self.is_sent = not self.unsent
 
+    def write_parts(self, *parts: memoryview) -> list[memoryview]:
+        """Write as much as possible without waiting; return what is left."""
+        for number, part in enumerate(parts):
+            count = self.writer.write_now(part) if part else 0
+            if count < len(part):
+                return [part[count:], *parts[number + 1 :]]
+        return []
+
     async def send_rest(self) -> None:
-        """Write the rest that `send` kept, concurrently with reading the response."""
-        self.is_sent = await self.writer.write_all(self.unsent)
+        """Write the rest that `send` left, concurrently with reading the response."""
+        unsent, self.unsent = self.unsent, []
+        for part in unsent:
+            if not await self.writer.write_all(part):
+                return
+        self.is_sent = True
 
     async def head(
         self,
--- a/src/rosemaryknot/connection/listener_state.py
+++ b/src/rosemaryknot/connection/listener_state.py
@@ -7,6 +7,7 @@
 import trio
 
 from rosemaryknot.connection.accept_gate import AcceptGate
+from rosemaryknot.connection.body_budget import BodyBudget
 from rosemaryknot.connection.pending_responses import PendingResponses
 from rosemaryknot.values.gateway import CallerLimits, GatewayRequest
 from rosemaryknot.values.gateway_responses import GatewayWire, ShutdownSchedule
@@ -39,6 +40,8 @@
         Returns the current limits.
     gate : AcceptGate
         Limits new connections while the node is overloaded.
+    bodies : BodyBudget
+        Bytes of the bodies of all requests.
     is_closed : bool
         Whether new connections are closed without being read.
     open : int
@@ -60,6 +63,7 @@
     refuse_by_head: HeadHandler
     limits: Callable[[], CallerLimits]
     gate: AcceptGate
+    bodies: BodyBudget
     is_closed: bool = False
     open: int = 0
     busy: int = 0
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -10,6 +10,7 @@
 import trio
 
 from rosemaryknot.connection.accept_gate import AcceptGate
+from rosemaryknot.connection.body_budget import BodyBudget
 from rosemaryknot.connection.gateway_listener import GatewayListener
 from rosemaryknot.connection.gateway_server import ServerPool
 from rosemaryknot.connection.links import Handlers
@@ -93,6 +94,7 @@
 CLEANUP_INTERVAL_S = 0.5
 # File descriptors reserved for other uses than callers: servers, store, peers, files.
 RESERVED_FILES = 600
+BYTES_PER_MB = 1 << 20
 READY_STATUS = 200
 NOT_READY_STATUS = 503
 
@@ -243,6 +245,7 @@
             max(100, settings.machine.files - RESERVED_FILES),
             self.state.wait_known,
             AcceptGate(self.loop_delay),
+            BodyBudget(settings.machine.memory_mb * BYTES_PER_MB, rng),
         )
         self.lease = self.make_lease()
         self.apply_bounds(settings.bounds)
