Log the age of the entries with decisions on streams that go on

A decision that rests on what the store or another node last showed names its age now, and a query that a request made of the store has a line with its outcome: without them the log did not tell a node that is out of step from one that knows of no server.

--- a/src/rosemaryknot/process/software_versions.py
+++ b/src/rosemaryknot/process/software_versions.py
@@ -117,13 +117,16 @@
         unknown_s = max(state.back_since_s, since_s)
         return self.entries_known_at_s() >= unknown_s + RESTART_NOTICE_S
 
-    def are_entries_witnessed(self) -> bool:
-        """Return whether something showed of late that the entries are up to date.
+    def entries_age_s(self) -> float:
+        """Return how long ago something showed that the entries are up to date.
 
         That no call to the store has failed does not.
         """
-        age_s = trio.current_time() - self.entries_witnessed_s()
-        return age_s <= MAX_WITNESS_AGE_S
+        return trio.current_time() - self.entries_witnessed_s()
+
+    def are_entries_witnessed(self) -> bool:
+        """Return whether the entries are young enough to go on with a stream."""
+        return self.entries_age_s() <= MAX_WITNESS_AGE_S
 
     def only_version(
         self, service: str, states: Iterable[ServerState], period_s: float
--- a/src/rosemaryknot/request/gateway.py
+++ b/src/rosemaryknot/request/gateway.py
@@ -272,8 +272,20 @@
         if context.origin is None or context.are_entries_confirmed is not None:
             return False
         components = self.components
+        versions = components.servers.versions
+        age_s, started_s = versions.entries_age_s(), trio.current_time()
         context.are_entries_confirmed = await components.origins.confirm_entries()
-        return bool(usable_servers(components, context))
+        usable = usable_servers(components, context)
+        log.info(
+            "asked the store for servers of a stream",
+            request=context.request.id,
+            software_version=context.origin.software_version,
+            entries_age_s=round(age_s, 3),
+            took_s=round(trio.current_time() - started_s, 3),
+            is_confirmed=context.are_entries_confirmed,
+            servers=len(usable),
+        )
+        return bool(usable)
 
     async def resume(self, context: RequestContext) -> Refusal | None:
         """Find out where a stream that the caller resumes may go on, or refuse it."""
--- a/src/rosemaryknot/request/origin_guard.py
+++ b/src/rosemaryknot/request/origin_guard.py
@@ -331,6 +331,7 @@
             else round(trio.current_time() - record.began_s, 3),
             asked=lookup.asked,
             replied=lookup.replied,
+            entries_age_s=round(self.servers.versions.entries_age_s(), 3),
             servers=0 if origin is None else self.count_servers(origin),
         )
 
