--- a/tests/process/test_relay_broadcast.py
+++ b/tests/process/test_relay_broadcast.py
@@ -103,7 +103,7 @@
 
 
 class TestLeaf:
-    async def test_one_relay_of_its_zone_gets_all_items(self, run):
+    async def test_one_relay_of_its_zone_gets_all_items(self, autojump_clock, run):
         """Guards against a message for each node and event."""
         broadcast, peers, relays = sender(is_relay=False)
         await run(broadcast)
@@ -114,7 +114,7 @@
         assert name in relays[1:] and not peers.to_zone
         assert sum(len(n.servers) for n in peers.links[name].notices) == 50
 
-    async def test_relay_that_is_silent(self, run):
+    async def test_relay_that_is_silent(self, autojump_clock, run):
         """Guards against notices that end at a relay which is suspended."""
         broadcast, peers, relays = sender(is_relay=False)
         peers.set_silent(relays[1:])
@@ -126,7 +126,7 @@
         await trio.sleep(0.1)
         assert len(peers.links[relays[0]].notices) == 2
 
-    async def test_all_relays_are_silent_for_a_while(self, run):
+    async def test_all_relays_are_silent_for_a_while(self, autojump_clock, run):
         """Guards against notices that are lost while no relay confirms them."""
         broadcast, peers, relays = sender(is_relay=False)
         peers.set_silent(relays)
@@ -137,7 +137,7 @@
         await trio.sleep(1.5)
         assert [n.servers for ns in received(peers).values() for n in ns] == [["s1"]]
 
-    async def test_notices_are_given_up_in_the_end(self, run):
+    async def test_notices_are_given_up_in_the_end(self, autojump_clock, run):
         """Guards against notices that wait without end for relays that are gone."""
         broadcast, peers, relays = sender(is_relay=False)
         peers.set_silent(relays)
@@ -148,7 +148,7 @@
 
 
 class TestRelay:
-    async def test_other_zones_get_each_item_once(self, run):
+    async def test_other_zones_get_each_item_once(self, autojump_clock, run):
         """Guards against relays that forward the notice of each node."""
         broadcast, peers, _ = sender(is_relay=True)
         await run(broadcast)
@@ -161,14 +161,14 @@
         ((names, notice),) = peers.to_zone
         assert notice.is_forwarded and len(names) == 9
 
-    async def test_items_of_another_zone_stay_in_this_one(self, run):
+    async def test_items_of_another_zone_stay_in_this_one(self, autojump_clock, run):
         broadcast, peers, _ = sender(is_relay=True)
         await run(broadcast)
         broadcast.forward("s1", "s1", Reach.ZONE)
         await trio.sleep(0.5)
         assert not received(peers) and len(peers.to_zone) == 1
 
-    async def test_series_of_events(self, run):
+    async def test_series_of_events(self, autojump_clock, run):
         """Guards against a message to each node for each event of a series."""
         broadcast, peers, _ = sender(is_relay=True)
         await run(broadcast)
@@ -177,7 +177,7 @@
             await trio.sleep(0.01)
         assert len(peers.to_zone) <= 10
 
-    async def test_silent_zone_does_not_delay_the_others(self, run):
+    async def test_silent_zone_does_not_delay_the_others(self, autojump_clock, run):
         broadcast, peers, _ = sender(is_relay=True)
         for link in peers.links.values():
             link.is_silent = link.hello.zone == "z1"
@@ -187,7 +187,7 @@
         zones = {peers.links[name].hello.zone for name in received(peers)}
         assert zones == {"z2"} and peers.to_zone
 
-    async def test_queue_is_bounded(self, run):
+    async def test_queue_is_bounded(self, autojump_clock, run):
         """Guards against a process that runs out of memory in a flood of events."""
         broadcast, peers, _ = sender(is_relay=True)
         for number in range(2 * MAX_PENDING_ITEMS):
--- a/tests/process/test_store_watcher.py
+++ b/tests/process/test_store_watcher.py
@@ -49,18 +49,20 @@
 
 
 class TestSlowResponses:
-    async def test_changes_that_always_time_out(self, watch_steps):
+    async def test_changes_that_always_time_out(self, autojump_clock, watch_steps):
         """Guards against a node that requests ever more versions and receives none."""
         store, watcher = await watch_steps(3, is_single=True)
         assert store.calls == ["changes", "list", "changes"]
         assert watcher.revision == 9 and not watcher.is_unreachable()
 
-    async def test_many_objects_are_not_listed_after_timeout(self, watch_steps):
+    async def test_many_objects_are_not_listed_after_timeout(
+        self, autojump_clock, watch_steps
+    ):
         """A timeout causes no list of many objects, which is larger than changes."""
         store, _ = await watch_steps(3, is_single=False)
         assert store.calls == ["changes"] * 3
 
-    async def test_has_call_since_before(self, watch_steps, nursery):
+    async def test_has_call_since_before(self, autojump_clock, watch_steps, nursery):
         store, watcher = await watch_steps(0, is_single=False)
         assert not watcher.has_call_since_before(trio.current_time())
         nursery.start_soon(watcher.step)
@@ -179,16 +181,18 @@
 
 
 class TestConfirm:
-    async def test_silent_store_confirms_nothing(self, confirm):
+    async def test_silent_store_confirms_nothing(self, autojump_clock, confirm):
         """Guards against a call without an error that is taken for an answer."""
         assert await confirm(CountedStore(math.inf), 1, 0.01) == [(False, True, 0.5)]
 
-    async def test_query_that_had_begun_before_proves_nothing(self, confirm):
+    async def test_query_that_had_begun_before_proves_nothing(
+        self, autojump_clock, confirm
+    ):
         """Guards against an answer that is older than the question."""
         outcomes = await confirm(CountedStore(0.1), 3, 0.03)
         assert outcomes == [(True, True, 0.1), (True, True, 0.14), (True, True, 0.17)]
 
-    async def test_callers_share_a_query(self, confirm):
+    async def test_callers_share_a_query(self, autojump_clock, confirm):
         store = CountedStore(0.1)
         assert len(await confirm(store, 50, 0.001)) == 50
         assert store.queries == 2
