Let a server of the soak that is down stay so when it is crashed again

No software of a server changes within a process; the stand-in did.

A crash of a server that is down has no effect now, as in plays (PlatformSystem).

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -188,6 +188,7 @@
         self.cloud = CloudStandIn()
         self.ledger = Ledger()
         self.servers: dict[str, ServerStandIn] = {}
+        self.down: set[str] = set()
         self.trap = ServerStandIn("trap")
         self.proxies: dict[str, SoakProxy] = {}
         self.nodes: dict[str, SoakNode] = {}
@@ -277,10 +278,18 @@
     async def crash_server(
         self, server: ServerStandIn, has_resets: bool = True, version: str = ""
     ) -> None:
-        """Crash a server and restart it under the same id, perhaps with a version."""
+        """Crash a server and restart it under the same id, perhaps with a version.
+
+        One that is down already stays so: at the end of a second crash that began
+        meanwhile, it would change its version while it serves.
+        """
+        if server.id in self.down:
+            return
+        self.down.add(server.id)
         server.crash = server.end_process = lambda: None
         self.proxies[server.id].crash(CRASH_DOWN_S, has_resets)
         await trio.sleep(CRASH_DOWN_S)
+        self.down.discard(server.id)
         if version:
             server.entry = server.entry | {"version": version}
         server.start_incarnation(int(time.time() * 1000))
