--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -233,7 +233,7 @@
             self.query_ended = trio.Event()
 
     async def query(self) -> bool:
-        """Query the store; return whether it has told all changes up to now."""
+        """Query the store; return whether all changes up to now are known."""
         if self.is_single:
             outcome = await self.store.list_objects(self.kind)
         else:
@@ -244,7 +244,7 @@
                 "resynchronization failed", kind=self.kind, reason=outcome.reason
             )
             return False
-        is_told = True
+        is_complete = True
         if isinstance(outcome, Changes):
             self.apply_store_changes(outcome)
         elif isinstance(outcome, Listed) and self.is_successor(outcome):
@@ -252,9 +252,9 @@
             self.apply_list(outcome)
         else:
             # The next call lists the objects, and finds out whether history has ended.
-            self.must_list, is_told = True, False
+            self.must_list, is_complete = True, False
         self.scope.cancel()
-        return is_told
+        return is_complete
 
     def is_successor(self, listed: Listed) -> bool:
         """Return whether a list belongs to the known history and is not older."""
--- a/tests/gateway/test_out_of_step_nodes.py
+++ b/tests/gateway/test_out_of_step_nodes.py
@@ -81,9 +81,12 @@
             assert all(len(caller.events) == EVENTS for caller in callers)
 
 
+@pytest.mark.parametrize("pause_s", [2.0, 4.5, 6.0])
 @pytest.mark.parametrize("cut", CUTS)
 class TestRestarts:
-    async def test_server_restarts_with_another_version(self, autojump_clock, cut):
+    async def test_server_restarts_with_another_version(
+        self, autojump_clock, cut, pause_s
+    ):
         """Guards against an old entry that is taken for the server's process."""
         async with platform_system(1, nodes=3, models=0) as system:
             for number in range(4):
@@ -95,7 +98,7 @@
                 system.network.cut(LATE, host)
             for name in ("m0", "m1", "m2"):
                 await system.restart_server(name, 0.1, version="v2")
-            await trio.sleep(2.0)
+            await trio.sleep(pause_s)
             system.kill("n0")
             async with trio.open_nursery() as nursery:
                 for caller in callers:
