--- a/tests/scripts/test_soak.py
+++ b/tests/scripts/test_soak.py
@@ -11,7 +11,18 @@
 SOAK = Path(__file__).parents[2] / "scripts" / "soak.py"
 # The third repeats a request that crashes servers; a prompt segment does in the last
 # two, beside servers that crash for other reasons and connections that are silent.
-SEEDS = (290016, 290017, 290020, 449113, 449900, 449903, 611000, 611203)
+SEEDS = (
+    290016,
+    290017,
+    290020,
+    449113,
+    449900,
+    449903,
+    457757,
+    457762,
+    611000,
+    611203,
+)
 SOAK_TIMEOUT_S = 120
 
 
