Count requests and retries by service, so that nodes can be added up

The budget holds over all nodes, but metrics counted decisions without their service, and no requests: neither the sum that the deployment's budget compares nor load that moves from node to node could be read from them, which two of the hypotheses need. The test failed before, as the counters did not exist.

--- a/src/rosemaryknot/request/retry_guard.py
+++ b/src/rosemaryknot/request/retry_guard.py
@@ -14,6 +14,14 @@
 __all__ = ["RetryGuard"]
 
 RETRIES = counter("gateway_retries_total", "Decisions of the retry budget by outcome.")
+# Summed over the nodes, these two are what the deployment's budget compares; of one
+# node, they show load that moves to it or away.
+SERVICE_REQUESTS = counter(
+    "gateway_service_requests_total", "Requests that earn retries, by service."
+)
+SERVICE_RETRIES = counter(
+    "gateway_service_retries_total", "Retries that were sent, by service."
+)
 RETRY_WAIT = histogram(
     "gateway_retry_wait_seconds", "Time from the decision on a retry until it is sent."
 )
@@ -40,6 +48,7 @@
 
     def record_request(self, service: str) -> None:
         """Count a request for the budget of its service."""
+        SERVICE_REQUESTS.add(service=service)
         self.budget.record_request(service, trio.current_time())
 
     def move_request(self, service: str, other: str) -> None:
@@ -68,6 +77,7 @@
             self.record_refusal(context)
             return False
         RETRIES.add(outcome="sent")
+        SERVICE_RETRIES.add(service=context.service.name)
         if context.retry_decided_s is not None:
             RETRY_WAIT.observe(now_s - context.retry_decided_s)
             context.retry_decided_s = None
--- a/tests/process/test_attempt_budget.py
+++ b/tests/process/test_attempt_budget.py
@@ -9,7 +9,11 @@
 
 from rosemaryknot.process.attempt_budget import AttemptBudget
 from rosemaryknot.process.node_settings import Bounds
-from rosemaryknot.request.retry_guard import RetryGuard
+from rosemaryknot.request.retry_guard import (
+    SERVICE_REQUESTS,
+    SERVICE_RETRIES,
+    RetryGuard,
+)
 from rosemaryknot.standin.users.retry_windows import fullest_window
 
 RATIO = 0.2
@@ -141,3 +145,13 @@
         guard, context = RetryGuard(new_budget()), new_context()
         context.lost_paths = lost_paths
         assert [guard.acquire(context) for _ in range(9)].count(True) == 7
+
+    async def test_counts_by_service(self, autojump_clock):
+        """Guards against nodes whose requests and retries cannot be added up."""
+        guard, context = RetryGuard(new_budget()), new_context()
+        context.service.name = "counted"
+        for _ in range(20):
+            guard.record_request("counted")
+        assert guard.acquire(context) and guard.acquire(context)
+        assert SERVICE_REQUESTS.value(service="counted") == 20
+        assert SERVICE_RETRIES.value(service="counted") == 1
