Move load between nodes in plays, and list the cases that exceed the retry budget

A play may now name when all callers go to other nodes, and the slack of the budget. The tests fail on the code as it is and are listed.

--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -6,7 +6,7 @@
 import json
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -50,6 +50,7 @@
 __all__ = [
     "SLOW_LINK_BYTES_PER_S",
     "RESUMING_PER_S",
+    "LoadMove",
     "Play",
     "PlayResult",
     "load_play",
@@ -75,6 +76,22 @@
 SETTLE_S = 14.0
 
 
+@dataclass(slots=True)
+class LoadMove:
+    """All callers go to some of the nodes from now on, as a load balancer has it.
+
+    Attributes
+    ----------
+    at_s : float
+        When it happens, in seconds after the start of the load.
+    nodes : list of str
+        Nodes that get the load.
+    """
+
+    at_s: float
+    nodes: list[str]
+
+
 @dataclass(slots=True)
 class Play:
     """Description of a run: size of the system, load and faults.
@@ -101,6 +118,11 @@
     resuming_per_s : float
         Streams per second whose callers resume them when they break off, or
         leave and come back.
+    retry_slack : float
+        Additional retries that all nodes together may send in a window.
+    moves : list of LoadMove
+        Moves of the load from some nodes to others, by time; it is spread evenly over
+        all nodes before the first.
     faults : list of dict
         ``at``, ``kind`` (a name in `PLAY_FAULTS`), and the parameters of that kind.
     """
@@ -118,8 +140,17 @@
     link_bytes_per_s: float = 0.0
     older_share: float = 0.0
     resuming_per_s: float = 0.0
+    retry_slack: float = DEPLOYMENT_BOUNDS.retry_slack
+    moves: list[LoadMove] = field(default_factory=list)
     faults: list[dict[str, Any]] = field(default_factory=list)
 
+    def loaded_nodes(self, after_s: float, nodes: list[str]) -> list[str]:
+        """Return which of the nodes callers send requests to at a time of the load."""
+        for move in reversed(self.moves):
+            if move.at_s <= after_s:
+                return [name for name in move.nodes if name in nodes] or nodes
+        return nodes
+
 
 @dataclass(slots=True)
 class PlayResult:
@@ -160,7 +191,8 @@
     system: PlatformSystem, play: Play, rng: random.Random, observations: Observations
 ) -> None:
     """Send requests to all nodes and record their responses."""
-    end_s = trio.current_time() + play.length_s
+    started_s = trio.current_time()
+    end_s = started_s + play.length_s
     kinds, rates = zip(*play.load.items(), strict=True)
     # A generator of its own: the other requests of a seed stay the same.
     version_rng = random.Random(play.older_share)
@@ -180,7 +212,8 @@
         while trio.current_time() < end_s:
             await trio.sleep(rng.expovariate(sum(rates)))
             kind = rng.choices(kinds, rates)[0]
-            node = rng.choice(list(system.nodes))
+            after_s = trio.current_time() - started_s
+            node = rng.choice(play.loaded_nodes(after_s, list(system.nodes)))
             request = new_request(kind, f"{kind}-{number}", node, f"/{kind}/x")
             if version_rng.random() < play.older_share:
                 request.version = "1.0"
@@ -344,13 +377,15 @@
 async def run_play(play: Play, seed: int) -> PlayResult:
     """Run a play and check the invariants."""
     rng = random.Random(seed)
-    observations = Observations(bounds=DEPLOYMENT_BOUNDS)
+    bounds = replace(DEPLOYMENT_BOUNDS, retry_slack=play.retry_slack)
+    observations = Observations(bounds=bounds)
     fault_counts: Counter = Counter()
     async with platform_system(
         seed,
         nodes=play.nodes,
         plain=play.plain,
         models=play.models,
+        bounds=bounds,
         duties=["usage"],
     ) as system:
         if play.link_bytes_per_s:
@@ -477,4 +512,5 @@
             raise ValueError(
                 f"unknown kind of fault {fault.get('kind')!r}; known kinds: {kinds}"
             )
+    data["moves"] = [LoadMove(**move) for move in data.get("moves", [])]
     return Play(**data)
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -135,7 +135,10 @@
 
 async def start_again(system: PlatformSystem, name: str) -> None:
     """Start the next incarnation of a node."""
-    await system.add_node(int(name[1:]), is_first_start=False, duties=["usage"])
+    bounds = system.nodes[name].settings.bounds
+    await system.add_node(
+        int(name[1:]), is_first_start=False, bounds=bounds, duties=["usage"]
+    )
     system.down.discard(name)
 
 
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -4,13 +4,19 @@
 
 from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.replay.virtual_time import run_in_virtual_time
-from rosemaryknot.standin.users.play import Play, random_play, run_play
+from rosemaryknot.standin.users.play import LoadMove, Play, random_play, run_play
 from rosemaryknot.standin.users.system import platform_system
 
 NODES = 6
 PLAIN = 12
 REQUESTS_PER_S = 60.0
 DOWN_S = 2.0
+ZONES = 3
+# When servers begin to fail, and when the load goes to the next zone. Two moves lie in
+# one window, the first of them after the nodes that lose the load have spent what its
+# requests allow.
+FAILING_S = 12.0
+MOVES_S = (0.0, 13.6, 17.8)
 SEEDS = range(16000, 16006)
 
 # When which nodes are killed, in seconds after the start of the load.
@@ -23,7 +29,9 @@
 }
 
 
-def failing_play(kills, failing_from_s=4.0, length_s=24.0, **fields):
+def failing_play(
+    kills, failing_from_s=4.0, length_s=24.0, nodes=NODES, load=REQUESTS_PER_S, **fields
+):
     """Return a play in which nearly all servers fail while nodes are killed."""
     faults = [
         {
@@ -37,14 +45,14 @@
     first = 0
     for at_s, count in kills:
         for number in range(first, first + count):
-            node = f"n{number % NODES}"
+            node = f"n{number % nodes}"
             faults.append({"at": at_s, "kind": "kill", "node": node, "for_s": DOWN_S})
         first += count
     return Play(
-        nodes=NODES,
+        nodes=nodes,
         plain=PLAIN,
         length_s=length_s,
-        load={"stock": REQUESTS_PER_S},
+        load={"stock": load},
         added_per_s=0.0,
         faults=faults,
         **fields,
@@ -62,11 +70,46 @@
     @pytest.mark.parametrize("kill_s", [5.0, 6.0])
     def test_burst_of_failures_before_the_restart(self, kill_s):
         """Guards against what a process spends at once out of its past requests."""
-        play = failing_play([(kill_s, NODES)], failing_from_s=kill_s - 1.0)
-        play.load = {"stock": 3 * REQUESTS_PER_S}
+        play = failing_play(
+            [(kill_s, NODES)], failing_from_s=kill_s - 1.0, load=3 * REQUESTS_PER_S
+        )
         assert not run_in_virtual_time(1, run_play, play, 1).violations
 
 
+def zone_nodes(zone, nodes):
+    """Return the nodes of an availability zone."""
+    return [f"n{number}" for number in range(nodes) if number % ZONES == zone]
+
+
+def moving_play(nodes, slack, load, has_kills):
+    """Return a play in which the load goes from zone to zone while servers fail."""
+    moves = [
+        LoadMove(at_s, zone_nodes(zone, nodes)) for zone, at_s in enumerate(MOVES_S)
+    ]
+    play = failing_play(
+        [], FAILING_S, nodes=nodes, load=load, retry_slack=slack, moves=moves
+    )
+    if has_kills:
+        play.faults += [
+            {"at": move.at_s, "kind": "kill", "node": name, "for_s": DOWN_S}
+            for move, name in zip(moves[1:], moves[0].nodes, strict=False)
+        ]
+    return play
+
+
+class TestMovingLoad:
+    @pytest.mark.parametrize("has_kills", [False, True], ids=["moved", "killed"])
+    @pytest.mark.parametrize(
+        ("nodes", "slack", "load"), [(6, 5, 120), (12, 54, 120), (24, 54, 200)]
+    )
+    def test_requests_of_the_nodes_before(self, nodes, slack, load, has_kills):
+        """Guards against requests that count at two nodes within one window."""
+        play = moving_play(nodes, slack, load, has_kills)
+        result = run_in_virtual_time(1, run_play, play, 1)
+        assert not result.violations
+        assert result.outcomes["stock", 200] > 100
+
+
 class TestUsedUp:
     """The budget has no retry left, though another server could take the request."""
 
--- a/tests/process/test_attempt_budget.py
+++ b/tests/process/test_attempt_budget.py
@@ -1,6 +1,7 @@
 """Tests of the retry budget of one gateway, and of its sum over several."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -22,9 +23,10 @@
 BOUNDS = Bounds(retry_ratio=RATIO, retry_window_s=WINDOW_S, retry_slack=SLACK)
 STEP_S = 0.1
 END_S = 45.0
+NODES = 6
 
 
-def new_budget(nodes=6, forgotten_s=float("-inf")):
+def new_budget(nodes=NODES, forgotten_s=float("-inf")):
     """Return a budget with a small deployment's bounds."""
     return AttemptBudget(RATIO, WINDOW_S, SLACK, lambda: nodes, forgotten_s)
 
@@ -87,6 +89,59 @@
         assert found is None or found.used_share <= 1
 
 
+class TestMovingLoad:
+    @pytest.mark.parametrize("slack", [0.0, SLACK])
+    def test_load_that_moves_after_a_burst(self, slack):
+        """Guards against requests that count at two nodes within one window."""
+        budgets = [
+            AttemptBudget(RATIO, WINDOW_S, slack, lambda: NODES) for _ in range(2)
+        ]
+        sent, retries = [], []
+        for step in range(200):
+            now_s = 100.0 + step * STEP_S
+            budget = budgets[step // 100]
+            record(budget, now_s, 10)
+            sent += [now_s] * 10
+            if step in (99, 198):
+                retries += [now_s] * granted(budget, now_s)
+        found = fullest_window(retries, sent, replace(BOUNDS, retry_slack=slack))
+        assert len(retries) > 50 and found.used_share <= 1
+
+    @settings(deadline=None, max_examples=60)
+    @given(
+        seed=st.integers(0, 1 << 20),
+        slack=st.sampled_from([0.0, 5.0, SLACK]),
+        moves=st.sets(st.integers(50, 400), max_size=8),
+        kills=st.sets(st.integers(50, 400), max_size=3),
+        spike=st.integers(1, 5),
+    )
+    def test_sum_over_nodes_while_load_moves(self, seed, slack, moves, kills, spike):
+        """Guards against any moves of load that, with restarts, exceed the budget."""
+        rng = random.Random(seed)
+
+        def start(now_s):
+            return AttemptBudget(RATIO, WINDOW_S, slack, lambda: NODES, now_s)
+
+        budgets = [start(0.0) for _ in range(NODES)]
+        sent, retries, loaded = [], [], list(range(NODES))
+        for step in range(round(END_S / STEP_S)):
+            now_s = 100.0 + step * STEP_S
+            for _ in range(8 * spike if step + 1 in moves else 8):
+                budgets[rng.choice(loaded)].record_request("s", now_s)
+                sent.append(now_s)
+            # All that is allowed is sent before the load leaves, and now and then.
+            if step + 1 in moves or rng.random() < 0.02:
+                for number in loaded:
+                    retries += [now_s] * granted(budgets[number], now_s)
+            if step in moves:
+                loaded = rng.sample(range(NODES), rng.randint(1, NODES // 2))
+            if step in kills:
+                for number in rng.sample(range(NODES), rng.randint(1, NODES)):
+                    budgets[number] = start(now_s)
+        found = fullest_window(retries, sent, replace(BOUNDS, retry_slack=slack))
+        assert found is None or found.used_share <= 1
+
+
 class TestChanges:
     def test_longer_window_holds_forgotten_retries(self):
         """Guards against retries that a shorter window had dropped already."""
