--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Tests of crowds at real processes, which load the machine and are not run beside others.
 TESTS_ALONE := tests/clients
 
-.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak bench-nodes bench-planned-stop bench-load platform-demo soak mixed-builds
+.PHONY: help venv test lint format demo cluster faults bench-relay bench-recovery bench-control bench-slopes scenarios bench-policy bench-peak bench-nodes bench-planned-stop bench-load platform-demo soak retry-soak mixed-builds
 
 help:
 	@echo "make venv    make $(VENV) from requirements.lock and install the programs there"
@@ -20,6 +20,7 @@
 	@echo "make faults SEED=7      run one seed again, with its decision log"
 	@echo "make platform-demo      the users' platform on loopback: stand-ins, three nodes, callers"
 	@echo "make soak SEED=7 | SEEDS=5 MINUTES=3   node processes on loopback under faults from outside"
+	@echo "make retry-soak SEED=7 | SEEDS=5   nodes that retry as much as they may, while load moves"
 	@echo "make mixed-builds OLD=DIR NEW=DIR   processes of two checkouts work together; minutes"
 	@echo "make bench-peak         admission, waiting and placement at the worst load; minutes"
 	@echo "make bench-nodes        what knowing of each other costs 7 to 91 gateways; minutes"
@@ -92,6 +93,11 @@
 soak: venv
 	@$(BIN)/python scripts/soak.py $(SEEDS_OF_SOAK)
 
+RETRY_SOAK_OPTIONS ?=
+
+retry-soak: venv
+	@$(BIN)/python scripts/retry_soak.py $(if $(SEED),--seed $(SEED),--seeds $(SEEDS)) $(RETRY_SOAK_OPTIONS)
+
 mixed-builds: venv
 	@$(BIN)/python scripts/mixed_builds.py $(OLD) $(NEW)
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -13,7 +13,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -24,6 +24,7 @@
 from soak_proxy import SoakProxy
 
 from rosemaryknot.connection.network import SocketNetwork
+from rosemaryknot.process.node_settings import Bounds
 from rosemaryknot.standin.users.audit import DRAIN_S, Observations, Violation, audit
 from rosemaryknot.standin.users.cloud import CloudStandIn
 from rosemaryknot.standin.users.configuration_changes import changed_document
@@ -87,6 +88,8 @@
 MAX_ADDED_SERVERS = 5
 # Share of the requests that callers send in HTTP/1.0.
 OLDER_SHARE = 0.2
+# Services of the servers.
+SERVICES = (MODEL, MODEL, MODEL, PLAIN, PLAIN, PLAIN)
 LOAD = {"plan": 3.0, "ask": 5.0, "book": 6.0, "stock": 6.0}
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -177,9 +180,18 @@
 class SoakSystem:
     """Node processes, stand-ins and proxies."""
 
-    def __init__(self, nursery: trio.Nursery, seed: int, nodes: int = NODES) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        seed: int,
+        nodes: int = NODES,
+        services: Sequence[str] = SERVICES,
+        bounds: Bounds = DEPLOYMENT_BOUNDS,
+    ) -> None:
         self.nursery = nursery
         self.node_count = nodes
+        self.services = services
+        self.bounds = bounds
         self.network = SocketNetwork()
         self.folder = FOLDER / str(seed)
         self.base = first_port(seed, nodes)
@@ -205,8 +217,8 @@
         trap = await start(self.trap.server.serve, self.network, anywhere)
         self.trap.entry = server_entry(PLAIN, trap, "z0", int(time.time() * 1000))
         self.store.put("config", "main", document())
-        for number in range(6):
-            await self.add_server(f"s{number}", MODEL if number < 3 else PLAIN)
+        for number, service in enumerate(self.services):
+            await self.add_server(f"s{number}", service)
         for number in range(self.node_count):
             proxy = SoakProxy(store)
             proxy.bytes_per_s = self.link_bytes_per_s
@@ -246,8 +258,8 @@
             "cloud": {"address": str(cloud), "duties": ["usage"]},
             "bounds": {
                 "grace_s": GRACE_S,
-                "retry_ratio": DEPLOYMENT_BOUNDS.retry_ratio,
-                "retry_slack": DEPLOYMENT_BOUNDS.retry_slack,
+                "retry_ratio": self.bounds.retry_ratio,
+                "retry_slack": self.bounds.retry_slack,
             },
         }
 
