Check each kind of repeat, the attempts of a request, and moves of load in random plays

Only plain requests that are answered 500 had been played against the retry budget. Now whatever arrives again is: streams that go on, responses that break off, resets, 503 of full servers, silence, pauses, rate limits and lost paths, while load moves.

--- a/src/rosemaryknot/standin/users/audit.py
+++ b/src/rosemaryknot/standin/users/audit.py
@@ -65,6 +65,8 @@
 # Crashes of brittle servers in one period: a number, and a share of the servers.
 MAX_FALLS = 2
 MAX_FALLS_SHARE = 1 / 10
+# Requests that may reach more servers than their route allows attempts.
+MAX_EXCEEDING = 3
 # Part of the response to a request that is refused for crashes.
 CRASHED = b"servers crashed"
 REFUSED = 503
@@ -603,6 +605,72 @@
     return {service: sorted(sent) for service, sent in times.items()}
 
 
+@invariant("attempts_are_bounded")
+def attempts_are_bounded(observations: Observations) -> Iterable[str]:
+    """Find requests that reached more servers than their route allows attempts."""
+    reached: dict[str, set[str]] = defaultdict(set)
+    for incarnation, arrivals in observations.arrivals.items():
+        for _, request_id in arrivals:
+            reached[request_id].add(incarnation)
+    limits = max_attempts_by_prefix(observations)
+    exceeding = []
+    for request in observations.caller_requests:
+        servers = reached[request.id]
+        limit = max(
+            (n for p, n in limits.items() if request.path.startswith(p)), default=0
+        )
+        if not 0 < limit < len(servers):
+            continue
+        lasting = [name for name in servers if is_lasting(observations, name, request)]
+        if len(lasting) > limit:
+            exceeding.append(f"{request.id} reached {sorted(lasting)}, {limit} allowed")
+    if len(exceeding) > MAX_EXCEEDING:
+        yield f"{len(exceeding)} requests, first: {exceeding[0]}"
+
+
+def max_attempts_by_prefix(observations: Observations) -> dict[str, int]:
+    """Return the largest number of attempts that any configuration allows a route."""
+    limits: dict[str, int] = {}
+    for change in observations.object_changes:
+        if change.kind == "config" and change.spec:
+            for entry in change.spec["routes"]:
+                prefix = entry["pathPrefix"]
+                most = max(limits.get(prefix, 0), entry.get("maxAttempts", 0))
+                limits[prefix] = most
+    return limits
+
+
+def is_lasting(
+    observations: Observations, incarnation: str, request: CallerRequest
+) -> bool:
+    """Return whether a server neither ended nor was cut off during a request."""
+    start_s, end_s = request.sent_s, request.ended_s
+    server = incarnation.partition("/")[0]
+    disturbances = observations.disturbances
+    return not (
+        any(
+            request.node in cut.nodes and cut.start_s <= end_s and cut.end_s >= start_s
+            for cut in disturbances.cuts
+        )
+        or any(
+            change.kind == "servers"
+            and change.name == server
+            and start_s <= change.timestamp_s <= end_s
+            for change in observations.object_changes
+        )
+        or any(
+            found.server == server
+            and found.crashed_s is not None
+            and start_s <= found.crashed_s <= end_s
+            for found in observations.server_requests
+        )
+        or any(
+            fall.server == server and start_s <= fall.timestamp_s <= end_s
+            for fall in observations.falls
+        )
+    )
+
+
 @invariant("stated_drains_hold")
 def stated_drains_hold(observations: Observations) -> Iterable[str]:
     """Find requests to a server whose drain their node had passed on before."""
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -455,6 +455,7 @@
     has_restores: bool = False,
     has_busy_nodes: bool = False,
     has_retries: bool = False,
+    has_moves: bool = False,
 ) -> Play:
     """Return a play with random faults of a seed, some of which overlap."""
     rng = random.Random(seed)
@@ -488,12 +489,24 @@
         play.load |= RETRIED_LOAD
         retry_rng = random.Random(f"retries {seed}")
         play.faults += draw_retries(retry_rng, play.nodes)
+    if has_moves:
+        play.moves = draw_moves(random.Random(f"moves {seed}"), play.nodes)
     if has_restores:
         play.faults += draw_restores(random.Random(f"restores {seed}"))
         play.faults += draw_statements(random.Random(f"statements {seed}"))
     return play
 
 
+def draw_moves(rng: random.Random, nodes: int) -> list[LoadMove]:
+    """Draw moves of the load to some of the nodes, several within a window."""
+    names = [f"n{number}" for number in range(nodes)]
+    moves, at_s = [], 0.0
+    while at_s < Play().length_s:
+        moves.append(LoadMove(round(at_s, 2), rng.sample(names, rng.randint(1, nodes))))
+        at_s += rng.uniform(1.0, 8.0)
+    return moves
+
+
 def load_play(path: Path) -> Play:
     """Read a play from a JSON file.
 
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -151,12 +151,13 @@
 
 @play_fault("failing")
 async def failing(system: PlatformSystem, fault: dict[str, Any]) -> None:
-    """Let ``servers`` answer a ``share`` of their requests with an error."""
+    """Let ``servers`` fail a ``share`` of their requests in ``ways``, or by errors."""
     rng = random.Random(fault["at"])
-    weights = (fault["share"], 1 - fault["share"])
+    ways = fault.get("ways", ["error"])
+    weights = [fault["share"] / len(ways)] * len(ways) + [1 - fault["share"]]
     servers = [system.servers[name] for name in fault["servers"]]
     for server in servers:
-        server.faults.extend(rng.choices(("error", ""), weights, k=MAX_FAILING))
+        server.faults.extend(rng.choices([*ways, ""], weights, k=MAX_FAILING))
     await trio.sleep(fault["for_s"])
     for server in servers:
         server.faults.clear()
--- a/tests/gateway/test_plays.py
+++ b/tests/gateway/test_plays.py
@@ -43,6 +43,7 @@
 SEEDS_WITH_RESTORES = range(14000, 14006)
 SEEDS_WITH_BUSY_NODES = range(15000, 15004)
 SEEDS_WITH_VERSIONS = [7000, 7001, 7002, 7003, 7019, 7030]
+COMBINED_SEEDS = (90000, 90005, 90012, 90020, 90021)
 
 
 def seen_at(status, path, server=""):
@@ -154,6 +155,23 @@
     return observations
 
 
+def sent_to_servers(count):
+    """Return requests that each reach a number of servers, where one is allowed."""
+    routes = [{"pathPrefix": "/stock/", "service": "booking", "maxAttempts": 1}]
+    observations = Observations()
+    observations.object_changes = [
+        ObjectChange(0.0, "config", "main", {"version": 1, "routes": routes})
+    ]
+    for number in range(4):
+        request = CallerRequest(f"a{number}", "plain", True, 502, path="/stock/x")
+        request.sent_s, request.ended_s = 10.0, 11.0
+        observations.caller_requests.append(request)
+        for server in range(count):
+            arrivals = observations.arrivals.setdefault(f"p{server}/1", [])
+            arrivals.append((10.5, request.id))
+    return observations
+
+
 class TestPlays:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_random_faults(self, seed):
@@ -300,6 +318,23 @@
                 load_play(path)
 
 
+class TestCombinations:
+    @pytest.mark.parametrize("seed", COMBINED_SEEDS)
+    def test_several_kinds_of_trouble(self, seed):
+        """Guards against faults that break a promise only beside other ones."""
+        play = random_play(
+            seed,
+            has_cuts=seed % 3 == 0,
+            has_ends=seed % 3 == 1,
+            has_retries=seed % 2 == 0,
+            has_versions=seed % 5 == 0,
+            has_statements=seed % 4 == 0,
+            has_limits=seed % 7 == 0,
+            crashing_per_s=float(seed % 3 == 2),
+        )
+        assert not run_in_virtual_time(seed, run_play, play, seed).violations
+
+
 class TestAudit:
     """Each violation of a guarantee is reported."""
 
@@ -344,11 +379,18 @@
             ("cut_off_nodes_serve", cut_off(failed=40)),
             ("brittle_servers_stand", fallen(3)),
             ("retries_are_bounded", retried(arrivals=2)),
+            ("attempts_are_bounded", sent_to_servers(2)),
         ],
     )
     def test_violation_is_found(self, invariant, observations):
         assert [violation.invariant for violation in audit(observations)] == [invariant]
 
+    def test_servers_that_end_are_not_counted(self):
+        observations = sent_to_servers(2)
+        removed = ObjectChange(10.7, "servers", "p0", None)
+        observations.object_changes.append(removed)
+        assert not audit(observations)
+
     def test_node_without_servers_and_peers_cannot_serve(self):
         """The only peer that reaches servers is partitioned from the node."""
         observations = cut_off(failed=40)
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -25,6 +25,7 @@
 FAILING_S = 12.0
 MOVES_S = (0.0, 13.6, 17.8)
 SEEDS = range(16000, 16006)
+MOVING_SEEDS = range(17000, 17005)
 
 # When which nodes are killed, in seconds after the start of the load.
 KILLS = {
@@ -117,6 +118,42 @@
         assert result.outcomes["stock", 200] > 100
 
 
+class TestKindsOfRepeats:
+    @pytest.mark.parametrize(
+        ("ways", "trouble"),
+        [
+            (["reset", "cut_body", "cut_event", "unframed_reset"], None),
+            (["shed", "mute", "rubbish", "unsigned"], None),
+            (["error", "shed"], "turn_away"),
+            (["error"], "limit"),
+            (["error"], "cut_off"),
+        ],
+    )
+    def test_all_that_arrives_again_counts(self, ways, trouble):
+        """Guards against repeats after other failures that the budget does not see."""
+        models = [f"m{number}" for number in range(PLAIN)]
+        play = moving_play(12, 5, 80, has_kills=False)
+        play.models = len(models)
+        play.load["ask"] = 40.0
+        play.faults[0]["ways"] = ways
+        play.faults[0]["servers"] = play.faults[0]["servers"] + models
+        common = {"kind": trouble, "servers": play.faults[0]["servers"]}
+        if trouble == "turn_away":
+            wishes = {"retry_after": ["1", "1.5"], "for_s": 1.0, "pause_s": 1.0}
+            play.faults.append({"at": FAILING_S - 1} | common | wishes)
+        elif trouble == "limit":
+            play.faults.append(
+                {"at": FAILING_S - 2, "limits": ["6", "3"], "pause_s": 4.0} | common
+            )
+        elif trouble == "cut_off":
+            nodes = zone_nodes(0, 12) + zone_nodes(1, 12)
+            play.faults.append(
+                {"at": 12.5, "kind": "cut_off", "nodes": nodes, "how": "silent"}
+                | {"for_s": 4.0}
+            )
+        assert not run_in_virtual_time(1, run_play, play, 1).violations
+
+
 class TestServices:
     async def test_stream_that_goes_on_at_another_service_counts_once(
         self, autojump_clock
@@ -183,3 +220,10 @@
         result = run_in_virtual_time(seed, run_play, play, seed)
         assert not result.violations
         assert result.outcomes.total() > 200
+
+    @pytest.mark.parametrize("seed", MOVING_SEEDS)
+    def test_random_moves_of_load(self, seed):
+        play = random_play(seed, has_retries=True, has_moves=True)
+        result = run_in_virtual_time(seed, run_play, play, seed)
+        assert not result.violations
+        assert result.outcomes.total() > 200
