Count the crashes under a request that is refused itself once for its segments

Cause: crashes under the same request count once, but of the requests that were running at a crash any new one made it count. With one other request beside the crashing one at each server, three of its crashes made three for the segment that it shares with all requests.

A request that was running at three of the crashes, as many as refuse it, is now their one cause, whatever else was there. A segment that crashes servers comes in requests of which no two are alike, so that it is refused as before: the figures of tests/gateway/test_crashing_segments.py hold (five servers end). Where the requests with it are repeated, each is refused on its own first, and the segment once three of them are.

test_one_request_beside_others failed before. The other two new tests are guards against counting too little; they passed.

--- a/src/rosemaryknot/process/crash_records.py
+++ b/src/rosemaryknot/process/crash_records.py
@@ -17,6 +17,7 @@
 from rosemaryknot.process.crash_table import (
     MAX_CLEARED,
     MAX_CLEARED_SERVERS,
+    MAX_CRASHES,
     MAX_CUSTOMER_RECORDS,
     MAX_RECORDS,
     CrashTable,
@@ -39,8 +40,6 @@
     "CrashRecords",
 ]
 
-# A request that was running on this many servers when they crashed is refused.
-MAX_CRASHES = 3
 # The same limit for a request that had completed before. It is probably not the cause,
 # and until it has completed again it runs once at a time at each node.
 MAX_CRASHES_IF_COMPLETED = 6
--- a/src/rosemaryknot/process/crash_table.py
+++ b/src/rosemaryknot/process/crash_table.py
@@ -7,11 +7,14 @@
 __all__ = [
     "MAX_CLEARED",
     "MAX_CLEARED_SERVERS",
+    "MAX_CRASHES",
     "MAX_CUSTOMER_RECORDS",
     "MAX_RECORDS",
     "CrashTable",
 ]
 
+# A request that was running on this many servers when they crashed is refused.
+MAX_CRASHES = 3
 # Maximum number of records, at 0.6 KB each, and of one customer's, so that a customer
 # who sends many such requests does not evict the records of others.
 MAX_RECORDS = 4096
--- a/src/rosemaryknot/process/segment_suspicions.py
+++ b/src/rosemaryknot/process/segment_suspicions.py
@@ -6,10 +6,13 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from rosemaryknot.process.crash_table import MAX_CRASHES
+
 __all__ = [
     "EVIDENCE_S",
     "WATCHED_CRASHES",
@@ -162,7 +165,9 @@
     """Return the number of crashes that are evidence of their own.
 
     Crashes at the same moment may have one cause, such as the loss of a rack, and those
-    under one request, repeated or resumed, have that request in common.
+    under one request, repeated or resumed, have that request in common. A request that
+    was running at enough of them to be refused itself is a cause of these, whatever
+    other requests were there.
 
     Examples
     --------
@@ -172,14 +177,22 @@
     >>> at_once = SegmentCrash("d@", "s", 3.01, requests=frozenset((b"3",)))
     >>> count_crashes([first, resumed, other, at_once])
     2
+    >>> bystanders = [frozenset((b"1", bytes([n]))) for n in range(3)]
+    >>> crashes = [SegmentCrash(f"{n}@", "s", n, 0, bystanders[n]) for n in range(3)]
+    >>> count_crashes(crashes)
+    1
     """
+    ordered = sorted(crashes, key=lambda crash: crash.crashed_s)
+    present = Counter(digest for crash in ordered for digest in crash.requests)
+    recurring = {digest for digest, n in present.items() if n >= MAX_CRASHES}
     count, last_s = 0, -math.inf
     known: set[bytes] = set()
-    for crash in sorted(crashes, key=lambda crash: crash.crashed_s):
-        new = crash.requests - known
+    for crash in ordered:
+        causes = crash.requests & recurring
+        new = (causes or crash.requests) - known
         if not new or crash.crashed_s - last_s <= SIMULTANEOUS_S:
             continue
-        known.add(min(new))
+        known |= causes or {min(new)}
         last_s = crash.crashed_s
         count += 1
     return count
--- a/tests/process/test_segment_records.py
+++ b/tests/process/test_segment_records.py
@@ -63,6 +63,34 @@
         add_crashes(segments, CAUSE, range(6), request="same")
         assert suspicion(segments, CAUSE) is None
 
+    def test_one_request_beside_others(self):
+        """Guards against a segment of all requests that is refused for one of them."""
+        segments = CrashRecords().segments
+        for number in range(4):
+            add_crashes(segments, COMMON, [number], request="deadly")
+            add_crashes(segments, COMMON, [number], request=f"r{number}")
+        found = suspicion(segments, COMMON)
+        assert found is None or not found.is_suspected
+
+    def test_several_requests_that_are_repeated(self):
+        """Each of them ends three servers; what they have in common is the cause."""
+        segments = CrashRecords().segments
+        for number in range(9):
+            add_crashes(segments, CAUSE, [number], request=f"repeated{number % 3}")
+            add_crashes(segments, CAUSE, [number], request=f"r{number}")
+        assert suspicion(segments, CAUSE).is_suspected
+
+    def test_cause_beside_a_popular_request(self):
+        """The popular request was running at each crash, without the cause."""
+        segments = CrashRecords().segments
+        for number in range(3):
+            add_crashes(segments, CAUSE, [number])
+            add_crashes(segments, COMMON, [number])
+            add_crashes(segments, COMMON, [number], request="popular")
+        assert suspicion(segments, CAUSE).is_suspected
+        found = suspicion(segments, COMMON)
+        assert found is None or not found.is_suspected
+
     def test_rack(self):
         """All servers crash in one moment."""
         segments = CrashRecords().segments
