Compare segments by the rate of their requests, not by counts of different times

Trace: the crashing segment and the common one have three crashes under four requests each. The tie goes to the one with fewer requests at the node since its first crash. The common one had been cleared of its earlier crashes, so that its count began half a second before (five requests), that of the crashing one six seconds before (twelve). So the common one explained the crashes, was refused, and the crashing one had two left.

The rate of the requests decides now. test_segment_that_is_counted_anew failed before; is clean in the one run after.

--- a/src/rosemaryknot/process/segment_records.py
+++ b/src/rosemaryknot/process/segment_records.py
@@ -16,6 +16,7 @@
     EVIDENCE_S,
     SIMULTANEOUS_S,
     SegmentCrash,
+    SegmentRequests,
     Suspicion,
     assess,
 )
@@ -122,6 +123,8 @@
         Records by segment, and then by their digest.
     requests : collections.Counter of bytes
         Requests with each segment that came to this node since its first crash.
+    counted_since_s : dict of bytes to float
+        Since when they are counted, in trio time.
     suspicions : dict of bytes to Suspicion
         Result of the last assessment, by segment.
     has_available : callable
@@ -136,6 +139,7 @@
         self.notify = signal_change
         self.by_unit: dict[bytes, dict[bytes, SegmentRecord]] = {}
         self.requests: Counter[bytes] = Counter()
+        self.counted_since_s: dict[bytes, float] = {}
         self.suspicions: dict[bytes, Suspicion] = {}
         self.assessed_s = -math.inf
         self.valid_until_s = -math.inf
@@ -209,6 +213,7 @@
         if not records:
             del self.by_unit[record.unit]
             del self.requests[record.unit]
+            self.counted_since_s.pop(record.unit, None)
 
     def survived_servers(
         self, record: SegmentRecord, began_s: float, progress_s: float
@@ -263,7 +268,7 @@
             return
         self.remove_old(now_s)
         refused = {unit for unit, s in self.suspicions.items() if s.is_refused}
-        found = assess(self.by_unit, self.requests, refused)
+        found = assess(self.by_unit, self.counted_requests(now_s), refused)
         self.assessed_s = now_s
         self.valid_until_s = now_s + REASSESS_S
         for unit, suspicion in found.items():
@@ -286,6 +291,16 @@
         self.suspicions = found
         self.update_records()
 
+    def counted_requests(self, now_s: float) -> dict[bytes, SegmentRequests]:
+        """Return the requests with each segment that came to this node."""
+        since_s = self.counted_since_s
+        return {
+            unit: SegmentRequests(
+                self.requests[unit], now_s - since_s.setdefault(unit, now_s)
+            )
+            for unit in self.by_unit
+        }
+
     def observed_until_s(self, unit: bytes, suspicion: Suspicion) -> float:
         """Return until when a segment is observed before it is refused.
 
--- a/src/rosemaryknot/process/segment_suspicions.py
+++ b/src/rosemaryknot/process/segment_suspicions.py
@@ -19,6 +19,7 @@
     "SIMULTANEOUS_S",
     "SUSPECT_CRASHES",
     "SegmentCrash",
+    "SegmentRequests",
     "Suspicion",
     "assess",
 ]
@@ -36,6 +37,9 @@
 # How much longer than the response that a server crashed under another one has to go on
 # to show that its segments are not the cause.
 SURVIVAL_S = 0.25
+# Added to the time for which requests are counted, as a rate over an instant says
+# nothing.
+MIN_COUNTED_S = 1.0
 # Requests of which digests are kept for one crash.
 MAX_REQUESTS = 4
 # How long a crash counts against a segment that is not refused.
@@ -198,6 +202,31 @@
     return count
 
 
+@dataclass(slots=True)
+class SegmentRequests:
+    """Requests with a segment that came to a node.
+
+    Attributes
+    ----------
+    count : int
+        Number of them.
+    for_s : float
+        For how long they have been counted, in seconds.
+    """
+
+    count: int = 0
+    for_s: float = 0.0
+
+    @property
+    def per_s(self) -> float:
+        """Rate of the requests, low at first.
+
+        Segments are counted from their first crash on, and anew after responses have
+        cleared them of all crashes, so that their counts alone do not compare.
+        """
+        return self.count / (self.for_s + MIN_COUNTED_S)
+
+
 @dataclass(slots=True)
 class Candidate:
     """A segment with all crashes at which it was present.
@@ -210,16 +239,16 @@
         Its records, one for each customer.
     crashes : dict of str to SegmentCrash
         Crashes by server, over all customers.
-    requests : int
-        Requests with the segment that came to this node since its first crash.
+    requests : SegmentRequests
+        Requests with the segment that came to this node.
     """
 
     unit: bytes
     records: list[Evidence]
     crashes: dict[str, SegmentCrash]
-    requests: int
+    requests: SegmentRequests
 
-    def rank(self, explained: set[str]) -> tuple[bool, float, int, bytes]:
+    def rank(self, explained: set[str]) -> tuple[bool, float, float, bytes]:
         """Return the order in which segments are suspected.
 
         Of those with enough crashes the first one has many crashes and few requests for
@@ -230,12 +259,13 @@
         rest = self.unexplained(explained)
         count = count_crashes(rest.values())
         weight = count**2 / max(1, len(requests_of(rest.values())))
-        return count >= SUSPECT_CRASHES, weight, -self.requests, self.unit
+        return count >= SUSPECT_CRASHES, weight, -self.requests.per_s, self.unit
 
     def resembles(self, other: "Candidate", explained: set[str]) -> bool:
         """Return whether another segment seems to come in the same requests."""
         own, rest = self.unexplained(explained), other.unexplained(explained)
-        if self.requests != other.requests or own.keys() != rest.keys():
+        is_alike = self.requests.count == other.requests.count
+        if not is_alike or own.keys() != rest.keys():
             return False
         return all(own[s].requests == crash.requests for s, crash in rest.items())
 
@@ -268,7 +298,9 @@
     return set().union(*(crash.requests for crash in crashes))
 
 
-def candidate_of(unit: bytes, records: list[Evidence], requests: int) -> Candidate:
+def candidate_of(
+    unit: bytes, records: list[Evidence], requests: SegmentRequests
+) -> Candidate:
     """Return a segment with the crashes in the records of all customers."""
     crashes: dict[str, SegmentCrash] = {}
     for record in records:
@@ -280,7 +312,7 @@
 
 def assess(
     by_unit: Mapping[bytes, Mapping[bytes, Evidence]],
-    requests: Mapping[bytes, int],
+    requests: Mapping[bytes, SegmentRequests],
     refused: Collection[bytes] = (),
 ) -> dict[bytes, Suspicion]:
     """Return the segments that crashes cast suspicion on.
@@ -294,7 +326,7 @@
     ----------
     by_unit : mapping of bytes to mapping of bytes to Evidence
         Records by segment.
-    requests : mapping of bytes to int
+    requests : mapping of bytes to SegmentRequests
         Requests with each segment that came to this node.
     refused : collection of bytes
         Segments that are refused. They come first, whatever came with them since:
@@ -306,7 +338,9 @@
         Segments with at least `WATCHED_CRASHES` unexplained crashes.
     """
     candidates = [
-        candidate_of(unit, list(records.values()), requests.get(unit, 0))
+        candidate_of(
+            unit, list(records.values()), requests.get(unit, SegmentRequests())
+        )
         for unit, records in by_unit.items()
     ]
     remaining = [c for c in candidates if len(c.crashes) >= WATCHED_CRASHES]
--- a/tests/process/test_segment_records.py
+++ b/tests/process/test_segment_records.py
@@ -91,6 +91,21 @@
         found = suspicion(segments, COMMON)
         assert found is None or not found.is_suspected
 
+    def test_segment_that_is_counted_anew(self):
+        """Guards against a common segment that seems rare, as it was cleared lately."""
+        segments = CrashRecords().segments
+        add_crashes(segments, CAUSE, [0])
+        segments.assess(0.0)
+        segments.record_request([CAUSE] * 12)
+        add_crashes(segments, CAUSE, [5, 6])
+        add_crashes(segments, COMMON, [5, 6])
+        segments.assess(5.0)
+        segments.record("ada", COMMON, crash(7, at_s=5.5))
+        segments.record_request([COMMON] * 5)
+        assert suspicion(segments, CAUSE, 6.1).is_suspected
+        found = suspicion(segments, COMMON, 6.1)
+        assert found is None or not found.is_suspected
+
     def test_rack(self):
         """All servers crash in one moment."""
         segments = CrashRecords().segments
