Account for the events of streams whose end has not arrived

A faulty server that sends an event without end, to 60 streams at once, took a node of 100 MB to 126 and 128 MB, with callers who read and who do not; on a machine of that size the process ends, and the requests of all others with it.

Cause: a stream buffers up to 1 MB of an event until it is complete, and these bytes were not in the account of the memory for responses, as those of plain bodies are. So the bound was one for each stream. They are accounted for now; if there is no room, streams with more than 16 KB of an event are broken off, which resumes them at another server where that is allowed, and reads are smaller.

--- a/src/rosemaryknot/request/gateway_attempt.py
+++ b/src/rosemaryknot/request/gateway_attempt.py
@@ -20,7 +20,11 @@
     may_be_event_stream,
     stream_headers,
 )
-from rosemaryknot.request.held_responses import MAX_RESPONSE_BYTES, HeldResponse
+from rosemaryknot.request.held_responses import (
+    MAX_RESPONSE_BYTES,
+    HeldEvent,
+    HeldResponse,
+)
 from rosemaryknot.request.server_statements import StatementRecorder
 from rosemaryknot.values.gateway import RetryPolicy
 from rosemaryknot.values.gateway_responses import (
@@ -431,36 +435,53 @@
         end the response in order at any byte.
         """
         context, splitter = self.context, self.splitter
+        with self.components.held.begin_event() as held:
+            failure = await self.forward_stream(connection, head, held)
+        if failure is not None:
+            return failure
+        if splitter.is_inside_event:
+            return self.break_off("the stream ended inside an event")
+        if self.needs_event(head) and not splitter.has_events:
+            return self.break_off("the stream ended without an event")
+        if not await self.is_end_confirmed(connection):
+            return self.break_off(UNCONFIRMED_END)
+        if not await self.begin_stream():
+            return Lost(UNSETTLED_VERSION)
+        if splitter.buffer:
+            await self.forward_events(head, bytes(splitter.buffer))
+        if not context.reply.is_started:
+            await context.reply.start(head.status, stream_headers(head))
+        await context.reply.end()
+        return Completed(head.status)
+
+    async def forward_stream(
+        self, connection: ServerConnection, head: ResponseHead, held: HeldEvent
+    ) -> Broken | Lost | None:
+        """Forward events until the transport ends; return why not, or None."""
+        context, splitter = self.context, self.splitter
         async for chunk in connection.chunks():
             if isinstance(chunk, Lost):
                 return self.break_off(chunk.reason)
             self.state.record_received(self.sent_s, self.is_confirmed)
             events = splitter.feed(chunk)
+            # The next chunk would be read beside this one.
+            del chunk
+            if splitter.buffer:
+                connection.read_bytes = self.components.held.read_bytes
             if splitter.is_out_of_order:
                 # It is not known after which event another server could resume.
                 context.last_event_id = None
                 return Broken("an event came twice after the stream resumed")
             if splitter.is_too_large:
                 return self.break_off("an event is too large")
+            if not held.resize(len(splitter.buffer)):
+                return self.break_off("no room for the rest of an event")
             if events:
                 self.statements.record_absent_limit(head.status)
                 if not await self.begin_stream():
                     return Lost(UNSETTLED_VERSION)
                 await self.forward_events(head, events)
-        if splitter.is_inside_event:
-            return self.break_off("the stream ended inside an event")
-        if self.needs_event(head) and not splitter.has_events:
-            return self.break_off("the stream ended without an event")
-        if not await self.is_end_confirmed(connection):
-            return self.break_off(UNCONFIRMED_END)
-        if not await self.begin_stream():
-            return Lost(UNSETTLED_VERSION)
-        if splitter.buffer:
-            await self.forward_events(head, bytes(splitter.buffer))
-        if not context.reply.is_started:
-            await context.reply.start(head.status, stream_headers(head))
-        await context.reply.end()
-        return Completed(head.status)
+        return None
 
     async def begin_stream(self) -> bool:
         """Keep the stream at this server's software version from its first event on.
--- a/src/rosemaryknot/request/held_responses.py
+++ b/src/rosemaryknot/request/held_responses.py
@@ -13,7 +13,7 @@
 from rosemaryknot.process.caller_memory import CallerMemory
 from rosemaryknot.process.metrics import gauge
 
-__all__ = ["MAX_RESPONSE_BYTES", "HeldResponse", "HeldResponses"]
+__all__ = ["MAX_RESPONSE_BYTES", "HeldEvent", "HeldResponse", "HeldResponses"]
 
 # A response of this size is held whatever the others of its service are like.
 MIN_LIMIT_BYTES = 1 << 20
@@ -30,6 +30,10 @@
 # A larger response never ends, even one that is passed on as it arrives.
 MAX_RESPONSE_BYTES = 64 << 20
 
+# Incomplete events up to this size are held even if there is no room: nearly all are
+# smaller, and a stream that is broken off is begun again.
+SMALL_EVENT_BYTES = 16384
+
 HELD_BYTES = gauge("held_response_bytes", "Bytes of responses that are not complete.")
 
 
@@ -92,6 +96,46 @@
         self.size = 0
 
 
+class HeldEvent:
+    """The begin of an event of a stream whose end has not been received.
+
+    Parameters
+    ----------
+    change_total : callable
+        Changes the number of bytes that the node holds; returns whether it is within
+        the bound.
+
+    Attributes
+    ----------
+    size : int
+        Bytes that are accounted for.
+    """
+
+    __slots__ = ("change_total", "size")
+
+    def __init__(self, change_total: Callable[[int], bool]) -> None:
+        self.change_total = change_total
+        self.size = 0
+
+    def __enter__(self) -> "HeldEvent":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.resize(0)
+
+    def resize(self, size: int) -> bool:
+        """Change the size; return whether the event may still be held."""
+        if size == self.size:
+            return True
+        change, self.size = size - self.size, size
+        return self.change_total(change) or size <= SMALL_EVENT_BYTES
+
+
 class HeldResponses:
     """The responses that a node holds, and the sizes of the complete ones by service.
 
@@ -131,6 +175,10 @@
         """Return a new response of a service, without bytes."""
         return HeldResponse(self.limit(service), self.change_total)
 
+    def begin_event(self) -> HeldEvent:
+        """Return the account of the incomplete events of a stream."""
+        return HeldEvent(self.change_total)
+
     def limit(self, service: str) -> int:
         """Return how large a response of a service may be, in bytes."""
         limit = LIMIT_FACTOR * self.largest[service]
--- a/tests/clients/processes.py
+++ b/tests/clients/processes.py
@@ -18,6 +18,7 @@
 from rosemaryknot.values.nodes import Address
 
 __all__ = [
+    "ATTEMPT_MARK",
     "HOST",
     "KEY",
     "MODEL_PATH",
@@ -42,6 +43,9 @@
 MEMORY_MB = 100
 FILES = 2000
 START_TIMEOUT_S = 30.0
+# Replaced by the id of the attempt in what a backend server sends without end.
+ATTEMPT_MARK = b"ATTEMPT"
+PIECE_INTERVAL_S = 0.002
 SAMPLE_INTERVAL_S = 0.05
 KB_PER_MB = 1024
 
@@ -107,6 +111,9 @@
         Time that the backend server takes for a request to `SLOW_PATH`.
     response : bytes
         Body of its responses.
+    endless : dict of str to tuple of (bytes, bytes)
+        What the backend server sends to requests with a path: bytes, and then others
+        again and again until the connection is closed.
     """
 
     def __init__(self, memory_mb: int, files: int) -> None:
@@ -119,6 +126,7 @@
         self.bodies: list[bytes] = []
         self.work_s = 0.01
         self.response = b"done"
+        self.endless: dict[str, tuple[bytes, bytes]] = {}
         self.figures: ProcessFigures
 
     async def serve(self, request: RawRequest, wire: RawWire) -> None:
@@ -126,9 +134,16 @@
         self.bodies.append(request.body)
         if request.path == SLOW_PATH:
             await trio.sleep(self.work_s)
+        attempt = request.headers["rosemaryknot-attempt-id"]
+        if request.path in self.endless:
+            begin, piece = self.endless[request.path]
+            await wire.send(begin.replace(ATTEMPT_MARK, attempt.encode()))
+            while True:
+                await wire.send(piece)
+                await trio.sleep(PIECE_INTERVAL_S)
         headers = {
             "Rosemaryknot-Instance-Signature": "signed",
-            "Rosemaryknot-Attempt-Id": request.headers["rosemaryknot-attempt-id"],
+            "Rosemaryknot-Attempt-Id": attempt,
         }
         if request.path == MODEL_PATH:
             headers["Content-Type"] = "text/event-stream"
