--- a/src/rosemaryknot/process/attempt_budget.py
+++ b/src/rosemaryknot/process/attempt_budget.py
@@ -28,6 +28,8 @@
     ----------
     requests : deque of float
         Times of the requests of the last window, in trio time.
+    retries : deque of float
+        Times of the retries that were sent in the last window, to log their number.
     saved : float
         Retries that requests have earned and that were not sent.
     slack_uses : deque of tuple of (float, float)
@@ -35,17 +37,19 @@
         a part of one.
     """
 
-    __slots__ = ("requests", "saved", "slack_uses")
+    __slots__ = ("requests", "retries", "saved", "slack_uses")
 
     def __init__(self) -> None:
         self.requests: deque[float] = deque()
+        self.retries: deque[float] = deque()
         self.saved = 0.0
         self.slack_uses: deque[tuple[float, float]] = deque()
 
     def drop_expired(self, start_s: float) -> None:
         """Remove what precedes the start of the window."""
-        while self.requests and self.requests[0] < start_s:
-            self.requests.popleft()
+        for times in (self.requests, self.retries):
+            while times and times[0] < start_s:
+                times.popleft()
         while self.slack_uses and self.slack_uses[0][0] < start_s:
             self.slack_uses.popleft()
 
@@ -131,7 +135,8 @@
         if not self.has_retry(service, now_s):
             return False
         account = self.accounts[service]
-        earned = min(1.0, max(0.0, account.saved))
+        account.retries.append(now_s)
+        earned = min(1.0, account.saved)
         account.saved -= earned
         if earned < 1:
             account.slack_uses.append((now_s, 1 - earned))
@@ -176,6 +181,7 @@
         return {
             "budget_allowed": round(allowed, 1),
             "budget_requests": len(account.requests),
+            "budget_retries": len(account.retries),
             "budget_saved": round(account.saved, 1),
             "budget_slack_used": round(account.used_slack(), 1),
             "budget_nodes": self.assumed_nodes(now_s),
--- a/tests/process/test_attempt_budget.py
+++ b/tests/process/test_attempt_budget.py
@@ -158,6 +158,20 @@
         record(budget, 100.0, 1000)
         assert not granted(budget, 110.1)
 
+    def test_explanation(self):
+        budget = AttemptBudget(RATIO, WINDOW_S, 5.0, lambda: NODES)
+        record(budget, 100.0, 50)
+        assert granted(budget, 100.0) == 3
+        assert budget.explain("s", 101.0) == {
+            "budget_allowed": 0.8,
+            "budget_requests": 50,
+            "budget_retries": 3,
+            "budget_saved": 0.0,
+            "budget_slack_used": 0.0,
+            "budget_nodes": NODES,
+            "budget_restarted": False,
+        }
+
     def test_parts_of_retries_add_up(self):
         """Guards against nodes with little load that never retry."""
         budget = AttemptBudget(RATIO, WINDOW_S, 5.0, lambda: NODES)
