--- a/src/rosemaryknot/request/held_responses.py
+++ b/src/rosemaryknot/request/held_responses.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from types import TracebackType
+from typing import Self
 
 from rosemaryknot.process.caller_memory import CallerMemory
 from rosemaryknot.process.metrics import gauge
@@ -37,32 +38,28 @@
 HELD_BYTES = gauge("held_response_bytes", "Bytes of responses that are not complete.")
 
 
-class HeldResponse:
-    """One response that is held.
+class HeldBytes:
+    """Bytes that are accounted for while they are held.
 
     Parameters
     ----------
-    limit : int
-        Bytes that it may have.
     change_total : callable
         Takes the change of the bytes of all responses; returns whether they are within
         the bound of the node.
 
     Attributes
     ----------
-    body : bytearray
-        Bytes received so far.
     size : int
         Bytes that are accounted for.
     """
 
-    def __init__(self, limit: int, change_total: Callable[[int], bool]) -> None:
-        self.limit = limit
+    __slots__ = ("change_total", "size")
+
+    def __init__(self, change_total: Callable[[int], bool]) -> None:
         self.change_total = change_total
-        self.body = bytearray()
         self.size = 0
 
-    def __enter__(self) -> "HeldResponse":
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(
@@ -73,6 +70,39 @@
     ) -> None:
         self.release()
 
+    def resize(self, size: int) -> bool:
+        """Change the size; return whether all bytes are within the bound."""
+        change, self.size = size - self.size, size
+        return self.change_total(change)
+
+    def release(self) -> None:
+        """Hold the bytes no longer."""
+        self.resize(0)
+
+
+class HeldResponse(HeldBytes):
+    """One response that is held.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes that it may have.
+    change_total : callable
+        See `HeldBytes`.
+
+    Attributes
+    ----------
+    body : bytearray
+        Bytes received so far.
+    """
+
+    __slots__ = ("body", "limit")
+
+    def __init__(self, limit: int, change_total: Callable[[int], bool]) -> None:
+        super().__init__(change_total)
+        self.limit = limit
+        self.body = bytearray()
+
     @property
     def is_too_large(self) -> bool:
         """Whether it is larger than any response of its service is expected to be."""
@@ -81,8 +111,7 @@
     def add(self, data: bytes) -> bool:
         """Add received bytes; return whether the response may still be held."""
         self.body += data
-        self.size += len(data)
-        return self.change_total(len(data)) and not self.is_too_large
+        return self.resize(self.size + len(data)) and not self.is_too_large
 
     def take(self) -> bytes:
         """Return the bytes, which stay accounted for until they are delivered."""
@@ -92,48 +121,19 @@
     def release(self) -> None:
         """Hold the bytes no longer."""
         self.body = bytearray()
-        self.change_total(-self.size)
-        self.size = 0
-
-
-class HeldEvent:
-    """The begin of an event of a stream whose end has not been received.
-
-    Parameters
-    ----------
-    change_total : callable
-        Changes the number of bytes that the node holds; returns whether it is within
-        the bound.
-
-    Attributes
-    ----------
-    size : int
-        Bytes that are accounted for.
-    """
-
-    __slots__ = ("change_total", "size")
+        super().release()
 
-    def __init__(self, change_total: Callable[[int], bool]) -> None:
-        self.change_total = change_total
-        self.size = 0
 
-    def __enter__(self) -> "HeldEvent":
-        return self
+class HeldEvent(HeldBytes):
+    """The part of a stream's event that has arrived before its end."""
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self.resize(0)
+    __slots__ = ()
 
     def resize(self, size: int) -> bool:
         """Change the size; return whether the event may still be held."""
         if size == self.size:
             return True
-        change, self.size = size - self.size, size
-        return self.change_total(change) or size <= SMALL_EVENT_BYTES
+        return super().resize(size) or size <= SMALL_EVENT_BYTES
 
 
 class HeldResponses:
@@ -176,7 +176,7 @@
         return HeldResponse(self.limit(service), self.change_total)
 
     def begin_event(self) -> HeldEvent:
-        """Return the account of the incomplete events of a stream."""
+        """Return the account of a stream's incomplete events."""
         return HeldEvent(self.change_total)
 
     def limit(self, service: str) -> int:
