Reserve the ports of a soak until its nodes have ended

Each port is now held by a UDP socket on the same number, which the next soak finds taken; nodes use TCP only.

The test failed before, as there was nothing to reserve (both ranges began at 21060 and 21040 and shared 21060 to 21063).

--- a/scripts/retry_soak.py
+++ b/scripts/retry_soak.py
@@ -305,6 +305,7 @@
         if await node.wait(GRACE_S + 2) is None:
             node.send(signal.SIGKILL)
             node.process.wait()
+    system.release_ports()
 
 
 @app.command()
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -119,12 +119,38 @@
     return True
 
 
-def first_port(seed: int, nodes: int) -> int:
-    """Return the first port of a range that is free for all nodes."""
+def reserve(port: int) -> socket.socket | None:
+    """Reserve a free port against other soaks; return what holds it, or None.
+
+    The nodes bind it for TCP only once they start. Until then two soaks that begin
+    together would take the same ports, and their nodes would serve both systems.
+    """
+    holder = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        holder.bind((HOST, port))
+    except OSError:
+        holder.close()
+        return None
+    if is_free(port):
+        return holder
+    holder.close()
+    return None
+
+
+def reserve_ports(seed: int, nodes: int) -> tuple[int, list[socket.socket]]:
+    """Reserve a range of ports for all nodes; return the first, and what holds them."""
     begin = seed % len(PORTS)
     for base in [*PORTS[begin:], *PORTS[:begin]]:
-        if all(is_free(base + n) for n in range(nodes * PORTS_OF_NODE)):
-            return base
+        holders = []
+        for port in range(base, base + nodes * PORTS_OF_NODE):
+            holder = reserve(port)
+            if holder is None:
+                break
+            holders.append(holder)
+        else:
+            return base, holders
+        for holder in holders:
+            holder.close()
     raise RuntimeError("no range of free ports for the nodes")
 
 
@@ -194,7 +220,7 @@
         self.bounds = bounds
         self.network = SocketNetwork()
         self.folder = FOLDER / str(seed)
-        self.base = first_port(seed, nodes)
+        self.base, self.reserved = reserve_ports(seed, nodes)
         self.link_bytes_per_s = random.Random(seed).choice((0, SLOW_LINK_BYTES_PER_S))
         self.store = StoreStandIn()
         self.cloud = CloudStandIn()
@@ -361,6 +387,12 @@
                 self.problems.append(Violation("planned_stop", f"{node.name}: {code}"))
                 node.send(signal.SIGKILL)
                 node.process.wait()
+        self.release_ports()
+
+    def release_ports(self) -> None:
+        """Let other soaks use the ports."""
+        for holder in self.reserved:
+            holder.close()
 
 
 def proxied_name(proxy: str) -> str:
--- a/tests/scripts/test_soak.py
+++ b/tests/scripts/test_soak.py
@@ -52,3 +52,16 @@
         first, second = soak.draw_schedule(7), soak.draw_schedule(7)
         assert first == second and len(first) > 4
         assert first != soak.draw_schedule(8)
+
+
+class TestPorts:
+    def test_soaks_that_begin_together(self, monkeypatch):
+        """Guards against two systems whose nodes have the same ports."""
+        monkeypatch.syspath_prepend(str(SOAK.parent))
+        soak = importlib.import_module("soak")
+        first, holders = soak.reserve_ports(3, 12)
+        second, others = soak.reserve_ports(2, 6)
+        for holder in [*holders, *others]:
+            holder.close()
+        ports = set(range(first, first + 12 * soak.PORTS_OF_NODE))
+        assert ports.isdisjoint(range(second, second + 6 * soak.PORTS_OF_NODE))
