--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -78,7 +78,7 @@
 
 @dataclass(slots=True)
 class LoadMove:
-    """All callers go to some of the nodes from now on, as a load balancer has it.
+    """A moment from which all callers send their requests to some of the nodes.
 
     Attributes
     ----------
@@ -490,18 +490,20 @@
         retry_rng = random.Random(f"retries {seed}")
         play.faults += draw_retries(retry_rng, play.nodes)
     if has_moves:
-        play.moves = draw_moves(random.Random(f"moves {seed}"), play.nodes)
+        play.moves = draw_moves(
+            random.Random(f"moves {seed}"), play.nodes, play.length_s
+        )
     if has_restores:
         play.faults += draw_restores(random.Random(f"restores {seed}"))
         play.faults += draw_statements(random.Random(f"statements {seed}"))
     return play
 
 
-def draw_moves(rng: random.Random, nodes: int) -> list[LoadMove]:
+def draw_moves(rng: random.Random, nodes: int, length_s: float) -> list[LoadMove]:
     """Draw moves of the load to some of the nodes, several within a window."""
     names = [f"n{number}" for number in range(nodes)]
     moves, at_s = [], 0.0
-    while at_s < Play().length_s:
+    while at_s < length_s:
         moves.append(LoadMove(round(at_s, 2), rng.sample(names, rng.randint(1, nodes))))
         at_s += rng.uniform(1.0, 8.0)
     return moves
