Go on after any name when a list of the store has several pages

What callers saw: an entry of another writer, whose name holds characters such as & + # or %, ends a page of the list of servers. After a restart of all nodes none of them knows a server, and all requests are refused for as long as the entry stands. Nodes that run on have the same when the store drops its history: a server that joins stays unknown.

Cause: the name of the last object of a page was put into the query of the next page as it was. It ended the parameter, added another one or meant another name. Three things followed: a list that began anew with each page, up to 1,000 calls for each try; a list that passed over the servers between, taken as complete; and, for names that no URL carries, an exception outside the outcomes of a call.

A usual name passed before, so paging itself was ruled out.

Now the cursor is percent-encoded. A list whose next page would begin where an earlier one did fails at once.

The stand-in refuses targets that RFC 3986 does not allow, decodes names in paths, has a page size, and answers a waiting watch when its history is dropped together with a change.

--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -2,6 +2,7 @@
 
 import json
 from typing import Any
+from urllib.parse import quote
 
 import httpx
 
@@ -12,10 +13,12 @@
     era_of_response,
 )
 from rosemaryknot.connection.store_era import EraTracker
+from rosemaryknot.platform.list_cursors import next_cursor
 from rosemaryknot.platform.store_responses import (
     decode_events,
     decode_object,
     decode_objects,
+    names_of,
     parse_item,
     parse_page,
 )
@@ -41,7 +44,8 @@
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
-MAX_PAGES = 1000
+# Reason of a list whose next page would begin where an earlier one did.
+NO_PROGRESS = "list does not go on"
 # Rises by one each time the store has been restored from a copy.
 ERA_HEADER = "store-era"
 
@@ -130,8 +134,9 @@
         """Read all objects of a kind, page by page."""
         listed = Listed(0)
         after = ""
-        for _ in range(MAX_PAGES):
-            query = f"?sinceRevision={after}" if after else ""
+        cursors = {after}
+        while True:
+            query = f"?sinceRevision={quote(after, safe='')}" if after else ""
             response = await self.calls.get(object_path(kind) + query)
             page = decode_response(
                 response, lambda content: parse_page(content, "items")
@@ -149,14 +154,16 @@
             except JSON_ERRORS:
                 return PlatformFailed(BAD_RESPONSE)
             listed.version = listed.version or revision
-            found = decode_objects(page["items"], kind, era)
-            listed.objects |= found
+            listed.objects |= decode_objects(page["items"], kind, era)
             if not page.get("hasMore"):
                 return listed
-            if not found:
+            names = names_of(page["items"])
+            if not names:
                 return PlatformFailed(BAD_RESPONSE)
-            after = list(found)[-1]
-        return PlatformFailed("too many pages")
+            after = next_cursor(names)
+            if after in cursors:
+                return PlatformFailed(NO_PROGRESS)
+            cursors.add(after)
 
     async def create(self, kind: str, name: str, value: Any) -> Any:
         """Create an object that must not exist yet."""
--- a/src/rosemaryknot/platform/store_responses.py
+++ b/src/rosemaryknot/platform/store_responses.py
@@ -23,6 +23,7 @@
     "decode_events",
     "parse_item",
     "decode_objects",
+    "names_of",
     "parse_page",
     "decode_object",
 ]
@@ -239,6 +240,13 @@
     return objects
 
 
+def names_of(items: list[Any]) -> list[str]:
+    """Return the names in the items of a page, also of items that are no objects."""
+    metadata = [item.get("metadata") for item in items if isinstance(item, dict)]
+    names = [found.get("name") for found in metadata if isinstance(found, dict)]
+    return [name for name in names if isinstance(name, str)]
+
+
 def decode_events(events: list[Any], kind: str, era: int = 0) -> list[ObjectChanged]:
     """Decode the changes of a watch in order; items that are no objects are skipped."""
     changes = []
--- a/src/rosemaryknot/standin/users/store.py
+++ b/src/rosemaryknot/standin/users/store.py
@@ -1,8 +1,11 @@
 """Stand-in for the users' store: list, watch, conditional writes, and its faults."""
 
 import json
+import random
+import re
 from dataclasses import dataclass, field
 from typing import Any
+from urllib.parse import parse_qsl, unquote
 
 import trio
 
@@ -16,6 +19,11 @@
 RESPONSE_DELAY_S = 0.004
 JSON = {"Content-Type": "application/json"}
 ERA_HEADER = "Store-Era"
+# Targets in origin form; RFC 3986, sections 3.3 and 3.4.
+TARGET = re.compile(r"/(?:[A-Za-z0-9\-._~!$&'()*+,;=:@/?]|%[0-9A-Fa-f]{2})*")
+MAX_TARGET_BYTES = 8192
+INVALID_TARGET = 400
+TARGET_TOO_LONG = 414
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,6 +57,10 @@
         Empty (no fault), ``busy`` (503), ``many`` (429), ``reset`` or ``silent``.
     hosts : set of str
         Hosts of the callers that are affected; empty for all.
+    share : float
+        Share of their calls that is affected.
+    rng : random.Random
+        Draws these calls.
     lose_writes : int
         Number of following writes that are applied but not answered.
     delay_writes_s : float
@@ -60,13 +72,16 @@
 
     mode: str = ""
     hosts: set[str] = field(default_factory=set)
+    share: float = 1.0
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
     lose_writes: int = 0
     delay_writes_s: float = 0.0
     begin_count: int = 0
 
-    def begin(self, mode: str, *hosts: str) -> None:
+    def begin(self, mode: str, *hosts: str, share: float = 1.0) -> None:
         """Begin a fault."""
         self.mode = mode
+        self.share = share
         self.hosts = set(hosts)
         self.begin_count += 1
 
@@ -75,8 +90,10 @@
         self.mode = ""
 
     def affects(self, caller: str) -> bool:
-        """Return whether the fault affects calls of a caller."""
-        return bool(self.mode) and (not self.hosts or caller in self.hosts)
+        """Return whether the fault affects a call of a caller."""
+        if not self.mode or (self.hosts and caller not in self.hosts):
+            return False
+        return self.share >= 1.0 or self.rng.random() < self.share
 
 
 @dataclass(slots=True)
@@ -150,11 +167,17 @@
         All changes of objects; unlike the history, no fault discards them.
     invalid_items : dict of str to list
         Items by kind that are listed among the objects but are not objects.
+    page_size : int
+        Maximum number of objects in a page of a list.
+    response_delay_s : float
+        Time until a call is answered, in seconds.
     """
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, dict]] = {}
         self.invalid_items: dict[str, list[Any]] = {}
+        self.page_size = PAGE_SIZE
+        self.response_delay_s = RESPONSE_DELAY_S
         self.era: int | None = 1
         self.revision = FIRST_REVISION
         self.saved: list[SavedObject] = []
@@ -257,12 +280,17 @@
         )
         if await self.apply_fault(request, wire):
             return
+        error = target_error(request.target)
+        if error is not None:
+            await wire.answer(error, self.headers())
+            return
         begin_count = self.faults.begin_count
-        await trio.sleep(RESPONSE_DELAY_S)
+        await trio.sleep(self.response_delay_s)
         kind, _, name = request.path.removeprefix(PREFIX).partition("/")
+        kind, name = unquote(kind), unquote(name)
         if request.method == "GET":
             status, value = await self.read(kind, name, request)
-            if await self.apply_fault(request, wire):
+            if self.faults.share >= 1.0 and await self.apply_fault(request, wire):
                 return
             if begin_count != self.faults.begin_count and not self.faults.hosts:
                 await trio.sleep_forever()
@@ -298,11 +326,11 @@
     def page(self, kind: str, after: str) -> dict:
         """Return one page of a list."""
         names = sorted(n for n in self.objects.get(kind, {}) if n > after)
-        items = [self.objects[kind][n] for n in names[:PAGE_SIZE]]
+        items = [self.objects[kind][n] for n in names[: self.page_size]]
         items += self.invalid_items.get(kind, [])
         return {
             "items": items,
-            "hasMore": len(names) > PAGE_SIZE,
+            "hasMore": len(names) > self.page_size,
             "storeRevision": self.revision,
         }
 
@@ -313,7 +341,7 @@
         if since < self.oldest_revision or since > self.revision:
             return 410, {}
         with trio.move_on_after(wait_s):
-            while not self.events(kind, since):
+            while since >= self.oldest_revision and not self.events(kind, since):
                 await self.changed.wait()
         if since < self.oldest_revision:
             return 410, {}
@@ -358,3 +386,17 @@
             return 200, {}
         self.put(kind, name, body.get("spec"))
         return 200, self.objects[kind][name]
+
+
+def target_error(target: str) -> int | None:
+    """Return the status that refuses the target of a request; None for a valid one."""
+    if len(target) > MAX_TARGET_BYTES:
+        return TARGET_TOO_LONG
+    if TARGET.fullmatch(target) is None:
+        return INVALID_TARGET
+    try:
+        unquote(target, errors="strict")
+        parse_qsl(target.partition("?")[2], strict_parsing="?" in target)
+    except ValueError:
+        return INVALID_TARGET
+    return None
