Quote names and ids in paths, and leave out names too long for a message

Found while looking for the cause of the lists elsewhere: the paths of objects in the users' store and of requests at engines held names as they are. All names that this system gives are hexadecimal or fixed, so nothing was seen; a name with / or ? would have reached another object, or the list of its kind. The client of the product's own platform quotes names already. Logs escape line breaks, and a label that cannot be rendered is dropped and logged; neither needed a change.

A server's entry is limited to 16 KB in messages between nodes, its name was not: some names of a megabyte would have exceeded the largest message. Such an entry is skipped, with a log line.

--- a/src/rosemaryknot/connection/engine_client.py
+++ b/src/rosemaryknot/connection/engine_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 import httpx
 import trio
@@ -35,6 +36,11 @@
 HEADERS = {"connection": "close", "accept-encoding": "identity"}
 
 
+def request_path(request_id: str) -> str:
+    """Return the path of a request at its engine."""
+    return f"/v1/requests/{quote(request_id, safe='')}"
+
+
 @dataclass(slots=True)
 class EngineStatus:
     """State of one request, as an engine reports it.
@@ -155,7 +161,7 @@
         self, server: BackendServer, request_id: str
     ) -> EngineStatus | None:
         """Return the state of a request; None if the engine does not respond."""
-        fields = await self.request_json("GET", server, f"/v1/requests/{request_id}")
+        fields = await self.request_json("GET", server, request_path(request_id))
         try:
             return EngineStatus(str(fields["status"]), int(fields.get("offset", 0)))
         except JSON_ERRORS:
@@ -163,7 +169,7 @@
 
     async def cancel(self, server: BackendServer, request_id: str) -> bool:
         """Cancel a request; return False if the engine does not respond."""
-        path = f"/v1/requests/{request_id}/cancel"
+        path = f"{request_path(request_id)}/cancel"
         return await self.request_json("POST", server, path) is not None
 
     async def export_kv(
--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -50,9 +50,16 @@
 ERA_HEADER = "store-era"
 
 
+def path_segment(name: str) -> str:
+    """Return a name as a segment of a path."""
+    # Clients and servers remove the segments "." and ".." from a path.
+    return quote(name, safe="") if name.strip(".") else name.replace(".", "%2E")
+
+
 def object_path(kind: str, name: str = "") -> str:
     """Return the path of a kind of object, or of one object."""
-    return f"/v1/objects/{kind}" + (f"/{name}" if name else "")
+    path = f"/v1/objects/{path_segment(kind)}"
+    return f"{path}/{path_segment(name)}" if name else path
 
 
 def encode_object(name: str, value: Any, revision: int | None = None) -> bytes:
--- a/src/rosemaryknot/platform/store_responses.py
+++ b/src/rosemaryknot/platform/store_responses.py
@@ -36,8 +36,9 @@
 # gives a `RecursionError`, and numbers beyond 64 bits give an `OverflowError`.
 PARSE_ERRORS = (ValueError, TypeError, OverflowError, RecursionError)
 UNREADABLE = "unreadable entry"
-# Maximum size of a server's entry in a message. Servers write about 300 bytes; some
-# hundred entries of the maximum size fit into the largest message, 8 MB.
+# Maximum size of a server's name, and of its entry, in a message. Servers write about
+# 300 bytes; some hundred entries of the maximum size fit into the largest message, of
+# 8 MB.
 MAX_VALUE_BYTES = {SERVERS_KIND: 16_384}
 
 log = logger("store")
@@ -200,8 +201,8 @@
     return value if size <= MAX_VALUE_BYTES.get(kind, size) else UNREADABLE
 
 
-def name_and_revision(item: Any) -> tuple[str, int] | None:
-    """Return the name and revision of an item, or None if they are missing."""
+def name_and_revision(item: Any, kind: str = "") -> tuple[str, int] | None:
+    """Return the name and revision of an item, or None if they are not usable."""
     metadata = item.get("metadata") if isinstance(item, dict) else None
     if not isinstance(metadata, dict):
         return None
@@ -210,14 +211,14 @@
         return None
     return (
         None
-        if encodable_value([name, revision], "") == UNREADABLE
+        if encodable_value([name, revision], kind) == UNREADABLE
         else (name, revision)
     )
 
 
 def decode_object(item: Any, kind: str, era: int = 0) -> StoredObject | None:
     """Decode an object, whose value is in ``spec``; None if it has no name."""
-    found = name_and_revision(item)
+    found = name_and_revision(item, kind)
     if found is None:
         return None
     value = encodable_value(item.get("spec"), kind)
@@ -252,7 +253,7 @@
     changes = []
     for event in events:
         item = event.get("object") if isinstance(event, dict) else None
-        found = name_and_revision(item)
+        found = name_and_revision(item, kind)
         if found is None:
             log.warning(
                 "skipped item without a valid name or revision",
