Log each list of the store with its pages and time, and why it was interrupted

A list of several pages counted as one call, and a failed one logged nothing but `store unreachable`, once. So a list that begins anew again and again could not be told from a store that is away, nor from a process that does not come up. `listed objects`, `list interrupted`, `requests can be served` and the counter store_list_pages_total tell them apart. No decision changes.

--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -22,6 +22,8 @@
     parse_item,
     parse_page,
 )
+from rosemaryknot.process.logs import logger
+from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.json_text import JSON_ERRORS
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import (
@@ -49,6 +51,10 @@
 # Rises by one each time the store has been restored from a copy.
 ERA_HEADER = "store-era"
 
+PAGES = counter("store_list_pages_total", "Pages of lists by kind and outcome.")
+
+log = logger("store")
+
 
 def path_segment(name: str) -> str:
     """Return a name as a segment of a path."""
@@ -149,7 +155,16 @@
                 response, lambda content: parse_page(content, "items")
             )
             if isinstance(page, PlatformFailed):
+                PAGES.add(kind=kind, outcome=page.reason)
+                log.warning(
+                    "list interrupted",
+                    kind=kind,
+                    pages=listed.pages,
+                    reason=page.reason,
+                )
                 return page
+            PAGES.add(kind=kind, outcome="ok")
+            listed.pages += 1
             era = era_of_response(response)
             if after and era != era_of(listed.version):
                 # The rest of a list does not fit to pages of before a restore.
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -124,7 +124,12 @@
 
     def signal_known(self) -> None:
         """Wake the tasks that wait until requests can be served."""
-        if self.is_known():
+        if self.is_known() and not self.known.is_set():
+            log.info(
+                "requests can be served",
+                version=self.version,
+                servers=len(self.servers.by_id),
+            )
             self.known.set()
 
     # Configuration.
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -423,10 +423,21 @@
 
     async def list_all(self) -> None:
         """List the objects and apply the list."""
+        started_s = trio.current_time()
         listed = await self.store.list_objects(self.kind)
         if isinstance(listed, PlatformFailed):
             await self.record_failure(listed)
             return
+        log.info(
+            "listed objects",
+            kind=self.kind,
+            objects=len(listed.objects),
+            pages=listed.pages,
+            took_s=round(trio.current_time() - started_s, 3),
+            failures=self.failures,
+            era=era_of(listed.version),
+            revision=revision_of(listed.version),
+        )
         before, was_expired = self.revision, self.is_expired
         is_same_era = era_of(listed.version) == era_of(before)
         # A store that states no era shows only by an expired history that it may return
--- a/src/rosemaryknot/values/platform.py
+++ b/src/rosemaryknot/values/platform.py
@@ -143,10 +143,13 @@
         Version of the kind; a watch that starts from it misses no change.
     objects : dict of str to StoredObject
         Objects by name.
+    pages : int
+        Number of responses that the list consists of.
     """
 
     version: int
     objects: dict[str, StoredObject] = field(default_factory=dict)
+    pages: int = 0
 
 
 @dataclass(slots=True)
