Read lists of several pages in tests while the store fails, and list the cases that fail

Each answer takes 1.5 s: nothing is served after 12 s. One page is never answered: none of the other servers is used at a start, and a server that joins stays unknown to nodes that run on.

--- a/src/rosemaryknot/standin/users/store.py
+++ b/src/rosemaryknot/standin/users/store.py
@@ -23,6 +23,7 @@
 TARGET = re.compile(r"/(?:[A-Za-z0-9\-._~!$&'()*+,;=:@/?]|%[0-9A-Fa-f]{2})*")
 MAX_TARGET_BYTES = 8192
 INVALID_TARGET = 400
+INTERNAL_ERROR = 500
 TARGET_TOO_LONG = 414
 
 
@@ -171,6 +172,8 @@
         Maximum number of objects in a page of a list.
     response_delay_s : float
         Time until a call is answered, in seconds.
+    failing_targets : tuple of str
+        Parts of targets; a call whose target contains one is answered with 500.
     """
 
     def __init__(self) -> None:
@@ -178,6 +181,7 @@
         self.invalid_items: dict[str, list[Any]] = {}
         self.page_size = PAGE_SIZE
         self.response_delay_s = RESPONSE_DELAY_S
+        self.failing_targets: tuple[str, ...] = ()
         self.era: int | None = 1
         self.revision = FIRST_REVISION
         self.saved: list[SavedObject] = []
@@ -281,6 +285,8 @@
         if await self.apply_fault(request, wire):
             return
         error = target_error(request.target)
+        if any(part in request.target for part in self.failing_targets):
+            error = INTERNAL_ERROR
         if error is not None:
             await wire.answer(error, self.headers())
             return
--- a/tests/gateway/test_store_lists.py
+++ b/tests/gateway/test_store_lists.py
@@ -120,3 +120,64 @@
             calls = len(fleet.store.calls) - before
             assert calls <= max_calls(fleet, ("servers", "config"), page_size)
             assert await ask_all(fleet) == [200] * 6
+
+
+# Time after which a system that has returned serves again, as its users' rule states.
+RECOVERY_S = 12.0
+PAGES = 12
+
+
+@pytest.fixture
+async def paged_fleet(autojump_clock):
+    """Return a system whose servers fill several pages of one object each."""
+    async with platform_system(nodes=3, plain=PAGES // 2, models=PAGES // 2) as fleet:
+        fleet.store.page_size = 1
+        yield fleet
+
+
+class TestStoreInTrouble:
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize("mode", ["busy", "many", "reset"])
+    async def test_calls_are_refused_while_nodes_start(self, paged_fleet, mode, seed):
+        """Guards against a list that begins anew with each refused call."""
+        store = paged_fleet.store
+        store.faults.rng.seed(seed)
+        store.faults.begin(mode, share=0.5)
+        before = len(store.calls)
+        await restart_all(paged_fleet)
+        await trio.sleep(RECOVERY_S)
+        expected = dict.fromkeys(paged_fleet.nodes, set(paged_fleet.servers))
+        assert known(paged_fleet) == expected
+        # Each page takes two calls on average.
+        calls = len(store.calls) - before
+        assert calls <= 2 * max_calls(paged_fleet, ("servers", "config"), 1)
+        assert await ask_all(paged_fleet) == [200] * 6
+
+    async def test_slow_store(self, paged_fleet):
+        """Guards against a start that uses no server until it knows all of them."""
+        paged_fleet.store.response_delay_s = 1.5
+        await restart_all(paged_fleet)
+        await trio.sleep(RECOVERY_S)
+        assert await ask_all(paged_fleet) == [200] * 6
+
+    async def test_page_that_is_never_answered(self, paged_fleet):
+        """Guards against one page that costs the servers of all others."""
+        paged_fleet.store.failing_targets = ("sinceRevision=p1",)
+        await restart_all(paged_fleet)
+        await trio.sleep(RECOVERY_S)
+        servers = set(paged_fleet.servers) - {"p2", "p3", "p4", "p5"}
+        assert known(paged_fleet) == dict.fromkeys(paged_fleet.nodes, servers)
+        assert await ask_all(paged_fleet) == [200] * 6
+        paged_fleet.store.failing_targets = ()
+        await trio.sleep(2.0)
+        assert known(paged_fleet)["n0"] == set(paged_fleet.servers)
+
+    async def test_incomplete_list_removes_no_server(self, paged_fleet):
+        """Guards against servers that are missing from a part of a list only."""
+        everyone = set(paged_fleet.servers)
+        paged_fleet.store.failing_targets = ("sinceRevision=p1",)
+        await paged_fleet.add_server("m9", PLAIN)
+        paged_fleet.store.forget_history()
+        await trio.sleep(RECOVERY_S)
+        expected = dict.fromkeys(paged_fleet.nodes, everyone | {"m9"})
+        assert known(paged_fleet) == expected
