Go on with the page that failed when a list of the store is interrupted

What callers saw: all nodes start while the store refuses a part of all calls, or answers slowly, and the servers fill several pages. No node knows a server for as long as this lasts, although most calls succeed: all requests get 503.

Cause: a list gave up at the first page that failed and began anew with the first one, so that the chance that it ends falls with the power of its pages. Nothing was used before the last page.

Now a reader keeps the pages that it has and goes on with the one that failed. The list has the version of its first page, so what changes on earlier pages is among the changes since then; if the store has dropped them, it says so, and the objects are listed again. The objects of a page are applied as changes at once; nothing is concluded from what is missing until the list is complete. A node that starts is ready one second after it knows a server. Duties wait for the complete list, since with a part of the servers more would be ordered. The crash records are read in the same way.

--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -15,6 +15,7 @@
 from rosemaryknot.connection.store_era import EraTracker
 from rosemaryknot.platform.list_cursors import next_cursor
 from rosemaryknot.platform.store_responses import (
+    AnswerError,
     decode_events,
     decode_object,
     decode_objects,
@@ -22,20 +23,18 @@
     parse_item,
     parse_page,
 )
-from rosemaryknot.process.logs import logger
-from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.json_text import JSON_ERRORS
 from rosemaryknot.values.nodes import Address
 from rosemaryknot.values.platform import (
     OUTDATED,
     Conflict,
-    Listed,
+    ListPage,
     Missing,
     PlatformFailed,
     StoredObject,
     Written,
 )
-from rosemaryknot.values.store_changes import Changes, HistoryExpired
+from rosemaryknot.values.store_changes import CURSOR_REFUSED, Changes, HistoryExpired
 from rosemaryknot.values.store_revisions import era_of, qualified, revision_of
 
 __all__ = ["PlatformStore"]
@@ -46,15 +45,10 @@
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
-# Reason of a list whose next page would begin where an earlier one did.
-NO_PROGRESS = "list does not go on"
+TOO_MANY_REQUESTS = 429
 # Rises by one each time the store has been restored from a copy.
 ERA_HEADER = "store-era"
 
-PAGES = counter("store_list_pages_total", "Pages of lists by kind and outcome.")
-
-log = logger("store")
-
 
 def path_segment(name: str) -> str:
     """Return a name as a segment of a path."""
@@ -143,49 +137,19 @@
         )
         return PlatformFailed(BAD_RESPONSE) if found is None else found
 
-    async def list_objects(self, kind: str) -> Listed | PlatformFailed:
-        """Read all objects of a kind, page by page."""
-        listed = Listed(0)
-        after = ""
-        cursors = {after}
-        while True:
-            query = f"?sinceRevision={quote(after, safe='')}" if after else ""
-            response = await self.calls.get(object_path(kind) + query)
-            page = decode_response(
-                response, lambda content: parse_page(content, "items")
-            )
-            if isinstance(page, PlatformFailed):
-                PAGES.add(kind=kind, outcome=page.reason)
-                log.warning(
-                    "list interrupted",
-                    kind=kind,
-                    pages=listed.pages,
-                    reason=page.reason,
-                )
-                return page
-            PAGES.add(kind=kind, outcome="ok")
-            listed.pages += 1
-            era = era_of_response(response)
-            if after and era != era_of(listed.version):
-                # The rest of a list does not fit to pages of before a restore.
-                return PlatformFailed(OUTDATED)
-            try:
-                # Take the revision of the first page: a change between two pages is
-                # then seen again in the watch rather than missed.
-                revision = qualified(era, int(page["storeRevision"]))
-            except JSON_ERRORS:
-                return PlatformFailed(BAD_RESPONSE)
-            listed.version = listed.version or revision
-            listed.objects |= decode_objects(page["items"], kind, era)
-            if not page.get("hasMore"):
-                return listed
-            names = names_of(page["items"])
-            if not names:
-                return PlatformFailed(BAD_RESPONSE)
-            after = next_cursor(names)
-            if after in cursors:
-                return PlatformFailed(NO_PROGRESS)
-            cursors.add(after)
+    async def list_page(self, kind: str, after: str) -> ListPage | PlatformFailed:
+        """Read a page of the objects of a kind; see `PageSource`."""
+        query = f"?sinceRevision={quote(after, safe='')}" if after else ""
+        response = await self.calls.get(object_path(kind) + query)
+        if isinstance(response, PlatformFailed):
+            return response
+        status = response.status_code
+        if after and 400 <= status < 500 and status != TOO_MANY_REQUESTS:
+            return PlatformFailed(CURSOR_REFUSED)
+        era = era_of_response(response)
+        return decode_response(
+            response, lambda content: decode_page(content, kind, era)
+        )
 
     async def create(self, kind: str, name: str, value: Any) -> Any:
         """Create an object that must not exist yet."""
@@ -255,6 +219,19 @@
         return changes
 
 
+def decode_page(content: bytes, kind: str, era: int) -> ListPage:
+    """Decode a page of a list."""
+    page = parse_page(content, "items")
+    version = qualified(era, int(page["storeRevision"]))
+    objects = decode_objects(page["items"], kind, era)
+    if not page.get("hasMore"):
+        return ListPage(version, objects)
+    names = names_of(page["items"])
+    if not names:
+        raise AnswerError("no name to go on from")
+    return ListPage(version, objects, next_cursor(names))
+
+
 def decode_changes(content: bytes, kind: str, era: int) -> Changes:
     """Decode the changes from the response to a watch."""
     page = parse_page(content, "events")
--- a/src/rosemaryknot/process/crash_store.py
+++ b/src/rosemaryknot/process/crash_store.py
@@ -17,11 +17,13 @@
 )
 from rosemaryknot.process.crash_notices import record_from_value, record_to_value
 from rosemaryknot.process.crash_records import CrashRecord, CrashRecords
+from rosemaryknot.process.list_reader import ListReader
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import gauge
 from rosemaryknot.process.segment_records import SegmentRecord
 from rosemaryknot.values.platform import (
     Conflict,
+    ListPage,
     ObjectStore,
     PlatformFailed,
     StoredObject,
@@ -86,6 +88,9 @@
         Whether the records are read as soon as the store responds.
     last_read_s : float
         When the records were last read, in trio time.
+    stored_before : list of bytes
+        Digests of the requests that were known to be stored when a read of the records
+        began.
     has_new_era : bool
         Whether the store was restored from a copy since the records were last read.
     on_segment_refused : callable
@@ -103,6 +108,8 @@
         rng: random.Random,
     ) -> None:
         self.store = store
+        self.reader = ListReader(store, KIND, self.merge_page)
+        self.stored_before: list[bytes] = []
         self.records = records
         self.exchange = exchange
         self.watching = watching
@@ -321,7 +328,8 @@
     async def read(self) -> None:
         """Read the records; clear requests whose objects an operator has deleted."""
         self.is_read_needed = False
-        stored = self.stored()
+        if self.reader.listed is None:
+            self.stored_before = self.stored()
         names = await self.read_records()
         now_s = trio.current_time()
         if names is None:
@@ -332,18 +340,23 @@
         self.last_read_s = now_s
         self.retry_delay_s = MIN_RETRY_S
         still_stored = set(self.stored())
-        for digest in stored:
+        for digest in self.stored_before:
             # After a restore, a missing object was lost and not deleted.
             if digest.hex() not in names and digest in still_stored:
                 self.exchange.clear(digest)
 
     async def read_records(self) -> set[str] | None:
         """Merge the stored records; return the names of all objects, None if failed."""
-        listed = await self.store.list_objects(KIND)
+        listed = await self.reader.read()
         if isinstance(listed, PlatformFailed):
             log.warning("refused requests not read", reason=listed.reason)
             return None
-        for name, item in listed.objects.items():
+        self.has_new_era = False
+        return set(listed.objects)
+
+    def merge_page(self, page: ListPage) -> None:
+        """Merge the stored records of a page."""
+        for name, item in page.objects.items():
             record = record_from_value(name, item.value, trio.current_time())
             if record is None:
                 log.error("stored crash record left alone", revision=item.version)
@@ -353,8 +366,6 @@
             elif self.has_new_era and self.is_cleared(record):
                 # Its object was deleted, but the copy has it.
                 self.obsolete.append(record.digest)
-        self.has_new_era = False
-        return set(listed.objects)
 
     def is_cleared(self, record: CrashRecord | SegmentRecord) -> bool:
         """Return whether all crashes of a stored record no longer count."""
--- a/src/rosemaryknot/process/gateway_servers.py
+++ b/src/rosemaryknot/process/gateway_servers.py
@@ -46,6 +46,9 @@
 # since, which lapse after three heartbeats of two seconds at most.
 RESTORED_MISSING_TIMEOUT_S = 2.5
 RESTORED_LAPSE_TIMEOUT_S = 6.0
+# Time from the first known server after which a node that starts serves without the
+# complete list; that of a large deployment takes some tenths of a second.
+PARTIAL_LIST_TIMEOUT_S = 1.0
 # A running stream emits an event every few tens of milliseconds, so a model server
 # that has requests in flight and sends nothing for this long is not working.
 MODEL_SILENCE_TIMEOUT_S = 1.0
@@ -76,7 +79,9 @@
     versions : VersionHistory
         Software versions of the servers over time.
     is_listed : bool
-        Whether the servers were listed at least once.
+        Whether the servers were listed completely at least once.
+    first_known_s : float
+        When the first server became known, in trio time.
     has_unreported_load : bool
         Whether the load in flight has changed since the last report to other nodes.
     uses_hub_loads : bool
@@ -95,6 +100,7 @@
         self.rate_samples = 0
         self.versions = VersionHistory()
         self.is_listed = False
+        self.first_known_s = math.inf
         self.missing_timeout_s = 1.4
         self.cached = PrefixLocations()
         self.mixes: defaultdict[str, PromptMix] = defaultdict(PromptMix)
@@ -107,6 +113,16 @@
         self.replaced_incarnations: list[ServerIncarnation] = []
         self.uses_hub_loads = False
 
+    def is_usable(self) -> bool:
+        """Return whether requests can be served with what is known.
+
+        One page that cannot be had must not cost the servers of all others.
+        """
+        if self.is_listed:
+            return True
+        known_s = trio.current_time() - self.first_known_s
+        return bool(self.by_id) and known_s >= PARTIAL_LIST_TIMEOUT_S
+
     # Entries from the store.
 
     def put(self, entry: RoutedServer) -> str:
@@ -129,6 +145,7 @@
             self.record_version(known, entry)
         if state is None:
             state = self.by_id[entry.id] = self.state_of_entry(entry, known)
+            self.first_known_s = min(self.first_known_s, trio.current_time())
             self.on_available(entry.service)
         elif state.is_removed or state.is_missing:
             log.info(
--- a/src/rosemaryknot/process/gateway_state.py
+++ b/src/rosemaryknot/process/gateway_state.py
@@ -113,7 +113,7 @@
 
     def is_known(self) -> bool:
         """Return whether requests can be served."""
-        return self.configuration is not None and self.servers.is_listed
+        return self.configuration is not None and self.servers.is_usable()
 
     async def wait_known(self, timeout_s: float) -> None:
         """Wait until requests can be served or the timeout expires."""
@@ -209,6 +209,7 @@
             self.entries[change.name] = (change.version, change.value)
             self.apply_server(change)
         SERVERS.set(len(self.servers.by_id))
+        self.signal_known()
 
     def apply_server(self, change: ObjectChanged) -> None:
         """Apply the entry of a server.
--- a/src/rosemaryknot/process/node.py
+++ b/src/rosemaryknot/process/node.py
@@ -466,7 +466,9 @@
 
     def is_candidate(self) -> bool:
         """Return whether this node should acquire the lease when nobody holds it."""
-        if self.is_stopping() or not self.state.is_known():
+        # Duties need all servers: with a part of them, more would be ordered.
+        is_complete = self.state.is_known() and self.state.servers.is_listed
+        if self.is_stopping() or not is_complete:
             return False
         nodes = [*self.peers.nodes(), self.node]
         return self.node in lease_candidates(nodes, LEASE_NAME)
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -6,12 +6,14 @@
 import trio
 
 from rosemaryknot.process.background_tasks import BackgroundTasks
+from rosemaryknot.process.list_reader import ListReader
 from rosemaryknot.process.logs import logger
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.platform import (
     OUTDATED,
     TIMEOUT,
     Listed,
+    ListPage,
     ObjectChanged,
     PlatformFailed,
 )
@@ -138,6 +140,7 @@
     ) -> None:
         self.store = store
         self.kind = kind
+        self.list_reader = ListReader(store, kind, self.apply_page)
         self.on_list = on_list
         self.on_change = on_change
         self.rng = rng
@@ -235,7 +238,7 @@
     async def query(self) -> bool:
         """Query the store; return whether all changes up to now are known."""
         if self.is_single:
-            outcome = await self.store.list_objects(self.kind)
+            outcome = await ListReader(self.store, self.kind).read()
         else:
             outcome = await self.store.changes(self.kind, self.revision, SHORT_POLL_S)
         if isinstance(outcome, PlatformFailed):
@@ -313,6 +316,7 @@
         """Apply a list that another node has received from the store."""
         is_same_era = era_of(listed.version) == era_of(self.revision)
         before = self.revision
+        self.list_reader.reset()
         self.on_list(listed)
         self.revision = listed.version
         self.seen = max(self.seen, listed.version)
@@ -423,21 +427,10 @@
 
     async def list_all(self) -> None:
         """List the objects and apply the list."""
-        started_s = trio.current_time()
-        listed = await self.store.list_objects(self.kind)
+        listed = await self.list_reader.read()
         if isinstance(listed, PlatformFailed):
             await self.record_failure(listed)
             return
-        log.info(
-            "listed objects",
-            kind=self.kind,
-            objects=len(listed.objects),
-            pages=listed.pages,
-            took_s=round(trio.current_time() - started_s, 3),
-            failures=self.failures,
-            era=era_of(listed.version),
-            revision=revision_of(listed.version),
-        )
         before, was_expired = self.revision, self.is_expired
         is_same_era = era_of(listed.version) == era_of(before)
         # A store that states no era shows only by an expired history that it may return
@@ -466,6 +459,20 @@
         if was_expired:
             await self.back_off_fruitless()
 
+    def apply_page(self, page: ListPage) -> None:
+        """Apply the objects of a page as changes, before the rest of the list is there.
+
+        What is missing from a page says nothing. After a restore of the store, only the
+        complete list shows which objects it has lost.
+        """
+        if 0 <= self.revision and era_of(page.version) != era_of(self.revision):
+            return
+        if page.next_after is None:
+            return
+        for name, found in page.objects.items():
+            if found.version > self.revision:
+                self.on_change(ObjectChanged(name, found.version, found.value))
+
     def log_restored(self, before: int) -> None:
         """Log that this node follows another history of the store from now on."""
         self.restored_s = trio.current_time()
--- a/src/rosemaryknot/standin/users/late_nodes.py
+++ b/src/rosemaryknot/standin/users/late_nodes.py
@@ -28,7 +28,7 @@
         handlers[message_type] = after_lag(handler, lag_s)
     store = node.adapter.store
     store.changes = before_lag(store.changes, lag_s)
-    store.list_objects = before_lag(store.list_objects, lag_s)
+    store.list_page = before_lag(store.list_page, lag_s)
 
 
 def after_lag(
--- a/src/rosemaryknot/values/platform.py
+++ b/src/rosemaryknot/values/platform.py
@@ -14,6 +14,7 @@
 __all__ = [
     "Conflict",
     "InstanceSource",
+    "ListPage",
     "Listed",
     "Missing",
     "Notice",
@@ -152,6 +153,25 @@
     pages: int = 0
 
 
+@dataclass(slots=True)
+class ListPage:
+    """One page of the objects of a kind.
+
+    Attributes
+    ----------
+    version : int
+        Version of the store when it sent the page.
+    objects : dict of str to StoredObject
+        Objects by name.
+    next_after : str or None
+        Name after which the next page begins; None after the last page.
+    """
+
+    version: int
+    objects: dict[str, StoredObject] = field(default_factory=dict)
+    next_after: str | None = None
+
+
 @dataclass(slots=True)
 class Notice:
     """Notice that the cloud will reclaim an instance.
--- a/src/rosemaryknot/values/store_changes.py
+++ b/src/rosemaryknot/values/store_changes.py
@@ -3,9 +3,18 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from rosemaryknot.values.platform import Listed, ObjectChanged, PlatformFailed
+from rosemaryknot.values.platform import ListPage, ObjectChanged, PlatformFailed
 
-__all__ = ["ChangeSource", "Changes", "HistoryExpired"]
+__all__ = [
+    "CURSOR_REFUSED",
+    "ChangeSource",
+    "Changes",
+    "HistoryExpired",
+    "PageSource",
+]
+
+# Reason of a failed page: the store does not accept the name after which it begins.
+CURSOR_REFUSED = "cursor refused"
 
 
 @dataclass(slots=True)
@@ -29,7 +38,22 @@
     """The store no longer has the changes since that revision."""
 
 
-class ChangeSource(Protocol):
+class PageSource(Protocol):
+    """A store whose kinds of objects can be listed page by page."""
+
+    async def list_page(self, kind: str, after: str) -> ListPage | PlatformFailed:
+        """Read a page of the objects of a kind.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the objects.
+        after : str
+            Name after which the page begins; empty for the first page.
+        """
+
+
+class ChangeSource(PageSource, Protocol):
     """A store whose kinds of objects can be listed and then watched.
 
     Attributes
@@ -40,9 +64,6 @@
 
     reconnected_s: float
 
-    async def list_objects(self, kind: str) -> Listed | PlatformFailed:
-        """Read all objects of a kind."""
-
     async def read(self, kind: str, name: str) -> Any:
         """Read one object."""
 
