Take a response with an invalid status line for none

Report of another system: a server in trouble sent the status 000, and the client got it as an answer. Here 000 was refused already (h11), and a repeatable request went on at another server. But a booking got the statuses 600 and 999 as they were, and HTTP/0.0, 2.0 and 9.9 counted as HTTP/1.1, on each path: directly, through a peer, on the own interface and from the store. RFC 9110, section 15, calls a status outside 100 to 599 invalid.

One module says what a valid status line is, and the three places that read heads use it.

--- a/src/rosemaryknot/connection/gateway_server.py
+++ b/src/rosemaryknot/connection/gateway_server.py
@@ -21,6 +21,7 @@
 from rosemaryknot.connection.relayed_stream import RelayedStream, RelayEnded
 from rosemaryknot.connection.request_writer import RequestWriter
 from rosemaryknot.connection.server_dialler import NoPath, ServerDialler
+from rosemaryknot.connection.status_lines import check_status_line
 from rosemaryknot.process.metrics import counter
 from rosemaryknot.values.gateway import Headers, RoutedServer
 from rosemaryknot.values.gateway_responses import (
@@ -263,6 +264,8 @@
         while True:
             try:
                 event = self.conn.next_event()
+                if isinstance(event, (h11.Response, h11.InformationalResponse)):
+                    check_status_line(event)
             except h11.RemoteProtocolError:
                 return Lost("not an HTTP answer, or one that broke off")
             if event is not h11.NEED_DATA:
--- a/src/rosemaryknot/connection/http_client.py
+++ b/src/rosemaryknot/connection/http_client.py
@@ -10,6 +10,7 @@
 import trio
 
 from rosemaryknot.connection.network import Network
+from rosemaryknot.connection.status_lines import is_valid_status_line
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["NetworkTransport", "ResponseTooLarge", "http_client", "read_bounded"]
@@ -232,6 +233,10 @@
             response = await self.pool.handle_async_request(core_request)
         except Exception as error:
             raise map_error(error) from error
+        version = response.extensions["http_version"].removeprefix(b"HTTP/")
+        if not is_valid_status_line(response.status, version):
+            await response.aclose()
+            raise httpx.RemoteProtocolError("the status line is not valid")
         return httpx.Response(
             status_code=response.status,
             headers=response.headers,
--- a/src/rosemaryknot/connection/stream_transport.py
+++ b/src/rosemaryknot/connection/stream_transport.py
@@ -14,6 +14,7 @@
 import trio
 
 from rosemaryknot.connection.network import Network, receive_next
+from rosemaryknot.connection.status_lines import check_status_line
 from rosemaryknot.values.nodes import Address
 
 __all__ = ["StreamTransport", "stream_client"]
@@ -145,6 +146,7 @@
             if event is h11.NEED_DATA:
                 parser.receive_data(await stream.receive_some(RECEIVE_BYTES))
             elif type(event) is h11.Response:
+                check_status_line(event)
                 break
             else:
                 interim_responses += 1
