Test resets of uploads that nobody reads, and closes with bytes unread

Report of another system: an early 200 without a length, a part of its body, and a reset while the upload was still being written; the client took the part for the whole.

--- a/tests/connection/test_reset_order.py
+++ b/tests/connection/test_reset_order.py
@@ -38,7 +38,10 @@
     ----------
     end : str
         ``"reset"``: after the first part of the response, at any moment of the upload.
-        ``"half close"``: in order after the whole response, and it reads on.
+        ``"reset unread"``: the same, without reading the upload, so that its writer
+        waits. ``"close unread"``: a close with bytes unread, which the system turns
+        into a reset. ``"half close"``: in order after the whole response, and it reads
+        on.
     """
 
     def __init__(self, end):
@@ -68,8 +71,14 @@
         while b"\r\n\r\n" not in request:
             request += connection.recv(4096)
         connection.sendall(HEAD + PARTS[0])
-        self.read(connection, self.rng.uniform(0.0, LONGEST_READ_S))
-        if self.end == "reset":
+        delay_s = self.rng.uniform(0.0, LONGEST_READ_S)
+        if self.end.endswith("unread"):
+            time.sleep(delay_s)
+        else:
+            self.read(connection, delay_s)
+        if self.end == "close unread":
+            return
+        if self.end.startswith("reset"):
             linger = struct.pack("ii", 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             return
@@ -150,9 +159,10 @@
 
 class TestResets:
     @PATHS
-    async def test_no_part_of_a_response_looks_complete(self, exchange):
+    @pytest.mark.parametrize("end", ["reset", "reset unread", "close unread"])
+    async def test_no_part_of_a_response_looks_complete(self, exchange, end):
         """Guards against a reset that the reader of a response takes for its end."""
-        with EarlyServer("reset") as address:
+        with EarlyServer(end) as address:
             outcomes = [await exchange(address) for _ in range(ROUNDS)]
         assert [body for body, is_whole in outcomes if is_whole] == []
 
