Replace silent watches once the store has refused calls with 429 and answers again

Traced before: the store turns calls away with 429 for 0.83 s; the watches that wait then stay silent, and only their own timeout of 7 s replaces them.

Cause: a watch is replaced once another call of the node fails and a later one succeeds, but a 429 counted as a success. Now it counts as a refused call, as 503 did.

--- a/src/rosemaryknot/connection/platform_calls.py
+++ b/src/rosemaryknot/connection/platform_calls.py
@@ -29,6 +29,7 @@
 MAX_READ_TIMEOUTS = 4.0
 # An item of a watch holds one object.
 MAX_LINE_BYTES = 4 << 20
+TOO_MANY_REQUESTS = 429
 BAD_RESPONSE = "bad_answer"
 BROKEN = "broken"
 UNREACHABLE = "unreachable"
@@ -180,9 +181,9 @@
     call_count : int
         Number of calls made; a watch counts once.
     is_unreachable : bool
-        Whether the last call failed.
+        Whether the last call failed or was refused.
     reconnected_s : float
-        When a call last succeeded after a failed one, in trio time.
+        When a call last succeeded after such a one, in trio time.
     """
 
     def __init__(
@@ -339,8 +340,12 @@
     def record_outcome(
         self, outcome: httpx.Response | PlatformFailed
     ) -> httpx.Response | PlatformFailed:
-        """Record whether the platform is reachable."""
-        if isinstance(outcome, PlatformFailed):
+        """Record whether the platform is reachable.
+
+        One that refuses calls may have given up watches that wait, without an error.
+        """
+        is_failed = isinstance(outcome, PlatformFailed)
+        if is_failed or outcome.status_code == TOO_MANY_REQUESTS:
             self.is_unreachable = True
         elif self.is_unreachable:
             self.is_unreachable = False
--- a/src/rosemaryknot/platform/store.py
+++ b/src/rosemaryknot/platform/store.py
@@ -9,6 +9,7 @@
 from rosemaryknot.connection.network import Network
 from rosemaryknot.connection.platform_calls import (
     BAD_RESPONSE,
+    TOO_MANY_REQUESTS,
     PlatformCalls,
     era_of_response,
 )
@@ -45,7 +46,6 @@
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
-TOO_MANY_REQUESTS = 429
 # Rises by one each time the store has been restored from a copy.
 ERA_HEADER = "store-era"
 
--- a/tests/connection/test_platform_calls.py
+++ b/tests/connection/test_platform_calls.py
@@ -71,3 +71,26 @@
         response, took_s = await call(respond_byte_by_byte, "POST")
         assert response == PlatformFailed("timeout", maybe_done=True)
         assert took_s < 2.5
+
+
+class TestReconnection:
+    @pytest.mark.parametrize("status", [429, 503])
+    async def test_refused_calls(self, autojump_clock, nursery, status):
+        """Guards against silent watches that nothing replaces after refused calls."""
+        statuses = [200, status, 200]
+
+        async def respond(request, wire):
+            await wire.answer(statuses.pop(0))
+
+        network = MemoryNetwork(OURS)
+        server = RawServer(respond)
+        await nursery.start(server.serve, network.with_host(ADDRESS.host), ADDRESS)
+        calls = PlatformCalls(network, ADDRESS)
+        times = []
+        for _ in range(3):
+            await trio.sleep(1)
+            await calls.call("GET", "/x")
+            times.append(calls.reconnected_s)
+        assert times == [float("-inf"), float("-inf"), trio.current_time()]
+        await calls.aclose()
+        nursery.cancel_scope.cancel()
