--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -30,7 +30,12 @@
 from rosemaryknot.standin.users.configuration_changes import changed_document
 from rosemaryknot.standin.users.disturbances import Disturbances
 from rosemaryknot.standin.users.endless_responses import ENDLESS_NAMES
-from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
+from rosemaryknot.standin.users.foreign_entries import (
+    FOREIGN_ENTRIES,
+    PAGE_SIZES,
+    foreign_name,
+    foreign_value,
+)
 from rosemaryknot.standin.users.play import (
     RESUMING_PER_S,
     SLOW_LINK_BYTES_PER_S,
@@ -223,6 +228,7 @@
         self.base, self.reserved = reserve_ports(seed, nodes)
         self.link_bytes_per_s = random.Random(seed).choice((0, SLOW_LINK_BYTES_PER_S))
         self.store = StoreStandIn()
+        self.store.page_size = random.Random(f"pages {seed}").choice(PAGE_SIZES)
         self.cloud = CloudStandIn()
         self.ledger = Ledger()
         self.servers: dict[str, ServerStandIn] = {}
@@ -564,10 +570,11 @@
     if rng.random() < 0.5:
         await system.overwrite(rng.choice(list(system.servers)), value)
         return
-    system.store.put("servers", f"x-{way}", value)
+    name = foreign_name(way, rng)
+    system.store.put("servers", name, value)
     system.store.put_invalid_item("servers", way)
     await trio.sleep(for_s)
-    system.store.remove("servers", f"x-{way}")
+    system.store.remove("servers", name)
 
 
 @soak_fault("delay")
--- a/src/rosemaryknot/standin/users/foreign_entries.py
+++ b/src/rosemaryknot/standin/users/foreign_entries.py
@@ -7,12 +7,31 @@
 
 from rosemaryknot.standin.users.store import RawValue
 
-__all__ = ["FOREIGN_ENTRIES", "foreign_value"]
+__all__ = ["FOREIGN_ENTRIES", "PAGE_SIZES", "foreign_name", "foreign_value"]
 
 Corruption = Callable[[dict[str, Any], random.Random], Any]
 FOREIGN_ENTRIES: dict[str, Corruption] = {}
 FIELDS = ("service", "address", "zone", "version", "slots", "state", "sequence")
 NESTING_DEPTH = 3000
+# Parts of names that a URL does not carry as they are, or that mean something there,
+# and places of the name among those of servers.
+NAME_PARTS = (
+    "",
+    "&",
+    "+",
+    "#",
+    "%",
+    "%7E",
+    "%00",
+    "&watch=1",
+    " ",
+    "/",
+    "\n",
+    "\u00e4",
+)
+NAME_PLACES = ("a", "m1", "n", "x")
+# Objects in a page of a list: a name of another writer may end one.
+PAGE_SIZES = (50, 50, 3, 1)
 
 
 def foreign(name: str) -> Callable[[Corruption], Corruption]:
@@ -30,6 +49,11 @@
     return FOREIGN_ENTRIES[way](dict(valid), rng)
 
 
+def foreign_name(text: str, rng: random.Random) -> str:
+    """Return a name, which contains a text, for an entry of another writer."""
+    return f"{rng.choice(NAME_PLACES)}-{text}{rng.choice(NAME_PARTS)}"
+
+
 @foreign("field_missing")
 def field_missing(entry: dict[str, Any], rng: random.Random) -> Any:
     """Omit a field."""
--- a/src/rosemaryknot/standin/users/play.py
+++ b/src/rosemaryknot/standin/users/play.py
@@ -20,6 +20,7 @@
     audit,
 )
 from rosemaryknot.standin.users.configuration_changes import added_path
+from rosemaryknot.standin.users.foreign_entries import PAGE_SIZES
 from rosemaryknot.standin.users.play_faults import (
     PLAY_FAULTS,
     draw_busy_nodes,
@@ -40,6 +41,7 @@
     CRASHING_SEGMENT,
     EVENT_TOKENS,
 )
+from rosemaryknot.standin.users.store import PAGE_SIZE
 from rosemaryknot.standin.users.system import (
     DEPLOYMENT_BOUNDS,
     MODEL_HEADERS,
@@ -111,6 +113,8 @@
     crashing_segments_per_s : float
         Requests per second with a prompt segment that crashes each model server, no two
         of them alike.
+    page_size : int
+        Objects in a page of a list of the store.
     link_bytes_per_s : float
         Bandwidth of each node's link; 0 for no limit.
     older_share : float
@@ -137,6 +141,7 @@
     added_per_s: float = 4.0
     crashing_per_s: float = 0.0
     crashing_segments_per_s: float = 0.0
+    page_size: int = PAGE_SIZE
     link_bytes_per_s: float = 0.0
     older_share: float = 0.0
     resuming_per_s: float = 0.0
@@ -382,6 +387,7 @@
     fault_counts: Counter = Counter()
     async with platform_system(
         seed,
+        page_size=play.page_size,
         nodes=play.nodes,
         plain=play.plain,
         models=play.models,
@@ -467,6 +473,7 @@
     for _ in range(rng.choice((0, 1, 2))):
         play.faults.append(draw_changes(rng))
     play.link_bytes_per_s = rng.choice((0.0, SLOW_LINK_BYTES_PER_S))
+    play.page_size = random.Random(f"pages {seed}").choice(PAGE_SIZES)
     play.crashing_per_s = crashing_per_s
     play.crashing_segments_per_s = crashing_segments_per_s
     if has_limits:
--- a/src/rosemaryknot/standin/users/play_faults.py
+++ b/src/rosemaryknot/standin/users/play_faults.py
@@ -14,7 +14,11 @@
 from rosemaryknot.standin.users.configuration_changes import changed_document
 from rosemaryknot.standin.users.disturbances import ALL_SUBJECTS
 from rosemaryknot.standin.users.endless_responses import ENDLESS_NAMES
-from rosemaryknot.standin.users.foreign_entries import FOREIGN_ENTRIES, foreign_value
+from rosemaryknot.standin.users.foreign_entries import (
+    FOREIGN_ENTRIES,
+    foreign_name,
+    foreign_value,
+)
 from rosemaryknot.standin.users.response_ends import detectable_ends
 from rosemaryknot.standin.users.restores import apply_restore
 from rosemaryknot.standin.users.servers import FAULTS as SERVER_FAULTS
@@ -297,7 +301,7 @@
         system.store.put("servers", server, value)
         await write_again(system, server)
         return
-    name = f"x-{fault['way']}-{fault['at']}"
+    name = foreign_name(f"{fault['way']}-{fault['at']}", rng)
     system.store.put("servers", name, value)
     system.store.put_invalid_item("servers", fault["way"])
     await trio.sleep(fault["for_s"])
--- a/src/rosemaryknot/standin/users/store.py
+++ b/src/rosemaryknot/standin/users/store.py
@@ -11,7 +11,7 @@
 
 from rosemaryknot.standin.users.raw_http import RawRequest, RawServer, RawWire
 
-__all__ = ["RawValue", "StoreFaults", "StoreStandIn", "ObjectChange"]
+__all__ = ["PAGE_SIZE", "RawValue", "StoreFaults", "StoreStandIn", "ObjectChange"]
 
 PREFIX = "/v1/objects/"
 PAGE_SIZE = 50
--- a/src/rosemaryknot/standin/users/system.py
+++ b/src/rosemaryknot/standin/users/system.py
@@ -26,7 +26,7 @@
 from rosemaryknot.standin.users.disturbances import Disturbances
 from rosemaryknot.standin.users.restores import restore_store
 from rosemaryknot.standin.users.servers import Ledger, ServerStandIn, server_entry
-from rosemaryknot.standin.users.store import StoreStandIn
+from rosemaryknot.standin.users.store import PAGE_SIZE, StoreStandIn
 from rosemaryknot.values.nodes import Address
 
 __all__ = [
@@ -293,10 +293,12 @@
         plain: int = 2,
         models: int = 2,
         configuration: dict | None = None,
+        page_size: int = PAGE_SIZE,
         **options: Any,
     ) -> None:
         """Start the platform, servers and nodes; options are passed to `settings`."""
         start = self.nursery.start
+        self.store.page_size = page_size
         store_network = self.network.with_host(STORE.host)
         await start(self.store.server.serve, store_network, STORE)
         cloud_network = self.network.with_host(CLOUD.host)
