Keep the pages of a list in progress when another node offers its servers

Found in reading the change. With a store that states no era, a node that starts and is helped by another one while it reads its list forgot the pages that it had; the page in flight then became the first, and the list, complete in its own eyes, lacked the servers before it: they counted as missing and were removed 2 s later, although they live. The new test failed before (era None; with an era, the list is given up as it should be). An offer does not touch the list in progress any more: it ends, and is ignored if it is older than what is known.

The line `listed objects` also counted the time between two lists of a reader; its test failed before.

--- a/src/rosemaryknot/process/crash_store.py
+++ b/src/rosemaryknot/process/crash_store.py
@@ -62,7 +62,7 @@
     Parameters
     ----------
     store : ObjectStore
-        The platform's store.
+        The platform's store, which is also a `PageSource`.
     records : CrashRecords
         Records of this node.
     exchange : CrashExchange
--- a/src/rosemaryknot/process/list_reader.py
+++ b/src/rosemaryknot/process/list_reader.py
@@ -66,6 +66,7 @@
         self.store = store
         self.kind = kind
         self.on_page = on_page
+        self.started_s = trio.current_time()
         self.reset()
 
     def reset(self) -> None:
@@ -74,7 +75,6 @@
         self.after = ""
         self.cursors: set[str] = set()
         self.failures = 0
-        self.started_s = trio.current_time()
 
     async def read(self) -> Listed | PlatformFailed:
         """Read the rest of the list.
@@ -86,6 +86,8 @@
             after it was read is among the changes since then. After a failure, the next
             call goes on with the page that failed.
         """
+        if self.listed is None and not self.failures:
+            self.started_s = trio.current_time()
         while True:
             page = await self.store.list_page(self.kind, self.after)
             outcome = (
--- a/src/rosemaryknot/process/store_watcher.py
+++ b/src/rosemaryknot/process/store_watcher.py
@@ -316,7 +316,6 @@
         """Apply a list that another node has received from the store."""
         is_same_era = era_of(listed.version) == era_of(self.revision)
         before = self.revision
-        self.list_reader.reset()
         self.on_list(listed)
         self.revision = listed.version
         self.seen = max(self.seen, listed.version)
--- a/tests/gateway/test_store_lists.py
+++ b/tests/gateway/test_store_lists.py
@@ -172,6 +172,14 @@
         await trio.sleep(2.0)
         assert known(paged_fleet)["n0"] == set(paged_fleet.servers)
 
+    async def test_time_of_a_list(self, paged_fleet, info_lines):
+        """Guards against a line that counts the time between two lists."""
+        await trio.sleep(5.0)
+        info_lines.clear()
+        await paged_fleet.nodes["n0"].watchers["servers"].list_all()
+        listed = [x for x in info_lines if x["event"] == "listed objects"]
+        assert [(x["pages"], x["took_s"] < 1.0) for x in listed] == [(PAGES, True)]
+
     async def test_incomplete_list_removes_no_server(self, paged_fleet):
         """Guards against servers that are missing from a part of a list only."""
         everyone = set(paged_fleet.servers)
@@ -181,3 +189,22 @@
         await trio.sleep(RECOVERY_S)
         expected = dict.fromkeys(paged_fleet.nodes, everyone | {"m9"})
         assert known(paged_fleet) == expected
+
+    @pytest.mark.parametrize("era", [None, 1])
+    async def test_offer_during_a_list(self, autojump_clock, era):
+        """Guards against a list whose first pages are lost as another node helps."""
+        async with platform_system(nodes=0, plain=6, models=6) as fleet:
+            fleet.store.page_size, fleet.store.era = 1, era
+            for number in range(2):
+                await fleet.add_node(number)
+            await trio.sleep(1.0)
+            fleet.store.response_delay_s = 0.1
+            node = await fleet.add_node(2, is_first_start=False)
+            seen = set()
+            for _ in range(80):
+                await trio.sleep(0.1)
+                servers = node.state.servers.by_id
+                available = {name for name, s in servers.items() if not s.is_missing}
+                assert seen <= available
+                seen = available
+            assert seen == set(fleet.servers)
