Do not take the report of a node that is late as well for the end of a lag

Played again with logs: two nodes are cut off from the store for some seconds, their watches stay silent, and both learn of seven changes 6.0 s after the first, when their own timeout ends the watch. The other nodes have them at once, and their reports reach both nodes all the while.

Cause: a node queries the store when others have been ahead of it for 0.6 s. This time began anew with each report that is not ahead, and each of the two late nodes got one from the other four times a second. The class: evidence of one source that is cleared by another source which has none.

Now a lag ends when this node knows the newest revision that was reported, or when no node that is ahead has reported for a second. tests/gateway/test_out_of_step_nodes.py: with one late node the test passes before, with two and three it fails; all pass now. The similar time of the configuration is kept by the newest version reported and was right.

--- a/src/rosemaryknot/process/gateway_exchange.py
+++ b/src/rosemaryknot/process/gateway_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of periodic reports between gateways."""
 
 import random
+from dataclasses import dataclass
 from typing import Any
 
 import trio
@@ -47,6 +48,33 @@
 log = logger("exchange")
 
 
+@dataclass(slots=True)
+class Lag:
+    """Lag of this gateway behind others for a kind of object.
+
+    Attributes
+    ----------
+    since_s : float
+        Since when it lasts, in trio time.
+    reported_s : float
+        When a gateway that is ahead reported last, in trio time.
+    revision : int
+        Newest revision in such a report.
+    """
+
+    since_s: float
+    reported_s: float
+    revision: int
+
+    def is_over(self, revision: int, now_s: float) -> bool:
+        """Return whether it is over, by the revision that is known here.
+
+        A report of a gateway that is behind as well shows nothing.
+        """
+        is_outdated = now_s - self.reported_s > REPORT_MAX_AGE_S
+        return revision >= self.revision or is_outdated
+
+
 class GatewayExchange:
     """Sender of this gateway's reports and receiver of those of other gateways.
 
@@ -80,7 +108,7 @@
         self.sequence = 0
         self.reports: dict[str, tuple[float, GatewayReport]] = {}
         self.last_offer_s: dict[str, float] = {}
-        self.behind_since_s: dict[str, float] = {}
+        self.lags: dict[str, Lag] = {}
         self.lease_name = lease_name
         self.hubs = HubExchange(components, self, handlers)
         handlers.on(GatewayReport)(self.handle_report)
@@ -269,12 +297,15 @@
             theirs = reported(report.seen, report.eras, kind, watcher)
             if kind not in report.lost:
                 watcher.record_peer_seen(theirs)
+            lag = self.lags.get(kind)
+            if lag is not None and lag.is_over(watcher.revision, now_s):
+                del self.lags[kind]
             if watcher.revision >= theirs:
-                self.behind_since_s.pop(kind, None)
                 continue
             watcher.record_peer_era(era_of(theirs))
-            since_s = self.behind_since_s.setdefault(kind, now_s)
-            if now_s - since_s > MAX_LAG_S[kind]:
+            lag = self.lags.setdefault(kind, Lag(now_s, now_s, theirs))
+            lag.reported_s, lag.revision = now_s, max(lag.revision, theirs)
+            if now_s - lag.since_s > MAX_LAG_S[kind]:
                 watcher.resync(f"{report.node} has a newer revision")
 
     def record_reconnect(self, reconnected_s: float, node: str) -> None:
--- a/tests/gateway/test_out_of_step_nodes.py
+++ b/tests/gateway/test_out_of_step_nodes.py
@@ -108,3 +108,22 @@
             if cut in ("in touch", "from nodes"):
                 # As many as the server that is left can run.
                 assert sum(len(caller.events) == EVENTS for caller in callers) >= 16
+
+
+class TestSilentWatches:
+    @pytest.mark.parametrize("late", [("n0",), ("n0", "n1"), ("n0", "n1", "n2")])
+    async def test_late_nodes_learn_from_reports(self, autojump_clock, late):
+        """Guards against late nodes whose reports hide that others are ahead.
+
+        The watches of some nodes become silent at a change; new calls are answered.
+        """
+        async with platform_system(nodes=5) as fleet:
+            await trio.sleep(6.0)
+            hosts = [fleet.nodes[n].settings.listen.callers.host for n in late]
+            fleet.store.faults.begin("silent", *hosts)
+            fleet.store.remove("servers", "p1")
+            await trio.sleep(0.1)
+            fleet.store.faults.end()
+            await trio.sleep(1.4)
+            for name, node in fleet.nodes.items():
+                assert node.state.servers.by_id["p1"].is_missing, name
