--- a/tests/connection/test_reset_order.py
+++ b/tests/connection/test_reset_order.py
@@ -1,6 +1,7 @@
 """Tests of resets and closes at any moment of an upload, on real sockets."""
 
 import random
+import select
 import socket
 import struct
 import threading
@@ -29,6 +30,14 @@
 # Connections of a test; without the safeguard a quarter of the resets look complete.
 ROUNDS = 150
 LONGEST_READ_S = 0.008
+CLOSE_TO_RESET_S = 0.002
+
+
+def wait_unread(connection):
+    """Wait until bytes have arrived that are not read."""
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    poll.poll()
 
 
 class EarlyServer:
@@ -40,8 +49,9 @@
         ``"reset"``: after the first part of the response, at any moment of the upload.
         ``"reset unread"``: the same, without reading the upload, so that its writer
         waits. ``"close unread"``: a close with bytes unread, which the system turns
-        into a reset. ``"half close"``: in order after the whole response, and it reads
-        on.
+        into a reset. ``"reset after close"``: a close for writing, and a reset while
+        the upload arrives. ``"half close"``: in order after the whole response, and it
+        reads on.
     """
 
     def __init__(self, end):
@@ -77,7 +87,11 @@
         else:
             self.read(connection, delay_s)
         if self.end == "close unread":
+            wait_unread(connection)
             return
+        if self.end == "reset after close":
+            connection.shutdown(socket.SHUT_WR)
+            time.sleep(CLOSE_TO_RESET_S)
         if self.end.startswith("reset"):
             linger = struct.pack("ii", 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -157,9 +171,12 @@
 )
 
 
+ENDS = ("reset", "reset unread", "close unread", "reset after close")
+
+
 class TestResets:
     @PATHS
-    @pytest.mark.parametrize("end", ["reset", "reset unread", "close unread"])
+    @pytest.mark.parametrize("end", ENDS, ids=[end.replace(" ", "-") for end in ENDS])
     async def test_no_part_of_a_response_looks_complete(self, exchange, end):
         """Guards against a reset that the reader of a response takes for its end."""
         with EarlyServer(end) as address:
